--- /dev/null
+++ b/include/dotterelbarrow/core/advice/advice_book.h
@@ -0,0 +1,81 @@
+// Which workers may run which steps, as the placement advisor said, and which
+// entry host asks next.
+//
+// The advisor serves one call of each entry host at a time, so calls are
+// spread over the hosts by the time that they are expected to take.
+#ifndef DOTTERELBARROW_CORE_ADVICE_ADVICE_BOOK_H_
+#define DOTTERELBARROW_CORE_ADVICE_ADVICE_BOOK_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "dotterelbarrow/base/ids.h"
+#include "dotterelbarrow/base/units.h"
+#include "dotterelbarrow/core/desired/desired_state.h"
+#include "dotterelbarrow/core/jobs/job_spec.h"
+
+namespace dotterelbarrow::core::advice {
+
+// Chooses the entry host for each call.
+//
+// Load pattern: many short calls for urgent work beside few calls that take
+// half a second. Long calls stay on some hosts, so that short ones never wait
+// behind them.
+class AskerChooser {
+ public:
+  // A call that takes longer is a long one: it would use up half of the slack
+  // of work that is due within a second.
+  static constexpr base::Duration kLongCall = std::chrono::milliseconds(200);
+
+  // Replaces the hosts that can be asked. Keeps what is known of their calls.
+  void SetHosts(const std::vector<base::EntryId>& hosts);
+  // Returns the host that would answer a call of this length first, and counts
+  // the call; nullopt without hosts.
+  std::optional<base::EntryId> Choose(base::Duration cost, base::TimePoint now);
+ private:
+  // Until when each host is busy with the calls that it was given.
+  std::map<base::EntryId, base::TimePoint> busy_until_;
+};
+
+struct Ticket {
+  std::string text;
+  base::TimePoint valid_until;
+};
+
+// What is known for one step.
+struct StepAdvice {
+  // Calls under way.
+  int calls = 0;
+  // Whether some call was answered, so that `allowed` can be gone by.
+  bool is_known = false;
+  // All that were found allowed; which workers may run a step never changes,
+  // but tickets run out.
+  std::map<base::BackendId, Ticket> allowed;
+  // After a failed call, not before this moment.
+  base::TimePoint retry_at;
+  int failed_calls = 0;
+};
+
+class AdviceBook {
+ public:
+  // Returns null for a step that nothing was asked for.
+  StepAdvice* Find(const jobs::StepRef& step);
+  StepAdvice& FindOrAdd(const jobs::StepRef& step) { return steps_[step]; }
+  void Forget(const jobs::StepRef& step) { steps_.erase(step); }
+  void Clear() { steps_.clear(); }
+  std::size_t size() const { return steps_.size(); }
+
+ private:
+  std::unordered_map<jobs::StepRef, StepAdvice> steps_;
+};
+
+// Returns how long the advisor takes for a call.
+base::Duration CallCost(const desired::AdvicePolicy& policy,
+                        std::size_t workers);
+
+}  // namespace dotterelbarrow::core::advice
+
+#endif  // DOTTERELBARROW_CORE_ADVICE_ADVICE_BOOK_H_
--- /dev/null
+++ b/include/dotterelbarrow/core/leadership/leadership.h
@@ -0,0 +1,148 @@
+// Which entry host owns the cell, decided by one row of the store.
+//
+// The row (the head) names the owner and its token. Each write of the owner is
+// a transaction that expects the head's version and puts it anew, so that
+// - a former owner can write nothing once another has put the head,
+// - a write without an answer is sent again as it was and takes effect once,
+// - the head's version shows that the owner lives.
+// Nothing here depends on clocks but when a silent owner is replaced.
+#ifndef DOTTERELBARROW_CORE_LEADERSHIP_LEADERSHIP_H_
+#define DOTTERELBARROW_CORE_LEADERSHIP_LEADERSHIP_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "dotterelbarrow/base/failure.h"
+#include "dotterelbarrow/base/ids.h"
+#include "dotterelbarrow/base/units.h"
+#include "dotterelbarrow/core/scheduler/actions.h"
+
+namespace dotterelbarrow::core::leadership {
+
+using scheduler::FencingToken;
+
+// What the head says.
+struct Head {
+  FencingToken token{};
+  base::EntryId holder{};
+  base::Incarnation incarnation{};
+  // Where the holder takes calls of other entry hosts: "ip:port".
+  std::string address{};
+  // Counts the writes under this token.
+  std::uint64_t sequence = 0;
+  // The holder gave the cell up.
+  bool is_resigned = false;
+
+  friend bool operator==(const Head&, const Head&) = default;
+};
+
+std::string EncodeHead(const Head& head);
+std::optional<Head> DecodeHead(const std::string& text, base::Failure* reason);
+
+struct LeadershipSettings {
+  base::EntryId self;
+  base::Incarnation incarnation;
+  std::string address;
+  // An owner that has nothing to write puts the head this often.
+  base::Duration renewal_period = std::chrono::milliseconds(500);
+  // An owner whose head didn't change for this long is replaced: three
+  // renewals and the time that one write may take.
+  base::Duration silence = std::chrono::milliseconds(1800);
+  // Two looks at an unchanged head further apart than this prove nothing:
+  // neither side may have reached the store in between.
+  base::Duration most_blind = std::chrono::milliseconds(1000);
+  // An owner goes on to command workers for this long without a confirmed
+  // write: while the store is away nobody can replace it.
+  base::Duration authority = std::chrono::seconds(9);
+};
+
+enum class Role {
+  kFollower,
+  kClaiming,  // Its write of the head is under way.
+  kOwner,
+};
+
+// A put of the head under the condition that its version is `expected`; 0 for
+// a head that isn't there.
+struct HeadWrite {
+  base::RowVersion expected;
+  Head head;
+};
+
+enum class ConflictMeaning {
+  kTookEffect,  // An earlier copy of this write was carried out.
+  kReplaced,    // Another entry host owns the cell.
+};
+
+class Leadership {
+ public:
+  explicit Leadership(LeadershipSettings settings)
+      : settings_(std::move(settings)) {}
+
+  Role role() const { return role_; }
+  // The token of the own term; only as the owner.
+  FencingToken token() const { return own_.token; }
+  // Whose cell it is as far as is known, this host included; null if it is
+  // nobody's.
+  const Head* owner() const;
+
+  // Takes what a read of the head showed.
+  void OnRead(const std::optional<Head>& head, base::RowVersion version,
+              base::TimePoint now);
+  // The owner's address refused a connection: its process is gone.
+  void OnOwnerGone(base::TimePoint now);
+
+  // Returns the write that makes this host the owner, if the cell is free.
+  std::optional<HeadWrite> BeginClaim(base::TimePoint now);
+  // Returns the head for the owner's next write. Precondition: the owner, and
+  // no write under way.
+  HeadWrite BeginWrite(base::TimePoint now);
+  // The write that gives the cell up.
+  HeadWrite BeginResignation(base::TimePoint now);
+  // The write under way took effect with this version.
+  void OnWritten(base::RowVersion version, base::TimePoint now);
+  // The condition of the write under way didn't hold.
+  ConflictMeaning OnConflict(const std::optional<Head>& head,
+                             base::RowVersion version, base::TimePoint now);
+  // The claim's outcome is unknown; the next read tells.
+  void OnClaimLost();
+  // The owner learnt elsewhere that it was replaced.
+  void Abandon();
+
+  bool is_write_under_way() const { return write_.has_value(); }
+  bool IsRenewalDue(base::TimePoint now) const {
+    return role_ == Role::kOwner && !write_ &&
+           now - confirmed_at_ >= settings_.renewal_period;
+  }
+  // Whether the owner may command workers.
+  bool HasAuthority(base::TimePoint now) const {
+    return role_ == Role::kOwner && now - confirmed_at_ < settings_.authority;
+  }
+  // When the write that the store confirmed last was sent.
+  base::TimePoint confirmed_at() const { return confirmed_at_; }
+
+ private:
+  void BecomeOwner(base::RowVersion version);
+
+  LeadershipSettings settings_;
+  Role role_ = Role::kFollower;
+  // The head as last seen, and since when it has been looked at without gaps
+  // and didn't change.
+  std::optional<Head> seen_;
+  base::RowVersion seen_version_;
+  bool was_read_ = false;
+  base::TimePoint unchanged_since_;
+  base::TimePoint last_read_;
+  bool owner_gone_ = false;
+  Head own_;
+  base::RowVersion own_version_;
+  // Invariant: set while a write is under way.
+  std::optional<HeadWrite> write_;
+  base::TimePoint write_begun_;
+  base::TimePoint confirmed_at_;
+};
+
+}  // namespace dotterelbarrow::core::leadership
+
+#endif  // DOTTERELBARROW_CORE_LEADERSHIP_LEADERSHIP_H_
--- /dev/null
+++ b/include/dotterelbarrow/core/placement/urgency.h
@@ -0,0 +1,54 @@
+// In which order waiting work is placed when there isn't room for all of it.
+#ifndef DOTTERELBARROW_CORE_PLACEMENT_URGENCY_H_
+#define DOTTERELBARROW_CORE_PLACEMENT_URGENCY_H_
+
+#include <compare>
+#include <cstdint>
+
+#include "dotterelbarrow/base/units.h"
+#include "dotterelbarrow/core/desired/desired_state.h"
+#include "dotterelbarrow/core/jobs/job.h"
+
+namespace dotterelbarrow::core::placement {
+
+// When a job is due, and when its completion has lost its worth.
+struct CompletionObjective {
+  base::Duration on_time{0};
+  base::Duration late{0};
+};
+
+// Returns the objective of a job of `queue`, counted from its acceptance. A
+// call for advice is part of each step.
+CompletionObjective ObjectiveOf(const desired::Queue& queue,
+                                const jobs::JobSpec& spec);
+
+enum class Standing {
+  kOnTime,   // It can still be done in time.
+  kLate,     // In time is over; some worth is left.
+  kExpired,  // It only has to be done.
+};
+
+// Compares waiting steps: the lesser one is placed first.
+//
+// Load pattern: a burst fills the fleet for seconds. What can still be in time
+// goes before what can't; an organisation that hands in more than its weight
+// allows goes behind the others; then queues by their priority; then what has
+// the least time left.
+struct Urgency {
+  Standing standing = Standing::kOnTime;
+  bool over_share = false;
+  int priority = 0;
+  // The last moment at which the step can start for the job to be in time.
+  base::TimePoint latest_start;
+
+  friend bool operator==(const Urgency&, const Urgency&) = default;
+  friend std::strong_ordering operator<=>(const Urgency& a, const Urgency& b);
+};
+
+Urgency UrgencyOf(const jobs::Job& job, const jobs::StepSpec& step,
+                  const desired::Queue& queue, bool over_share,
+                  base::TimePoint now);
+
+}  // namespace dotterelbarrow::core::placement
+
+#endif  // DOTTERELBARROW_CORE_PLACEMENT_URGENCY_H_
--- /dev/null
+++ b/include/dotterelbarrow/core/placement/worker_choice.h
@@ -0,0 +1,46 @@
+// Which of the workers that may run a task gets it.
+#ifndef DOTTERELBARROW_CORE_PLACEMENT_WORKER_CHOICE_H_
+#define DOTTERELBARROW_CORE_PLACEMENT_WORKER_CHOICE_H_
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "dotterelbarrow/base/ids.h"
+#include "dotterelbarrow/base/units.h"
+#include "dotterelbarrow/core/jobs/job.h"
+#include "dotterelbarrow/core/workers/worker.h"
+
+namespace dotterelbarrow::core::placement {
+
+// What of a worker matters while one step is placed.
+struct Candidate {
+  const workers::Worker* worker = nullptr;
+  // Room that is left, less what this placement has taken so far.
+  base::Resources free;
+  // Tasks of the step there.
+  std::uint32_t of_step = 0;
+  // Kept free for a gang that waits; others take it only where nothing else
+  // fits.
+  bool is_held = false;
+};
+
+// Returns whether the worker could ever run a task of the step.
+bool IsSuitable(const workers::Worker& worker, const jobs::StepSpec& step);
+
+// Returns whether one more task of the step can go there now.
+bool HasRoom(const Candidate& candidate, const jobs::StepSpec& step);
+
+// Returns how badly the task would sit there; the least is best.
+//
+// Load pattern: a steady stream of small tasks beside gangs that need large
+// holes at one moment. Small tasks go where the least is left over, so that
+// other workers keep room for gangs. Tasks that fill idle processor time go
+// where the most of it is. Data on another rack, a worker on which the task
+// failed before, and one that is cold cost more than any packing gains.
+double Badness(const Candidate& candidate, const jobs::StepSpec& step,
+               const base::BackendId& failed_on);
+
+}  // namespace dotterelbarrow::core::placement
+
+#endif  // DOTTERELBARROW_CORE_PLACEMENT_WORKER_CHOICE_H_
--- /dev/null
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -0,0 +1,153 @@
+// Places waiting tasks: in the order of their urgency, on workers that the
+// advisor allows, within room and caps.
+#ifndef DOTTERELBARROW_CORE_SCHEDULER_DISPATCHER_H_
+#define DOTTERELBARROW_CORE_SCHEDULER_DISPATCHER_H_
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "dotterelbarrow/core/advice/advice_book.h"
+#include "dotterelbarrow/core/desired/desired_state.h"
+#include "dotterelbarrow/core/placement/urgency.h"
+#include "dotterelbarrow/core/placement/worker_choice.h"
+#include "dotterelbarrow/core/scheduler/actions.h"
+#include "dotterelbarrow/core/scheduler/decision_log.h"
+#include "dotterelbarrow/core/scheduler/fleet.h"
+#include "dotterelbarrow/core/scheduler/job_book.h"
+#include "dotterelbarrow/core/scheduler/run_index.h"
+
+namespace dotterelbarrow::core::scheduler {
+
+struct DispatcherSettings {
+  // Workers that one call for advice names at most; the platform's bound.
+  std::size_t max_advised = 100;
+  // A ticket is not used in its last moments: the start has to arrive.
+  base::Duration ticket_margin = std::chrono::milliseconds(150);
+  // A failed call for advice is repeated after this time.
+  base::Duration advice_retry = std::chrono::milliseconds(150);
+  // Gangs for which room is kept free at a time; more would empty the fleet.
+  int max_held_gangs = 2;
+};
+
+class Dispatcher {
+ public:
+  Dispatcher(DispatcherSettings settings, Telemetry telemetry, JobBook* jobs,
+             Fleet* fleet, RunIndex* runs)
+      : settings_(settings),
+        telemetry_(telemetry),
+        jobs_(jobs),
+        fleet_(fleet),
+        runs_(runs) {}
+
+  void SetDesired(std::shared_ptr<const desired::DesiredState> desired);
+  void set_askers(const std::vector<base::EntryId>& entries) {
+    askers_.SetHosts(entries);
+  }
+  // Attempts of this owner begin above those of all former ones.
+  void set_first_attempt(jobs::Attempt first) { first_attempt_ = first; }
+  // Jobs of former owners wait as long as some worker may run what isn't
+  // known.
+  void set_inherited(std::unordered_set<jobs::JobKey> jobs) {
+    inherited_ = std::move(jobs);
+  }
+
+  // Returns the queue as it is or, if it was dropped, as it last was.
+  const desired::Queue* FindQueue(const desired::QueueId& id) const;
+
+  // Looks at the step in the next pass.
+  void Consider(const jobs::StepRef& step) { waiting_.insert(step); }
+  void Forget(const jobs::StepRef& step);
+  // An organisation's job beyond its weight was accepted.
+  void NoteOverShare(jobs::JobKey job) { over_share_.insert(job); }
+  void ForgetJob(jobs::JobKey job);
+
+  // Places what can be placed.
+  void Pass(base::TimePoint now, std::vector<Action>* actions);
+  void OnAdvice(const jobs::StepRef& step, const AdviceResult& result,
+                base::TimePoint now, std::vector<Action>* actions);
+  // The worker refused a ticket of the step.
+  void DropTicket(const jobs::StepRef& step, const base::BackendId& worker);
+
+  std::size_t waiting_steps() const { return waiting_.size(); }
+
+ private:
+  struct Item {
+    placement::Urgency urgency;
+    jobs::StepRef step;
+    jobs::Job* job = nullptr;
+    const desired::Queue* queue = nullptr;
+  };
+  // One task on one worker.
+  struct Choice {
+    std::uint32_t index = 0;
+    base::BackendId worker;
+  };
+
+  // Returns what can be looked at now, the most urgent first.
+  std::vector<Item> Collect(base::TimePoint now);
+  // Returns nullopt where the step has nothing to place.
+  std::optional<Item> ItemOf(const jobs::StepRef& ref, base::TimePoint now);
+  bool IsAdvised(const Item& item, base::TimePoint now,
+                 std::vector<Action>* actions);
+  void Ask(const Item& item, std::vector<base::BackendId> workers,
+           base::TimePoint now, std::vector<Action>* actions);
+  std::vector<base::BackendId> WorkersToAskAbout(const Item& item,
+                                                 base::TimePoint now) const;
+  std::vector<placement::Candidate> CandidatesOf(const Item& item,
+                                                 base::TimePoint now) const;
+  void PlaceTasks(const Item& item, base::TimePoint now,
+                  std::vector<Action>* actions);
+  void PlaceGang(const Item& item, base::TimePoint now,
+                 std::vector<Action>* actions);
+  std::vector<Choice> ChooseForGang(const Item& item,
+                                    base::TimePoint now) const;
+  // Keeps the workers on which the gang will fit soonest from lesser work.
+  void HoldFor(const Item& item, base::TimePoint now);
+  // Sets room aside, and starts at once where tickets hold; else asks.
+  void Commit(const Item& item, const std::vector<Choice>& choices,
+              jobs::Attempt attempt, base::TimePoint now,
+              std::vector<Action>* actions);
+  // Returns whether the organisation may have `tasks` more of these running.
+  bool IsWithinCap(const Item& item, std::uint32_t tasks) const;
+  // What may run unseen on workers of former owners.
+  base::Resources UnseenUsage() const;
+  // Returns the ticket to show; nullopt if a new one is needed.
+  std::optional<std::string> TicketFor(const Item& item,
+                                       const base::BackendId& worker,
+                                       base::TimePoint now);
+  void StartRun(const Item& item, const PlacedRun& run,
+                const std::string& ticket, base::TimePoint now,
+                std::vector<Action>* actions);
+  // Starts what was set aside for the step, or gives it back.
+  void SettleEarmarks(const jobs::StepRef& step, base::TimePoint now,
+                      std::vector<Action>* actions);
+  jobs::Attempt NextAttempt(const jobs::Step& step, std::uint32_t index) const;
+
+  DispatcherSettings settings_;
+  Telemetry telemetry_;
+  JobBook* jobs_;
+  Fleet* fleet_;
+  RunIndex* runs_;
+  std::shared_ptr<const desired::DesiredState> desired_;
+  advice::AdviceBook advice_;
+  advice::AskerChooser askers_;
+  jobs::Attempt first_attempt_ = jobs::Attempt(1);
+  std::unordered_set<jobs::JobKey> inherited_;
+  std::unordered_set<jobs::JobKey> over_share_;
+  std::set<jobs::StepRef> waiting_;
+  // Jobs go on after their queue was dropped, under its last rules.
+  std::unordered_map<desired::QueueId, desired::Queue> known_queues_;
+  // Workers kept free for gangs of this pass, and of the one before.
+  std::set<base::BackendId> held_;
+  std::set<base::BackendId> held_before_;
+  int held_gangs_ = 0;
+};
+
+}  // namespace dotterelbarrow::core::scheduler
+
+#endif  // DOTTERELBARROW_CORE_SCHEDULER_DISPATCHER_H_
--- /dev/null
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -0,0 +1,151 @@
+// The workers of one owner: claims them, keeps their leases, follows each run
+// from its order to its sure end.
+//
+// A run's room is free again only when the worker listed its end, a look sent
+// after an answered stop didn't list it, the worker has a new life, or its
+// lease has surely lapsed. Until then the task is started nowhere else.
+#ifndef DOTTERELBARROW_CORE_SCHEDULER_FLEET_H_
+#define DOTTERELBARROW_CORE_SCHEDULER_FLEET_H_
+
+#include <sigc++/signal.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "dotterelbarrow/base/ids.h"
+#include "dotterelbarrow/base/units.h"
+#include "dotterelbarrow/core/scheduler/actions.h"
+#include "dotterelbarrow/core/scheduler/decision_log.h"
+#include "dotterelbarrow/core/workers/worker.h"
+
+namespace dotterelbarrow::core::scheduler {
+
+struct FleetSettings {
+  // How long a lease is given for. Outlasts a change of the owner, so that
+  // running work survives it.
+  base::Duration lease = std::chrono::milliseconds(6500);
+  // How long a look may wait for an end.
+  base::Duration look_wait = std::chrono::milliseconds(1500);
+  // Least time between two looks; gathers ends, as each look has a price.
+  base::Duration look_gap = std::chrono::milliseconds(60);
+  // A failed look is repeated after this time.
+  base::Duration look_retry = std::chrono::milliseconds(200);
+  // An order to stop without an answer is repeated after this time.
+  base::Duration stop_retry = std::chrono::milliseconds(300);
+  // How long a former owner may go on after it was replaced, at most.
+  base::Duration former_owner_authority = std::chrono::seconds(9);
+};
+
+class Fleet {
+ public:
+  using RunKey = std::pair<jobs::TaskRef, jobs::Attempt>;
+
+  Fleet(FleetSettings settings, Telemetry telemetry)
+      : settings_(settings), telemetry_(telemetry) {}
+
+  // A run surely ended: its worker, the run as it was, how, where it may
+  // resume.
+  sigc::signal<void(const workers::Worker&, const workers::Run&, jobs::RunEnd,
+                    const std::string&)>
+      run_ended;
+  // An end of a run that isn't known here, as a claimed worker lists it.
+  sigc::signal<void(const workers::Worker&, const ListedEnd&)> unknown_end;
+  // A run that isn't known here. The handler adds it by Adopt, or leaves it to
+  // be stopped.
+  sigc::signal<void(workers::Worker*, const ListedRun&, base::TimePoint)>
+      unknown_run;
+  // A start didn't happen for this reason. Its room is free.
+  sigc::signal<void(const workers::Worker&, const workers::Run&, OrderOutcome)>
+      start_refused;
+  // The fence was taken and the lists were read, or the lease lapsed.
+  sigc::signal<void(const base::BackendId&)> settled;
+  // Ends of this worker up to this number wait for the store.
+  sigc::signal<void(const base::BackendId&, std::uint64_t)> ends_taken;
+
+  // Takes the platform's list. Workers that are missing keep what they run
+  // until their leases have lapsed.
+  void UpdateListings(const std::vector<workers::Listing>& listings,
+                      base::TimePoint now);
+  // Adds a worker that a former owner used; its leases may hold until the
+  // former owner's authority and one lease more have passed.
+  void Inherit(const workers::Listing& listing, base::TimePoint taken_over_at);
+
+  // Appends the looks, repeated stops and lapses that are due.
+  void Tick(base::TimePoint now, std::vector<Action>* actions);
+
+  // Sets room aside. The run is earmarked until Start.
+  workers::Run* Earmark(const base::BackendId& worker, workers::Run run);
+  void Release(const base::BackendId& worker, const RunKey& key);
+  // Orders the start of an earmarked run.
+  void Start(const base::BackendId& worker, const RunKey& key,
+             const std::string& payload, const std::string& checkpoint,
+             const std::string& ticket, base::TimePoint now,
+             std::vector<Action>* actions);
+  // Orders the stop of a run in any state; an earmarked one is released.
+  void Stop(const base::BackendId& worker, const RunKey& key,
+            base::TimePoint now, std::vector<Action>* actions);
+
+  void OnStarted(const base::BackendId& worker, std::int64_t born_ms,
+                 const RunKey& key, OrderOutcome outcome,
+                 std::int64_t clock_ms, base::TimePoint now,
+                 std::vector<Action>* actions);
+  // `clock_ms` is the worker's clock where it answered.
+  void OnStopped(const base::BackendId& worker, std::int64_t born_ms,
+                 const RunKey& key, OrderOutcome outcome,
+                 std::int64_t clock_ms, base::TimePoint now,
+                 std::vector<Action>* actions);
+  // `was_waiting` tells a look that could wait from one beside it.
+  void OnLooked(const base::BackendId& worker, std::int64_t born_ms,
+                bool was_waiting, const LookResult& result,
+                base::TimePoint now, std::vector<Action>* actions);
+  // The store holds all ends of the worker up to `number`.
+  void OnEndsStored(const base::BackendId& worker, std::uint64_t number,
+                    base::TimePoint now);
+
+  workers::Worker* Find(const base::BackendId& id);
+  const std::map<base::BackendId, workers::Worker>& workers() const {
+    return workers_;
+  }
+  // Workers of former owners that may still run what isn't known here.
+  const std::set<base::BackendId>& unsettled() const { return unsettled_; }
+  // Whether a worker said that another owner has a higher token.
+  bool is_fenced() const { return is_fenced_; }
+
+ private:
+  static WorkerAddress AddressOf(const workers::Worker& worker);
+  // Returns the deadline to name in an order, and counts it as given.
+  std::int64_t GrantLease(workers::Worker* worker, base::TimePoint now) const;
+  void BeginLife(workers::Worker* worker, const workers::Listing& listing,
+                 base::TimePoint now);
+  void EndAllRuns(workers::Worker* worker, jobs::RunEnd end);
+  void EndRun(workers::Worker* worker, const RunKey& key, jobs::RunEnd end,
+              const std::string& checkpoint);
+  void Settle(const base::BackendId& id);
+  void LookIfDue(workers::Worker* worker, base::TimePoint now,
+                 std::vector<Action>* actions);
+  void RepeatStops(workers::Worker* worker, base::TimePoint now,
+                   std::vector<Action>* actions);
+  void SendStop(workers::Worker* worker, workers::Run* run,
+                base::TimePoint now, std::vector<Action>* actions);
+  // Returns whether the worker can be forgotten.
+  bool LapseIfDue(workers::Worker* worker, base::TimePoint now);
+  void TakeEnds(workers::Worker* worker, const std::vector<ListedEnd>& ends);
+  void TakeActive(workers::Worker* worker, const LookResult& result,
+                  base::TimePoint now, std::vector<Action>* actions);
+  void ResolveUnlisted(workers::Worker* worker, const LookResult& result,
+                       base::TimePoint now, std::vector<Action>* actions);
+  void LookBeside(workers::Worker* worker, base::TimePoint now,
+                  std::vector<Action>* actions);
+
+  FleetSettings settings_;
+  Telemetry telemetry_;
+  std::map<base::BackendId, workers::Worker> workers_;
+  std::set<base::BackendId> unsettled_;
+  bool is_fenced_ = false;
+};
+
+}  // namespace dotterelbarrow::core::scheduler
+
+#endif  // DOTTERELBARROW_CORE_SCHEDULER_FLEET_H_
--- /dev/null
+++ b/include/dotterelbarrow/core/scheduler/job_book.h
@@ -0,0 +1,147 @@
+// All jobs of one owner, and what of them the store doesn't hold yet.
+//
+// Changes are written in the order in which they happened, many in one batch.
+// Whoever waits for a change, a caller or a worker whose ends may be
+// forgotten, hears of it once the batch that holds it is stored.
+#ifndef DOTTERELBARROW_CORE_SCHEDULER_JOB_BOOK_H_
+#define DOTTERELBARROW_CORE_SCHEDULER_JOB_BOOK_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <variant>
+#include <vector>
+
+#include "dotterelbarrow/base/failure.h"
+#include "dotterelbarrow/base/ids.h"
+#include "dotterelbarrow/base/units.h"
+#include "dotterelbarrow/core/jobs/job.h"
+#include "dotterelbarrow/core/scheduler/decision_log.h"
+
+namespace dotterelbarrow::core::scheduler {
+
+// The tables of the product's own records.
+enum class RecordTable { kAcceptances, kProgress, kWorkers };
+
+struct RecordChange {
+  RecordTable table = RecordTable::kProgress;
+  std::string key;
+  // Not set for a record that goes.
+  std::optional<std::string> value;
+};
+
+// Names a caller that waits; the driver's.
+using WaiterId = base::NumberId<struct WaiterIdTag>;
+
+// What was stored with a batch.
+struct StoredBatch {
+  std::vector<RecordChange> changes;
+  std::vector<jobs::JobKey> accepted;
+  std::vector<WaiterId> accept_waiters;
+  std::vector<WaiterId> cancel_waiters;
+  // Ends of these workers up to these numbers are stored.
+  std::map<base::BackendId, std::uint64_t> ends;
+
+  bool empty() const { return changes.empty() && ends.empty(); }
+};
+
+struct JobBookSettings {
+  // How long the state of an ended job can be asked for.
+  base::Duration retention = std::chrono::seconds(180);
+  // What one transaction of the store takes, less the row of the owner.
+  std::size_t max_changes = 99;
+  // Values are kept in the store as base64 within a body of at most 1 MB.
+  std::size_t max_bytes = std::size_t{600} * 1024;
+};
+
+class JobBook {
+ public:
+  JobBook(JobBookSettings settings, Telemetry telemetry)
+      : settings_(settings), telemetry_(telemetry) {}
+
+  // Adds a job that no batch holds yet. Precondition: IsKnown is false.
+  void Accept(jobs::Job job, WaiterId waiter);
+  // Lets `waiter` hear when the job is stored; returns whether it already is.
+  bool AwaitAccepted(jobs::JobKey key, WaiterId waiter);
+  // Lets `waiter` hear when all that happened to the job is stored; returns
+  // whether it already is.
+  bool AwaitStored(jobs::JobKey key, WaiterId waiter);
+
+  bool IsKnown(jobs::JobKey key) const {
+    return jobs_.contains(key) || ended_.contains(key);
+  }
+  // Returns null for jobs that ended, or are unknown.
+  jobs::Job* Find(jobs::JobKey key);
+  const std::unordered_map<jobs::JobKey, jobs::Job>& jobs() const {
+    return jobs_;
+  }
+  // Returns what callers may be shown: what is stored.
+  std::optional<jobs::JobState> StoredState(jobs::JobKey key) const;
+  // Returns whether the acceptance is stored, so that tasks may start.
+  bool IsStored(jobs::JobKey key) const { return !unstored_.contains(key); }
+
+  // The job's progress is to be stored. Ended jobs are kept by state only.
+  void NoteChanged(jobs::JobKey key, base::TimePoint now);
+  // Ends up to `number` may be acknowledged once what happened is stored.
+  void NoteEnds(const base::BackendId& worker, std::uint64_t number);
+  void NoteWorker(const base::BackendId& worker,
+                  std::optional<std::string> record);
+
+  // Takes what waits, oldest first, up to the size of one batch.
+  StoredBatch TakeBatch();
+  // Whether TakeBatch would return anything.
+  bool has_changes() const { return !waiting_.empty(); }
+  // The store holds `batch`.
+  void OnStored(const StoredBatch& batch);
+
+  // Adds what a former owner stored. Returns false with a reason, and adds
+  // nothing, if it can't be read.
+  bool Restore(jobs::JobKey key, const std::optional<std::string>& acceptance,
+               const std::optional<std::string>& progress, base::TimePoint now,
+               base::Failure* reason);
+  // Drops the state of jobs that ended long ago.
+  void Expire(base::TimePoint now);
+
+ private:
+  struct Ended {
+    jobs::JobState state = jobs::JobState::kCompleted;
+    bool stored = false;
+    base::TimePoint ended_at;
+  };
+  struct WorkerEnds {
+    base::BackendId worker;
+    std::uint64_t number = 0;
+  };
+  struct WorkerRecord {
+    base::BackendId worker;
+    std::optional<std::string> record;
+  };
+  using Waiting = std::variant<jobs::JobKey, WorkerEnds, WorkerRecord>;
+
+  void AddToBatch(jobs::JobKey key, StoredBatch* batch);
+
+  JobBookSettings settings_;
+  Telemetry telemetry_;
+  std::unordered_map<jobs::JobKey, jobs::Job> jobs_;
+  std::unordered_map<jobs::JobKey, Ended> ended_;
+  // Invariant: in order of their ends.
+  std::deque<jobs::JobKey> ended_order_;
+  // Jobs whose acceptance isn't stored.
+  std::unordered_set<jobs::JobKey> unstored_;
+  std::deque<Waiting> waiting_;
+  // Invariant: the jobs in `waiting_`.
+  std::unordered_set<jobs::JobKey> changed_;
+  // Invariant: the jobs in the batch under way.
+  std::unordered_set<jobs::JobKey> under_way_;
+  std::unordered_map<jobs::JobKey, std::vector<WaiterId>> accept_waiters_;
+  std::unordered_map<jobs::JobKey, std::vector<WaiterId>> store_waiters_;
+};
+
+}  // namespace dotterelbarrow::core::scheduler
+
+#endif  // DOTTERELBARROW_CORE_SCHEDULER_JOB_BOOK_H_
--- /dev/null
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -0,0 +1,163 @@
+// The owner of all workers and jobs: takes jobs, places their tasks, follows
+// them to their ends, and answers for their states. A pure state machine; the
+// driver carries out its actions and stores its batches.
+//
+//   Scheduler scheduler(settings, telemetry);
+//   scheduler.BeginTerm(token, now);
+//   ... scheduler.Restore(...); scheduler.Inherit(...);
+//   scheduler.Submit(...);
+//   for (const Action& action : scheduler.TakeActions()) ...
+//   StoredBatch batch = scheduler.TakeBatch(); ... scheduler.OnStored(batch);
+//
+// One value serves one term: an owner that was replaced throws it away.
+#ifndef DOTTERELBARROW_CORE_SCHEDULER_SCHEDULER_H_
+#define DOTTERELBARROW_CORE_SCHEDULER_SCHEDULER_H_
+
+#include <sigc++/trackable.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+#include "dotterelbarrow/core/desired/desired_state.h"
+#include "dotterelbarrow/core/jobs/job.h"
+#include "dotterelbarrow/core/placement/submission_rate.h"
+#include "dotterelbarrow/core/scheduler/actions.h"
+#include "dotterelbarrow/core/scheduler/decision_log.h"
+#include "dotterelbarrow/core/scheduler/dispatcher.h"
+#include "dotterelbarrow/core/scheduler/fleet.h"
+#include "dotterelbarrow/core/scheduler/job_book.h"
+#include "dotterelbarrow/core/scheduler/run_index.h"
+
+namespace dotterelbarrow::core::scheduler {
+
+struct SchedulerSettings {
+  FleetSettings fleet;
+  DispatcherSettings dispatcher;
+  JobBookSettings jobs;
+  // Jobs that have not ended; beyond, new ones are refused. Bounds memory: a
+  // job of the largest size takes about 20 kB.
+  std::size_t max_jobs = 4000;
+};
+
+// What a caller hands in, with what its entry host knows of it.
+struct Submission {
+  jobs::JobKey key;
+  desired::QueueId queue;
+  base::OrganisationId organisation;
+  jobs::JobSpec spec;
+};
+
+enum class SubmitOutcome {
+  kAccepted,  // Stored before.
+  kStoring,   // The waiter hears once it is stored.
+  kRefused,   // Surely never runs.
+};
+
+struct SubmitAnswer {
+  SubmitOutcome outcome = SubmitOutcome::kRefused;
+  // Only where refused.
+  std::string reason{};
+  base::Duration retry_after{0};
+};
+
+enum class CancelAnswer { kCancelled, kStoring, kUnknown };
+
+class Scheduler : public sigc::trackable {
+ public:
+  Scheduler(const SchedulerSettings& settings, Telemetry telemetry);
+  Scheduler(const Scheduler&) = delete;
+  Scheduler& operator=(const Scheduler&) = delete;
+
+  // Begins as the owner under `token`. What former owners stored follows by
+  // Restore and Inherit.
+  void BeginTerm(FencingToken token, base::TimePoint now);
+  void Restore(jobs::JobKey key, const std::optional<std::string>& acceptance,
+               const std::optional<std::string>& progress,
+               base::TimePoint now, std::int64_t store_now_ms);
+  void Inherit(const workers::Listing& listing, base::TimePoint now);
+
+  void SetDesired(std::shared_ptr<const desired::DesiredState> desired);
+  void SetAskers(const std::vector<base::EntryId>& entries);
+  void UpdateListings(const std::vector<workers::Listing>& listings,
+                      base::TimePoint now);
+
+  SubmitAnswer Submit(Submission submission, WaiterId waiter,
+                      std::int64_t store_now_ms, base::TimePoint now);
+  CancelAnswer Cancel(jobs::JobKey key, WaiterId waiter, base::TimePoint now);
+  std::optional<jobs::JobState> StateOf(jobs::JobKey key) const {
+    return jobs_.StoredState(key);
+  }
+  // Returns how many accepted jobs of each queue have not begun.
+  std::map<desired::QueueId, std::uint64_t> PendingJobs() const;
+
+  // `unix_now_ms` only tells which scheduled occurrences are due.
+  void Tick(base::TimePoint now, std::int64_t unix_now_ms);
+  void Pass(base::TimePoint now) { dispatcher_.Pass(now, &actions_); }
+
+  void OnStarted(const StartTask& order, OrderOutcome outcome,
+                 std::int64_t clock_ms, base::TimePoint now);
+  void OnStopped(const StopTask& order, OrderOutcome outcome,
+                 std::int64_t clock_ms, base::TimePoint now);
+  void OnLooked(const LookAtWorker& order, const LookResult& result,
+                base::TimePoint now);
+  void OnAdvice(const AskAdvice& order, const AdviceResult& result,
+                base::TimePoint now);
+
+  std::vector<Action> TakeActions() { return std::exchange(actions_, {}); }
+  bool has_changes() const { return jobs_.has_changes(); }
+  StoredBatch TakeBatch() { return jobs_.TakeBatch(); }
+  void OnStored(const StoredBatch& batch, base::TimePoint now);
+
+  bool is_fenced() const { return fleet_.is_fenced(); }
+  std::size_t live_jobs() const { return jobs_.jobs().size(); }
+  std::size_t waiting_steps() const { return dispatcher_.waiting_steps(); }
+  const Fleet& fleet() const { return fleet_; }
+
+ private:
+  void OnRunEnded(const workers::Worker& worker, const workers::Run& run,
+                  jobs::RunEnd end, const std::string& checkpoint);
+  void OnUnknownEnd(const workers::Worker& worker, const ListedEnd& end);
+  void OnUnknownRun(workers::Worker* worker, const ListedRun& listed,
+                    base::TimePoint now);
+  void OnStartRefused(const workers::Worker& worker, const workers::Run& run,
+                      OrderOutcome outcome);
+  void OnSettled(const base::BackendId& worker);
+
+  // Takes the end of a run into its job.
+  void ApplyEnd(const jobs::TaskRef& task, jobs::Attempt attempt,
+                jobs::RunEnd end, const std::string& checkpoint,
+                const base::BackendId& worker);
+  // Stops all runs of a step.
+  void StopRuns(const jobs::StepRef& step);
+  void StopRunsOfJob(const jobs::Job& job);
+  void StopIncompleteGangs(base::TimePoint now);
+  void ConsiderAll(const jobs::Job& job);
+  void BeginDueOccurrences(jobs::Job* job, std::int64_t unix_now_ms);
+  void EndJob(const jobs::Job& job);
+  void NoteRunsOfWorker(const workers::Worker& worker, const workers::Run& run,
+                        jobs::RunEnd end);
+
+  SchedulerSettings settings_;
+  Telemetry telemetry_;
+  FencingToken token_;
+  std::shared_ptr<const desired::DesiredState> desired_;
+  JobBook jobs_;
+  Fleet fleet_;
+  RunIndex runs_;
+  Dispatcher dispatcher_;
+  placement::SubmissionRates rates_;
+  std::vector<Action> actions_;
+  base::TimePoint now_;
+  // Workers whose record is stored or on its way.
+  std::unordered_set<base::BackendId> recorded_workers_;
+  // Jobs with times.
+  std::unordered_set<jobs::JobKey> scheduled_;
+};
+
+}  // namespace dotterelbarrow::core::scheduler
+
+#endif  // DOTTERELBARROW_CORE_SCHEDULER_SCHEDULER_H_
--- /dev/null
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -0,0 +1,162 @@
+// One worker as its owner sees it: what it holds, what may be running there,
+// and until when its lease surely holds or has surely lapsed.
+#ifndef DOTTERELBARROW_CORE_WORKERS_WORKER_H_
+#define DOTTERELBARROW_CORE_WORKERS_WORKER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "dotterelbarrow/base/ids.h"
+#include "dotterelbarrow/base/units.h"
+#include "dotterelbarrow/core/jobs/job_spec.h"
+
+namespace dotterelbarrow::core::workers {
+
+// What the platform's list says of a worker.
+struct Listing {
+  base::BackendId id;
+  // "ip:port".
+  std::string address;
+  base::ServiceId service;
+  base::AvailabilityZone zone;
+  std::string rack;
+  std::vector<std::string> labels;
+  base::Resources capacity;
+  // Tells lives under one id apart; milliseconds since 1970.
+  std::int64_t born_ms = 0;
+  bool draining = false;
+  // How much longer it is slow after its start.
+  base::Duration cold_remaining{0};
+};
+
+enum class RunState {
+  kEarmarked,  // Room is set aside; nothing was ordered.
+  kStarting,   // The start is on its way.
+  kRunning,    // The worker said that it runs.
+  kUncertain,  // The start got no answer; it may still be carried out.
+  kStopping,   // The stop was ordered; its end isn't known yet.
+};
+
+const char* ToString(RunState state);
+
+// One run of a task on the worker, from the moment its room is set aside until
+// it surely neither runs nor will run.
+struct Run {
+  jobs::TaskRef task{};
+  jobs::Attempt attempt{};
+  RunState state = RunState::kEarmarked;
+  // What the task may use, and what of it is set aside on the worker.
+  base::Resources needs{};
+  base::Resources reserved{};
+  base::OrganisationId organisation{};
+  // When the state was entered.
+  base::TimePoint since{};
+  base::TimePoint started_at{};
+  base::Duration estimate{0};
+  // The worker's clock when it confirmed the start, and when it took the order
+  // to stop; 0 before. A list of a later clock shows the order's effect.
+  std::int64_t confirmed_ms = 0;
+  std::int64_t stop_taken_ms = 0;
+  base::TimePoint stop_sent_at{};
+  // What the worker last said of it.
+  std::string checkpoint{};
+  int percent = 0;
+  base::TimePoint percent_changed_at{};
+  // A task that serves: tail response time in ms; else millicores in use.
+  std::int64_t usage = 0;
+  // The share that it was last told to work at.
+  int pace_percent = 100;
+};
+
+// A lower bound of a worker's own clock. Workers' clocks may be slow by
+// `kMostDrift`, and never stand still while the worker lives.
+class WorkerClock {
+ public:
+  void Read(std::int64_t clock_ms, base::TimePoint answered_at);
+  void Forget() { read_.reset(); }
+  bool is_known() const { return read_.has_value(); }
+  // Returns the least that the worker's clock shows by now.
+  std::int64_t AtLeast(base::TimePoint now) const;
+  // Returns what it shows if it runs as ours does.
+  std::int64_t Estimate(base::TimePoint now) const;
+
+ private:
+  struct Reading {
+    std::int64_t clock_ms = 0;
+    base::TimePoint answered_at;
+  };
+  std::optional<Reading> read_;
+};
+
+class Worker {
+ public:
+  explicit Worker(Listing listing) : listing_(std::move(listing)) {}
+
+  const Listing& listing() const { return listing_; }
+  const base::BackendId& id() const { return listing_.id; }
+  void Update(const Listing& listing) { listing_ = listing; }
+  bool is_listed() const { return listed_; }
+  void set_listed(bool listed) { listed_ = listed; }
+
+  // Room that is neither set aside nor in use.
+  base::Resources FreeRoom() const { return listing_.capacity - reserved_; }
+  const base::Resources& reserved() const { return reserved_; }
+  // Processor time that tasks which only fill what is idle would take.
+  base::Millicores filling() const { return needed_.cpu - reserved_.cpu; }
+
+  // The runs of one task; at most two, where a stray one is being stopped.
+  Run* FindRun(const jobs::TaskRef& task, jobs::Attempt attempt);
+  Run* AddRun(Run run);
+  // Gives back the room.
+  void RemoveRun(const jobs::TaskRef& task, jobs::Attempt attempt);
+  const std::map<std::pair<jobs::TaskRef, jobs::Attempt>, Run>& runs() const {
+    return runs_;
+  }
+  std::map<std::pair<jobs::TaskRef, jobs::Attempt>, Run>& mutable_runs() {
+    return runs_;
+  }
+
+  WorkerClock clock;
+  // The latest deadline that any order named, by the worker's clock.
+  std::int64_t granted_until_ms = 0;
+  // Nothing is started before the fence was taken and the lists were read.
+  bool is_claimed = false;
+  // Where no deadline is known: when all that earlier owners gave has lapsed.
+  base::TimePoint inherited_until;
+  std::uint64_t ends_taken = 0;
+  // Ends up to here are stored and may be forgotten by the worker.
+  std::uint64_t ends_stored = 0;
+  bool look_under_way = false;
+  base::TimePoint next_look;
+  base::TimePoint last_answer;
+  int looks_failed = 0;
+  // Orders without an answer since the last answer of any kind.
+  int orders_unanswered = 0;
+  // No new work before this moment, because runs failed here.
+  base::TimePoint quarantined_until;
+  int failures_in_row = 0;
+  jobs::JobKey last_failed_job;
+  int quarantines = 0;
+
+  // Returns whether nothing that was ever ordered can run there any more,
+  // although the worker was not heard of.
+  bool LeaseSurelyLapsed(base::TimePoint now) const;
+  // Returns whether new work may be started there.
+  bool TakesWork(base::TimePoint now) const;
+
+ private:
+  Listing listing_;
+  bool listed_ = true;
+  std::map<std::pair<jobs::TaskRef, jobs::Attempt>, Run> runs_;
+  // Invariant: the sums over `runs_`.
+  base::Resources reserved_;
+  base::Resources needed_;
+};
+
+}  // namespace dotterelbarrow::core::workers
+
+#endif  // DOTTERELBARROW_CORE_WORKERS_WORKER_H_
--- a/include/dotterelbarrow/wire/http_client.h
+++ b/include/dotterelbarrow/wire/http_client.h
@@ -14,6 +14,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "dotterelbarrow/base/units.h"
 #include "dotterelbarrow/wire/event_loop.h"
@@ -30,6 +32,8 @@
   std::string body;
   // Sent as "Authorization: Bearer ..." unless empty.
   std::string bearer{};
+  // Sent as they are: names and values.
+  std::vector<std::pair<std::string, std::string>> headers{};
   // From the call to the whole answer, waiting for a connection included.
   base::Duration timeout{0};
 };
--- a/include/dotterelbarrow/wire/http_server.h
+++ b/include/dotterelbarrow/wire/http_server.h
@@ -33,6 +33,8 @@
 struct HttpRequest {
   ExchangeId exchange;
   HttpMethod method = HttpMethod::kGet;
+  // The Host header; empty without one.
+  std::string host;
   // Decoded.
   std::string path;
   // What follows a route's trailing slash, decoded; else empty.
--- /dev/null
+++ b/src/core/jobs/job.cc
@@ -0,0 +1,185 @@
+// How reports of runs move a job on.
+#include "dotterelbarrow/core/jobs/job.h"
+
+#include <algorithm>
+
+namespace dotterelbarrow::core::jobs {
+
+const char* ToString(JobState state) {
+  switch (state) {
+    case JobState::kQueued:
+      return "queued";
+    case JobState::kInProgress:
+      return "running";
+    case JobState::kCompleted:
+      return "done";
+    case JobState::kFailed:
+      return "failed";
+    case JobState::kCancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+const char* ToString(RunEnd end) {
+  switch (end) {
+    case RunEnd::kDone:
+      return "done";
+    case RunEnd::kFailed:
+      return "failed";
+    case RunEnd::kStopped:
+      return "stopped";
+    case RunEnd::kLapsed:
+      return "lapsed";
+    case RunEnd::kGangBroken:
+      return "gang_broken";
+    case RunEnd::kGangTimeout:
+      return "gang_timeout";
+    case RunEnd::kWorkerGone:
+      return "worker_gone";
+  }
+  return "unknown";
+}
+
+bool Occurrence::is_done() const {
+  return std::all_of(steps.begin(), steps.end(),
+                     [](const Step& step) { return step.is_done(); });
+}
+
+Step* Job::FindStep(const StepRef& ref) {
+  const auto it = occurrences.find(ref.occurrence);
+  if (it == occurrences.end() || ref.step >= it->second.steps.size()) {
+    return nullptr;
+  }
+  return &it->second.steps[ref.step];
+}
+
+Task* Job::FindTask(const TaskRef& ref) {
+  Step* step = FindStep(ref.step);
+  return step == nullptr || ref.index >= step->tasks.size()
+             ? nullptr
+             : &step->tasks[ref.index];
+}
+
+void Job::BeginOccurrence() {
+  Occurrence& occurrence = occurrences[occurrences_begun];
+  for (const StepSpec& step : spec.steps) {
+    occurrence.steps.emplace_back().tasks.resize(step.tasks);
+  }
+  ++occurrences_begun;
+}
+
+bool Job::IsUnblocked(const Occurrence& occurrence, std::uint32_t step) const {
+  const std::vector<std::uint32_t>& earlier = spec.steps[step].depends_on;
+  return std::all_of(earlier.begin(), earlier.end(),
+                     [&occurrence](std::uint32_t index) {
+                       return occurrence.steps[index].is_done();
+                     });
+}
+
+void Job::NoteRun(const TaskRef& ref, Attempt attempt) {
+  Task* task = FindTask(ref);
+  if (task == nullptr) {
+    return;
+  }
+  if (!task->has_run) {
+    task->has_run = true;
+    if (!task->done) {
+      ++FindStep(ref.step)->with_run;
+    }
+  }
+  task->last_attempt = std::max(task->last_attempt, attempt);
+  if (state == JobState::kQueued) {
+    state = JobState::kInProgress;
+  }
+}
+
+bool Job::NoteEnd(const TaskRef& ref, Attempt attempt, RunEnd end,
+                  const std::string& checkpoint, const base::BackendId& worker,
+                  std::uint32_t max_attempts) {
+  Task* task = FindTask(ref);
+  if (task == nullptr || task->done) {
+    return false;
+  }
+  Step* step = FindStep(ref.step);
+  const bool is_current = attempt >= task->last_attempt;
+  if (is_current && task->has_run) {
+    task->has_run = false;
+    --step->with_run;
+  }
+  task->last_attempt = std::max(task->last_attempt, attempt);
+  if (is_current && !checkpoint.empty()) {
+    task->checkpoint = checkpoint;
+  }
+  if (end == RunEnd::kDone && !SpecOf(ref.step).long_running) {
+    return NoteDone(ref, step);
+  }
+  if (end == RunEnd::kFailed) {
+    return NoteFailed(ref, attempt, step, worker, max_attempts);
+  }
+  return false;
+}
+
+bool Job::NoteDone(const TaskRef& ref, Step* step) {
+  const auto finish = [step](Task* task) {
+    if (task->done) {
+      return;
+    }
+    if (task->has_run) {
+      --step->with_run;
+    }
+    task->done = true;
+    ++step->done;
+  };
+  if (SpecOf(ref.step).gang) {
+    // The members of a gang end together; one end stands for all.
+    for (Task& member : step->tasks) {
+      finish(&member);
+    }
+  } else {
+    finish(&step->tasks[ref.index]);
+  }
+  CloseDoneOccurrences();
+  return true;
+}
+
+bool Job::NoteFailed(const TaskRef& ref, Attempt attempt, Step* step,
+                     const base::BackendId& worker,
+                     std::uint32_t max_attempts) {
+  Task* task = &step->tasks[ref.index];
+  if (attempt <= task->last_failed_attempt) {
+    return false;
+  }
+  task->last_failed_attempt = attempt;
+  task->failed_on = worker;
+  ++task->failures;
+  const StepSpec& spec_of_step = SpecOf(ref.step);
+  if (spec_of_step.long_running) {
+    return false;
+  }
+  std::uint32_t failures = task->failures;
+  if (spec_of_step.gang) {
+    if (attempt > step->last_gang_failure) {
+      step->last_gang_failure = attempt;
+      ++step->gang_failures;
+    }
+    failures = step->gang_failures;
+  }
+  if (failures >= max_attempts && !IsFinal(state)) {
+    state = JobState::kFailed;
+  }
+  return true;
+}
+
+void Job::CloseDoneOccurrences() {
+  // Runs of a gang whose end stands for all may still be listed; they are
+  // found through their worker, not through the job.
+  std::erase_if(occurrences,
+                [](const auto& entry) { return entry.second.is_done(); });
+  if (occurrences.empty() && occurrences_begun >= spec.occurrences() &&
+      !IsFinal(state)) {
+    state = JobState::kCompleted;
+  }
+}
+
+}  // namespace dotterelbarrow::core::jobs
--- /dev/null
+++ b/src/core/jobs/job_records.cc
@@ -0,0 +1,403 @@
+// Jobs to records and back.
+#include "dotterelbarrow/core/jobs/job_records.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "dotterelbarrow/core/codec.h"
+
+namespace dotterelbarrow::core::jobs {
+namespace {
+
+using base::Failure;
+using base::FailureCode;
+
+// Bounds on what one record may make a process allocate.
+constexpr std::int64_t kMostTasksOfStep = 100'000;
+constexpr std::int64_t kMostRepeats = 1'000'000'000;
+constexpr std::int64_t kMostNumber = std::int64_t{1} << 52;
+
+constexpr std::array kAllStates = {JobState::kQueued, JobState::kInProgress,
+                                   JobState::kCompleted, JobState::kFailed,
+                                   JobState::kCancelled};
+
+// Reads members of one object; the first fault stays.
+class Reader {
+ public:
+  Reader(const Json::Value& value, Failure* reason)
+      : value_(value), reason_(reason) {
+    if (!value_.isObject()) {
+      Fault(FailureCode::kWrongType, "expected an object");
+    }
+  }
+
+  bool ok() const { return ok_; }
+
+  std::int64_t Number(const char* name, std::int64_t most) {
+    const Json::Value& member = Member(name);
+    if (member.isNull()) {
+      return 0;
+    }
+    if (!member.isInt64() || member.asInt64() < 0 || member.asInt64() > most) {
+      Fault(FailureCode::kOutOfRange,
+            std::string(name) + ": expected a whole number up to " +
+                std::to_string(most));
+      return 0;
+    }
+    return member.asInt64();
+  }
+
+  std::string Text(const char* name) {
+    const Json::Value& member = Member(name);
+    if (member.isNull()) {
+      return {};
+    }
+    if (!member.isString()) {
+      Fault(FailureCode::kWrongType,
+            std::string(name) + ": expected a string");
+      return {};
+    }
+    return member.asString();
+  }
+
+  bool Flag(const char* name) {
+    const Json::Value& member = Member(name);
+    if (!member.isNull() && !member.isBool()) {
+      Fault(FailureCode::kWrongType,
+            std::string(name) + ": expected true or false");
+      return false;
+    }
+    return member.isBool() && member.asBool();
+  }
+
+  // Returns an array, empty where the member is missing.
+  const Json::Value& List(const char* name) {
+    const Json::Value& member = Member(name);
+    if (!member.isNull() && !member.isArray()) {
+      Fault(FailureCode::kWrongType,
+            std::string(name) + ": expected an array");
+      return Json::Value::nullSingleton();
+    }
+    return member;
+  }
+
+  void Fault(FailureCode code, const std::string& detail) {
+    if (ok_) {
+      *reason_ = {code, detail};
+    }
+    ok_ = false;
+  }
+
+ private:
+  const Json::Value& Member(const char* name) const {
+    return value_.isObject() ? value_[name] : Json::Value::nullSingleton();
+  }
+
+  const Json::Value& value_;
+  Failure* reason_;
+  bool ok_ = true;
+};
+
+std::int64_t Milliseconds(base::Duration duration) {
+  return duration / std::chrono::milliseconds(1);
+}
+
+template <typename Value>
+void Put(Json::Value* object, const char* name, const Value& value) {
+  if (value != Value()) {
+    (*object)[name] = value;
+  }
+}
+
+Json::Value StepToJson(const StepSpec& step) {
+  Json::Value value(Json::objectValue);
+  value["tasks"] = step.tasks;
+  Put(&value, "cpu", Json::Int64(step.needs.cpu.value()));
+  Put(&value, "memory", Json::Int64(step.needs.memory.value()));
+  Put(&value, "accelerators", Json::Int64(step.needs.accelerators.value()));
+  Put(&value, "estimate_ms", Json::Int64(Milliseconds(step.estimate)));
+  for (const std::uint32_t earlier : step.depends_on) {
+    value["after"].append(earlier);
+  }
+  Put(&value, "checkpoints", step.checkpoints);
+  Put(&value, "gang", step.gang);
+  Put(&value, "one_rack", step.prefers_one_rack);
+  Put(&value, "label", step.required_label);
+  Put(&value, "rack", step.data_rack);
+  Put(&value, "per_worker", step.max_per_worker);
+  Put(&value, "copies", step.allows_copies);
+  Put(&value, "long_running", step.long_running);
+  Put(&value, "unavailable", step.max_unavailable);
+  Put(&value, "fills", step.fills_idle_cpu);
+  Put(&value, "image", step.image);
+  Put(&value, "target_ms", Json::Int64(Milliseconds(step.response_target)));
+  return value;
+}
+
+StepSpec StepFromJson(Reader* reader, std::size_t position) {
+  StepSpec step;
+  step.tasks =
+      static_cast<std::uint32_t>(reader->Number("tasks", kMostTasksOfStep));
+  step.needs = {base::Millicores(reader->Number("cpu", kMostNumber)),
+                base::Mebibytes(reader->Number("memory", kMostNumber)),
+                base::Accelerators(reader->Number("accelerators", kMostNumber)),
+                base::Slots(0)};
+  step.estimate =
+      std::chrono::milliseconds(reader->Number("estimate_ms", kMostNumber / 1000));
+  for (const Json::Value& earlier : reader->List("after")) {
+    if (!earlier.isUInt() || earlier.asUInt() >= position) {
+      reader->Fault(FailureCode::kOutOfRange,
+                    "after: expected numbers of earlier steps");
+      break;
+    }
+    step.depends_on.push_back(earlier.asUInt());
+  }
+  step.checkpoints = reader->Flag("checkpoints");
+  step.gang = reader->Flag("gang");
+  step.prefers_one_rack = reader->Flag("one_rack");
+  step.required_label = reader->Text("label");
+  step.data_rack = reader->Text("rack");
+  step.max_per_worker = static_cast<std::uint32_t>(
+      reader->Number("per_worker", kMostTasksOfStep));
+  step.allows_copies = reader->Flag("copies");
+  step.long_running = reader->Flag("long_running");
+  step.max_unavailable = static_cast<std::uint32_t>(
+      reader->Number("unavailable", kMostTasksOfStep));
+  step.fills_idle_cpu = reader->Flag("fills");
+  step.image = reader->Text("image");
+  step.response_target =
+      std::chrono::milliseconds(reader->Number("target_ms", kMostNumber / 1000));
+  return step;
+}
+
+// One character for four tasks, the lowest bit for the first.
+std::string DoneBits(const Step& step) {
+  std::string bits((step.tasks.size() + 3) / 4, '0');
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    if (step.tasks[i].done) {
+      const int digit = bits[i / 4] <= '9' ? bits[i / 4] - '0'
+                                           : bits[i / 4] - 'a' + 10;
+      bits[i / 4] = "0123456789abcdef"[digit | (1 << (i % 4))];
+    }
+  }
+  return bits;
+}
+
+void SetDoneBits(const std::string& bits, Step* step) {
+  for (std::size_t i = 0; i < step->tasks.size() && i / 4 < bits.size(); ++i) {
+    const char c = bits[i / 4];
+    const int digit = c <= '9' ? c - '0' : c - 'a' + 10;
+    if ((digit >> (i % 4)) & 1) {
+      step->tasks[i].done = true;
+      ++step->done;
+    }
+  }
+}
+
+Json::Value ProgressOfStep(const Step& step) {
+  Json::Value value(Json::objectValue);
+  if (step.done > 0) {
+    value["done"] = DoneBits(step);
+  }
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    const Task& task = step.tasks[i];
+    if (task.failures > 0 && !task.done) {
+      Json::Value row(Json::arrayValue);
+      row.append(Json::UInt64(i));
+      row.append(task.failures);
+      row.append(Json::UInt64(task.last_failed_attempt.value()));
+      value["failed"].append(std::move(row));
+    }
+  }
+  if (step.gang_failures > 0) {
+    value["gang_failed"].append(step.gang_failures);
+    value["gang_failed"].append(Json::UInt64(step.last_gang_failure.value()));
+  }
+  return value;
+}
+
+bool AllUnsigned(const Json::Value& row, Json::ArrayIndex size) {
+  return row.isArray() && row.size() == size &&
+         std::all_of(row.begin(), row.end(), [](const Json::Value& number) {
+           return number.isUInt64();
+         });
+}
+
+void ReadStepProgress(const Json::Value& value, Reader* reader, Step* step) {
+  if (!value.isObject()) {
+    reader->Fault(FailureCode::kWrongType, "steps: expected objects");
+    return;
+  }
+  const Json::Value& done = value["done"];
+  if (done.isString()) {
+    SetDoneBits(done.asString(), step);
+  }
+  for (const Json::Value& row : value["failed"]) {
+    if (!AllUnsigned(row, 3) || row[0].asUInt64() >= step->tasks.size()) {
+      reader->Fault(FailureCode::kMalformed,
+                    "failed: expected rows of index, count and attempt");
+      return;
+    }
+    Task& task = step->tasks[row[0].asUInt64()];
+    task.failures = static_cast<std::uint32_t>(row[1].asUInt64());
+    task.last_failed_attempt = Attempt(row[2].asUInt64());
+  }
+  const Json::Value& gang = value["gang_failed"];
+  if (AllUnsigned(gang, 2)) {
+    step->gang_failures = static_cast<std::uint32_t>(gang[0].asUInt64());
+    step->last_gang_failure = Attempt(gang[1].asUInt64());
+  }
+}
+
+}  // namespace
+
+std::optional<JobState> ParseJobState(const std::string& name) {
+  const auto* it = std::find_if(
+      kAllStates.begin(), kAllStates.end(),
+      [&name](JobState state) { return name == ToString(state); });
+  return it == kAllStates.end() ? std::nullopt : std::optional(*it);
+}
+
+Json::Value ToJson(const JobSpec& spec) {
+  Json::Value value(Json::objectValue);
+  value["payload"] = spec.payload;
+  value["steps"] = Json::Value(Json::arrayValue);
+  for (const StepSpec& step : spec.steps) {
+    value["steps"].append(StepToJson(step));
+  }
+  Put(&value, "repeat", spec.repeat_count);
+  Put(&value, "start_ms", Json::Int64(spec.start_at_ms));
+  Put(&value, "interval_ms", Json::Int64(spec.interval_ms));
+  return value;
+}
+
+std::optional<JobSpec> JobSpecFromJson(const Json::Value& value,
+                                       Failure* reason) {
+  Reader reader(value, reason);
+  JobSpec spec;
+  spec.payload = reader.Text("payload");
+  for (const Json::Value& step : reader.List("steps")) {
+    Reader step_reader(step, reason);
+    spec.steps.push_back(StepFromJson(&step_reader, spec.steps.size()));
+    if (!step_reader.ok()) {
+      return std::nullopt;
+    }
+  }
+  spec.repeat_count =
+      static_cast<std::uint32_t>(reader.Number("repeat", kMostRepeats));
+  spec.start_at_ms = reader.Number("start_ms", kMostNumber);
+  spec.interval_ms = reader.Number("interval_ms", kMostNumber);
+  if (spec.steps.empty()) {
+    reader.Fault(FailureCode::kMissingField, "steps: expected one or more");
+  }
+  return reader.ok() ? std::optional(std::move(spec)) : std::nullopt;
+}
+
+std::string AcceptanceRecord(const Job& job) {
+  Json::Value value = ToJson(job.spec);
+  value["queue"] = job.queue.value();
+  value["organisation"] = job.organisation.value();
+  value["service"] = job.service.value();
+  value["accepted_ms"] = Json::Int64(job.accepted_ms);
+  return WriteJson(value);
+}
+
+std::string ProgressRecord(const Job& job) {
+  Json::Value value(Json::objectValue);
+  value["state"] = ToString(job.state);
+  if (IsFinal(job.state)) {
+    return WriteJson(value);
+  }
+  value["begun"] = job.occurrences_begun;
+  for (const auto& [number, occurrence] : job.occurrences) {
+    Json::Value entry(Json::objectValue);
+    entry["k"] = number;
+    for (const Step& step : occurrence.steps) {
+      entry["steps"].append(ProgressOfStep(step));
+    }
+    value["occurrences"].append(std::move(entry));
+  }
+  return WriteJson(value);
+}
+
+std::optional<Job> ReadAcceptance(JobKey key, const std::string& record,
+                                  Failure* reason) {
+  const auto value = ReadJson(record, reason);
+  if (!value) {
+    return std::nullopt;
+  }
+  auto spec = JobSpecFromJson(*value, reason);
+  if (!spec) {
+    return std::nullopt;
+  }
+  Reader reader(*value, reason);
+  Job job;
+  job.key = key;
+  job.spec = std::move(*spec);
+  job.queue = desired::QueueId(reader.Text("queue"));
+  job.organisation = base::OrganisationId(reader.Text("organisation"));
+  job.service = base::ServiceId(reader.Text("service"));
+  job.accepted_ms = reader.Number("accepted_ms", kMostNumber);
+  if (!job.spec.is_scheduled()) {
+    job.BeginOccurrence();
+  }
+  return reader.ok() ? std::optional(std::move(job)) : std::nullopt;
+}
+
+bool ReadProgress(const std::string& record, Job* job, Failure* reason) {
+  const auto value = ReadJson(record, reason);
+  const auto state = ReadState(record, reason);
+  if (!value || !state) {
+    return false;
+  }
+  Job read = *job;
+  read.state = *state;
+  read.stored_state = *state;
+  Reader reader(*value, reason);
+  const auto begun =
+      static_cast<std::uint32_t>(reader.Number("begun", kMostRepeats));
+  while (read.occurrences_begun < begun) {
+    read.BeginOccurrence();
+  }
+  std::map<std::uint32_t, Occurrence> unfinished;
+  for (const Json::Value& entry : reader.List("occurrences")) {
+    Reader fields(entry, reason);
+    const auto number =
+        static_cast<std::uint32_t>(fields.Number("k", kMostRepeats));
+    const auto it = read.occurrences.find(number);
+    const Json::Value& steps = fields.List("steps");
+    if (!fields.ok() || it == read.occurrences.end() ||
+        steps.size() != it->second.steps.size()) {
+      *reason = {FailureCode::kMalformed,
+                 "progress: expected each step of a begun occurrence"};
+      return false;
+    }
+    for (Json::ArrayIndex i = 0; i < steps.size(); ++i) {
+      ReadStepProgress(steps[i], &reader, &it->second.steps[i]);
+    }
+    unfinished.emplace(number, std::move(it->second));
+  }
+  read.occurrences = std::move(unfinished);
+  if (!reader.ok()) {
+    return false;
+  }
+  *job = std::move(read);
+  return true;
+}
+
+std::optional<JobState> ReadState(const std::string& record, Failure* reason) {
+  const auto value = ReadJson(record, reason);
+  if (!value || !value->isObject() || !(*value)["state"].isString()) {
+    *reason = {FailureCode::kMalformed, "progress: expected a state"};
+    return std::nullopt;
+  }
+  const auto state = ParseJobState((*value)["state"].asString());
+  if (!state) {
+    *reason = {FailureCode::kUnknownValue,
+               "state: found " + (*value)["state"].asString()};
+  }
+  return state;
+}
+
+}  // namespace dotterelbarrow::core::jobs
--- /dev/null
+++ b/src/core/jobs/job_spec.cc
@@ -0,0 +1,118 @@
+// Names of jobs and tasks, and what follows from a job's shape.
+#include "dotterelbarrow/core/jobs/job_spec.h"
+
+#include <algorithm>
+#include <charconv>
+#include <system_error>
+
+namespace dotterelbarrow::core::jobs {
+namespace {
+
+constexpr std::size_t kKeyDigits = 16;
+constexpr int kHexadecimal = 16;
+constexpr double kMicrosecondsPerSecond = 1e6;
+constexpr double kMillicoresPerCore = 1e3;
+
+// Reads a decimal number up to `end` or a dot, and moves `text` behind it.
+std::optional<std::uint32_t> TakeNumber(std::string_view* text) {
+  std::uint32_t value = 0;
+  const char* end = text->data() + text->size();
+  const auto [stop, error] = std::from_chars(text->data(), end, value);
+  if (error != std::errc() || (stop != end && *stop != '.')) {
+    return std::nullopt;
+  }
+  text->remove_prefix(static_cast<std::size_t>(stop - text->data()));
+  if (!text->empty()) {
+    text->remove_prefix(1);
+  }
+  return value;
+}
+
+}  // namespace
+
+std::string ToString(JobKey key) {
+  std::string digits(kKeyDigits, '0');
+  char* end = digits.data() + digits.size();
+  std::uint64_t rest = key.value();
+  for (char* at = end; rest != 0; rest >>= 4) {
+    *--at = "0123456789abcdef"[rest & 0xf];
+  }
+  return digits;
+}
+
+std::optional<JobKey> ParseJobKey(std::string_view text) {
+  std::uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] =
+      std::from_chars(text.data(), end, value, kHexadecimal);
+  const JobKey key(value);
+  if (text.size() != kKeyDigits || error != std::errc() || stop != end ||
+      ToString(key) != text) {
+    return std::nullopt;
+  }
+  return key;
+}
+
+std::string ToString(const StepRef& step) {
+  return ToString(step.job) + "." + std::to_string(step.occurrence) + "." +
+         std::to_string(step.step);
+}
+
+std::string ToString(const TaskRef& task) {
+  return ToString(task.step) + "." + std::to_string(task.index);
+}
+
+std::optional<TaskRef> ParseTaskRef(std::string_view text) {
+  if (text.size() <= kKeyDigits || text[kKeyDigits] != '.') {
+    return std::nullopt;
+  }
+  const auto key = ParseJobKey(text.substr(0, kKeyDigits));
+  text.remove_prefix(kKeyDigits + 1);
+  const auto occurrence = TakeNumber(&text);
+  const auto step = occurrence ? TakeNumber(&text) : std::nullopt;
+  const auto index = step ? TakeNumber(&text) : std::nullopt;
+  if (!key || !index || !text.empty()) {
+    return std::nullopt;
+  }
+  return TaskRef{{*key, *occurrence, *step}, *index};
+}
+
+base::Resources StepSpec::Reservation() const {
+  base::Resources reservation = needs;
+  if (fills_idle_cpu) {
+    reservation.cpu = base::Millicores(0);
+  }
+  return reservation;
+}
+
+bool JobSpec::has_long_running_step() const {
+  return std::any_of(steps.begin(), steps.end(), [](const StepSpec& step) {
+    return step.long_running;
+  });
+}
+
+base::Duration JobSpec::LongestChain() const {
+  std::vector<base::Duration> until_end(steps.size(), base::Duration(0));
+  base::Duration longest{0};
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    base::Duration before{0};
+    for (const std::uint32_t earlier : steps[i].depends_on) {
+      before = std::max(before, until_end[earlier]);
+    }
+    until_end[i] = before + steps[i].estimate;
+    longest = std::max(longest, until_end[i]);
+  }
+  return longest;
+}
+
+double JobSpec::EstimatedWork() const {
+  double work = 0;
+  for (const StepSpec& step : steps) {
+    work += static_cast<double>(step.tasks) *
+            static_cast<double>(step.needs.cpu.value()) / kMillicoresPerCore *
+            static_cast<double>(step.estimate.count()) / kMicrosecondsPerSecond;
+  }
+  return work;
+}
+
+}  // namespace dotterelbarrow::core::jobs
--- /dev/null
+++ b/src/core/leadership/leadership.cc
@@ -0,0 +1,165 @@
+// Reads, claims and renewals of the head.
+#include "dotterelbarrow/core/leadership/leadership.h"
+
+#include <json/json.h>
+
+#include <utility>
+
+#include "dotterelbarrow/core/codec.h"
+
+namespace dotterelbarrow::core::leadership {
+
+std::string EncodeHead(const Head& head) {
+  Json::Value value(Json::objectValue);
+  value["token"] = Json::UInt64(head.token.value());
+  value["holder"] = head.holder.value();
+  value["incarnation"] = Json::UInt64(head.incarnation.value());
+  value["address"] = head.address;
+  value["sequence"] = Json::UInt64(head.sequence);
+  value["resigned"] = head.is_resigned;
+  return WriteJson(value);
+}
+
+std::optional<Head> DecodeHead(const std::string& text,
+                               base::Failure* reason) {
+  const auto value = ReadJson(text, reason);
+  if (!value) {
+    return std::nullopt;
+  }
+  const Json::Value& fields = *value;
+  if (!fields.isObject() || !fields["token"].isUInt64() ||
+      !fields["holder"].isString() || !fields["incarnation"].isUInt64() ||
+      !fields["address"].isString() || !fields["sequence"].isUInt64() ||
+      !fields["resigned"].isBool()) {
+    *reason = {base::FailureCode::kMalformed,
+               "head: a field is missing or of another type"};
+    return std::nullopt;
+  }
+  Head head;
+  head.token = FencingToken(fields["token"].asUInt64());
+  head.holder = base::EntryId(fields["holder"].asString());
+  head.incarnation = base::Incarnation(fields["incarnation"].asUInt64());
+  head.address = fields["address"].asString();
+  head.sequence = fields["sequence"].asUInt64();
+  head.is_resigned = fields["resigned"].asBool();
+  return head;
+}
+
+const Head* Leadership::owner() const {
+  if (role_ == Role::kOwner) {
+    return &own_;
+  }
+  return seen_ && !seen_->is_resigned ? &*seen_ : nullptr;
+}
+
+void Leadership::OnRead(const std::optional<Head>& head,
+                        base::RowVersion version, base::TimePoint now) {
+  if (role_ == Role::kOwner) {
+    if (head && head->token > own_.token) {
+      Abandon();
+    } else {
+      return;
+    }
+  }
+  const bool has_gap = now - last_read_ > settings_.most_blind;
+  if (!was_read_ || version != seen_version_ || has_gap) {
+    unchanged_since_ = now;
+  }
+  if (version != seen_version_) {
+    owner_gone_ = false;
+  }
+  was_read_ = true;
+  last_read_ = now;
+  seen_ = head;
+  seen_version_ = version;
+  if (role_ == Role::kClaiming && !write_ && head &&
+      head->token == own_.token && head->holder == settings_.self &&
+      head->incarnation == settings_.incarnation) {
+    // The claim whose answer was lost took effect.
+    BecomeOwner(version);
+  }
+}
+
+void Leadership::OnOwnerGone(base::TimePoint /*now*/) { owner_gone_ = true; }
+
+std::optional<HeadWrite> Leadership::BeginClaim(base::TimePoint now) {
+  if (role_ == Role::kOwner || write_ || !was_read_ ||
+      now - last_read_ > settings_.most_blind) {
+    return std::nullopt;
+  }
+  // A former run of this host is gone for sure.
+  const bool is_free =
+      !seen_ || seen_->is_resigned || owner_gone_ ||
+      seen_->holder == settings_.self ||
+      now - unchanged_since_ >= settings_.silence;
+  if (!is_free) {
+    return std::nullopt;
+  }
+  own_ = Head{.token = seen_ ? seen_->token.next() : FencingToken(1),
+              .holder = settings_.self,
+              .incarnation = settings_.incarnation,
+              .address = settings_.address};
+  role_ = Role::kClaiming;
+  write_ = HeadWrite{seen_version_, own_};
+  write_begun_ = now;
+  return write_;
+}
+
+HeadWrite Leadership::BeginWrite(base::TimePoint now) {
+  Head next = own_;
+  ++next.sequence;
+  write_ = HeadWrite{own_version_, next};
+  write_begun_ = now;
+  return *write_;
+}
+
+HeadWrite Leadership::BeginResignation(base::TimePoint now) {
+  BeginWrite(now);
+  write_->head.is_resigned = true;
+  return *write_;
+}
+
+void Leadership::OnWritten(base::RowVersion version, base::TimePoint /*now*/) {
+  if (!write_) {
+    return;
+  }
+  own_ = write_->head;
+  BecomeOwner(version);
+  if (own_.is_resigned) {
+    Abandon();
+  }
+}
+
+ConflictMeaning Leadership::OnConflict(const std::optional<Head>& head,
+                                       base::RowVersion version,
+                                       base::TimePoint now) {
+  if (write_ && head == write_->head) {
+    OnWritten(version, now);
+    return ConflictMeaning::kTookEffect;
+  }
+  Abandon();
+  OnRead(head, version, now);
+  return ConflictMeaning::kReplaced;
+}
+
+void Leadership::OnClaimLost() {
+  write_.reset();
+  // A read that shows another head ends the claim; see OnRead.
+}
+
+void Leadership::Abandon() {
+  role_ = Role::kFollower;
+  write_.reset();
+  was_read_ = false;
+  seen_.reset();
+  owner_gone_ = false;
+}
+
+void Leadership::BecomeOwner(base::RowVersion version) {
+  role_ = Role::kOwner;
+  own_version_ = version;
+  confirmed_at_ = write_begun_;
+  write_.reset();
+}
+
+}  // namespace dotterelbarrow::core::leadership
--- /dev/null
+++ b/src/core/placement/submission_rate.cc
@@ -0,0 +1,28 @@
+// A token bucket for each organisation.
+#include "dotterelbarrow/core/placement/submission_rate.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace dotterelbarrow::core::placement {
+
+bool SubmissionRates::Take(const base::OrganisationId& organisation,
+                           double weight, base::TimePoint now) {
+  const double most = std::max(1.0, weight * kBurstSeconds);
+  const auto [it, is_new] = buckets_.try_emplace(organisation);
+  Bucket& bucket = it->second;
+  if (is_new) {
+    bucket = {most, now};
+  }
+  const double seconds =
+      std::chrono::duration<double>(now - bucket.filled_at).count();
+  bucket.jobs = std::min(most, bucket.jobs + seconds * weight);
+  bucket.filled_at = now;
+  if (bucket.jobs < 1) {
+    return false;
+  }
+  bucket.jobs -= 1;
+  return true;
+}
+
+}  // namespace dotterelbarrow::core::placement
--- /dev/null
+++ b/src/core/placement/worker_choice.cc
@@ -0,0 +1,71 @@
+// Fit and preference of workers.
+#include "dotterelbarrow/core/placement/worker_choice.h"
+
+#include <algorithm>
+
+namespace dotterelbarrow::core::placement {
+namespace {
+
+// The parts of a badness. Packing is between 0 and 1, so that each of these
+// outweighs it; the larger one outweighs the smaller ones together.
+constexpr double kHeldBadness = 2;
+constexpr double kColdBadness = 4;
+constexpr double kFarBadness = 8;
+constexpr double kFailedHereBadness = 16;
+
+double Fraction(std::int64_t part, std::int64_t whole) {
+  return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole)
+                   : 0.0;
+}
+
+// Returns the mean share of processors and memory that is left over.
+double LeftOver(const base::Resources& left, const base::Resources& whole) {
+  return (Fraction(left.cpu.value(), whole.cpu.value()) +
+          Fraction(left.memory.value(), whole.memory.value())) /
+         2;
+}
+
+}  // namespace
+
+bool IsSuitable(const workers::Worker& worker, const jobs::StepSpec& step) {
+  const workers::Listing& listing = worker.listing();
+  const bool has_label =
+      step.required_label.empty() ||
+      std::find(listing.labels.begin(), listing.labels.end(),
+                step.required_label) != listing.labels.end();
+  return has_label && step.Reservation().FitsIn(listing.capacity);
+}
+
+bool HasRoom(const Candidate& candidate, const jobs::StepSpec& step) {
+  if (step.max_per_worker > 0 && candidate.of_step >= step.max_per_worker) {
+    return false;
+  }
+  return step.Reservation().FitsIn(candidate.free);
+}
+
+double Badness(const Candidate& candidate, const jobs::StepSpec& step,
+               const base::BackendId& failed_on) {
+  const workers::Listing& listing = candidate.worker->listing();
+  const base::Resources left = candidate.free - step.Reservation();
+  double badness = LeftOver(left, listing.capacity);
+  if (step.fills_idle_cpu) {
+    const base::Millicores idle =
+        candidate.free.cpu - candidate.worker->filling();
+    badness = 1 - Fraction(idle.value(), listing.capacity.cpu.value());
+  }
+  if (candidate.is_held) {
+    badness += kHeldBadness;
+  }
+  if (listing.cold_remaining > base::Duration(0)) {
+    badness += kColdBadness;
+  }
+  if (!step.data_rack.empty() && step.data_rack != listing.rack) {
+    badness += kFarBadness;
+  }
+  if (failed_on == candidate.worker->id()) {
+    badness += kFailedHereBadness;
+  }
+  return badness;
+}
+
+}  // namespace dotterelbarrow::core::placement
--- /dev/null
+++ b/src/core/scheduler/dispatcher.cc
@@ -0,0 +1,277 @@
+// The pass over waiting steps, and the placement of single tasks.
+#include "dotterelbarrow/core/scheduler/dispatcher.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace dotterelbarrow::core::scheduler {
+namespace {
+
+using placement::Candidate;
+
+bool FitsUnderCap(std::int64_t used, std::int64_t cap) {
+  return cap == 0 || used <= cap;
+}
+
+}  // namespace
+
+void Dispatcher::SetDesired(
+    std::shared_ptr<const desired::DesiredState> desired) {
+  desired_ = std::move(desired);
+  for (const desired::Queue& queue : desired_->queues()) {
+    known_queues_.insert_or_assign(queue.id, queue);
+  }
+}
+
+const desired::Queue* Dispatcher::FindQueue(const desired::QueueId& id) const {
+  const auto it = known_queues_.find(id);
+  return it == known_queues_.end() ? nullptr : &it->second;
+}
+
+void Dispatcher::Forget(const jobs::StepRef& step) {
+  waiting_.erase(step);
+  advice_.Forget(step);
+}
+
+void Dispatcher::ForgetJob(jobs::JobKey job) {
+  inherited_.erase(job);
+  over_share_.erase(job);
+}
+
+std::optional<Dispatcher::Item> Dispatcher::ItemOf(const jobs::StepRef& ref,
+                                                   base::TimePoint now) {
+  Item item;
+  item.step = ref;
+  item.job = jobs_->Find(ref.job);
+  jobs::Step* step = item.job == nullptr ? nullptr : item.job->FindStep(ref);
+  if (step == nullptr || step->waiting() == 0 ||
+      !item.job->IsUnblocked(item.job->occurrences.at(ref.occurrence),
+                             ref.step)) {
+    return std::nullopt;
+  }
+  item.queue = FindQueue(item.job->queue);
+  if (item.queue == nullptr) {
+    return std::nullopt;
+  }
+  item.urgency =
+      placement::UrgencyOf(*item.job, item.job->SpecOf(ref), *item.queue,
+                           over_share_.contains(ref.job), now);
+  return item;
+}
+
+std::vector<Dispatcher::Item> Dispatcher::Collect(base::TimePoint now) {
+  std::vector<Item> items;
+  const bool unsettled = !fleet_->unsettled().empty();
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    std::optional<Item> item = ItemOf(*it, now);
+    if (!item) {
+      it = waiting_.erase(it);
+      continue;
+    }
+    const bool may_run_unseen = unsettled && inherited_.contains(it->job);
+    if (jobs_->IsStored(it->job) && !may_run_unseen) {
+      items.push_back(*item);
+    }
+    ++it;
+  }
+  std::sort(items.begin(), items.end(), [](const Item& a, const Item& b) {
+    return a.urgency != b.urgency ? a.urgency < b.urgency : a.step < b.step;
+  });
+  return items;
+}
+
+void Dispatcher::Pass(base::TimePoint now, std::vector<Action>* actions) {
+  held_before_ = std::exchange(held_, {});
+  held_gangs_ = 0;
+  for (const Item& item : Collect(now)) {
+    if (!IsAdvised(item, now, actions)) {
+      continue;
+    }
+    if (item.job->SpecOf(item.step).gang) {
+      PlaceGang(item, now, actions);
+    } else {
+      PlaceTasks(item, now, actions);
+    }
+  }
+}
+
+std::vector<Candidate> Dispatcher::CandidatesOf(const Item& item,
+                                                base::TimePoint now) const {
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  std::vector<Candidate> candidates;
+  const auto add = [&](const workers::Worker& worker) {
+    if (!worker.TakesWork(now) ||
+        worker.listing().service != item.queue->service ||
+        !placement::IsSuitable(worker, spec)) {
+      return;
+    }
+    candidates.push_back({&worker, worker.FreeRoom(), 0,
+                          held_.contains(worker.id()) ||
+                              held_before_.contains(worker.id())});
+  };
+  if (item.queue->advice) {
+    const auto* advice =
+        const_cast<advice::AdviceBook&>(advice_).Find(item.step);
+    if (advice == nullptr) {
+      return candidates;
+    }
+    for (const auto& [id, ticket] : advice->allowed) {
+      const auto it = fleet_->workers().find(id);
+      if (it != fleet_->workers().end()) {
+        add(it->second);
+      }
+    }
+  } else {
+    for (const auto& [id, worker] : fleet_->workers()) {
+      add(worker);
+    }
+  }
+  if (spec.max_per_worker > 0) {
+    for (const PlacedRun& run : runs_->OfStep(item.step)) {
+      for (Candidate& candidate : candidates) {
+        candidate.of_step += candidate.worker->id() == run.worker ? 1 : 0;
+      }
+    }
+  }
+  return candidates;
+}
+
+void Dispatcher::PlaceTasks(const Item& item, base::TimePoint now,
+                            std::vector<Action>* actions) {
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  const jobs::Step& step = *item.job->FindStep(item.step);
+  std::vector<Candidate> candidates = CandidatesOf(item, now);
+  // Work of less urgency leaves the workers alone on which a gang waits.
+  std::erase_if(candidates, [this](const Candidate& candidate) {
+    return held_.contains(candidate.worker->id());
+  });
+  std::vector<Choice> choices;
+  for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+    const jobs::Task& task = step.tasks[index];
+    if (task.done || task.has_run) {
+      continue;
+    }
+    if (!IsWithinCap(item, static_cast<std::uint32_t>(choices.size()) + 1)) {
+      break;
+    }
+    Candidate* best = nullptr;
+    double least = std::numeric_limits<double>::max();
+    for (Candidate& candidate : candidates) {
+      if (!placement::HasRoom(candidate, spec)) {
+        continue;
+      }
+      const double badness =
+          placement::Badness(candidate, spec, task.failed_on);
+      if (badness < least) {
+        least = badness;
+        best = &candidate;
+      }
+    }
+    if (best == nullptr) {
+      break;
+    }
+    best->free -= spec.Reservation();
+    ++best->of_step;
+    choices.push_back({index, best->worker->id()});
+  }
+  if (!choices.empty()) {
+    Commit(item, choices, jobs::Attempt(0), now, actions);
+  }
+}
+
+base::Resources Dispatcher::UnseenUsage() const {
+  base::Resources unseen;
+  for (const base::BackendId& id : fleet_->unsettled()) {
+    unseen += fleet_->workers().at(id).listing().capacity;
+  }
+  return unseen;
+}
+
+bool Dispatcher::IsWithinCap(const Item& item, std::uint32_t tasks) const {
+  const desired::Organisation* organisation =
+      desired_->FindOrganisation(item.job->organisation);
+  if (organisation == nullptr) {
+    return true;
+  }
+  base::Resources used =
+      runs_->UsageOf(item.job->organisation) + UnseenUsage();
+  const base::Resources& needs = item.job->SpecOf(item.step).needs;
+  for (std::uint32_t i = 0; i < tasks; ++i) {
+    used += needs;
+  }
+  const base::Resources& cap = organisation->cap;
+  return FitsUnderCap(used.cpu.value(), cap.cpu.value()) &&
+         FitsUnderCap(used.memory.value(), cap.memory.value()) &&
+         FitsUnderCap(used.accelerators.value(), cap.accelerators.value());
+}
+
+jobs::Attempt Dispatcher::NextAttempt(const jobs::Step& step,
+                                      std::uint32_t index) const {
+  return std::max(first_attempt_, step.tasks[index].last_attempt.next());
+}
+
+void Dispatcher::Commit(const Item& item, const std::vector<Choice>& choices,
+                        jobs::Attempt attempt, base::TimePoint now,
+                        std::vector<Action>* actions) {
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  const jobs::Step& step = *item.job->FindStep(item.step);
+  std::vector<PlacedRun> placed;
+  std::vector<base::BackendId> without_ticket;
+  std::string where;
+  for (const Choice& choice : choices) {
+    const jobs::TaskRef task{item.step, choice.index};
+    const jobs::Attempt number = attempt.value() > 0
+                                     ? attempt
+                                     : NextAttempt(step, choice.index);
+    const workers::Run run{.task = task,
+                           .attempt = number,
+                           .state = workers::RunState::kEarmarked,
+                           .needs = spec.needs,
+                           .reserved = spec.Reservation(),
+                           .organisation = item.job->organisation,
+                           .since = now,
+                           .estimate = spec.estimate};
+    fleet_->Earmark(choice.worker, run);
+    runs_->Add(choice.worker, run);
+    item.job->NoteRun(task, number);
+    placed.push_back({choice.worker, task, number});
+    where += (where.empty() ? "" : ",") + choice.worker.value();
+    if (!TicketFor(item, choice.worker, now)) {
+      without_ticket.push_back(choice.worker);
+    }
+  }
+  telemetry_.log->Write(
+      "placed",
+      {{"step", jobs::ToString(item.step)},
+       {"tasks", static_cast<std::int64_t>(choices.size())},
+       {"workers", where},
+       {"waited_ms",
+        (now - item.job->accepted_at) / std::chrono::milliseconds(1)},
+       {"stale_tickets", static_cast<std::int64_t>(without_ticket.size())}});
+  if (spec.gang && !without_ticket.empty()) {
+    Ask(item, without_ticket, now, actions);
+    return;
+  }
+  for (const PlacedRun& run : placed) {
+    if (const auto ticket = TicketFor(item, run.worker, now)) {
+      StartRun(item, run, *ticket, now, actions);
+    }
+  }
+  if (!without_ticket.empty()) {
+    Ask(item, without_ticket, now, actions);
+  }
+}
+
+void Dispatcher::StartRun(const Item& item, const PlacedRun& run,
+                          const std::string& ticket, base::TimePoint now,
+                          std::vector<Action>* actions) {
+  const jobs::Task* task = item.job->FindTask(run.task);
+  if (item.job->state == jobs::JobState::kQueued) {
+    item.job->state = jobs::JobState::kInProgress;
+  }
+  fleet_->Start(run.worker, run.key(), item.job->spec.payload,
+                task->checkpoint, ticket, now, actions);
+}
+
+}  // namespace dotterelbarrow::core::scheduler
--- /dev/null
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -0,0 +1,159 @@
+// Placement of gangs: all tasks at once, or room kept until they fit.
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <utility>
+
+#include "dotterelbarrow/core/scheduler/dispatcher.h"
+
+namespace dotterelbarrow::core::scheduler {
+namespace {
+
+using placement::Candidate;
+
+// Places `tasks` like tasks, each where it sits best; empty if not all fit.
+std::vector<std::size_t> Fill(std::vector<Candidate> candidates,
+                              const jobs::StepSpec& spec, std::size_t tasks) {
+  std::vector<std::size_t> chosen;
+  while (chosen.size() < tasks) {
+    std::size_t best = candidates.size();
+    double least = std::numeric_limits<double>::max();
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+      if (!placement::HasRoom(candidates[i], spec)) {
+        continue;
+      }
+      const double badness = placement::Badness(candidates[i], spec, {});
+      if (badness < least) {
+        least = badness;
+        best = i;
+      }
+    }
+    if (best == candidates.size()) {
+      return {};
+    }
+    candidates[best].free -= spec.Reservation();
+    ++candidates[best].of_step;
+    chosen.push_back(best);
+  }
+  return chosen;
+}
+
+// A moment at which one more task of a gang will fit on a worker.
+struct Opening {
+  base::TimePoint at;
+  base::BackendId worker;
+};
+
+// Appends when the tasks fit as what runs there comes to its estimated end.
+void AppendOpenings(const Candidate& candidate, const jobs::StepSpec& spec,
+                    std::size_t most, base::TimePoint now,
+                    std::vector<Opening>* openings) {
+  std::vector<std::pair<base::TimePoint, base::Resources>> ends;
+  for (const auto& [key, run] : candidate.worker->runs()) {
+    ends.emplace_back(std::max(now, run.started_at + run.estimate),
+                      run.reserved);
+  }
+  std::sort(ends.begin(), ends.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  Candidate later = candidate;
+  base::TimePoint at = now;
+  std::size_t found = 0;
+  auto next = ends.begin();
+  while (found < most) {
+    if (placement::HasRoom(later, spec)) {
+      openings->push_back({at, candidate.worker->id()});
+      later.free -= spec.Reservation();
+      ++later.of_step;
+      ++found;
+    } else if (next != ends.end()) {
+      at = next->first;
+      later.free += next->second;
+      ++next;
+    } else {
+      return;
+    }
+  }
+}
+
+}  // namespace
+
+std::vector<Dispatcher::Choice> Dispatcher::ChooseForGang(
+    const Item& item, base::TimePoint now) const {
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  std::vector<Candidate> candidates = CandidatesOf(item, now);
+  std::erase_if(candidates, [this](const Candidate& candidate) {
+    return held_.contains(candidate.worker->id());
+  });
+  std::vector<std::size_t> chosen;
+  if (spec.prefers_one_rack) {
+    std::map<std::string, std::vector<Candidate>> racks;
+    for (const Candidate& candidate : candidates) {
+      racks[candidate.worker->listing().rack].push_back(candidate);
+    }
+    for (auto& [rack, members] : racks) {
+      chosen = Fill(members, spec, spec.tasks);
+      if (!chosen.empty()) {
+        candidates = members;
+        break;
+      }
+    }
+  }
+  if (chosen.empty()) {
+    chosen = Fill(candidates, spec, spec.tasks);
+  }
+  std::vector<Choice> choices;
+  for (std::size_t i = 0; i < chosen.size(); ++i) {
+    choices.push_back({static_cast<std::uint32_t>(i),
+                       candidates[chosen[i]].worker->id()});
+  }
+  return choices;
+}
+
+void Dispatcher::PlaceGang(const Item& item, base::TimePoint now,
+                           std::vector<Action>* actions) {
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  const jobs::Step& step = *item.job->FindStep(item.step);
+  // Members of the last attempt may still be around.
+  if (step.waiting() < step.tasks.size() ||
+      !runs_->OfStep(item.step).empty()) {
+    return;
+  }
+  if (!IsWithinCap(item, spec.tasks)) {
+    return;
+  }
+  const std::vector<Choice> choices = ChooseForGang(item, now);
+  if (choices.empty()) {
+    HoldFor(item, now);
+    return;
+  }
+  jobs::Attempt attempt = first_attempt_;
+  for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+    attempt = std::max(attempt, NextAttempt(step, i));
+  }
+  Commit(item, choices, attempt, now, actions);
+}
+
+void Dispatcher::HoldFor(const Item& item, base::TimePoint now) {
+  if (held_gangs_ >= settings_.max_held_gangs) {
+    return;
+  }
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  std::vector<Opening> openings;
+  for (const Candidate& candidate : CandidatesOf(item, now)) {
+    if (!held_.contains(candidate.worker->id())) {
+      AppendOpenings(candidate, spec, spec.tasks, now, &openings);
+    }
+  }
+  if (openings.size() < spec.tasks) {
+    return;
+  }
+  std::stable_sort(
+      openings.begin(), openings.end(),
+      [](const Opening& a, const Opening& b) { return a.at < b.at; });
+  for (std::uint32_t i = 0; i < spec.tasks; ++i) {
+    held_.insert(openings[i].worker);
+  }
+  ++held_gangs_;
+}
+
+}  // namespace dotterelbarrow::core::scheduler
--- /dev/null
+++ b/src/core/scheduler/job_book.cc
@@ -0,0 +1,206 @@
+// Jobs, and batches of what changed.
+#include "dotterelbarrow/core/scheduler/job_book.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "dotterelbarrow/base/overloaded.h"
+#include "dotterelbarrow/core/jobs/job_records.h"
+
+namespace dotterelbarrow::core::scheduler {
+
+void JobBook::Accept(jobs::Job job, WaiterId waiter) {
+  const jobs::JobKey key = job.key;
+  unstored_.insert(key);
+  accept_waiters_[key].push_back(waiter);
+  jobs_.emplace(key, std::move(job));
+  changed_.insert(key);
+  waiting_.emplace_back(key);
+}
+
+bool JobBook::AwaitAccepted(jobs::JobKey key, WaiterId waiter) {
+  if (!unstored_.contains(key)) {
+    return true;
+  }
+  accept_waiters_[key].push_back(waiter);
+  return false;
+}
+
+bool JobBook::AwaitStored(jobs::JobKey key, WaiterId waiter) {
+  if (!changed_.contains(key) && !under_way_.contains(key)) {
+    return true;
+  }
+  store_waiters_[key].push_back(waiter);
+  return false;
+}
+
+jobs::Job* JobBook::Find(jobs::JobKey key) {
+  const auto it = jobs_.find(key);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+std::optional<jobs::JobState> JobBook::StoredState(jobs::JobKey key) const {
+  if (const auto it = ended_.find(key); it != ended_.end()) {
+    return it->second.stored ? it->second.state : jobs::JobState::kInProgress;
+  }
+  const auto it = jobs_.find(key);
+  if (it == jobs_.end() || unstored_.contains(key)) {
+    return std::nullopt;
+  }
+  // Whether a task has started needs no record: starts outlive the owner.
+  return it->second.state;
+}
+
+void JobBook::NoteChanged(jobs::JobKey key, base::TimePoint now) {
+  const auto it = jobs_.find(key);
+  if (it == jobs_.end()) {
+    return;
+  }
+  if (jobs::IsFinal(it->second.state)) {
+    ended_[key] = {it->second.state, false, now};
+    ended_order_.push_back(key);
+    jobs_.erase(it);
+  }
+  if (changed_.insert(key).second) {
+    waiting_.emplace_back(key);
+  }
+}
+
+void JobBook::NoteEnds(const base::BackendId& worker, std::uint64_t number) {
+  waiting_.emplace_back(WorkerEnds{worker, number});
+}
+
+void JobBook::NoteWorker(const base::BackendId& worker,
+                         std::optional<std::string> record) {
+  waiting_.emplace_back(WorkerRecord{worker, std::move(record)});
+}
+
+void JobBook::AddToBatch(jobs::JobKey key, StoredBatch* batch) {
+  changed_.erase(key);
+  const std::string name = jobs::ToString(key);
+  const auto job = jobs_.find(key);
+  const bool is_new = unstored_.contains(key);
+  if (job == jobs_.end()) {
+    const auto ended = ended_.find(key);
+    if (ended == ended_.end()) {
+      batch->changes.push_back({RecordTable::kProgress, name, std::nullopt});
+      return;
+    }
+    jobs::Job last;
+    last.state = ended->second.state;
+    batch->changes.push_back(
+        {RecordTable::kProgress, name, jobs::ProgressRecord(last)});
+    if (!is_new) {
+      batch->changes.push_back(
+          {RecordTable::kAcceptances, name, std::nullopt});
+    }
+  } else if (is_new) {
+    batch->changes.push_back({RecordTable::kAcceptances, name,
+                              jobs::AcceptanceRecord(job->second)});
+  } else {
+    batch->changes.push_back(
+        {RecordTable::kProgress, name, jobs::ProgressRecord(job->second)});
+  }
+  under_way_.insert(key);
+  if (is_new) {
+    batch->accepted.push_back(key);
+  }
+  const auto move_waiters = [key](auto* from, std::vector<WaiterId>* to) {
+    if (const auto it = from->find(key); it != from->end()) {
+      to->insert(to->end(), it->second.begin(), it->second.end());
+      from->erase(it);
+    }
+  };
+  move_waiters(&accept_waiters_, &batch->accept_waiters);
+  move_waiters(&store_waiters_, &batch->cancel_waiters);
+}
+
+StoredBatch JobBook::TakeBatch() {
+  StoredBatch batch;
+  std::size_t bytes = 0;
+  // One job makes two changes at most.
+  while (!waiting_.empty() && batch.changes.size() + 2 <= settings_.max_changes &&
+         bytes < settings_.max_bytes) {
+    const std::size_t before = batch.changes.size();
+    std::visit(base::Overloaded{
+                   [&](jobs::JobKey key) { AddToBatch(key, &batch); },
+                   [&](const WorkerEnds& ends) {
+                     batch.ends[ends.worker] = ends.number;
+                   },
+                   [&](const WorkerRecord& record) {
+                     batch.changes.push_back({RecordTable::kWorkers,
+                                              record.worker.value(),
+                                              record.record});
+                   }},
+               waiting_.front());
+    waiting_.pop_front();
+    for (std::size_t i = before; i < batch.changes.size(); ++i) {
+      bytes += batch.changes[i].value ? batch.changes[i].value->size() : 0;
+    }
+  }
+  return batch;
+}
+
+void JobBook::OnStored(const StoredBatch& batch) {
+  under_way_.clear();
+  for (const jobs::JobKey key : batch.accepted) {
+    unstored_.erase(key);
+  }
+  for (const RecordChange& change : batch.changes) {
+    if (change.table != RecordTable::kProgress) {
+      continue;
+    }
+    const auto key = jobs::ParseJobKey(change.key);
+    if (const auto it = ended_.find(*key);
+        it != ended_.end() && !changed_.contains(*key)) {
+      it->second.stored = true;
+    }
+  }
+}
+
+bool JobBook::Restore(jobs::JobKey key,
+                      const std::optional<std::string>& acceptance,
+                      const std::optional<std::string>& progress,
+                      base::TimePoint now, base::Failure* reason) {
+  if (progress) {
+    const auto state = jobs::ReadState(*progress, reason);
+    if (!state) {
+      return false;
+    }
+    if (jobs::IsFinal(*state)) {
+      ended_[key] = {*state, true, now};
+      ended_order_.push_back(key);
+      return true;
+    }
+  }
+  if (!acceptance) {
+    *reason = {base::FailureCode::kMissingField,
+               "progress without an acceptance"};
+    return false;
+  }
+  auto job = jobs::ReadAcceptance(key, *acceptance, reason);
+  if (!job || (progress && !jobs::ReadProgress(*progress, &*job, reason))) {
+    return false;
+  }
+  jobs_.emplace(key, std::move(*job));
+  return true;
+}
+
+void JobBook::Expire(base::TimePoint now) {
+  while (!ended_order_.empty()) {
+    const jobs::JobKey key = ended_order_.front();
+    const auto it = ended_.find(key);
+    if (it != ended_.end()) {
+      if (now - it->second.ended_at < settings_.retention ||
+          !it->second.stored) {
+        return;
+      }
+      ended_.erase(it);
+      waiting_.emplace_back(key);
+      changed_.insert(key);
+    }
+    ended_order_.pop_front();
+  }
+}
+
+}  // namespace dotterelbarrow::core::scheduler
--- /dev/null
+++ b/src/core/scheduler/scheduler.cc
@@ -0,0 +1,252 @@
+// Jobs from their submission to their end.
+#include "dotterelbarrow/core/scheduler/scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dotterelbarrow::core::scheduler {
+namespace {
+
+// Attempts of one owner; more starts of one task would take days.
+constexpr std::uint64_t kAttemptsPerTerm = 10'000;
+// When a caller that is refused for want of memory may come back.
+constexpr base::Duration kFullRetryAfter = std::chrono::seconds(2);
+
+std::string WorkerRecordOf(const workers::Listing& listing) {
+  return listing.address;
+}
+
+}  // namespace
+
+Scheduler::Scheduler(const SchedulerSettings& settings, Telemetry telemetry)
+    : settings_(settings),
+      telemetry_(telemetry),
+      desired_(std::make_shared<desired::DesiredState>()),
+      jobs_(settings.jobs, telemetry),
+      fleet_(settings.fleet, telemetry),
+      dispatcher_(settings.dispatcher, telemetry, &jobs_, &fleet_, &runs_) {
+  fleet_.run_ended.connect(sigc::mem_fun(*this, &Scheduler::OnRunEnded));
+  fleet_.unknown_end.connect(sigc::mem_fun(*this, &Scheduler::OnUnknownEnd));
+  fleet_.unknown_run.connect(sigc::mem_fun(*this, &Scheduler::OnUnknownRun));
+  fleet_.start_refused.connect(
+      sigc::mem_fun(*this, &Scheduler::OnStartRefused));
+  fleet_.settled.connect(sigc::mem_fun(*this, &Scheduler::OnSettled));
+  fleet_.ends_taken.connect(sigc::mem_fun(jobs_, &JobBook::NoteEnds));
+  dispatcher_.SetDesired(desired_);
+}
+
+void Scheduler::BeginTerm(FencingToken token, base::TimePoint now) {
+  token_ = token;
+  now_ = now;
+  dispatcher_.set_first_attempt(
+      jobs::Attempt((token.value() - 1) * kAttemptsPerTerm + 1));
+}
+
+void Scheduler::Restore(jobs::JobKey key,
+                        const std::optional<std::string>& acceptance,
+                        const std::optional<std::string>& progress,
+                        base::TimePoint now, std::int64_t store_now_ms) {
+  base::Failure reason;
+  if (!jobs_.Restore(key, acceptance, progress, now, &reason)) {
+    telemetry_.counters->Increment("records_unreadable", ToString(reason.code));
+    telemetry_.log->Write("record_unreadable",
+                          {{"job", jobs::ToString(key)},
+                           {"reason", ToString(reason.code)},
+                           {"detail", reason.detail}});
+    return;
+  }
+  jobs::Job* job = jobs_.Find(key);
+  if (job == nullptr) {
+    return;
+  }
+  job->accepted_at =
+      now - std::chrono::milliseconds(
+                std::max<std::int64_t>(0, store_now_ms - job->accepted_ms));
+  if (job->spec.is_scheduled()) {
+    scheduled_.insert(key);
+  }
+  ConsiderAll(*job);
+}
+
+void Scheduler::Inherit(const workers::Listing& listing, base::TimePoint now) {
+  recorded_workers_.insert(listing.id);
+  fleet_.Inherit(listing, now);
+  std::unordered_set<jobs::JobKey> inherited;
+  for (const auto& [key, job] : jobs_.jobs()) {
+    inherited.insert(key);
+  }
+  dispatcher_.set_inherited(std::move(inherited));
+}
+
+void Scheduler::SetDesired(
+    std::shared_ptr<const desired::DesiredState> desired) {
+  desired_ = desired;
+  dispatcher_.SetDesired(std::move(desired));
+}
+
+void Scheduler::SetAskers(const std::vector<base::EntryId>& entries) {
+  dispatcher_.set_askers(entries);
+}
+
+void Scheduler::UpdateListings(const std::vector<workers::Listing>& listings,
+                               base::TimePoint now) {
+  now_ = now;
+  fleet_.UpdateListings(listings, now);
+  for (const workers::Listing& listing : listings) {
+    if (recorded_workers_.insert(listing.id).second) {
+      jobs_.NoteWorker(listing.id, WorkerRecordOf(listing));
+    }
+  }
+  for (auto it = recorded_workers_.begin(); it != recorded_workers_.end();) {
+    if (fleet_.workers().contains(*it)) {
+      ++it;
+    } else {
+      jobs_.NoteWorker(*it, std::nullopt);
+      it = recorded_workers_.erase(it);
+    }
+  }
+}
+
+SubmitAnswer Scheduler::Submit(Submission submission, WaiterId waiter,
+                               std::int64_t store_now_ms,
+                               base::TimePoint now) {
+  now_ = now;
+  if (jobs_.IsKnown(submission.key)) {
+    return {jobs_.AwaitAccepted(submission.key, waiter)
+                ? SubmitOutcome::kAccepted
+                : SubmitOutcome::kStoring};
+  }
+  const desired::Queue* queue = dispatcher_.FindQueue(submission.queue);
+  if (queue == nullptr) {
+    return {SubmitOutcome::kRefused, "unknown_queue", kFullRetryAfter};
+  }
+  if (jobs_.jobs().size() >= settings_.max_jobs) {
+    return {SubmitOutcome::kRefused, "too_many_jobs", kFullRetryAfter};
+  }
+  jobs::Job job;
+  job.key = submission.key;
+  job.queue = submission.queue;
+  job.organisation = submission.organisation;
+  job.service = queue->service;
+  job.spec = std::move(submission.spec);
+  job.accepted_ms = store_now_ms;
+  job.accepted_at = now;
+  if (job.spec.is_scheduled()) {
+    scheduled_.insert(job.key);
+  } else {
+    job.BeginOccurrence();
+  }
+  const desired::Organisation* organisation =
+      desired_->FindOrganisation(job.organisation);
+  if (organisation != nullptr &&
+      !rates_.Take(organisation->id, organisation->weight, now)) {
+    dispatcher_.NoteOverShare(job.key);
+  }
+  ConsiderAll(job);
+  telemetry_.log->Write(
+      "job_taken",
+      {{"job", jobs::ToString(job.key)},
+       {"queue", job.queue.value()},
+       {"organisation", job.organisation.value()},
+       {"steps", static_cast<std::int64_t>(job.spec.steps.size())},
+       {"config", static_cast<std::int64_t>(desired_->version().value())}});
+  jobs_.Accept(std::move(job), waiter);
+  return {SubmitOutcome::kStoring};
+}
+
+CancelAnswer Scheduler::Cancel(jobs::JobKey key, WaiterId waiter,
+                               base::TimePoint now) {
+  now_ = now;
+  if (!jobs_.IsKnown(key)) {
+    return CancelAnswer::kUnknown;
+  }
+  if (jobs::Job* job = jobs_.Find(key)) {
+    telemetry_.log->Write("job_cancelled",
+                          {{"job", jobs::ToString(key)},
+                           {"state", jobs::ToString(job->state)}});
+    job->state = jobs::JobState::kCancelled;
+    EndJob(*job);
+  }
+  return jobs_.AwaitStored(key, waiter) ? CancelAnswer::kCancelled
+                                        : CancelAnswer::kStoring;
+}
+
+void Scheduler::EndJob(const jobs::Job& ending) {
+  const jobs::Job job = ending;
+  telemetry_.log->Write(
+      "job_ended",
+      {{"job", jobs::ToString(job.key)},
+       {"state", jobs::ToString(job.state)},
+       {"after_ms",
+        (now_ - job.accepted_at) / std::chrono::milliseconds(1)}});
+  telemetry_.counters->Increment("jobs_ended", jobs::ToString(job.state));
+  scheduled_.erase(job.key);
+  jobs_.NoteChanged(job.key, now_);
+  if (job.state != jobs::JobState::kCompleted) {
+    StopRunsOfJob(job);
+  }
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
+      dispatcher_.Forget({job.key, number, i});
+    }
+  }
+  dispatcher_.ForgetJob(job.key);
+}
+
+std::map<desired::QueueId, std::uint64_t> Scheduler::PendingJobs() const {
+  std::map<desired::QueueId, std::uint64_t> pending;
+  for (const auto& [key, job] : jobs_.jobs()) {
+    if (job.state == jobs::JobState::kQueued && jobs_.IsStored(key)) {
+      ++pending[job.queue];
+    }
+  }
+  return pending;
+}
+
+void Scheduler::ConsiderAll(const jobs::Job& job) {
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
+      const jobs::StepRef ref{job.key, number, i};
+      if (!occurrence.steps[i].is_done() && job.IsUnblocked(occurrence, i)) {
+        dispatcher_.Consider(ref);
+      }
+    }
+  }
+}
+
+void Scheduler::BeginDueOccurrences(jobs::Job* job, std::int64_t unix_now_ms) {
+  bool begun = false;
+  while (job->occurrences_begun < job->spec.occurrences() &&
+         job->spec.start_at_ms +
+                 job->spec.interval_ms * job->occurrences_begun <=
+             unix_now_ms) {
+    job->BeginOccurrence();
+    begun = true;
+  }
+  if (begun) {
+    jobs_.NoteChanged(job->key, now_);
+    ConsiderAll(*job);
+  }
+}
+
+void Scheduler::Tick(base::TimePoint now, std::int64_t unix_now_ms) {
+  now_ = now;
+  fleet_.Tick(now, &actions_);
+  StopIncompleteGangs(now);
+  for (const jobs::JobKey key : scheduled_) {
+    if (jobs_.IsStored(key)) {
+      BeginDueOccurrences(jobs_.Find(key), unix_now_ms);
+    }
+  }
+  jobs_.Expire(now);
+}
+
+void Scheduler::OnStored(const StoredBatch& batch, base::TimePoint now) {
+  now_ = now;
+  jobs_.OnStored(batch);
+  for (const auto& [worker, number] : batch.ends) {
+    fleet_.OnEndsStored(worker, number, now);
+  }
+}
+
+}  // namespace dotterelbarrow::core::scheduler
--- /dev/null
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -0,0 +1,232 @@
+// What becomes of jobs as their runs start and end.
+#include <algorithm>
+#include <set>
+#include <vector>
+
+#include "dotterelbarrow/core/scheduler/scheduler.h"
+
+namespace dotterelbarrow::core::scheduler {
+namespace {
+
+// A gang of which some members were confirmed and others weren't for this long
+// is stopped: the members would time out while they wait for each other.
+constexpr base::Duration kGangPatience = std::chrono::milliseconds(1200);
+
+// Consecutive failures of different jobs after which a worker is left alone.
+constexpr int kFailuresInRow = 3;
+// How long at first; doubled each time, up to the longest.
+constexpr base::Duration kQuarantine = std::chrono::seconds(3);
+constexpr int kMostDoublings = 3;
+
+}  // namespace
+
+void Scheduler::OnStarted(const StartTask& order, OrderOutcome outcome,
+                          std::int64_t clock_ms, base::TimePoint now) {
+  now_ = now;
+  telemetry_.counters->Increment("starts", ToString(outcome));
+  if (outcome != OrderOutcome::kDone) {
+    telemetry_.log->Write("start_failed",
+                          {{"task", jobs::ToString(order.task)},
+                           {"attempt", static_cast<std::int64_t>(
+                                           order.attempt.value())},
+                           {"worker", order.worker.id.value()},
+                           {"outcome", ToString(outcome)}});
+  }
+  fleet_.OnStarted(order.worker.id, order.worker.born_ms,
+                   {order.task, order.attempt}, outcome, clock_ms, now,
+                   &actions_);
+}
+
+void Scheduler::OnStopped(const StopTask& order, OrderOutcome outcome,
+                          std::int64_t clock_ms, base::TimePoint now) {
+  now_ = now;
+  telemetry_.counters->Increment("stops", ToString(outcome));
+  fleet_.OnStopped(order.worker.id, order.worker.born_ms,
+                   {order.task, order.attempt}, outcome, clock_ms, now,
+                   &actions_);
+}
+
+void Scheduler::OnLooked(const LookAtWorker& order, const LookResult& result,
+                         base::TimePoint now) {
+  now_ = now;
+  const bool was_waiting = !order.is_beside;
+  fleet_.OnLooked(order.worker.id, order.worker.born_ms, was_waiting, result,
+                  now, &actions_);
+}
+
+void Scheduler::OnAdvice(const AskAdvice& order, const AdviceResult& result,
+                         base::TimePoint now) {
+  now_ = now;
+  dispatcher_.OnAdvice(order.step, result, now, &actions_);
+}
+
+void Scheduler::OnRunEnded(const workers::Worker& worker,
+                           const workers::Run& run, jobs::RunEnd end,
+                           const std::string& checkpoint) {
+  runs_.Remove(worker.id(), run);
+  NoteRunsOfWorker(worker, run, end);
+  ApplyEnd(run.task, run.attempt, end, checkpoint, worker.id());
+}
+
+void Scheduler::OnUnknownEnd(const workers::Worker& worker,
+                             const ListedEnd& end) {
+  jobs::Job* job = jobs_.Find(end.task.step.job);
+  jobs::Task* task = job == nullptr ? nullptr : job->FindTask(end.task);
+  // Ends of runs that were given up as lapsed count for nothing once the task
+  // runs elsewhere.
+  if (task == nullptr || task->done || task->has_run) {
+    return;
+  }
+  ApplyEnd(end.task, end.attempt, end.end, end.checkpoint, worker.id());
+}
+
+void Scheduler::ApplyEnd(const jobs::TaskRef& task, jobs::Attempt attempt,
+                         jobs::RunEnd end, const std::string& checkpoint,
+                         const base::BackendId& worker) {
+  jobs::Job* job = jobs_.Find(task.step.job);
+  if (job == nullptr || job->FindTask(task) == nullptr) {
+    return;
+  }
+  const desired::Queue* queue = dispatcher_.FindQueue(job->queue);
+  const std::uint32_t max_attempts = queue == nullptr ? 1 : queue->max_attempts;
+  if (end != jobs::RunEnd::kDone) {
+    telemetry_.log->Write(
+        "run_ended",
+        {{"task", jobs::ToString(task)},
+         {"attempt", static_cast<std::int64_t>(attempt.value())},
+         {"worker", worker.value()},
+         {"end", jobs::ToString(end)},
+         {"saved", checkpoint.empty() ? "no" : "yes"}});
+  }
+  const bool is_gang = job->SpecOf(task.step).gang;
+  const bool changed =
+      job->NoteEnd(task, attempt, end, checkpoint, worker, max_attempts);
+  if (changed && jobs::IsFinal(job->state)) {
+    EndJob(*job);
+    return;
+  }
+  if (changed) {
+    jobs_.NoteChanged(job->key, now_);
+  }
+  if (end == jobs::RunEnd::kDone) {
+    ConsiderAll(*job);
+  } else {
+    if (is_gang) {
+      // The others end as well; a stop is surer and sooner.
+      StopRuns(task.step);
+    }
+    dispatcher_.Consider(task.step);
+  }
+}
+
+void Scheduler::OnUnknownRun(workers::Worker* worker, const ListedRun& listed,
+                             base::TimePoint now) {
+  jobs::Job* job = jobs_.Find(listed.task.step.job);
+  jobs::Task* task = job == nullptr ? nullptr : job->FindTask(listed.task);
+  const bool is_wanted = task != nullptr && !task->done && !task->has_run &&
+                         listed.attempt >= task->last_attempt;
+  telemetry_.log->Write(
+      is_wanted ? "run_adopted" : "run_unwanted",
+      {{"task", jobs::ToString(listed.task)},
+       {"attempt", static_cast<std::int64_t>(listed.attempt.value())},
+       {"worker", worker->id().value()}});
+  if (!is_wanted) {
+    return;
+  }
+  const jobs::StepSpec& spec = job->SpecOf(listed.task.step);
+  const workers::Run run{.task = listed.task,
+                         .attempt = listed.attempt,
+                         .state = workers::RunState::kRunning,
+                         .needs = spec.needs,
+                         .reserved = spec.Reservation(),
+                         .organisation = job->organisation,
+                         .since = now,
+                         .started_at = now,
+                         .estimate = spec.estimate,
+                         .percent_changed_at = now};
+  worker->AddRun(run);
+  runs_.Add(worker->id(), run);
+  job->NoteRun(listed.task, listed.attempt);
+  job->state = jobs::JobState::kInProgress;
+}
+
+void Scheduler::OnStartRefused(const workers::Worker& worker,
+                               const workers::Run& run, OrderOutcome outcome) {
+  runs_.Remove(worker.id(), run);
+  if (outcome == OrderOutcome::kBadTicket) {
+    dispatcher_.DropTicket(run.task.step, worker.id());
+  }
+  ApplyEnd(run.task, run.attempt, jobs::RunEnd::kStopped, {}, worker.id());
+}
+
+void Scheduler::OnSettled(const base::BackendId& worker) {
+  if (fleet_.unsettled().empty()) {
+    telemetry_.log->Write("workers_settled", {{"last", worker.value()}});
+  }
+}
+
+void Scheduler::StopRuns(const jobs::StepRef& step) {
+  const std::set<PlacedRun> runs = runs_.OfStep(step);
+  for (const PlacedRun& run : runs) {
+    fleet_.Stop(run.worker, run.key(), now_, &actions_);
+  }
+}
+
+void Scheduler::StopRunsOfJob(const jobs::Job& job) {
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
+      StopRuns({job.key, number, i});
+    }
+  }
+}
+
+void Scheduler::StopIncompleteGangs(base::TimePoint now) {
+  std::set<jobs::StepRef> incomplete;
+  for (const auto& [id, worker] : fleet_.workers()) {
+    for (const auto& [key, run] : worker.runs()) {
+      const bool is_unsure = run.state == workers::RunState::kStarting ||
+                             run.state == workers::RunState::kUncertain;
+      if (is_unsure && now - run.started_at >= kGangPatience) {
+        incomplete.insert(run.task.step);
+      }
+    }
+  }
+  for (const jobs::StepRef& step : incomplete) {
+    jobs::Job* job = jobs_.Find(step.job);
+    if (job != nullptr && job->SpecOf(step).gang) {
+      telemetry_.log->Write("gang_incomplete",
+                            {{"step", jobs::ToString(step)}});
+      StopRuns(step);
+    }
+  }
+}
+
+void Scheduler::NoteRunsOfWorker(const workers::Worker& worker,
+                                 const workers::Run& run, jobs::RunEnd end) {
+  workers::Worker* target = fleet_.Find(worker.id());
+  if (target == nullptr) {
+    return;
+  }
+  if (end == jobs::RunEnd::kDone) {
+    target->failures_in_row = 0;
+    target->quarantines = 0;
+    return;
+  }
+  if (end != jobs::RunEnd::kFailed ||
+      run.task.step.job == target->last_failed_job) {
+    return;
+  }
+  target->last_failed_job = run.task.step.job;
+  if (++target->failures_in_row < kFailuresInRow) {
+    return;
+  }
+  target->quarantined_until =
+      now_ + kQuarantine * (1 << std::min(target->quarantines, kMostDoublings));
+  ++target->quarantines;
+  target->failures_in_row = 0;
+  telemetry_.log->Write("worker_quarantined",
+                        {{"worker", worker.id().value()},
+                         {"quarantines", target->quarantines}});
+}
+
+}  // namespace dotterelbarrow::core::scheduler
--- /dev/null
+++ b/src/core/workers/worker.cc
@@ -0,0 +1,96 @@
+// Room, runs and leases of one worker.
+#include "dotterelbarrow/core/workers/worker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dotterelbarrow::core::workers {
+namespace {
+
+// A worker's clock may lose this share of the time (the platform states 2%).
+constexpr std::int64_t kMostDriftPercent = 2;
+// Covers the rounding of clocks to whole milliseconds and the worker's own
+// timer.
+constexpr std::int64_t kLapseMarginMs = 100;
+// A worker whose answers stay out this often in a row gets no new work.
+constexpr int kSilentOrders = 2;
+
+std::int64_t Milliseconds(base::Duration duration) {
+  return duration / std::chrono::milliseconds(1);
+}
+
+}  // namespace
+
+const char* ToString(RunState state) {
+  switch (state) {
+    case RunState::kEarmarked:
+      return "earmarked";
+    case RunState::kStarting:
+      return "starting";
+    case RunState::kRunning:
+      return "running";
+    case RunState::kUncertain:
+      return "uncertain";
+    case RunState::kStopping:
+      return "stopping";
+  }
+  return "unknown";
+}
+
+void WorkerClock::Read(std::int64_t clock_ms, base::TimePoint answered_at) {
+  if (!read_ || clock_ms >= read_->clock_ms) {
+    read_ = Reading{clock_ms, answered_at};
+  }
+}
+
+std::int64_t WorkerClock::AtLeast(base::TimePoint now) const {
+  if (!read_) {
+    return 0;
+  }
+  const std::int64_t passed = Milliseconds(now - read_->answered_at);
+  return read_->clock_ms + passed * (100 - kMostDriftPercent) / 100;
+}
+
+std::int64_t WorkerClock::Estimate(base::TimePoint now) const {
+  return read_ ? read_->clock_ms + Milliseconds(now - read_->answered_at) : 0;
+}
+
+Run* Worker::FindRun(const jobs::TaskRef& task, jobs::Attempt attempt) {
+  const auto it = runs_.find({task, attempt});
+  return it == runs_.end() ? nullptr : &it->second;
+}
+
+Run* Worker::AddRun(Run run) {
+  const std::pair key(run.task, run.attempt);
+  const auto [it, added] = runs_.emplace(key, std::move(run));
+  if (added) {
+    reserved_ += it->second.reserved;
+    needed_ += it->second.needs;
+  }
+  return &it->second;
+}
+
+void Worker::RemoveRun(const jobs::TaskRef& task, jobs::Attempt attempt) {
+  const auto it = runs_.find({task, attempt});
+  if (it != runs_.end()) {
+    reserved_ -= it->second.reserved;
+    needed_ -= it->second.needs;
+    runs_.erase(it);
+  }
+}
+
+bool Worker::LeaseSurelyLapsed(base::TimePoint now) const {
+  if (!clock.is_known()) {
+    return now >= inherited_until;
+  }
+  return now >= inherited_until &&
+         clock.AtLeast(now) > granted_until_ms + kLapseMarginMs;
+}
+
+bool Worker::TakesWork(base::TimePoint now) const {
+  return is_claimed && listed_ && !listing_.draining &&
+         now >= quarantined_until && looks_failed == 0 &&
+         orders_unanswered < kSilentOrders;
+}
+
+}  // namespace dotterelbarrow::core::workers
--- a/src/daemon/command_line.cc
+++ b/src/daemon/command_line.cc
@@ -14,6 +14,9 @@
   auto add = description.add_options();
   add("settings", options::value<std::string>()->value_name("FILE"),
       "serve with the settings of this INI file");
+  add("platform",
+      "serve on the users' platform, with the settings file that the variable "
+      "DOTTERELBARROW_CONFIG names");
   add("check-settings", options::value<std::string>()->value_name("FILE"),
       "only check this file; exit 0 if it is good, 2 if not");
   add("print-sample-settings", "show an annotated file of all settings");
@@ -41,12 +44,15 @@
   if (values.contains("check-settings")) {
     return CheckSettings{values["check-settings"].as<std::string>()};
   }
+  if (values.contains("platform")) {
+    return RunOnPlatform();
+  }
   if (values.contains("settings")) {
     return RunDaemon{values["settings"].as<std::string>()};
   }
   return base::Failure{base::FailureCode::kMissingField,
-                       "one of --settings FILE, --check-settings FILE, "
-                       "--print-sample-settings, --help and --version is "
+                       "one of --settings FILE, --platform, --check-settings "
+                       "FILE, --print-sample-settings, --help and --version is "
                        "needed"};
 }
 
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdint>
+#include <cstdlib>
 #include <iostream>
 #include <optional>
 #include <random>
@@ -12,7 +13,9 @@
 #include <vector>
 
 #include "dotterelbarrow/base/overloaded.h"
+#include "dotterelbarrow/member/member.h"
 #include "dotterelbarrow/settings/settings_file.h"
+#include "platform/settings_file.h"
 #include "src/daemon/command_line.h"
 #include "src/daemon/driver.h"
 
@@ -23,6 +26,8 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitBadInput = 2;
 
+constexpr const char* kPlatformSettingsVariable = "DOTTERELBARROW_CONFIG";
+
 // Milliseconds since the epoch: a later run has a higher number, and call ids,
 // which start from it, fit 64 bits.
 base::Incarnation NewIncarnation() {
@@ -77,6 +82,37 @@
   return kExitOk;
 }
 
+// Serves as a member of the cell on the users' platform.
+int ServeOnPlatform() {
+  const char* path = std::getenv(kPlatformSettingsVariable);
+  base::Failure reason;
+  const auto load = [path, &reason] {
+    return platform::LoadPlatformSettings(path == nullptr ? "" : path, &reason);
+  };
+  const auto settings = load();
+  if (!settings) {
+    std::cerr << reason.detail << "\n";
+    return kExitBadInput;
+  }
+  wire::EventLoop loop;
+  member::Member member(&loop, *settings);
+  if (!member.Listen(&reason)) {
+    std::cerr << reason.detail << "\n";
+    return kExitFailed;
+  }
+  const wire::SignalWatch on_terminate(
+      loop, SIGTERM, [&member] { member.BeginShutdown(); });
+  const wire::SignalWatch on_change(loop, SIGHUP, [&member, &load, &reason] {
+    if (const auto changed = load()) {
+      member.OnSettingsChanged(*changed);
+    } else {
+      std::cerr << reason.detail << "\n";
+    }
+  });
+  loop.Run();
+  return kExitOk;
+}
+
 int Main(int argc, const char* const* argv) {
   return std::visit(
       base::Overloaded{
@@ -99,6 +135,7 @@
           [](const CheckSettings& check) {
             return LoadOrComplain(check.path) ? kExitOk : kExitBadInput;
           },
+          [](const RunOnPlatform&) { return ServeOnPlatform(); },
           [argv](const RunDaemon& run) { return Serve(argv[0], run.path); }},
       ParseCommandLine(argc, argv));
 }
--- /dev/null
+++ b/src/member/calls.cc
@@ -0,0 +1,169 @@
+// Calls and answers as JSON.
+#include "src/member/calls.h"
+
+#include <utility>
+
+#include "dotterelbarrow/base/overloaded.h"
+#include "dotterelbarrow/core/jobs/job_records.h"
+
+namespace dotterelbarrow::member {
+namespace {
+
+using base::FailureCode;
+
+constexpr const char* kSubmit = "submit";
+constexpr const char* kCancel = "cancel";
+constexpr const char* kState = "state";
+constexpr const char* kPending = "pending";
+
+std::optional<core::jobs::JobKey> KeyOf(const Json::Value& params,
+                                        base::Failure* reason) {
+  const Json::Value& text = params["job"];
+  const auto key = text.isString() ? core::jobs::ParseJobKey(text.asString())
+                                   : std::nullopt;
+  if (!key) {
+    *reason = {FailureCode::kMalformed, "job: expected a job's key"};
+  }
+  return key;
+}
+
+std::string TextOf(const Json::Value& params, const char* name) {
+  return params[name].isString() ? params[name].asString() : std::string();
+}
+
+std::optional<OwnerCall> SubmitFromJson(const Json::Value& params,
+                                        base::Failure* reason) {
+  const auto key = KeyOf(params, reason);
+  auto spec = core::jobs::JobSpecFromJson(params["spec"], reason);
+  if (!key || !spec) {
+    return std::nullopt;
+  }
+  return SubmitCall{{*key, core::desired::QueueId(TextOf(params, "queue")),
+                     base::OrganisationId(TextOf(params, "organisation")),
+                     std::move(*spec)}};
+}
+
+Json::Value Named(const char* name) {
+  Json::Value value(Json::objectValue);
+  value["answer"] = name;
+  return value;
+}
+
+}  // namespace
+
+const char* MethodOf(const OwnerCall& call) {
+  return std::visit(
+      base::Overloaded{[](const SubmitCall&) { return kSubmit; },
+                       [](const CancelCall&) { return kCancel; },
+                       [](const StateCall&) { return kState; },
+                       [](const PendingCall&) { return kPending; }},
+      call);
+}
+
+Json::Value ToJson(const OwnerCall& call) {
+  Json::Value params(Json::objectValue);
+  std::visit(
+      base::Overloaded{
+          [&params](const SubmitCall& submit) {
+            params["job"] = core::jobs::ToString(submit.submission.key);
+            params["queue"] = submit.submission.queue.value();
+            params["organisation"] = submit.submission.organisation.value();
+            params["spec"] = core::jobs::ToJson(submit.submission.spec);
+          },
+          [&params](const CancelCall& cancel) {
+            params["job"] = core::jobs::ToString(cancel.key);
+          },
+          [&params](const StateCall& state) {
+            params["job"] = core::jobs::ToString(state.key);
+          },
+          [&params](const PendingCall& pending) {
+            params["queue"] = pending.queue.value();
+          }},
+      call);
+  return params;
+}
+
+std::optional<OwnerCall> OwnerCallFromJson(const std::string& method,
+                                           const Json::Value& params,
+                                           base::Failure* reason) {
+  if (!params.isObject()) {
+    *reason = {FailureCode::kWrongType, "params: expected an object"};
+    return std::nullopt;
+  }
+  if (method == kSubmit) {
+    return SubmitFromJson(params, reason);
+  }
+  if (method == kPending) {
+    return PendingCall{core::desired::QueueId(TextOf(params, "queue"))};
+  }
+  if (method != kCancel && method != kState) {
+    *reason = {FailureCode::kUnknownValue, "method " + method};
+    return std::nullopt;
+  }
+  const auto key = KeyOf(params, reason);
+  if (!key) {
+    return std::nullopt;
+  }
+  return method == kCancel ? OwnerCall(CancelCall{*key})
+                           : OwnerCall(StateCall{*key});
+}
+
+const char* NameOf(const OwnerAnswer& answer) {
+  return std::visit(
+      base::Overloaded{[](const Accepted&) { return "accepted"; },
+                       [](const Refused&) { return "refused"; },
+                       [](const Cancelled&) { return "cancelled"; },
+                       [](const UnknownJob&) { return "unknown_job"; },
+                       [](const JobStateAnswer&) { return "state"; },
+                       [](const PendingAnswer&) { return "pending"; },
+                       [](const NoOwner&) { return "no_owner"; },
+                       [](const OutcomeUnknown&) { return "unknown"; }},
+      answer);
+}
+
+Json::Value ToJson(const OwnerAnswer& answer) {
+  Json::Value value = Named(NameOf(answer));
+  if (const auto* refused = std::get_if<Refused>(&answer)) {
+    value["reason"] = refused->reason;
+    value["retry_after_ms"] =
+        Json::Int64(refused->retry_after / std::chrono::milliseconds(1));
+  } else if (const auto* state = std::get_if<JobStateAnswer>(&answer)) {
+    value["state"] = core::jobs::ToString(state->state);
+  } else if (const auto* pending = std::get_if<PendingAnswer>(&answer)) {
+    value["jobs"] = Json::UInt64(pending->jobs);
+  }
+  return value;
+}
+
+OwnerAnswer OwnerAnswerFromJson(const Json::Value& value) {
+  const std::string name = value.isObject() ? TextOf(value, "answer") : "";
+  if (name == "accepted") {
+    return Accepted{};
+  }
+  if (name == "refused") {
+    const Json::Value& retry = value["retry_after_ms"];
+    return Refused{TextOf(value, "reason"),
+                   std::chrono::milliseconds(
+                       retry.isInt64() ? retry.asInt64() : 0)};
+  }
+  if (name == "cancelled") {
+    return Cancelled{};
+  }
+  if (name == "unknown_job") {
+    return UnknownJob{};
+  }
+  if (name == "no_owner") {
+    return NoOwner{};
+  }
+  if (name == "state") {
+    const auto state = core::jobs::ParseJobState(TextOf(value, "state"));
+    return state ? OwnerAnswer(JobStateAnswer{*state})
+                 : OwnerAnswer(OutcomeUnknown{});
+  }
+  if (name == "pending" && value["jobs"].isUInt64()) {
+    return PendingAnswer{value["jobs"].asUInt64()};
+  }
+  return OutcomeUnknown{};
+}
+
+}  // namespace dotterelbarrow::member
--- /dev/null
+++ b/src/member/desired_watch.cc
@@ -0,0 +1,84 @@
+// Polls the row of the desired state. A feed would tell sooner, but its
+// silence proves nothing, and a linearizable read does.
+#include "src/member/desired_watch.h"
+
+#include <utility>
+
+#include "platform/operator_records.h"
+#include "src/member/clock.h"
+
+namespace dotterelbarrow::member {
+namespace {
+
+// A quarter of the time in which a version has to be in force (2 s).
+constexpr base::Duration kPeriod = std::chrono::milliseconds(500);
+constexpr base::Duration kRetry = std::chrono::milliseconds(150);
+// A slow store takes up to a quarter of a second; a silent one is asked anew.
+constexpr base::Duration kTimeout = std::chrono::milliseconds(900);
+
+}  // namespace
+
+DesiredWatch::DesiredWatch(const wire::EventLoop& loop,
+                           platform::StoreClient* store,
+                           core::scheduler::Telemetry telemetry,
+                           Changed changed)
+    : store_(store),
+      telemetry_(telemetry),
+      changed_(std::move(changed)),
+      timer_(loop, [this] { Read(); }) {
+  Read();
+}
+
+std::optional<base::Duration> DesiredWatch::ProofAge() const {
+  return proved_at_ ? std::optional(Now() - *proved_at_) : std::nullopt;
+}
+
+void DesiredWatch::Read() {
+  const base::TimePoint sent_at = Now();
+  store_->Read(platform::DesiredStateRow(), kTimeout,
+               [this, sent_at](const platform::ReadResult& result) {
+                 OnRead(result, sent_at);
+               });
+}
+
+void DesiredWatch::OnRead(const platform::ReadResult& result,
+                          base::TimePoint sent_at) {
+  const bool is_good = result.outcome == platform::StoreOutcome::kDone;
+  timer_.StartOnce(is_good ? kPeriod : kRetry);
+  if (is_good == is_silent_) {
+    is_silent_ = !is_good;
+    telemetry_.log->Write(is_good ? "desired_regained" : "desired_lost",
+                          {{"outcome", platform::ToString(result.outcome)}});
+  }
+  if (!is_good || result.rows.empty()) {
+    return;
+  }
+  const std::string& text = result.rows.front().value;
+  if (text == text_ || Take(text)) {
+    proved_at_ = sent_at;
+  }
+}
+
+bool DesiredWatch::Take(const std::string& text) {
+  base::Failure reason;
+  auto state = platform::ReadDesiredState(text, &reason);
+  if (!state) {
+    telemetry_.log->Write("desired_unreadable", {{"detail", reason.detail}});
+    return false;
+  }
+  // The store never goes back; a delayed answer could.
+  if (current_ != nullptr && state->version() < current_->version()) {
+    return false;
+  }
+  text_ = text;
+  current_ = std::make_shared<const core::desired::DesiredState>(
+      std::move(*state));
+  telemetry_.log->Write(
+      "desired_applied",
+      {{"version", static_cast<std::int64_t>(current_->version().value())},
+       {"queues", static_cast<std::int64_t>(current_->queues().size())}});
+  changed_(current_);
+  return true;
+}
+
+}  // namespace dotterelbarrow::member
--- /dev/null
+++ b/src/member/desired_watch.h
@@ -0,0 +1,55 @@
+// Keeps the newest desired state, and knows how old the proof is that it is
+// the newest.
+#ifndef DOTTERELBARROW_SRC_MEMBER_DESIRED_WATCH_H_
+#define DOTTERELBARROW_SRC_MEMBER_DESIRED_WATCH_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "dotterelbarrow/base/units.h"
+#include "dotterelbarrow/core/desired/desired_state.h"
+#include "dotterelbarrow/core/scheduler/decision_log.h"
+#include "dotterelbarrow/wire/event_loop.h"
+#include "platform/store_client.h"
+
+namespace dotterelbarrow::member {
+
+class DesiredWatch {
+ public:
+  using Changed =
+      std::function<void(std::shared_ptr<const core::desired::DesiredState>)>;
+
+  // Reads at once, and then periodically.
+  DesiredWatch(const wire::EventLoop& loop, platform::StoreClient* store,
+               core::scheduler::Telemetry telemetry, Changed changed);
+
+  // Null until the first was read.
+  const std::shared_ptr<const core::desired::DesiredState>& current() const {
+    return current_;
+  }
+  // Returns how long ago the state was surely the newest; nullopt if it never
+  // was.
+  std::optional<base::Duration> ProofAge() const;
+
+ private:
+  void Read();
+  void OnRead(const platform::ReadResult& result, base::TimePoint sent_at);
+  // Returns whether `text` is in force now.
+  bool Take(const std::string& text);
+
+  platform::StoreClient* store_;
+  core::scheduler::Telemetry telemetry_;
+  Changed changed_;
+  std::shared_ptr<const core::desired::DesiredState> current_;
+  // The text of `current_`.
+  std::string text_;
+  std::optional<base::TimePoint> proved_at_;
+  bool is_silent_ = false;
+  wire::Timer timer_;
+};
+
+}  // namespace dotterelbarrow::member
+
+#endif  // DOTTERELBARROW_SRC_MEMBER_DESIRED_WATCH_H_
--- /dev/null
+++ b/src/member/head_writer.h
@@ -0,0 +1,66 @@
+// Carries out writes of the head, one at a time, until their outcome is known.
+#ifndef DOTTERELBARROW_SRC_MEMBER_HEAD_WRITER_H_
+#define DOTTERELBARROW_SRC_MEMBER_HEAD_WRITER_H_
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+#include "dotterelbarrow/core/leadership/leadership.h"
+#include "dotterelbarrow/core/scheduler/decision_log.h"
+#include "dotterelbarrow/core/scheduler/job_book.h"
+#include "dotterelbarrow/wire/event_loop.h"
+#include "platform/store_client.h"
+
+namespace dotterelbarrow::member {
+
+// What became of a write of the head.
+enum class HeadWriteEnd {
+  kStored,
+  kReplaced,  // Another entry host has put the head.
+};
+
+class HeadWriter {
+ public:
+  using Done = std::function<void(HeadWriteEnd, std::int64_t store_now_ms)>;
+
+  // All must outlive this.
+  HeadWriter(const wire::EventLoop& loop, platform::StoreClient* store,
+             core::leadership::Leadership* leadership,
+             core::scheduler::Telemetry telemetry);
+
+  bool is_busy() const { return transaction_.has_value(); }
+  // When the write under way was first sent.
+  base::TimePoint begun_at() const { return begun_at_; }
+
+  // Writes the head with `changes`, again and again until it is stored or the
+  // head turns out to be another's. Precondition: not busy.
+  void Write(const core::leadership::HeadWrite& head,
+             const std::vector<core::scheduler::RecordChange>& changes,
+             Done done);
+  // Forgets the write under way; it may still take effect.
+  void Cancel();
+
+ private:
+  void Send();
+  void OnAnswer(const platform::WriteResult& result, base::TimePoint sent_at);
+  void OnConflict(const platform::WriteResult& result);
+  void End(HeadWriteEnd end, std::int64_t store_now_ms);
+  void LearnLatency(base::Duration latency);
+
+  platform::StoreClient* store_;
+  core::leadership::Leadership* leadership_;
+  core::scheduler::Telemetry telemetry_;
+  std::optional<platform::Transaction> transaction_;
+  Done done_;
+  base::TimePoint begun_at_;
+  // Tells answers of forgotten writes from the current one's.
+  std::uint64_t generation_ = 0;
+  base::Duration usual_latency_ = std::chrono::milliseconds(20);
+  base::Duration timeout_;
+  wire::Timer retry_timer_;
+};
+
+}  // namespace dotterelbarrow::member
+
+#endif  // DOTTERELBARROW_SRC_MEMBER_HEAD_WRITER_H_
--- /dev/null
+++ b/src/member/job_api.cc
@@ -0,0 +1,247 @@
+// From calls to the owner's answers and back.
+#include "src/member/job_api.h"
+
+#include <utility>
+#include <variant>
+
+#include "dotterelbarrow/base/overloaded.h"
+#include "dotterelbarrow/core/jobs/job_records.h"
+#include "platform/job_calls.h"
+#include "src/member/store_layout.h"
+
+namespace dotterelbarrow::member {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kMethodNotAllowed = 405;
+constexpr int kGone = 410;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+// A change of the owner takes two to three seconds; another host may know the
+// next one sooner.
+constexpr base::Duration kRetryAfter = std::chrono::seconds(1);
+constexpr base::Duration kReadTimeout = std::chrono::milliseconds(800);
+
+}  // namespace
+
+JobApi::JobApi(wire::HttpServer* server, const DesiredWatch* desired,
+               platform::StoreClient* store, core::admission::Gate gate,
+               core::scheduler::Telemetry telemetry, PassOn pass_on)
+    : server_(server),
+      desired_(desired),
+      store_(store),
+      gate_(gate),
+      telemetry_(telemetry),
+      pass_on_(std::move(pass_on)) {
+  for (const wire::HttpMethod method :
+       {wire::HttpMethod::kGet, wire::HttpMethod::kPost,
+        wire::HttpMethod::kPut, wire::HttpMethod::kDelete}) {
+    server->Route(method, "/", [this](const wire::HttpRequest& request) {
+      OnCall(request);
+    });
+  }
+}
+
+void JobApi::OnCall(const wire::HttpRequest& request) {
+  const core::admission::GateDecision decision =
+      gate_.Decide({.desired = desired_->current().get(),
+                    .proof_age = desired_->ProofAge(),
+                    .host = request.host,
+                    .path = request.path,
+                    .key = request.bearer});
+  std::visit(
+      base::Overloaded{
+          [&](const core::admission::Admitted& admitted) {
+            OnAdmitted(request, admitted);
+          },
+          [&](const core::admission::NotConfirmed&) {
+            Refuse(request.exchange, "desired_not_confirmed", kRetryAfter);
+          },
+          [&](const core::admission::NoSuchQueue&) {
+            telemetry_.counters->Increment("calls_refused", "no_such_queue");
+            Reply(request.exchange, kNotFound,
+                  platform::ErrorBody("no_such_queue"));
+          },
+          [&](const core::admission::UnknownKey&) {
+            telemetry_.counters->Increment("calls_refused", "unknown_key");
+            Reply(request.exchange, kUnauthorized,
+                  platform::ErrorBody("unknown_key"));
+          }},
+      decision);
+}
+
+void JobApi::OnAdmitted(const wire::HttpRequest& request,
+                        const core::admission::Admitted& admitted) {
+  if (admitted.rest.empty()) {
+    if (request.method == wire::HttpMethod::kGet) {
+      CountPending(request, admitted.queue->id);
+    } else {
+      Reply(request.exchange, kMethodNotAllowed,
+            platform::ErrorBody("method_not_allowed"));
+    }
+    return;
+  }
+  const auto key = core::jobs::ParseJobKey(admitted.rest);
+  if (!key) {
+    const bool is_submission = request.method == wire::HttpMethod::kPost;
+    Reply(request.exchange, is_submission ? kBadRequest : kGone,
+          platform::ErrorBody("not_a_job_id"));
+    return;
+  }
+  switch (request.method) {
+    case wire::HttpMethod::kPost:
+      Submit(request, admitted, *key);
+      break;
+    case wire::HttpMethod::kGet:
+      AskState(request, *key);
+      break;
+    case wire::HttpMethod::kDelete:
+      Cancel(request, *key);
+      break;
+    case wire::HttpMethod::kPut:
+      Reply(request.exchange, kMethodNotAllowed,
+            platform::ErrorBody("method_not_allowed"));
+      break;
+  }
+}
+
+void JobApi::Submit(const wire::HttpRequest& request,
+                    const core::admission::Admitted& admitted,
+                    core::jobs::JobKey key) {
+  base::Failure reason;
+  auto spec = platform::ReadJobSpec(request.body, &reason);
+  if (!spec) {
+    telemetry_.counters->Increment("calls_refused", "bad_job");
+    Reply(request.exchange, kBadRequest, platform::ErrorBody(reason.detail));
+    return;
+  }
+  SubmitCall call{
+      {key, admitted.queue->id,
+       admitted.organisation == nullptr ? base::OrganisationId()
+                                        : admitted.organisation->id,
+       std::move(*spec)}};
+  pass_on_(call, [this, exchange = request.exchange,
+                  key](const OwnerAnswer& answer) {
+    telemetry_.log->Write("submission_answered",
+                          {{"job", core::jobs::ToString(key)},
+                           {"answer", NameOf(answer)}});
+    if (std::holds_alternative<Accepted>(answer)) {
+      Reply(exchange, kOk, "{}");
+    } else if (const auto* refused = std::get_if<Refused>(&answer)) {
+      Refuse(exchange, refused->reason.c_str(), refused->retry_after);
+    } else if (std::holds_alternative<NoOwner>(answer)) {
+      Refuse(exchange, "no_owner", kRetryAfter);
+    } else {
+      telemetry_.counters->Increment("calls_refused", "outcome_unknown");
+      Reply(exchange, kGatewayTimeout, platform::ErrorBody("outcome_unknown"));
+    }
+  });
+}
+
+void JobApi::AskState(const wire::HttpRequest& request,
+                      core::jobs::JobKey key) {
+  pass_on_(StateCall{key}, [this, exchange = request.exchange,
+                            key](const OwnerAnswer& answer) {
+    if (const auto* state = std::get_if<JobStateAnswer>(&answer)) {
+      Reply(exchange, kOk, platform::StateBody(state->state));
+    } else if (std::holds_alternative<UnknownJob>(answer)) {
+      telemetry_.counters->Increment("calls_refused", "unknown_job");
+      Reply(exchange, kGone, platform::ErrorBody("unknown_job"));
+    } else {
+      ReadState(exchange, key);
+    }
+  });
+}
+
+void JobApi::ReadState(wire::ExchangeId exchange, core::jobs::JobKey key) {
+  using core::scheduler::RecordTable;
+  const std::string name = core::jobs::ToString(key);
+  platform::RowRange range = RowsFrom(RecordTable::kProgress, name);
+  range.end = name + "!";
+  store_->Read(range, kReadTimeout,
+               [this, exchange, key](const platform::ReadResult& result) {
+                 if (result.outcome != platform::StoreOutcome::kDone) {
+                   Refuse(exchange, "no_owner", kRetryAfter);
+                   return;
+                 }
+                 base::Failure reason;
+                 const auto state =
+                     result.rows.empty()
+                         ? std::nullopt
+                         : core::jobs::ReadState(result.rows.front().value,
+                                                 &reason);
+                 if (state) {
+                   Reply(exchange, kOk, platform::StateBody(*state));
+                 } else {
+                   ReadAcceptance(exchange, key);
+                 }
+               });
+}
+
+void JobApi::ReadAcceptance(wire::ExchangeId exchange,
+                            core::jobs::JobKey key) {
+  using core::scheduler::RecordTable;
+  const std::string name = core::jobs::ToString(key);
+  platform::RowRange range = RowsFrom(RecordTable::kAcceptances, name);
+  range.end = name + "!";
+  store_->Read(range, kReadTimeout,
+               [this, exchange](const platform::ReadResult& result) {
+                 if (result.outcome != platform::StoreOutcome::kDone) {
+                   Refuse(exchange, "no_owner", kRetryAfter);
+                 } else if (result.rows.empty()) {
+                   Reply(exchange, kGone, platform::ErrorBody("unknown_job"));
+                 } else {
+                   // No end of a task is stored; whether one runs isn't.
+                   Reply(exchange, kOk,
+                         platform::StateBody(core::jobs::JobState::kQueued));
+                 }
+               });
+}
+
+void JobApi::Cancel(const wire::HttpRequest& request, core::jobs::JobKey key) {
+  pass_on_(CancelCall{key}, [this, exchange = request.exchange,
+                             key](const OwnerAnswer& answer) {
+    telemetry_.log->Write("cancel_answered",
+                          {{"job", core::jobs::ToString(key)},
+                           {"answer", NameOf(answer)}});
+    if (std::holds_alternative<Cancelled>(answer)) {
+      Reply(exchange, kOk, "{}");
+    } else if (std::holds_alternative<UnknownJob>(answer)) {
+      Reply(exchange, kGone, platform::ErrorBody("unknown_job"));
+    } else if (std::holds_alternative<NoOwner>(answer)) {
+      Refuse(exchange, "no_owner", kRetryAfter);
+    } else {
+      Reply(exchange, kGatewayTimeout, platform::ErrorBody("outcome_unknown"));
+    }
+  });
+}
+
+void JobApi::CountPending(const wire::HttpRequest& request,
+                          const core::desired::QueueId& queue) {
+  pass_on_(PendingCall{queue},
+           [this, exchange = request.exchange](const OwnerAnswer& answer) {
+             if (const auto* pending = std::get_if<PendingAnswer>(&answer)) {
+               Reply(exchange, kOk, platform::PendingBody(pending->jobs));
+             } else {
+               Refuse(exchange, "no_owner", kRetryAfter);
+             }
+           });
+}
+
+void JobApi::Reply(wire::ExchangeId exchange, int status, std::string body) {
+  server_->Reply(exchange, {.status = status, .body = std::move(body)});
+}
+
+void JobApi::Refuse(wire::ExchangeId exchange, const char* reason,
+                    base::Duration retry_after) {
+  telemetry_.counters->Increment("calls_refused", reason);
+  server_->Reply(exchange, {.status = kUnavailable,
+                            .body = platform::ErrorBody(reason),
+                            .retry_after = retry_after});
+}
+
+}  // namespace dotterelbarrow::member
--- /dev/null
+++ b/src/member/job_api.h
@@ -0,0 +1,58 @@
+// The callers' interface on the platform: hands in jobs, asks for them,
+// cancels them.
+#ifndef DOTTERELBARROW_SRC_MEMBER_JOB_API_H_
+#define DOTTERELBARROW_SRC_MEMBER_JOB_API_H_
+
+#include <functional>
+#include <string>
+
+#include "dotterelbarrow/core/admission/gate.h"
+#include "dotterelbarrow/core/scheduler/decision_log.h"
+#include "dotterelbarrow/wire/http_server.h"
+#include "platform/store_client.h"
+#include "src/member/calls.h"
+#include "src/member/desired_watch.h"
+
+namespace dotterelbarrow::member {
+
+class JobApi {
+ public:
+  // Passes a call to the owner, wherever it is.
+  using PassOn = std::function<void(const OwnerCall&, OwnerReply)>;
+
+  // Takes all calls of `server`. All must outlive this.
+  JobApi(wire::HttpServer* server, const DesiredWatch* desired,
+         platform::StoreClient* store, core::admission::Gate gate,
+         core::scheduler::Telemetry telemetry, PassOn pass_on);
+
+ private:
+  void OnCall(const wire::HttpRequest& request);
+  void OnAdmitted(const wire::HttpRequest& request,
+                  const core::admission::Admitted& admitted);
+  void Submit(const wire::HttpRequest& request,
+              const core::admission::Admitted& admitted,
+              core::jobs::JobKey key);
+  void AskState(const wire::HttpRequest& request, core::jobs::JobKey key);
+  // Looks the job up in the store where no owner answers.
+  void ReadState(wire::ExchangeId exchange, core::jobs::JobKey key);
+  void ReadAcceptance(wire::ExchangeId exchange, core::jobs::JobKey key);
+  void Cancel(const wire::HttpRequest& request, core::jobs::JobKey key);
+  void CountPending(const wire::HttpRequest& request,
+                    const core::desired::QueueId& queue);
+
+  void Reply(wire::ExchangeId exchange, int status, std::string body);
+  // Says that nothing was done and when to come back.
+  void Refuse(wire::ExchangeId exchange, const char* reason,
+              base::Duration retry_after);
+
+  wire::HttpServer* server_;
+  const DesiredWatch* desired_;
+  platform::StoreClient* store_;
+  core::admission::Gate gate_;
+  core::scheduler::Telemetry telemetry_;
+  PassOn pass_on_;
+};
+
+}  // namespace dotterelbarrow::member
+
+#endif  // DOTTERELBARROW_SRC_MEMBER_JOB_API_H_
--- /dev/null
+++ b/src/member/log_writer.cc
@@ -0,0 +1,100 @@
+// Formats lines and hands them over in batches.
+#include "src/member/log_writer.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <variant>
+
+#include "dotterelbarrow/base/overloaded.h"
+
+namespace dotterelbarrow::member {
+namespace {
+
+// Some seconds of lines at the highest load.
+constexpr std::size_t kMaxBufferedBytes = std::size_t{256} * 1024;
+// Each write is a system call; a reader gets lines this late at most.
+constexpr base::Duration kFlushDelay = std::chrono::milliseconds(100);
+
+std::int64_t UnixMillis() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+// Quotes text with spaces or quotes, so that lines can be split again.
+void AppendText(const std::string& text, std::string* line) {
+  if (!text.empty() && text.find_first_of(" \"\n\\=") == std::string::npos) {
+    *line += text;
+    return;
+  }
+  *line += '"';
+  for (const char c : text) {
+    if (c == '"' || c == '\\') {
+      *line += '\\';
+    }
+    *line += c == '\n' ? ' ' : c;
+  }
+  *line += '"';
+}
+
+}  // namespace
+
+LogWriter::LogWriter(const wire::EventLoop& loop, int fd)
+    : fd_(fd), flush_timer_(loop, [this] {
+        is_armed_ = false;
+        Flush();
+      }) {
+  const int flags = fcntl(fd_, F_GETFL, 0);
+  if (flags >= 0) {
+    fcntl(fd_, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
+void LogWriter::Write(std::string_view event,
+                      std::initializer_list<core::scheduler::LogField> fields) {
+  std::string line = "t=" + std::to_string(UnixMillis()) + " event=";
+  line += event;
+  for (const auto& [name, value] : fields) {
+    line += ' ';
+    line += name;
+    line += '=';
+    std::visit(base::Overloaded{[&line](std::int64_t number) {
+                                  line += std::to_string(number);
+                                },
+                                [&line](const std::string& text) {
+                                  AppendText(text, &line);
+                                }},
+               value);
+  }
+  line += '\n';
+  if (buffer_.size() + line.size() > kMaxBufferedBytes) {
+    ++dropped_;
+  } else {
+    buffer_ += line;
+  }
+  if (!is_armed_) {
+    is_armed_ = true;
+    flush_timer_.StartOnce(kFlushDelay);
+  }
+}
+
+void LogWriter::Flush() {
+  while (!buffer_.empty()) {
+    const ssize_t written = write(fd_, buffer_.data(), buffer_.size());
+    if (written <= 0) {
+      // The reader is slow, or gone; the next flush tries again.
+      break;
+    }
+    buffer_.erase(0, static_cast<std::size_t>(written));
+  }
+  if (buffer_.empty() && dropped_ > dropped_told_) {
+    const auto lost = static_cast<std::int64_t>(dropped_ - dropped_told_);
+    dropped_told_ = dropped_;
+    Write("log_lines_dropped", {{"lines", lost}});
+  }
+}
+
+}  // namespace dotterelbarrow::member
--- /dev/null
+++ b/src/member/member.cc
@@ -0,0 +1,382 @@
+// The head, the owner, and the other entry hosts.
+#include "dotterelbarrow/member/member.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "src/member/clock.h"
+#include "src/member/member_impl.h"
+#include "src/member/store_layout.h"
+
+namespace dotterelbarrow::member {
+namespace {
+
+// Followers look at the head this often; less than a third of the silence
+// after which an owner is replaced.
+constexpr base::Duration kHeadPeriod = std::chrono::milliseconds(500);
+constexpr base::Duration kHeadTimeout = std::chrono::milliseconds(800);
+constexpr base::Duration kHeadRetry = std::chrono::milliseconds(100);
+// Greetings keep a host on the list of those that may ask the advisor.
+constexpr base::Duration kGreetPeriod = std::chrono::milliseconds(600);
+constexpr base::Duration kGreetTimeout = std::chrono::milliseconds(900);
+// A refused greeting is repeated soon: two refusals mean a dead process.
+constexpr base::Duration kGreetRetry = std::chrono::milliseconds(100);
+constexpr int kRefusalsOfDead = 2;
+// Three greetings were missed.
+constexpr base::Duration kPeerSilence = std::chrono::milliseconds(2000);
+// Callers wait 3 s for an answer; a later one is of no use to them.
+constexpr base::Duration kCallTimeout = std::chrono::milliseconds(2600);
+
+// Workers have 64 connections each for all entry hosts.
+constexpr std::size_t kMaxConnections = 16;
+// New connections have a price; workers keep theirs open for longer.
+constexpr base::Duration kIdleTimeout = std::chrono::seconds(30);
+constexpr base::Duration kSilenceTimeout = std::chrono::seconds(2);
+constexpr std::size_t kMaxCallBytes = std::size_t{320} * 1024;
+
+// After a planned stop was ordered: new connections go elsewhere by now, as
+// the platform looks at readiness each second and needs two misses.
+constexpr base::Duration kLastConnections = std::chrono::milliseconds(2600);
+constexpr base::Duration kStopCheckPeriod = std::chrono::milliseconds(100);
+
+base::Incarnation NewIncarnation() {
+  return base::Incarnation(static_cast<std::uint64_t>(UnixMillis()));
+}
+
+wire::HttpClientOptions ClientOptions() {
+  return {.max_connections = kMaxConnections,
+          .connect_timeout = std::chrono::milliseconds(600),
+          .idle_timeout = kIdleTimeout,
+          .silence_timeout = kSilenceTimeout};
+}
+
+core::leadership::LeadershipSettings LeadershipOf(
+    const platform::PlatformSettings& settings, base::Incarnation incarnation) {
+  core::leadership::LeadershipSettings result;
+  result.self = settings.host;
+  result.incarnation = incarnation;
+  result.address = settings.peers_address;
+  return result;
+}
+
+core::scheduler::SchedulerSettings SchedulerOf(
+    const platform::PlatformSettings& settings) {
+  core::scheduler::SchedulerSettings result;
+  result.fleet.lease = std::min(result.fleet.lease, settings.max_lease);
+  // One minute more than callers may ask for it.
+  result.jobs.retention = settings.job_retention + std::chrono::minutes(1);
+  return result;
+}
+
+}  // namespace
+
+Member::Impl::Impl(wire::EventLoop* loop,
+                   const platform::PlatformSettings& settings)
+    : loop_(loop),
+      settings_(settings),
+      incarnation_(NewIncarnation()),
+      log_(*loop, STDOUT_FILENO),
+      telemetry_{&log_, &counters_},
+      client_(*loop, ClientOptions()),
+      peer_client_(*loop, ClientOptions()),
+      callers_(*loop, {.max_body_bytes = kMaxCallBytes,
+                       .receive_timeout = std::chrono::seconds(3)}),
+      readiness_(*loop, wire::HttpServerOptions()),
+      peers_server_(*loop, wire::HttpServerOptions()),
+      metrics_server_(*loop, wire::HttpServerOptions()),
+      store_(&client_, settings.store_address, &counters_),
+      workers_(&client_, platform::WorkerClientSettings()),
+      rpc_(&peer_client_, &counters_),
+      rpc_server_(&peers_server_, &counters_),
+      leadership_(LeadershipOf(settings, incarnation_)),
+      writer_(*loop, &store_, &leadership_, telemetry_),
+      desired_(*loop, &store_, telemetry_,
+               [this](const auto& desired) {
+                 if (term_ != nullptr) {
+                   term_->SetDesired(desired);
+                 }
+               }),
+      job_api_(&callers_, &desired_, &store_,
+               core::admission::Gate(settings.key_withdrawal), telemetry_,
+               [this](const OwnerCall& call, const OwnerReply& reply) {
+                 PassOn(call, reply);
+               }),
+      head_timer_(*loop, [this] { ReadHead(); }),
+      greet_timer_(*loop, [this] { Greet(); }),
+      end_term_timer_(*loop, [this] { term_.reset(); }),
+      stop_timer_(*loop, [this] { EndIfIdle(); }) {
+  BindRpc();
+  BindPages();
+}
+
+bool Member::Impl::Listen(base::Failure* reason) {
+  if (!callers_.Listen(settings_.callers_address, reason) ||
+      !readiness_.Listen(settings_.readiness_address, reason) ||
+      !peers_server_.Listen(settings_.peers_address, reason) ||
+      !metrics_server_.Listen(settings_.metrics_address, reason)) {
+    return false;
+  }
+  telemetry_.log->Write(
+      "started",
+      {{"host", settings_.host.value()},
+       {"incarnation", static_cast<std::int64_t>(incarnation_.value())}});
+  ReadHead();
+  Greet();
+  return true;
+}
+
+void Member::Impl::ReadHead() {
+  if (leadership_.role() == core::leadership::Role::kOwner) {
+    head_timer_.StartOnce(kHeadPeriod);
+    return;
+  }
+  const platform::RowKey row = HeadRow();
+  store_.Read({.table = row.table,
+               .part = row.part,
+               .from = row.key,
+               .end = row.key + "!"},
+              kHeadTimeout, [this](const platform::ReadResult& result) {
+                OnHead(result);
+              });
+}
+
+void Member::Impl::OnHead(const platform::ReadResult& result) {
+  if (result.outcome != platform::StoreOutcome::kDone) {
+    head_timer_.StartOnce(kHeadRetry);
+    return;
+  }
+  head_timer_.StartOnce(kHeadPeriod);
+  if (leadership_.role() == core::leadership::Role::kOwner) {
+    return;
+  }
+  std::optional<core::leadership::Head> head;
+  base::RowVersion version;
+  if (!result.rows.empty()) {
+    base::Failure reason;
+    head = core::leadership::DecodeHead(result.rows.front().value, &reason);
+    version = result.rows.front().version;
+    if (!head) {
+      telemetry_.log->Write("head_unreadable", {{"detail", reason.detail}});
+    }
+  }
+  leadership_.OnRead(head, version, Now());
+  if (leadership_.role() == core::leadership::Role::kOwner) {
+    OnClaimed(HeadWriteEnd::kStored, result.now_ms);
+    return;
+  }
+  ClaimIfFree();
+}
+
+void Member::Impl::ClaimIfFree() {
+  if (is_stopping_ || writer_.is_busy() || term_ != nullptr) {
+    return;
+  }
+  const auto claim = leadership_.BeginClaim(Now());
+  if (!claim) {
+    return;
+  }
+  telemetry_.log->Write(
+      "claiming", {{"token", static_cast<std::int64_t>(
+                                 claim->head.token.value())}});
+  writer_.Write(*claim, {}, [this](HeadWriteEnd end, std::int64_t now_ms) {
+    OnClaimed(end, now_ms);
+  });
+}
+
+void Member::Impl::OnClaimed(HeadWriteEnd end, std::int64_t store_now_ms) {
+  if (end == HeadWriteEnd::kReplaced) {
+    counters_.Increment("claims", "lost");
+    return;
+  }
+  counters_.Increment("claims", "won");
+  term_ = std::make_unique<OwnerTerm>(
+      OwnerTerm::Parts{.loop = loop_,
+                       .store = &store_,
+                       .workers = &workers_,
+                       .writer = &writer_,
+                       .leadership = &leadership_,
+                       .telemetry = telemetry_,
+                       .advise =
+                           [this](const core::scheduler::AskAdvice& ask,
+                                  platform::WorkerClient::AdviceDone done) {
+                             Advise(ask, done);
+                           },
+                       .ended = [this] { EndTerm(); }},
+      SchedulerOf(settings_), store_now_ms);
+  if (desired_.current() != nullptr) {
+    term_->SetDesired(desired_.current());
+  }
+  UpdateAskers();
+}
+
+void Member::Impl::EndTerm() {
+  if (leadership_.role() == core::leadership::Role::kOwner) {
+    leadership_.Abandon();
+  }
+  writer_.Cancel();
+  // The term itself is calling.
+  end_term_timer_.RunSoon();
+  head_timer_.StartOnce(kHeadRetry);
+}
+
+void Member::Impl::Greet() {
+  const core::leadership::Head* owner = leadership_.owner();
+  greet_timer_.StartOnce(kGreetPeriod);
+  if (leadership_.role() == core::leadership::Role::kOwner) {
+    UpdateAskers();
+    return;
+  }
+  if (owner == nullptr) {
+    return;
+  }
+  Json::Value params(Json::objectValue);
+  params["host"] = settings_.host.value();
+  params["address"] = settings_.peers_address;
+  rpc_.Call(owner->address, "greet", std::move(params), kGreetTimeout,
+            [this, asked = *owner](const RpcResult& result) {
+              OnGreeted(asked, result);
+            });
+}
+
+void Member::Impl::OnGreeted(const core::leadership::Head& owner,
+                             const RpcResult& result) {
+  const core::leadership::Head* current = leadership_.owner();
+  if (current == nullptr || current->token != owner.token) {
+    return;
+  }
+  bool is_gone = false;
+  if (result.outcome == RpcOutcome::kAnswered) {
+    refused_greetings_ = 0;
+    const Json::Value& incarnation = result.result["incarnation"];
+    // Another run of the host answers: the owner's process has ended.
+    is_gone = incarnation.isUInt64() &&
+              incarnation.asUInt64() != owner.incarnation.value();
+  } else if (result.outcome == RpcOutcome::kRefused) {
+    is_gone = ++refused_greetings_ >= kRefusalsOfDead;
+    greet_timer_.StartOnce(kGreetRetry);
+  }
+  if (is_gone) {
+    refused_greetings_ = 0;
+    telemetry_.log->Write("owner_gone", {{"owner", owner.holder.value()}});
+    leadership_.OnOwnerGone(Now());
+    ReadHead();
+  }
+}
+
+void Member::Impl::OnGreeting(const Json::Value& params,
+                              const RpcServer::Reply& reply) {
+  const Json::Value& host = params["host"];
+  const Json::Value& address = params["address"];
+  if (host.isString() && address.isString()) {
+    peers_[base::EntryId(host.asString())] = {address.asString(), Now()};
+  }
+  Json::Value result(Json::objectValue);
+  result["incarnation"] = Json::UInt64(incarnation_.value());
+  reply(std::move(result));
+}
+
+void Member::Impl::UpdateAskers() {
+  if (term_ == nullptr) {
+    return;
+  }
+  std::vector<base::EntryId> askers = {settings_.host};
+  for (const auto& [host, peer] : peers_) {
+    if (Now() - peer.greeted_at < kPeerSilence && host != settings_.host) {
+      askers.push_back(host);
+    }
+  }
+  term_->SetAskers(askers);
+}
+
+void Member::Impl::PassOn(const OwnerCall& call, const OwnerReply& reply) {
+  if (term_ != nullptr) {
+    term_->Handle(call, reply);
+    return;
+  }
+  const core::leadership::Head* owner = leadership_.owner();
+  if (owner == nullptr || owner->holder == settings_.host) {
+    reply(NoOwner{});
+    return;
+  }
+  rpc_.Call(owner->address, MethodOf(call), ToJson(call), kCallTimeout,
+            [reply](const RpcResult& result) {
+              switch (result.outcome) {
+                case RpcOutcome::kAnswered:
+                  reply(OwnerAnswerFromJson(result.result));
+                  break;
+                case RpcOutcome::kNotSent:
+                case RpcOutcome::kRefused:
+                  reply(NoOwner{});
+                  break;
+                case RpcOutcome::kLost:
+                  reply(OutcomeUnknown{});
+                  break;
+              }
+            });
+}
+
+void Member::Impl::BeginShutdown() {
+  if (is_stopping_) {
+    return;
+  }
+  is_stopping_ = true;
+  stop_begun_ = Now();
+  telemetry_.log->Write("stopping", {{"host", settings_.host.value()}});
+  if (term_ != nullptr) {
+    term_->Resign();
+  }
+  stop_timer_.StartOnce(kStopCheckPeriod);
+}
+
+void Member::Impl::EndIfIdle() {
+  const base::Duration since = Now() - stop_begun_;
+  stop_timer_.StartOnce(kStopCheckPeriod);
+  if (since < kLastConnections) {
+    return;
+  }
+  callers_.StopAccepting();
+  const bool is_idle = callers_.open_exchanges() == 0 &&
+                       callers_.unsent_replies() == 0 && term_ == nullptr;
+  // One second before the platform would kill the process.
+  const bool is_late =
+      since >= settings_.shutdown_grace - std::chrono::seconds(1);
+  // Clients go on to use open connections; they learn with each answer that
+  // theirs closes.
+  const bool had_time = since >= kLastConnections + std::chrono::seconds(1);
+  if (is_late || (is_idle && had_time)) {
+    telemetry_.log->Write(
+        "stopped", {{"open_calls", static_cast<std::int64_t>(
+                                       callers_.open_exchanges())}});
+    log_.Flush();
+    loop_->Stop();
+  }
+}
+
+void Member::Impl::OnSettingsChanged(
+    const platform::PlatformSettings& settings) {
+  const bool moved = settings.callers_address != settings_.callers_address ||
+                     settings.peers_address != settings_.peers_address ||
+                     settings.store_address != settings_.store_address;
+  settings_.shutdown_grace = settings.shutdown_grace;
+  settings_.advisor_address = settings.advisor_address;
+  telemetry_.log->Write("settings_reloaded",
+                        {{"needs_restart", moved ? "yes" : "no"}});
+}
+
+Member::Member(wire::EventLoop* loop,
+               const platform::PlatformSettings& settings)
+    : impl_(std::make_unique<Impl>(loop, settings)) {}
+
+Member::~Member() = default;
+
+bool Member::Listen(base::Failure* reason) { return impl_->Listen(reason); }
+
+void Member::BeginShutdown() { impl_->BeginShutdown(); }
+
+void Member::OnSettingsChanged(const platform::PlatformSettings& settings) {
+  impl_->OnSettingsChanged(settings);
+}
+
+}  // namespace dotterelbarrow::member
--- /dev/null
+++ b/src/member/member_calls.cc
@@ -0,0 +1,166 @@
+// What a member answers to other entry hosts and to the platform's probes.
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "src/member/clock.h"
+#include "src/member/member_impl.h"
+
+namespace dotterelbarrow::member {
+namespace {
+
+constexpr base::Duration kAdviseTimeout = std::chrono::milliseconds(3000);
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+
+using core::scheduler::AdviceResult;
+
+Json::Value ToJson(const AdviceResult& result) {
+  Json::Value value(Json::objectValue);
+  value["answered"] = result.outcome == AdviceResult::Outcome::kAnswered;
+  value["busy"] = result.outcome == AdviceResult::Outcome::kBusy;
+  value["valid_ms"] =
+      Json::Int64(result.ticket_validity / std::chrono::milliseconds(1));
+  value["allowed"] = Json::Value(Json::arrayValue);
+  for (const core::scheduler::AllowedWorker& allowed : result.allowed) {
+    Json::Value row(Json::arrayValue);
+    row.append(allowed.worker.value());
+    row.append(allowed.ticket);
+    value["allowed"].append(std::move(row));
+  }
+  return value;
+}
+
+AdviceResult AdviceFromJson(const Json::Value& value) {
+  AdviceResult result;
+  if (value["busy"].isBool() && value["busy"].asBool()) {
+    result.outcome = AdviceResult::Outcome::kBusy;
+  }
+  const Json::Value& allowed = value["allowed"];
+  if (!value["answered"].isBool() || !value["answered"].asBool() ||
+      !value["valid_ms"].isInt64() || !allowed.isArray()) {
+    return result;
+  }
+  result.outcome = AdviceResult::Outcome::kAnswered;
+  result.ticket_validity =
+      std::chrono::milliseconds(value["valid_ms"].asInt64());
+  for (const Json::Value& row : allowed) {
+    if (row.isArray() && row.size() == 2 && row[0].isString() &&
+        row[1].isString()) {
+      result.allowed.push_back(
+          {base::BackendId(row[0].asString()), row[1].asString()});
+    }
+  }
+  return result;
+}
+
+}  // namespace
+
+void Member::Impl::BindRpc() {
+  rpc_server_.Bind("greet",
+                   [this](const Json::Value& params, RpcServer::Reply reply) {
+                     OnGreeting(params, reply);
+                   });
+  rpc_server_.Bind("advise",
+                   [this](const Json::Value& params, RpcServer::Reply reply) {
+                     OnAdvise(params, reply);
+                   });
+  for (const char* method : {"submit", "cancel", "state", "pending"}) {
+    rpc_server_.Bind(method, [this, method](const Json::Value& params,
+                                            RpcServer::Reply reply) {
+      base::Failure reason;
+      const auto call = OwnerCallFromJson(method, params, &reason);
+      if (!call) {
+        reply(member::ToJson(OwnerAnswer(Refused{"malformed_call", {}})));
+        return;
+      }
+      if (term_ == nullptr) {
+        reply(member::ToJson(OwnerAnswer(NoOwner{})));
+        return;
+      }
+      term_->Handle(*call, [reply](const OwnerAnswer& answer) {
+        reply(member::ToJson(answer));
+      });
+    });
+  }
+}
+
+void Member::Impl::BindPages() {
+  readiness_.Route(wire::HttpMethod::kGet, "/readyz",
+                   [this](const wire::HttpRequest& request) {
+                     const bool is_ready =
+                         !is_stopping_ && desired_.current() != nullptr;
+                     readiness_.Reply(
+                         request.exchange,
+                         {.status = is_ready ? kOk : kUnavailable, .body = {}});
+                   });
+  metrics_server_.Route(wire::HttpMethod::kGet, "/metrics",
+                        [this](const wire::HttpRequest& request) {
+                          metrics_server_.Reply(request.exchange,
+                                                {.status = kOk,
+                                                 .body = RenderMetrics(),
+                                                 .content_type = "text/plain"});
+                        });
+}
+
+std::string Member::Impl::RenderMetrics() {
+  metrics_.Set(counters_);
+  metrics_.SetProcess();
+  metrics_.Set("is_owner", term_ == nullptr ? 0 : 1);
+  metrics_.Set("log_lines_dropped",
+               static_cast<double>(log_.dropped_lines()));
+  if (term_ != nullptr) {
+    metrics_.Set("live_jobs",
+                 static_cast<double>(term_->scheduler().live_jobs()));
+    metrics_.Set("waiting_steps",
+                 static_cast<double>(term_->scheduler().waiting_steps()));
+  }
+  return metrics_.Render();
+}
+
+void Member::Impl::Advise(const core::scheduler::AskAdvice& ask,
+                          const platform::WorkerClient::AdviceDone& done) {
+  if (ask.asker == settings_.host) {
+    workers_.Advise(settings_.advisor_address, ask.step, ask.workers, done);
+    return;
+  }
+  const auto peer = peers_.find(ask.asker);
+  if (peer == peers_.end()) {
+    done(AdviceResult{});
+    return;
+  }
+  Json::Value params(Json::objectValue);
+  params["step"] = core::jobs::ToString(core::jobs::TaskRef{ask.step, 0});
+  params["workers"] = Json::Value(Json::arrayValue);
+  for (const base::BackendId& worker : ask.workers) {
+    params["workers"].append(worker.value());
+  }
+  rpc_.Call(peer->second.address, "advise", std::move(params), kAdviseTimeout,
+            [done](const RpcResult& result) {
+              done(result.outcome == RpcOutcome::kAnswered
+                       ? AdviceFromJson(result.result)
+                       : AdviceResult{});
+            });
+}
+
+void Member::Impl::OnAdvise(const Json::Value& params,
+                            const RpcServer::Reply& reply) {
+  const Json::Value& step = params["step"];
+  const auto task = step.isString() ? core::jobs::ParseTaskRef(step.asString())
+                                    : std::nullopt;
+  std::vector<base::BackendId> workers;
+  for (const Json::Value& worker : params["workers"]) {
+    if (worker.isString()) {
+      workers.emplace_back(worker.asString());
+    }
+  }
+  if (!task || workers.empty()) {
+    reply(ToJson(AdviceResult{}));
+    return;
+  }
+  workers_.Advise(
+      settings_.advisor_address, task->step, workers,
+      [reply](const AdviceResult& result) { reply(ToJson(result)); });
+}
+
+}  // namespace dotterelbarrow::member
--- /dev/null
+++ b/src/member/member_impl.h
@@ -0,0 +1,101 @@
+// The parts of a member, and how they hang together.
+#ifndef DOTTERELBARROW_SRC_MEMBER_MEMBER_IMPL_H_
+#define DOTTERELBARROW_SRC_MEMBER_MEMBER_IMPL_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "dotterelbarrow/core/counters.h"
+#include "dotterelbarrow/core/leadership/leadership.h"
+#include "dotterelbarrow/member/member.h"
+#include "dotterelbarrow/wire/http_client.h"
+#include "dotterelbarrow/wire/http_server.h"
+#include "dotterelbarrow/wire/metrics.h"
+#include "platform/store_client.h"
+#include "platform/worker_client.h"
+#include "src/member/desired_watch.h"
+#include "src/member/head_writer.h"
+#include "src/member/job_api.h"
+#include "src/member/log_writer.h"
+#include "src/member/owner_term.h"
+#include "src/member/rpc.h"
+
+namespace dotterelbarrow::member {
+
+class Member::Impl {
+ public:
+  Impl(wire::EventLoop* loop, const platform::PlatformSettings& settings);
+
+  bool Listen(base::Failure* reason);
+  void BeginShutdown();
+  void OnSettingsChanged(const platform::PlatformSettings& settings);
+
+ private:
+  // Another entry host, as its greetings show it.
+  struct Peer {
+    std::string address;
+    base::TimePoint greeted_at;
+  };
+
+  void BindRpc();
+  void BindPages();
+
+  // Follows the head, and claims the cell when it is free.
+  void ReadHead();
+  void OnHead(const platform::ReadResult& result);
+  void ClaimIfFree();
+  void OnClaimed(HeadWriteEnd end, std::int64_t store_now_ms);
+  void EndTerm();
+
+  // Tells the owner that this host lives, and finds out whether it does.
+  void Greet();
+  void OnGreeted(const core::leadership::Head& owner, const RpcResult& result);
+  void OnGreeting(const Json::Value& params, const RpcServer::Reply& reply);
+  void UpdateAskers();
+
+  void PassOn(const OwnerCall& call, const OwnerReply& reply);
+  void Advise(const core::scheduler::AskAdvice& ask,
+              const platform::WorkerClient::AdviceDone& done);
+  void OnAdvise(const Json::Value& params, const RpcServer::Reply& reply);
+
+  std::string RenderMetrics();
+  void EndIfIdle();
+
+  wire::EventLoop* loop_;
+  platform::PlatformSettings settings_;
+  base::Incarnation incarnation_;
+  core::Counters counters_;
+  wire::Metrics metrics_;
+  LogWriter log_;
+  core::scheduler::Telemetry telemetry_;
+  wire::HttpClient client_;
+  // Calls of other hosts wait for the owner; the store's and workers' don't
+  // queue behind them.
+  wire::HttpClient peer_client_;
+  wire::HttpServer callers_;
+  wire::HttpServer readiness_;
+  wire::HttpServer peers_server_;
+  wire::HttpServer metrics_server_;
+  platform::StoreClient store_;
+  platform::WorkerClient workers_;
+  RpcClient rpc_;
+  RpcServer rpc_server_;
+  core::leadership::Leadership leadership_;
+  HeadWriter writer_;
+  std::unique_ptr<OwnerTerm> term_;
+  DesiredWatch desired_;
+  JobApi job_api_;
+  std::map<base::EntryId, Peer> peers_;
+  int refused_greetings_ = 0;
+  bool is_stopping_ = false;
+  base::TimePoint stop_begun_;
+  wire::Timer head_timer_;
+  wire::Timer greet_timer_;
+  wire::Timer end_term_timer_;
+  wire::Timer stop_timer_;
+};
+
+}  // namespace dotterelbarrow::member
+
+#endif  // DOTTERELBARROW_SRC_MEMBER_MEMBER_IMPL_H_
--- /dev/null
+++ b/src/member/owner_term.cc
@@ -0,0 +1,398 @@
+// Drives the scheduler of one term.
+#include "src/member/owner_term.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "dotterelbarrow/base/overloaded.h"
+#include "platform/operator_records.h"
+#include "src/member/clock.h"
+#include "src/member/store_layout.h"
+
+namespace dotterelbarrow::member {
+namespace {
+
+using core::scheduler::RecordTable;
+
+// Leases, stops and lapses are looked at this often.
+constexpr base::Duration kTickPeriod = std::chrono::milliseconds(50);
+// One transaction holds all changes of this time; each has a price.
+constexpr base::Duration kWriteGap = std::chrono::milliseconds(20);
+// A quarter of the time in which a leaving worker must get no new work (2 s).
+constexpr base::Duration kListingsPeriod = std::chrono::milliseconds(500);
+constexpr base::Duration kReadTimeout = std::chrono::milliseconds(1000);
+constexpr base::Duration kReadRetry = std::chrono::milliseconds(100);
+// A write without an outcome for this long means that the store is away: what
+// is handed in now couldn't be stored in time.
+constexpr base::Duration kStoreAway = std::chrono::milliseconds(1200);
+constexpr base::Duration kStoreAwayRetryAfter = std::chrono::seconds(1);
+// Counts of waiting jobs may be this old.
+constexpr base::Duration kPendingAge = std::chrono::milliseconds(300);
+
+constexpr std::array kTables = {RecordTable::kAcceptances,
+                                RecordTable::kProgress, RecordTable::kWorkers};
+
+}  // namespace
+
+OwnerTerm::OwnerTerm(Parts parts,
+                     const core::scheduler::SchedulerSettings& settings,
+                     std::int64_t store_now_ms)
+    : parts_(std::move(parts)),
+      scheduler_(settings, parts_.telemetry),
+      token_(parts_.leadership->token()),
+      store_clock_offset_ms_(store_now_ms),
+      listings_timer_(*parts_.loop, [this] { ReadListings(); }),
+      pass_timer_(*parts_.loop, [this] { Pass(); }),
+      tick_timer_(*parts_.loop, kTickPeriod, [this] { Tick(); }) {
+  store_clock_offset_ms_ -=
+      Now().time_since_epoch() / std::chrono::milliseconds(1);
+  scheduler_.BeginTerm(token_, Now());
+  parts_.telemetry.log->Write(
+      "term_begun", {{"token", static_cast<std::int64_t>(token_.value())}});
+  for (const RecordTable table : kTables) {
+    ++tables_loading_;
+    Load(table, "");
+  }
+}
+
+OwnerTerm::~OwnerTerm() {
+  alive_.reset();
+  for (const auto& [id, reply] : std::exchange(waiters_, {})) {
+    reply(OutcomeUnknown{});
+  }
+}
+
+void OwnerTerm::Load(RecordTable table, const std::string& from) {
+  parts_.store->Read(
+      RowsFrom(table, from), kReadTimeout,
+      Guarded([this, table, from](const platform::ReadResult& result) {
+        OnLoaded(table, from, result);
+      }));
+}
+
+void OwnerTerm::OnLoaded(RecordTable table, const std::string& from,
+                         const platform::ReadResult& result) {
+  if (is_over_) {
+    return;
+  }
+  if (result.outcome != platform::StoreOutcome::kDone) {
+    Load(table, from);
+    return;
+  }
+  auto& rows = table == RecordTable::kAcceptances ? loading_.acceptances
+               : table == RecordTable::kProgress  ? loading_.progress
+                                                  : loading_.workers;
+  for (const platform::Row& row : result.rows) {
+    rows[row.key.key] = row.value;
+  }
+  if (result.has_more && !result.rows.empty()) {
+    // The least key behind the last one.
+    Load(table, result.rows.back().key.key + '\x01');
+    return;
+  }
+  if (--tables_loading_ == 0) {
+    BeginScheduling();
+  }
+}
+
+void OwnerTerm::BeginScheduling() {
+  const base::TimePoint now = Now();
+  std::map<std::string, bool> keys;
+  for (const auto& [key, record] : loading_.acceptances) {
+    keys[key] = true;
+  }
+  for (const auto& [key, record] : loading_.progress) {
+    keys[key] = true;
+  }
+  const auto find = [](const std::map<std::string, std::string>& rows,
+                       const std::string& key) {
+    const auto it = rows.find(key);
+    return it == rows.end() ? std::nullopt : std::optional(it->second);
+  };
+  for (const auto& [name, unused] : keys) {
+    if (const auto key = core::jobs::ParseJobKey(name)) {
+      scheduler_.Restore(*key, find(loading_.acceptances, name),
+                         find(loading_.progress, name), now, StoreNowMillis());
+    }
+  }
+  for (const auto& [id, record] : loading_.workers) {
+    core::workers::Listing listing;
+    listing.id = base::BackendId(id);
+    listing.address = record;
+    scheduler_.Inherit(listing, now);
+  }
+  parts_.telemetry.log->Write(
+      "term_loaded",
+      {{"jobs", static_cast<std::int64_t>(scheduler_.live_jobs())},
+       {"workers", static_cast<std::int64_t>(loading_.workers.size())}});
+  loading_ = {};
+  is_loaded_ = true;
+  ReadListings();
+}
+
+void OwnerTerm::ReadListings() {
+  parts_.store->Read(platform::RegistrationRows(), kReadTimeout,
+                     Guarded([this](const platform::ReadResult& result) {
+                       OnListings(result);
+                     }));
+}
+
+void OwnerTerm::OnListings(const platform::ReadResult& result) {
+  if (result.outcome != platform::StoreOutcome::kDone) {
+    listings_timer_.StartOnce(kReadRetry);
+    return;
+  }
+  listings_timer_.StartOnce(kListingsPeriod);
+  std::vector<core::workers::Listing> listings;
+  for (const platform::Row& row : result.rows) {
+    base::Failure reason;
+    if (auto listing = platform::ReadListing(row.key.key, row.value, &reason)) {
+      listings.push_back(std::move(*listing));
+    } else {
+      parts_.telemetry.counters->Increment("registrations_unreadable",
+                                           base::ToString(reason.code));
+    }
+  }
+  scheduler_.UpdateListings(listings, Now());
+  Wake();
+}
+
+void OwnerTerm::SetDesired(
+    std::shared_ptr<const core::desired::DesiredState> desired) {
+  desired_ = desired;
+  scheduler_.SetDesired(std::move(desired));
+  Wake();
+}
+
+void OwnerTerm::SetAskers(const std::vector<base::EntryId>& entries) {
+  scheduler_.SetAskers(entries);
+}
+
+std::int64_t OwnerTerm::StoreNowMillis() const {
+  return store_clock_offset_ms_ +
+         Now().time_since_epoch() / std::chrono::milliseconds(1);
+}
+
+bool OwnerTerm::IsStoreAway() const {
+  return parts_.writer->is_busy() &&
+         Now() - parts_.writer->begun_at() >= kStoreAway;
+}
+
+core::scheduler::WaiterId OwnerTerm::AddWaiter(const OwnerReply& reply) {
+  const core::scheduler::WaiterId id(++last_waiter_);
+  waiters_.emplace(id, reply);
+  return id;
+}
+
+void OwnerTerm::Handle(const OwnerCall& call, const OwnerReply& reply) {
+  if (!is_loaded_ || is_resigning_) {
+    reply(NoOwner{});
+    return;
+  }
+  std::visit(
+      base::Overloaded{
+          [&](const SubmitCall& submit) {
+            if (IsStoreAway()) {
+              reply(Refused{"store_away", kStoreAwayRetryAfter});
+              return;
+            }
+            const auto waiter = AddWaiter(reply);
+            const auto answer = scheduler_.Submit(submit.submission, waiter,
+                                                  StoreNowMillis(), Now());
+            using core::scheduler::SubmitOutcome;
+            if (answer.outcome == SubmitOutcome::kStoring) {
+              return;
+            }
+            waiters_.erase(waiter);
+            if (answer.outcome == SubmitOutcome::kAccepted) {
+              reply(Accepted{});
+            } else {
+              reply(Refused{answer.reason, answer.retry_after});
+            }
+          },
+          [&](const CancelCall& cancel) {
+            const auto waiter = AddWaiter(reply);
+            const auto answer = scheduler_.Cancel(cancel.key, waiter, Now());
+            using core::scheduler::CancelAnswer;
+            if (answer != CancelAnswer::kStoring) {
+              waiters_.erase(waiter);
+              reply(answer == CancelAnswer::kCancelled
+                        ? OwnerAnswer(Cancelled{})
+                        : OwnerAnswer(UnknownJob{}));
+            }
+          },
+          [&](const StateCall& state) {
+            const auto found = scheduler_.StateOf(state.key);
+            reply(found ? OwnerAnswer(JobStateAnswer{*found})
+                        : OwnerAnswer(UnknownJob{}));
+          },
+          [&](const PendingCall& pending) {
+            if (Now() - pending_counted_at_ >= kPendingAge) {
+              pending_ = scheduler_.PendingJobs();
+              pending_counted_at_ = Now();
+            }
+            reply(PendingAnswer{pending_[pending.queue]});
+          }},
+      call);
+  Wake();
+}
+
+void OwnerTerm::Resign() {
+  is_resigning_ = true;
+  WriteIfDue();
+}
+
+void OwnerTerm::Tick() {
+  if (is_over_) {
+    return;
+  }
+  if (is_loaded_ && parts_.leadership->HasAuthority(Now())) {
+    scheduler_.Tick(Now(), UnixMillis());
+    CarryOut();
+  }
+  WriteIfDue();
+}
+
+void OwnerTerm::WakeIn(base::Duration delay) {
+  if (!is_pass_armed_) {
+    is_pass_armed_ = true;
+    pass_timer_.StartOnce(delay);
+  }
+}
+
+void OwnerTerm::Pass() {
+  is_pass_armed_ = false;
+  if (is_over_ || !is_loaded_) {
+    return;
+  }
+  if (!is_resigning_ && parts_.leadership->HasAuthority(Now())) {
+    scheduler_.Pass(Now());
+  }
+  CarryOut();
+  WriteIfDue();
+}
+
+void OwnerTerm::CarryOut() {
+  for (const core::scheduler::Action& action : scheduler_.TakeActions()) {
+    CarryOut(action);
+  }
+  if (scheduler_.is_fenced()) {
+    EndTerm("fenced_by_worker");
+  }
+}
+
+void OwnerTerm::CarryOut(const core::scheduler::Action& action) {
+  using platform::OrderAnswer;
+  std::visit(
+      base::Overloaded{
+          [this](const core::scheduler::StartTask& order) {
+            parts_.workers->Start(
+                order, token_, Guarded([this, order](const OrderAnswer& a) {
+                  scheduler_.OnStarted(order, a.outcome, a.clock_ms, Now());
+                  Wake();
+                }));
+          },
+          [this](const core::scheduler::StopTask& order) {
+            parts_.workers->Stop(
+                order, token_, Guarded([this, order](const OrderAnswer& a) {
+                  scheduler_.OnStopped(order, a.outcome, a.clock_ms, Now());
+                  Wake();
+                }));
+          },
+          [this](const core::scheduler::PaceTask& order) {
+            parts_.workers->Pace(order, token_, [](const OrderAnswer&) {});
+          },
+          [this](const core::scheduler::LookAtWorker& order) {
+            parts_.workers->Look(
+                order, token_,
+                Guarded([this, order](const core::scheduler::LookResult& r) {
+                  scheduler_.OnLooked(order, r, Now());
+                  Wake();
+                }));
+          },
+          [this](const core::scheduler::AskAdvice& order) {
+            parts_.advise(
+                order,
+                Guarded([this, order](const core::scheduler::AdviceResult& r) {
+                  scheduler_.OnAdvice(order, r, Now());
+                  Wake();
+                }));
+          }},
+      action);
+}
+
+void OwnerTerm::WriteIfDue() {
+  if (is_over_ || parts_.writer->is_busy()) {
+    return;
+  }
+  const base::TimePoint now = Now();
+  const bool has_changes = is_loaded_ && scheduler_.has_changes();
+  if (is_resigning_ && !has_changes) {
+    parts_.writer->Write(
+        parts_.leadership->BeginResignation(now), {},
+        Guarded([this](HeadWriteEnd, std::int64_t) { EndTerm("resigned"); }));
+    return;
+  }
+  const bool is_due = has_changes && now - last_write_begun_ >= kWriteGap;
+  if (!is_due && !parts_.leadership->IsRenewalDue(now)) {
+    if (has_changes) {
+      WakeIn(last_write_begun_ + kWriteGap - now);
+    }
+    return;
+  }
+  last_write_begun_ = now;
+  core::scheduler::StoredBatch batch;
+  if (has_changes) {
+    batch = scheduler_.TakeBatch();
+  }
+  const core::leadership::HeadWrite head = parts_.leadership->BeginWrite(now);
+  const auto changes = batch.changes;
+  parts_.writer->Write(
+      head, changes,
+      Guarded([this, batch = std::move(batch)](HeadWriteEnd end,
+                                               std::int64_t store_now_ms) {
+        OnWritten(end, store_now_ms, batch);
+      }));
+}
+
+void OwnerTerm::OnWritten(HeadWriteEnd end, std::int64_t store_now_ms,
+                          const core::scheduler::StoredBatch& batch) {
+  if (end == HeadWriteEnd::kReplaced) {
+    EndTerm("replaced");
+    return;
+  }
+  if (store_now_ms > 0) {
+    store_clock_offset_ms_ =
+        store_now_ms - Now().time_since_epoch() / std::chrono::milliseconds(1);
+  }
+  scheduler_.OnStored(batch, Now());
+  ReplyTo(batch.accept_waiters, Accepted{});
+  ReplyTo(batch.cancel_waiters, Cancelled{});
+  Wake();
+}
+
+void OwnerTerm::ReplyTo(const std::vector<core::scheduler::WaiterId>& waiters,
+                        const OwnerAnswer& answer) {
+  for (const core::scheduler::WaiterId id : waiters) {
+    const auto it = waiters_.find(id);
+    if (it != waiters_.end()) {
+      const OwnerReply reply = std::move(it->second);
+      waiters_.erase(it);
+      reply(answer);
+    }
+  }
+}
+
+void OwnerTerm::EndTerm(const char* why) {
+  if (is_over_) {
+    return;
+  }
+  is_over_ = true;
+  parts_.telemetry.log->Write(
+      "term_ended", {{"why", why},
+                     {"token", static_cast<std::int64_t>(token_.value())}});
+  parts_.ended();
+}
+
+}  // namespace dotterelbarrow::member
--- /dev/null
+++ b/src/member/owner_term.h
@@ -0,0 +1,129 @@
+// One term as the owner: reads what former owners stored, then drives the
+// scheduler, carries out its actions and stores its batches.
+#ifndef DOTTERELBARROW_SRC_MEMBER_OWNER_TERM_H_
+#define DOTTERELBARROW_SRC_MEMBER_OWNER_TERM_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "dotterelbarrow/core/leadership/leadership.h"
+#include "dotterelbarrow/core/scheduler/scheduler.h"
+#include "dotterelbarrow/wire/event_loop.h"
+#include "platform/store_client.h"
+#include "platform/worker_client.h"
+#include "src/member/calls.h"
+#include "src/member/head_writer.h"
+
+namespace dotterelbarrow::member {
+
+class OwnerTerm {
+ public:
+  // Asks the advisor through another entry host, or this one.
+  using Advise = std::function<void(const core::scheduler::AskAdvice&,
+                                    platform::WorkerClient::AdviceDone)>;
+
+  struct Parts {
+    wire::EventLoop* loop = nullptr;
+    platform::StoreClient* store = nullptr;
+    platform::WorkerClient* workers = nullptr;
+    HeadWriter* writer = nullptr;
+    core::leadership::Leadership* leadership = nullptr;
+    core::scheduler::Telemetry telemetry;
+    Advise advise;
+    // The term is over: another owner was seen. Destroys the term, later.
+    std::function<void()> ended;
+  };
+
+  OwnerTerm(Parts parts, const core::scheduler::SchedulerSettings& settings,
+            std::int64_t store_now_ms);
+  // Lets all that wait hear that the outcome is unknown.
+  ~OwnerTerm();
+  OwnerTerm(const OwnerTerm&) = delete;
+  OwnerTerm& operator=(const OwnerTerm&) = delete;
+
+  void SetDesired(std::shared_ptr<const core::desired::DesiredState> desired);
+  void SetAskers(const std::vector<base::EntryId>& entries);
+  // Answers now or once the outcome is stored.
+  void Handle(const OwnerCall& call, const OwnerReply& reply);
+  // Gives the cell up after what is under way.
+  void Resign();
+
+  bool is_ready() const { return is_loaded_; }
+  const core::scheduler::Scheduler& scheduler() const { return scheduler_; }
+
+ private:
+  // One pass serves all that happened in this time.
+  static constexpr base::Duration kPassDelay = std::chrono::milliseconds(3);
+
+  struct Loading {
+    std::map<std::string, std::string> acceptances;
+    std::map<std::string, std::string> progress;
+    std::map<std::string, std::string> workers;
+  };
+
+  void Load(core::scheduler::RecordTable table, const std::string& from);
+  void OnLoaded(core::scheduler::RecordTable table, const std::string& from,
+                const platform::ReadResult& result);
+  void BeginScheduling();
+  void ReadListings();
+  void OnListings(const platform::ReadResult& result);
+
+  void Tick();
+  // Lets what just happened lead to placements and writes, a little later, so
+  // that one pass serves many events.
+  void Wake() { WakeIn(kPassDelay); }
+  void WakeIn(base::Duration delay);
+  void Pass();
+  void CarryOut();
+  void CarryOut(const core::scheduler::Action& action);
+  void WriteIfDue();
+  void OnWritten(HeadWriteEnd end, std::int64_t store_now_ms,
+                 const core::scheduler::StoredBatch& batch);
+  void ReplyTo(const std::vector<core::scheduler::WaiterId>& waiters,
+               const OwnerAnswer& answer);
+  core::scheduler::WaiterId AddWaiter(const OwnerReply& reply);
+  std::int64_t StoreNowMillis() const;
+  bool IsStoreAway() const;
+  void EndTerm(const char* why);
+
+  // Wraps a callback so that it does nothing once the term is gone.
+  template <typename Function>
+  auto Guarded(Function function) {
+    return [alive = std::weak_ptr<int>(alive_),
+            function = std::move(function)](auto&&... arguments) {
+      if (!alive.expired()) {
+        function(std::forward<decltype(arguments)>(arguments)...);
+      }
+    };
+  }
+
+  Parts parts_;
+  core::scheduler::Scheduler scheduler_;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+  core::scheduler::FencingToken token_;
+  bool is_loaded_ = false;
+  bool is_resigning_ = false;
+  bool is_over_ = false;
+  int tables_loading_ = 0;
+  Loading loading_;
+  std::shared_ptr<const core::desired::DesiredState> desired_;
+  // The store's clock less ours, at the last answer.
+  std::int64_t store_clock_offset_ms_ = 0;
+  std::uint64_t last_waiter_ = 0;
+  std::unordered_map<core::scheduler::WaiterId, OwnerReply> waiters_;
+  base::TimePoint last_write_begun_;
+  std::map<core::desired::QueueId, std::uint64_t> pending_;
+  base::TimePoint pending_counted_at_;
+  wire::Timer listings_timer_;
+  wire::Timer pass_timer_;
+  bool is_pass_armed_ = false;
+  wire::PeriodicTimer tick_timer_;
+};
+
+}  // namespace dotterelbarrow::member
+
+#endif  // DOTTERELBARROW_SRC_MEMBER_OWNER_TERM_H_
--- /dev/null
+++ b/src/member/rpc.h
@@ -0,0 +1,71 @@
+// JSON-RPC 2.0 between entry hosts, over HTTP. Requests are answered whenever
+// their answer is there; libjsonrpccpp's server answers within the call only,
+// so the envelopes are read and written with its jsoncpp.
+#ifndef DOTTERELBARROW_SRC_MEMBER_RPC_H_
+#define DOTTERELBARROW_SRC_MEMBER_RPC_H_
+
+#include <json/json.h>
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "dotterelbarrow/base/units.h"
+#include "dotterelbarrow/core/counters.h"
+#include "dotterelbarrow/wire/http_client.h"
+#include "dotterelbarrow/wire/http_server.h"
+
+namespace dotterelbarrow::member {
+
+enum class RpcOutcome {
+  kAnswered,
+  kNotSent,  // Surely not handled.
+  kRefused,  // The address refused the connection at once: nobody listens.
+  kLost,     // It may be handled.
+};
+
+struct RpcResult {
+  RpcOutcome outcome = RpcOutcome::kLost;
+  Json::Value result;
+};
+
+class RpcClient {
+ public:
+  using Done = std::function<void(const RpcResult&)>;
+
+  // `client` and `counters` must outlive this.
+  RpcClient(wire::HttpClient* client, core::Counters* counters)
+      : client_(client), counters_(counters) {}
+
+  void Call(const std::string& address, const std::string& method,
+            Json::Value params, base::Duration timeout, Done done);
+
+ private:
+  wire::HttpClient* client_;
+  core::Counters* counters_;
+};
+
+class RpcServer {
+ public:
+  // Called once for each request, now or later.
+  using Reply = std::function<void(Json::Value result)>;
+  using Handler = std::function<void(const Json::Value& params, Reply reply)>;
+
+  // Answers POST /rpc on `server`, which must outlive this.
+  RpcServer(wire::HttpServer* server, core::Counters* counters);
+
+  void Bind(const std::string& method, Handler handler) {
+    handlers_[method] = std::move(handler);
+  }
+
+ private:
+  void OnPost(const wire::HttpRequest& post);
+
+  wire::HttpServer* server_;
+  core::Counters* counters_;
+  std::map<std::string, Handler> handlers_;
+};
+
+}  // namespace dotterelbarrow::member
+
+#endif  // DOTTERELBARROW_SRC_MEMBER_RPC_H_
--- a/src/wire/http_connection.cc
+++ b/src/wire/http_connection.cc
@@ -101,6 +101,9 @@
     const std::string authorization = "Bearer " + call.bearer;
     evhttp_add_header(headers, "Authorization", authorization.c_str());
   }
+  for (const auto& [name, value] : call.headers) {
+    evhttp_add_header(headers, name.c_str(), value.c_str());
+  }
   if (!call.body.empty()) {
     evhttp_add_header(headers, "Content-Type", "application/json");
     evbuffer_add(evhttp_request_get_output_buffer(request), call.body.data(),
--- a/src/wire/http_server.cc
+++ b/src/wire/http_server.cc
@@ -239,6 +239,8 @@
     last_exchange_ = last_exchange_.next();
     parsed.exchange = last_exchange_;
     parsed.method = ToMethod(evhttp_request_get_command(request));
+    const char* host = evhttp_request_get_host(request);
+    parsed.host = host == nullptr ? "" : host;
     const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
     parsed.path = DecodeUri(evhttp_uri_get_path(uri));
     parsed.query = ParseQuery(evhttp_uri_get_query(uri));
