Batches fit the store's transactions; every failed run counts once

And failed ends of several workers, reported out of order to a new owner, were dropped as older than the last failure, so that a task ran more often than max_attempts. Ruled out: lost acknowledgements (all ends were listed again to each new owner). Change: 98 changes a batch; a rejected write ends the term; a task keeps the attempts that failed.

--- a/include/dotterelbarrow/core/jobs/job.h
+++ b/include/dotterelbarrow/core/jobs/job.h
@@ -45,10 +45,10 @@
   // Invariant: at most one run of the task may be anywhere; true while one
   // may be.
   bool has_run = false;
-  std::uint32_t failures = 0;
   Attempt last_attempt;
-  // So that an end that is reported twice counts once.
-  Attempt last_failed_attempt;
+  // Runs that failed, each once: ends may be reported again, and by several
+  // workers in any order.
+  std::vector<Attempt> failed_attempts;
   // Where the next run resumes; empty for the beginning.
   std::string checkpoint;
   // Where the last run failed; the next one is placed elsewhere if possible.
@@ -60,9 +60,8 @@
   std::uint32_t done = 0;
   // Tasks that may be running.
   std::uint32_t with_run = 0;
-  // Failed runs of the whole gang.
-  std::uint32_t gang_failures = 0;
-  Attempt last_gang_failure;
+  // Runs of the whole gang in which a member failed.
+  std::vector<Attempt> failed_gangs;
 
   bool is_done() const { return done == tasks.size(); }
   // Tasks that neither run nor are done.
--- a/include/dotterelbarrow/core/jobs/job_records.h
+++ b/include/dotterelbarrow/core/jobs/job_records.h
@@ -3,8 +3,8 @@
 //   acceptance {"queue","organisation","service","accepted_ms","payload",
 //               "steps":[..],"repeat","start_ms","interval_ms"}; never changes
 //   progress   {"state","begun","occurrences":[{"k","steps":[
-//               {"done":"<bits>","failed":[[index,count,attempt]..],
-//                "gang_failed":[count,attempt]}..]}..]}
+//               {"done":"<bits>","failed":[[index,attempt..]..],
+//                "gang_failed":[attempt..]}..]}..]}
 //
 // Members that hold nothing are left out. Times are milliseconds by the
 // store's clock, but for start_ms, which counts from 1970.
--- a/include/dotterelbarrow/core/scheduler/job_book.h
+++ b/include/dotterelbarrow/core/scheduler/job_book.h
@@ -53,8 +53,9 @@
 struct JobBookSettings {
   // How long the state of an ended job can be asked for.
   base::Duration retention = std::chrono::seconds(180);
-  // What one transaction of the store takes, less the row of the owner.
-  std::size_t max_changes = 99;
+  // What one transaction of the store takes, 100 entries, less the condition on
+  // the head and its put.
+  std::size_t max_changes = 98;
   // Values are kept in the store as base64 within a body of at most 1 MB.
   std::size_t max_bytes = std::size_t{600} * 1024;
 };
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -133,6 +133,7 @@
                 const base::BackendId& worker);
   // Stops all runs of a step.
   void StopRuns(const jobs::StepRef& step);
+  void StopRunsOfTask(const jobs::TaskRef& task);
   void StopRunsOfJob(const jobs::Job& job);
   void StopIncompleteGangs(base::TimePoint now);
   void ConsiderAll(const jobs::Job& job);
--- a/src/core/jobs/job.cc
+++ b/src/core/jobs/job.cc
@@ -4,6 +4,19 @@
 #include <algorithm>
 
 namespace dotterelbarrow::core::jobs {
+namespace {
+
+// Returns whether `attempt` was new.
+bool AddOnce(Attempt attempt, std::vector<Attempt>* attempts) {
+  if (std::find(attempts->begin(), attempts->end(), attempt) !=
+      attempts->end()) {
+    return false;
+  }
+  attempts->push_back(attempt);
+  return true;
+}
+
+}  // namespace
 
 const char* ToString(JobState state) {
   switch (state) {
@@ -147,23 +160,16 @@
                      const base::BackendId& worker,
                      std::uint32_t max_attempts) {
   Task* task = &step->tasks[ref.index];
-  if (attempt <= task->last_failed_attempt) {
-    return false;
-  }
-  task->last_failed_attempt = attempt;
   task->failed_on = worker;
-  ++task->failures;
   const StepSpec& spec_of_step = SpecOf(ref.step);
-  if (spec_of_step.long_running) {
+  if (spec_of_step.long_running ||
+      !AddOnce(attempt, &task->failed_attempts)) {
     return false;
   }
-  std::uint32_t failures = task->failures;
+  std::size_t failures = task->failed_attempts.size();
   if (spec_of_step.gang) {
-    if (attempt > step->last_gang_failure) {
-      step->last_gang_failure = attempt;
-      ++step->gang_failures;
-    }
-    failures = step->gang_failures;
+    AddOnce(attempt, &step->failed_gangs);
+    failures = step->failed_gangs.size();
   }
   if (failures >= max_attempts && !IsFinal(state)) {
     state = JobState::kFailed;
--- a/src/core/jobs/job_records.cc
+++ b/src/core/jobs/job_records.cc
@@ -195,6 +195,12 @@
   }
 }
 
+void AppendAttempts(const std::vector<Attempt>& attempts, Json::Value* row) {
+  for (const Attempt attempt : attempts) {
+    row->append(Json::UInt64(attempt.value()));
+  }
+}
+
 Json::Value ProgressOfStep(const Step& step) {
   Json::Value value(Json::objectValue);
   if (step.done > 0) {
@@ -202,23 +208,21 @@
   }
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
     const Task& task = step.tasks[i];
-    if (task.failures > 0 && !task.done) {
+    if (!task.failed_attempts.empty() && !task.done) {
       Json::Value row(Json::arrayValue);
       row.append(Json::UInt64(i));
-      row.append(task.failures);
-      row.append(Json::UInt64(task.last_failed_attempt.value()));
+      AppendAttempts(task.failed_attempts, &row);
       value["failed"].append(std::move(row));
     }
   }
-  if (step.gang_failures > 0) {
-    value["gang_failed"].append(step.gang_failures);
-    value["gang_failed"].append(Json::UInt64(step.last_gang_failure.value()));
+  if (!step.failed_gangs.empty()) {
+    AppendAttempts(step.failed_gangs, &value["gang_failed"]);
   }
   return value;
 }
 
-bool AllUnsigned(const Json::Value& row, Json::ArrayIndex size) {
-  return row.isArray() && row.size() == size &&
+bool AllUnsigned(const Json::Value& row) {
+  return row.isArray() &&
          std::all_of(row.begin(), row.end(), [](const Json::Value& number) {
            return number.isUInt64();
          });
@@ -234,19 +238,22 @@
     SetDoneBits(done.asString(), step);
   }
   for (const Json::Value& row : value["failed"]) {
-    if (!AllUnsigned(row, 3) || row[0].asUInt64() >= step->tasks.size()) {
+    if (!AllUnsigned(row) || row.empty() ||
+        row[0].asUInt64() >= step->tasks.size()) {
       reader->Fault(FailureCode::kMalformed,
-                    "failed: expected rows of index, count and attempt");
+                    "failed: expected rows of an index and attempts");
       return;
     }
     Task& task = step->tasks[row[0].asUInt64()];
-    task.failures = static_cast<std::uint32_t>(row[1].asUInt64());
-    task.last_failed_attempt = Attempt(row[2].asUInt64());
+    for (Json::ArrayIndex i = 1; i < row.size(); ++i) {
+      task.failed_attempts.emplace_back(row[i].asUInt64());
+    }
   }
-  const Json::Value& gang = value["gang_failed"];
-  if (AllUnsigned(gang, 2)) {
-    step->gang_failures = static_cast<std::uint32_t>(gang[0].asUInt64());
-    step->last_gang_failure = Attempt(gang[1].asUInt64());
+  const Json::Value& gangs = value["gang_failed"];
+  if (AllUnsigned(gangs)) {
+    for (const Json::Value& attempt : gangs) {
+      step->failed_gangs.emplace_back(attempt.asUInt64());
+    }
   }
 }
 
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -72,12 +72,16 @@
                              const ListedEnd& end) {
   jobs::Job* job = jobs_.Find(end.task.step.job);
   jobs::Task* task = job == nullptr ? nullptr : job->FindTask(end.task);
-  // Ends of runs that were given up as lapsed count for nothing once the task
-  // runs elsewhere.
-  if (task == nullptr || task->done || task->has_run) {
+  if (task == nullptr || task->done) {
     return;
   }
-  ApplyEnd(end.task, end.attempt, end.end, end.checkpoint, worker.id());
+  // Of a run of a former owner, or of one that was given up as lapsed. Even if
+  // the task runs elsewhere by now, a failure counts, and a success ends it.
+  const bool is_telling = end.end == jobs::RunEnd::kDone ||
+                          end.end == jobs::RunEnd::kFailed;
+  if (is_telling || !task->has_run) {
+    ApplyEnd(end.task, end.attempt, end.end, end.checkpoint, worker.id());
+  }
 }
 
 void Scheduler::ApplyEnd(const jobs::TaskRef& task, jobs::Attempt attempt,
@@ -109,6 +113,9 @@
     jobs_.NoteChanged(job->key, now_);
   }
   if (end == jobs::RunEnd::kDone) {
+    if (!is_gang) {
+      StopRunsOfTask(task);
+    }
     ConsiderAll(*job);
   } else {
     if (is_gang) {
@@ -172,6 +179,15 @@
   }
 }
 
+void Scheduler::StopRunsOfTask(const jobs::TaskRef& task) {
+  const std::set<PlacedRun> runs = runs_.OfStep(task.step);
+  for (const PlacedRun& run : runs) {
+    if (run.task == task) {
+      fleet_.Stop(run.worker, run.key(), now_, &actions_);
+    }
+  }
+}
+
 void Scheduler::StopRunsOfJob(const jobs::Job& job) {
   for (const auto& [number, occurrence] : job.occurrences) {
     for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
--- a/src/member/head_writer.cc
+++ b/src/member/head_writer.cc
@@ -93,9 +93,14 @@
       timeout_ = std::min(timeout_ * 2, kMostTimeout);
       Send();
       break;
+    case platform::StoreOutcome::kMalformed:
+      // The store will never take it; a new term begins with what is stored.
+      telemetry_.log->Write("store_write_rejected", {});
+      leadership_->Abandon();
+      End(HeadWriteEnd::kReplaced, 0);
+      return;
     case platform::StoreOutcome::kRefused:
     case platform::StoreOutcome::kNotSent:
-    case platform::StoreOutcome::kMalformed:
       retry_timer_.StartOnce(kRetryDelay);
       break;
   }
