--- a/src/member/job_api.cc
+++ b/src/member/job_api.cc
@@ -152,54 +152,51 @@
       telemetry_.counters->Increment("calls_refused", "unknown_job");
       Reply(exchange, kGone, platform::ErrorBody("unknown_job"));
     } else {
-      ReadState(exchange, key);
+      ReadAcceptance(exchange, key);
     }
   });
 }
 
-void JobApi::ReadState(wire::ExchangeId exchange, core::jobs::JobKey key) {
+void JobApi::ReadAcceptance(wire::ExchangeId exchange,
+                            core::jobs::JobKey key) {
   using core::scheduler::RecordTable;
-  const std::string name = core::jobs::ToString(key);
-  platform::RowRange range = RowsFrom(RecordTable::kProgress, name);
-  range.end = name + "!";
-  store_->Read(range, kReadTimeout,
+  store_->Read(RowOf(RecordTable::kAcceptances, core::jobs::ToString(key)),
+               kReadTimeout,
                [this, exchange, key](const platform::ReadResult& result) {
-                 if (result.outcome != platform::StoreOutcome::kDone) {
-                   Refuse(exchange, "no_owner", kRetryAfter);
-                   return;
-                 }
-                 base::Failure reason;
-                 const auto state =
-                     result.rows.empty()
-                         ? std::nullopt
-                         : core::jobs::ReadState(result.rows.front().value,
-                                                 &reason);
-                 if (state) {
-                   Reply(exchange, kOk, platform::StateBody(*state));
+                 if (result.outcome == platform::StoreOutcome::kDone) {
+                   ReadProgress(exchange, key, !result.rows.empty());
                  } else {
-                   ReadAcceptance(exchange, key);
+                   Refuse(exchange, "no_owner", kRetryAfter);
                  }
                });
 }
 
-void JobApi::ReadAcceptance(wire::ExchangeId exchange,
-                            core::jobs::JobKey key) {
+void JobApi::ReadProgress(wire::ExchangeId exchange, core::jobs::JobKey key,
+                          bool was_accepted) {
   using core::scheduler::RecordTable;
-  const std::string name = core::jobs::ToString(key);
-  platform::RowRange range = RowsFrom(RecordTable::kAcceptances, name);
-  range.end = name + "!";
-  store_->Read(range, kReadTimeout,
-               [this, exchange](const platform::ReadResult& result) {
-                 if (result.outcome != platform::StoreOutcome::kDone) {
-                   Refuse(exchange, "no_owner", kRetryAfter);
-                 } else if (result.rows.empty()) {
-                   Reply(exchange, kGone, platform::ErrorBody("unknown_job"));
-                 } else {
-                   // No end of a task is stored; whether one runs isn't.
-                   Reply(exchange, kOk,
-                         platform::StateBody(core::jobs::JobState::kQueued));
-                 }
-               });
+  store_->Read(
+      RowOf(RecordTable::kProgress, core::jobs::ToString(key)), kReadTimeout,
+      [this, exchange, was_accepted](const platform::ReadResult& result) {
+        if (result.outcome != platform::StoreOutcome::kDone) {
+          Refuse(exchange, "no_owner", kRetryAfter);
+          return;
+        }
+        base::Failure reason;
+        const auto state =
+            result.rows.empty()
+                ? std::nullopt
+                : core::jobs::ReadState(result.rows.front().value, &reason);
+        if (state) {
+          Reply(exchange, kOk, platform::StateBody(*state));
+        } else if (was_accepted) {
+          // No end of a task is stored; whether one runs isn't.
+          Reply(exchange, kOk,
+                platform::StateBody(core::jobs::JobState::kQueued));
+        } else {
+          telemetry_.counters->Increment("calls_refused", "unknown_job");
+          Reply(exchange, kGone, platform::ErrorBody("unknown_job"));
+        }
+      });
 }
 
 void JobApi::Cancel(const wire::HttpRequest& request, core::jobs::JobKey key) {
--- a/src/member/job_api.h
+++ b/src/member/job_api.h
@@ -33,9 +33,11 @@
               const core::admission::Admitted& admitted,
               core::jobs::JobKey key);
   void AskState(const wire::HttpRequest& request, core::jobs::JobKey key);
-  // Looks the job up in the store where no owner answers.
-  void ReadState(wire::ExchangeId exchange, core::jobs::JobKey key);
+  // Looks the job up in the store where no owner answers: its acceptance
+  // first, as the end of a job puts its progress and drops its acceptance.
   void ReadAcceptance(wire::ExchangeId exchange, core::jobs::JobKey key);
+  void ReadProgress(wire::ExchangeId exchange, core::jobs::JobKey key,
+                    bool was_accepted);
   void Cancel(const wire::HttpRequest& request, core::jobs::JobKey key);
   void CountPending(const wire::HttpRequest& request,
                     const core::desired::QueueId& queue);
--- a/src/member/store_layout.h
+++ b/src/member/store_layout.h
@@ -36,6 +36,15 @@
   return "";
 }
 
+// One row of a table. '!' is less than anything that a key goes on with.
+inline platform::RowRange RowOf(core::scheduler::RecordTable table,
+                                const std::string& key) {
+  return {.table = TableOf(table),
+          .part = kCellPart,
+          .from = key,
+          .end = key + "!"};
+}
+
 // The rows of a table from `key` on.
 inline platform::RowRange RowsFrom(core::scheduler::RecordTable table,
                                    const std::string& key) {
