Advice is asked for one call a host at a time, the most urgent step first

Ruled out: room (most of it was free) and processor time (0.05 cores). Change: an entry host gets its next call as it comes free; steps are offered in order of urgency; room is set aside only if a host could ask for missing tickets; fewer workers are named for small steps.

--- a/include/dotterelbarrow/core/advice/advice_book.h
+++ b/include/dotterelbarrow/core/advice/advice_book.h
@@ -19,25 +19,37 @@
 
 namespace dotterelbarrow::core::advice {
 
-// Chooses the entry host for each call.
+// Chooses the entry host for each call, and says when all have enough to do.
 //
 // Load pattern: many short calls for urgent work beside few calls that take
-// half a second. Long calls stay on some hosts, so that short ones never wait
-// behind them.
+// half a second, and a backlog of steps that all want advice at once. Calls
+// are handed out one by one as hosts come free, so that the most urgent step
+// is always the next; long calls stay on some hosts, so that short ones never
+// wait behind them.
 class AskerChooser {
  public:
   // A call that takes longer is a long one: it would use up half of the slack
   // of work that is due within a second.
   static constexpr base::Duration kLongCall = std::chrono::milliseconds(200);
+  // The next short call is sent this long before the host should be free, so
+  // that the advisor isn't idle while answers and calls travel.
+  static constexpr base::Duration kAhead = std::chrono::milliseconds(10);
 
   // Replaces the hosts that can be asked. Keeps what is known of their calls.
   void SetHosts(const std::vector<base::EntryId>& hosts);
-  // Returns the host that would answer a call of this length first, and counts
-  // the call; nullopt without hosts.
+  // Returns a host that is free for a call of this length, and counts the
+  // call; nullopt if none is.
   std::optional<base::EntryId> Choose(base::Duration cost, base::TimePoint now);
+  // A call of the host came to its end.
+  void OnEnded(const base::EntryId& host, base::TimePoint now);
+
  private:
-  // Until when each host is busy with the calls that it was given.
-  std::map<base::EntryId, base::TimePoint> busy_until_;
+  struct Host {
+    int calls = 0;
+    // When the calls under way should be answered.
+    base::TimePoint busy_until;
+  };
+  std::map<base::EntryId, Host> hosts_;
 };
 
 struct Ticket {
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -68,8 +68,9 @@
 
   // Places what can be placed.
   void Pass(base::TimePoint now, std::vector<Action>* actions);
-  void OnAdvice(const jobs::StepRef& step, const AdviceResult& result,
-                base::TimePoint now, std::vector<Action>* actions);
+  void OnAdvice(const jobs::StepRef& step, const base::EntryId& asker,
+                const AdviceResult& result, base::TimePoint now,
+                std::vector<Action>* actions);
   // The worker refused a ticket of the step.
   void DropTicket(const jobs::StepRef& step, const base::BackendId& worker);
 
@@ -94,7 +95,9 @@
   std::optional<Item> ItemOf(const jobs::StepRef& ref, base::TimePoint now);
   bool IsAdvised(const Item& item, base::TimePoint now,
                  std::vector<Action>* actions);
-  void Ask(const Item& item, std::vector<base::BackendId> workers,
+  bool IsWorthAsking(const Item& item, base::TimePoint now) const;
+  // Returns whether an entry host was free for the call.
+  bool Ask(const Item& item, std::vector<base::BackendId> workers,
            base::TimePoint now, std::vector<Action>* actions);
   std::vector<base::BackendId> WorkersToAskAbout(const Item& item,
                                                  base::TimePoint now) const;
@@ -108,10 +111,14 @@
                                     base::TimePoint now) const;
   // Keeps the workers on which the gang will fit soonest from lesser work.
   void HoldFor(const Item& item, base::TimePoint now);
-  // Sets room aside, and starts at once where tickets hold; else asks.
-  void Commit(const Item& item, const std::vector<Choice>& choices,
+  // Sets room aside, and starts at once where tickets hold; else asks. With
+  // `attempt` 0 each task gets its own next one.
+  void Commit(const Item& item, std::vector<Choice> choices,
               jobs::Attempt attempt, base::TimePoint now,
               std::vector<Action>* actions);
+  std::vector<PlacedRun> SetAside(const Item& item,
+                                  const std::vector<Choice>& choices,
+                                  jobs::Attempt attempt, base::TimePoint now);
   // Returns whether the organisation may have `tasks` more of these running.
   bool IsWithinCap(const Item& item, std::uint32_t tasks) const;
   // What may run unseen on workers of former owners.
--- a/src/core/advice/advice_book.cc
+++ b/src/core/advice/advice_book.cc
@@ -2,41 +2,60 @@
 #include "dotterelbarrow/core/advice/advice_book.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dotterelbarrow::core::advice {
 
 void AskerChooser::SetHosts(const std::vector<base::EntryId>& hosts) {
-  std::map<base::EntryId, base::TimePoint> next;
+  std::map<base::EntryId, Host> next;
   for (const base::EntryId& host : hosts) {
-    const auto it = busy_until_.find(host);
-    next[host] = it == busy_until_.end() ? base::TimePoint() : it->second;
+    const auto it = hosts_.find(host);
+    next[host] = it == hosts_.end() ? Host() : it->second;
   }
-  busy_until_ = std::move(next);
+  hosts_ = std::move(next);
 }
 
 std::optional<base::EntryId> AskerChooser::Choose(base::Duration cost,
                                                   base::TimePoint now) {
+  if (hosts_.empty()) {
+    return std::nullopt;
+  }
   // Long calls go to the later half of the hosts only.
-  const std::size_t first =
-      cost >= kLongCall ? (busy_until_.size() - 1) / 2 : 0;
-  auto best = busy_until_.end();
+  const bool is_long = cost >= kLongCall;
+  const std::size_t first = is_long ? (hosts_.size() - 1) / 2 : 0;
+  const base::TimePoint latest = is_long ? now : now + kAhead;
+  auto best = hosts_.end();
   std::size_t position = 0;
-  for (auto it = busy_until_.begin(); it != busy_until_.end(); ++it) {
-    if (position++ < first) {
+  for (auto it = hosts_.begin(); it != hosts_.end(); ++it) {
+    const bool is_free = it->second.calls == 0 ||
+                         (!is_long && it->second.busy_until <= latest &&
+                          it->second.calls < 2);
+    if (position++ < first || !is_free) {
       continue;
     }
-    if (best == busy_until_.end() ||
-        std::max(it->second, now) < std::max(best->second, now)) {
+    if (best == hosts_.end() || it->second.calls < best->second.calls) {
       best = it;
     }
   }
-  if (best == busy_until_.end()) {
+  if (best == hosts_.end()) {
     return std::nullopt;
   }
-  best->second = std::max(best->second, now) + cost;
+  ++best->second.calls;
+  best->second.busy_until = std::max(best->second.busy_until, now) + cost;
   return best->first;
 }
 
+void AskerChooser::OnEnded(const base::EntryId& host, base::TimePoint now) {
+  const auto it = hosts_.find(host);
+  if (it == hosts_.end()) {
+    return;
+  }
+  it->second.calls = std::max(0, it->second.calls - 1);
+  if (it->second.calls == 0) {
+    it->second.busy_until = now;
+  }
+}
+
 StepAdvice* AdviceBook::Find(const jobs::StepRef& step) {
   const auto it = steps_.find(step);
   return it == steps_.end() ? nullptr : &it->second;
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -211,46 +211,41 @@
   return std::max(first_attempt_, step.tasks[index].last_attempt.next());
 }
 
-void Dispatcher::Commit(const Item& item, const std::vector<Choice>& choices,
+void Dispatcher::Commit(const Item& item, std::vector<Choice> choices,
                         jobs::Attempt attempt, base::TimePoint now,
                         std::vector<Action>* actions) {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
-  const jobs::Step& step = *item.job->FindStep(item.step);
-  std::vector<PlacedRun> placed;
+  const auto needs_ticket = [&](const Choice& choice) {
+    return !TicketFor(item, choice.worker, now).has_value();
+  };
   std::vector<base::BackendId> without_ticket;
-  std::string where;
   for (const Choice& choice : choices) {
-    const jobs::TaskRef task{item.step, choice.index};
-    const jobs::Attempt number = attempt.value() > 0
-                                     ? attempt
-                                     : NextAttempt(step, choice.index);
-    const workers::Run run{.task = task,
-                           .attempt = number,
-                           .state = workers::RunState::kEarmarked,
-                           .needs = spec.needs,
-                           .reserved = spec.Reservation(),
-                           .organisation = item.job->organisation,
-                           .since = now,
-                           .estimate = spec.estimate};
-    fleet_->Earmark(choice.worker, run);
-    runs_->Add(choice.worker, run);
-    item.job->NoteRun(task, number);
-    placed.push_back({choice.worker, task, number});
-    where += (where.empty() ? "" : ",") + choice.worker.value();
-    if (!TicketFor(item, choice.worker, now)) {
+    if (needs_ticket(choice)) {
       without_ticket.push_back(choice.worker);
     }
   }
+  if (!without_ticket.empty() && !Ask(item, without_ticket, now, actions)) {
+    // No entry host is free to ask: what needs a ticket waits without room.
+    if (spec.gang) {
+      return;
+    }
+    std::erase_if(choices, needs_ticket);
+  }
+  const std::vector<PlacedRun> placed =
+      SetAside(item, choices, attempt, now);
+  if (placed.empty()) {
+    return;
+  }
   telemetry_.log->Write(
       "placed",
       {{"step", jobs::ToString(item.step)},
-       {"tasks", static_cast<std::int64_t>(choices.size())},
-       {"workers", where},
+       {"tasks", static_cast<std::int64_t>(placed.size())},
+       {"attempt", static_cast<std::int64_t>(placed.front().attempt.value())},
+       {"first_worker", placed.front().worker.value()},
        {"waited_ms",
         (now - item.job->accepted_at) / std::chrono::milliseconds(1)},
        {"stale_tickets", static_cast<std::int64_t>(without_ticket.size())}});
   if (spec.gang && !without_ticket.empty()) {
-    Ask(item, without_ticket, now, actions);
     return;
   }
   for (const PlacedRun& run : placed) {
@@ -258,9 +253,34 @@
       StartRun(item, run, *ticket, now, actions);
     }
   }
-  if (!without_ticket.empty()) {
-    Ask(item, without_ticket, now, actions);
+}
+
+std::vector<PlacedRun> Dispatcher::SetAside(const Item& item,
+                                            const std::vector<Choice>& choices,
+                                            jobs::Attempt attempt,
+                                            base::TimePoint now) {
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  const jobs::Step& step = *item.job->FindStep(item.step);
+  std::vector<PlacedRun> placed;
+  for (const Choice& choice : choices) {
+    const jobs::TaskRef task{item.step, choice.index};
+    const jobs::Attempt number = attempt.value() > 0
+                                     ? attempt
+                                     : NextAttempt(step, choice.index);
+    const workers::Run run{.task = task,
+                           .attempt = number,
+                           .state = workers::RunState::kEarmarked,
+                           .needs = spec.needs,
+                           .reserved = spec.Reservation(),
+                           .organisation = item.job->organisation,
+                           .since = now,
+                           .estimate = spec.estimate};
+    fleet_->Earmark(choice.worker, run);
+    runs_->Add(choice.worker, run);
+    item.job->NoteRun(task, number);
+    placed.push_back({choice.worker, task, number});
   }
+  return placed;
 }
 
 void Dispatcher::StartRun(const Item& item, const PlacedRun& run,
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -5,6 +5,17 @@
 #include "dotterelbarrow/core/scheduler/dispatcher.h"
 
 namespace dotterelbarrow::core::scheduler {
+namespace {
+
+// Workers come and go; whether others may run a step is asked again after this
+// time if none of the allowed ones is left.
+constexpr base::Duration kAskAgainAfter = std::chrono::seconds(1);
+// Of the workers asked about a quarter to two thirds are allowed, and each may
+// have room for some tasks.
+constexpr std::size_t kLeastAdvised = 12;
+constexpr std::size_t kAdvisedPerTask = 6;
+
+}  // namespace
 
 bool Dispatcher::IsAdvised(const Item& item, base::TimePoint now,
                            std::vector<Action>* actions) {
@@ -18,14 +29,30 @@
   if (advice.is_known && !CandidatesOf(item, now).empty()) {
     return true;
   }
-  if (now >= advice.retry_at) {
-    // Nobody allowed is left, or nothing is known yet.
-    advice.retry_at = now + std::chrono::seconds(1);
-    Ask(item, WorkersToAskAbout(item, now), now, actions);
+  // Nobody allowed is left, or nothing is known yet.
+  if (now >= advice.retry_at && IsWorthAsking(item, now) &&
+      Ask(item, WorkersToAskAbout(item, now), now, actions)) {
+    advice.retry_at = now + kAskAgainAfter;
   }
   return false;
 }
 
+bool Dispatcher::IsWorthAsking(const Item& item, base::TimePoint now) const {
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  if (!IsWithinCap(item, spec.gang ? spec.tasks : 1)) {
+    return false;
+  }
+  // Tickets run out, so that advice for what has no room would be wasted; but
+  // room can be kept for a gang only on workers that are known as allowed.
+  return spec.gang ||
+         std::any_of(fleet_->workers().begin(), fleet_->workers().end(),
+                     [&](const auto& entry) {
+                       const workers::Worker& worker = entry.second;
+                       return worker.TakesWork(now) &&
+                              spec.Reservation().FitsIn(worker.FreeRoom());
+                     });
+}
+
 std::vector<base::BackendId> Dispatcher::WorkersToAskAbout(
     const Item& item, base::TimePoint now) const {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
@@ -37,13 +64,16 @@
       suitable.push_back(&worker);
     }
   }
-  if (suitable.size() > settings_.max_advised) {
+  const std::size_t most =
+      std::min(settings_.max_advised,
+               std::max(kLeastAdvised, kAdvisedPerTask * spec.tasks));
+  if (suitable.size() > most) {
     std::stable_sort(
         suitable.begin(), suitable.end(),
         [](const workers::Worker* a, const workers::Worker* b) {
           return a->FreeRoom().cpu > b->FreeRoom().cpu;
         });
-    suitable.resize(settings_.max_advised);
+    suitable.resize(most);
   }
   std::vector<base::BackendId> ids;
   ids.reserve(suitable.size());
@@ -53,21 +83,22 @@
   return ids;
 }
 
-void Dispatcher::Ask(const Item& item, std::vector<base::BackendId> workers,
+bool Dispatcher::Ask(const Item& item, std::vector<base::BackendId> workers,
                      base::TimePoint now, std::vector<Action>* actions) {
   std::sort(workers.begin(), workers.end());
   workers.erase(std::unique(workers.begin(), workers.end()), workers.end());
   if (workers.empty()) {
-    return;
+    return false;
   }
   const auto asker = askers_.Choose(
       advice::CallCost(*item.queue->advice, workers.size()), now);
   if (!asker) {
-    return;
+    return false;
   }
   ++advice_.FindOrAdd(item.step).calls;
   telemetry_.counters->Increment("advice_calls", "asked");
   actions->push_back(AskAdvice{*asker, item.step, std::move(workers)});
+  return true;
 }
 
 std::optional<std::string> Dispatcher::TicketFor(const Item& item,
@@ -87,8 +118,11 @@
   return it->second.text;
 }
 
-void Dispatcher::OnAdvice(const jobs::StepRef& step, const AdviceResult& result,
-                          base::TimePoint now, std::vector<Action>* actions) {
+void Dispatcher::OnAdvice(const jobs::StepRef& step,
+                          const base::EntryId& asker,
+                          const AdviceResult& result, base::TimePoint now,
+                          std::vector<Action>* actions) {
+  askers_.OnEnded(asker, now);
   advice::StepAdvice* advice = advice_.Find(step);
   if (advice == nullptr) {
     return;
