Take-overs sooner; hosts for long and short advice; more workers are asked about where those allowed are full

Change: each half of the hosts serves one kind of call; silence 1.1 s plus four read latencies; an owner whose writes fail offers the cell; steps ask about workers that nothing is known of.

--- a/include/dotterelbarrow/core/advice/advice_book.h
+++ b/include/dotterelbarrow/core/advice/advice_book.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -24,8 +25,9 @@
 // Load pattern: many short calls for urgent work beside few calls that take
 // half a second, and a backlog of steps that all want advice at once. Calls
 // are handed out one by one as hosts come free, so that the most urgent step
-// is always the next; long calls stay on some hosts, so that short ones never
-// wait behind them.
+// is always the next. Long calls and short ones have hosts of their own: short
+// ones never wait behind long ones, and a stream of short ones never keeps all
+// hosts from a long one.
 class AskerChooser {
  public:
   // A call that takes longer is a long one: it would use up half of the slack
@@ -34,6 +36,8 @@
   // The next short call is sent this long before the host should be free, so
   // that the advisor isn't idle while answers and calls travel.
   static constexpr base::Duration kAhead = std::chrono::milliseconds(10);
+  // Without long calls for this long their hosts serve short ones too.
+  static constexpr base::Duration kLongCallsOver = std::chrono::seconds(5);
 
   // Replaces the hosts that can be asked. Keeps what is known of their calls.
   void SetHosts(const std::vector<base::EntryId>& hosts);
@@ -50,6 +54,7 @@
     base::TimePoint busy_until;
   };
   std::map<base::EntryId, Host> hosts_;
+  std::optional<base::TimePoint> last_long_call_;
 };
 
 struct Ticket {
@@ -66,6 +71,8 @@
   // All that were found allowed; which workers may run a step never changes,
   // but tickets run out.
   std::map<base::BackendId, Ticket> allowed;
+  // All that the advisor was asked about.
+  std::set<base::BackendId> asked;
   // After a failed call, not before this moment.
   base::TimePoint retry_at;
   int failed_calls = 0;
--- a/include/dotterelbarrow/core/leadership/leadership.h
+++ b/include/dotterelbarrow/core/leadership/leadership.h
@@ -45,10 +45,12 @@
   base::Incarnation incarnation;
   std::string address;
   // An owner that has nothing to write puts the head this often.
-  base::Duration renewal_period = std::chrono::milliseconds(500);
-  // An owner whose head didn't change for this long is replaced: three
-  // renewals and the time that one write may take.
-  base::Duration silence = std::chrono::milliseconds(1800);
+  base::Duration renewal_period = std::chrono::milliseconds(400);
+  // An owner whose head didn't change for this long is replaced: two renewals
+  // and the time that one write may take. Where reads take long, writes do as
+  // well: `latency_factor` times the last read is added.
+  base::Duration silence = std::chrono::milliseconds(1100);
+  int latency_factor = 4;
   // Two looks at an unchanged head further apart than this prove nothing:
   // neither side may have reached the store in between.
   base::Duration most_blind = std::chrono::milliseconds(1000);
@@ -87,9 +89,9 @@
   // nobody's.
   const Head* owner() const;
 
-  // Takes what a read of the head showed.
+  // Takes what a read of the head showed, which took `latency`.
   void OnRead(const std::optional<Head>& head, base::RowVersion version,
-              base::TimePoint now);
+              base::Duration latency, base::TimePoint now);
   // The owner's address refused a connection: its process is gone.
   void OnOwnerGone(base::TimePoint now);
 
@@ -134,6 +136,7 @@
   bool was_read_ = false;
   base::TimePoint unchanged_since_;
   base::TimePoint last_read_;
+  base::Duration read_latency_{0};
   bool owner_gone_ = false;
   Head own_;
   base::RowVersion own_version_;
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -100,7 +100,10 @@
   bool Ask(const Item& item, std::vector<base::BackendId> workers,
            base::TimePoint now, std::vector<Action>* actions);
   std::vector<base::BackendId> WorkersToAskAbout(const Item& item,
-                                                 base::TimePoint now) const;
+                                                 base::TimePoint now);
+  // Where the allowed workers have no room, others may be allowed as well.
+  void AskAboutMore(const Item& item, base::TimePoint now,
+                    std::vector<Action>* actions);
   std::vector<placement::Candidate> CandidatesOf(const Item& item,
                                                  base::TimePoint now) const;
   void PlaceTasks(const Item& item, base::TimePoint now,
--- a/src/core/advice/advice_book.cc
+++ b/src/core/advice/advice_book.cc
@@ -20,20 +20,27 @@
   if (hosts_.empty()) {
     return std::nullopt;
   }
-  // Long calls go to the later half of the hosts only.
   const bool is_long = cost >= kLongCall;
-  const std::size_t first = is_long ? (hosts_.size() - 1) / 2 : 0;
-  const base::TimePoint latest = is_long ? now : now + kAhead;
+  if (is_long) {
+    last_long_call_ = now;
+  }
+  const bool are_apart =
+      last_long_call_ && now - *last_long_call_ < kLongCallsOver;
+  // The first hosts are for short calls, the last ones for long calls.
+  const std::size_t short_hosts = (hosts_.size() + 1) / 2;
+  const auto serves = [&](std::size_t position) {
+    return !are_apart || hosts_.size() == 1 ||
+           (position >= short_hosts) == is_long;
+  };
+  const auto is_free = [&](const Host& host) {
+    return host.calls == 0 || (!is_long && host.calls < 2 &&
+                               host.busy_until <= now + kAhead);
+  };
   auto best = hosts_.end();
   std::size_t position = 0;
   for (auto it = hosts_.begin(); it != hosts_.end(); ++it) {
-    const bool is_free = it->second.calls == 0 ||
-                         (!is_long && it->second.busy_until <= latest &&
-                          it->second.calls < 2);
-    if (position++ < first || !is_free) {
-      continue;
-    }
-    if (best == hosts_.end() || it->second.calls < best->second.calls) {
+    if (serves(position++) && is_free(it->second) &&
+        (best == hosts_.end() || it->second.calls < best->second.calls)) {
       best = it;
     }
   }
--- a/src/core/leadership/leadership.cc
+++ b/src/core/leadership/leadership.cc
@@ -53,7 +53,8 @@
 }
 
 void Leadership::OnRead(const std::optional<Head>& head,
-                        base::RowVersion version, base::TimePoint now) {
+                        base::RowVersion version, base::Duration latency,
+                        base::TimePoint now) {
   if (role_ == Role::kOwner) {
     if (head && head->token > own_.token) {
       Abandon();
@@ -70,6 +71,7 @@
   }
   was_read_ = true;
   last_read_ = now;
+  read_latency_ = latency;
   seen_ = head;
   seen_version_ = version;
   if (role_ == Role::kClaiming && !write_ && head &&
@@ -91,7 +93,8 @@
   const bool is_free =
       !seen_ || seen_->is_resigned || owner_gone_ ||
       seen_->holder == settings_.self ||
-      now - unchanged_since_ >= settings_.silence;
+      now - unchanged_since_ >=
+          settings_.silence + read_latency_ * settings_.latency_factor;
   if (!is_free) {
     return std::nullopt;
   }
@@ -138,7 +141,7 @@
     return ConflictMeaning::kTookEffect;
   }
   Abandon();
-  OnRead(head, version, now);
+  OnRead(head, version, base::Duration(0), now);
   return ConflictMeaning::kReplaced;
 }
 
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -175,8 +175,10 @@
     ++best->of_step;
     choices.push_back({index, best->worker->id()});
   }
-  if (!choices.empty()) {
-    Commit(item, choices, jobs::Attempt(0), now, actions);
+  if (choices.empty()) {
+    AskAboutMore(item, now, actions);
+  } else {
+    Commit(item, std::move(choices), jobs::Attempt(0), now, actions);
   }
 }
 
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -13,6 +13,8 @@
 // Of the workers asked about a quarter to two thirds are allowed, and each may
 // have room for some tasks.
 constexpr std::size_t kLeastAdvised = 12;
+// The objective of a job counts a call on this many.
+constexpr std::size_t kLeastAdvisedOfGang = 30;
 constexpr std::size_t kAdvisedPerTask = 6;
 
 }  // namespace
@@ -37,6 +39,26 @@
   return false;
 }
 
+void Dispatcher::AskAboutMore(const Item& item, base::TimePoint now,
+                              std::vector<Action>* actions) {
+  if (!item.queue->advice) {
+    return;
+  }
+  advice::StepAdvice& advice = advice_.FindOrAdd(item.step);
+  if (advice.calls > 0 || now < advice.retry_at) {
+    return;
+  }
+  const base::Resources task = item.job->SpecOf(item.step).Reservation();
+  std::vector<base::BackendId> more = WorkersToAskAbout(item, now);
+  std::erase_if(more, [&](const base::BackendId& id) {
+    return advice.asked.contains(id) ||
+           !task.FitsIn(fleet_->workers().at(id).FreeRoom());
+  });
+  if (Ask(item, std::move(more), now, actions)) {
+    advice.retry_at = now + kAskAgainAfter;
+  }
+}
+
 bool Dispatcher::IsWorthAsking(const Item& item, base::TimePoint now) const {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   if (!IsWithinCap(item, spec.gang ? spec.tasks : 1)) {
@@ -54,8 +76,10 @@
 }
 
 std::vector<base::BackendId> Dispatcher::WorkersToAskAbout(
-    const Item& item, base::TimePoint now) const {
+    const Item& item, base::TimePoint now) {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  const std::set<base::BackendId>& asked =
+      advice_.FindOrAdd(item.step).asked;
   std::vector<const workers::Worker*> suitable;
   for (const auto& [id, worker] : fleet_->workers()) {
     if (worker.TakesWork(now) &&
@@ -64,14 +88,19 @@
       suitable.push_back(&worker);
     }
   }
-  const std::size_t most =
-      std::min(settings_.max_advised,
-               std::max(kLeastAdvised, kAdvisedPerTask * spec.tasks));
+  const std::size_t most = std::min(
+      settings_.max_advised,
+      std::max(spec.gang ? kLeastAdvisedOfGang : kLeastAdvised,
+               kAdvisedPerTask * spec.tasks));
   if (suitable.size() > most) {
+    // Those that nothing is known of come first, then those with most room.
     std::stable_sort(
         suitable.begin(), suitable.end(),
-        [](const workers::Worker* a, const workers::Worker* b) {
-          return a->FreeRoom().cpu > b->FreeRoom().cpu;
+        [&asked](const workers::Worker* a, const workers::Worker* b) {
+          const bool knows_a = asked.contains(a->id());
+          const bool knows_b = asked.contains(b->id());
+          return knows_a != knows_b ? knows_b
+                                    : a->FreeRoom().cpu > b->FreeRoom().cpu;
         });
     suitable.resize(most);
   }
@@ -95,7 +124,9 @@
   if (!asker) {
     return false;
   }
-  ++advice_.FindOrAdd(item.step).calls;
+  advice::StepAdvice& advice = advice_.FindOrAdd(item.step);
+  ++advice.calls;
+  advice.asked.insert(workers.begin(), workers.end());
   telemetry_.counters->Increment("advice_calls", "asked");
   actions->push_back(AskAdvice{*asker, item.step, std::move(workers)});
   return true;
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -123,6 +123,7 @@
   }
   const std::vector<Choice> choices = ChooseForGang(item, now);
   if (choices.empty()) {
+    AskAboutMore(item, now, actions);
     HoldFor(item, now);
     return;
   }
--- a/src/member/head_writer.cc
+++ b/src/member/head_writer.cc
@@ -17,6 +17,9 @@
 constexpr base::Duration kMostTimeout = std::chrono::milliseconds(2000);
 // Between two tries where the store refuses.
 constexpr base::Duration kRetryDelay = std::chrono::milliseconds(80);
+// Refusals, and silence, that last as long are not a passing trouble.
+constexpr base::Duration kFailingRefused = std::chrono::milliseconds(250);
+constexpr base::Duration kFailingSilent = std::chrono::milliseconds(1000);
 // Weight of the last answer in the usual latency: one in this many.
 constexpr int kLatencyWindow = 8;
 
@@ -50,12 +53,18 @@
   transaction_ = std::move(transaction);
   done_ = std::move(done);
   begun_at_ = Now();
+  was_refused_ = false;
   timeout_ = std::clamp(usual_latency_ * kTimeoutFactor, kLeastTimeout,
                         kMostTimeout);
   ++generation_;
   Send();
 }
 
+bool HeadWriter::IsFailing(base::TimePoint now) const {
+  return transaction_ &&
+         now - begun_at_ >= (was_refused_ ? kFailingRefused : kFailingSilent);
+}
+
 void HeadWriter::Cancel() {
   transaction_.reset();
   done_ = nullptr;
@@ -101,6 +110,7 @@
       return;
     case platform::StoreOutcome::kRefused:
     case platform::StoreOutcome::kNotSent:
+      was_refused_ = true;
       retry_timer_.StartOnce(kRetryDelay);
       break;
   }
--- a/src/member/head_writer.h
+++ b/src/member/head_writer.h
@@ -30,6 +30,9 @@
              core::scheduler::Telemetry telemetry);
 
   bool is_busy() const { return transaction_.has_value(); }
+  // Whether the store has kept refusing, or not answering, the write under
+  // way, longer than a slow one takes.
+  bool IsFailing(base::TimePoint now) const;
   // When the write under way was first sent.
   base::TimePoint begun_at() const { return begun_at_; }
 
@@ -54,6 +57,8 @@
   std::optional<platform::Transaction> transaction_;
   Done done_;
   base::TimePoint begun_at_;
+  // Whether the write under way was refused or couldn't be sent.
+  bool was_refused_ = false;
   // Tells answers of forgotten writes from the current one's.
   std::uint64_t generation_ = 0;
   base::Duration usual_latency_ = std::chrono::milliseconds(20);
--- a/src/member/log_writer.cc
+++ b/src/member/log_writer.cc
@@ -4,8 +4,8 @@
 #include <fcntl.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <chrono>
+#include <climits>
 #include <variant>
 
 #include "dotterelbarrow/base/overloaded.h"
@@ -40,6 +40,16 @@
   *line += '"';
 }
 
+// Returns how many bytes of `text` to write at once: whole lines that a pipe
+// takes as a whole or not at all.
+std::size_t WholeLines(std::string_view text) {
+  if (text.size() <= PIPE_BUF) {
+    return text.size();
+  }
+  const std::size_t last = text.rfind('\n', PIPE_BUF - 1);
+  return last == std::string_view::npos ? text.find('\n') + 1 : last + 1;
+}
+
 }  // namespace
 
 LogWriter::LogWriter(const wire::EventLoop& loop, int fd)
@@ -82,14 +92,18 @@
 }
 
 void LogWriter::Flush() {
-  while (!buffer_.empty()) {
-    const ssize_t written = write(fd_, buffer_.data(), buffer_.size());
+  std::size_t handed_over = 0;
+  while (handed_over < buffer_.size()) {
+    const std::size_t size =
+        WholeLines(std::string_view(buffer_).substr(handed_over));
+    const ssize_t written = write(fd_, buffer_.data() + handed_over, size);
     if (written <= 0) {
       // The reader is slow, or gone; the next flush tries again.
       break;
     }
-    buffer_.erase(0, static_cast<std::size_t>(written));
+    handed_over += static_cast<std::size_t>(written);
   }
+  buffer_.erase(0, handed_over);
   if (buffer_.empty() && dropped_ > dropped_told_) {
     const auto lost = static_cast<std::int64_t>(dropped_ - dropped_told_);
     dropped_told_ = dropped_;
--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -15,11 +15,11 @@
 
 // Followers look at the head this often; less than a third of the silence
 // after which an owner is replaced.
-constexpr base::Duration kHeadPeriod = std::chrono::milliseconds(500);
+constexpr base::Duration kHeadPeriod = std::chrono::milliseconds(300);
 constexpr base::Duration kHeadTimeout = std::chrono::milliseconds(800);
 constexpr base::Duration kHeadRetry = std::chrono::milliseconds(100);
 // Greetings keep a host on the list of those that may ask the advisor.
-constexpr base::Duration kGreetPeriod = std::chrono::milliseconds(600);
+constexpr base::Duration kGreetPeriod = std::chrono::milliseconds(400);
 constexpr base::Duration kGreetTimeout = std::chrono::milliseconds(900);
 // A refused greeting is repeated soon: two refusals mean a dead process.
 constexpr base::Duration kGreetRetry = std::chrono::milliseconds(100);
@@ -137,12 +137,14 @@
                .part = row.part,
                .from = row.key,
                .end = row.key + "!"},
-              kHeadTimeout, [this](const platform::ReadResult& result) {
-                OnHead(result);
+              kHeadTimeout,
+              [this, sent_at = Now()](const platform::ReadResult& result) {
+                OnHead(result, Now() - sent_at);
               });
 }
 
-void Member::Impl::OnHead(const platform::ReadResult& result) {
+void Member::Impl::OnHead(const platform::ReadResult& result,
+                          base::Duration latency) {
   if (result.outcome != platform::StoreOutcome::kDone) {
     head_timer_.StartOnce(kHeadRetry);
     return;
@@ -161,7 +163,7 @@
       telemetry_.log->Write("head_unreadable", {{"detail", reason.detail}});
     }
   }
-  leadership_.OnRead(head, version, Now());
+  leadership_.OnRead(head, version, latency, Now());
   if (leadership_.role() == core::leadership::Role::kOwner) {
     OnClaimed(HeadWriteEnd::kStored, result.now_ms);
     return;
@@ -226,6 +228,7 @@
   greet_timer_.StartOnce(kGreetPeriod);
   if (leadership_.role() == core::leadership::Role::kOwner) {
     UpdateAskers();
+    OfferHandOver();
     return;
   }
   if (owner == nullptr) {
@@ -265,6 +268,32 @@
   }
 }
 
+void Member::Impl::OfferHandOver() {
+  if (!writer_.IsFailing(Now())) {
+    return;
+  }
+  telemetry_.log->Write("hand_over_offered", {});
+  for (const auto& [host, peer] : peers_) {
+    Json::Value params(Json::objectValue);
+    params["token"] = Json::UInt64(leadership_.token().value());
+    rpc_.Call(peer.address, "take_over", std::move(params), kGreetTimeout,
+              [](const RpcResult&) {});
+  }
+}
+
+void Member::Impl::OnTakeOver(const Json::Value& params,
+                              const RpcServer::Reply& reply) {
+  const core::leadership::Head* owner = leadership_.owner();
+  const Json::Value& token = params["token"];
+  if (owner != nullptr && token.isUInt64() &&
+      token.asUInt64() == owner->token.value() && term_ == nullptr) {
+    // The claim follows only if this host reaches the store.
+    leadership_.OnOwnerGone(Now());
+    ReadHead();
+  }
+  reply(Json::Value(Json::objectValue));
+}
+
 void Member::Impl::OnGreeting(const Json::Value& params,
                               const RpcServer::Reply& reply) {
   const Json::Value& host = params["host"];
--- a/src/member/member_calls.cc
+++ b/src/member/member_calls.cc
@@ -61,6 +61,10 @@
                    [this](const Json::Value& params, RpcServer::Reply reply) {
                      OnGreeting(params, reply);
                    });
+  rpc_server_.Bind("take_over",
+                   [this](const Json::Value& params, RpcServer::Reply reply) {
+                     OnTakeOver(params, reply);
+                   });
   rpc_server_.Bind("advise",
                    [this](const Json::Value& params, RpcServer::Reply reply) {
                      OnAdvise(params, reply);
--- a/src/member/member_impl.h
+++ b/src/member/member_impl.h
@@ -43,7 +43,7 @@
 
   // Follows the head, and claims the cell when it is free.
   void ReadHead();
-  void OnHead(const platform::ReadResult& result);
+  void OnHead(const platform::ReadResult& result, base::Duration latency);
   void ClaimIfFree();
   void OnClaimed(HeadWriteEnd end, std::int64_t store_now_ms);
   void EndTerm();
@@ -52,6 +52,10 @@
   void Greet();
   void OnGreeted(const core::leadership::Head& owner, const RpcResult& result);
   void OnGreeting(const Json::Value& params, const RpcServer::Reply& reply);
+  // An owner whose writes fail offers the cell to the others; one that the
+  // store serves takes it.
+  void OfferHandOver();
+  void OnTakeOver(const Json::Value& params, const RpcServer::Reply& reply);
   void UpdateAskers();
 
   void PassOn(const OwnerCall& call, const OwnerReply& reply);
