--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -124,7 +124,8 @@
                                   jobs::Attempt attempt, base::TimePoint now);
   // Returns whether the organisation may have `tasks` more of these running.
   bool IsWithinCap(const Item& item, std::uint32_t tasks) const;
-  // What may run unseen on workers of former owners.
+  // What may run for any organisation, on workers of former owners that were
+  // not claimed yet, and in runs whose job is gone.
   base::Resources UnseenUsage() const;
   // Returns the ticket to show; nullopt if a new one is needed.
   std::optional<std::string> TicketFor(const Item& item,
@@ -156,6 +157,7 @@
   std::set<base::BackendId> held_;
   std::set<base::BackendId> held_before_;
   int held_gangs_ = 0;
+  base::Resources unseen_usage_;
 };
 
 }  // namespace dotterelbarrow::core::scheduler
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -49,6 +49,8 @@
   jobs::TaskRef task{};
   jobs::Attempt attempt{};
   RunState state = RunState::kEarmarked;
+  // The task's job is gone: nobody knows what the run uses.
+  bool is_stray = false;
   // What the task may use, and what of it is set aside on the worker.
   base::Resources needs{};
   base::Resources reserved{};
@@ -105,6 +107,7 @@
   // Room that is neither set aside nor in use.
   base::Resources FreeRoom() const { return listing_.capacity - reserved_; }
   const base::Resources& reserved() const { return reserved_; }
+  bool has_strays() const { return strays_ > 0; }
   // Processor time that tasks which only fill what is idle would take.
   base::Millicores filling() const { return needed_.cpu - reserved_.cpu; }
 
@@ -155,6 +158,8 @@
   // Invariant: the sums over `runs_`.
   base::Resources reserved_;
   base::Resources needed_;
+  // Invariant: the stray ones of `runs_`.
+  int strays_ = 0;
 };
 
 }  // namespace dotterelbarrow::core::workers
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -83,6 +83,7 @@
 
 void Dispatcher::Pass(base::TimePoint now, std::vector<Action>* actions) {
   held_before_ = std::exchange(held_, {});
+  unseen_usage_ = UnseenUsage();
   held_gangs_ = 0;
   for (const Item& item : Collect(now)) {
     if (!IsAdvised(item, now, actions)) {
@@ -184,8 +185,10 @@
 
 base::Resources Dispatcher::UnseenUsage() const {
   base::Resources unseen;
-  for (const base::BackendId& id : fleet_->unsettled()) {
-    unseen += fleet_->workers().at(id).listing().capacity;
+  for (const auto& [id, worker] : fleet_->workers()) {
+    if (worker.has_strays() || fleet_->unsettled().contains(id)) {
+      unseen += worker.listing().capacity;
+    }
   }
   return unseen;
 }
@@ -197,7 +200,7 @@
     return true;
   }
   base::Resources used =
-      runs_->UsageOf(item.job->organisation) + UnseenUsage();
+      runs_->UsageOf(item.job->organisation) + unseen_usage_;
   const base::Resources& needs = item.job->SpecOf(item.step).needs;
   for (std::uint32_t i = 0; i < tasks; ++i) {
     used += needs;
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -12,6 +12,9 @@
 using workers::RunState;
 using workers::Worker;
 
+// The life of an inherited worker before it was listed or answered.
+constexpr std::int64_t kUnknownLife = 0;
+
 // Sorted, so that a look's many runs are found without a search through all.
 using ListedKeys = std::set<Fleet::RunKey>;
 
@@ -65,7 +68,8 @@
     if (listing.born_ms < worker.listing().born_ms) {
       continue;  // Of a life that is over.
     }
-    if (listing.born_ms > worker.listing().born_ms) {
+    if (listing.born_ms > worker.listing().born_ms &&
+        worker.listing().born_ms != kUnknownLife) {
       BeginLife(&worker, listing, now);
     }
     if (listing.draining && !worker.listing().draining) {
@@ -125,8 +129,9 @@
   Worker fresh(listing);
   fresh.last_answer = now;
   fresh.next_look = now;
+  // A former owner may have used this life as well; its claim tells.
+  fresh.inherited_until = worker->inherited_until;
   *worker = std::move(fresh);
-  Settle(worker->id());
 }
 
 void Fleet::EndAllRuns(Worker* worker, jobs::RunEnd end) {
@@ -355,7 +360,8 @@
                      bool was_waiting, const LookResult& result,
                      base::TimePoint now, std::vector<Action>* actions) {
   Worker* target = Find(worker);
-  if (target == nullptr || target->listing().born_ms != born_ms) {
+  if (target == nullptr ||
+      (born_ms != kUnknownLife && target->listing().born_ms != born_ms)) {
     return;
   }
   if (was_waiting) {
@@ -379,6 +385,11 @@
     }
     return;
   }
+  if (target->listing().born_ms == kUnknownLife) {
+    Listing known = target->listing();
+    known.born_ms = result.born_ms;
+    target->Update(known);
+  }
   if (result.born_ms > target->listing().born_ms) {
     // The list will tell what this life holds.
     Listing next = target->listing();
@@ -449,7 +460,7 @@
       run = worker->AddRun(Run{.task = listed.task,
                                .attempt = listed.attempt,
                                .state = RunState::kStopping,
-                               .reserved = worker->FreeRoom(),
+                               .is_stray = true,
                                .since = now});
       SendStop(worker, run, now, actions);
     }
--- a/src/core/workers/worker.cc
+++ b/src/core/workers/worker.cc
@@ -66,6 +66,7 @@
   if (added) {
     reserved_ += it->second.reserved;
     needed_ += it->second.needs;
+    strays_ += it->second.is_stray ? 1 : 0;
   }
   return &it->second;
 }
@@ -75,6 +76,7 @@
   if (it != runs_.end()) {
     reserved_ -= it->second.reserved;
     needed_ -= it->second.needs;
+    strays_ -= it->second.is_stray ? 1 : 0;
     runs_.erase(it);
   }
 }
@@ -88,7 +90,7 @@
 }
 
 bool Worker::TakesWork(base::TimePoint now) const {
-  return is_claimed && listed_ && !listing_.draining &&
+  return is_claimed && listed_ && !listing_.draining && strays_ == 0 &&
          now >= quarantined_until && looks_failed == 0 &&
          orders_unanswered < kSilentOrders;
 }
--- a/src/member/head_writer.cc
+++ b/src/member/head_writer.cc
@@ -10,11 +10,15 @@
 namespace dotterelbarrow::member {
 namespace {
 
-// An answer that takes this many times the usual is taken for lost: the write
-// is sent again, which is harmless.
-constexpr int kTimeoutFactor = 8;
-constexpr base::Duration kLeastTimeout = std::chrono::milliseconds(150);
-constexpr base::Duration kMostTimeout = std::chrono::milliseconds(2000);
+// An answer that takes this many times the usual, or this many times a read,
+// seems lost: a copy is sent, which is harmless. A store that is slow gets no
+// copies, which would only queue up behind the write.
+constexpr int kPatienceFactor = 8;
+constexpr int kReadFactor = 10;
+constexpr base::Duration kLeastPatience = std::chrono::milliseconds(150);
+// How long one copy is waited for.
+constexpr base::Duration kTimeout = std::chrono::milliseconds(3000);
+constexpr int kMostCopies = 3;
 // Between two tries where the store refuses.
 constexpr base::Duration kRetryDelay = std::chrono::milliseconds(80);
 // Refusals, and silence, that last as long are not a passing trouble.
@@ -32,8 +36,7 @@
     : store_(store),
       leadership_(leadership),
       telemetry_(telemetry),
-      timeout_(kLeastTimeout),
-      retry_timer_(loop, [this] { Send(); }) {}
+      retry_timer_(loop, [this] { SendAgain(); }) {}
 
 void HeadWriter::Write(
     const core::leadership::HeadWrite& head,
@@ -54,15 +57,20 @@
   done_ = std::move(done);
   begun_at_ = Now();
   was_refused_ = false;
-  timeout_ = std::clamp(usual_latency_ * kTimeoutFactor, kLeastTimeout,
-                        kMostTimeout);
+  copies_ = 0;
+  copies_sent_ = 0;
   ++generation_;
   Send();
 }
 
 bool HeadWriter::IsFailing(base::TimePoint now) const {
-  return transaction_ &&
-         now - begun_at_ >= (was_refused_ ? kFailingRefused : kFailingSilent);
+  if (!transaction_) {
+    return false;
+  }
+  const base::Duration silent =
+      std::clamp(store_->ReadLatency() * kReadFactor, kFailingSilent,
+                 2 * kFailingSilent);
+  return now - begun_at_ >= (was_refused_ ? kFailingRefused : silent);
 }
 
 void HeadWriter::Cancel() {
@@ -72,17 +80,40 @@
   ++generation_;
 }
 
+base::Duration HeadWriter::Patience() const {
+  const base::Duration patience =
+      std::max({kLeastPatience, usual_latency_ * kPatienceFactor,
+                store_->ReadLatency() * kReadFactor});
+  return patience * (1 << std::min(copies_sent_, kMostCopies));
+}
+
 void HeadWriter::Send() {
-  if (!transaction_) {
-    return;
-  }
-  store_->Write(*transaction_, timeout_,
+  ++copies_;
+  ++copies_sent_;
+  store_->Write(*transaction_, kTimeout,
                 [this, generation = generation_,
                  sent_at = Now()](const platform::WriteResult& result) {
                   if (generation == generation_) {
+                    --copies_;
                     OnAnswer(result, sent_at);
                   }
                 });
+  retry_timer_.StartOnce(Patience());
+}
+
+void HeadWriter::SendAgain() {
+  if (!transaction_) {
+    return;
+  }
+  if (copies_ >= kMostCopies) {
+    retry_timer_.StartOnce(Patience());
+    return;
+  }
+  telemetry_.log->Write(
+      "store_write_repeated",
+      {{"copies", copies_sent_},
+       {"since_ms", (Now() - begun_at_) / std::chrono::milliseconds(1)}});
+  Send();
 }
 
 void HeadWriter::OnAnswer(const platform::WriteResult& result,
@@ -98,24 +129,27 @@
       LearnLatency(now - sent_at);
       OnConflict(result);
       return;
-    case platform::StoreOutcome::kUnanswered:
-      timeout_ = std::min(timeout_ * 2, kMostTimeout);
-      Send();
-      break;
     case platform::StoreOutcome::kMalformed:
       // The store will never take it; a new term begins with what is stored.
       telemetry_.log->Write("store_write_rejected", {});
       leadership_->Abandon();
       End(HeadWriteEnd::kReplaced, 0);
       return;
+    case platform::StoreOutcome::kUnanswered:
+      if (copies_ == 0) {
+        retry_timer_.RunSoon();
+      }
+      break;
     case platform::StoreOutcome::kRefused:
     case platform::StoreOutcome::kNotSent:
       was_refused_ = true;
-      retry_timer_.StartOnce(kRetryDelay);
+      if (copies_ == 0) {
+        retry_timer_.StartOnce(kRetryDelay);
+      }
       break;
   }
   telemetry_.log->Write(
-      "store_write_retried",
+      "store_write_failed",
       {{"outcome", platform::ToString(result.outcome)},
        {"since_ms", (now - begun_at_) / std::chrono::milliseconds(1)}});
 }
@@ -139,6 +173,8 @@
 
 void HeadWriter::End(HeadWriteEnd end, std::int64_t store_now_ms) {
   transaction_.reset();
+  retry_timer_.Cancel();
+  ++generation_;
   const Done done = std::exchange(done_, nullptr);
   if (done) {
     done(end, store_now_ms);
--- a/src/member/head_writer.h
+++ b/src/member/head_writer.h
@@ -46,6 +46,10 @@
 
  private:
   void Send();
+  // Sends a copy of the write under way where its answer seems lost.
+  void SendAgain();
+  // How long an answer may take before it seems lost.
+  base::Duration Patience() const;
   void OnAnswer(const platform::WriteResult& result, base::TimePoint sent_at);
   void OnConflict(const platform::WriteResult& result);
   void End(HeadWriteEnd end, std::int64_t store_now_ms);
@@ -62,7 +66,9 @@
   // Tells answers of forgotten writes from the current one's.
   std::uint64_t generation_ = 0;
   base::Duration usual_latency_ = std::chrono::milliseconds(20);
-  base::Duration timeout_;
+  // Copies of the write under way without an answer.
+  int copies_ = 0;
+  int copies_sent_ = 0;
   wire::Timer retry_timer_;
 };
 
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -25,7 +25,7 @@
 constexpr base::Duration kReadRetry = std::chrono::milliseconds(100);
 // A write without an outcome for this long means that the store is away: what
 // is handed in now couldn't be stored in time.
-constexpr base::Duration kStoreAway = std::chrono::milliseconds(1200);
+constexpr base::Duration kStoreAway = std::chrono::milliseconds(1500);
 constexpr base::Duration kStoreAwayRetryAfter = std::chrono::seconds(1);
 // Counts of waiting jobs may be this old.
 constexpr base::Duration kPendingAge = std::chrono::milliseconds(300);
--- /dev/null
+++ b/test/core/jobs/job_test.cc
@@ -0,0 +1,237 @@
+// How a job moves on, and what its records keep.
+#include "dotterelbarrow/core/jobs/job.h"
+
+#include <doctest/doctest.h>
+
+#include "dotterelbarrow/core/jobs/job_records.h"
+
+namespace dotterelbarrow::core::jobs {
+namespace {
+
+constexpr std::uint32_t kTwoAttempts = 2;
+
+Job MakeJob(std::vector<StepSpec> steps) {
+  Job job;
+  job.key = JobKey(0x5c0e7a21d94b36f8);
+  job.queue = desired::QueueId("lookups");
+  job.spec.payload = "text";
+  job.spec.steps = std::move(steps);
+  job.BeginOccurrence();
+  return job;
+}
+
+TaskRef TaskOf(const Job& job, std::uint32_t step, std::uint32_t index) {
+  return {{job.key, 0, step}, index};
+}
+
+// The end of a run on some worker.
+bool End(Job* job, const TaskRef& task, std::uint64_t attempt, RunEnd end) {
+  return job->NoteEnd(task, Attempt(attempt), end, "",
+                      base::BackendId("worker"), kTwoAttempts);
+}
+
+TEST_CASE("names of jobs and tasks") {
+  SUBCASE("are written with all digits and read back") {
+    CHECK(ToString(JobKey(0xab)) == "00000000000000ab");
+    const TaskRef task{{JobKey(0x5c0e7a21d94b36f8), 3, 1}, 17};
+    CHECK(ToString(task) == "5c0e7a21d94b36f8.3.1.17");
+    CHECK(ParseTaskRef(ToString(task)) == task);
+  }
+  SUBCASE("are refused in any other form") {
+    for (const char* text :
+         {"", "5c0e7a21d94b36f", "5C0E7A21D94B36F8", "5c0e7a21d94b36f8g",
+          "0x0e7a21d94b36f8"}) {
+      CAPTURE(text);
+      CHECK_FALSE(ParseJobKey(text));
+    }
+    for (const char* text :
+         {"5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.1",
+          "5c0e7a21d94b36f8.0.1.", "5c0e7a21d94b36f8.0.1.2.3",
+          "5c0e7a21d94b36f8.0.-1.2", "5c0e7a21d94b36f8.0.1.99999999999"}) {
+      CAPTURE(text);
+      CHECK_FALSE(ParseTaskRef(text));
+    }
+  }
+}
+
+TEST_CASE("a job of two steps") {
+  StepSpec first;
+  first.tasks = 2;
+  StepSpec second;
+  second.depends_on = {0};
+  Job job = MakeJob({first, second});
+
+  SUBCASE("its second step is blocked until all tasks of the first are done") {
+    const auto is_unblocked = [&job] {
+      return job.IsUnblocked(job.occurrences.at(0), 1);
+    };
+    CHECK_FALSE(is_unblocked());
+    End(&job, TaskOf(job, 0, 0), 1, RunEnd::kDone);
+    CHECK_FALSE(is_unblocked());
+    End(&job, TaskOf(job, 0, 1), 1, RunEnd::kDone);
+    CHECK(is_unblocked());
+
+    SUBCASE("and it is completed with its last task") {
+      CHECK(End(&job, TaskOf(job, 1, 0), 1, RunEnd::kDone));
+      CHECK(job.state == JobState::kCompleted);
+    }
+  }
+  SUBCASE("a task is waiting, has a run, and waits again after its stop") {
+    Step* step = job.FindStep({job.key, 0, 0});
+    CHECK(step->waiting() == 2);
+    job.NoteRun(TaskOf(job, 0, 0), Attempt(1));
+    CHECK(step->waiting() == 1);
+    CHECK_FALSE(End(&job, TaskOf(job, 0, 0), 1, RunEnd::kStopped));
+    CHECK(step->waiting() == 2);
+  }
+  SUBCASE("the end of an earlier run leaves the current one alone") {
+    job.NoteRun(TaskOf(job, 0, 0), Attempt(5));
+    End(&job, TaskOf(job, 0, 0), 4, RunEnd::kLapsed);
+    CHECK(job.FindTask(TaskOf(job, 0, 0))->has_run);
+  }
+}
+
+TEST_CASE("failed runs") {
+  Job job = MakeJob({StepSpec()});
+  const TaskRef task = TaskOf(job, 0, 0);
+
+  SUBCASE("end the job with the last attempt") {
+    CHECK(End(&job, task, 1, RunEnd::kFailed));
+    CHECK(job.state == JobState::kQueued);
+    CHECK(End(&job, task, 2, RunEnd::kFailed));
+    CHECK(job.state == JobState::kFailed);
+  }
+  SUBCASE("count once, however often they are reported") {
+    CHECK(End(&job, task, 1, RunEnd::kFailed));
+    CHECK_FALSE(End(&job, task, 1, RunEnd::kFailed));
+    CHECK(job.state == JobState::kQueued);
+  }
+  SUBCASE("count in whatever order workers report them to a new owner") {
+    CHECK(End(&job, task, 20001, RunEnd::kFailed));
+    CHECK(End(&job, task, 10001, RunEnd::kFailed));
+    CHECK(job.state == JobState::kFailed);
+  }
+  SUBCASE("don't count where a worker was lost or a run was stopped") {
+    for (const RunEnd end : {RunEnd::kStopped, RunEnd::kLapsed,
+                             RunEnd::kWorkerGone, RunEnd::kGangBroken}) {
+      CHECK_FALSE(End(&job, task, 1, end));
+    }
+    CHECK(job.state == JobState::kQueued);
+  }
+}
+
+TEST_CASE("a gang") {
+  StepSpec gang;
+  gang.tasks = 3;
+  gang.gang = true;
+  Job job = MakeJob({gang});
+
+  SUBCASE("is done with the end of one member") {
+    End(&job, TaskOf(job, 0, 1), 1, RunEnd::kDone);
+    CHECK(job.state == JobState::kCompleted);
+  }
+  SUBCASE("fails once an attempt, whichever member it was") {
+    End(&job, TaskOf(job, 0, 0), 1, RunEnd::kFailed);
+    End(&job, TaskOf(job, 0, 2), 1, RunEnd::kFailed);
+    CHECK(job.state == JobState::kQueued);
+    End(&job, TaskOf(job, 0, 1), 2, RunEnd::kFailed);
+    CHECK(job.state == JobState::kFailed);
+  }
+}
+
+TEST_CASE("a long-running task is started again however it ends") {
+  StepSpec service;
+  service.long_running = true;
+  Job job = MakeJob({service});
+  for (std::uint64_t attempt = 1; attempt <= 5; ++attempt) {
+    job.NoteRun(TaskOf(job, 0, 0), Attempt(attempt));
+    End(&job, TaskOf(job, 0, 0), attempt,
+        attempt % 2 == 0 ? RunEnd::kFailed : RunEnd::kDone);
+    CHECK(job.FindStep({job.key, 0, 0})->waiting() == 1);
+  }
+  CHECK_FALSE(IsFinal(job.state));
+}
+
+TEST_CASE("records") {
+  StepSpec first;
+  first.tasks = 6;
+  first.needs.cpu = base::Millicores(1500);
+  first.estimate = std::chrono::milliseconds(900);
+  first.data_rack = "r1-3";
+  StepSpec second;
+  second.depends_on = {0};
+  second.gang = true;
+  second.tasks = 2;
+  Job job = MakeJob({first, second});
+  job.accepted_ms = 51230;
+  base::Failure reason;
+
+  SUBCASE("an acceptance is read back whole") {
+    const auto read = ReadAcceptance(job.key, AcceptanceRecord(job), &reason);
+    REQUIRE(read);
+    CHECK(AcceptanceRecord(*read) == AcceptanceRecord(job));
+    CHECK(read->spec.steps[0].needs.cpu == base::Millicores(1500));
+    CHECK(read->spec.steps[1].gang);
+    CHECK(read->accepted_ms == 51230);
+  }
+  SUBCASE("progress keeps what is done and which runs failed") {
+    End(&job, TaskOf(job, 0, 1), 1, RunEnd::kDone);
+    End(&job, TaskOf(job, 0, 5), 1, RunEnd::kDone);
+    End(&job, TaskOf(job, 0, 2), 7, RunEnd::kFailed);
+    auto read = ReadAcceptance(job.key, AcceptanceRecord(job), &reason);
+    REQUIRE(ReadProgress(ProgressRecord(job), &*read, &reason));
+    const Step* step = read->FindStep({job.key, 0, 0});
+    CHECK(step->done == 2);
+    CHECK(step->tasks[1].done);
+    CHECK(step->tasks[5].done);
+    CHECK(step->tasks[2].failed_attempts == std::vector{Attempt(7)});
+    // The failure that is listed once more after a take-over is known.
+    CHECK_FALSE(End(&*read, TaskOf(job, 0, 2), 7, RunEnd::kFailed));
+  }
+  SUBCASE("a record of another shape is refused and changes nothing") {
+    auto read = ReadAcceptance(job.key, AcceptanceRecord(job), &reason);
+    for (const char* text :
+         {"", "[]", "{}", R"({"state":"lost"})",
+          R"({"state":"running","begun":1,"occurrences":[{"k":7}]})",
+          R"({"state":"running","begun":1,"occurrences":[{"k":0,"steps":[1,2]}]})",
+          R"({"state":"running","begun":-1})"}) {
+      CAPTURE(text);
+      CHECK_FALSE(ReadProgress(text, &*read, &reason));
+      CHECK(reason.code != base::FailureCode::kNone);
+      CHECK(read->FindStep({job.key, 0, 0})->done == 0);
+    }
+  }
+  SUBCASE("steps that depend on later ones are refused") {
+    Json::Value spec = ToJson(job.spec);
+    spec["steps"][0]["after"].append(1);
+    CHECK_FALSE(JobSpecFromJson(spec, &reason));
+    CHECK(reason.code == base::FailureCode::kOutOfRange);
+  }
+}
+
+TEST_CASE("occurrences") {
+  Job job;
+  job.key = JobKey(1);
+  job.spec.steps = {StepSpec()};
+  job.spec.repeat_count = 2;
+  job.BeginOccurrence();
+  job.BeginOccurrence();
+  const auto end = [&job](std::uint32_t occurrence) {
+    job.NoteEnd({{job.key, occurrence, 0}, 0}, Attempt(1), RunEnd::kDone, "",
+                base::BackendId("worker"), kTwoAttempts);
+  };
+  SUBCASE("end in any order; the job ends with the last") {
+    end(1);
+    CHECK_FALSE(IsFinal(job.state));
+    base::Failure reason;
+    auto read = ReadAcceptance(job.key, AcceptanceRecord(job), &reason);
+    REQUIRE(ReadProgress(ProgressRecord(job), &*read, &reason));
+    CHECK(read->occurrences.size() == 1);
+    CHECK(read->occurrences_begun == 2);
+    end(0);
+    CHECK(job.state == JobState::kCompleted);
+  }
+}
+
+}  // namespace
+}  // namespace dotterelbarrow::core::jobs
--- /dev/null
+++ b/test/core/leadership/leadership_test.cc
@@ -0,0 +1,178 @@
+// Who owns the cell, told as a story of two entry hosts and one row.
+#include "dotterelbarrow/core/leadership/leadership.h"
+
+#include <doctest/doctest.h>
+
+namespace dotterelbarrow::core::leadership {
+namespace {
+
+using std::chrono::milliseconds;
+
+// The store's row, with the condition that its writers give.
+class HeadRow {
+ public:
+  bool Write(const HeadWrite& write) {
+    if (write.expected != version_) {
+      return false;
+    }
+    head_ = write.head;
+    version_ = version_.next();
+    return true;
+  }
+  const std::optional<Head>& head() const { return head_; }
+  base::RowVersion version() const { return version_; }
+
+ private:
+  std::optional<Head> head_;
+  base::RowVersion version_;
+};
+
+Leadership MakeHost(const char* name, std::uint64_t incarnation = 1) {
+  LeadershipSettings settings;
+  settings.self = base::EntryId(name);
+  settings.incarnation = base::Incarnation(incarnation);
+  settings.address = std::string(name) + ":1";
+  return Leadership(settings);
+}
+
+struct Cell {
+  HeadRow row;
+  base::TimePoint now = base::TimePoint(std::chrono::seconds(100));
+
+  void Read(Leadership* host, milliseconds latency = milliseconds(4)) {
+    host->OnRead(row.head(), row.version(), latency, now);
+  }
+  // Carries out the write of a host and tells it the outcome.
+  void Carry(Leadership* host, const HeadWrite& write) {
+    if (row.Write(write)) {
+      host->OnWritten(row.version(), now);
+    } else {
+      host->OnConflict(row.head(), row.version(), now);
+    }
+  }
+  bool Claim(Leadership* host) {
+    const auto claim = host->BeginClaim(now);
+    if (claim) {
+      Carry(host, *claim);
+    }
+    return host->role() == Role::kOwner;
+  }
+  // Lets time pass in which `host` looks at the head as followers do.
+  void Watch(Leadership* host, milliseconds duration,
+             milliseconds latency = milliseconds(4)) {
+    for (milliseconds passed{0}; passed < duration;
+         passed += milliseconds(300)) {
+      now += milliseconds(300);
+      Read(host, latency);
+    }
+  }
+};
+
+TEST_CASE("a cell without an owner goes to whoever writes first") {
+  Cell cell;
+  Leadership first = MakeHost("first");
+  Leadership second = MakeHost("second");
+  cell.Read(&first);
+  cell.Read(&second);
+  const auto late = second.BeginClaim(cell.now);
+  REQUIRE(cell.Claim(&first));
+  CHECK(first.token() == FencingToken(1));
+  cell.Carry(&second, *late);
+  CHECK(second.role() == Role::kFollower);
+  CHECK(second.owner()->holder == base::EntryId("first"));
+}
+
+TEST_CASE("an owner and a follower") {
+  Cell cell;
+  Leadership owner = MakeHost("owner");
+  Leadership other = MakeHost("other");
+  cell.Read(&owner);
+  REQUIRE(cell.Claim(&owner));
+  cell.Read(&other);
+
+  SUBCASE("an owner that writes is left alone") {
+    for (int i = 0; i < 20; ++i) {
+      cell.Carry(&owner, owner.BeginWrite(cell.now));
+      cell.Watch(&other, milliseconds(300));
+      CHECK_FALSE(other.BeginClaim(cell.now));
+    }
+  }
+  SUBCASE("a silent owner is replaced, under a higher token") {
+    cell.Watch(&other, milliseconds(1500));
+    REQUIRE(cell.Claim(&other));
+    CHECK(other.token() == FencingToken(2));
+
+    SUBCASE("and can write nothing any more, whatever it believes") {
+      const HeadWrite write = owner.BeginWrite(cell.now);
+      CHECK_FALSE(cell.row.Write(write));
+      CHECK(owner.OnConflict(cell.row.head(), cell.row.version(), cell.now) ==
+            ConflictMeaning::kReplaced);
+      CHECK(owner.role() == Role::kFollower);
+      CHECK_FALSE(owner.HasAuthority(cell.now));
+    }
+  }
+  SUBCASE("while nobody reaches the store, nobody is replaced") {
+    cell.now += std::chrono::seconds(5);
+    cell.Read(&other);
+    CHECK_FALSE(other.BeginClaim(cell.now));
+  }
+  SUBCASE("where reads are slow, an owner gets more time") {
+    cell.Watch(&other, milliseconds(1500), milliseconds(270));
+    CHECK_FALSE(other.BeginClaim(cell.now));
+  }
+  SUBCASE("a process that is gone is replaced at once") {
+    other.OnOwnerGone(cell.now);
+    CHECK(cell.Claim(&other));
+  }
+  SUBCASE("a host that starts anew replaces its own former run at once") {
+    Leadership again = MakeHost("owner", 2);
+    cell.Read(&again);
+    CHECK(cell.Claim(&again));
+  }
+  SUBCASE("a cell that was given up is free") {
+    cell.Carry(&owner, owner.BeginResignation(cell.now));
+    CHECK(owner.role() == Role::kFollower);
+    cell.Read(&other);
+    CHECK(cell.Claim(&other));
+  }
+  SUBCASE("a write whose answer was lost takes effect once") {
+    const HeadWrite write = owner.BeginWrite(cell.now);
+    REQUIRE(cell.row.Write(write));
+    // The copy meets the version that the first one made.
+    CHECK_FALSE(cell.row.Write(write));
+    CHECK(owner.OnConflict(cell.row.head(), cell.row.version(), cell.now) ==
+          ConflictMeaning::kTookEffect);
+    CHECK(owner.role() == Role::kOwner);
+    cell.Carry(&owner, owner.BeginWrite(cell.now));
+    CHECK(owner.role() == Role::kOwner);
+  }
+  SUBCASE("an owner without a confirmed write loses its authority in the end") {
+    CHECK(owner.HasAuthority(cell.now + std::chrono::seconds(8)));
+    CHECK_FALSE(owner.HasAuthority(cell.now + std::chrono::seconds(10)));
+  }
+}
+
+TEST_CASE("a claim whose answer was lost is found by the next read") {
+  Cell cell;
+  Leadership host = MakeHost("host");
+  cell.Read(&host);
+  const auto claim = host.BeginClaim(cell.now);
+  REQUIRE(cell.row.Write(*claim));
+  host.OnClaimLost();
+  cell.Read(&host);
+  CHECK(host.role() == Role::kOwner);
+}
+
+TEST_CASE("heads as texts") {
+  base::Failure reason;
+  const Head head{FencingToken(7), base::EntryId("a"), base::Incarnation(9),
+                  "10.0.0.1:1", 3, true};
+  CHECK(DecodeHead(EncodeHead(head), &reason) == head);
+  for (const char* text : {"", "[]", "{}", R"({"token":"7"})"}) {
+    CAPTURE(text);
+    CHECK_FALSE(DecodeHead(text, &reason));
+  }
+}
+
+}  // namespace
+}  // namespace dotterelbarrow::core::leadership
--- /dev/null
+++ b/test/core/placement/policies_test.cc
@@ -0,0 +1,167 @@
+// The decisions of placement at the worst load, each on the pattern it answers.
+#include <doctest/doctest.h>
+
+#include "dotterelbarrow/core/placement/submission_rate.h"
+#include "dotterelbarrow/core/placement/urgency.h"
+#include "dotterelbarrow/core/placement/worker_choice.h"
+
+namespace dotterelbarrow::core::placement {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr base::TimePoint kStart{seconds(100)};
+
+desired::Queue QueueOf(int priority, double slack) {
+  desired::Queue queue;
+  queue.priority = priority;
+  queue.slack_factor = slack;
+  queue.completion_target = milliseconds(1000);
+  return queue;
+}
+
+jobs::Job JobOf(base::Duration estimate, base::TimePoint accepted_at) {
+  jobs::Job job;
+  jobs::StepSpec step;
+  step.estimate = estimate;
+  job.spec.steps = {step};
+  job.accepted_at = accepted_at;
+  return job;
+}
+
+Urgency UrgencyAt(const jobs::Job& job, const desired::Queue& queue,
+                  base::TimePoint now, bool over_share = false) {
+  return UrgencyOf(job, job.spec.steps[0], queue, over_share, now);
+}
+
+TEST_CASE("a burst fills the fleet for seconds") {
+  const desired::Queue urgent = QueueOf(0, 1.5);
+  const desired::Queue batch = QueueOf(2, 4.0);
+  const jobs::Job lookup = JobOf(milliseconds(600), kStart);
+  const jobs::Job reconciliation = JobOf(seconds(2), kStart);
+
+  SUBCASE("urgent work goes first") {
+    CHECK(UrgencyAt(lookup, urgent, kStart) <
+          UrgencyAt(reconciliation, batch, kStart));
+  }
+  SUBCASE("what can't be in time any more goes behind what can") {
+    const base::TimePoint later = kStart + seconds(3);
+    const Urgency late = UrgencyAt(lookup, urgent, later);
+    CHECK(late.standing == Standing::kLate);
+    CHECK(UrgencyAt(reconciliation, batch, later) < late);
+  }
+  SUBCASE("what has lost its worth goes last") {
+    const base::TimePoint later = kStart + seconds(30);
+    CHECK(UrgencyAt(lookup, urgent, later).standing == Standing::kExpired);
+  }
+  SUBCASE("within a queue, what has the least time left goes first") {
+    const jobs::Job newer = JobOf(milliseconds(600), kStart + milliseconds(5));
+    CHECK(UrgencyAt(lookup, urgent, kStart) < UrgencyAt(newer, urgent, kStart));
+  }
+}
+
+TEST_CASE("one organisation sends several times its usual") {
+  SubmissionRates rates;
+  const base::OrganisationId loud("loud");
+  const base::OrganisationId quiet("quiet");
+  constexpr double kWeight = 10;
+  int within = 0;
+  int quiet_within = 0;
+  for (int i = 0; i < 700; ++i) {
+    const base::TimePoint now = kStart + milliseconds(10) * i;
+    within += rates.Take(loud, kWeight, now) ? 1 : 0;
+    if (i % 10 == 0) {
+      quiet_within += rates.Take(quiet, kWeight, now) ? 1 : 0;
+    }
+  }
+  SUBCASE("its weight is what is taken as its own") {
+    CHECK(within == doctest::Approx(7 * kWeight + 2 * kWeight).epsilon(0.05));
+  }
+  SUBCASE("the others keep all of theirs") { CHECK(quiet_within == 70); }
+  SUBCASE("what is beyond goes behind the others' work") {
+    const desired::Queue urgent = QueueOf(0, 1.5);
+    const desired::Queue batch = QueueOf(2, 4.0);
+    const jobs::Job lookup = JobOf(milliseconds(600), kStart);
+    CHECK(UrgencyAt(JobOf(seconds(2), kStart), batch, kStart) <
+          UrgencyAt(lookup, urgent, kStart, true));
+  }
+}
+
+workers::Worker WorkerOf(const char* id, std::int64_t cores) {
+  workers::Listing listing;
+  listing.id = base::BackendId(id);
+  listing.capacity = {base::Millicores(cores * 1000), base::Mebibytes(65536),
+                      base::Accelerators(0), base::Slots(0)};
+  return workers::Worker(listing);
+}
+
+Candidate CandidateOf(const workers::Worker& worker, std::int64_t used_cores) {
+  base::Resources free = worker.listing().capacity;
+  free.cpu -= base::Millicores(used_cores * 1000);
+  return {&worker, free, 0, false};
+}
+
+TEST_CASE("small tasks beside gangs that need large holes") {
+  const workers::Worker full = WorkerOf("full", 16);
+  const workers::Worker empty = WorkerOf("empty", 16);
+  jobs::StepSpec step;
+  step.needs = {base::Millicores(1000), base::Mebibytes(1024),
+                base::Accelerators(0), base::Slots(0)};
+
+  SUBCASE("go where the least is left over") {
+    CHECK(Badness(CandidateOf(full, 12), step, {}) <
+          Badness(CandidateOf(empty, 0), step, {}));
+  }
+  SUBCASE("leave a worker that is kept for a gang") {
+    Candidate held = CandidateOf(full, 12);
+    held.is_held = true;
+    CHECK(Badness(CandidateOf(empty, 0), step, {}) < Badness(held, step, {}));
+  }
+  SUBCASE("don't return to the worker on which they failed") {
+    CHECK(Badness(CandidateOf(empty, 0), step, {}) <
+          Badness(CandidateOf(full, 12), step, base::BackendId("full")));
+  }
+  SUBCASE("go near their data before all that") {
+    step.data_rack = "r1-3";
+    workers::Listing near = WorkerOf("near", 16).listing();
+    near.rack = "r1-3";
+    const workers::Worker near_worker(near);
+    CHECK(Badness(CandidateOf(near_worker, 0), step, {}) <
+          Badness(CandidateOf(full, 12), step, {}));
+  }
+  SUBCASE("that only fill idle processors go where most is idle") {
+    step.fills_idle_cpu = true;
+    CHECK(Badness(CandidateOf(empty, 0), step, {}) <
+          Badness(CandidateOf(full, 12), step, {}));
+  }
+}
+
+TEST_CASE("room") {
+  const workers::Worker worker = WorkerOf("worker", 4);
+  jobs::StepSpec step;
+  step.needs.cpu = base::Millicores(3000);
+  SUBCASE("is never given twice") {
+    CHECK(HasRoom(CandidateOf(worker, 1), step));
+    CHECK_FALSE(HasRoom(CandidateOf(worker, 2), step));
+  }
+  SUBCASE("counts a filling task's memory, not its processors") {
+    step.fills_idle_cpu = true;
+    CHECK(HasRoom(CandidateOf(worker, 4), step));
+    step.needs.memory = base::Mebibytes(65537);
+    CHECK_FALSE(HasRoom(CandidateOf(worker, 0), step));
+  }
+  SUBCASE("is bounded by how many tasks of a step a worker may have") {
+    step.max_per_worker = 1;
+    Candidate candidate = CandidateOf(worker, 0);
+    candidate.of_step = 1;
+    CHECK_FALSE(HasRoom(candidate, step));
+  }
+  SUBCASE("of a worker without the label is no room") {
+    step.required_label = "gpu";
+    CHECK_FALSE(IsSuitable(worker, step));
+  }
+}
+
+}  // namespace
+}  // namespace dotterelbarrow::core::placement
--- /dev/null
+++ b/test/fuzz/scheduler/cell.cc
@@ -0,0 +1,536 @@
+// The cell's events, its faults, and what must hold.
+#include "test/fuzz/scheduler/cell.h"
+
+#include <algorithm>
+#include <iostream>
+#include <utility>
+
+#include "dotterelbarrow/base/overloaded.h"
+
+namespace dotterelbarrow::test {
+namespace {
+
+using core::jobs::JobKey;
+using core::jobs::JobSpec;
+using core::jobs::StepRef;
+using core::jobs::StepSpec;
+using core::scheduler::Action;
+using core::scheduler::AdviceResult;
+using core::scheduler::AskAdvice;
+using core::scheduler::LookAtWorker;
+using core::scheduler::PaceTask;
+using core::scheduler::Scheduler;
+using core::scheduler::StartTask;
+using core::scheduler::StopTask;
+using core::scheduler::StoredBatch;
+
+constexpr std::int64_t kStepMs = 10;
+constexpr std::int64_t kListingsPeriodMs = 500;
+constexpr std::int64_t kAnswerTimeoutMs = 500;
+constexpr std::int64_t kGangPatienceMs = 3000;
+constexpr std::int64_t kWorkerCores = 16;
+constexpr std::int64_t kWorkerMemory = 64;
+constexpr std::int64_t kMostMendMs = 120'000;
+constexpr std::uint32_t kMaxAttempts = 3;
+// Caps bind: a third of eight workers.
+constexpr std::int64_t kCapCores = 48;
+
+const char* const kService = "service";
+
+std::shared_ptr<core::desired::DesiredState> MakeDesired() {
+  core::desired::Queue plain;
+  plain.id = core::desired::QueueId("plain");
+  plain.service = base::ServiceId(kService);
+  plain.max_attempts = kMaxAttempts;
+  core::desired::Queue advised = plain;
+  advised.id = core::desired::QueueId("advised");
+  advised.advice = core::desired::AdvicePolicy{
+      std::chrono::milliseconds(20), std::chrono::microseconds(500),
+      std::chrono::milliseconds(1500)};
+  core::desired::Organisation organisation;
+  organisation.id = base::OrganisationId("organisation");
+  organisation.cap.cpu = base::Millicores(kCapCores * 1000);
+  return std::make_shared<core::desired::DesiredState>(
+      base::ConfigVersion(1),
+      std::vector<core::desired::Queue>{plain, advised},
+      std::vector<core::desired::Organisation>{organisation},
+      std::vector<core::desired::Service>{{base::ServiceId(kService), false,
+                                           false}},
+      core::desired::CallLimits());
+}
+
+}  // namespace
+
+void SilentLog::Write(std::string_view event,
+                      std::initializer_list<core::scheduler::LogField> fields) {
+  if (!is_loud) {
+    return;
+  }
+  std::cout << event;
+  for (const auto& [name, value] : fields) {
+    std::cout << ' ' << name << '=';
+    std::visit([](const auto& shown) { std::cout << shown; }, value);
+  }
+  std::cout << '\n';
+}
+
+Cell::Cell(std::uint32_t seed, int workers)
+    : random_(seed), desired_(MakeDesired()) {
+  for (int i = 0; i < workers; ++i) {
+    core::workers::Listing listing;
+    listing.id = base::BackendId("worker-" + std::to_string(i));
+    listing.address = listing.id.value();
+    listing.service = base::ServiceId(kService);
+    listing.capacity = {base::Millicores(kWorkerCores * 1000),
+                        base::Mebibytes(kWorkerMemory), base::Accelerators(0),
+                        base::Slots(0)};
+    listing.born_ms = 1;
+    workers_.push_back(
+        std::make_unique<ModelWorker>(listing, Between(0, 20)));
+  }
+  BeginTerm();
+}
+
+bool Cell::Chance(int permille) { return Between(1, 1000) <= permille; }
+
+std::int64_t Cell::Between(std::int64_t least, std::int64_t most) {
+  return std::uniform_int_distribution<std::int64_t>(least, most)(random_);
+}
+
+void Cell::After(std::int64_t delay_ms, Event event) {
+  events_.emplace(std::pair(now_ms_ + delay_ms, ++next_event_),
+                  std::move(event));
+}
+
+void Cell::BeginTerm() {
+  auto owner = std::make_shared<Owner>();
+  owner->token = FencingToken(++last_token_);
+  owner->scheduler = std::make_unique<Scheduler>(
+      core::scheduler::SchedulerSettings(),
+      core::scheduler::Telemetry{&log_, &counters_});
+  Scheduler& scheduler = *owner->scheduler;
+  scheduler.BeginTerm(owner->token, Now());
+  const auto find = [](const auto& rows, const std::string& key) {
+    const auto it = rows.find(key);
+    return it == rows.end() ? std::nullopt : std::optional(it->second);
+  };
+  std::set<std::string> keys;
+  for (const auto& [key, record] : acceptances_) {
+    keys.insert(key);
+  }
+  for (const auto& [key, record] : progress_) {
+    keys.insert(key);
+  }
+  for (const std::string& key : keys) {
+    scheduler.Restore(*core::jobs::ParseJobKey(key), find(acceptances_, key),
+                      find(progress_, key), Now(), now_ms_);
+  }
+  for (const auto& [id, address] : worker_records_) {
+    core::workers::Listing listing;
+    listing.id = base::BackendId(id);
+    listing.address = address;
+    scheduler.Inherit(listing, Now());
+  }
+  scheduler.SetDesired(desired_);
+  scheduler.SetAskers({base::EntryId("a"), base::EntryId("b")});
+  owners_.push_back(std::move(owner));
+}
+
+void Cell::Run(std::int64_t duration_ms) {
+  const std::int64_t end = now_ms_ + duration_ms;
+  while (now_ms_ < end) {
+    now_ms_ += kStepMs;
+    Step();
+  }
+}
+
+void Cell::Step() {
+  for (const auto& worker : workers_) {
+    worker->AdvanceTo(now_ms_);
+    if (worker->was_overloaded()) {
+      Break("overloaded: " + worker->listing().id.value());
+    }
+  }
+  StepGangs();
+  while (!events_.empty() && events_.begin()->first.first <= now_ms_) {
+    const Event event = std::move(events_.begin()->second);
+    events_.erase(events_.begin());
+    event();
+  }
+  const auto owners = owners_;
+  for (const auto& owner : owners) {
+    StepOwner(owner);
+  }
+  std::erase_if(owners_, [](const auto& owner) { return !owner->is_alive; });
+}
+
+void Cell::StepOwner(const std::shared_ptr<Owner>& owner) {
+  if (!owner->is_alive) {
+    return;
+  }
+  Scheduler& scheduler = *owner->scheduler;
+  if (now_ms_ % kListingsPeriodMs == 0) {
+    std::vector<core::workers::Listing> listings;
+    for (std::size_t i = 0; i < workers_.size(); ++i) {
+      if (workers_[i]->is_up() && !cut_.contains(i)) {
+        listings.push_back(workers_[i]->listing());
+      }
+    }
+    scheduler.UpdateListings(listings, Now());
+  }
+  scheduler.Tick(Now(), now_ms_);
+  scheduler.Pass(Now());
+  for (const Action& action : scheduler.TakeActions()) {
+    CarryOut(owner, action);
+  }
+  WriteBatch(owner);
+  if (scheduler.is_fenced()) {
+    owner->is_alive = false;
+  }
+}
+
+void Cell::WriteBatch(const std::shared_ptr<Owner>& owner) {
+  // Only the newest owner's writes meet their condition.
+  const bool is_newest = owner->token.value() == last_token_;
+  if (owner->writing && now_ms_ >= owner->write_ends_ms) {
+    const StoredBatch batch = std::move(*owner->writing);
+    owner->writing.reset();
+    if (!is_newest) {
+      owner->is_alive = false;
+      return;
+    }
+    Store(batch);
+    owner->scheduler->OnStored(batch, Now());
+    for (const auto waiter : batch.accept_waiters) {
+      accepted_.insert(owner->waiters[waiter]);
+    }
+    for (const auto waiter : batch.cancel_waiters) {
+      cancelled_.insert(owner->waiters[waiter]);
+    }
+  }
+  if (!owner->writing && owner->scheduler->has_changes()) {
+    owner->writing = owner->scheduler->TakeBatch();
+    owner->write_ends_ms = now_ms_ + Between(10, 40);
+  }
+}
+
+void Cell::Store(const StoredBatch& batch) {
+  using core::scheduler::RecordTable;
+  for (const core::scheduler::RecordChange& change : batch.changes) {
+    auto& rows = change.table == RecordTable::kAcceptances ? acceptances_
+                 : change.table == RecordTable::kProgress  ? progress_
+                                                           : worker_records_;
+    if (change.value) {
+      rows[change.key] = *change.value;
+    } else {
+      rows.erase(change.key);
+    }
+  }
+}
+
+void Cell::Deliver(
+    const std::shared_ptr<Owner>& owner, const std::string& worker,
+    const std::function<OrderOutcome(ModelWorker*)>& order,
+    const std::function<void(OrderOutcome, std::int64_t)>& answer) {
+  const auto it = std::find_if(
+      workers_.begin(), workers_.end(),
+      [&worker](const auto& w) { return w->listing().id.value() == worker; });
+  const auto index = static_cast<std::size_t>(it - workers_.begin());
+  const auto reply = [this, owner, answer](std::int64_t delay,
+                                           OrderOutcome outcome,
+                                           std::int64_t clock) {
+    After(delay, [owner, answer, outcome, clock] {
+      if (owner->is_alive) {
+        answer(outcome, clock);
+      }
+    });
+  };
+  const bool is_late = Chance(faults.orders_late);
+  if (!is_late && (cut_.contains(index) || !(*it)->is_up() ||
+                   Chance(faults.orders_lost))) {
+    reply(kAnswerTimeoutMs, OrderOutcome::kUnanswered, 0);
+    return;
+  }
+  const bool is_answered = !is_late && !Chance(faults.answers_lost);
+  const std::int64_t delay = is_late ? Between(2000, 8000) : Between(1, 15);
+  After(delay, [this, index, order, reply, is_answered] {
+    ModelWorker* target = workers_[index].get();
+    if (!target->is_up()) {
+      return;
+    }
+    const OrderOutcome outcome = order(target);
+    if (is_answered && !cut_.contains(index)) {
+      reply(Between(1, 15), outcome, target->clock_ms());
+    }
+  });
+  if (!is_answered) {
+    reply(kAnswerTimeoutMs, OrderOutcome::kUnanswered, 0);
+  }
+}
+
+RunPlan Cell::PlanOf(const TaskRef& task) {
+  const StepSpec& spec = specs_.at(task.step.job).steps[task.step.step];
+  return {.needs = spec.Reservation(),
+          .duration_ms = Between(50, 2000),
+          .fails = Chance(faults.runs_failing),
+          .gang_size = spec.gang ? spec.tasks : 0};
+}
+
+void Cell::CarryOut(const std::shared_ptr<Owner>& owner,
+                    const Action& action) {
+  std::visit(
+      base::Overloaded{
+          [&](const StartTask& start) {
+            Deliver(
+                owner, start.worker.address,
+                [this, owner, start](ModelWorker* worker) {
+                  const bool was_there = worker->runs().contains(start.task);
+                  const OrderOutcome outcome = worker->Start(
+                      start, owner->token, PlanOf(start.task));
+                  if (outcome == OrderOutcome::kDone && !was_there) {
+                    CheckStart(*worker, start.task, start.attempt);
+                  }
+                  return outcome;
+                },
+                [this, owner, start](OrderOutcome outcome,
+                                     std::int64_t clock) {
+                  owner->scheduler->OnStarted(start, outcome, clock, Now());
+                });
+          },
+          [&](const StopTask& stop) {
+            Deliver(
+                owner, stop.worker.address,
+                [owner, stop](ModelWorker* worker) {
+                  return worker->Stop(stop, owner->token);
+                },
+                [this, owner, stop](OrderOutcome outcome, std::int64_t clock) {
+                  owner->scheduler->OnStopped(stop, outcome, clock, Now());
+                });
+          },
+          [](const PaceTask&) {},
+          [&](const LookAtWorker& look) {
+            auto result = std::make_shared<LookResult>();
+            Deliver(
+                owner, look.worker.address,
+                [this, owner, look, result](ModelWorker* worker) {
+                  for (const ListedEnd& end : worker->ends()) {
+                    if (end.number <= look.ends_stored &&
+                        end.end == RunEnd::kDone) {
+                      acknowledged_done_.insert(end.task);
+                    }
+                  }
+                  *result = worker->Look(look, owner->token);
+                  return result->outcome;
+                },
+                [this, owner, look, result](OrderOutcome outcome,
+                                            std::int64_t) {
+                  if (outcome == OrderOutcome::kUnanswered) {
+                    *result = LookResult();
+                  }
+                  owner->scheduler->OnLooked(look, *result, Now());
+                });
+          },
+          [&](const AskAdvice& ask) {
+            After(Between(20, 60), [this, owner, ask] {
+              if (!owner->is_alive) {
+                return;
+              }
+              AdviceResult result;
+              result.outcome = AdviceResult::Outcome::kAnswered;
+              result.ticket_validity = std::chrono::milliseconds(1500);
+              for (const base::BackendId& worker : ask.workers) {
+                // Which workers may run a step doesn't change; those allowed
+                // for all can hold any job.
+                const auto mark = std::hash<std::string>()(
+                    worker.value() + core::jobs::ToString(ask.step));
+                if (mark % 2 == 0 || worker <= workers_[2]->listing().id) {
+                  result.allowed.push_back({worker, "ticket"});
+                }
+              }
+              owner->scheduler->OnAdvice(ask, result, Now());
+            });
+          }},
+      action);
+}
+
+void Cell::CheckStart(const ModelWorker& worker, const TaskRef& task,
+                      Attempt attempt) {
+  ++starts_;
+  const std::string name = core::jobs::ToString(task) + " attempt " +
+                           std::to_string(attempt.value()) + " on " +
+                           worker.listing().id.value();
+  for (const auto& other : workers_) {
+    if (other.get() != &worker && other->is_up() &&
+        other->runs().contains(task)) {
+      Break("twice at once: " + name);
+    }
+  }
+  if (acknowledged_done_.contains(task)) {
+    Break("again after its success: " + name);
+  }
+  if (!specs_.contains(task.step.job)) {
+    Break("of no job: " + name);
+  }
+  std::int64_t used = 0;
+  for (const auto& other : workers_) {
+    for (const auto& [running, run] : other->runs()) {
+      if (other->is_up()) {
+        used += run.plan.needs.cpu.value();
+      }
+    }
+  }
+  if (used > kCapCores * 1000) {
+    Break("over the cap: " + name);
+  }
+}
+
+void Cell::StepGangs() {
+  // Members by step and attempt.
+  struct Member {
+    ModelWorker* worker;
+    TaskRef task;
+    std::int64_t present_ms;
+  };
+  std::map<std::pair<StepRef, Attempt>, std::vector<Member>> gangs;
+  std::map<std::pair<StepRef, Attempt>, RunPlan> plans;
+  for (const auto& worker : workers_) {
+    if (!worker->is_up()) {
+      continue;
+    }
+    for (const auto& [task, run] : worker->runs()) {
+      if (run.plan.gang_size > 0) {
+        gangs[{task.step, run.attempt}].push_back(
+            {worker.get(), task, worker->clock_ms() - run.started_ms});
+        plans[{task.step, run.attempt}] = run.plan;
+      }
+    }
+  }
+  for (const auto& [key, members] : gangs) {
+    const RunPlan& plan = plans[key];
+    const bool is_whole = members.size() == plan.gang_size;
+    std::int64_t least_present = members.front().present_ms;
+    for (const Member& member : members) {
+      least_present = std::min(least_present, member.present_ms);
+    }
+    for (const Member& member : members) {
+      if (is_whole && least_present >= plan.duration_ms) {
+        member.worker->EndGangMember(
+            member.task, plan.fails ? RunEnd::kFailed : RunEnd::kDone);
+      } else if (!is_whole && member.present_ms >= kGangPatienceMs) {
+        member.worker->EndGangMember(member.task, RunEnd::kGangTimeout);
+      }
+    }
+  }
+}
+
+JobKey Cell::Submit(JobSpec spec) {
+  const JobKey key(++last_job_);
+  specs_[key] = spec;
+  const std::shared_ptr<Owner> owner = owners_.back();
+  const core::scheduler::WaiterId waiter(++last_waiter_);
+  owner->waiters[waiter] = key;
+  core::scheduler::Submission submission;
+  submission.key = key;
+  submission.queue = core::desired::QueueId(
+      key.value() % 2 == 0 ? "plain" : "advised");
+  submission.organisation = base::OrganisationId("organisation");
+  submission.spec = std::move(spec);
+  owner->scheduler->Submit(submission, waiter, now_ms_, Now());
+  return key;
+}
+
+JobKey Cell::SubmitAny() {
+  JobSpec spec;
+  const auto steps = static_cast<std::size_t>(Between(1, 3));
+  for (std::size_t i = 0; i < steps; ++i) {
+    StepSpec step;
+    step.tasks = static_cast<std::uint32_t>(Between(1, 4));
+    step.needs.cpu = base::Millicores(Between(1, 6) * 1000);
+    step.needs.memory = base::Mebibytes(Between(1, 24));
+    step.estimate = std::chrono::milliseconds(Between(50, 3000));
+    step.gang = Chance(300);
+    if (i > 0) {
+      step.depends_on = {static_cast<std::uint32_t>(i - 1)};
+    }
+    spec.steps.push_back(step);
+  }
+  return Submit(std::move(spec));
+}
+
+void Cell::CancelAny() {
+  if (accepted_.empty()) {
+    return;
+  }
+  auto it = accepted_.begin();
+  std::advance(it, Between(0, static_cast<std::int64_t>(accepted_.size()) - 1));
+  const std::shared_ptr<Owner> owner = owners_.back();
+  const core::scheduler::WaiterId waiter(++last_waiter_);
+  owner->waiters[waiter] = *it;
+  owner->scheduler->Cancel(*it, waiter, Now());
+}
+
+void Cell::ChangeOwner() {
+  const std::shared_ptr<Owner> owner = owners_.back();
+  owner->is_alive = false;
+  if (owner->writing && Chance(500)) {
+    Store(*owner->writing);
+  }
+  now_ms_ += kStepMs;
+  BeginTerm();
+}
+
+void Cell::ChangeOwnerBesideFormer() {
+  // What the former one was writing is stored before the next one reads.
+  if (owners_.back()->writing && Chance(500)) {
+    Store(*owners_.back()->writing);
+  }
+  BeginTerm();
+}
+
+void Cell::CutWorker(std::size_t index, bool is_cut) {
+  if (is_cut) {
+    cut_.insert(index);
+  } else {
+    cut_.erase(index);
+  }
+}
+
+void Cell::CrashWorker(std::size_t index) {
+  ModelWorker* worker = workers_[index].get();
+  if (!worker->is_up()) {
+    return;
+  }
+  worker->Crash();
+  After(Between(500, 4000),
+        [this, worker] { worker->Restart(now_ms_ + 1'000'000); });
+}
+
+bool Cell::Mend() {
+  faults = Faults{.runs_failing = 0};
+  cut_.clear();
+  const std::int64_t end = now_ms_ + kMostMendMs;
+  while (now_ms_ < end) {
+    Run(1000);
+    if (Unfinished().empty()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::string Cell::Unfinished() const {
+  std::string names;
+  const Scheduler& scheduler = *owners_.back()->scheduler;
+  for (const JobKey key : accepted_) {
+    const auto state = scheduler.StateOf(key);
+    if (!state) {
+      names += core::jobs::ToString(key) + " isn't known; ";
+    } else if (!core::jobs::IsFinal(*state)) {
+      names += core::jobs::ToString(key) + " is " +
+               core::jobs::ToString(*state) + "; ";
+    }
+  }
+  return names;
+}
+
+}  // namespace dotterelbarrow::test
--- /dev/null
+++ b/test/fuzz/scheduler/scheduler_fuzz_test.cc
@@ -0,0 +1,139 @@
+// Random work and faults for a whole cell. Whatever happens: no worker is
+// overloaded, no task runs twice at once or again after its success, no cap is
+// broken; and once the faults are over, every accepted job comes to its end.
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <string>
+
+#include "test/fuzz/scheduler/cell.h"
+
+namespace dotterelbarrow::test {
+namespace {
+
+constexpr int kWorkers = 8;
+
+std::string Broken(const Cell& cell) {
+  std::string text;
+  for (const std::string& broken : cell.broken()) {
+    text += broken + "; ";
+    if (text.size() > 400) {
+      break;
+    }
+  }
+  return text;
+}
+
+// One thing that happens to a cell.
+void DoAnything(Cell* cell, int choice, int argument) {
+  const auto worker =
+      static_cast<std::size_t>(argument) % cell->workers();
+  switch (choice) {
+    case 0:
+    case 1:
+    case 2:
+    case 3:
+      cell->SubmitAny();
+      break;
+    case 4:
+      cell->CancelAny();
+      break;
+    case 5:
+      cell->ChangeOwner();
+      break;
+    case 6:
+      cell->ChangeOwnerBesideFormer();
+      break;
+    case 7:
+      cell->CutWorker(worker, true);
+      break;
+    case 8:
+      cell->CutWorker(worker, false);
+      break;
+    case 9:
+      cell->CrashWorker(worker);
+      break;
+    case 10:
+      cell->faults = {.orders_lost = argument % 100,
+                      .answers_lost = argument % 70,
+                      .orders_late = argument % 60,
+                      .runs_failing = argument % 200};
+      break;
+    default:
+      cell->faults = Faults();
+      break;
+  }
+}
+
+TEST_CASE("a cell under random work and faults") {
+  const bool held = rc::check(
+      "no promise is broken, and all accepted jobs end", [] {
+        const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+        const auto things = *rc::gen::container<std::vector<std::pair<int, int>>>(
+            rc::gen::pair(rc::gen::inRange(0, 12), rc::gen::inRange(0, 1000)));
+        Cell cell(seed, kWorkers);
+        cell.Run(1000);
+        for (const auto& [choice, argument] : things) {
+          DoAnything(&cell, choice, argument);
+          cell.Run(20 + argument % 400);
+        }
+        if (!cell.Mend()) {
+          RC_FAIL("unfinished: " + cell.Unfinished());
+        }
+        if (!cell.broken().empty()) {
+          RC_FAIL(Broken(cell));
+        }
+      });
+  CHECK(held);
+}
+
+TEST_CASE("a calm cell") {
+  Cell cell(7, kWorkers);
+  cell.faults.runs_failing = 0;
+  cell.Run(1000);
+  for (int i = 0; i < 40; ++i) {
+    cell.SubmitAny();
+    cell.Run(100);
+  }
+  SUBCASE("brings all jobs to their ends") {
+    CHECK_MESSAGE(cell.Mend(), cell.Unfinished());
+    CHECK(cell.accepted().size() == 40);
+    CHECK_MESSAGE(cell.broken().empty(), Broken(cell));
+  }
+  SUBCASE("starts nothing again when its owner changes") {
+    const std::uint64_t before = cell.starts();
+    cell.ChangeOwner();
+    cell.Run(50);
+    CHECK(cell.starts() - before < 20);
+    CHECK_MESSAGE(cell.Mend(), cell.Unfinished());
+    CHECK_MESSAGE(cell.broken().empty(), Broken(cell));
+  }
+}
+
+TEST_CASE("a former owner that goes on beside the next one") {
+  Cell cell(11, kWorkers);
+  cell.Run(1000);
+  for (int i = 0; i < 30; ++i) {
+    cell.SubmitAny();
+    cell.Run(50);
+  }
+  cell.CutWorker(0, true);
+  cell.ChangeOwnerBesideFormer();
+  cell.Run(3000);
+  cell.CutWorker(0, false);
+  CHECK_MESSAGE(cell.Mend(), cell.Unfinished());
+  CHECK_MESSAGE(cell.broken().empty(), Broken(cell));
+}
+
+TEST_CASE("a backlog larger than one transaction") {
+  Cell cell(13, kWorkers);
+  cell.Run(1000);
+  for (int i = 0; i < 300; ++i) {
+    cell.SubmitAny();
+  }
+  cell.Run(500);
+  CHECK(cell.accepted().size() == 300);
+}
+
+}  // namespace
+}  // namespace dotterelbarrow::test
