--- a/include/dotterelbarrow/core/jobs/job.h
+++ b/include/dotterelbarrow/core/jobs/job.h
@@ -53,6 +53,8 @@
   std::string checkpoint;
   // Where the last run failed; the next one is placed elsewhere if possible.
   base::BackendId failed_on;
+  // Where the last attempt was closed before it began.
+  base::BackendId closed_on;
 };
 
 struct Step {
--- a/include/dotterelbarrow/core/placement/worker_choice.h
+++ b/include/dotterelbarrow/core/placement/worker_choice.h
@@ -23,6 +23,8 @@
   // Kept free for a gang that waits; others take it only where nothing else
   // fits.
   bool is_held = false;
+  // Whether the advisor's ticket for it still holds.
+  bool has_ticket = true;
 };
 
 // Returns whether the worker could ever run a task of the step.
@@ -36,7 +38,8 @@
 // Load pattern: a steady stream of small tasks beside gangs that need large
 // holes at one moment. Small tasks go where the least is left over, so that
 // other workers keep room for gangs. Tasks that fill idle processor time go
-// where the most of it is. Data on another rack, a worker on which the task
+// where the most of it is. A worker whose ticket ran out costs a call to the
+// advisor. Data on another rack, a worker on which the task
 // failed before, and one that is cold cost more than any packing gains.
 double Badness(const Candidate& candidate, const jobs::StepSpec& step,
                const base::BackendId& failed_on);
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -110,7 +110,13 @@
                   std::vector<Action>* actions);
   void PlaceGang(const Item& item, base::TimePoint now,
                  std::vector<Action>* actions);
+  // Places the members whose starts didn't reach a worker elsewhere, while the
+  // others wait for them.
+  void PlaceMissingMembers(const Item& item, base::TimePoint now,
+                           std::vector<Action>* actions);
+  // Returns a worker for each of `members`, or nothing if not all have room.
   std::vector<Choice> ChooseForGang(const Item& item,
+                                    const std::vector<std::uint32_t>& members,
                                     base::TimePoint now) const;
   // Keeps the workers on which the gang will fit soonest from lesser work.
   void HoldFor(const Item& item, base::TimePoint now);
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -128,10 +128,11 @@
                       OrderOutcome outcome);
   void OnSettled(const base::BackendId& worker);
 
-  // Takes the end of a run into its job.
+  // Takes the end of a run into its job. One that never started at its worker
+  // can be placed again without another attempt of its gang.
   void ApplyEnd(const jobs::TaskRef& task, jobs::Attempt attempt,
                 jobs::RunEnd end, const std::string& checkpoint,
-                const base::BackendId& worker);
+                const base::BackendId& worker, bool never_started);
   // Stops all runs of a step.
   void StopRuns(const jobs::StepRef& step);
   void StopRunsOfTask(const jobs::TaskRef& task);
@@ -158,6 +159,8 @@
   std::unordered_set<base::BackendId> recorded_workers_;
   // Jobs with times.
   std::unordered_set<jobs::JobKey> scheduled_;
+  // Gangs of which not all members are known to run, since their first start.
+  std::map<jobs::StepRef, base::TimePoint> forming_gangs_;
 };
 
 }  // namespace dotterelbarrow::core::scheduler
--- a/src/core/placement/worker_choice.cc
+++ b/src/core/placement/worker_choice.cc
@@ -8,10 +8,11 @@
 
 // The parts of a badness. Packing is between 0 and 1, so that each of these
 // outweighs it; the larger one outweighs the smaller ones together.
-constexpr double kHeldBadness = 2;
-constexpr double kColdBadness = 4;
-constexpr double kFarBadness = 8;
-constexpr double kFailedHereBadness = 16;
+constexpr double kNoTicketBadness = 1.2;
+constexpr double kHeldBadness = 2.5;
+constexpr double kColdBadness = 5;
+constexpr double kFarBadness = 10;
+constexpr double kFailedHereBadness = 20;
 
 double Fraction(std::int64_t part, std::int64_t whole) {
   return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole)
@@ -52,6 +53,9 @@
         candidate.free.cpu - candidate.worker->filling();
     badness = 1 - Fraction(idle.value(), listing.capacity.cpu.value());
   }
+  if (!candidate.has_ticket) {
+    badness += kNoTicketBadness;
+  }
   if (candidate.is_held) {
     badness += kHeldBadness;
   }
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -101,7 +101,7 @@
                                                 base::TimePoint now) const {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   std::vector<Candidate> candidates;
-  const auto add = [&](const workers::Worker& worker) {
+  const auto add = [&](const workers::Worker& worker, bool has_ticket) {
     if (!worker.TakesWork(now) ||
         worker.listing().service != item.queue->service ||
         !placement::IsSuitable(worker, spec)) {
@@ -109,7 +109,8 @@
     }
     candidates.push_back(
         {&worker, worker.FreeRoom(), 0,
-         held_.contains(worker.id()) || held_before_.contains(worker.id())});
+         held_.contains(worker.id()) || held_before_.contains(worker.id()),
+         has_ticket});
   };
   if (item.queue->advice) {
     const auto* advice =
@@ -120,12 +121,12 @@
     for (const auto& [id, ticket] : advice->allowed) {
       const auto it = fleet_->workers().find(id);
       if (it != fleet_->workers().end()) {
-        add(it->second);
+        add(it->second, now < ticket.valid_until);
       }
     }
   } else {
     for (const auto& [id, worker] : fleet_->workers()) {
-      add(worker);
+      add(worker, true);
     }
   }
   if (spec.max_per_worker > 0) {
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <numeric>
 #include <utility>
 
 #include "dotterelbarrow/core/scheduler/dispatcher.h"
@@ -78,7 +79,8 @@
 }  // namespace
 
 std::vector<Dispatcher::Choice> Dispatcher::ChooseForGang(
-    const Item& item, base::TimePoint now) const {
+    const Item& item, const std::vector<std::uint32_t>& members,
+    base::TimePoint now) const {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   std::vector<Candidate> candidates = CandidatesOf(item, now);
   std::erase_if(candidates, [this](const Candidate& candidate) {
@@ -90,47 +92,84 @@
     for (const Candidate& candidate : candidates) {
       racks[candidate.worker->listing().rack].push_back(candidate);
     }
-    for (auto& [rack, members] : racks) {
-      chosen = Fill(members, spec, spec.tasks);
+    for (auto& [rack, of_rack] : racks) {
+      chosen = Fill(of_rack, spec, members.size());
       if (!chosen.empty()) {
-        candidates = members;
+        candidates = of_rack;
         break;
       }
     }
   }
   if (chosen.empty()) {
-    chosen = Fill(candidates, spec, spec.tasks);
+    chosen = Fill(candidates, spec, members.size());
   }
   std::vector<Choice> choices;
   for (std::size_t i = 0; i < chosen.size(); ++i) {
-    choices.push_back(
-        {static_cast<std::uint32_t>(i), candidates[chosen[i]].worker->id()});
+    choices.push_back({members[i], candidates[chosen[i]].worker->id()});
   }
   return choices;
 }
 
 void Dispatcher::PlaceGang(const Item& item, base::TimePoint now,
                            std::vector<Action>* actions) {
-  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   const jobs::Step& step = *item.job->FindStep(item.step);
-  // Members of the last attempt may still be around.
-  if (step.waiting() < step.tasks.size() || !runs_->OfStep(item.step).empty()) {
+  if (step.waiting() < step.tasks.size()) {
+    PlaceMissingMembers(item, now, actions);
     return;
   }
-  if (!IsWithinCap(item, spec.tasks)) {
+  // Stray members of an earlier attempt may still be around.
+  if (!runs_->OfStep(item.step).empty() ||
+      !IsWithinCap(item, item.job->SpecOf(item.step).tasks)) {
     return;
   }
-  const std::vector<Choice> choices = ChooseForGang(item, now);
+  std::vector<std::uint32_t> members(step.tasks.size());
+  std::iota(members.begin(), members.end(), 0);
+  std::vector<Choice> choices = ChooseForGang(item, members, now);
   if (choices.empty()) {
     AskAboutMore(item, now, actions);
     HoldFor(item, now);
     return;
   }
   jobs::Attempt attempt = first_attempt_;
+  for (const std::uint32_t index : members) {
+    attempt = std::max(attempt, NextAttempt(step, index));
+  }
+  Commit(item, std::move(choices), attempt, now, actions);
+}
+
+void Dispatcher::PlaceMissingMembers(const Item& item, base::TimePoint now,
+                                     std::vector<Action>* actions) {
+  const jobs::Step& step = *item.job->FindStep(item.step);
+  std::vector<std::uint32_t> missing;
+  jobs::Attempt attempt;
   for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-    attempt = std::max(attempt, NextAttempt(step, i));
+    attempt = std::max(attempt, step.tasks[i].last_attempt);
+    if (!step.tasks[i].has_run) {
+      missing.push_back(i);
+    }
+  }
+  for (const PlacedRun& run : runs_->OfStep(item.step)) {
+    const workers::Worker* worker = fleet_->Find(run.worker);
+    const auto it = worker->runs().find(run.key());
+    // Only a gang that is still coming together can be completed.
+    if (run.attempt != attempt || it == worker->runs().end() ||
+        it->second.state == workers::RunState::kStopping) {
+      return;
+    }
+  }
+  if (!IsWithinCap(item, static_cast<std::uint32_t>(missing.size()))) {
+    return;
+  }
+  std::vector<Choice> choices = ChooseForGang(item, missing, now);
+  // The attempt is closed where its start was lost.
+  const bool is_closed_there = std::any_of(
+      choices.begin(), choices.end(), [&step](const Choice& choice) {
+        return step.tasks[choice.index].closed_on == choice.worker;
+      });
+  if (!choices.empty() && !is_closed_there) {
+    telemetry_.counters->Increment("gang_members", "placed_again");
+    Commit(item, std::move(choices), attempt, now, actions);
   }
-  Commit(item, choices, attempt, now, actions);
 }
 
 void Dispatcher::HoldFor(const Item& item, base::TimePoint now) {
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -8,9 +8,9 @@
 namespace dotterelbarrow::core::scheduler {
 namespace {
 
-// A gang of which some members were confirmed and others weren't for this long
-// is stopped: the members would time out while they wait for each other.
-constexpr base::Duration kGangPatience = std::chrono::milliseconds(1200);
+// A gang that isn't whole this long after its first start is stopped: its
+// members would time out, by the platform's usual 3 s, while they wait.
+constexpr base::Duration kGangPatience = std::chrono::milliseconds(2000);
 
 // Consecutive failures of different jobs after which a worker is left alone.
 constexpr int kFailuresInRow = 3;
@@ -24,6 +24,10 @@
                           std::int64_t clock_ms, base::TimePoint now) {
   now_ = now;
   telemetry_.counters->Increment("starts", ToString(outcome));
+  const jobs::Job* job = jobs_.Find(order.task.step.job);
+  if (job != nullptr && job->SpecOf(order.task.step).gang) {
+    forming_gangs_.try_emplace(order.task.step, now);
+  }
   if (outcome != OrderOutcome::kDone) {
     telemetry_.log->Write(
         "start_failed",
@@ -64,7 +68,10 @@
                            const std::string& checkpoint) {
   runs_.Remove(worker.id(), run);
   NoteRunsOfWorker(worker, run, end);
-  ApplyEnd(run.task, run.attempt, end, checkpoint, worker.id());
+  const bool never_started =
+      end == jobs::RunEnd::kStopped && run.confirmed_ms == 0;
+  ApplyEnd(run.task, run.attempt, end, checkpoint, worker.id(),
+           never_started);
 }
 
 void Scheduler::OnUnknownEnd(const workers::Worker& worker,
@@ -79,13 +86,14 @@
   const bool is_telling =
       end.end == jobs::RunEnd::kDone || end.end == jobs::RunEnd::kFailed;
   if (is_telling || !task->has_run) {
-    ApplyEnd(end.task, end.attempt, end.end, end.checkpoint, worker.id());
+    ApplyEnd(end.task, end.attempt, end.end, end.checkpoint, worker.id(),
+             false);
   }
 }
 
 void Scheduler::ApplyEnd(const jobs::TaskRef& task, jobs::Attempt attempt,
                          jobs::RunEnd end, const std::string& checkpoint,
-                         const base::BackendId& worker) {
+                         const base::BackendId& worker, bool never_started) {
   jobs::Job* job = jobs_.Find(task.step.job);
   if (job == nullptr || job->FindTask(task) == nullptr) {
     return;
@@ -100,6 +108,9 @@
                       {"end", jobs::ToString(end)},
                       {"saved", checkpoint.empty() ? "no" : "yes"}});
   }
+  if (never_started) {
+    job->FindTask(task)->closed_on = worker;
+  }
   const bool is_gang = job->SpecOf(task.step).gang;
   const bool changed =
       job->NoteEnd(task, attempt, end, checkpoint, worker, max_attempts);
@@ -116,8 +127,9 @@
     }
     ConsiderAll(*job);
   } else {
-    if (is_gang) {
-      // The others end as well; a stop is surer and sooner.
+    // A member that never started is placed again while the others wait;
+    // otherwise they end as well, and a stop is surer and sooner.
+    if (is_gang && !never_started) {
       StopRuns(task.step);
     }
     dispatcher_.Consider(task.step);
@@ -161,7 +173,8 @@
   if (outcome == OrderOutcome::kBadTicket) {
     dispatcher_.DropTicket(run.task.step, worker.id());
   }
-  ApplyEnd(run.task, run.attempt, jobs::RunEnd::kStopped, {}, worker.id());
+  ApplyEnd(run.task, run.attempt, jobs::RunEnd::kStopped, {}, worker.id(),
+           outcome != OrderOutcome::kOutdated);
 }
 
 void Scheduler::OnSettled(const base::BackendId& worker) {
@@ -195,22 +208,28 @@
 }
 
 void Scheduler::StopIncompleteGangs(base::TimePoint now) {
-  std::set<jobs::StepRef> incomplete;
-  for (const auto& [id, worker] : fleet_.workers()) {
-    for (const auto& [key, run] : worker.runs()) {
-      const bool is_unsure = run.state == workers::RunState::kStarting ||
-                             run.state == workers::RunState::kUncertain;
-      if (is_unsure && now - run.started_at >= kGangPatience) {
-        incomplete.insert(run.task.step);
-      }
-    }
-  }
-  for (const jobs::StepRef& step : incomplete) {
+  for (auto it = forming_gangs_.begin(); it != forming_gangs_.end();) {
+    const jobs::StepRef step = it->first;
     jobs::Job* job = jobs_.Find(step.job);
-    if (job != nullptr && job->SpecOf(step).gang) {
-      telemetry_.log->Write("gang_incomplete",
-                            {{"step", jobs::ToString(step)}});
+    const std::set<PlacedRun>& runs = runs_.OfStep(step);
+    std::size_t running = 0;
+    for (const PlacedRun& run : runs) {
+      const workers::Run* found =
+          fleet_.Find(run.worker)->FindRun(run.task, run.attempt);
+      running += found->state == workers::RunState::kRunning ? 1 : 0;
+    }
+    if (job == nullptr || runs.empty() || running == job->SpecOf(step).tasks) {
+      it = forming_gangs_.erase(it);
+    } else if (now - it->second >= kGangPatience) {
+      telemetry_.log->Write(
+          "gang_incomplete",
+          {{"step", jobs::ToString(step)},
+           {"running", static_cast<std::int64_t>(running)},
+           {"members", static_cast<std::int64_t>(runs.size())}});
+      it = forming_gangs_.erase(it);
       StopRuns(step);
+    } else {
+      ++it;
     }
   }
 }
