A former owner that is gone is not waited for; gangs wait for room under their cap in front

Change: a take-over knows whether the former owner's process is gone, or hears from it as a follower; leases of 5 s (6.5); what is less urgent waits behind a gang under the same cap; gangs ask about all workers at once; hosts whose call came to nothing are passed over for 2 s. A line a second tells the load.

--- a/include/dotterelbarrow/core/advice/advice_book.h
+++ b/include/dotterelbarrow/core/advice/advice_book.h
@@ -36,6 +36,8 @@
   // The next short call is sent this long before the host should be free, so
   // that the advisor isn't idle while answers and calls travel.
   static constexpr base::Duration kAhead = std::chrono::milliseconds(10);
+  // As long as a host that is gone may stay on the list.
+  static constexpr base::Duration kDown = std::chrono::seconds(2);
   // Without long calls for this long their hosts serve short ones too.
   static constexpr base::Duration kLongCallsOver = std::chrono::seconds(5);
 
@@ -46,12 +48,16 @@
   std::optional<base::EntryId> Choose(base::Duration cost, base::TimePoint now);
   // A call of the host came to its end.
   void OnEnded(const base::EntryId& host, base::TimePoint now);
+  // A call of the host came to nothing: the host is gone, or can't reach the
+  // advisor. It is passed over for a while.
+  void OnFailed(const base::EntryId& host, base::TimePoint now);
 
  private:
   struct Host {
     int calls = 0;
     // When the calls under way should be answered.
     base::TimePoint busy_until;
+    base::TimePoint down_until;
   };
   std::map<base::EntryId, Host> hosts_;
   std::optional<base::TimePoint> last_long_call_;
--- a/include/dotterelbarrow/core/leadership/leadership.h
+++ b/include/dotterelbarrow/core/leadership/leadership.h
@@ -85,6 +85,11 @@
   Role role() const { return role_; }
   // The token of the own term; only as the owner.
   FencingToken token() const { return own_.token; }
+  // Whether the owner before this one surely commanded nothing any more when
+  // this host claimed the cell.
+  bool was_former_owner_gone() const { return was_former_owner_gone_; }
+  // The owner before this one; null if there was none.
+  const Head* former_owner() const { return former_ ? &*former_ : nullptr; }
   // Whose cell it is as far as is known, this host included; null if it is
   // nobody's.
   const Head* owner() const;
@@ -138,6 +143,8 @@
   base::TimePoint last_read_;
   base::Duration read_latency_{0};
   bool owner_gone_ = false;
+  std::optional<Head> former_;
+  bool was_former_owner_gone_ = false;
   Head own_;
   base::RowVersion own_version_;
   // Invariant: set while a write is under way.
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -75,6 +75,8 @@
   void DropTicket(const jobs::StepRef& step, const base::BackendId& worker);
 
   std::size_t waiting_steps() const { return waiting_.size(); }
+  // Workers kept free for gangs in the last pass.
+  std::size_t held_workers() const { return held_.size(); }
 
  private:
   struct Item {
@@ -119,7 +121,8 @@
                                     const std::vector<std::uint32_t>& members,
                                     base::TimePoint now) const;
   // Keeps the workers on which the gang will fit soonest from lesser work.
-  void HoldFor(const Item& item, base::TimePoint now);
+  // Returns false if the allowed ones would never hold it.
+  bool HoldFor(const Item& item, base::TimePoint now);
   // Sets room aside, and starts at once where tickets hold; else asks. With
   // `attempt` 0 each task gets its own next one.
   void Commit(const Item& item, std::vector<Choice> choices,
@@ -130,6 +133,10 @@
                                   jobs::Attempt attempt, base::TimePoint now);
   // Returns whether the organisation may have `tasks` more of these running.
   bool IsWithinCap(const Item& item, std::uint32_t tasks) const;
+  // Returns whether the cap leaves room for these tasks and nothing else.
+  bool CanEverFitCap(const Item& item, std::uint32_t tasks) const;
+  bool FitsCap(const Item& item, const base::Resources& used,
+               std::uint32_t tasks) const;
   // What may run for any organisation, on workers of former owners that were
   // not claimed yet, and in runs whose job is gone.
   base::Resources UnseenUsage() const;
@@ -164,6 +171,9 @@
   std::set<base::BackendId> held_before_;
   int held_gangs_ = 0;
   base::Resources unseen_usage_;
+  // Organisations of which a gang waits for room under the cap. What is less
+  // urgent of theirs waits behind it: small tasks would fill each gap.
+  std::set<base::OrganisationId> cap_waiters_;
 };
 
 }  // namespace dotterelbarrow::core::scheduler
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -23,9 +23,10 @@
 namespace dotterelbarrow::core::scheduler {
 
 struct FleetSettings {
-  // How long a lease is given for. Outlasts a change of the owner, so that
-  // running work survives it.
-  base::Duration lease = std::chrono::milliseconds(6500);
+  // How long a lease is given for. Outlasts a change of the owner, which takes
+  // about two seconds, after a look that waited, so that running work survives
+  // it. What a lost worker ran waits for as long.
+  base::Duration lease = std::chrono::milliseconds(5000);
   // How long a look may wait for an end.
   base::Duration look_wait = std::chrono::milliseconds(1500);
   // Least time between two looks; gathers ends, as each look has a price.
@@ -68,9 +69,11 @@
   // until their leases have lapsed.
   void UpdateListings(const std::vector<workers::Listing>& listings,
                       base::TimePoint now);
-  // Adds a worker that a former owner used; its leases may hold until the
-  // former owner's authority and one lease more have passed.
+  // Adds a worker that a former owner used, and may go on to use until its
+  // authority ends; its leases hold for as long and one lease more.
   void Inherit(const workers::Listing& listing, base::TimePoint taken_over_at);
+  // The former owner surely commands nothing any more.
+  void NoteFormerOwnerGone(base::TimePoint now);
 
   // Appends the looks, repeated stops and lapses that are due.
   void Tick(base::TimePoint now, std::vector<Action>* actions);
@@ -112,6 +115,10 @@
   bool is_fenced() const { return is_fenced_; }
 
  private:
+  // When leases that are given until `now` have lapsed, on the slowest clock.
+  base::TimePoint LapseOfLeasesGivenAt(base::TimePoint now) const {
+    return now + settings_.lease + settings_.lease / 20;
+  }
   static WorkerAddress AddressOf(const workers::Worker& worker);
   // Returns the deadline to name in an order, and counts it as given.
   std::int64_t GrantLease(workers::Worker* worker, base::TimePoint now) const;
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -81,6 +81,11 @@
   void Inherit(const base::BackendId& worker, const std::string& record,
                base::TimePoint now);
 
+  // The owner before this one surely commands no worker any more.
+  void NoteFormerOwnerGone(base::TimePoint now) {
+    fleet_.NoteFormerOwnerGone(now);
+  }
+
   void SetDesired(std::shared_ptr<const desired::DesiredState> desired);
   void SetAskers(const std::vector<base::EntryId>& entries);
   void UpdateListings(const std::vector<workers::Listing>& listings,
@@ -141,6 +146,7 @@
   void ConsiderAll(const jobs::Job& job);
   void BeginDueOccurrences(jobs::Job* job, std::int64_t unix_now_ms);
   void EndJob(const jobs::Job& job);
+  void LogLoad();
   void NoteRunsOfWorker(const workers::Worker& worker, const workers::Run& run,
                         jobs::RunEnd end);
 
@@ -155,6 +161,7 @@
   placement::SubmissionRates rates_;
   std::vector<Action> actions_;
   base::TimePoint now_;
+  base::TimePoint load_logged_at_;
   // Workers whose record is stored or on its way.
   std::unordered_set<base::BackendId> recorded_workers_;
   // Jobs with times.
--- a/src/core/advice/advice_book.cc
+++ b/src/core/advice/advice_book.cc
@@ -33,6 +33,9 @@
            (position >= short_hosts) == is_long;
   };
   const auto is_free = [&](const Host& host) {
+    if (now < host.down_until) {
+      return false;
+    }
     return host.calls == 0 ||
            (!is_long && host.calls < 2 && host.busy_until <= now + kAhead);
   };
@@ -63,6 +66,14 @@
   }
 }
 
+void AskerChooser::OnFailed(const base::EntryId& host, base::TimePoint now) {
+  OnEnded(host, now);
+  const auto it = hosts_.find(host);
+  if (it != hosts_.end()) {
+    it->second.down_until = now + kDown;
+  }
+}
+
 StepAdvice* AdviceBook::Find(const jobs::StepRef& step) {
   const auto it = steps_.find(step);
   return it == steps_.end() ? nullptr : &it->second;
--- a/src/core/leadership/leadership.cc
+++ b/src/core/leadership/leadership.cc
@@ -89,14 +89,15 @@
     return std::nullopt;
   }
   // A former run of this host is gone for sure.
-  const bool is_free =
-      !seen_ || seen_->is_resigned || owner_gone_ ||
-      seen_->holder == settings_.self ||
-      now - unchanged_since_ >=
-          settings_.silence + read_latency_ * settings_.latency_factor;
-  if (!is_free) {
+  const bool is_gone = !seen_ || seen_->is_resigned || owner_gone_ ||
+                       seen_->holder == settings_.self;
+  const base::Duration patience =
+      settings_.silence + read_latency_ * settings_.latency_factor;
+  if (!is_gone && now - unchanged_since_ < patience) {
     return std::nullopt;
   }
+  former_ = seen_;
+  was_former_owner_gone_ = is_gone;
   own_ = Head{.token = seen_ ? seen_->token.next() : FencingToken(1),
               .holder = settings_.self,
               .incarnation = settings_.incarnation,
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -84,6 +84,7 @@
 void Dispatcher::Pass(base::TimePoint now, std::vector<Action>* actions) {
   held_before_ = std::exchange(held_, {});
   unseen_usage_ = UnseenUsage();
+  cap_waiters_.clear();
   held_gangs_ = 0;
   for (const Item& item : Collect(now)) {
     if (!IsAdvised(item, now, actions)) {
@@ -194,21 +195,33 @@
   return unseen;
 }
 
-bool Dispatcher::IsWithinCap(const Item& item, std::uint32_t tasks) const {
+bool Dispatcher::FitsCap(const Item& item, const base::Resources& used,
+                         std::uint32_t tasks) const {
   const desired::Organisation* organisation =
       desired_->FindOrganisation(item.job->organisation);
   if (organisation == nullptr) {
     return true;
   }
-  base::Resources used = runs_->UsageOf(item.job->organisation) + unseen_usage_;
+  base::Resources total = used;
   const base::Resources& needs = item.job->SpecOf(item.step).needs;
   for (std::uint32_t i = 0; i < tasks; ++i) {
-    used += needs;
+    total += needs;
   }
   const base::Resources& cap = organisation->cap;
-  return FitsUnderCap(used.cpu.value(), cap.cpu.value()) &&
-         FitsUnderCap(used.memory.value(), cap.memory.value()) &&
-         FitsUnderCap(used.accelerators.value(), cap.accelerators.value());
+  return FitsUnderCap(total.cpu.value(), cap.cpu.value()) &&
+         FitsUnderCap(total.memory.value(), cap.memory.value()) &&
+         FitsUnderCap(total.accelerators.value(), cap.accelerators.value());
+}
+
+bool Dispatcher::IsWithinCap(const Item& item, std::uint32_t tasks) const {
+  return !cap_waiters_.contains(item.job->organisation) &&
+         FitsCap(item,
+                 runs_->UsageOf(item.job->organisation) + unseen_usage_,
+                 tasks);
+}
+
+bool Dispatcher::CanEverFitCap(const Item& item, std::uint32_t tasks) const {
+  return FitsCap(item, base::Resources(), tasks);
 }
 
 jobs::Attempt Dispatcher::NextAttempt(const jobs::Step& step,
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -13,8 +13,6 @@
 // Of the workers asked about a quarter to two thirds are allowed, and each may
 // have room for some tasks.
 constexpr std::size_t kLeastAdvised = 12;
-// The objective of a job counts a call on this many.
-constexpr std::size_t kLeastAdvisedOfGang = 30;
 constexpr std::size_t kAdvisedPerTask = 6;
 
 }  // namespace
@@ -25,7 +23,8 @@
     return true;
   }
   advice::StepAdvice& advice = advice_.FindOrAdd(item.step);
-  if (advice.calls > 0) {
+  const bool has_failed = advice.failed_calls > 0 && now < advice.retry_at;
+  if (advice.calls > 0 || has_failed) {
     return false;
   }
   if (advice.is_known && !CandidatesOf(item, now).empty()) {
@@ -61,12 +60,13 @@
 
 bool Dispatcher::IsWorthAsking(const Item& item, base::TimePoint now) const {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
-  if (!IsWithinCap(item, spec.gang ? spec.tasks : 1)) {
-    return false;
+  // Room, on workers and under the cap, can be kept for a gang only once it is
+  // known which workers are allowed.
+  if (spec.gang) {
+    return CanEverFitCap(item, spec.tasks);
   }
-  // Tickets run out, so that advice for what has no room would be wasted; but
-  // room can be kept for a gang only on workers that are known as allowed.
-  return spec.gang ||
+  // Tickets run out, so that advice for what has no room would be wasted.
+  return IsWithinCap(item, 1) &&
          std::any_of(fleet_->workers().begin(), fleet_->workers().end(),
                      [&](const auto& entry) {
                        const workers::Worker& worker = entry.second;
@@ -89,7 +89,7 @@
   }
   const std::size_t most =
       std::min(settings_.max_advised,
-               std::max(spec.gang ? kLeastAdvisedOfGang : kLeastAdvised,
+               std::max(spec.gang ? settings_.max_advised : kLeastAdvised,
                         kAdvisedPerTask * spec.tasks));
   if (suitable.size() > most) {
     // Those that nothing is known of come first, then those with most room.
@@ -127,6 +127,11 @@
   ++advice.calls;
   advice.asked.insert(workers.begin(), workers.end());
   telemetry_.counters->Increment("advice_calls", "asked");
+  telemetry_.log->Write(
+      "advice_asked",
+      {{"step", jobs::ToString(item.step)},
+       {"asker", asker->value()},
+       {"workers", static_cast<std::int64_t>(workers.size())}});
   actions->push_back(AskAdvice{*asker, item.step, std::move(workers)});
   return true;
 }
@@ -151,7 +156,11 @@
 void Dispatcher::OnAdvice(const jobs::StepRef& step, const base::EntryId& asker,
                           const AdviceResult& result, base::TimePoint now,
                           std::vector<Action>* actions) {
-  askers_.OnEnded(asker, now);
+  if (result.outcome == AdviceResult::Outcome::kFailed) {
+    askers_.OnFailed(asker, now);
+  } else {
+    askers_.OnEnded(asker, now);
+  }
   advice::StepAdvice* advice = advice_.Find(step);
   if (advice == nullptr) {
     return;
@@ -173,6 +182,7 @@
         result.outcome == AdviceResult::Outcome::kBusy ? "busy" : "failed");
     telemetry_.log->Write("advice_failed",
                           {{"step", jobs::ToString(step)},
+                           {"asker", asker.value()},
                            {"failed_calls", advice->failed_calls}});
   }
   waiting_.insert(step);
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -118,16 +118,23 @@
     return;
   }
   // Stray members of an earlier attempt may still be around.
-  if (!runs_->OfStep(item.step).empty() ||
-      !IsWithinCap(item, item.job->SpecOf(item.step).tasks)) {
+  if (!runs_->OfStep(item.step).empty()) {
+    return;
+  }
+  const auto tasks = static_cast<std::uint32_t>(step.tasks.size());
+  if (!IsWithinCap(item, tasks)) {
+    if (CanEverFitCap(item, tasks)) {
+      cap_waiters_.insert(item.job->organisation);
+    }
     return;
   }
   std::vector<std::uint32_t> members(step.tasks.size());
   std::iota(members.begin(), members.end(), 0);
   std::vector<Choice> choices = ChooseForGang(item, members, now);
   if (choices.empty()) {
-    AskAboutMore(item, now, actions);
-    HoldFor(item, now);
+    if (!HoldFor(item, now)) {
+      AskAboutMore(item, now, actions);
+    }
     return;
   }
   jobs::Attempt attempt = first_attempt_;
@@ -172,9 +179,9 @@
   }
 }
 
-void Dispatcher::HoldFor(const Item& item, base::TimePoint now) {
+bool Dispatcher::HoldFor(const Item& item, base::TimePoint now) {
   if (held_gangs_ >= settings_.max_held_gangs) {
-    return;
+    return true;
   }
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   std::vector<Opening> openings;
@@ -184,7 +191,7 @@
     }
   }
   if (openings.size() < spec.tasks) {
-    return;
+    return false;
   }
   std::stable_sort(
       openings.begin(), openings.end(),
@@ -193,6 +200,7 @@
     held_.insert(openings[i].worker);
   }
   ++held_gangs_;
+  return true;
 }
 
 }  // namespace dotterelbarrow::core::scheduler
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -95,13 +95,20 @@
   worker.set_listed(false);
   worker.last_answer = taken_over_at;
   worker.next_look = taken_over_at;
-  // A former owner's clock and the worker's own may differ by the drift.
-  worker.inherited_until = taken_over_at + settings_.former_owner_authority +
-                           settings_.lease + settings_.lease / 20;
+  worker.inherited_until =
+      LapseOfLeasesGivenAt(taken_over_at + settings_.former_owner_authority);
   workers_.insert_or_assign(listing.id, std::move(worker));
   unsettled_.insert(listing.id);
 }
 
+void Fleet::NoteFormerOwnerGone(base::TimePoint now) {
+  for (const base::BackendId& id : unsettled_) {
+    Worker& worker = workers_.at(id);
+    worker.inherited_until =
+        std::min(worker.inherited_until, LapseOfLeasesGivenAt(now));
+  }
+}
+
 Worker* Fleet::Find(const base::BackendId& id) {
   const auto it = workers_.find(id);
   return it == workers_.end() ? nullptr : &it->second;
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -11,6 +11,8 @@
 
 // Attempts of one owner; more starts of one task would take days.
 constexpr std::uint64_t kAttemptsPerTerm = 10'000;
+constexpr base::Duration kLoadLogPeriod = std::chrono::seconds(1);
+constexpr std::int64_t kMillicoresPerCore = 1000;
 // When a caller that is refused for want of memory may come back.
 constexpr base::Duration kFullRetryAfter = std::chrono::seconds(2);
 
@@ -243,6 +245,33 @@
     }
   }
   jobs_.Expire(now);
+  if (now - load_logged_at_ >= kLoadLogPeriod) {
+    load_logged_at_ = now;
+    LogLoad();
+  }
+}
+
+void Scheduler::LogLoad() {
+  base::Resources reserved;
+  base::Resources capacity;
+  std::int64_t silent = 0;
+  for (const auto& [id, worker] : fleet_.workers()) {
+    reserved += worker.reserved();
+    capacity += worker.listing().capacity;
+    silent += worker.TakesWork(now_) ? 0 : 1;
+  }
+  telemetry_.log->Write(
+      "load",
+      {{"live_jobs", static_cast<std::int64_t>(jobs_.jobs().size())},
+       {"waiting_steps",
+        static_cast<std::int64_t>(dispatcher_.waiting_steps())},
+       {"cores", reserved.cpu.value() / kMillicoresPerCore},
+       {"cores_in_all", capacity.cpu.value() / kMillicoresPerCore},
+       {"memory", reserved.memory.value()},
+       {"memory_in_all", capacity.memory.value()},
+       {"workers_without_new_work", silent},
+       {"workers_held", static_cast<std::int64_t>(
+                            dispatcher_.held_workers())}});
 }
 
 void Scheduler::OnStored(const StoredBatch& batch, base::TimePoint now) {
--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -299,7 +299,13 @@
   const Json::Value& host = params["host"];
   const Json::Value& address = params["address"];
   if (host.isString() && address.isString()) {
-    peers_[base::EntryId(host.asString())] = {address.asString(), Now()};
+    const base::EntryId entry(host.asString());
+    peers_[entry] = {address.asString(), Now()};
+    const core::leadership::Head* former = leadership_.former_owner();
+    // Who greets the owner follows it.
+    if (term_ != nullptr && former != nullptr && former->holder == entry) {
+      term_->NoteFormerOwnerGone();
+    }
   }
   Json::Value result(Json::objectValue);
   result["incarnation"] = Json::UInt64(incarnation_.value());
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -125,6 +125,10 @@
        {"workers", static_cast<std::int64_t>(loading_.workers.size())}});
   loading_ = {};
   is_loaded_ = true;
+  if (is_former_owner_gone_ || parts_.leadership->was_former_owner_gone()) {
+    is_former_owner_gone_ = true;
+    scheduler_.NoteFormerOwnerGone(now);
+  }
   ReadListings();
 }
 
@@ -235,6 +239,15 @@
   Wake();
 }
 
+void OwnerTerm::NoteFormerOwnerGone() {
+  if (is_former_owner_gone_) {
+    return;
+  }
+  is_former_owner_gone_ = true;
+  parts_.telemetry.log->Write("former_owner_gone", {});
+  scheduler_.NoteFormerOwnerGone(Now());
+}
+
 void OwnerTerm::Resign() {
   is_resigning_ = true;
   WriteIfDue();
--- a/src/member/owner_term.h
+++ b/src/member/owner_term.h
@@ -47,6 +47,8 @@
 
   void SetDesired(std::shared_ptr<const core::desired::DesiredState> desired);
   void SetAskers(const std::vector<base::EntryId>& entries);
+  // The owner before this one surely commands no worker any more.
+  void NoteFormerOwnerGone();
   // Answers now or once the outcome is stored.
   void Handle(const OwnerCall& call, const OwnerReply& reply);
   // Gives the cell up after what is under way.
@@ -106,6 +108,7 @@
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
   core::scheduler::FencingToken token_;
   bool is_loaded_ = false;
+  bool is_former_owner_gone_ = false;
   bool is_resigning_ = false;
   bool is_over_ = false;
   int tables_loading_ = 0;
--- a/test/core/advice/advice_book_test.cc
+++ b/test/core/advice/advice_book_test.cc
@@ -75,6 +75,20 @@
   }
 }
 
+TEST_CASE("a host that is gone") {
+  Load load;
+  load.chooser.SetHosts(Hosts(2));
+  const auto gone = load.chooser.Choose(kShort, load.now);
+  load.chooser.OnFailed(*gone, load.now);
+  SUBCASE("is passed over for a while") {
+    CHECK(load.chooser.Choose(kShort, load.now) != gone);
+  }
+  SUBCASE("is asked again later") {
+    load.now += std::chrono::seconds(3);
+    CHECK(load.chooser.Choose(kShort, load.now) == gone);
+  }
+}
+
 TEST_CASE("one host alone takes calls of both kinds") {
   Load load;
   load.chooser.SetHosts(Hosts(1));
