A pass over a long backlog stays cheap

Ruled out: room and advice (load lines: free cores while steps wait; calls well below what hosts can ask). Change: objectives are worked out once a job; a step that fits nowhere or can't be advised now is passed over before anything is built; a pass ends after 48 misses and takes a third of the time at most; workers are found by hash.

--- a/include/dotterelbarrow/core/advice/advice_book.h
+++ b/include/dotterelbarrow/core/advice/advice_book.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "dotterelbarrow/base/ids.h"
@@ -46,6 +47,8 @@
   // Returns a host that is free for a call of this length, and counts the
   // call; nullopt if none is.
   std::optional<base::EntryId> Choose(base::Duration cost, base::TimePoint now);
+  // Returns whether Choose would find a host.
+  bool CanChoose(base::Duration cost, base::TimePoint now);
   // A call of the host came to its end.
   void OnEnded(const base::EntryId& host, base::TimePoint now);
   // A call of the host came to nothing: the host is gone, or can't reach the
@@ -59,6 +62,10 @@
     base::TimePoint busy_until;
     base::TimePoint down_until;
   };
+  // Returns a free host, or null.
+  std::pair<const base::EntryId, Host>* FindFree(base::Duration cost,
+                                                 base::TimePoint now);
+
   std::map<base::EntryId, Host> hosts_;
   std::optional<base::TimePoint> last_long_call_;
 };
@@ -88,6 +95,7 @@
  public:
   // Returns null for a step that nothing was asked for.
   StepAdvice* Find(const jobs::StepRef& step);
+  const StepAdvice* Find(const jobs::StepRef& step) const;
   StepAdvice& FindOrAdd(const jobs::StepRef& step) { return steps_[step]; }
   void Forget(const jobs::StepRef& step) { steps_.erase(step); }
   void Clear() { steps_.clear(); }
--- a/include/dotterelbarrow/core/jobs/job.h
+++ b/include/dotterelbarrow/core/jobs/job.h
@@ -88,6 +88,10 @@
   std::int64_t accepted_ms = 0;
   // The same by the driver's clock.
   base::TimePoint accepted_at;
+  // When it is due and when it has lost its worth, counted from its
+  // acceptance; zero until they were worked out.
+  base::Duration due_after{0};
+  base::Duration worthless_after{0};
   JobState state = JobState::kQueued;
   // What the store holds; callers are shown nothing newer.
   JobState stored_state = JobState::kQueued;
--- a/include/dotterelbarrow/core/placement/urgency.h
+++ b/include/dotterelbarrow/core/placement/urgency.h
@@ -45,7 +45,8 @@
   friend std::strong_ordering operator<=>(const Urgency& a, const Urgency& b);
 };
 
-Urgency UrgencyOf(const jobs::Job& job, const jobs::StepSpec& step,
+// Works the objective of `job` out the first time, and keeps it there.
+Urgency UrgencyOf(jobs::Job* job, const jobs::StepSpec& step,
                   const desired::Queue& queue, bool over_share,
                   base::TimePoint now);
 
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -32,6 +32,9 @@
   base::Duration advice_retry = std::chrono::milliseconds(150);
   // Gangs for which room is kept free at a time; more would empty the fleet.
   int max_held_gangs = 2;
+  // Steps in a row of their urgency that a pass finds no room for before it
+  // ends: with a long backlog the rest would only cost processor time.
+  int max_misses = 48;
 };
 
 class Dispatcher {
@@ -84,6 +87,8 @@
     jobs::StepRef step;
     jobs::Job* job = nullptr;
     const desired::Queue* queue = nullptr;
+    // Allowed workers that take work; filled in once advice is known.
+    std::vector<placement::Candidate> candidates{};
   };
   // One task on one worker.
   struct Choice {
@@ -95,8 +100,12 @@
   std::vector<Item> Collect(base::TimePoint now);
   // Returns nullopt where the step has nothing to place.
   std::optional<Item> ItemOf(const jobs::StepRef& ref, base::TimePoint now);
-  bool IsAdvised(const Item& item, base::TimePoint now,
-                 std::vector<Action>* actions);
+  // Returns whether some worker of the fleet may have room. Cheap.
+  bool MayFit(const Item& item) const;
+  // Fills in the candidates; returns whether there are any. If not, asks.
+  bool FindCandidates(Item* item, base::TimePoint now,
+                      std::vector<Action>* actions);
+  bool CanAsk(const Item& item, base::TimePoint now);
   bool IsWorthAsking(const Item& item, base::TimePoint now) const;
   // Returns whether an entry host was free for the call.
   bool Ask(const Item& item, std::vector<base::BackendId> workers,
@@ -108,18 +117,18 @@
                     std::vector<Action>* actions);
   std::vector<placement::Candidate> CandidatesOf(const Item& item,
                                                  base::TimePoint now) const;
-  void PlaceTasks(const Item& item, base::TimePoint now,
+  // Each returns whether anything was placed.
+  bool PlaceTasks(const Item& item, base::TimePoint now,
                   std::vector<Action>* actions);
-  void PlaceGang(const Item& item, base::TimePoint now,
+  bool PlaceGang(const Item& item, base::TimePoint now,
                  std::vector<Action>* actions);
   // Places the members whose starts didn't reach a worker elsewhere, while the
   // others wait for them.
-  void PlaceMissingMembers(const Item& item, base::TimePoint now,
+  bool PlaceMissingMembers(const Item& item, base::TimePoint now,
                            std::vector<Action>* actions);
   // Returns a worker for each of `members`, or nothing if not all have room.
-  std::vector<Choice> ChooseForGang(const Item& item,
-                                    const std::vector<std::uint32_t>& members,
-                                    base::TimePoint now) const;
+  std::vector<Choice> ChooseForGang(
+      const Item& item, const std::vector<std::uint32_t>& members) const;
   // Keeps the workers on which the gang will fit soonest from lesser work.
   // Returns false if the allowed ones would never hold it.
   bool HoldFor(const Item& item, base::TimePoint now);
@@ -171,6 +180,8 @@
   std::set<base::BackendId> held_before_;
   int held_gangs_ = 0;
   base::Resources unseen_usage_;
+  // At least the free room of any worker, in each dimension.
+  base::Resources largest_room_;
   // Organisations of which a gang waits for room under the cap. What is less
   // urgent of theirs waits behind it: small tasks would fill each gap.
   std::set<base::OrganisationId> cap_waiters_;
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -9,9 +9,10 @@
 
 #include <sigc++/signal.h>
 
-#include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "dotterelbarrow/base/ids.h"
@@ -106,7 +107,8 @@
                     base::TimePoint now);
 
   workers::Worker* Find(const base::BackendId& id);
-  const std::map<base::BackendId, workers::Worker>& workers() const {
+  const std::unordered_map<base::BackendId, workers::Worker>& workers()
+      const {
     return workers_;
   }
   // Workers of former owners that may still run what isn't known here.
@@ -146,7 +148,8 @@
 
   FleetSettings settings_;
   Telemetry telemetry_;
-  std::map<base::BackendId, workers::Worker> workers_;
+  // Workers stay at their place until they are forgotten.
+  std::unordered_map<base::BackendId, workers::Worker> workers_;
   std::set<base::BackendId> unsettled_;
   bool is_fenced_ = false;
 };
--- a/src/core/advice/advice_book.cc
+++ b/src/core/advice/advice_book.cc
@@ -15,11 +15,8 @@
   hosts_ = std::move(next);
 }
 
-std::optional<base::EntryId> AskerChooser::Choose(base::Duration cost,
-                                                  base::TimePoint now) {
-  if (hosts_.empty()) {
-    return std::nullopt;
-  }
+std::pair<const base::EntryId, AskerChooser::Host>* AskerChooser::FindFree(
+    base::Duration cost, base::TimePoint now) {
   const bool is_long = cost >= kLongCall;
   if (is_long) {
     last_long_call_ = now;
@@ -47,7 +44,17 @@
       best = it;
     }
   }
-  if (best == hosts_.end()) {
+  return best == hosts_.end() ? nullptr : &*best;
+}
+
+bool AskerChooser::CanChoose(base::Duration cost, base::TimePoint now) {
+  return FindFree(cost, now) != nullptr;
+}
+
+std::optional<base::EntryId> AskerChooser::Choose(base::Duration cost,
+                                                  base::TimePoint now) {
+  auto* const best = FindFree(cost, now);
+  if (best == nullptr) {
     return std::nullopt;
   }
   ++best->second.calls;
@@ -79,6 +86,11 @@
   return it == steps_.end() ? nullptr : &it->second;
 }
 
+const StepAdvice* AdviceBook::Find(const jobs::StepRef& step) const {
+  const auto it = steps_.find(step);
+  return it == steps_.end() ? nullptr : &it->second;
+}
+
 base::Duration CallCost(const desired::AdvicePolicy& policy,
                         std::size_t workers) {
   return policy.decision +
--- a/src/core/placement/urgency.cc
+++ b/src/core/placement/urgency.cc
@@ -32,18 +32,23 @@
          std::tie(b.standing, b.over_share, b.priority, b.latest_start);
 }
 
-Urgency UrgencyOf(const jobs::Job& job, const jobs::StepSpec& step,
+Urgency UrgencyOf(jobs::Job* due, const jobs::StepSpec& step,
                   const desired::Queue& queue, bool over_share,
                   base::TimePoint now) {
-  const CompletionObjective objective = ObjectiveOf(queue, job.spec);
+  if (due->due_after == base::Duration(0)) {
+    const CompletionObjective objective = ObjectiveOf(queue, due->spec);
+    due->due_after = objective.on_time;
+    due->worthless_after = objective.late;
+  }
+  const jobs::Job& job = *due;
   Urgency urgency;
   urgency.over_share = over_share;
   urgency.priority = queue.priority;
-  urgency.latest_start = job.accepted_at + objective.on_time - step.estimate;
+  urgency.latest_start = job.accepted_at + job.due_after - step.estimate;
   if (job.spec.is_scheduled() || job.spec.has_long_running_step()) {
     return urgency;
   }
-  if (now > job.accepted_at + objective.late) {
+  if (now > job.accepted_at + job.worthless_after) {
     urgency.standing = Standing::kExpired;
   } else if (now > urgency.latest_start) {
     urgency.standing = Standing::kLate;
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -55,7 +55,7 @@
     return std::nullopt;
   }
   item.urgency =
-      placement::UrgencyOf(*item.job, item.job->SpecOf(ref), *item.queue,
+      placement::UrgencyOf(item.job, item.job->SpecOf(ref), *item.queue,
                            over_share_.contains(ref.job), now);
   return item;
 }
@@ -86,18 +86,38 @@
   unseen_usage_ = UnseenUsage();
   cap_waiters_.clear();
   held_gangs_ = 0;
-  for (const Item& item : Collect(now)) {
-    if (!IsAdvised(item, now, actions)) {
-      continue;
+  largest_room_ = base::Resources();
+  for (const auto& [id, worker] : fleet_->workers()) {
+    if (worker.TakesWork(now)) {
+      const base::Resources room = worker.FreeRoom();
+      largest_room_.cpu = std::max(largest_room_.cpu, room.cpu);
+      largest_room_.memory = std::max(largest_room_.memory, room.memory);
+      largest_room_.accelerators =
+          std::max(largest_room_.accelerators, room.accelerators);
+    }
+  }
+  int misses = 0;
+  for (Item& item : Collect(now)) {
+    if (misses >= settings_.max_misses) {
+      break;
     }
-    if (item.job->SpecOf(item.step).gang) {
-      PlaceGang(item, now, actions);
-    } else {
-      PlaceTasks(item, now, actions);
+    if (!MayFit(item) || !FindCandidates(&item, now, actions)) {
+      continue;
     }
+    const bool is_placed = item.job->SpecOf(item.step).gang
+                               ? PlaceGang(item, now, actions)
+                               : PlaceTasks(item, now, actions);
+    misses += is_placed ? 0 : 1;
   }
 }
 
+bool Dispatcher::MayFit(const Item& item) const {
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  const bool may_be_held_for =
+      spec.gang && held_gangs_ < settings_.max_held_gangs;
+  return may_be_held_for || spec.Reservation().FitsIn(largest_room_);
+}
+
 std::vector<Candidate> Dispatcher::CandidatesOf(const Item& item,
                                                 base::TimePoint now) const {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
@@ -114,8 +134,7 @@
          has_ticket});
   };
   if (item.queue->advice) {
-    const auto* advice =
-        const_cast<advice::AdviceBook&>(advice_).Find(item.step);
+    const advice::StepAdvice* advice = advice_.Find(item.step);
     if (advice == nullptr) {
       return candidates;
     }
@@ -140,11 +159,11 @@
   return candidates;
 }
 
-void Dispatcher::PlaceTasks(const Item& item, base::TimePoint now,
+bool Dispatcher::PlaceTasks(const Item& item, base::TimePoint now,
                             std::vector<Action>* actions) {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   const jobs::Step& step = *item.job->FindStep(item.step);
-  std::vector<Candidate> candidates = CandidatesOf(item, now);
+  std::vector<Candidate> candidates = item.candidates;
   // Work of less urgency leaves the workers alone on which a gang waits.
   std::erase_if(candidates, [this](const Candidate& candidate) {
     return held_.contains(candidate.worker->id());
@@ -180,9 +199,10 @@
   }
   if (choices.empty()) {
     AskAboutMore(item, now, actions);
-  } else {
-    Commit(item, std::move(choices), jobs::Attempt(0), now, actions);
+    return false;
   }
+  Commit(item, std::move(choices), jobs::Attempt(0), now, actions);
+  return true;
 }
 
 base::Resources Dispatcher::UnseenUsage() const {
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -17,34 +17,44 @@
 
 }  // namespace
 
-bool Dispatcher::IsAdvised(const Item& item, base::TimePoint now,
-                           std::vector<Action>* actions) {
-  if (!item.queue->advice) {
-    return true;
+bool Dispatcher::FindCandidates(Item* item, base::TimePoint now,
+                                std::vector<Action>* actions) {
+  if (!item->queue->advice) {
+    item->candidates = CandidatesOf(*item, now);
+    return !item->candidates.empty();
   }
-  advice::StepAdvice& advice = advice_.FindOrAdd(item.step);
+  advice::StepAdvice& advice = advice_.FindOrAdd(item->step);
   const bool has_failed = advice.failed_calls > 0 && now < advice.retry_at;
   if (advice.calls > 0 || has_failed) {
     return false;
   }
-  if (advice.is_known && !CandidatesOf(item, now).empty()) {
-    return true;
+  if (advice.is_known) {
+    item->candidates = CandidatesOf(*item, now);
+    if (!item->candidates.empty()) {
+      return true;
+    }
   }
   // Nobody allowed is left, or nothing is known yet.
-  if (now >= advice.retry_at && IsWorthAsking(item, now) &&
-      Ask(item, WorkersToAskAbout(item, now), now, actions)) {
+  if (now >= advice.retry_at && CanAsk(*item, now) &&
+      IsWorthAsking(*item, now) &&
+      Ask(*item, WorkersToAskAbout(*item, now), now, actions)) {
     advice.retry_at = now + kAskAgainAfter;
   }
   return false;
 }
 
+bool Dispatcher::CanAsk(const Item& item, base::TimePoint now) {
+  return askers_.CanChoose(
+      advice::CallCost(*item.queue->advice, kLeastAdvised), now);
+}
+
 void Dispatcher::AskAboutMore(const Item& item, base::TimePoint now,
                               std::vector<Action>* actions) {
   if (!item.queue->advice) {
     return;
   }
   advice::StepAdvice& advice = advice_.FindOrAdd(item.step);
-  if (advice.calls > 0 || now < advice.retry_at) {
+  if (advice.calls > 0 || now < advice.retry_at || !CanAsk(item, now)) {
     return;
   }
   const base::Resources task = item.job->SpecOf(item.step).Reservation();
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -79,10 +79,9 @@
 }  // namespace
 
 std::vector<Dispatcher::Choice> Dispatcher::ChooseForGang(
-    const Item& item, const std::vector<std::uint32_t>& members,
-    base::TimePoint now) const {
+    const Item& item, const std::vector<std::uint32_t>& members) const {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
-  std::vector<Candidate> candidates = CandidatesOf(item, now);
+  std::vector<Candidate> candidates = item.candidates;
   std::erase_if(candidates, [this](const Candidate& candidate) {
     return held_.contains(candidate.worker->id());
   });
@@ -110,41 +109,41 @@
   return choices;
 }
 
-void Dispatcher::PlaceGang(const Item& item, base::TimePoint now,
+bool Dispatcher::PlaceGang(const Item& item, base::TimePoint now,
                            std::vector<Action>* actions) {
   const jobs::Step& step = *item.job->FindStep(item.step);
   if (step.waiting() < step.tasks.size()) {
-    PlaceMissingMembers(item, now, actions);
-    return;
+    return PlaceMissingMembers(item, now, actions);
   }
   // Stray members of an earlier attempt may still be around.
   if (!runs_->OfStep(item.step).empty()) {
-    return;
+    return false;
   }
   const auto tasks = static_cast<std::uint32_t>(step.tasks.size());
   if (!IsWithinCap(item, tasks)) {
     if (CanEverFitCap(item, tasks)) {
       cap_waiters_.insert(item.job->organisation);
     }
-    return;
+    return false;
   }
   std::vector<std::uint32_t> members(step.tasks.size());
   std::iota(members.begin(), members.end(), 0);
-  std::vector<Choice> choices = ChooseForGang(item, members, now);
+  std::vector<Choice> choices = ChooseForGang(item, members);
   if (choices.empty()) {
     if (!HoldFor(item, now)) {
       AskAboutMore(item, now, actions);
     }
-    return;
+    return false;
   }
   jobs::Attempt attempt = first_attempt_;
   for (const std::uint32_t index : members) {
     attempt = std::max(attempt, NextAttempt(step, index));
   }
   Commit(item, std::move(choices), attempt, now, actions);
+  return true;
 }
 
-void Dispatcher::PlaceMissingMembers(const Item& item, base::TimePoint now,
+bool Dispatcher::PlaceMissingMembers(const Item& item, base::TimePoint now,
                                      std::vector<Action>* actions) {
   const jobs::Step& step = *item.job->FindStep(item.step);
   std::vector<std::uint32_t> missing;
@@ -161,13 +160,13 @@
     // Only a gang that is still coming together can be completed.
     if (run.attempt != attempt || it == worker->runs().end() ||
         it->second.state == workers::RunState::kStopping) {
-      return;
+      return false;
     }
   }
   if (!IsWithinCap(item, static_cast<std::uint32_t>(missing.size()))) {
-    return;
+    return false;
   }
-  std::vector<Choice> choices = ChooseForGang(item, missing, now);
+  std::vector<Choice> choices = ChooseForGang(item, missing);
   // The attempt is closed where its start was lost.
   const bool is_closed_there = std::any_of(
       choices.begin(), choices.end(), [&step](const Choice& choice) {
@@ -176,7 +175,9 @@
   if (!choices.empty() && !is_closed_there) {
     telemetry_.counters->Increment("gang_members", "placed_again");
     Commit(item, std::move(choices), attempt, now, actions);
+    return true;
   }
+  return false;
 }
 
 bool Dispatcher::HoldFor(const Item& item, base::TimePoint now) {
@@ -185,7 +186,7 @@
   }
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   std::vector<Opening> openings;
-  for (const Candidate& candidate : CandidatesOf(item, now)) {
+  for (const Candidate& candidate : item.candidates) {
     if (!held_.contains(candidate.worker->id())) {
       AppendOpenings(candidate, spec, spec.tasks, now, &openings);
     }
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -17,6 +17,9 @@
 
 // Leases, stops and lapses are looked at this often.
 constexpr base::Duration kTickPeriod = std::chrono::milliseconds(50);
+// Passes take at most one in this many parts of the time, so that a long
+// backlog leaves time for answers.
+constexpr int kPassShare = 3;
 // One transaction holds all changes of this time; each has a price.
 constexpr base::Duration kWriteGap = std::chrono::milliseconds(20);
 // A quarter of the time in which a leaving worker must get no new work (2 s).
@@ -267,7 +270,7 @@
 void OwnerTerm::WakeIn(base::Duration delay) {
   if (!is_pass_armed_) {
     is_pass_armed_ = true;
-    pass_timer_.StartOnce(delay);
+    pass_timer_.StartOnce(std::max(delay, next_pass_ - Now()));
   }
 }
 
@@ -277,7 +280,9 @@
     return;
   }
   if (!is_resigning_ && parts_.leadership->HasAuthority(Now())) {
-    scheduler_.Pass(Now());
+    const base::TimePoint begun = Now();
+    scheduler_.Pass(begun);
+    next_pass_ = Now() + (Now() - begun) * kPassShare;
   }
   CarryOut();
   WriteIfDue();
--- a/src/member/owner_term.h
+++ b/src/member/owner_term.h
@@ -124,6 +124,7 @@
   wire::Timer listings_timer_;
   wire::Timer pass_timer_;
   bool is_pass_armed_ = false;
+  base::TimePoint next_pass_;
   wire::PeriodicTimer tick_timer_;
 };
 
--- a/test/core/placement/policies_test.cc
+++ b/test/core/placement/policies_test.cc
@@ -32,7 +32,8 @@
 
 Urgency UrgencyAt(const jobs::Job& job, const desired::Queue& queue,
                   base::TimePoint now, bool over_share = false) {
-  return UrgencyOf(job, job.spec.steps[0], queue, over_share, now);
+  jobs::Job due = job;
+  return UrgencyOf(&due, job.spec.steps[0], queue, over_share, now);
 }
 
 TEST_CASE("a burst fills the fleet for seconds") {
