What can't be in time is refused at once under overload

Change: placement/overload_guard: jobs beyond an organisation's weight are refused once others have used 0.3 of their slack waiting for room, a queue's jobs once its most pressed one has used 0.9.

--- /dev/null
+++ b/include/dotterelbarrow/core/placement/overload_guard.h
@@ -0,0 +1,63 @@
+// Decides which new jobs to refuse at once because they can't be served in
+// time.
+//
+// Load pattern: a burst, or one organisation at several times its share, brings
+// more than the fleet can do for seconds. What waits is placed by its latest
+// start, so that the wait of a new job is about that of the most pressed one of
+// its queue. Jobs beyond an organisation's share go as soon as others wait for
+// a noticeable part of their slack; other jobs only when those before them are
+// about to be late. Nothing that was accepted is given up.
+#ifndef DOTTERELBARROW_CORE_PLACEMENT_OVERLOAD_GUARD_H_
+#define DOTTERELBARROW_CORE_PLACEMENT_OVERLOAD_GUARD_H_
+
+#include <algorithm>
+#include <unordered_map>
+
+#include "dotterelbarrow/base/units.h"
+#include "dotterelbarrow/core/desired/desired_state.h"
+
+namespace dotterelbarrow::core::placement {
+
+enum class Refusal {
+  kNone,
+  kOverShare,   // The organisation is beyond its share, and others wait.
+  kOverloaded,  // It would be late: those before it are about to be.
+};
+
+class OverloadGuard {
+ public:
+  // Parts of the slack that the most pressed job has used up.
+  static constexpr double kOthersWait = 0.3;
+  static constexpr double kAboutToBeLate = 0.9;
+
+  // Begins a new look at what waits.
+  void Clear() {
+    used_slack_.clear();
+    most_used_ = 0;
+  }
+  // A job of `queue` within its share waits for room; it has used this part of
+  // its slack, from 0 to 1.
+  void NoteWaiting(const desired::QueueId& queue, double used_slack) {
+    double& most = used_slack_[queue];
+    most = std::max(most, used_slack);
+    most_used_ = std::max(most_used_, used_slack);
+  }
+
+  Refusal Decide(const desired::QueueId& queue, bool over_share) const {
+    if (over_share && most_used_ > kOthersWait) {
+      return Refusal::kOverShare;
+    }
+    const auto it = used_slack_.find(queue);
+    const bool is_pressed =
+        it != used_slack_.end() && it->second > kAboutToBeLate;
+    return is_pressed ? Refusal::kOverloaded : Refusal::kNone;
+  }
+
+ private:
+  std::unordered_map<desired::QueueId, double> used_slack_;
+  double most_used_ = 0;
+};
+
+}  // namespace dotterelbarrow::core::placement
+
+#endif  // DOTTERELBARROW_CORE_PLACEMENT_OVERLOAD_GUARD_H_
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -13,6 +13,7 @@
 
 #include "dotterelbarrow/core/advice/advice_book.h"
 #include "dotterelbarrow/core/desired/desired_state.h"
+#include "dotterelbarrow/core/placement/overload_guard.h"
 #include "dotterelbarrow/core/placement/urgency.h"
 #include "dotterelbarrow/core/placement/worker_choice.h"
 #include "dotterelbarrow/core/scheduler/actions.h"
@@ -65,6 +66,11 @@
   // Looks at the step in the next pass.
   void Consider(const jobs::StepRef& step) { waiting_.insert(step); }
   void Forget(const jobs::StepRef& step);
+  // Whether a new job should be refused, as of the last pass.
+  placement::Refusal ShouldRefuse(const desired::QueueId& queue,
+                                  bool over_share) const {
+    return guard_.Decide(queue, over_share);
+  }
   // An organisation's job beyond its weight was accepted.
   void NoteOverShare(jobs::JobKey job) { over_share_.insert(job); }
   void ForgetJob(jobs::JobKey job);
@@ -98,6 +104,8 @@
 
   // Returns what can be looked at now, the most urgent first.
   std::vector<Item> Collect(base::TimePoint now);
+  // Tells the guard how long a job that found no room has been waiting.
+  void NoteMiss(const Item& item, base::TimePoint now);
   // Returns nullopt where the step has nothing to place.
   std::optional<Item> ItemOf(const jobs::StepRef& ref, base::TimePoint now);
   // Returns whether some worker of the fleet may have room. Cheap.
@@ -179,6 +187,7 @@
   std::set<base::BackendId> held_;
   std::set<base::BackendId> held_before_;
   int held_gangs_ = 0;
+  placement::OverloadGuard guard_;
   base::Resources unseen_usage_;
   // At least the free room of any worker, in each dimension.
   base::Resources largest_room_;
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -96,19 +96,40 @@
           std::max(largest_room_.accelerators, room.accelerators);
     }
   }
+  guard_.Clear();
   int misses = 0;
   for (Item& item : Collect(now)) {
     if (misses >= settings_.max_misses) {
       break;
     }
-    if (!MayFit(item) || !FindCandidates(&item, now, actions)) {
+    if (!MayFit(item)) {
+      NoteMiss(item, now);
+      continue;
+    }
+    if (!FindCandidates(&item, now, actions)) {
       continue;
     }
     const bool is_placed = item.job->SpecOf(item.step).gang
                                ? PlaceGang(item, now, actions)
                                : PlaceTasks(item, now, actions);
-    misses += is_placed ? 0 : 1;
+    if (!is_placed) {
+      ++misses;
+      NoteMiss(item, now);
+    }
+  }
+}
+
+void Dispatcher::NoteMiss(const Item& item, base::TimePoint now) {
+  const bool is_owed = item.urgency.standing == placement::Standing::kOnTime &&
+                       !item.urgency.over_share && item.step.step == 0;
+  const base::Duration slack = item.urgency.latest_start -
+                               item.job->accepted_at;
+  if (!is_owed || slack <= base::Duration(0) || !IsWithinCap(item, 1)) {
+    return;
   }
+  const base::Duration waited = now - item.job->accepted_at;
+  guard_.NoteWaiting(item.queue->id, static_cast<double>(waited.count()) /
+                                         static_cast<double>(slack.count()));
 }
 
 bool Dispatcher::MayFit(const Item& item) const {
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -15,6 +15,10 @@
 constexpr std::int64_t kMillicoresPerCore = 1000;
 // When a caller that is refused for want of memory may come back.
 constexpr base::Duration kFullRetryAfter = std::chrono::seconds(2);
+// A share is counted over two seconds; a burst within the fleet's slack is over
+// in one.
+constexpr base::Duration kOverShareRetryAfter = std::chrono::seconds(2);
+constexpr base::Duration kOverloadedRetryAfter = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -130,6 +134,22 @@
   if (jobs_.jobs().size() >= settings_.max_jobs) {
     return {SubmitOutcome::kRefused, "too_many_jobs", kFullRetryAfter};
   }
+  const desired::Organisation* organisation =
+      desired_->FindOrganisation(submission.organisation);
+  const bool over_share =
+      organisation != nullptr &&
+      !rates_.Take(organisation->id, organisation->weight, now);
+  switch (dispatcher_.ShouldRefuse(submission.queue, over_share)) {
+    case placement::Refusal::kOverShare:
+      return {SubmitOutcome::kRefused, "over_share", kOverShareRetryAfter};
+    case placement::Refusal::kOverloaded:
+      return {SubmitOutcome::kRefused, "overloaded", kOverloadedRetryAfter};
+    case placement::Refusal::kNone:
+      break;
+  }
+  if (over_share) {
+    dispatcher_.NoteOverShare(submission.key);
+  }
   jobs::Job job;
   job.key = submission.key;
   job.queue = submission.queue;
@@ -143,12 +163,6 @@
   } else {
     job.BeginOccurrence();
   }
-  const desired::Organisation* organisation =
-      desired_->FindOrganisation(job.organisation);
-  if (organisation != nullptr &&
-      !rates_.Take(organisation->id, organisation->weight, now)) {
-    dispatcher_.NoteOverShare(job.key);
-  }
   ConsiderAll(job);
   telemetry_.log->Write(
       "job_taken",
--- a/test/core/placement/policies_test.cc
+++ b/test/core/placement/policies_test.cc
@@ -1,6 +1,7 @@
 // The decisions of placement at the worst load, each on the pattern it answers.
 #include <doctest/doctest.h>
 
+#include "dotterelbarrow/core/placement/overload_guard.h"
 #include "dotterelbarrow/core/placement/submission_rate.h"
 #include "dotterelbarrow/core/placement/urgency.h"
 #include "dotterelbarrow/core/placement/worker_choice.h"
@@ -89,6 +90,33 @@
   }
 }
 
+TEST_CASE("more comes than the fleet can do") {
+  OverloadGuard guard;
+  const desired::QueueId lookups("lookups");
+  const desired::QueueId batch("batch");
+
+  SUBCASE("without anything waiting, everything is taken") {
+    CHECK(guard.Decide(lookups, true) == Refusal::kNone);
+  }
+  SUBCASE("what is beyond a share goes first, as soon as others wait") {
+    guard.NoteWaiting(batch, 0.4);
+    CHECK(guard.Decide(lookups, true) == Refusal::kOverShare);
+    CHECK(guard.Decide(lookups, false) == Refusal::kNone);
+  }
+  SUBCASE("a queue is closed only while its jobs are about to be late") {
+    guard.NoteWaiting(lookups, 0.5);
+    CHECK(guard.Decide(lookups, false) == Refusal::kNone);
+    guard.NoteWaiting(lookups, 0.95);
+    CHECK(guard.Decide(lookups, false) == Refusal::kOverloaded);
+    CHECK(guard.Decide(batch, false) == Refusal::kNone);
+  }
+  SUBCASE("it opens again with the next look") {
+    guard.NoteWaiting(lookups, 0.95);
+    guard.Clear();
+    CHECK(guard.Decide(lookups, false) == Refusal::kNone);
+  }
+}
+
 workers::Worker WorkerOf(const char* id, std::int64_t cores) {
   workers::Listing listing;
   listing.id = base::BackendId(id);
