Calls follow a change of the owner; what a store that is away can't take is refused

Change: owner_calls sends a call without an outcome to the next owner, which knows what was stored and alone can store; jobs that no write has held are withdrawn and refused once a write is 0.4 s without an outcome (1.5 s where reads are slow). Ruled out: longer timeouts (calls were decided by nobody).

--- a/include/dotterelbarrow/core/scheduler/job_book.h
+++ b/include/dotterelbarrow/core/scheduler/job_book.h
@@ -93,6 +93,10 @@
   void NoteWorker(const base::BackendId& worker,
                   std::optional<std::string> record);
 
+  // Forgets the jobs that no batch has held yet, so that they surely never run;
+  // returns who waits for them.
+  std::vector<WaiterId> WithdrawUnwritten(std::vector<jobs::JobKey>* keys);
+
   // Takes what waits, oldest first, up to the size of one batch.
   StoredBatch TakeBatch();
   // Whether TakeBatch would return anything.
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -93,6 +93,9 @@
 
   SubmitAnswer Submit(Submission submission, WaiterId waiter,
                       std::int64_t store_now_ms, base::TimePoint now);
+  // Takes back the acceptance of jobs that aren't on their way to the store;
+  // returns who is to hear that they never run.
+  std::vector<WaiterId> WithdrawUnwritten();
   CancelAnswer Cancel(jobs::JobKey key, WaiterId waiter, base::TimePoint now);
   std::optional<jobs::JobState> StateOf(jobs::JobKey key) const {
     return jobs_.StoredState(key);
--- a/src/core/scheduler/job_book.cc
+++ b/src/core/scheduler/job_book.cc
@@ -114,6 +114,32 @@
   move_waiters(&store_waiters_, &batch->cancel_waiters);
 }
 
+std::vector<WaiterId> JobBook::WithdrawUnwritten(
+    std::vector<jobs::JobKey>* keys) {
+  std::vector<WaiterId> waiters;
+  for (const jobs::JobKey key : unstored_) {
+    if (!under_way_.contains(key) && jobs_.contains(key)) {
+      keys->push_back(key);
+    }
+  }
+  for (const jobs::JobKey key : *keys) {
+    if (const auto it = accept_waiters_.find(key);
+        it != accept_waiters_.end()) {
+      waiters.insert(waiters.end(), it->second.begin(), it->second.end());
+      accept_waiters_.erase(it);
+    }
+    unstored_.erase(key);
+    changed_.erase(key);
+    jobs_.erase(key);
+  }
+  std::erase_if(waiting_, [keys](const Waiting& waiting) {
+    const auto* key = std::get_if<jobs::JobKey>(&waiting);
+    return key != nullptr &&
+           std::find(keys->begin(), keys->end(), *key) != keys->end();
+  });
+  return waiters;
+}
+
 StoredBatch JobBook::TakeBatch() {
   StoredBatch batch;
   std::size_t bytes = 0;
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -175,6 +175,17 @@
   return {SubmitOutcome::kStoring};
 }
 
+std::vector<WaiterId> Scheduler::WithdrawUnwritten() {
+  std::vector<jobs::JobKey> keys;
+  std::vector<WaiterId> waiters = jobs_.WithdrawUnwritten(&keys);
+  for (const jobs::JobKey key : keys) {
+    scheduled_.erase(key);
+    dispatcher_.ForgetJob(key);
+    telemetry_.log->Write("job_withdrawn", {{"job", jobs::ToString(key)}});
+  }
+  return waiters;
+}
+
 CancelAnswer Scheduler::Cancel(jobs::JobKey key, WaiterId waiter,
                                base::TimePoint now) {
   now_ = now;
--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -26,8 +26,6 @@
 constexpr int kRefusalsOfDead = 2;
 // Three greetings were missed.
 constexpr base::Duration kPeerSilence = std::chrono::milliseconds(2000);
-// Callers wait 3 s for an answer; a later one is of no use to them.
-constexpr base::Duration kCallTimeout = std::chrono::milliseconds(2600);
 
 // Workers have 64 connections each for all entry hosts.
 constexpr std::size_t kMaxConnections = 16;
@@ -98,10 +96,15 @@
                    term_->SetDesired(desired);
                  }
                }),
+      owner_calls_(
+          *loop, &rpc_, telemetry_, [this] { return FindOwner(); },
+          [this](const OwnerCall& call, const OwnerReply& reply) {
+            term_->Handle(call, reply);
+          }),
       job_api_(&callers_, &desired_, &store_,
                core::admission::Gate(settings.key_withdrawal), telemetry_,
-               [this](const OwnerCall& call, const OwnerReply& reply) {
-                 PassOn(call, reply);
+               [this](const OwnerCall& call, OwnerReply reply) {
+                 owner_calls_.Call(call, std::move(reply));
                }),
       head_timer_(*loop, [this] { ReadHead(); }),
       greet_timer_(*loop, [this] { Greet(); }),
@@ -325,31 +328,15 @@
   term_->SetAskers(askers);
 }
 
-void Member::Impl::PassOn(const OwnerCall& call, const OwnerReply& reply) {
+std::optional<OwnerRoute> Member::Impl::FindOwner() const {
   if (term_ != nullptr) {
-    term_->Handle(call, reply);
-    return;
+    return OwnerRoute{leadership_.token(), "", term_->is_ready()};
   }
   const core::leadership::Head* owner = leadership_.owner();
   if (owner == nullptr || owner->holder == settings_.host) {
-    reply(NoOwner{});
-    return;
+    return std::nullopt;
   }
-  rpc_.Call(owner->address, MethodOf(call), ToJson(call), kCallTimeout,
-            [reply](const RpcResult& result) {
-              switch (result.outcome) {
-                case RpcOutcome::kAnswered:
-                  reply(OwnerAnswerFromJson(result.result));
-                  break;
-                case RpcOutcome::kNotSent:
-                case RpcOutcome::kRefused:
-                  reply(NoOwner{});
-                  break;
-                case RpcOutcome::kLost:
-                  reply(OutcomeUnknown{});
-                  break;
-              }
-            });
+  return OwnerRoute{owner->token, owner->address, true};
 }
 
 void Member::Impl::BeginShutdown() {
--- a/src/member/member_impl.h
+++ b/src/member/member_impl.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "dotterelbarrow/core/counters.h"
@@ -18,6 +19,7 @@
 #include "src/member/head_writer.h"
 #include "src/member/job_api.h"
 #include "src/member/log_writer.h"
+#include "src/member/owner_calls.h"
 #include "src/member/owner_term.h"
 #include "src/member/rpc.h"
 
@@ -58,7 +60,7 @@
   void OnTakeOver(const Json::Value& params, const RpcServer::Reply& reply);
   void UpdateAskers();
 
-  void PassOn(const OwnerCall& call, const OwnerReply& reply);
+  std::optional<OwnerRoute> FindOwner() const;
   void Advise(const core::scheduler::AskAdvice& ask,
               const platform::WorkerClient::AdviceDone& done);
   void OnAdvise(const Json::Value& params, const RpcServer::Reply& reply);
@@ -89,6 +91,7 @@
   HeadWriter writer_;
   std::unique_ptr<OwnerTerm> term_;
   DesiredWatch desired_;
+  OwnerCalls owner_calls_;
   JobApi job_api_;
   std::map<base::EntryId, Peer> peers_;
   int refused_greetings_ = 0;
--- /dev/null
+++ b/src/member/owner_calls.cc
@@ -0,0 +1,133 @@
+// Tries of calls, and what their answers settle.
+#include "src/member/owner_calls.h"
+
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "src/member/clock.h"
+
+namespace dotterelbarrow::member {
+namespace {
+
+// Calls without an outcome are looked at this often.
+constexpr base::Duration kSweepPeriod = std::chrono::milliseconds(100);
+
+}  // namespace
+
+OwnerCalls::OwnerCalls(const wire::EventLoop& loop, RpcClient* rpc,
+                       core::scheduler::Telemetry telemetry,
+                       FindOwner find_owner, HandleHere handle_here)
+    : rpc_(rpc),
+      telemetry_(telemetry),
+      find_owner_(std::move(find_owner)),
+      handle_here_(std::move(handle_here)),
+      sweep_timer_(loop, kSweepPeriod, [this] { Sweep(); }) {}
+
+void OwnerCalls::Call(const OwnerCall& call, OwnerReply reply) {
+  const std::optional<OwnerRoute> owner = find_owner_();
+  if (!owner || !owner->is_ready) {
+    // Nothing was sent anywhere: another host may know better.
+    reply(NoOwner{});
+    return;
+  }
+  const std::uint64_t id = ++last_id_;
+  pending_.emplace(id, Pending{.call = call,
+                               .reply = std::move(reply),
+                               .begun = Now(),
+                               .sent_to = {}});
+  Dispatch(id);
+}
+
+void OwnerCalls::Dispatch(std::uint64_t id) {
+  const std::optional<OwnerRoute> owner = find_owner_();
+  const auto it = pending_.find(id);
+  if (it == pending_.end() || !owner || !owner->is_ready) {
+    return;
+  }
+  Pending& pending = it->second;
+  pending.sent_to = owner->token;
+  pending.is_under_way = true;
+  const OwnerCall call = pending.call;
+  if (owner->address.empty()) {
+    handle_here_(call, [this, id, token = owner->token](
+                           const OwnerAnswer& answer) {
+      OnAnswer(id, token, answer);
+    });
+    return;
+  }
+  rpc_->Call(owner->address, MethodOf(call), ToJson(call),
+             kPatience - (Now() - pending.begun),
+             [this, id, token = owner->token](const RpcResult& result) {
+               OnRpc(id, token, result);
+             });
+}
+
+void OwnerCalls::OnRpc(std::uint64_t id, core::scheduler::FencingToken sent_to,
+                       const RpcResult& result) {
+  switch (result.outcome) {
+    case RpcOutcome::kAnswered:
+      OnAnswer(id, sent_to, OwnerAnswerFromJson(result.result));
+      break;
+    case RpcOutcome::kNotSent:
+    case RpcOutcome::kRefused:
+      OnAnswer(id, sent_to, NoOwner{});
+      break;
+    case RpcOutcome::kLost:
+      OnAnswer(id, sent_to, OutcomeUnknown{});
+      break;
+  }
+}
+
+void OwnerCalls::OnAnswer(std::uint64_t id,
+                          core::scheduler::FencingToken sent_to,
+                          const OwnerAnswer& answer) {
+  const auto it = pending_.find(id);
+  if (it == pending_.end() || it->second.sent_to != sent_to) {
+    return;  // Answered before, or under way to another owner by now.
+  }
+  Pending& pending = it->second;
+  pending.is_under_way = false;
+  if (std::holds_alternative<OutcomeUnknown>(answer)) {
+    pending.may_be_done = true;
+    return;  // The next owner decides, or time does.
+  }
+  if (std::holds_alternative<NoOwner>(answer) && pending.may_be_done) {
+    return;
+  }
+  End(id, answer);
+}
+
+void OwnerCalls::End(std::uint64_t id, const OwnerAnswer& answer) {
+  const auto it = pending_.find(id);
+  const OwnerReply reply = std::move(it->second.reply);
+  pending_.erase(it);
+  reply(answer);
+}
+
+void OwnerCalls::Sweep() {
+  const std::optional<OwnerRoute> owner = find_owner_();
+  const base::TimePoint now = Now();
+  std::vector<std::uint64_t> overdue;
+  std::vector<std::uint64_t> again;
+  for (auto& [id, pending] : pending_) {
+    const bool has_next = owner && owner->token > pending.sent_to;
+    if (now - pending.begun >= kPatience) {
+      overdue.push_back(id);
+    } else if (has_next || (!pending.is_under_way && pending.may_be_done)) {
+      // What is open at a replaced owner may have been done there.
+      pending.may_be_done = pending.may_be_done || pending.is_under_way;
+      again.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : overdue) {
+    telemetry_.counters->Increment("owner_calls", "overdue");
+    End(id, OutcomeUnknown{});
+  }
+  for (const std::uint64_t id : again) {
+    telemetry_.counters->Increment("owner_calls", "sent_again");
+    Dispatch(id);
+  }
+}
+
+}  // namespace dotterelbarrow::member
--- /dev/null
+++ b/src/member/owner_calls.h
@@ -0,0 +1,84 @@
+// Brings calls to the owner, through a change of the owner if need be.
+//
+// A call whose outcome at one owner is unknown is decided by the next: what a
+// replaced owner didn't store it can't store any more, and what it stored the
+// next one knows. So such a call is sent again as soon as another host owns the
+// cell, within the time that its caller waits.
+#ifndef DOTTERELBARROW_SRC_MEMBER_OWNER_CALLS_H_
+#define DOTTERELBARROW_SRC_MEMBER_OWNER_CALLS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "dotterelbarrow/base/units.h"
+#include "dotterelbarrow/core/scheduler/actions.h"
+#include "dotterelbarrow/core/scheduler/decision_log.h"
+#include "dotterelbarrow/wire/event_loop.h"
+#include "src/member/calls.h"
+#include "src/member/rpc.h"
+
+namespace dotterelbarrow::member {
+
+// Where the owner is, as far as this host knows.
+struct OwnerRoute {
+  core::scheduler::FencingToken token;
+  // Empty where this host is the owner.
+  std::string address;
+  // Whether it takes calls; another host finds that out by its answer.
+  bool is_ready = true;
+};
+
+class OwnerCalls {
+ public:
+  using FindOwner = std::function<std::optional<OwnerRoute>()>;
+  using HandleHere = std::function<void(const OwnerCall&, const OwnerReply&)>;
+
+  // All must outlive this.
+  OwnerCalls(const wire::EventLoop& loop, RpcClient* rpc,
+             core::scheduler::Telemetry telemetry, FindOwner find_owner,
+             HandleHere handle_here);
+
+  // Calls `reply` once, within kPatience.
+  void Call(const OwnerCall& call, OwnerReply reply);
+  // Looks again at calls without an outcome; for when the owner changed.
+  void OnOwnerChanged() { Sweep(); }
+
+  // Callers wait 3 s; a later answer is of no use to them.
+  static constexpr base::Duration kPatience = std::chrono::milliseconds(2400);
+
+ private:
+  struct Pending {
+    OwnerCall call;
+    OwnerReply reply;
+    base::TimePoint begun;
+    // To which owner it went last, and whether that try is still open.
+    core::scheduler::FencingToken sent_to;
+    bool is_under_way = false;
+    // Some owner may have done something of it.
+    bool may_be_done = false;
+  };
+
+  // Returns whether the call was sent or answered.
+  void Dispatch(std::uint64_t id);
+  void OnRpc(std::uint64_t id, core::scheduler::FencingToken sent_to,
+             const RpcResult& result);
+  void OnAnswer(std::uint64_t id, core::scheduler::FencingToken sent_to,
+                const OwnerAnswer& answer);
+  void End(std::uint64_t id, const OwnerAnswer& answer);
+  void Sweep();
+
+  RpcClient* rpc_;
+  core::scheduler::Telemetry telemetry_;
+  FindOwner find_owner_;
+  HandleHere handle_here_;
+  std::map<std::uint64_t, Pending> pending_;
+  std::uint64_t last_id_ = 0;
+  wire::PeriodicTimer sweep_timer_;
+};
+
+}  // namespace dotterelbarrow::member
+
+#endif  // DOTTERELBARROW_SRC_MEMBER_OWNER_CALLS_H_
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -26,9 +26,12 @@
 constexpr base::Duration kListingsPeriod = std::chrono::milliseconds(500);
 constexpr base::Duration kReadTimeout = std::chrono::milliseconds(1000);
 constexpr base::Duration kReadRetry = std::chrono::milliseconds(100);
-// A write without an outcome for this long means that the store is away: what
-// is handed in now couldn't be stored in time.
-constexpr base::Duration kStoreAway = std::chrono::milliseconds(1500);
+// A write without an outcome for this long, or for this many reads, means that
+// the store is away: what is handed in now couldn't be stored in time. A store
+// that is slow takes up to a second for a write.
+constexpr base::Duration kStoreAwayLeast = std::chrono::milliseconds(400);
+constexpr base::Duration kStoreAwayMost = std::chrono::milliseconds(1500);
+constexpr int kStoreAwayReads = 10;
 constexpr base::Duration kStoreAwayRetryAfter = std::chrono::seconds(1);
 // Counts of waiting jobs may be this old.
 constexpr base::Duration kPendingAge = std::chrono::milliseconds(300);
@@ -179,8 +182,21 @@
 }
 
 bool OwnerTerm::IsStoreAway() const {
+  const base::Duration patience =
+      std::clamp(parts_.store->ReadLatency() * kStoreAwayReads,
+                 kStoreAwayLeast, kStoreAwayMost);
   return parts_.writer->is_busy() &&
-         Now() - parts_.writer->begun_at() >= kStoreAway;
+         Now() - parts_.writer->begun_at() >= patience;
+}
+
+void OwnerTerm::RefuseUnwritten() {
+  const std::vector<core::scheduler::WaiterId> waiters =
+      scheduler_.WithdrawUnwritten();
+  if (!waiters.empty()) {
+    parts_.telemetry.counters->Increment("jobs_refused", "store_away",
+                                         waiters.size());
+    ReplyTo(waiters, Refused{"store_away", kStoreAwayRetryAfter});
+  }
 }
 
 core::scheduler::WaiterId OwnerTerm::AddWaiter(const OwnerReply& reply) {
@@ -264,6 +280,9 @@
     scheduler_.Tick(Now(), UnixMillis());
     CarryOut();
   }
+  if (is_loaded_ && IsStoreAway()) {
+    RefuseUnwritten();
+  }
   WriteIfDue();
 }
 
--- a/src/member/owner_term.h
+++ b/src/member/owner_term.h
@@ -90,6 +90,8 @@
   core::scheduler::WaiterId AddWaiter(const OwnerReply& reply);
   std::int64_t StoreNowMillis() const;
   bool IsStoreAway() const;
+  // Refuses what waits for a store that is away, while that is still true.
+  void RefuseUnwritten();
   void EndTerm(const char* why);
 
   // Wraps a callback so that it does nothing once the term is gone.
