--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -107,8 +107,7 @@
                     base::TimePoint now);
 
   workers::Worker* Find(const base::BackendId& id);
-  const std::unordered_map<base::BackendId, workers::Worker>& workers()
-      const {
+  const std::unordered_map<base::BackendId, workers::Worker>& workers() const {
     return workers_;
   }
   // Workers of former owners that may still run what isn't known here.
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -122,8 +122,8 @@
 void Dispatcher::NoteMiss(const Item& item, base::TimePoint now) {
   const bool is_owed = item.urgency.standing == placement::Standing::kOnTime &&
                        !item.urgency.over_share && item.step.step == 0;
-  const base::Duration slack = item.urgency.latest_start -
-                               item.job->accepted_at;
+  const base::Duration slack =
+      item.urgency.latest_start - item.job->accepted_at;
   if (!is_owed || slack <= base::Duration(0) || !IsWithinCap(item, 1)) {
     return;
   }
@@ -256,8 +256,7 @@
 
 bool Dispatcher::IsWithinCap(const Item& item, std::uint32_t tasks) const {
   return !cap_waiters_.contains(item.job->organisation) &&
-         FitsCap(item,
-                 runs_->UsageOf(item.job->organisation) + unseen_usage_,
+         FitsCap(item, runs_->UsageOf(item.job->organisation) + unseen_usage_,
                  tasks);
 }
 
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -44,8 +44,8 @@
 }
 
 bool Dispatcher::CanAsk(const Item& item, base::TimePoint now) {
-  return askers_.CanChoose(
-      advice::CallCost(*item.queue->advice, kLeastAdvised), now);
+  return askers_.CanChoose(advice::CallCost(*item.queue->advice, kLeastAdvised),
+                           now);
 }
 
 void Dispatcher::AskAboutMore(const Item& item, base::TimePoint now,
@@ -138,10 +138,9 @@
   advice.asked.insert(workers.begin(), workers.end());
   telemetry_.counters->Increment("advice_calls", "asked");
   telemetry_.log->Write(
-      "advice_asked",
-      {{"step", jobs::ToString(item.step)},
-       {"asker", asker->value()},
-       {"workers", static_cast<std::int64_t>(workers.size())}});
+      "advice_asked", {{"step", jobs::ToString(item.step)},
+                       {"asker", asker->value()},
+                       {"workers", static_cast<std::int64_t>(workers.size())}});
   actions->push_back(AskAdvice{*asker, item.step, std::move(workers)});
   return true;
 }
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -286,17 +286,16 @@
     silent += worker.TakesWork(now_) ? 0 : 1;
   }
   telemetry_.log->Write(
-      "load",
-      {{"live_jobs", static_cast<std::int64_t>(jobs_.jobs().size())},
-       {"waiting_steps",
-        static_cast<std::int64_t>(dispatcher_.waiting_steps())},
-       {"cores", reserved.cpu.value() / kMillicoresPerCore},
-       {"cores_in_all", capacity.cpu.value() / kMillicoresPerCore},
-       {"memory", reserved.memory.value()},
-       {"memory_in_all", capacity.memory.value()},
-       {"workers_without_new_work", silent},
-       {"workers_held", static_cast<std::int64_t>(
-                            dispatcher_.held_workers())}});
+      "load", {{"live_jobs", static_cast<std::int64_t>(jobs_.jobs().size())},
+               {"waiting_steps",
+                static_cast<std::int64_t>(dispatcher_.waiting_steps())},
+               {"cores", reserved.cpu.value() / kMillicoresPerCore},
+               {"cores_in_all", capacity.cpu.value() / kMillicoresPerCore},
+               {"memory", reserved.memory.value()},
+               {"memory_in_all", capacity.memory.value()},
+               {"workers_without_new_work", silent},
+               {"workers_held",
+                static_cast<std::int64_t>(dispatcher_.held_workers())}});
 }
 
 void Scheduler::OnStored(const StoredBatch& batch, base::TimePoint now) {
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -70,8 +70,7 @@
   NoteRunsOfWorker(worker, run, end);
   const bool never_started =
       end == jobs::RunEnd::kStopped && run.confirmed_ms == 0;
-  ApplyEnd(run.task, run.attempt, end, checkpoint, worker.id(),
-           never_started);
+  ApplyEnd(run.task, run.attempt, end, checkpoint, worker.id(), never_started);
 }
 
 void Scheduler::OnUnknownEnd(const workers::Worker& worker,
--- a/src/member/owner_calls.cc
+++ b/src/member/owner_calls.cc
@@ -50,10 +50,10 @@
   pending.is_under_way = true;
   const OwnerCall call = pending.call;
   if (owner->address.empty()) {
-    handle_here_(call, [this, id, token = owner->token](
-                           const OwnerAnswer& answer) {
-      OnAnswer(id, token, answer);
-    });
+    handle_here_(call,
+                 [this, id, token = owner->token](const OwnerAnswer& answer) {
+                   OnAnswer(id, token, answer);
+                 });
     return;
   }
   rpc_->Call(owner->address, MethodOf(call), ToJson(call),
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -183,8 +183,8 @@
 
 bool OwnerTerm::IsStoreAway() const {
   const base::Duration patience =
-      std::clamp(parts_.store->ReadLatency() * kStoreAwayReads,
-                 kStoreAwayLeast, kStoreAwayMost);
+      std::clamp(parts_.store->ReadLatency() * kStoreAwayReads, kStoreAwayLeast,
+                 kStoreAwayMost);
   return parts_.writer->is_busy() &&
          Now() - parts_.writer->begun_at() >= patience;
 }
--- /dev/null
+++ b/test/platform/decoders_test.cc
@@ -0,0 +1,200 @@
+// What others write is decoded into the product's types, or refused with a
+// reason; nothing that comes in ends the process.
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <string>
+
+#include "platform/job_calls.h"
+#include "platform/operator_records.h"
+#include "platform/settings_file.h"
+
+namespace dotterelbarrow::platform {
+namespace {
+
+constexpr const char* kSettings = R"(
+node_name: "edge-1"
+zone: "north"
+ip: "10.1.0.17"
+new_field: [1, 2]
+listen_addrs:
+  frontend: "10.1.0.17:8183"
+  readiness: "10.1.0.17:8184"
+internal_ports: [7420, 7435]
+bounds: {revoke_ms: 5000, grace_s: 6, max_hold_ms: 10000}
+advisor: "10.200.1.9:8182"
+platform: {address: "10.200.1.7:8182"}
+)";
+
+constexpr const char* kDesired = R"({"version":7,
+  "routes":[{"name":"r","host":"h.example","path_prefix":"/p/","service":"s",
+             "priority":1,"max_attempts":2,"slack_factor":2.2,
+             "target_completion_ms":1000,"public":false,
+             "advisor":{"decision_ms":440.0,"per_worker_ms":6.3,"valid_ms":1500}},
+            {"name":"broken"}],
+  "services":[{"name":"s","enforces_capacity":false}],
+  "limits":{"max_body_bytes":262144},
+  "tenants":[{"name":"t","api_keys":["k1",7,"k2"],"weight":38,
+              "cap":{"cpu":420255,"mem_mb":1397821,"gpu":0}}]})";
+
+constexpr const char* kRegistration =
+    R"({"service":"s","address":"10.0.0.9:8080","zone":"north","version":"v1",
+        "slots":8,"state":"ready","cold_remaining_ms":0,"sequence":4,
+        "capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},
+        "labels":["a","r1-3"],"clock_ms":482113,"born":1700000000000})";
+
+TEST_CASE("the settings file") {
+  base::Failure reason;
+  SUBCASE("names addresses and bounds; unknown fields are passed over") {
+    const auto settings = ParsePlatformSettings(kSettings, &reason);
+    REQUIRE_MESSAGE(settings, reason.detail);
+    CHECK(settings->host == base::EntryId("edge-1"));
+    CHECK(settings->peers_address == "10.1.0.17:7420");
+    CHECK(settings->metrics_address == "10.1.0.17:7421");
+    CHECK(settings->key_withdrawal == std::chrono::seconds(5));
+    CHECK(settings->shutdown_grace == std::chrono::seconds(6));
+  }
+  SUBCASE("without what is needed is refused, with the name of it") {
+    const std::string text(kSettings);
+    for (const char* name : {"node_name", "frontend", "readiness", "ip:"}) {
+      CAPTURE(name);
+      std::string without = text;
+      without.replace(without.find(name), 2, "xx");
+      CHECK_FALSE(ParsePlatformSettings(without, &reason));
+      CHECK(reason.code == base::FailureCode::kMissingField);
+    }
+  }
+  SUBCASE("that isn't YAML, or no map, is refused") {
+    for (const char* text : {"", "[1", "just text", "- 1\n- 2", "a: [}"}) {
+      CAPTURE(text);
+      CHECK_FALSE(ParsePlatformSettings(text, &reason));
+    }
+  }
+}
+
+TEST_CASE("a desired state") {
+  base::Failure reason;
+  const auto state = ReadDesiredState(kDesired, &reason);
+  REQUIRE(state);
+  SUBCASE("holds queues, organisations and services") {
+    const auto* queue = state->FindQueue("h.example:80", "/p/17");
+    REQUIRE(queue != nullptr);
+    CHECK(queue->advice->decision == std::chrono::milliseconds(440));
+    CHECK(queue->advice->per_worker == std::chrono::microseconds(6300));
+    CHECK_FALSE(state->FindService(base::ServiceId("s"))->enforces_capacity);
+  }
+  SUBCASE("leaves out what can't be read") {
+    CHECK(state->queues().size() == 1);
+    const auto* organisation = state->OrganisationOf(base::ApiKey("k2"));
+    REQUIRE(organisation != nullptr);
+    CHECK(organisation->keys.size() == 2);
+    CHECK(organisation->cap.cpu == base::Millicores(420255));
+  }
+  SUBCASE("without version, routes or services is none") {
+    for (const char* text : {"", "[]", "{}", R"({"version":1,"routes":[]})",
+                             R"({"version":"1","routes":[],"services":[]})"}) {
+      CAPTURE(text);
+      CHECK_FALSE(ReadDesiredState(text, &reason));
+    }
+  }
+}
+
+TEST_CASE("a registration") {
+  base::Failure reason;
+  SUBCASE("names a worker with its rack and life") {
+    const auto listing = ReadListing("i-1", kRegistration, &reason);
+    REQUIRE(listing);
+    CHECK(listing->rack == "r1-3");
+    CHECK(listing->born_ms == 1700000000000);
+    CHECK(listing->capacity.memory == base::Mebibytes(32768));
+    CHECK_FALSE(listing->draining);
+  }
+  SUBCASE("with a field missing, of another type or unknown names none") {
+    const std::string text(kRegistration);
+    for (const char* name :
+         {"service", "address", "\"state", "capacity", "born", "ready"}) {
+      CAPTURE(name);
+      std::string without = text;
+      without.replace(without.find(name), 2, "xx");
+      CHECK_FALSE(ReadListing("i-1", without, &reason));
+    }
+  }
+}
+
+TEST_CASE("the body of a job") {
+  base::Failure reason;
+  SUBCASE("tells steps, needs and how tasks run together") {
+    const auto spec = ReadJobSpec(
+        R"({"spec":"text","job_steps":[
+            {"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,"gang":true},
+            {"count":2,"cpu":2000,"depends_on":[0],"fill_count":1,
+             "max_per_server":1,"speculative":true,"target_ms":80}]})",
+        &reason);
+    REQUIRE(spec);
+    CHECK(spec->payload == "text");
+    CHECK(spec->steps[0].gang);
+    CHECK(spec->steps[1].fills_idle_cpu);
+    CHECK(spec->steps[1].Reservation().cpu == base::Millicores(0));
+    CHECK(spec->steps[1].depends_on == std::vector<std::uint32_t>{0});
+    CHECK(spec->steps[1].response_target == std::chrono::milliseconds(80));
+  }
+  SUBCASE("that can't be meant is refused with a reason") {
+    for (const char* text :
+         {"", "{", "[]", "{}", R"({"job_steps":[]})", R"({"job_steps":[7]})",
+          R"({"job_steps":[{"count":0}]})",
+          R"({"job_steps":[{"count":1,"depends_on":[0]}]})",
+          R"({"job_steps":[{"count":1e300}]})",
+          R"({"job_steps":[{"count":1,"depends_on":["0"]}]})"}) {
+      CAPTURE(text);
+      reason = {};
+      CHECK_FALSE(ReadJobSpec(text, &reason));
+      CHECK(reason.code != base::FailureCode::kNone);
+    }
+  }
+  SUBCASE("nested deeply is refused") {
+    const std::string deep = std::string(100'000, '[');
+    CHECK_FALSE(ReadJobSpec(deep, &reason));
+  }
+}
+
+// A valid text with some bytes changed, cut or doubled.
+std::string Damaged(std::string text) {
+  const auto edits = *rc::gen::container<std::vector<std::pair<int, char>>>(
+      rc::gen::pair(rc::gen::inRange<int>(0, static_cast<int>(text.size())),
+                    rc::gen::arbitrary<char>()));
+  for (const auto& [at, byte] : edits) {
+    text[static_cast<std::size_t>(at)] = byte;
+  }
+  return text.substr(0, *rc::gen::inRange<std::size_t>(0, text.size() + 1));
+}
+
+TEST_CASE("damaged texts give a value or a reason, and nothing else") {
+  const auto is_told = [](bool has_value, const base::Failure& reason) {
+    RC_ASSERT(has_value || reason.code != base::FailureCode::kNone);
+  };
+  CHECK(rc::check("settings", [&is_told] {
+    base::Failure reason;
+    is_told(ParsePlatformSettings(Damaged(kSettings), &reason).has_value(),
+            reason);
+  }));
+  CHECK(rc::check("desired states", [&is_told] {
+    base::Failure reason;
+    is_told(ReadDesiredState(Damaged(kDesired), &reason).has_value(), reason);
+  }));
+  CHECK(rc::check("registrations", [&is_told] {
+    base::Failure reason;
+    is_told(ReadListing("i", Damaged(kRegistration), &reason).has_value(),
+            reason);
+  }));
+  CHECK(rc::check("jobs", [&is_told] {
+    base::Failure reason;
+    is_told(ReadJobSpec(Damaged(R"({"spec":"t","job_steps":[{"count":4,
+                                "cpu":500,"depends_on":[]}]})"),
+                        &reason)
+                .has_value(),
+            reason);
+  }));
+}
+
+}  // namespace
+}  // namespace dotterelbarrow::platform
