--- a/include/dotterelbarrow/core/placement/overload_guard.h
+++ b/include/dotterelbarrow/core/placement/overload_guard.h
@@ -6,7 +6,8 @@
 // start, so that the wait of a new job is about that of the most pressed one of
 // its queue. Jobs beyond an organisation's share go as soon as others wait for
 // a noticeable part of their slack; other jobs only when those before them are
-// about to be late. Nothing that was accepted is given up.
+// about to be late; neither while the fleet has room. Nothing that was accepted
+// is given up.
 #ifndef DOTTERELBARROW_CORE_PLACEMENT_OVERLOAD_GUARD_H_
 #define DOTTERELBARROW_CORE_PLACEMENT_OVERLOAD_GUARD_H_
 
@@ -29,11 +30,15 @@
   // Parts of the slack that the most pressed job has used up.
   static constexpr double kOthersWait = 0.3;
   static constexpr double kAboutToBeLate = 0.9;
+  // Part of the fleet's processors or memory in use from which it counts as
+  // full: the rest is in pieces that fit few tasks.
+  static constexpr double kFullFleet = 0.9;
 
-  // Begins a new look at what waits.
-  void Clear() {
+  // Begins a new look at what waits, with this part of the fleet in use.
+  void Clear(double fleet_use) {
     used_slack_.clear();
     most_used_ = 0;
+    fleet_use_ = fleet_use;
   }
   // A job of `queue` within its share waits for room; it has used this part of
   // its slack, from 0 to 1.
@@ -44,6 +49,9 @@
   }
 
   Refusal Decide(const desired::QueueId& queue, bool over_share) const {
+    if (fleet_use_ < kFullFleet) {
+      return Refusal::kNone;
+    }
     if (over_share && most_used_ > kOthersWait) {
       return Refusal::kOverShare;
     }
@@ -56,6 +64,7 @@
  private:
   std::unordered_map<desired::QueueId, double> used_slack_;
   double most_used_ = 0;
+  double fleet_use_ = 0;
 };
 
 }  // namespace dotterelbarrow::core::placement
--- a/src/core/jobs/job_records.cc
+++ b/src/core/jobs/job_records.cc
@@ -111,10 +111,12 @@
 Json::Value StepToJson(const StepSpec& step) {
   Json::Value value(Json::objectValue);
   value["tasks"] = step.tasks;
-  Put(&value, "cpu", Json::Int64(step.needs.cpu.value()));
-  Put(&value, "memory", Json::Int64(step.needs.memory.value()));
-  Put(&value, "accelerators", Json::Int64(step.needs.accelerators.value()));
-  Put(&value, "estimate_ms", Json::Int64(Milliseconds(step.estimate)));
+  Put(&value, "cpu", static_cast<Json::Int64>(step.needs.cpu.value()));
+  Put(&value, "memory", static_cast<Json::Int64>(step.needs.memory.value()));
+  Put(&value, "accelerators",
+      static_cast<Json::Int64>(step.needs.accelerators.value()));
+  Put(&value, "estimate_ms",
+      static_cast<Json::Int64>(Milliseconds(step.estimate)));
   for (const std::uint32_t earlier : step.depends_on) {
     value["after"].append(earlier);
   }
@@ -129,7 +131,8 @@
   Put(&value, "unavailable", step.max_unavailable);
   Put(&value, "fills", step.fills_idle_cpu);
   Put(&value, "image", step.image);
-  Put(&value, "target_ms", Json::Int64(Milliseconds(step.response_target)));
+  Put(&value, "target_ms",
+      static_cast<Json::Int64>(Milliseconds(step.response_target)));
   return value;
 }
 
@@ -195,7 +198,7 @@
 
 void AppendAttempts(const std::vector<Attempt>& attempts, Json::Value* row) {
   for (const Attempt attempt : attempts) {
-    row->append(Json::UInt64(attempt.value()));
+    row->append(static_cast<Json::UInt64>(attempt.value()));
   }
 }
 
@@ -208,7 +211,7 @@
     const Task& task = step.tasks[i];
     if (!task.failed_attempts.empty() && !task.done) {
       Json::Value row(Json::arrayValue);
-      row.append(Json::UInt64(i));
+      row.append(static_cast<Json::UInt64>(i));
       AppendAttempts(task.failed_attempts, &row);
       value["failed"].append(std::move(row));
     }
@@ -272,8 +275,8 @@
     value["steps"].append(StepToJson(step));
   }
   Put(&value, "repeat", spec.repeat_count);
-  Put(&value, "start_ms", Json::Int64(spec.start_at_ms));
-  Put(&value, "interval_ms", Json::Int64(spec.interval_ms));
+  Put(&value, "start_ms", static_cast<Json::Int64>(spec.start_at_ms));
+  Put(&value, "interval_ms", static_cast<Json::Int64>(spec.interval_ms));
   return value;
 }
 
@@ -304,7 +307,7 @@
   value["queue"] = job.queue.value();
   value["organisation"] = job.organisation.value();
   value["service"] = job.service.value();
-  value["accepted_ms"] = Json::Int64(job.accepted_ms);
+  value["accepted_ms"] = static_cast<Json::Int64>(job.accepted_ms);
   return WriteJson(value);
 }
 
--- a/src/core/leadership/leadership.cc
+++ b/src/core/leadership/leadership.cc
@@ -11,11 +11,11 @@
 
 std::string EncodeHead(const Head& head) {
   Json::Value value(Json::objectValue);
-  value["token"] = Json::UInt64(head.token.value());
+  value["token"] = static_cast<Json::UInt64>(head.token.value());
   value["holder"] = head.holder.value();
-  value["incarnation"] = Json::UInt64(head.incarnation.value());
+  value["incarnation"] = static_cast<Json::UInt64>(head.incarnation.value());
   value["address"] = head.address;
-  value["sequence"] = Json::UInt64(head.sequence);
+  value["sequence"] = static_cast<Json::UInt64>(head.sequence);
   value["resigned"] = head.is_resigned;
   return WriteJson(value);
 }
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -87,8 +87,12 @@
   cap_waiters_.clear();
   held_gangs_ = 0;
   largest_room_ = base::Resources();
+  base::Resources reserved;
+  base::Resources capacity;
   for (const auto& [id, worker] : fleet_->workers()) {
     if (worker.TakesWork(now)) {
+      reserved += worker.reserved();
+      capacity += worker.listing().capacity;
       const base::Resources room = worker.FreeRoom();
       largest_room_.cpu = std::max(largest_room_.cpu, room.cpu);
       largest_room_.memory = std::max(largest_room_.memory, room.memory);
@@ -96,7 +100,7 @@
           std::max(largest_room_.accelerators, room.accelerators);
     }
   }
-  guard_.Clear();
+  guard_.Clear(base::DominantFraction(reserved, capacity));
   int misses = 0;
   for (Item& item : Collect(now)) {
     if (misses >= settings_.max_misses) {
--- a/src/core/workers/worker_record.cc
+++ b/src/core/workers/worker_record.cc
@@ -10,9 +10,10 @@
 std::string EncodeWorkerRecord(const Listing& listing) {
   Json::Value value(Json::objectValue);
   value["address"] = listing.address;
-  value["cpu"] = Json::Int64(listing.capacity.cpu.value());
-  value["memory"] = Json::Int64(listing.capacity.memory.value());
-  value["accelerators"] = Json::Int64(listing.capacity.accelerators.value());
+  value["cpu"] = static_cast<Json::Int64>(listing.capacity.cpu.value());
+  value["memory"] = static_cast<Json::Int64>(listing.capacity.memory.value());
+  value["accelerators"] =
+      static_cast<Json::Int64>(listing.capacity.accelerators.value());
   return WriteJson(value);
 }
 
--- a/src/member/calls.cc
+++ b/src/member/calls.cc
@@ -125,12 +125,12 @@
   Json::Value value = Named(NameOf(answer));
   if (const auto* refused = std::get_if<Refused>(&answer)) {
     value["reason"] = refused->reason;
-    value["retry_after_ms"] =
-        Json::Int64(refused->retry_after / std::chrono::milliseconds(1));
+    value["retry_after_ms"] = static_cast<Json::Int64>(
+        refused->retry_after / std::chrono::milliseconds(1));
   } else if (const auto* state = std::get_if<JobStateAnswer>(&answer)) {
     value["state"] = core::jobs::ToString(state->state);
   } else if (const auto* pending = std::get_if<PendingAnswer>(&answer)) {
-    value["jobs"] = Json::UInt64(pending->jobs);
+    value["jobs"] = static_cast<Json::UInt64>(pending->jobs);
   }
   return value;
 }
--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -197,18 +197,19 @@
   }
   counters_.Increment("claims", "won");
   term_ = std::make_unique<OwnerTerm>(
-      OwnerTerm::Parts{.loop = loop_,
-                       .store = &store_,
-                       .workers = &workers_,
-                       .writer = &writer_,
-                       .leadership = &leadership_,
-                       .telemetry = telemetry_,
-                       .advise =
-                           [this](const core::scheduler::AskAdvice& ask,
-                                  platform::WorkerClient::AdviceDone done) {
-                             Advise(ask, done);
-                           },
-                       .ended = [this] { EndTerm(); }},
+      OwnerTerm::Parts{
+          .loop = loop_,
+          .store = &store_,
+          .workers = &workers_,
+          .writer = &writer_,
+          .leadership = &leadership_,
+          .telemetry = telemetry_,
+          .advise =
+              [this](const core::scheduler::AskAdvice& ask,
+                     const platform::WorkerClient::AdviceDone& done) {
+                Advise(ask, done);
+              },
+          .ended = [this] { EndTerm(); }},
       SchedulerOf(settings_), store_now_ms);
   if (desired_.current() != nullptr) {
     term_->SetDesired(desired_.current());
@@ -278,7 +279,7 @@
   telemetry_.log->Write("hand_over_offered", {});
   for (const auto& [host, peer] : peers_) {
     Json::Value params(Json::objectValue);
-    params["token"] = Json::UInt64(leadership_.token().value());
+    params["token"] = static_cast<Json::UInt64>(leadership_.token().value());
     rpc_.Call(peer.address, "take_over", std::move(params), kGreetTimeout,
               [](const RpcResult&) {});
   }
@@ -311,7 +312,7 @@
     }
   }
   Json::Value result(Json::objectValue);
-  result["incarnation"] = Json::UInt64(incarnation_.value());
+  result["incarnation"] = static_cast<Json::UInt64>(incarnation_.value());
   reply(std::move(result));
 }
 
--- a/src/member/member_calls.cc
+++ b/src/member/member_calls.cc
@@ -19,8 +19,8 @@
   Json::Value value(Json::objectValue);
   value["answered"] = result.outcome == AdviceResult::Outcome::kAnswered;
   value["busy"] = result.outcome == AdviceResult::Outcome::kBusy;
-  value["valid_ms"] =
-      Json::Int64(result.ticket_validity / std::chrono::milliseconds(1));
+  value["valid_ms"] = static_cast<Json::Int64>(result.ticket_validity /
+                                               std::chrono::milliseconds(1));
   value["allowed"] = Json::Value(Json::arrayValue);
   for (const core::scheduler::AllowedWorker& allowed : result.allowed) {
     Json::Value row(Json::arrayValue);
@@ -57,21 +57,21 @@
 }  // namespace
 
 void Member::Impl::BindRpc() {
-  rpc_server_.Bind("greet",
-                   [this](const Json::Value& params, RpcServer::Reply reply) {
-                     OnGreeting(params, reply);
-                   });
-  rpc_server_.Bind("take_over",
-                   [this](const Json::Value& params, RpcServer::Reply reply) {
-                     OnTakeOver(params, reply);
-                   });
-  rpc_server_.Bind("advise",
-                   [this](const Json::Value& params, RpcServer::Reply reply) {
-                     OnAdvise(params, reply);
-                   });
+  rpc_server_.Bind("greet", [this](const Json::Value& params,
+                                   const RpcServer::Reply& reply) {
+    OnGreeting(params, reply);
+  });
+  rpc_server_.Bind("take_over", [this](const Json::Value& params,
+                                       const RpcServer::Reply& reply) {
+    OnTakeOver(params, reply);
+  });
+  rpc_server_.Bind("advise", [this](const Json::Value& params,
+                                    const RpcServer::Reply& reply) {
+    OnAdvise(params, reply);
+  });
   for (const char* method : {"submit", "cancel", "state", "pending"}) {
     rpc_server_.Bind(method, [this, method](const Json::Value& params,
-                                            RpcServer::Reply reply) {
+                                            const RpcServer::Reply& reply) {
       base::Failure reason;
       const auto call = OwnerCallFromJson(method, params, &reason);
       if (!call) {
--- a/src/member/owner_term.h
+++ b/src/member/owner_term.h
@@ -24,7 +24,7 @@
  public:
   // Asks the advisor through another entry host, or this one.
   using Advise = std::function<void(const core::scheduler::AskAdvice&,
-                                    platform::WorkerClient::AdviceDone)>;
+                                    const platform::WorkerClient::AdviceDone&)>;
 
   struct Parts {
     wire::EventLoop* loop = nullptr;
--- a/test/core/placement/policies_test.cc
+++ b/test/core/placement/policies_test.cc
@@ -91,7 +91,9 @@
 }
 
 TEST_CASE("more comes than the fleet can do") {
+  constexpr double kFull = 0.95;
   OverloadGuard guard;
+  guard.Clear(kFull);
   const desired::QueueId lookups("lookups");
   const desired::QueueId batch("batch");
 
@@ -112,9 +114,14 @@
   }
   SUBCASE("it opens again with the next look") {
     guard.NoteWaiting(lookups, 0.95);
-    guard.Clear();
+    guard.Clear(kFull);
     CHECK(guard.Decide(lookups, false) == Refusal::kNone);
   }
+  SUBCASE("nothing is refused while the fleet has room") {
+    guard.Clear(0.5);
+    guard.NoteWaiting(lookups, 0.95);
+    CHECK(guard.Decide(lookups, true) == Refusal::kNone);
+  }
 }
 
 workers::Worker WorkerOf(const char* id, std::int64_t cores) {
