--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -120,8 +120,9 @@
            base::TimePoint now, std::vector<Action>* actions);
   std::vector<base::BackendId> WorkersToAskAbout(const Item& item,
                                                  base::TimePoint now);
-  // Where the allowed workers have no room, others may be allowed as well.
-  void AskAboutMore(const Item& item, base::TimePoint now,
+  // Where the allowed workers have no room, others may be allowed as well: asks
+  // if at least `least` of them have room and weren't asked about.
+  void AskAboutMore(const Item& item, std::size_t least, base::TimePoint now,
                     std::vector<Action>* actions);
   std::vector<placement::Candidate> CandidatesOf(const Item& item,
                                                  base::TimePoint now) const;
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -223,7 +223,7 @@
     choices.push_back({index, best->worker->id()});
   }
   if (choices.empty()) {
-    AskAboutMore(item, now, actions);
+    AskAboutMore(item, 1, now, actions);
     return false;
   }
   Commit(item, std::move(choices), jobs::Attempt(0), now, actions);
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -48,7 +48,8 @@
                            now);
 }
 
-void Dispatcher::AskAboutMore(const Item& item, base::TimePoint now,
+void Dispatcher::AskAboutMore(const Item& item, std::size_t least,
+                              base::TimePoint now,
                               std::vector<Action>* actions) {
   if (!item.queue->advice) {
     return;
@@ -63,7 +64,7 @@
     return advice.asked.contains(id) ||
            !task.FitsIn(fleet_->workers().at(id).FreeRoom());
   });
-  if (Ask(item, std::move(more), now, actions)) {
+  if (more.size() >= least && Ask(item, std::move(more), now, actions)) {
     advice.retry_at = now + kAskAgainAfter;
   }
 }
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -39,6 +39,10 @@
   return chosen;
 }
 
+// Workers of which nothing is known and that have room: a quarter of them would
+// be allowed.
+constexpr std::size_t kWorthACall = 12;
+
 // A moment at which one more task of a gang will fit on a worker.
 struct Opening {
   base::TimePoint at;
@@ -130,9 +134,10 @@
   std::iota(members.begin(), members.end(), 0);
   std::vector<Choice> choices = ChooseForGang(item, members);
   if (choices.empty()) {
-    if (!HoldFor(item, now)) {
-      AskAboutMore(item, now, actions);
-    }
+    // Where the allowed workers would never hold it, any other may help; else a
+    // call of half a second has to promise more.
+    const bool will_fit = HoldFor(item, now);
+    AskAboutMore(item, will_fit ? kWorthACall : 1, now, actions);
     return false;
   }
   jobs::Attempt attempt = first_attempt_;
