The cell goes to hosts that can carry it; all calls are answered before a planned end

Change: in its last seconds a host gives quick answers, then ends all open calls as unknown before it stops; hosts wait to claim by what they have less than the best live host, and an owner with less than 0.7 of that hands over once.

--- a/include/dotterelbarrow/core/leadership/leadership.h
+++ b/include/dotterelbarrow/core/leadership/leadership.h
@@ -100,6 +100,9 @@
   // The owner's address refused a connection: its process is gone.
   void OnOwnerGone(base::TimePoint now);
 
+  // Lets this host wait this long while the cell is free, so that hosts that
+  // can carry more claim it first.
+  void set_claim_delay(base::Duration delay) { claim_delay_ = delay; }
   // Returns the write that makes this host the owner, if the cell is free.
   std::optional<HeadWrite> BeginClaim(base::TimePoint now);
   // Returns the head for the owner's next write. Precondition: the owner, and
@@ -143,6 +146,8 @@
   base::TimePoint last_read_;
   base::Duration read_latency_{0};
   bool owner_gone_ = false;
+  base::Duration claim_delay_{0};
+  std::optional<base::TimePoint> free_since_;
   std::optional<Head> former_;
   bool was_former_owner_gone_ = false;
   Head own_;
--- a/src/core/leadership/leadership.cc
+++ b/src/core/leadership/leadership.cc
@@ -67,6 +67,7 @@
   }
   if (version != seen_version_) {
     owner_gone_ = false;
+    free_since_.reset();
   }
   was_read_ = true;
   last_read_ = now;
@@ -94,6 +95,13 @@
   const base::Duration patience =
       settings_.silence + read_latency_ * settings_.latency_factor;
   if (!is_gone && now - unchanged_since_ < patience) {
+    free_since_.reset();
+    return std::nullopt;
+  }
+  if (!free_since_) {
+    free_since_ = now;
+  }
+  if (now - *free_since_ < claim_delay_) {
     return std::nullopt;
   }
   former_ = seen_;
--- a/src/core/scheduler/run_index.cc
+++ b/src/core/scheduler/run_index.cc
@@ -25,9 +25,9 @@
 }
 
 const std::set<PlacedRun>& RunIndex::OfStep(const jobs::StepRef& step) const {
-  static const std::set<PlacedRun> kNone;
+  static const std::set<PlacedRun> none;
   const auto it = by_step_.find(step);
-  return it == by_step_.end() ? kNone : it->second;
+  return it == by_step_.end() ? none : it->second;
 }
 
 base::Resources RunIndex::UsageOf(
--- a/src/member/log_writer.cc
+++ b/src/member/log_writer.cc
@@ -92,8 +92,8 @@
 void LogWriter::Flush() {
   std::size_t handed_over = 0;
   while (handed_over < buffer_.size()) {
-    const std::size_t size =
-        WholeLines(std::string_view(buffer_).substr(handed_over));
+    const std::size_t size = WholeLines(
+        {buffer_.data() + handed_over, buffer_.size() - handed_over});
     const ssize_t written = write(fd_, buffer_.data() + handed_over, size);
     if (written <= 0) {
       // The reader is slow, or gone; the next flush tries again.
--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "src/member/clock.h"
@@ -27,6 +28,19 @@
 // Three greetings were missed.
 constexpr base::Duration kPeerSilence = std::chrono::milliseconds(2000);
 
+// How much longer a host waits to claim the cell for each whole processor that
+// it has less than the best one: more than the time between two looks at the
+// head for a host of half the best one's.
+constexpr base::Duration kClaimDelayOfAShare = std::chrono::milliseconds(1200);
+// What a host knows nothing of before its first greeting: a usual strong host.
+constexpr double kUsualShare = 0.5;
+// An owner with less than this part of the best host's processor hands over,
+// which stops starts for half a second, once that has been so for a while.
+constexpr double kMuchWeaker = 0.7;
+constexpr base::Duration kWeakerFor = std::chrono::seconds(3);
+// If the better host doesn't take the cell, it isn't offered again soon.
+constexpr base::Duration kResignationGap = std::chrono::seconds(30);
+
 // Workers have 64 connections each for all entry hosts.
 constexpr std::size_t kMaxConnections = 16;
 // New connections have a price; workers keep theirs open for longer.
@@ -37,6 +51,12 @@
 // After a planned stop was ordered: new connections go elsewhere by now, as
 // the platform looks at readiness each second and needs two misses.
 constexpr base::Duration kLastConnections = std::chrono::milliseconds(2600);
+// From then on calls get a quick answer, whatever it is.
+constexpr base::Duration kLastPatience = std::chrono::milliseconds(500);
+// Before the platform kills the process, all that was taken is answered, and
+// the answers get time to leave.
+constexpr base::Duration kLastAnswers = std::chrono::milliseconds(1300);
+constexpr base::Duration kLastMoment = std::chrono::milliseconds(800);
 constexpr base::Duration kStopCheckPeriod = std::chrono::milliseconds(100);
 
 base::Incarnation NewIncarnation() {
@@ -110,6 +130,7 @@
       greet_timer_(*loop, [this] { Greet(); }),
       end_term_timer_(*loop, [this] { term_.reset(); }),
       stop_timer_(*loop, [this] { EndIfIdle(); }) {
+  SetClaimDelay(kUsualShare);
   BindRpc();
   BindPages();
 }
@@ -233,6 +254,7 @@
   if (leadership_.role() == core::leadership::Role::kOwner) {
     UpdateAskers();
     OfferHandOver();
+    ResignIfMuchWeaker();
     return;
   }
   if (owner == nullptr) {
@@ -241,6 +263,7 @@
   Json::Value params(Json::objectValue);
   params["host"] = settings_.host.value();
   params["address"] = settings_.peers_address;
+  params["share"] = settings_.cpu_share;
   rpc_.Call(owner->address, "greet", std::move(params), kGreetTimeout,
             [this, asked = *owner](const RpcResult& result) {
               OnGreeted(asked, result);
@@ -256,6 +279,10 @@
   bool is_gone = false;
   if (result.outcome == RpcOutcome::kAnswered) {
     refused_greetings_ = 0;
+    const Json::Value& best_share = result.result["best_share"];
+    if (best_share.isNumeric()) {
+      SetClaimDelay(best_share.asDouble());
+    }
     const Json::Value& incarnation = result.result["incarnation"];
     // Another run of the host answers: the owner's process has ended.
     is_gone = incarnation.isUInt64() &&
@@ -304,7 +331,9 @@
   const Json::Value& address = params["address"];
   if (host.isString() && address.isString()) {
     const base::EntryId entry(host.asString());
-    peers_[entry] = {address.asString(), Now()};
+    const Json::Value& share = params["share"];
+    peers_[entry] = {address.asString(), Now(),
+                     share.isNumeric() ? share.asDouble() : 0};
     const core::leadership::Head* former = leadership_.former_owner();
     // Who greets the owner follows it.
     if (term_ != nullptr && former != nullptr && former->holder == entry) {
@@ -313,9 +342,45 @@
   }
   Json::Value result(Json::objectValue);
   result["incarnation"] = static_cast<Json::UInt64>(incarnation_.value());
+  result["best_share"] = BestShare();
   reply(std::move(result));
 }
 
+double Member::Impl::BestShare() const {
+  double best = settings_.cpu_share;
+  for (const auto& [host, peer] : peers_) {
+    if (Now() - peer.greeted_at < kPeerSilence) {
+      best = std::max(best, peer.cpu_share);
+    }
+  }
+  return best;
+}
+
+void Member::Impl::SetClaimDelay(double best_share) {
+  const double behind = std::max(0.0, best_share - settings_.cpu_share);
+  leadership_.set_claim_delay(
+      base::Duration(std::llround(behind * kClaimDelayOfAShare.count())));
+}
+
+void Member::Impl::ResignIfMuchWeaker() {
+  const bool is_weaker = term_ != nullptr && term_->is_ready() &&
+                         settings_.cpu_share < kMuchWeaker * BestShare();
+  if (!is_weaker) {
+    weaker_since_.reset();
+    return;
+  }
+  if (!weaker_since_) {
+    weaker_since_ = Now();
+  }
+  if (Now() - *weaker_since_ >= kWeakerFor && Now() >= next_resignation_) {
+    weaker_since_.reset();
+    next_resignation_ = Now() + kResignationGap;
+    SetClaimDelay(BestShare());
+    telemetry_.log->Write("resigning_as_weaker", {});
+    term_->Resign();
+  }
+}
+
 void Member::Impl::UpdateAskers() {
   if (term_ == nullptr) {
     return;
@@ -360,11 +425,14 @@
     return;
   }
   callers_.StopAccepting();
+  owner_calls_.set_patience(kLastPatience);
+  const base::Duration left = settings_.shutdown_grace - since;
+  if (left <= kLastAnswers) {
+    owner_calls_.EndAll();
+  }
   const bool is_idle = callers_.open_exchanges() == 0 &&
                        callers_.unsent_replies() == 0 && term_ == nullptr;
-  // One second before the platform would kill the process.
-  const bool is_late =
-      since >= settings_.shutdown_grace - std::chrono::seconds(1);
+  const bool is_late = left <= kLastMoment;
   // Clients go on to use open connections; they learn with each answer that
   // theirs closes.
   const bool had_time = since >= kLastConnections + std::chrono::seconds(1);
--- a/src/member/member_impl.h
+++ b/src/member/member_impl.h
@@ -38,6 +38,7 @@
   struct Peer {
     std::string address;
     base::TimePoint greeted_at;
+    double cpu_share = 0;
   };
 
   void BindRpc();
@@ -59,6 +60,11 @@
   void OfferHandOver();
   void OnTakeOver(const Json::Value& params, const RpcServer::Reply& reply);
   void UpdateAskers();
+  // The largest part of a processor that a live host has, this one included.
+  double BestShare() const;
+  void SetClaimDelay(double best_share);
+  // A weak owner leaves the cell to a host that can carry much more.
+  void ResignIfMuchWeaker();
 
   std::optional<OwnerRoute> FindOwner() const;
   void Advise(const core::scheduler::AskAdvice& ask,
@@ -94,6 +100,8 @@
   OwnerCalls owner_calls_;
   JobApi job_api_;
   std::map<base::EntryId, Peer> peers_;
+  std::optional<base::TimePoint> weaker_since_;
+  base::TimePoint next_resignation_;
   int refused_greetings_ = 0;
   bool is_stopping_ = false;
   base::TimePoint stop_begun_;
--- a/src/member/owner_calls.cc
+++ b/src/member/owner_calls.cc
@@ -57,7 +57,7 @@
     return;
   }
   rpc_->Call(owner->address, MethodOf(call), ToJson(call),
-             kPatience - (Now() - pending.begun),
+             patience_ - (Now() - pending.begun),
              [this, id, token = owner->token](const RpcResult& result) {
                OnRpc(id, token, result);
              });
@@ -105,6 +105,12 @@
   reply(answer);
 }
 
+void OwnerCalls::EndAll() {
+  while (!pending_.empty()) {
+    End(pending_.begin()->first, OutcomeUnknown{});
+  }
+}
+
 void OwnerCalls::Sweep() {
   const std::optional<OwnerRoute> owner = find_owner_();
   const base::TimePoint now = Now();
@@ -112,7 +118,7 @@
   std::vector<std::uint64_t> again;
   for (auto& [id, pending] : pending_) {
     const bool has_next = owner && owner->token > pending.sent_to;
-    if (now - pending.begun >= kPatience) {
+    if (now - pending.begun >= patience_) {
       overdue.push_back(id);
     } else if (has_next || (!pending.is_under_way && pending.may_be_done)) {
       // What is open at a replaced owner may have been done there.
--- a/src/member/owner_calls.h
+++ b/src/member/owner_calls.h
@@ -41,13 +41,15 @@
              core::scheduler::Telemetry telemetry, FindOwner find_owner,
              HandleHere handle_here);
 
-  // Calls `reply` once, within kPatience.
+  // Calls `reply` once, within the patience.
   void Call(const OwnerCall& call, OwnerReply reply);
   // Looks again at calls without an outcome; for when the owner changed.
   void OnOwnerChanged() { Sweep(); }
 
-  // Callers wait 3 s; a later answer is of no use to them.
-  static constexpr base::Duration kPatience = std::chrono::milliseconds(2400);
+  // How long a call may go without an outcome; for a process that ends soon.
+  void set_patience(base::Duration patience) { patience_ = patience; }
+  // Ends all calls as unknown.
+  void EndAll();
 
  private:
   struct Pending {
@@ -70,6 +72,8 @@
   void End(std::uint64_t id, const OwnerAnswer& answer);
   void Sweep();
 
+  // Callers wait 3 s; a later answer is of no use to them.
+  base::Duration patience_ = std::chrono::milliseconds(2400);
   RpcClient* rpc_;
   core::scheduler::Telemetry telemetry_;
   FindOwner find_owner_;
--- a/test/core/leadership/leadership_test.cc
+++ b/test/core/leadership/leadership_test.cc
@@ -124,6 +124,13 @@
     other.OnOwnerGone(cell.now);
     CHECK(cell.Claim(&other));
   }
+  SUBCASE("a weak host leaves the cell to stronger ones for a moment") {
+    other.set_claim_delay(milliseconds(300));
+    other.OnOwnerGone(cell.now);
+    CHECK_FALSE(cell.Claim(&other));
+    cell.now += milliseconds(300);
+    CHECK(cell.Claim(&other));
+  }
   SUBCASE("a host that starts anew replaces its own former run at once") {
     Leadership again = MakeHost("owner", 2);
     cell.Read(&again);
