Overdue work apart; fewer looks in large fleets; refusals also when the owner is saturated

Change: steps that can't be in time are looked at every 50 ms, after the others; look gap 0.4 ms a worker in large fleets; lag of passes counts as saturation for the guard.

--- a/include/dotterelbarrow/core/placement/overload_guard.h
+++ b/include/dotterelbarrow/core/placement/overload_guard.h
@@ -6,8 +6,8 @@
 // start, so that the wait of a new job is about that of the most pressed one of
 // its queue. Jobs beyond an organisation's share go as soon as others wait for
 // a noticeable part of their slack; other jobs only when those before them are
-// about to be late; neither while the fleet has room. Nothing that was accepted
-// is given up.
+// about to be late; neither while fleet and owner have room. Nothing that was
+// accepted is given up.
 #ifndef DOTTERELBARROW_CORE_PLACEMENT_OVERLOAD_GUARD_H_
 #define DOTTERELBARROW_CORE_PLACEMENT_OVERLOAD_GUARD_H_
 
@@ -48,8 +48,11 @@
     most_used_ = std::max(most_used_, used_slack);
   }
 
+  // Whether the owner's processor, not the fleet, is what work waits for.
+  void set_saturated(bool saturated) { is_saturated_ = saturated; }
+
   Refusal Decide(const desired::QueueId& queue, bool over_share) const {
-    if (fleet_use_ < kFullFleet) {
+    if (fleet_use_ < kFullFleet && !is_saturated_) {
       return Refusal::kNone;
     }
     if (over_share && most_used_ > kOthersWait) {
@@ -65,6 +68,7 @@
   std::unordered_map<desired::QueueId, double> used_slack_;
   double most_used_ = 0;
   double fleet_use_ = 0;
+  bool is_saturated_ = false;
 };
 
 }  // namespace dotterelbarrow::core::placement
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -36,6 +36,8 @@
   // Steps in a row of their urgency that a pass finds no room for before it
   // ends: with a long backlog the rest would only cost processor time.
   int max_misses = 48;
+  // Time between two looks at what can't be in time any more.
+  base::Duration overdue_period = std::chrono::milliseconds(50);
 };
 
 class Dispatcher {
@@ -64,7 +66,11 @@
   const desired::Queue* FindQueue(const desired::QueueId& id) const;
 
   // Looks at the step in the next pass.
-  void Consider(const jobs::StepRef& step) { waiting_.insert(step); }
+  void Consider(const jobs::StepRef& step) {
+    if (!overdue_.contains(step)) {
+      waiting_.insert(step);
+    }
+  }
   void Forget(const jobs::StepRef& step);
   // Whether a new job should be refused, as of the last pass.
   placement::Refusal ShouldRefuse(const desired::QueueId& queue,
@@ -75,6 +81,9 @@
   void NoteOverShare(jobs::JobKey job) { over_share_.insert(job); }
   void ForgetJob(jobs::JobKey job);
 
+  // Whether the owner's processor is behind with its work.
+  void set_saturated(bool saturated) { guard_.set_saturated(saturated); }
+
   // Places what can be placed.
   void Pass(base::TimePoint now, std::vector<Action>* actions);
   void OnAdvice(const jobs::StepRef& step, const base::EntryId& asker,
@@ -83,7 +92,9 @@
   // The worker refused a ticket of the step.
   void DropTicket(const jobs::StepRef& step, const base::BackendId& worker);
 
-  std::size_t waiting_steps() const { return waiting_.size(); }
+  std::size_t waiting_steps() const {
+    return waiting_.size() + overdue_.size();
+  }
   // Workers kept free for gangs in the last pass.
   std::size_t held_workers() const { return held_.size(); }
 
@@ -102,8 +113,13 @@
     base::BackendId worker;
   };
 
-  // Returns what can be looked at now, the most urgent first.
-  std::vector<Item> Collect(base::TimePoint now);
+  // Returns what of `steps` can be looked at now, the most urgent first. Moves
+  // what can't be in time any more to the overdue ones.
+  std::vector<Item> Collect(std::set<jobs::StepRef>* steps,
+                            base::TimePoint now);
+  void PlaceAll(std::vector<Item> items, base::TimePoint now,
+                std::vector<Action>* actions);
+  void LookAtRoom(base::TimePoint now);
   // Tells the guard how long a job that found no room has been waiting.
   void NoteMiss(const Item& item, base::TimePoint now);
   // Returns nullopt where the step has nothing to place.
@@ -182,6 +198,10 @@
   std::unordered_set<jobs::JobKey> inherited_;
   std::unordered_set<jobs::JobKey> over_share_;
   std::set<jobs::StepRef> waiting_;
+  // Steps of jobs that can't be in time any more. There may be thousands after
+  // a burst; they are looked at less often, and after the others.
+  std::set<jobs::StepRef> overdue_;
+  base::TimePoint next_overdue_look_;
   // Jobs go on after their queue was dropped, under its last rules.
   std::unordered_map<desired::QueueId, desired::Queue> known_queues_;
   // Workers kept free for gangs of this pass, and of the one before.
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -9,6 +9,7 @@
 
 #include <sigc++/signal.h>
 
+#include <algorithm>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -30,8 +31,11 @@
   base::Duration lease = std::chrono::milliseconds(5000);
   // How long a look may wait for an end.
   base::Duration look_wait = std::chrono::milliseconds(1500);
-  // Least time between two looks; gathers ends, as each look has a price.
+  // Least time between two looks at a worker; gathers ends, as each look has a
+  // price. In a large fleet it grows by `look_gap_per_worker`, so that the
+  // owner's looks stay below 2,500 a second.
   base::Duration look_gap = std::chrono::milliseconds(60);
+  base::Duration look_gap_per_worker = std::chrono::microseconds(400);
   // A failed look is repeated after this time.
   base::Duration look_retry = std::chrono::milliseconds(200);
   // An order to stop without an answer is repeated after this time.
@@ -116,6 +120,12 @@
   bool is_fenced() const { return is_fenced_; }
 
  private:
+  // How long a worker is left alone between two looks.
+  base::Duration LookGap() const {
+    const auto workers = static_cast<base::Duration::rep>(workers_.size());
+    return std::max(settings_.look_gap,
+                    settings_.look_gap_per_worker * workers);
+  }
   // When leases that are given until `now` have lapsed, on the slowest clock.
   base::TimePoint LapseOfLeasesGivenAt(base::TimePoint now) const {
     return now + settings_.lease + settings_.lease / 20;
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -105,6 +105,8 @@
 
   // `unix_now_ms` only tells which scheduled occurrences are due.
   void Tick(base::TimePoint now, std::int64_t unix_now_ms);
+  // Whether the owner's processor is behind with its work.
+  void set_saturated(bool saturated) { dispatcher_.set_saturated(saturated); }
   void Pass(base::TimePoint now) { dispatcher_.Pass(now, &actions_); }
 
   void OnStarted(const StartTask& order, OrderOutcome outcome,
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -31,6 +31,7 @@
 
 void Dispatcher::Forget(const jobs::StepRef& step) {
   waiting_.erase(step);
+  overdue_.erase(step);
   advice_.Forget(step);
 }
 
@@ -60,18 +61,25 @@
   return item;
 }
 
-std::vector<Dispatcher::Item> Dispatcher::Collect(base::TimePoint now) {
+std::vector<Dispatcher::Item> Dispatcher::Collect(
+    std::set<jobs::StepRef>* steps, base::TimePoint now) {
   std::vector<Item> items;
   const bool unsettled = !fleet_->unsettled().empty();
-  for (auto it = waiting_.begin(); it != waiting_.end();) {
+  for (auto it = steps->begin(); it != steps->end();) {
     std::optional<Item> item = ItemOf(*it, now);
     if (!item) {
-      it = waiting_.erase(it);
+      it = steps->erase(it);
+      continue;
+    }
+    if (steps == &waiting_ &&
+        item->urgency.standing != placement::Standing::kOnTime) {
+      overdue_.insert(*it);
+      it = steps->erase(it);
       continue;
     }
     const bool may_run_unseen = unsettled && inherited_.contains(it->job);
     if (jobs_->IsStored(it->job) && !may_run_unseen) {
-      items.push_back(*item);
+      items.push_back(std::move(*item));
     }
     ++it;
   }
@@ -81,38 +89,49 @@
   return items;
 }
 
-void Dispatcher::Pass(base::TimePoint now, std::vector<Action>* actions) {
-  held_before_ = std::exchange(held_, {});
-  unseen_usage_ = UnseenUsage();
-  cap_waiters_.clear();
-  held_gangs_ = 0;
+void Dispatcher::LookAtRoom(base::TimePoint now) {
   largest_room_ = base::Resources();
   base::Resources reserved;
   base::Resources capacity;
   for (const auto& [id, worker] : fleet_->workers()) {
-    if (worker.TakesWork(now)) {
-      reserved += worker.reserved();
-      capacity += worker.listing().capacity;
-      const base::Resources room = worker.FreeRoom();
-      largest_room_.cpu = std::max(largest_room_.cpu, room.cpu);
-      largest_room_.memory = std::max(largest_room_.memory, room.memory);
-      largest_room_.accelerators =
-          std::max(largest_room_.accelerators, room.accelerators);
+    if (!worker.TakesWork(now)) {
+      continue;
     }
+    reserved += worker.reserved();
+    capacity += worker.listing().capacity;
+    const base::Resources room = worker.FreeRoom();
+    largest_room_.cpu = std::max(largest_room_.cpu, room.cpu);
+    largest_room_.memory = std::max(largest_room_.memory, room.memory);
+    largest_room_.accelerators =
+        std::max(largest_room_.accelerators, room.accelerators);
   }
   guard_.Clear(base::DominantFraction(reserved, capacity));
+}
+
+void Dispatcher::Pass(base::TimePoint now, std::vector<Action>* actions) {
+  held_before_ = std::exchange(held_, {});
+  unseen_usage_ = UnseenUsage();
+  cap_waiters_.clear();
+  held_gangs_ = 0;
+  LookAtRoom(now);
+  PlaceAll(Collect(&waiting_, now), now, actions);
+  if (now >= next_overdue_look_) {
+    next_overdue_look_ = now + settings_.overdue_period;
+    PlaceAll(Collect(&overdue_, now), now, actions);
+  }
+}
+
+void Dispatcher::PlaceAll(std::vector<Item> items, base::TimePoint now,
+                          std::vector<Action>* actions) {
   int misses = 0;
-  for (Item& item : Collect(now)) {
+  for (Item& item : items) {
     if (misses >= settings_.max_misses) {
       break;
     }
-    if (!MayFit(item)) {
+    if (!MayFit(item) || !FindCandidates(&item, now, actions)) {
       NoteMiss(item, now);
       continue;
     }
-    if (!FindCandidates(&item, now, actions)) {
-      continue;
-    }
     const bool is_placed = item.job->SpecOf(item.step).gang
                                ? PlaceGang(item, now, actions)
                                : PlaceTasks(item, now, actions);
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -195,7 +195,7 @@
                            {"asker", asker.value()},
                            {"failed_calls", advice->failed_calls}});
   }
-  waiting_.insert(step);
+  Consider(step);
   SettleEarmarks(step, now, actions);
 }
 
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -388,7 +388,7 @@
   }
   if (was_waiting) {
     target->look_under_way = false;
-    target->next_look = now + settings_.look_gap;
+    target->next_look = now + LookGap();
   }
   if (result.outcome == OrderOutcome::kFenced) {
     is_fenced_ = true;
@@ -542,7 +542,7 @@
   }
   target->ends_stored = std::min(number, target->ends_taken);
   if (!target->look_under_way) {
-    target->next_look = std::min(target->next_look, now + settings_.look_gap);
+    target->next_look = std::min(target->next_look, now + LookGap());
   }
 }
 
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -20,6 +20,11 @@
 // Passes take at most one in this many parts of the time, so that a long
 // backlog leaves time for answers.
 constexpr int kPassShare = 3;
+// Passes that start this much late, as a rule, mean that the processor is what
+// work waits for: a tenth of the slack of work that is due within a second.
+constexpr base::Duration kSaturatedLag = std::chrono::milliseconds(40);
+// Weight of the last lag in the usual one: one in this many.
+constexpr int kLagWindow = 16;
 // One transaction holds all changes of this time; each has a price.
 constexpr base::Duration kWriteGap = std::chrono::milliseconds(20);
 // A quarter of the time in which a leaving worker must get no new work (2 s).
@@ -289,15 +294,23 @@
 void OwnerTerm::WakeIn(base::Duration delay) {
   if (!is_pass_armed_) {
     is_pass_armed_ = true;
-    pass_timer_.StartOnce(std::max(delay, next_pass_ - Now()));
+    const base::TimePoint now = Now();
+    pass_due_ = std::max(now + delay, next_pass_);
+    pass_timer_.StartOnce(pass_due_ - now);
   }
 }
 
+void OwnerTerm::LearnLag(base::Duration lag) {
+  usual_lag_ += (lag - usual_lag_) / kLagWindow;
+  scheduler_.set_saturated(usual_lag_ >= kSaturatedLag);
+}
+
 void OwnerTerm::Pass() {
   is_pass_armed_ = false;
   if (is_over_ || !is_loaded_) {
     return;
   }
+  LearnLag(Now() - pass_due_);
   if (!is_resigning_ && parts_.leadership->HasAuthority(Now())) {
     const base::TimePoint begun = Now();
     scheduler_.Pass(begun);
--- a/src/member/owner_term.h
+++ b/src/member/owner_term.h
@@ -80,6 +80,8 @@
   void Wake() { WakeIn(kPassDelay); }
   void WakeIn(base::Duration delay);
   void Pass();
+  // Takes in how late a pass began.
+  void LearnLag(base::Duration lag);
   void CarryOut();
   void CarryOut(const core::scheduler::Action& action);
   void WriteIfDue();
@@ -127,6 +129,8 @@
   wire::Timer pass_timer_;
   bool is_pass_armed_ = false;
   base::TimePoint next_pass_;
+  base::TimePoint pass_due_;
+  base::Duration usual_lag_{0};
   wire::PeriodicTimer tick_timer_;
 };
 
--- a/test/core/placement/policies_test.cc
+++ b/test/core/placement/policies_test.cc
@@ -121,6 +121,11 @@
     guard.Clear(0.5);
     guard.NoteWaiting(lookups, 0.95);
     CHECK(guard.Decide(lookups, true) == Refusal::kNone);
+
+    SUBCASE("unless the owner itself can't keep up") {
+      guard.set_saturated(true);
+      CHECK(guard.Decide(lookups, true) == Refusal::kOverShare);
+    }
   }
 }
 
