--- a/include/dotterelbarrow/core/placement/overload_guard.h
+++ b/include/dotterelbarrow/core/placement/overload_guard.h
@@ -6,15 +6,16 @@
 // start, so that the wait of a new job is about that of the most pressed one of
 // its queue. Jobs beyond an organisation's share go as soon as others wait for
 // a noticeable part of their slack; other jobs only when those before them are
-// about to be late; neither while fleet and owner have room. Nothing that was
-// accepted is given up.
+// about to be late; neither while fleet and owner have room. An organisation at
+// its cap is measured by its own waiting jobs, however free the fleet is.
+// Nothing that was accepted is given up.
 #ifndef DOTTERELBARROW_CORE_PLACEMENT_OVERLOAD_GUARD_H_
 #define DOTTERELBARROW_CORE_PLACEMENT_OVERLOAD_GUARD_H_
 
 #include <algorithm>
 #include <unordered_map>
 
-#include "dotterelbarrow/base/units.h"
+#include "dotterelbarrow/base/ids.h"
 #include "dotterelbarrow/core/desired/desired_state.h"
 
 namespace dotterelbarrow::core::placement {
@@ -23,6 +24,7 @@
   kNone,
   kOverShare,   // The organisation is beyond its share, and others wait.
   kOverloaded,  // It would be late: those before it are about to be.
+  kAtCap,       // The same, under the organisation's cap.
 };
 
 class OverloadGuard {
@@ -37,6 +39,7 @@
   // Begins a new look at what waits, with this part of the fleet in use.
   void Clear(double fleet_use) {
     used_slack_.clear();
+    capped_.clear();
     most_used_ = 0;
     fleet_use_ = fleet_use;
   }
@@ -48,10 +51,25 @@
     most_used_ = std::max(most_used_, used_slack);
   }
 
+  // A job of `organisation` waits for room under its cap.
+  void NoteCapped(const base::OrganisationId& organisation, double used_slack) {
+    double& most = capped_[organisation];
+    most = std::max(most, used_slack);
+  }
   // Whether the owner's processor, not the fleet, is what work waits for.
   void set_saturated(bool saturated) { is_saturated_ = saturated; }
 
-  Refusal Decide(const desired::QueueId& queue, bool over_share) const {
+  Refusal Decide(const desired::QueueId& queue,
+                 const base::OrganisationId& organisation,
+                 bool over_share) const {
+    if (const auto it = capped_.find(organisation); it != capped_.end()) {
+      if (over_share && it->second > kOthersWait) {
+        return Refusal::kOverShare;
+      }
+      if (it->second > kAboutToBeLate) {
+        return Refusal::kAtCap;
+      }
+    }
     if (fleet_use_ < kFullFleet && !is_saturated_) {
       return Refusal::kNone;
     }
@@ -66,6 +84,7 @@
 
  private:
   std::unordered_map<desired::QueueId, double> used_slack_;
+  std::unordered_map<base::OrganisationId, double> capped_;
   double most_used_ = 0;
   double fleet_use_ = 0;
   bool is_saturated_ = false;
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -74,8 +74,9 @@
   void Forget(const jobs::StepRef& step);
   // Whether a new job should be refused, as of the last pass.
   placement::Refusal ShouldRefuse(const desired::QueueId& queue,
+                                  const base::OrganisationId& organisation,
                                   bool over_share) const {
-    return guard_.Decide(queue, over_share);
+    return guard_.Decide(queue, organisation, over_share);
   }
   // An organisation's job beyond its weight was accepted.
   void NoteOverShare(jobs::JobKey job) { over_share_.insert(job); }
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -143,16 +143,20 @@
 }
 
 void Dispatcher::NoteMiss(const Item& item, base::TimePoint now) {
-  const bool is_owed = item.urgency.standing == placement::Standing::kOnTime &&
-                       !item.urgency.over_share && item.step.step == 0;
   const base::Duration slack =
       item.urgency.latest_start - item.job->accepted_at;
-  if (!is_owed || slack <= base::Duration(0) || !IsWithinCap(item, 1)) {
+  if (item.urgency.standing != placement::Standing::kOnTime ||
+      item.step.step != 0 || slack <= base::Duration(0)) {
     return;
   }
   const base::Duration waited = now - item.job->accepted_at;
-  guard_.NoteWaiting(item.queue->id, static_cast<double>(waited.count()) /
-                                         static_cast<double>(slack.count()));
+  const double used =
+      static_cast<double>(waited.count()) / static_cast<double>(slack.count());
+  if (!IsWithinCap(item, 1)) {
+    guard_.NoteCapped(item.job->organisation, used);
+  } else if (!item.urgency.over_share) {
+    guard_.NoteWaiting(item.queue->id, used);
+  }
 }
 
 bool Dispatcher::MayFit(const Item& item) const {
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -139,11 +139,14 @@
   const bool over_share =
       organisation != nullptr &&
       !rates_.Take(organisation->id, organisation->weight, now);
-  switch (dispatcher_.ShouldRefuse(submission.queue, over_share)) {
+  switch (dispatcher_.ShouldRefuse(submission.queue, submission.organisation,
+                                   over_share)) {
     case placement::Refusal::kOverShare:
       return {SubmitOutcome::kRefused, "over_share", kOverShareRetryAfter};
     case placement::Refusal::kOverloaded:
       return {SubmitOutcome::kRefused, "overloaded", kOverloadedRetryAfter};
+    case placement::Refusal::kAtCap:
+      return {SubmitOutcome::kRefused, "at_cap", kOverloadedRetryAfter};
     case placement::Refusal::kNone:
       break;
   }
--- a/test/core/placement/policies_test.cc
+++ b/test/core/placement/policies_test.cc
@@ -92,39 +92,50 @@
 
 TEST_CASE("more comes than the fleet can do") {
   constexpr double kFull = 0.95;
+  const base::OrganisationId loud("loud");
+  const base::OrganisationId other("other");
   OverloadGuard guard;
   guard.Clear(kFull);
   const desired::QueueId lookups("lookups");
   const desired::QueueId batch("batch");
 
   SUBCASE("without anything waiting, everything is taken") {
-    CHECK(guard.Decide(lookups, true) == Refusal::kNone);
+    CHECK(guard.Decide(lookups, loud, true) == Refusal::kNone);
   }
   SUBCASE("what is beyond a share goes first, as soon as others wait") {
     guard.NoteWaiting(batch, 0.4);
-    CHECK(guard.Decide(lookups, true) == Refusal::kOverShare);
-    CHECK(guard.Decide(lookups, false) == Refusal::kNone);
+    CHECK(guard.Decide(lookups, loud, true) == Refusal::kOverShare);
+    CHECK(guard.Decide(lookups, loud, false) == Refusal::kNone);
   }
   SUBCASE("a queue is closed only while its jobs are about to be late") {
     guard.NoteWaiting(lookups, 0.5);
-    CHECK(guard.Decide(lookups, false) == Refusal::kNone);
+    CHECK(guard.Decide(lookups, loud, false) == Refusal::kNone);
     guard.NoteWaiting(lookups, 0.95);
-    CHECK(guard.Decide(lookups, false) == Refusal::kOverloaded);
-    CHECK(guard.Decide(batch, false) == Refusal::kNone);
+    CHECK(guard.Decide(lookups, loud, false) == Refusal::kOverloaded);
+    CHECK(guard.Decide(batch, loud, false) == Refusal::kNone);
   }
   SUBCASE("it opens again with the next look") {
     guard.NoteWaiting(lookups, 0.95);
     guard.Clear(kFull);
-    CHECK(guard.Decide(lookups, false) == Refusal::kNone);
+    CHECK(guard.Decide(lookups, loud, false) == Refusal::kNone);
+  }
+  SUBCASE("an organisation at its cap is refused alone, in a free fleet") {
+    guard.Clear(0.5);
+    guard.NoteCapped(loud, 0.5);
+    CHECK(guard.Decide(lookups, loud, true) == Refusal::kOverShare);
+    CHECK(guard.Decide(lookups, loud, false) == Refusal::kNone);
+    guard.NoteCapped(loud, 0.95);
+    CHECK(guard.Decide(lookups, loud, false) == Refusal::kAtCap);
+    CHECK(guard.Decide(lookups, other, true) == Refusal::kNone);
   }
   SUBCASE("nothing is refused while the fleet has room") {
     guard.Clear(0.5);
     guard.NoteWaiting(lookups, 0.95);
-    CHECK(guard.Decide(lookups, true) == Refusal::kNone);
+    CHECK(guard.Decide(lookups, loud, true) == Refusal::kNone);
 
     SUBCASE("unless the owner itself can't keep up") {
       guard.set_saturated(true);
-      CHECK(guard.Decide(lookups, true) == Refusal::kOverShare);
+      CHECK(guard.Decide(lookups, loud, true) == Refusal::kOverShare);
     }
   }
 }
