--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -172,9 +172,11 @@
   bool CanEverFitCap(const Item& item, std::uint32_t tasks) const;
   bool FitsCap(const Item& item, const base::Resources& used,
                std::uint32_t tasks) const;
-  // What may run for any organisation, on workers of former owners that were
-  // not claimed yet, and in runs whose job is gone.
-  base::Resources UnseenUsage() const;
+  // Works out what may run without being known: in runs whose job is gone,
+  // for any organisation; and on workers of former owners that were not claimed
+  // yet, for an organisation no more than its own waiting tasks of before.
+  void LookAtUnseen(base::TimePoint now);
+  base::Resources UnseenUsageOf(const base::OrganisationId& organisation) const;
   // Returns the ticket to show; nullopt if a new one is needed.
   std::optional<std::string> TicketFor(const Item& item,
                                        const base::BackendId& worker,
@@ -210,7 +212,9 @@
   std::set<base::BackendId> held_before_;
   int held_gangs_ = 0;
   placement::OverloadGuard guard_;
-  base::Resources unseen_usage_;
+  base::Resources stray_usage_;
+  base::Resources unsettled_capacity_;
+  std::unordered_map<base::OrganisationId, base::Resources> unseen_;
   // At least the free room of any worker, in each dimension.
   base::Resources largest_room_;
   // Organisations of which a gang waits for room under the cap. What is less
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -110,7 +110,7 @@
 
 void Dispatcher::Pass(base::TimePoint now, std::vector<Action>* actions) {
   held_before_ = std::exchange(held_, {});
-  unseen_usage_ = UnseenUsage();
+  LookAtUnseen(now);
   cap_waiters_.clear();
   held_gangs_ = 0;
   LookAtRoom(now);
@@ -253,14 +253,46 @@
   return true;
 }
 
-base::Resources Dispatcher::UnseenUsage() const {
-  base::Resources unseen;
+void Dispatcher::LookAtUnseen(base::TimePoint now) {
+  stray_usage_ = base::Resources();
+  unsettled_capacity_ = base::Resources();
+  unseen_.clear();
   for (const auto& [id, worker] : fleet_->workers()) {
-    if (worker.has_strays() || fleet_->unsettled().contains(id)) {
-      unseen += worker.listing().capacity;
+    if (fleet_->unsettled().contains(id)) {
+      unsettled_capacity_ += worker.listing().capacity;
+    } else if (worker.has_strays()) {
+      stray_usage_ += worker.listing().capacity;
     }
   }
-  return unseen;
+  if (fleet_->unsettled().empty()) {
+    return;
+  }
+  for (const std::set<jobs::StepRef>* steps : {&waiting_, &overdue_}) {
+    for (const jobs::StepRef& ref : *steps) {
+      const std::optional<Item> item =
+          inherited_.contains(ref.job) ? ItemOf(ref, now) : std::nullopt;
+      if (!item) {
+        continue;
+      }
+      base::Resources& unseen = unseen_[item->job->organisation];
+      const std::uint32_t tasks = item->job->FindStep(ref)->waiting();
+      for (std::uint32_t i = 0; i < tasks; ++i) {
+        unseen += item->job->SpecOf(ref).needs;
+      }
+    }
+  }
+}
+
+base::Resources Dispatcher::UnseenUsageOf(
+    const base::OrganisationId& organisation) const {
+  base::Resources usage = stray_usage_;
+  if (const auto it = unseen_.find(organisation); it != unseen_.end()) {
+    usage.cpu += std::min(it->second.cpu, unsettled_capacity_.cpu);
+    usage.memory += std::min(it->second.memory, unsettled_capacity_.memory);
+    usage.accelerators +=
+        std::min(it->second.accelerators, unsettled_capacity_.accelerators);
+  }
+  return usage;
 }
 
 bool Dispatcher::FitsCap(const Item& item, const base::Resources& used,
@@ -283,7 +315,9 @@
 
 bool Dispatcher::IsWithinCap(const Item& item, std::uint32_t tasks) const {
   return !cap_waiters_.contains(item.job->organisation) &&
-         FitsCap(item, runs_->UsageOf(item.job->organisation) + unseen_usage_,
+         FitsCap(item,
+                 runs_->UsageOf(item.job->organisation) +
+                     UnseenUsageOf(item.job->organisation),
                  tasks);
 }
 
--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -34,6 +34,8 @@
 constexpr std::uint32_t kMaxAttempts = 3;
 // Caps bind: a third of eight workers.
 constexpr std::int64_t kCapCores = 48;
+constexpr double kAmpleSlack = 100;
+constexpr double kAmpleWeight = 1000;
 
 const char* const kService = "service";
 
@@ -42,6 +44,9 @@
   plain.id = core::desired::QueueId("plain");
   plain.service = base::ServiceId(kService);
   plain.max_attempts = kMaxAttempts;
+  // Nothing is refused for want of time: the stories ask what becomes of
+  // accepted jobs.
+  plain.slack_factor = kAmpleSlack;
   core::desired::Queue advised = plain;
   advised.id = core::desired::QueueId("advised");
   advised.advice = core::desired::AdvicePolicy{std::chrono::milliseconds(20),
@@ -50,6 +55,7 @@
   core::desired::Organisation organisation;
   organisation.id = base::OrganisationId("organisation");
   organisation.cap.cpu = base::Millicores(kCapCores * 1000);
+  organisation.weight = kAmpleWeight;
   return std::make_shared<core::desired::DesiredState>(
       base::ConfigVersion(1), std::vector<core::desired::Queue>{plain, advised},
       std::vector<core::desired::Organisation>{organisation},
