dotterelctl explain tells a job's story from several logs; histograms on the metrics page

Change: ctl/job_story reads the lines of a job from the entry hosts' logs, in order of time, with the load while it waited; placement wait, completion, calls to the owner and store writes are histograms.

--- a/include/dotterelbarrow/core/scheduler/decision_log.h
+++ b/include/dotterelbarrow/core/scheduler/decision_log.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <variant>
 
+#include "dotterelbarrow/base/units.h"
 #include "dotterelbarrow/core/counters.h"
 
 namespace dotterelbarrow::core::scheduler {
@@ -25,10 +26,25 @@
                      std::initializer_list<LogField> fields) = 0;
 };
 
+// Takes how long things took, for histograms.
+class LatencySink {
+ public:
+  virtual ~LatencySink() = default;
+  virtual void Observe(std::string_view name, base::Duration latency) = 0;
+};
+
 // What every part of the core may tell the world.
 struct Telemetry {
   DecisionLog* log = nullptr;
   Counters* counters = nullptr;
+  // Null where nobody collects latencies.
+  LatencySink* latencies = nullptr;
+
+  void Observe(std::string_view name, base::Duration latency) const {
+    if (latencies != nullptr) {
+      latencies->Observe(name, latency);
+    }
+  }
 };
 
 }  // namespace dotterelbarrow::core::scheduler
--- a/include/dotterelbarrow/wire/metrics.h
+++ b/include/dotterelbarrow/wire/metrics.h
@@ -23,6 +23,8 @@
   void Set(const core::Counters& counters);
   // Sets the gauge dotterel_<name>.
   void Set(const std::string& name, double value);
+  // Adds one to the histogram dotterel_<name>_seconds.
+  void Observe(const std::string& name, double seconds);
   // Sets process_resident_memory_bytes and process_cpu_seconds_total.
   void SetProcess();
 
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -354,6 +354,7 @@
   if (placed.empty()) {
     return;
   }
+  telemetry_.Observe("placement_wait", now - item.job->accepted_at);
   telemetry_.log->Write(
       "placed",
       {{"step", jobs::ToString(item.step)},
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -214,6 +214,7 @@
        {"state", jobs::ToString(job.state)},
        {"after_ms", (now_ - job.accepted_at) / std::chrono::milliseconds(1)}});
   telemetry_.counters->Increment("jobs_ended", jobs::ToString(job.state));
+  telemetry_.Observe("job_completion", now_ - job.accepted_at);
   scheduled_.erase(job.key);
   jobs_.NoteChanged(job.key, now_);
   if (job.state != jobs::JobState::kCompleted) {
--- a/src/ctl/command_line.cc
+++ b/src/ctl/command_line.cc
@@ -35,12 +35,16 @@
   const char* help;
 };
 
+// Logs that one command reads; more than a cell has hosts.
+constexpr std::size_t kMostLogs = 1000;
+
 constexpr CommandHelp kCommands[] = {
     {"ticket apply", "FILE|-", "hand in a change ticket"},
     {"ticket history", "", "show the latest tickets in force"},
     {"submit", "[FILE|-] [flags]", "hand in a request or a job"},
     {"status", "JOB [--follow]", "show what became of a job"},
     {"cancel", "JOB", "withdraw a job"},
+    {"explain", "JOB FILE...", "tell a job's story from entry hosts' logs"},
     {"members", "", "show the entry hosts and who of them is alive"},
     {"teams", "", "show teams, shares and limits"},
     {"services", "", "show services and who may use them"},
@@ -287,8 +291,9 @@
   }
   options::variables_map values;
   std::vector<std::string> words;
-  const Failure failure =
-      ReadOwn(arguments, own, takes_word ? 1 : 0, &values, &words);
+  const bool takes_files = name == "explain";
+  const std::size_t most = takes_files ? kMostLogs + 1 : takes_word ? 1 : 0;
+  const Failure failure = ReadOwn(arguments, own, most, &values, &words);
   if (failure.code != FailureCode::kNone) {
     return failure;
   }
@@ -298,7 +303,7 @@
   if (name == "submit") {
     return ReadSubmitFile(words.front(), values);
   }
-  if (takes_word && words.empty()) {
+  if ((takes_word && words.empty()) || (takes_files && words.size() < 2)) {
     return Failure{FailureCode::kMissingField,
                    name + " needs " + command.arguments};
   }
@@ -311,6 +316,9 @@
   if (name == "cancel") {
     return CancelJob{words.front()};
   }
+  if (takes_files) {
+    return ExplainJob{words.front(), {words.begin() + 1, words.end()}};
+  }
   for (const auto& [page_name, page] : kPages) {
     if (name == page_name) {
       return ShowPage{page};
--- a/src/ctl/command_line.h
+++ b/src/ctl/command_line.h
@@ -43,6 +43,11 @@
 struct CancelJob {
   std::string job;
 };
+struct ExplainJob {
+  std::string job;
+  // Logs of entry hosts.
+  std::vector<std::string> files;
+};
 enum class Page {
   kTicketHistory,
   kMembers,
@@ -56,8 +61,9 @@
 };
 
 // The failure says what is wrong with the line.
-using Command = std::variant<base::Failure, ShowHelp, ApplyTicket, SubmitFile,
-                             SubmitRequest, JobStatus, CancelJob, ShowPage>;
+using Command =
+    std::variant<base::Failure, ShowHelp, ApplyTicket, SubmitFile,
+                 SubmitRequest, JobStatus, CancelJob, ExplainJob, ShowPage>;
 
 struct CommandLine {
   CommonOptions common;
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -7,6 +7,8 @@
 
 #include "dotterelbarrow/config/ticket.h"
 #include "dotterelbarrow/core/codec.h"
+#include "src/ctl/job_story.h"
+#include "src/ctl/job_story.h"
 #include "src/ctl/output.h"
 
 namespace dotterelbarrow::ctl {
@@ -170,6 +172,24 @@
                                                       : ExitCodeOf(*answer);
 }
 
+ExitCode CommandRunner::operator()(const ExplainJob& command) {
+  std::vector<LogText> logs;
+  for (const std::string& file : command.files) {
+    auto text = ReadFile(file);
+    if (!text) {
+      return ExitCode::kUsage;
+    }
+    logs.push_back({file, std::move(*text)});
+  }
+  const std::vector<StoryLine> story = StoryOf(command.job, logs);
+  if (story.empty()) {
+    *errors_ << "no line of these logs names " << command.job << "\n";
+    return ExitCode::kFailed;
+  }
+  *out_ << ToText(story);
+  return ExitCode::kOk;
+}
+
 ExitCode CommandRunner::operator()(const ShowPage& command) {
   const wire::HttpResult result =
       client_->Call({.uri = PathOf(command.page), .body = ""});
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -29,6 +29,7 @@
   ExitCode operator()(const SubmitRequest& command);
   ExitCode operator()(const JobStatus& command);
   ExitCode operator()(const CancelJob& command);
+  ExitCode operator()(const ExplainJob& command);
   ExitCode operator()(const ShowPage& command);
 
  private:
--- a/src/member/head_writer.cc
+++ b/src/member/head_writer.cc
@@ -121,6 +121,7 @@
   switch (result.outcome) {
     case platform::StoreOutcome::kDone:
       LearnLatency(now - sent_at);
+      telemetry_.Observe("store_write", now - begun_at_);
       leadership_->OnWritten(result.version, now);
       End(HeadWriteEnd::kStored, result.now_ms);
       return;
--- a/src/member/member_impl.h
+++ b/src/member/member_impl.h
@@ -25,6 +25,19 @@
 
 namespace dotterelbarrow::member {
 
+// Histograms of the metrics page.
+class LatencyMetrics : public core::scheduler::LatencySink {
+ public:
+  explicit LatencyMetrics(wire::Metrics* metrics) : metrics_(metrics) {}
+  void Observe(std::string_view name, base::Duration latency) override {
+    metrics_->Observe(std::string(name),
+                      std::chrono::duration<double>(latency).count());
+  }
+
+ private:
+  wire::Metrics* metrics_;
+};
+
 class Member::Impl {
  public:
   Impl(wire::EventLoop* loop, const platform::PlatformSettings& settings);
@@ -79,6 +92,7 @@
   base::Incarnation incarnation_;
   core::Counters counters_;
   wire::Metrics metrics_;
+  LatencyMetrics latencies_;
   LogWriter log_;
   core::scheduler::Telemetry telemetry_;
   wire::HttpClient client_;
--- a/src/member/owner_calls.cc
+++ b/src/member/owner_calls.cc
@@ -101,6 +101,7 @@
 void OwnerCalls::End(std::uint64_t id, const OwnerAnswer& answer) {
   const auto it = pending_.find(id);
   const OwnerReply reply = std::move(it->second.reply);
+  telemetry_.Observe("owner_call", Now() - it->second.begun);
   pending_.erase(it);
   reply(answer);
 }
--- a/src/wire/metrics.cc
+++ b/src/wire/metrics.cc
@@ -3,6 +3,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/text_serializer.h>
 #include <sys/resource.h>
 #include <unistd.h>
@@ -14,6 +15,10 @@
 
 constexpr double kMicrosecondsPerSecond = 1e6;
 
+// From an answer within the host to a job that has lost its worth.
+const prometheus::Histogram::BucketBoundaries kBuckets = {
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30};
+
 // Counters only go up; the registry's follows the core's.
 void Raise(prometheus::Counter* counter, double value) {
   if (value > counter->Value()) {
@@ -63,6 +68,15 @@
       .Set(value);
 }
 
+void Metrics::Observe(const std::string& name, double seconds) {
+  prometheus::BuildHistogram()
+      .Name("dotterel_" + name + "_seconds")
+      .Help("Time taken.")
+      .Register(registry_)
+      .Add({}, kBuckets)
+      .Observe(seconds);
+}
+
 void Metrics::SetProcess() {
   prometheus::BuildGauge()
       .Name("process_resident_memory_bytes")
