--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -16,6 +16,9 @@
 
 namespace dotterelbarrow::core::workers {
 
+// The life of a worker that was inherited, before it was listed or answered.
+inline constexpr std::int64_t kUnknownLife = 0;
+
 // What the platform's list says of a worker.
 struct Listing {
   base::BackendId id;
--- /dev/null
+++ b/src/core/scheduler/dispatcher_caps.cc
@@ -0,0 +1,88 @@
+// Caps of organisations: what they may have running, and what may run for them
+// unseen.
+#include <algorithm>
+
+#include "dotterelbarrow/core/scheduler/dispatcher.h"
+
+namespace dotterelbarrow::core::scheduler {
+namespace {
+
+bool FitsUnderCap(std::int64_t used, std::int64_t cap) {
+  return cap == 0 || used <= cap;
+}
+
+}  // namespace
+
+void Dispatcher::LookAtUnseen(base::TimePoint now) {
+  stray_usage_ = base::Resources();
+  unsettled_capacity_ = base::Resources();
+  unseen_.clear();
+  for (const auto& [id, worker] : fleet_->workers()) {
+    if (fleet_->unsettled().contains(id)) {
+      unsettled_capacity_ += worker.listing().capacity;
+    } else if (worker.has_strays()) {
+      stray_usage_ += worker.listing().capacity;
+    }
+  }
+  if (fleet_->unsettled().empty()) {
+    return;
+  }
+  for (const std::set<jobs::StepRef>* steps : {&waiting_, &overdue_}) {
+    for (const jobs::StepRef& ref : *steps) {
+      const std::optional<Item> item =
+          inherited_.contains(ref.job) ? ItemOf(ref, now) : std::nullopt;
+      if (!item) {
+        continue;
+      }
+      base::Resources& unseen = unseen_[item->job->organisation];
+      const std::uint32_t tasks = item->job->FindStep(ref)->waiting();
+      for (std::uint32_t i = 0; i < tasks; ++i) {
+        unseen += item->job->SpecOf(ref).needs;
+      }
+    }
+  }
+}
+
+base::Resources Dispatcher::UnseenUsageOf(
+    const base::OrganisationId& organisation) const {
+  base::Resources usage = stray_usage_;
+  if (const auto it = unseen_.find(organisation); it != unseen_.end()) {
+    usage.cpu += std::min(it->second.cpu, unsettled_capacity_.cpu);
+    usage.memory += std::min(it->second.memory, unsettled_capacity_.memory);
+    usage.accelerators +=
+        std::min(it->second.accelerators, unsettled_capacity_.accelerators);
+  }
+  return usage;
+}
+
+bool Dispatcher::FitsCap(const Item& item, const base::Resources& used,
+                         std::uint32_t tasks) const {
+  const desired::Organisation* organisation =
+      desired_->FindOrganisation(item.job->organisation);
+  if (organisation == nullptr) {
+    return true;
+  }
+  base::Resources total = used;
+  const base::Resources& needs = item.job->SpecOf(item.step).needs;
+  for (std::uint32_t i = 0; i < tasks; ++i) {
+    total += needs;
+  }
+  const base::Resources& cap = organisation->cap;
+  return FitsUnderCap(total.cpu.value(), cap.cpu.value()) &&
+         FitsUnderCap(total.memory.value(), cap.memory.value()) &&
+         FitsUnderCap(total.accelerators.value(), cap.accelerators.value());
+}
+
+bool Dispatcher::IsWithinCap(const Item& item, std::uint32_t tasks) const {
+  return !cap_waiters_.contains(item.job->organisation) &&
+         FitsCap(item,
+                 runs_->UsageOf(item.job->organisation) +
+                     UnseenUsageOf(item.job->organisation),
+                 tasks);
+}
+
+bool Dispatcher::CanEverFitCap(const Item& item, std::uint32_t tasks) const {
+  return FitsCap(item, base::Resources(), tasks);
+}
+
+}  // namespace dotterelbarrow::core::scheduler
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -8,7 +8,6 @@
 #include "dotterelbarrow/config/ticket.h"
 #include "dotterelbarrow/core/codec.h"
 #include "src/ctl/job_story.h"
-#include "src/ctl/job_story.h"
 #include "src/ctl/output.h"
 
 namespace dotterelbarrow::ctl {
--- /dev/null
+++ b/src/member/member_peers.cc
@@ -0,0 +1,182 @@
+// What entry hosts tell each other: greetings, offers of the cell, who can
+// carry it best.
+#include <algorithm>
+#include <cmath>
+#include <utility>
+#include <vector>
+
+#include "src/member/clock.h"
+#include "src/member/member_impl.h"
+
+namespace dotterelbarrow::member {
+namespace {
+
+// Greetings keep a host on the list of those that may ask the advisor.
+constexpr base::Duration kGreetPeriod = std::chrono::milliseconds(400);
+constexpr base::Duration kGreetTimeout = std::chrono::milliseconds(900);
+// A refused greeting is repeated soon: two refusals mean a dead process.
+constexpr base::Duration kGreetRetry = std::chrono::milliseconds(100);
+constexpr int kRefusalsOfDead = 2;
+// Three greetings were missed.
+constexpr base::Duration kPeerSilence = std::chrono::milliseconds(2000);
+
+// How much longer a host waits to claim the cell for each whole processor that
+// it has less than the best one: more than the time between two looks at the
+// head for a host of half the best one's.
+constexpr base::Duration kClaimDelayOfAShare = std::chrono::milliseconds(1200);
+// An owner with less than this part of the best host's processor hands over,
+// which stops starts for half a second, once that has been so for a while.
+constexpr double kMuchWeaker = 0.7;
+constexpr base::Duration kWeakerFor = std::chrono::seconds(3);
+// If the better host doesn't take the cell, it isn't offered again soon.
+constexpr base::Duration kResignationGap = std::chrono::seconds(30);
+
+}  // namespace
+
+void Member::Impl::Greet() {
+  const core::leadership::Head* owner = leadership_.owner();
+  greet_timer_.StartOnce(kGreetPeriod);
+  if (leadership_.role() == core::leadership::Role::kOwner) {
+    UpdateAskers();
+    OfferHandOver();
+    ResignIfMuchWeaker();
+    return;
+  }
+  if (owner == nullptr) {
+    return;
+  }
+  Json::Value params(Json::objectValue);
+  params["host"] = settings_.host.value();
+  params["address"] = settings_.peers_address;
+  params["share"] = settings_.cpu_share;
+  rpc_.Call(owner->address, "greet", std::move(params), kGreetTimeout,
+            [this, asked = *owner](const RpcResult& result) {
+              OnGreeted(asked, result);
+            });
+}
+
+void Member::Impl::OnGreeted(const core::leadership::Head& owner,
+                             const RpcResult& result) {
+  const core::leadership::Head* current = leadership_.owner();
+  if (current == nullptr || current->token != owner.token) {
+    return;
+  }
+  bool is_gone = false;
+  if (result.outcome == RpcOutcome::kAnswered) {
+    refused_greetings_ = 0;
+    const Json::Value& best_share = result.result["best_share"];
+    if (best_share.isNumeric()) {
+      SetClaimDelay(best_share.asDouble());
+    }
+    const Json::Value& incarnation = result.result["incarnation"];
+    // Another run of the host answers: the owner's process has ended.
+    is_gone = incarnation.isUInt64() &&
+              incarnation.asUInt64() != owner.incarnation.value();
+  } else if (result.outcome == RpcOutcome::kRefused) {
+    is_gone = ++refused_greetings_ >= kRefusalsOfDead;
+    greet_timer_.StartOnce(kGreetRetry);
+  }
+  if (is_gone) {
+    refused_greetings_ = 0;
+    telemetry_.log->Write("owner_gone", {{"owner", owner.holder.value()}});
+    leadership_.OnOwnerGone(Now());
+    ReadHead();
+  }
+}
+
+void Member::Impl::OfferHandOver() {
+  if (!writer_.IsFailing(Now())) {
+    return;
+  }
+  telemetry_.log->Write("hand_over_offered", {});
+  for (const auto& [host, peer] : peers_) {
+    Json::Value params(Json::objectValue);
+    params["token"] = static_cast<Json::UInt64>(leadership_.token().value());
+    rpc_.Call(peer.address, "take_over", std::move(params), kGreetTimeout,
+              [](const RpcResult&) {});
+  }
+}
+
+void Member::Impl::OnTakeOver(const Json::Value& params,
+                              const RpcServer::Reply& reply) {
+  const core::leadership::Head* owner = leadership_.owner();
+  const Json::Value& token = params["token"];
+  if (owner != nullptr && token.isUInt64() &&
+      token.asUInt64() == owner->token.value() && term_ == nullptr) {
+    // The claim follows only if this host reaches the store.
+    leadership_.OnOwnerGone(Now());
+    ReadHead();
+  }
+  reply(Json::Value(Json::objectValue));
+}
+
+void Member::Impl::OnGreeting(const Json::Value& params,
+                              const RpcServer::Reply& reply) {
+  const Json::Value& host = params["host"];
+  const Json::Value& address = params["address"];
+  if (host.isString() && address.isString()) {
+    const base::EntryId entry(host.asString());
+    const Json::Value& share = params["share"];
+    peers_[entry] = {address.asString(), Now(),
+                     share.isNumeric() ? share.asDouble() : 0};
+    const core::leadership::Head* former = leadership_.former_owner();
+    // Who greets the owner follows it.
+    if (term_ != nullptr && former != nullptr && former->holder == entry) {
+      term_->NoteFormerOwnerGone();
+    }
+  }
+  Json::Value result(Json::objectValue);
+  result["incarnation"] = static_cast<Json::UInt64>(incarnation_.value());
+  result["best_share"] = BestShare();
+  reply(std::move(result));
+}
+
+double Member::Impl::BestShare() const {
+  double best = settings_.cpu_share;
+  for (const auto& [host, peer] : peers_) {
+    if (Now() - peer.greeted_at < kPeerSilence) {
+      best = std::max(best, peer.cpu_share);
+    }
+  }
+  return best;
+}
+
+void Member::Impl::SetClaimDelay(double best_share) {
+  const double behind = std::max(0.0, best_share - settings_.cpu_share);
+  leadership_.set_claim_delay(
+      base::Duration(std::llround(behind * kClaimDelayOfAShare.count())));
+}
+
+void Member::Impl::ResignIfMuchWeaker() {
+  const bool is_weaker = term_ != nullptr && term_->is_ready() &&
+                         settings_.cpu_share < kMuchWeaker * BestShare();
+  if (!is_weaker) {
+    weaker_since_.reset();
+    return;
+  }
+  if (!weaker_since_) {
+    weaker_since_ = Now();
+  }
+  if (Now() - *weaker_since_ >= kWeakerFor && Now() >= next_resignation_) {
+    weaker_since_.reset();
+    next_resignation_ = Now() + kResignationGap;
+    SetClaimDelay(BestShare());
+    telemetry_.log->Write("resigning_as_weaker", {});
+    term_->Resign();
+  }
+}
+
+void Member::Impl::UpdateAskers() {
+  if (term_ == nullptr) {
+    return;
+  }
+  std::vector<base::EntryId> askers = {settings_.host};
+  for (const auto& [host, peer] : peers_) {
+    if (Now() - peer.greeted_at < kPeerSilence && host != settings_.host) {
+      askers.push_back(host);
+    }
+  }
+  term_->SetAskers(askers);
+}
+
+}  // namespace dotterelbarrow::member
--- /dev/null
+++ b/src/member/owner_term_load.cc
@@ -0,0 +1,89 @@
+// What a new owner reads before it schedules.
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "src/member/clock.h"
+#include "src/member/owner_term.h"
+#include "src/member/store_layout.h"
+
+namespace dotterelbarrow::member {
+namespace {
+
+using core::scheduler::RecordTable;
+
+constexpr base::Duration kReadTimeout = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+void OwnerTerm::Load(RecordTable table, const std::string& from) {
+  parts_.store->Read(
+      RowsFrom(table, from), kReadTimeout,
+      Guarded([this, table, from](const platform::ReadResult& result) {
+        OnLoaded(table, from, result);
+      }));
+}
+
+void OwnerTerm::OnLoaded(RecordTable table, const std::string& from,
+                         const platform::ReadResult& result) {
+  if (is_over_) {
+    return;
+  }
+  if (result.outcome != platform::StoreOutcome::kDone) {
+    Load(table, from);
+    return;
+  }
+  auto& rows = table == RecordTable::kAcceptances ? loading_.acceptances
+               : table == RecordTable::kProgress  ? loading_.progress
+                                                  : loading_.workers;
+  for (const platform::Row& row : result.rows) {
+    rows[row.key.key] = row.value;
+  }
+  if (result.has_more && !result.rows.empty()) {
+    // The least key behind the last one.
+    Load(table, result.rows.back().key.key + '\x01');
+    return;
+  }
+  if (--tables_loading_ == 0) {
+    BeginScheduling();
+  }
+}
+
+void OwnerTerm::BeginScheduling() {
+  const base::TimePoint now = Now();
+  std::map<std::string, bool> keys;
+  for (const auto& [key, record] : loading_.acceptances) {
+    keys[key] = true;
+  }
+  for (const auto& [key, record] : loading_.progress) {
+    keys[key] = true;
+  }
+  const auto find = [](const std::map<std::string, std::string>& rows,
+                       const std::string& key) {
+    const auto it = rows.find(key);
+    return it == rows.end() ? std::nullopt : std::optional(it->second);
+  };
+  for (const auto& [name, unused] : keys) {
+    if (const auto key = core::jobs::ParseJobKey(name)) {
+      scheduler_.Restore(*key, find(loading_.acceptances, name),
+                         find(loading_.progress, name), now, StoreNowMillis());
+    }
+  }
+  for (const auto& [id, record] : loading_.workers) {
+    scheduler_.Inherit(base::BackendId(id), record, now);
+  }
+  parts_.telemetry.log->Write(
+      "term_loaded",
+      {{"jobs", static_cast<std::int64_t>(scheduler_.live_jobs())},
+       {"workers", static_cast<std::int64_t>(loading_.workers.size())}});
+  loading_ = {};
+  is_loaded_ = true;
+  if (is_former_owner_gone_ || parts_.leadership->was_former_owner_gone()) {
+    is_former_owner_gone_ = true;
+    scheduler_.NoteFormerOwnerGone(now);
+  }
+  ReadListings();
+}
+
+}  // namespace dotterelbarrow::member
