Filling tasks are kept off workers with serving ones; occurrences don't begin early

Change: placement keeps the two kinds apart; occurrences are due 150 ms later on a host's own clock.

--- a/include/dotterelbarrow/core/jobs/job_spec.h
+++ b/include/dotterelbarrow/core/jobs/job_spec.h
@@ -83,6 +83,7 @@
   // serve.
   base::Duration response_target{0};
 
+  bool is_serving() const { return response_target > base::Duration(0); }
   // Returns what a worker must set aside for one task.
   base::Resources Reservation() const;
 };
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -54,6 +54,10 @@
   RunState state = RunState::kEarmarked;
   // The task's job is gone: nobody knows what the run uses.
   bool is_stray = false;
+  // It serves users of its own, or fills what others leave unused; a filling
+  // task slows a serving one beside it down.
+  bool is_serving = false;
+  bool is_filling = false;
   // What the task may use, and what of it is set aside on the worker.
   base::Resources needs{};
   base::Resources reserved{};
@@ -111,6 +115,8 @@
   base::Resources FreeRoom() const { return listing_.capacity - reserved_; }
   const base::Resources& reserved() const { return reserved_; }
   bool has_strays() const { return strays_ > 0; }
+  bool has_serving() const { return serving_ > 0; }
+  bool has_filling() const { return filling_runs_ > 0; }
   // Processor time that tasks which only fill what is idle would take.
   base::Millicores filling() const { return needed_.cpu - reserved_.cpu; }
 
@@ -155,14 +161,19 @@
   bool TakesWork(base::TimePoint now) const;
 
  private:
+  // Adds the run to the sums, or takes it out of them.
+  void Count(const Run& run, int sign);
+
   Listing listing_;
   bool listed_ = true;
   std::map<std::pair<jobs::TaskRef, jobs::Attempt>, Run> runs_;
   // Invariant: the sums over `runs_`.
   base::Resources reserved_;
   base::Resources needed_;
-  // Invariant: the stray ones of `runs_`.
+  // Invariant: how many of `runs_` are stray, serving and filling.
   int strays_ = 0;
+  int serving_ = 0;
+  int filling_runs_ = 0;
 };
 
 }  // namespace dotterelbarrow::core::workers
--- a/src/core/placement/worker_choice.cc
+++ b/src/core/placement/worker_choice.cc
@@ -40,6 +40,12 @@
   if (step.max_per_worker > 0 && candidate.of_step >= step.max_per_worker) {
     return false;
   }
+  // Filling tasks slow serving ones beside them down; they are kept apart.
+  const workers::Worker& worker = *candidate.worker;
+  if ((step.fills_idle_cpu && worker.has_serving()) ||
+      (step.is_serving() && worker.has_filling())) {
+    return false;
+  }
   return step.Reservation().FitsIn(candidate.free);
 }
 
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -11,6 +11,8 @@
 
 // Attempts of one owner; more starts of one task would take days.
 constexpr std::uint64_t kAttemptsPerTerm = 10'000;
+// Hosts' times of day differ a little; an occurrence must not begin early.
+constexpr std::int64_t kDueMarginMs = 150;
 constexpr base::Duration kLoadLogPeriod = std::chrono::seconds(1);
 constexpr std::int64_t kMillicoresPerCore = 1000;
 // When a caller that is refused for want of memory may come back.
@@ -254,7 +256,7 @@
   while (job->occurrences_begun < job->spec.occurrences() &&
          job->spec.start_at_ms +
                  job->spec.interval_ms * job->occurrences_begun <=
-             unix_now_ms) {
+             unix_now_ms - kDueMarginMs) {
     job->BeginOccurrence();
     begun = true;
   }
--- a/src/core/workers/worker.cc
+++ b/src/core/workers/worker.cc
@@ -64,9 +64,7 @@
   const std::pair key(run.task, run.attempt);
   const auto [it, added] = runs_.emplace(key, std::move(run));
   if (added) {
-    reserved_ += it->second.reserved;
-    needed_ += it->second.needs;
-    strays_ += it->second.is_stray ? 1 : 0;
+    Count(it->second, 1);
   }
   return &it->second;
 }
@@ -74,13 +72,24 @@
 void Worker::RemoveRun(const jobs::TaskRef& task, jobs::Attempt attempt) {
   const auto it = runs_.find({task, attempt});
   if (it != runs_.end()) {
-    reserved_ -= it->second.reserved;
-    needed_ -= it->second.needs;
-    strays_ -= it->second.is_stray ? 1 : 0;
+    Count(it->second, -1);
     runs_.erase(it);
   }
 }
 
+void Worker::Count(const Run& run, int sign) {
+  if (sign > 0) {
+    reserved_ += run.reserved;
+    needed_ += run.needs;
+  } else {
+    reserved_ -= run.reserved;
+    needed_ -= run.needs;
+  }
+  strays_ += run.is_stray ? sign : 0;
+  serving_ += run.is_serving ? sign : 0;
+  filling_runs_ += run.is_filling ? sign : 0;
+}
+
 bool Worker::LeaseSurelyLapsed(base::TimePoint now) const {
   if (!clock.is_known()) {
     return now >= inherited_until;
--- a/test/core/placement/policies_test.cc
+++ b/test/core/placement/policies_test.cc
@@ -209,6 +209,23 @@
     candidate.of_step = 1;
     CHECK_FALSE(HasRoom(candidate, step));
   }
+  SUBCASE("is never shared by tasks that serve and tasks that fill") {
+    workers::Worker with_serving = worker;
+    workers::Run run;
+    run.is_serving = true;
+    with_serving.AddRun(run);
+    step.fills_idle_cpu = true;
+    CHECK(HasRoom(CandidateOf(worker, 0), step));
+    CHECK_FALSE(HasRoom(CandidateOf(with_serving, 0), step));
+
+    workers::Worker with_filling = worker;
+    run.is_serving = false;
+    run.is_filling = true;
+    with_filling.AddRun(run);
+    step.fills_idle_cpu = false;
+    step.response_target = milliseconds(80);
+    CHECK_FALSE(HasRoom(CandidateOf(with_filling, 0), step));
+  }
   SUBCASE("of a worker without the label is no room") {
     step.required_label = "gpu";
     CHECK_FALSE(IsSuitable(worker, step));
