What nothing calls is gone; workers of services that nobody named aren't looked at

Cause: read through as a newcomer. An entry of another writer may name a service that isn't in the desired state; it was looked at like a worker. Change: such listings are passed over; Fleet::Release, EstimatedWork, OnClaimLost and two accessors had no caller in the product; the story of a lost claim is told by the conflict of its copy, which is how the member resolves it.

--- a/include/dotterelbarrow/core/jobs/job_spec.h
+++ b/include/dotterelbarrow/core/jobs/job_spec.h
@@ -105,8 +105,6 @@
   bool has_long_running_step() const;
   // Returns the sum of the estimates along the longest chain of steps.
   base::Duration LongestChain() const;
-  // Returns processor time by the estimates, in core-seconds.
-  double EstimatedWork() const;
 };
 
 }  // namespace dotterelbarrow::core::jobs
--- a/include/dotterelbarrow/core/leadership/leadership.h
+++ b/include/dotterelbarrow/core/leadership/leadership.h
@@ -115,12 +115,9 @@
   // The condition of the write under way didn't hold.
   ConflictMeaning OnConflict(const std::optional<Head>& head,
                              base::RowVersion version, base::TimePoint now);
-  // The claim's outcome is unknown; the next read tells.
-  void OnClaimLost();
   // The owner learnt elsewhere that it was replaced.
   void Abandon();
 
-  bool is_write_under_way() const { return write_.has_value(); }
   bool IsRenewalDue(base::TimePoint now) const {
     return role_ == Role::kOwner && !write_ &&
            now - confirmed_at_ >= settings_.renewal_period;
@@ -129,8 +126,6 @@
   bool HasAuthority(base::TimePoint now) const {
     return role_ == Role::kOwner && now - confirmed_at_ < settings_.authority;
   }
-  // When the write that the store confirmed last was sent.
-  base::TimePoint confirmed_at() const { return confirmed_at_; }
 
  private:
   void BecomeOwner(base::RowVersion version);
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -58,8 +58,8 @@
       run_ended;
   // An end of a run that isn't known here, as a claimed worker lists it.
   sigc::signal<void(const workers::Worker&, const ListedEnd&)> unknown_end;
-  // A run that isn't known here. The handler adds it by Adopt, or leaves it to
-  // be stopped.
+  // A run that isn't known here. The handler adds it to the worker, or leaves
+  // it to be stopped.
   sigc::signal<void(workers::Worker*, const ListedRun&, base::TimePoint)>
       unknown_run;
   // A start didn't happen for this reason. Its room is free.
@@ -85,7 +85,6 @@
 
   // Sets room aside. The run is earmarked until Start.
   workers::Run* Earmark(const base::BackendId& worker, workers::Run run);
-  void Release(const base::BackendId& worker, const RunKey& key);
   // Orders the start of an earmarked run.
   void Start(const base::BackendId& worker, const RunKey& key,
              const std::string& payload, const std::string& checkpoint,
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -88,7 +88,8 @@
 
   void SetDesired(std::shared_ptr<const desired::DesiredState> desired);
   void SetAskers(const std::vector<base::EntryId>& entries);
-  void UpdateListings(const std::vector<workers::Listing>& listings,
+  // Takes the platform's list of workers.
+  void UpdateListings(std::vector<workers::Listing> listings,
                       base::TimePoint now);
 
   SubmitAnswer Submit(Submission submission, WaiterId waiter,
--- a/src/core/jobs/job_spec.cc
+++ b/src/core/jobs/job_spec.cc
@@ -10,8 +10,6 @@
 
 constexpr std::size_t kKeyDigits = 16;
 constexpr int kHexadecimal = 16;
-constexpr double kMicrosecondsPerSecond = 1e6;
-constexpr double kMillicoresPerCore = 1e3;
 
 // Reads a decimal number up to `end` or a dot, and moves `text` behind it.
 std::optional<std::uint32_t> TakeNumber(std::string_view* text) {
@@ -104,14 +102,4 @@
   return longest;
 }
 
-double JobSpec::EstimatedWork() const {
-  double work = 0;
-  for (const StepSpec& step : steps) {
-    work += static_cast<double>(step.tasks) *
-            static_cast<double>(step.needs.cpu.value()) / kMillicoresPerCore *
-            static_cast<double>(step.estimate.count()) / kMicrosecondsPerSecond;
-  }
-  return work;
-}
-
 }  // namespace dotterelbarrow::core::jobs
--- a/src/core/leadership/leadership.cc
+++ b/src/core/leadership/leadership.cc
@@ -74,12 +74,6 @@
   read_latency_ = latency;
   seen_ = head;
   seen_version_ = version;
-  if (role_ == Role::kClaiming && !write_ && head &&
-      head->token == own_.token && head->holder == settings_.self &&
-      head->incarnation == settings_.incarnation) {
-    // The claim whose answer was lost took effect.
-    BecomeOwner(version);
-  }
 }
 
 void Leadership::OnOwnerGone(base::TimePoint /*now*/) { owner_gone_ = true; }
@@ -153,11 +147,6 @@
   return ConflictMeaning::kReplaced;
 }
 
-void Leadership::OnClaimLost() {
-  write_.reset();
-  // A read that shows another head ends the claim; see OnRead.
-}
-
 void Leadership::Abandon() {
   role_ = Role::kFollower;
   write_.reset();
--- a/src/core/scheduler/fleet_runs.cc
+++ b/src/core/scheduler/fleet_runs.cc
@@ -46,12 +46,6 @@
   return workers_.at(worker).AddRun(std::move(run));
 }
 
-void Fleet::Release(const base::BackendId& worker, const RunKey& key) {
-  if (Worker* found = Find(worker)) {
-    found->RemoveRun(key.first, key.second);
-  }
-}
-
 void Fleet::Start(const base::BackendId& worker, const RunKey& key,
                   const std::string& payload, const std::string& checkpoint,
                   const std::string& ticket, base::TimePoint now,
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -102,9 +102,13 @@
   dispatcher_.set_askers(entries);
 }
 
-void Scheduler::UpdateListings(const std::vector<workers::Listing>& listings,
+void Scheduler::UpdateListings(std::vector<workers::Listing> listings,
                                base::TimePoint now) {
   now_ = now;
+  // One of a service that nobody named is no worker to use.
+  std::erase_if(listings, [this](const workers::Listing& listing) {
+    return desired_->FindService(listing.service) == nullptr;
+  });
   fleet_.UpdateListings(listings, now);
   for (const workers::Listing& listing : listings) {
     if (recorded_workers_.insert(listing.id).second) {
--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -171,10 +171,6 @@
     }
   }
   leadership_.OnRead(head, version, latency, Now());
-  if (leadership_.role() == core::leadership::Role::kOwner) {
-    OnClaimed(HeadWriteEnd::kStored, result.now_ms);
-    return;
-  }
   ClaimIfFree();
 }
 
--- a/test/core/leadership/leadership_test.cc
+++ b/test/core/leadership/leadership_test.cc
@@ -159,14 +159,15 @@
   }
 }
 
-TEST_CASE("a claim whose answer was lost is found by the next read") {
+TEST_CASE("a claim whose answer was lost is told by its copy's conflict") {
   Cell cell;
   Leadership host = MakeHost("host");
   cell.Read(&host);
   const auto claim = host.BeginClaim(cell.now);
   REQUIRE(cell.row.Write(*claim));
-  host.OnClaimLost();
-  cell.Read(&host);
+  CHECK_FALSE(cell.row.Write(*claim));
+  CHECK(host.OnConflict(cell.row.head(), cell.row.version(), cell.now) ==
+        ConflictMeaning::kTookEffect);
   CHECK(host.role() == Role::kOwner);
 }
 
