Two stories of a worker catch what two mutants showed they missed

The story of the silent worker ticked right after each failed look, when none was due; the story of ends looked at the fleet's mark, not at what a look sends. Change: the stories tick when looks are due, and read the look that is sent.

--- a/test/core/scheduler/fleet_test.cc
+++ b/test/core/scheduler/fleet_test.cc
@@ -90,6 +90,19 @@
     }
     return count;
   }
+  // Returns up to which end the next look that is due lets the worker forget.
+  std::uint64_t AcknowledgedByNextLook() {
+    actions.clear();
+    Pass(seconds(2));
+    Tick();
+    for (const Action& action : actions) {
+      if (const auto* look = std::get_if<LookAtWorker>(&action)) {
+        return look->ends_stored;
+      }
+    }
+    FAIL("no look was due");
+    return 0;
+  }
   std::int64_t FreeCpu() { return fleet.Find(kWorker)->FreeRoom().cpu.value(); }
 };
 
@@ -153,16 +166,16 @@
   SUBCASE("keeps its task until its lease has surely lapsed") {
     for (int i = 0; i < 24; ++i) {
       story.Pass(milliseconds(200));
-      story.FailLook();
       story.Tick();
+      story.FailLook();
     }
     CHECK(story.ends.empty());
 
     SUBCASE("and no longer, however often it was looked at in vain") {
       for (int i = 0; i < 10; ++i) {
         story.Pass(milliseconds(200));
-        story.FailLook();
         story.Tick();
+        story.FailLook();
       }
       CHECK(story.ends == std::vector{jobs::RunEnd::kLapsed});
     }
@@ -189,9 +202,10 @@
     CHECK(story.ends.size() == 1);
   }
   SUBCASE("are acknowledged only once they are stored") {
-    CHECK(story.fleet.Find(kWorker)->ends_stored == 0);
+    CHECK(story.AcknowledgedByNextLook() == 0);
+    story.Look({}, {done});
     story.fleet.OnEndsStored(kWorker, 7, story.now);
-    CHECK(story.fleet.Find(kWorker)->ends_stored == 7);
+    CHECK(story.AcknowledgedByNextLook() == 7);
   }
 }
 
