One piece of code where the platform's rooms had two, and no dead state

Done again and again: a new owner built the set of all inherited jobs once for each inherited worker, which is jobs times workers within a take-over; each write to the store copied its whole batch of changes.

Change: placement::TakeBest and TakeRoom, Dispatcher::MayRunOn, workers::RunOf, Fleet::FindAnswering, platform::OnlyRow, kOwnerMethods, SnapshotWriter::OnResult; Dispatcher::NoteInherited as each job is restored; batches are shared with their callback. Two stories no longer fill in the two fields of ListedRun that are gone; no assertion changed.

--- a/include/dotterelbarrow/core/placement/worker_choice.h
+++ b/include/dotterelbarrow/core/placement/worker_choice.h
@@ -2,9 +2,8 @@
 #ifndef DOTTERELBARROW_CORE_PLACEMENT_WORKER_CHOICE_H_
 #define DOTTERELBARROW_CORE_PLACEMENT_WORKER_CHOICE_H_
 
-#include <map>
-#include <set>
-#include <string>
+#include <cstdint>
+#include <vector>
 
 #include "dotterelbarrow/base/ids.h"
 #include "dotterelbarrow/base/units.h"
@@ -44,6 +43,15 @@
 double Badness(const Candidate& candidate, const jobs::StepSpec& step,
                const base::BackendId& failed_on);
 
+// Takes the room of one more task of the step from the candidate.
+void TakeRoom(Candidate* candidate, const jobs::StepSpec& step);
+
+// Takes the room of one more task where it sits best; returns that worker, or
+// null if none has room.
+const workers::Worker* TakeBest(std::vector<Candidate>* candidates,
+                                const jobs::StepSpec& step,
+                                const base::BackendId& failed_on);
+
 }  // namespace dotterelbarrow::core::placement
 
 #endif  // DOTTERELBARROW_CORE_PLACEMENT_WORKER_CHOICE_H_
--- a/include/dotterelbarrow/core/scheduler/actions.h
+++ b/include/dotterelbarrow/core/scheduler/actions.h
@@ -44,14 +44,6 @@
   jobs::Attempt attempt;
 };
 
-// Lets a serving neighbour breathe: the task works at this share.
-struct PaceTask {
-  WorkerAddress worker;
-  jobs::TaskRef task;
-  jobs::Attempt attempt;
-  int percent = 100;
-};
-
 // Renews the worker's lease and reads its lists.
 struct LookAtWorker {
   WorkerAddress worker;
@@ -71,8 +63,7 @@
   std::vector<base::BackendId> workers;
 };
 
-using Action =
-    std::variant<StartTask, StopTask, PaceTask, LookAtWorker, AskAdvice>;
+using Action = std::variant<StartTask, StopTask, LookAtWorker, AskAdvice>;
 
 enum class OrderOutcome {
   kDone,
@@ -95,8 +86,6 @@
   jobs::TaskRef task;
   jobs::Attempt attempt;
   std::string checkpoint;
-  int percent = 0;
-  std::int64_t usage = 0;
 };
 
 // One line of its list of ends.
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -56,11 +56,9 @@
   }
   // Attempts of this owner begin above those of all former ones.
   void set_first_attempt(jobs::Attempt first) { first_attempt_ = first; }
-  // Jobs of former owners wait as long as some worker may run what isn't
+  // A job of a former owner waits as long as some worker may run what isn't
   // known.
-  void set_inherited(std::unordered_set<jobs::JobKey> jobs) {
-    inherited_ = std::move(jobs);
-  }
+  void NoteInherited(jobs::JobKey job) { inherited_.insert(job); }
 
   // Returns the queue as it is or, if it was dropped, as it last was.
   const desired::Queue* FindQueue(const desired::QueueId& id) const;
@@ -143,6 +141,9 @@
                     std::vector<Action>* actions);
   std::vector<placement::Candidate> CandidatesOf(const Item& item,
                                                  base::TimePoint now) const;
+  // Returns whether the worker takes new work and could run the step's tasks.
+  static bool MayRunOn(const workers::Worker& worker, const Item& item,
+                       base::TimePoint now);
   // Each returns whether anything was placed.
   bool PlaceTasks(const Item& item, base::TimePoint now,
                   std::vector<Action>* actions);
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -130,6 +130,10 @@
     return now + settings_.lease + settings_.lease / 20;
   }
   static WorkerAddress AddressOf(const workers::Worker& worker);
+  // Returns the worker that an order went to, or null if its life is over or
+  // another owner has fenced this one off, which is noted.
+  workers::Worker* FindAnswering(const base::BackendId& id,
+                                 std::int64_t born_ms, OrderOutcome outcome);
   // Returns the deadline to name in an order, and counts it as given.
   std::int64_t GrantLease(workers::Worker* worker, base::TimePoint now) const;
   void BeginLife(workers::Worker* worker, const workers::Listing& listing,
--- a/include/dotterelbarrow/core/scheduler/job_book.h
+++ b/include/dotterelbarrow/core/scheduler/job_book.h
@@ -21,7 +21,6 @@
 #include "dotterelbarrow/base/ids.h"
 #include "dotterelbarrow/base/units.h"
 #include "dotterelbarrow/core/jobs/job.h"
-#include "dotterelbarrow/core/scheduler/decision_log.h"
 
 namespace dotterelbarrow::core::scheduler {
 
@@ -46,8 +45,6 @@
   std::vector<WaiterId> cancel_waiters;
   // Ends of these workers up to these numbers are stored.
   std::map<base::BackendId, std::uint64_t> ends;
-
-  bool empty() const { return changes.empty() && ends.empty(); }
 };
 
 struct JobBookSettings {
@@ -62,8 +59,7 @@
 
 class JobBook {
  public:
-  JobBook(JobBookSettings settings, Telemetry telemetry)
-      : settings_(settings), telemetry_(telemetry) {}
+  explicit JobBook(JobBookSettings settings) : settings_(settings) {}
 
   // Adds a job that no batch holds yet. Precondition: IsKnown is false.
   void Accept(jobs::Job job, WaiterId waiter);
@@ -131,7 +127,6 @@
   void AddToBatch(jobs::JobKey key, StoredBatch* batch);
 
   JobBookSettings settings_;
-  Telemetry telemetry_;
   std::unordered_map<jobs::JobKey, jobs::Job> jobs_;
   std::unordered_map<jobs::JobKey, Ended> ended_;
   // Invariant: in order of their ends.
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -158,7 +158,6 @@
 
   SchedulerSettings settings_;
   Telemetry telemetry_;
-  FencingToken token_;
   std::shared_ptr<const desired::DesiredState> desired_;
   JobBook jobs_;
   Fleet fleet_;
--- a/include/dotterelbarrow/core/snapshot_writer.h
+++ b/include/dotterelbarrow/core/snapshot_writer.h
@@ -76,7 +76,7 @@
 
   void Send();
   void SendTrim();
-  void OnStatus(TableStatus status, base::TimePoint now);
+  bool OnResult(base::CallId call, TableStatus status, base::TimePoint now);
   void NextStep();
 
   const JournalKeys* keys_;
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -12,6 +12,7 @@
 
 #include "dotterelbarrow/base/ids.h"
 #include "dotterelbarrow/base/units.h"
+#include "dotterelbarrow/core/jobs/job.h"
 #include "dotterelbarrow/core/jobs/job_spec.h"
 
 namespace dotterelbarrow::core::workers {
@@ -71,22 +72,19 @@
   std::int64_t confirmed_ms = 0;
   std::int64_t stop_taken_ms = 0;
   base::TimePoint stop_sent_at{};
-  // What the worker last said of it.
+  // Where another attempt could go on, as the worker last said.
   std::string checkpoint{};
-  int percent = 0;
-  base::TimePoint percent_changed_at{};
-  // A task that serves: tail response time in ms; else millicores in use.
-  std::int64_t usage = 0;
-  // The share that it was last told to work at.
-  int pace_percent = 100;
 };
 
+// Returns an earmarked run of the job's task, with what its step asks for.
+Run RunOf(const jobs::Job& job, const jobs::TaskRef& task,
+          jobs::Attempt attempt, base::TimePoint now);
+
 // A lower bound of a worker's own clock. Workers' clocks may be slow by
 // `kMostDrift`, and never stand still while the worker lives.
 class WorkerClock {
  public:
   void Read(std::int64_t clock_ms, base::TimePoint answered_at);
-  void Forget() { read_.reset(); }
   bool is_known() const { return read_.has_value(); }
   // Returns the least that the worker's clock shows by now.
   std::int64_t AtLeast(base::TimePoint now) const;
--- a/src/core/placement/worker_choice.cc
+++ b/src/core/placement/worker_choice.cc
@@ -2,6 +2,7 @@
 #include "dotterelbarrow/core/placement/worker_choice.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace dotterelbarrow::core::placement {
 namespace {
@@ -77,4 +78,31 @@
   return badness;
 }
 
+void TakeRoom(Candidate* candidate, const jobs::StepSpec& step) {
+  candidate->free -= step.Reservation();
+  ++candidate->of_step;
+}
+
+const workers::Worker* TakeBest(std::vector<Candidate>* candidates,
+                                const jobs::StepSpec& step,
+                                const base::BackendId& failed_on) {
+  Candidate* best = nullptr;
+  double least = std::numeric_limits<double>::max();
+  for (Candidate& candidate : *candidates) {
+    if (!HasRoom(candidate, step)) {
+      continue;
+    }
+    const double badness = Badness(candidate, step, failed_on);
+    if (badness < least) {
+      least = badness;
+      best = &candidate;
+    }
+  }
+  if (best == nullptr) {
+    return nullptr;
+  }
+  TakeRoom(best, step);
+  return best->worker;
+}
+
 }  // namespace dotterelbarrow::core::placement
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -2,7 +2,6 @@
 #include "dotterelbarrow/core/scheduler/dispatcher.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace dotterelbarrow::core::scheduler {
@@ -162,14 +161,19 @@
   return may_be_held_for || spec.Reservation().FitsIn(largest_room_);
 }
 
+bool Dispatcher::MayRunOn(const workers::Worker& worker, const Item& item,
+                          base::TimePoint now) {
+  return worker.TakesWork(now) &&
+         worker.listing().service == item.queue->service &&
+         placement::IsSuitable(worker, item.job->SpecOf(item.step));
+}
+
 std::vector<Candidate> Dispatcher::CandidatesOf(const Item& item,
                                                 base::TimePoint now) const {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   std::vector<Candidate> candidates;
   const auto add = [&](const workers::Worker& worker, bool has_ticket) {
-    if (!worker.TakesWork(now) ||
-        worker.listing().service != item.queue->service ||
-        !placement::IsSuitable(worker, spec)) {
+    if (!MayRunOn(worker, item, now)) {
       return;
     }
     candidates.push_back(
@@ -221,25 +225,12 @@
     if (!IsWithinCap(item, static_cast<std::uint32_t>(choices.size()) + 1)) {
       break;
     }
-    Candidate* best = nullptr;
-    double least = std::numeric_limits<double>::max();
-    for (Candidate& candidate : candidates) {
-      if (!placement::HasRoom(candidate, spec)) {
-        continue;
-      }
-      const double badness =
-          placement::Badness(candidate, spec, task.failed_on);
-      if (badness < least) {
-        least = badness;
-        best = &candidate;
-      }
-    }
+    const workers::Worker* best =
+        placement::TakeBest(&candidates, spec, task.failed_on);
     if (best == nullptr) {
       break;
     }
-    best->free -= spec.Reservation();
-    ++best->of_step;
-    choices.push_back({index, best->worker->id()});
+    choices.push_back({index, best->id()});
   }
   if (choices.empty()) {
     AskAboutMore(item, 1, now, actions);
@@ -302,23 +293,13 @@
                                             const std::vector<Choice>& choices,
                                             jobs::Attempt attempt,
                                             base::TimePoint now) {
-  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   const jobs::Step& step = *item.job->FindStep(item.step);
   std::vector<PlacedRun> placed;
   for (const Choice& choice : choices) {
     const jobs::TaskRef task{item.step, choice.index};
     const jobs::Attempt number =
         attempt.value() > 0 ? attempt : NextAttempt(step, choice.index);
-    const workers::Run run{.task = task,
-                           .attempt = number,
-                           .state = workers::RunState::kEarmarked,
-                           .is_serving = spec.is_serving(),
-                           .is_filling = spec.fills_idle_cpu,
-                           .needs = spec.needs,
-                           .reserved = spec.Reservation(),
-                           .organisation = item.job->organisation,
-                           .since = now,
-                           .estimate = spec.estimate};
+    const workers::Run run = workers::RunOf(*item.job, task, number, now);
     fleet_->Earmark(choice.worker, run);
     runs_->Add(choice.worker, run);
     item.job->NoteRun(task, number);
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -92,9 +92,7 @@
   const std::set<base::BackendId>& asked = advice_.FindOrAdd(item.step).asked;
   std::vector<const workers::Worker*> suitable;
   for (const auto& [id, worker] : fleet_->workers()) {
-    if (worker.TakesWork(now) &&
-        worker.listing().service == item.queue->service &&
-        placement::IsSuitable(worker, spec)) {
+    if (MayRunOn(worker, item, now)) {
       suitable.push_back(&worker);
     }
   }
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -1,6 +1,5 @@
 // Placement of gangs: all tasks at once, or room kept until they fit.
 #include <algorithm>
-#include <limits>
 #include <map>
 #include <numeric>
 #include <utility>
@@ -13,27 +12,15 @@
 using placement::Candidate;
 
 // Places `tasks` like tasks, each where it sits best; empty if not all fit.
-std::vector<std::size_t> Fill(std::vector<Candidate> candidates,
-                              const jobs::StepSpec& spec, std::size_t tasks) {
-  std::vector<std::size_t> chosen;
+std::vector<const workers::Worker*> Fill(std::vector<Candidate> candidates,
+                                         const jobs::StepSpec& spec,
+                                         std::size_t tasks) {
+  std::vector<const workers::Worker*> chosen;
   while (chosen.size() < tasks) {
-    std::size_t best = candidates.size();
-    double least = std::numeric_limits<double>::max();
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-      if (!placement::HasRoom(candidates[i], spec)) {
-        continue;
-      }
-      const double badness = placement::Badness(candidates[i], spec, {});
-      if (badness < least) {
-        least = badness;
-        best = i;
-      }
-    }
-    if (best == candidates.size()) {
+    const workers::Worker* best = placement::TakeBest(&candidates, spec, {});
+    if (best == nullptr) {
       return {};
     }
-    candidates[best].free -= spec.Reservation();
-    ++candidates[best].of_step;
     chosen.push_back(best);
   }
   return chosen;
@@ -67,8 +54,7 @@
   while (found < most) {
     if (placement::HasRoom(later, spec)) {
       openings->push_back({at, candidate.worker->id()});
-      later.free -= spec.Reservation();
-      ++later.of_step;
+      placement::TakeRoom(&later, spec);
       ++found;
     } else if (next != ends.end()) {
       at = next->first;
@@ -89,16 +75,15 @@
   std::erase_if(candidates, [this](const Candidate& candidate) {
     return held_.contains(candidate.worker->id());
   });
-  std::vector<std::size_t> chosen;
+  std::vector<const workers::Worker*> chosen;
   if (spec.prefers_one_rack) {
     std::map<std::string, std::vector<Candidate>> racks;
     for (const Candidate& candidate : candidates) {
       racks[candidate.worker->listing().rack].push_back(candidate);
     }
-    for (auto& [rack, of_rack] : racks) {
+    for (const auto& [rack, of_rack] : racks) {
       chosen = Fill(of_rack, spec, members.size());
       if (!chosen.empty()) {
-        candidates = of_rack;
         break;
       }
     }
@@ -108,7 +93,7 @@
   }
   std::vector<Choice> choices;
   for (std::size_t i = 0; i < chosen.size(); ++i) {
-    choices.push_back({members[i], candidates[chosen[i]].worker->id()});
+    choices.push_back({members[i], chosen[i]->id()});
   }
   return choices;
 }
--- a/src/core/scheduler/fleet_runs.cc
+++ b/src/core/scheduler/fleet_runs.cc
@@ -55,7 +55,6 @@
   run->state = RunState::kStarting;
   run->since = now;
   run->started_at = now;
-  run->percent_changed_at = now;
   run->checkpoint = checkpoint;
   actions->push_back(StartTask{.worker = AddressOf(target),
                                .task = key.first,
@@ -91,16 +90,25 @@
                               .attempt = run->attempt});
 }
 
+Worker* Fleet::FindAnswering(const base::BackendId& id, std::int64_t born_ms,
+                             OrderOutcome outcome) {
+  Worker* worker = Find(id);
+  if (worker == nullptr || worker->listing().born_ms != born_ms) {
+    return nullptr;
+  }
+  if (outcome == OrderOutcome::kFenced) {
+    is_fenced_ = true;
+    return nullptr;
+  }
+  return worker;
+}
+
 void Fleet::OnStarted(const base::BackendId& worker, std::int64_t born_ms,
                       const RunKey& key, OrderOutcome outcome,
                       std::int64_t clock_ms, base::TimePoint now,
                       std::vector<Action>* actions) {
-  Worker* target = Find(worker);
-  if (target == nullptr || target->listing().born_ms != born_ms) {
-    return;
-  }
-  if (outcome == OrderOutcome::kFenced) {
-    is_fenced_ = true;
+  Worker* target = FindAnswering(worker, born_ms, outcome);
+  if (target == nullptr) {
     return;
   }
   target->orders_unanswered =
@@ -132,12 +140,8 @@
 void Fleet::OnStopped(const base::BackendId& worker, std::int64_t born_ms,
                       const RunKey& key, OrderOutcome outcome,
                       std::int64_t clock_ms, std::vector<Action>* actions) {
-  Worker* target = Find(worker);
-  if (target == nullptr || target->listing().born_ms != born_ms) {
-    return;
-  }
-  if (outcome == OrderOutcome::kFenced) {
-    is_fenced_ = true;
+  Worker* target = FindAnswering(worker, born_ms, outcome);
+  if (target == nullptr) {
     return;
   }
   Run* run = target->FindRun(key.first, key.second);
@@ -270,11 +274,6 @@
     if (run->confirmed_ms == 0) {
       run->confirmed_ms = result.clock_ms;
     }
-    if (listed.percent != run->percent) {
-      run->percent = listed.percent;
-      run->percent_changed_at = now;
-    }
-    run->usage = listed.usage;
     run->checkpoint =
         listed.checkpoint.empty() ? run->checkpoint : listed.checkpoint;
   }
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -28,7 +28,7 @@
     : settings_(settings),
       telemetry_(telemetry),
       desired_(std::make_shared<desired::DesiredState>()),
-      jobs_(settings.jobs, telemetry),
+      jobs_(settings.jobs),
       fleet_(settings.fleet, telemetry),
       dispatcher_(settings.dispatcher, telemetry, &jobs_, &fleet_, &runs_) {
   fleet_.run_ended.connect(sigc::mem_fun(*this, &Scheduler::OnRunEnded));
@@ -42,7 +42,6 @@
 }
 
 void Scheduler::BeginTerm(FencingToken token, base::TimePoint now) {
-  token_ = token;
   now_ = now;
   dispatcher_.set_first_attempt(
       jobs::Attempt((token.value() - 1) * kAttemptsPerTerm + 1));
@@ -70,6 +69,7 @@
   if (job->spec.is_scheduled()) {
     scheduled_.insert(key);
   }
+  dispatcher_.NoteInherited(key);
   ConsiderAll(*job);
 }
 
@@ -85,11 +85,6 @@
   }
   recorded_workers_.insert(worker);
   fleet_.Inherit(*listing, now);
-  std::unordered_set<jobs::JobKey> inherited;
-  for (const auto& [key, job] : jobs_.jobs()) {
-    inherited.insert(key);
-  }
-  dispatcher_.set_inherited(std::move(inherited));
 }
 
 void Scheduler::SetDesired(
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -149,19 +149,9 @@
   if (!is_wanted) {
     return;
   }
-  const jobs::StepSpec& spec = job->SpecOf(listed.task.step);
-  const workers::Run run{.task = listed.task,
-                         .attempt = listed.attempt,
-                         .state = workers::RunState::kRunning,
-                         .is_serving = spec.is_serving(),
-                         .is_filling = spec.fills_idle_cpu,
-                         .needs = spec.needs,
-                         .reserved = spec.Reservation(),
-                         .organisation = job->organisation,
-                         .since = now,
-                         .started_at = now,
-                         .estimate = spec.estimate,
-                         .percent_changed_at = now};
+  workers::Run run = workers::RunOf(*job, listed.task, listed.attempt, now);
+  run.state = workers::RunState::kRunning;
+  run.started_at = now;
   worker->AddRun(run);
   runs_.Add(worker->id(), run);
   job->NoteRun(listed.task, listed.attempt);
--- a/src/core/snapshot_writer.cc
+++ b/src/core/snapshot_writer.cc
@@ -78,35 +78,30 @@
 
 bool SnapshotWriter::OnTableResult(const TableResult& result,
                                    base::TimePoint now) {
-  if (!job_ || !job_->in_flight || result.call != job_->call) {
-    return false;
-  }
-  OnStatus(result.status, now);
-  return true;
+  return OnResult(result.call, result.status, now);
 }
 
 bool SnapshotWriter::OnObjectResult(const ObjectResult& result,
                                     base::TimePoint now) {
-  if (!job_ || !job_->in_flight || result.call != job_->call) {
-    return false;
-  }
-  OnStatus(result.status, now);
-  return true;
+  return OnResult(result.call, result.status, now);
 }
 
-void SnapshotWriter::OnStatus(TableStatus status, base::TimePoint now) {
+bool SnapshotWriter::OnResult(base::CallId call, TableStatus status,
+                              base::TimePoint now) {
+  if (!job_ || !job_->in_flight || call != job_->call) {
+    return false;
+  }
   job_->in_flight = false;
   job_->retry_at = now;
   if (status == TableStatus::kConflict) {
     job_.reset();  // Another manager has claimed the partition.
-    return;
-  }
-  if (status != TableStatus::kCommitted) {
+  } else if (status == TableStatus::kCommitted) {
+    NextStep();
+  } else {
     job_->retry_at = now + kRetryPeriod;
     counters_->Increment("store_retries", "snapshot");
-    return;
   }
-  NextStep();
+  return true;
 }
 
 void SnapshotWriter::NextStep() {
--- a/src/core/workers/worker.cc
+++ b/src/core/workers/worker.cc
@@ -37,6 +37,21 @@
   return "unknown";
 }
 
+Run RunOf(const jobs::Job& job, const jobs::TaskRef& task,
+          jobs::Attempt attempt, base::TimePoint now) {
+  const jobs::StepSpec& spec = job.SpecOf(task.step);
+  return {.task = task,
+          .attempt = attempt,
+          .state = RunState::kEarmarked,
+          .is_serving = spec.is_serving(),
+          .is_filling = spec.fills_idle_cpu,
+          .needs = spec.needs,
+          .reserved = spec.Reservation(),
+          .organisation = job.organisation,
+          .since = now,
+          .estimate = spec.estimate};
+}
+
 void WorkerClock::Read(std::int64_t clock_ms, base::TimePoint answered_at) {
   if (!read_ || clock_ms >= read_->clock_ms) {
     read_ = Reading{clock_ms, answered_at};
--- a/src/member/calls.cc
+++ b/src/member/calls.cc
@@ -11,11 +11,6 @@
 
 using base::FailureCode;
 
-constexpr const char* kSubmit = "submit";
-constexpr const char* kCancel = "cancel";
-constexpr const char* kState = "state";
-constexpr const char* kPending = "pending";
-
 std::optional<core::jobs::JobKey> KeyOf(const Json::Value& params,
                                         base::Failure* reason) {
   const Json::Value& text = params["job"];
@@ -43,12 +38,6 @@
                      std::move(*spec)}};
 }
 
-Json::Value Named(const char* name) {
-  Json::Value value(Json::objectValue);
-  value["answer"] = name;
-  return value;
-}
-
 }  // namespace
 
 const char* MethodOf(const OwnerCall& call) {
@@ -122,7 +111,8 @@
 }
 
 Json::Value ToJson(const OwnerAnswer& answer) {
-  Json::Value value = Named(NameOf(answer));
+  Json::Value value(Json::objectValue);
+  value["answer"] = NameOf(answer);
   if (const auto* refused = std::get_if<Refused>(&answer)) {
     value["reason"] = refused->reason;
     value["retry_after_ms"] = static_cast<Json::Int64>(
--- a/src/member/calls.h
+++ b/src/member/calls.h
@@ -4,6 +4,7 @@
 
 #include <json/json.h>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -55,6 +56,14 @@
                  PendingAnswer, NoOwner, OutcomeUnknown>;
 using OwnerReply = std::function<void(const OwnerAnswer&)>;
 
+// JSON-RPC's method names of the calls.
+inline constexpr const char* kSubmit = "submit";
+inline constexpr const char* kCancel = "cancel";
+inline constexpr const char* kState = "state";
+inline constexpr const char* kPending = "pending";
+inline constexpr std::array kOwnerMethods = {kSubmit, kCancel, kState,
+                                             kPending};
+
 // JSON-RPC's method name and parameters of a call, and back.
 const char* MethodOf(const OwnerCall& call);
 Json::Value ToJson(const OwnerCall& call);
--- a/src/member/clock.h
+++ b/src/member/clock.h
@@ -12,7 +12,8 @@
 // leases and keys of others don't wait for this process.
 base::TimePoint Now();
 
-// Returns milliseconds since 1970, only for what is due at a time of day.
+// Returns milliseconds since 1970, only for what is due at a time of day and
+// for log lines.
 std::int64_t UnixMillis();
 
 }  // namespace dotterelbarrow::member
--- a/src/member/log_writer.cc
+++ b/src/member/log_writer.cc
@@ -9,6 +9,7 @@
 #include <variant>
 
 #include "dotterelbarrow/base/overloaded.h"
+#include "src/member/clock.h"
 
 namespace dotterelbarrow::member {
 namespace {
@@ -18,12 +19,6 @@
 // Each write is a system call; a reader gets lines this late at most.
 constexpr base::Duration kFlushDelay = std::chrono::milliseconds(100);
 
-std::int64_t UnixMillis() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 // Quotes text with spaces or quotes, so that lines can be split again.
 void AppendText(const std::string& text, std::string* line) {
   if (!text.empty() && text.find_first_of(" \"\n\\=") == std::string::npos) {
--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -139,12 +139,7 @@
     head_timer_.StartOnce(kHeadPeriod);
     return;
   }
-  const platform::RowKey row = HeadRow();
-  store_.Read({.table = row.table,
-               .part = row.part,
-               .from = row.key,
-               .end = row.key + "!"},
-              kHeadTimeout,
+  store_.Read(platform::OnlyRow(HeadRow()), kHeadTimeout,
               [this, sent_at = Now()](const platform::ReadResult& result) {
                 OnHead(result, Now() - sent_at);
               });
--- a/src/member/member_calls.cc
+++ b/src/member/member_calls.cc
@@ -69,7 +69,7 @@
                                     const RpcServer::Reply& reply) {
     OnAdvise(params, reply);
   });
-  for (const char* method : {"submit", "cancel", "state", "pending"}) {
+  for (const char* method : kOwnerMethods) {
     rpc_server_.Bind(method, [this, method](const Json::Value& params,
                                             const RpcServer::Reply& reply) {
       base::Failure reason;
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -103,7 +103,6 @@
 
 void OwnerTerm::SetDesired(
     std::shared_ptr<const core::desired::DesiredState> desired) {
-  desired_ = desired;
   scheduler_.SetDesired(std::move(desired));
   Wake();
 }
@@ -278,9 +277,6 @@
                   Wake();
                 }));
           },
-          [this](const core::scheduler::PaceTask& order) {
-            parts_.workers->Pace(order, token_, [](const OrderAnswer&) {});
-          },
           [this](const core::scheduler::LookAtWorker& order) {
             parts_.workers->Look(
                 order, token_,
@@ -320,17 +316,13 @@
     return;
   }
   last_write_begun_ = now;
-  core::scheduler::StoredBatch batch;
-  if (has_changes) {
-    batch = scheduler_.TakeBatch();
-  }
-  const core::leadership::HeadWrite head = parts_.leadership->BeginWrite(now);
-  const auto changes = batch.changes;
+  // Shared, as callbacks are copied and a batch may be large.
+  const auto batch = std::make_shared<const core::scheduler::StoredBatch>(
+      has_changes ? scheduler_.TakeBatch() : core::scheduler::StoredBatch());
   parts_.writer->Write(
-      head, changes,
-      Guarded([this, batch = std::move(batch)](HeadWriteEnd end,
-                                               std::int64_t store_now_ms) {
-        OnWritten(end, store_now_ms, batch);
+      parts_.leadership->BeginWrite(now), batch->changes,
+      Guarded([this, batch](HeadWriteEnd end, std::int64_t store_now_ms) {
+        OnWritten(end, store_now_ms, *batch);
       }));
 }
 
--- a/src/member/owner_term.h
+++ b/src/member/owner_term.h
@@ -117,7 +117,6 @@
   bool is_over_ = false;
   int tables_loading_ = 0;
   Loading loading_;
-  std::shared_ptr<const core::desired::DesiredState> desired_;
   // The store's clock less ours, at the last answer.
   std::int64_t store_clock_offset_ms_ = 0;
   std::uint64_t last_waiter_ = 0;
--- a/src/member/owner_term_load.cc
+++ b/src/member/owner_term_load.cc
@@ -1,6 +1,7 @@
 // What a new owner reads before it schedules.
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -52,19 +53,18 @@
 
 void OwnerTerm::BeginScheduling() {
   const base::TimePoint now = Now();
-  std::map<std::string, bool> keys;
-  for (const auto& [key, record] : loading_.acceptances) {
-    keys[key] = true;
-  }
-  for (const auto& [key, record] : loading_.progress) {
-    keys[key] = true;
+  std::set<std::string> names;
+  for (const auto* rows : {&loading_.acceptances, &loading_.progress}) {
+    for (const auto& [name, record] : *rows) {
+      names.insert(name);
+    }
   }
   const auto find = [](const std::map<std::string, std::string>& rows,
                        const std::string& key) {
     const auto it = rows.find(key);
     return it == rows.end() ? std::nullopt : std::optional(it->second);
   };
-  for (const auto& [name, unused] : keys) {
+  for (const std::string& name : names) {
     if (const auto key = core::jobs::ParseJobKey(name)) {
       scheduler_.Restore(*key, find(loading_.acceptances, name),
                          find(loading_.progress, name), now, StoreNowMillis());
--- a/src/member/store_layout.h
+++ b/src/member/store_layout.h
@@ -36,13 +36,10 @@
   return "";
 }
 
-// One row of a table. '!' is less than anything that a key goes on with.
+// One row of a table.
 inline platform::RowRange RowOf(core::scheduler::RecordTable table,
                                 const std::string& key) {
-  return {.table = TableOf(table),
-          .part = kCellPart,
-          .from = key,
-          .end = key + "!"};
+  return platform::OnlyRow({TableOf(table), kCellPart, key});
 }
 
 // The rows of a table from `key` on.
--- a/test/core/scheduler/fleet_test.cc
+++ b/test/core/scheduler/fleet_test.cc
@@ -119,7 +119,7 @@
   }
   SUBCASE("that is listed goes on") {
     story.Pass(milliseconds(5));
-    story.Look({{kTask, kAttempt, "", 10, 0}});
+    story.Look({{kTask, kAttempt, ""}});
     CHECK(story.fleet.Find(kWorker)->FindRun(kTask, kAttempt)->state ==
           workers::RunState::kRunning);
   }
@@ -157,7 +157,7 @@
   story.Start();
   story.AnswerStart(OrderOutcome::kDone);
   story.Pass(milliseconds(5));
-  story.Look({{kTask, kAttempt, "", 10, 0}});
+  story.Look({{kTask, kAttempt, ""}});
   story.FailLook();
 
   SUBCASE("gets no new work") {
--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -18,7 +18,6 @@
 using core::scheduler::AdviceResult;
 using core::scheduler::AskAdvice;
 using core::scheduler::LookAtWorker;
-using core::scheduler::PaceTask;
 using core::scheduler::Scheduler;
 using core::scheduler::StartTask;
 using core::scheduler::StopTask;
@@ -309,7 +308,6 @@
                   owner->scheduler->OnStopped(stop, outcome, clock, Now());
                 });
           },
-          [](const PaceTask&) {},
           [&](const LookAtWorker& look) {
             auto result = std::make_shared<LookResult>();
             Deliver(
--- a/test/fuzz/scheduler/model_worker.cc
+++ b/test/fuzz/scheduler/model_worker.cc
@@ -115,7 +115,7 @@
     return end.number <= order.ends_stored;
   });
   for (const auto& [task, run] : runs_) {
-    result.active.push_back({task, run.attempt, {}, 50, 0});
+    result.active.push_back({task, run.attempt, {}});
   }
   result.ended = ends_;
   return result;
