Hosts that lose the store serve by the owner's word; cut off ones say so at once

Ruled out: the owner, which placed seat checks within 0.1 s all the while. Change: a greeting's answer proves the owner's version of the desired state (core/desired/proof); a host that hears from neither store nor owner for a second refuses at once without a time to come back, ends what is open, and isn't ready (core/admission/reach). Calls that go no further than their host have a log line.

--- a/src/member/calls.cc
+++ b/src/member/calls.cc
@@ -110,6 +110,11 @@
       answer);
 }
 
+std::string ReasonOf(const OwnerAnswer& answer) {
+  const auto* refused = std::get_if<Refused>(&answer);
+  return refused == nullptr ? "none" : refused->reason;
+}
+
 Json::Value ToJson(const OwnerAnswer& answer) {
   Json::Value value(Json::objectValue);
   value["answer"] = NameOf(answer);
--- a/src/member/calls.h
+++ b/src/member/calls.h
@@ -76,6 +76,8 @@
 
 // Returns the name that logs and counters use.
 const char* NameOf(const OwnerAnswer& answer);
+// Returns why a call was refused; "none" for other answers.
+std::string ReasonOf(const OwnerAnswer& answer);
 
 }  // namespace dotterelbarrow::member
 
--- a/src/member/desired_watch.cc
+++ b/src/member/desired_watch.cc
@@ -30,7 +30,26 @@
 }
 
 std::optional<base::Duration> DesiredWatch::ProofAge() const {
-  return proved_at_ ? std::optional(Now() - *proved_at_) : std::nullopt;
+  return proof_.Age(Now());
+}
+
+std::optional<base::Duration> DesiredWatch::SinceRead() const {
+  return proof_.SinceRead(Now());
+}
+
+bool DesiredWatch::OnRelayed(base::ConfigVersion version,
+                             base::TimePoint sent_at, base::Duration age) {
+  const base::ConfigVersion own =
+      current_ == nullptr ? base::ConfigVersion() : current_->version();
+  proof_.OnRelayed(own, version, sent_at, age);
+  return is_silent_ && version > own;
+}
+
+void DesiredWatch::OnRelayedText(const std::string& text,
+                                 base::TimePoint sent_at, base::Duration age) {
+  if (Take(text)) {
+    proof_.OnRelayed(current_->version(), current_->version(), sent_at, age);
+  }
 }
 
 void DesiredWatch::Read() {
@@ -55,7 +74,7 @@
   }
   const std::string& text = result.rows.front().value;
   if (text == text_ || Take(text)) {
-    proved_at_ = sent_at;
+    proof_.OnRead(sent_at);
   }
 }
 
--- a/src/member/desired_watch.h
+++ b/src/member/desired_watch.h
@@ -10,6 +10,7 @@
 
 #include "dotterelbarrow/base/units.h"
 #include "dotterelbarrow/core/desired/desired_state.h"
+#include "dotterelbarrow/core/desired/proof.h"
 #include "dotterelbarrow/core/scheduler/decision_log.h"
 #include "dotterelbarrow/wire/event_loop.h"
 #include "platform/store_client.h"
@@ -32,6 +33,19 @@
   // Returns how long ago the state was surely the newest; nullopt if it never
   // was.
   std::optional<base::Duration> ProofAge() const;
+  // Returns how long ago the store was last asked with success.
+  std::optional<base::Duration> SinceRead() const;
+
+  // The text of the current state; empty until the first was read.
+  const std::string& text() const { return text_; }
+  // Another host says, to a call sent at `sent_at`, that its version was the
+  // newest `age` ago. Returns whether its text is wanted here: it is newer, and
+  // the store doesn't answer this host.
+  bool OnRelayed(base::ConfigVersion version, base::TimePoint sent_at,
+                 base::Duration age);
+  // The same, with its text.
+  void OnRelayedText(const std::string& text, base::TimePoint sent_at,
+                     base::Duration age);
 
  private:
   void Read();
@@ -45,7 +59,7 @@
   std::shared_ptr<const core::desired::DesiredState> current_;
   // The text of `current_`.
   std::string text_;
-  std::optional<base::TimePoint> proved_at_;
+  core::desired::Proof proof_;
   bool is_silent_ = false;
   wire::Timer timer_;
 };
--- a/src/member/job_api.cc
+++ b/src/member/job_api.cc
@@ -24,18 +24,22 @@
 // A change of the owner takes two to three seconds; another host may know the
 // next one sooner.
 constexpr base::Duration kRetryAfter = std::chrono::seconds(1);
+// Another host may serve the call now.
+constexpr base::Duration kElsewhereAtOnce{0};
 constexpr base::Duration kReadTimeout = std::chrono::milliseconds(800);
 
 }  // namespace
 
 JobApi::JobApi(wire::HttpServer* server, const DesiredWatch* desired,
                platform::StoreClient* store, core::admission::Gate gate,
-               core::scheduler::Telemetry telemetry, PassOn pass_on)
+               core::scheduler::Telemetry telemetry, FindReach find_reach,
+               PassOn pass_on)
     : server_(server),
       desired_(desired),
       store_(store),
       gate_(gate),
       telemetry_(telemetry),
+      find_reach_(std::move(find_reach)),
       pass_on_(std::move(pass_on)) {
   for (const wire::HttpMethod method :
        {wire::HttpMethod::kGet, wire::HttpMethod::kPost, wire::HttpMethod::kPut,
@@ -47,6 +51,11 @@
 }
 
 void JobApi::OnCall(const wire::HttpRequest& request) {
+  if (find_reach_() == core::admission::Reach::kCutOff) {
+    LogTurnedAway(request, "cut_off");
+    Refuse(request.exchange, "cut_off", kElsewhereAtOnce);
+    return;
+  }
   const core::admission::GateDecision decision =
       gate_.Decide({.desired = desired_->current().get(),
                     .proof_age = desired_->ProofAge(),
@@ -59,14 +68,17 @@
             OnAdmitted(request, admitted);
           },
           [&](const core::admission::NotConfirmed&) {
+            LogTurnedAway(request, "desired_not_confirmed");
             Refuse(request.exchange, "desired_not_confirmed", kRetryAfter);
           },
           [&](const core::admission::NoSuchQueue&) {
+            LogTurnedAway(request, "no_such_queue");
             telemetry_.counters->Increment("calls_refused", "no_such_queue");
             Reply(request.exchange, kNotFound,
                   platform::ErrorBody("no_such_queue"));
           },
           [&](const core::admission::UnknownKey&) {
+            LogTurnedAway(request, "unknown_key");
             telemetry_.counters->Increment("calls_refused", "unknown_key");
             Reply(request.exchange, kUnauthorized,
                   platform::ErrorBody("unknown_key"));
@@ -125,9 +137,10 @@
                    std::move(*spec)}};
   pass_on_(call, [this, exchange = request.exchange,
                   key](const OwnerAnswer& answer) {
-    telemetry_.log->Write(
-        "submission_answered",
-        {{"job", core::jobs::ToString(key)}, {"answer", NameOf(answer)}});
+    telemetry_.log->Write("submission_answered",
+                          {{"job", core::jobs::ToString(key)},
+                           {"answer", NameOf(answer)},
+                           {"reason", ReasonOf(answer)}});
     if (std::holds_alternative<Accepted>(answer)) {
       Reply(exchange, kOk, "{}");
     } else if (const auto* refused = std::get_if<Refused>(&answer)) {
@@ -227,6 +240,22 @@
            });
 }
 
+void JobApi::LogTurnedAway(const wire::HttpRequest& request,
+                           const char* reason) {
+  const auto& desired = desired_->current();
+  const auto age = desired_->ProofAge();
+  const std::string rest = request.path.substr(request.path.rfind('/') + 1);
+  telemetry_.log->Write(
+      "call_turned_away",
+      {{"job", rest},
+       {"reason", reason},
+       {"config", desired == nullptr
+                      ? 0
+                      : static_cast<std::int64_t>(desired->version().value())},
+       {"confirmed_ms_ago",
+        age ? *age / std::chrono::milliseconds(1) : std::int64_t{-1}}});
+}
+
 void JobApi::Reply(wire::ExchangeId exchange, int status, std::string body) {
   server_->Reply(exchange, {.status = status, .body = std::move(body)});
 }
--- a/src/member/job_api.h
+++ b/src/member/job_api.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "dotterelbarrow/core/admission/gate.h"
+#include "dotterelbarrow/core/admission/reach.h"
 #include "dotterelbarrow/core/scheduler/decision_log.h"
 #include "dotterelbarrow/wire/http_server.h"
 #include "platform/store_client.h"
@@ -19,11 +20,14 @@
  public:
   // Passes a call to the owner, wherever it is.
   using PassOn = std::function<void(const OwnerCall&, OwnerReply)>;
+  // Tells what this host reaches now.
+  using FindReach = std::function<core::admission::Reach()>;
 
   // Takes all calls of `server`. All must outlive this.
   JobApi(wire::HttpServer* server, const DesiredWatch* desired,
          platform::StoreClient* store, core::admission::Gate gate,
-         core::scheduler::Telemetry telemetry, PassOn pass_on);
+         core::scheduler::Telemetry telemetry, FindReach find_reach,
+         PassOn pass_on);
 
  private:
   void OnCall(const wire::HttpRequest& request);
@@ -42,6 +46,8 @@
   void CountPending(const wire::HttpRequest& request,
                     const core::desired::QueueId& queue);
 
+  // A call that went no further than this host.
+  void LogTurnedAway(const wire::HttpRequest& request, const char* reason);
   void Reply(wire::ExchangeId exchange, int status, std::string body);
   // Says that nothing was done and when to come back.
   void Refuse(wire::ExchangeId exchange, const char* reason,
@@ -52,6 +58,7 @@
   platform::StoreClient* store_;
   core::admission::Gate gate_;
   core::scheduler::Telemetry telemetry_;
+  FindReach find_reach_;
   PassOn pass_on_;
 };
 
--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -103,12 +103,15 @@
           *loop, &rpc_, telemetry_, [this] { return FindOwner(); },
           [this](const OwnerCall& call, const OwnerReply& reply) {
             term_->Handle(call, reply);
+          },
+          [this] { return FindReach() == core::admission::Reach::kCutOff; }),
+      job_api_(
+          &callers_, &desired_, &store_,
+          core::admission::Gate(settings.key_withdrawal), telemetry_,
+          [this] { return FindReach(); },
+          [this](const OwnerCall& call, OwnerReply reply) {
+            owner_calls_.Call(call, std::move(reply));
           }),
-      job_api_(&callers_, &desired_, &store_,
-               core::admission::Gate(settings.key_withdrawal), telemetry_,
-               [this](const OwnerCall& call, OwnerReply reply) {
-                 owner_calls_.Call(call, std::move(reply));
-               }),
       head_timer_(*loop, [this] { ReadHead(); }),
       greet_timer_(*loop, [this] { Greet(); }),
       end_term_timer_(*loop, [this] { term_.reset(); }),
@@ -167,6 +170,10 @@
   }
   leadership_.OnRead(head, version, latency, Now());
   ClaimIfFree();
+  const core::leadership::Head* owner = leadership_.owner();
+  if (owner != nullptr && owner->token != greeted_token_) {
+    Greet();
+  }
 }
 
 void Member::Impl::ClaimIfFree() {
@@ -233,6 +240,19 @@
   return OwnerRoute{owner->token, owner->address, true};
 }
 
+core::admission::Reach Member::Impl::FindReach() const {
+  const base::TimePoint now = Now();
+  core::admission::ReachInput input{.store_heard = desired_.SinceRead(),
+                                    .owner_heard = std::nullopt,
+                                    .proof = desired_.ProofAge()};
+  if (term_ != nullptr && term_->is_ready()) {
+    input.owner_heard = base::Duration(0);
+  } else if (owner_heard_at_) {
+    input.owner_heard = now - *owner_heard_at_;
+  }
+  return core::admission::ReachPolicy::Decide(input);
+}
+
 void Member::Impl::BeginShutdown() {
   if (is_stopping_) {
     return;
--- a/src/member/member_calls.cc
+++ b/src/member/member_calls.cc
@@ -69,6 +69,10 @@
                                     const RpcServer::Reply& reply) {
     OnAdvise(params, reply);
   });
+  rpc_server_.Bind("desired",
+                   [this](const Json::Value&, const RpcServer::Reply& reply) {
+                     OnDesiredWanted(reply);
+                   });
   for (const char* method : kOwnerMethods) {
     rpc_server_.Bind(method, [this, method](const Json::Value& params,
                                             const RpcServer::Reply& reply) {
@@ -93,7 +97,8 @@
   readiness_.Route(
       wire::HttpMethod::kGet, "/readyz",
       [this](const wire::HttpRequest& request) {
-        const bool is_ready = !is_stopping_ && desired_.current() != nullptr;
+        const bool is_ready =
+            !is_stopping_ && FindReach() == core::admission::Reach::kFull;
         readiness_.Reply(request.exchange,
                          {.status = is_ready ? kOk : kUnavailable, .body = {}});
       });
--- a/src/member/member_impl.h
+++ b/src/member/member_impl.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "dotterelbarrow/core/admission/reach.h"
 #include "dotterelbarrow/core/counters.h"
 #include "dotterelbarrow/core/leadership/leadership.h"
 #include "dotterelbarrow/member/member.h"
@@ -66,7 +67,10 @@
 
   // Tells the owner that this host lives, and finds out whether it does.
   void Greet();
-  void OnGreeted(const core::leadership::Head& owner, const RpcResult& result);
+  void OnGreeted(const core::leadership::Head& owner, const RpcResult& result,
+                 base::TimePoint sent_at);
+  void LearnFromGreeting(const core::leadership::Head& owner,
+                         const Json::Value& greeting, base::TimePoint sent_at);
   void OnGreeting(const Json::Value& params, const RpcServer::Reply& reply);
   // An owner whose writes fail offers the cell to the others; one that the
   // store serves takes it.
@@ -80,6 +84,11 @@
   void ResignIfMuchWeaker();
 
   std::optional<OwnerRoute> FindOwner() const;
+  // What this host reaches now.
+  core::admission::Reach FindReach() const;
+  // Fetches the owner's desired state for a host that the store turns away.
+  void FetchDesired(const std::string& owner_address);
+  void OnDesiredWanted(const RpcServer::Reply& reply);
   void Advise(const core::scheduler::AskAdvice& ask,
               const platform::WorkerClient::AdviceDone& done);
   void OnAdvise(const Json::Value& params, const RpcServer::Reply& reply);
@@ -117,6 +126,10 @@
   std::optional<base::TimePoint> weaker_since_;
   base::TimePoint next_resignation_;
   int refused_greetings_ = 0;
+  // The last token whose owner was greeted.
+  core::scheduler::FencingToken greeted_token_;
+  // When the last greeting that an owner answered was sent.
+  std::optional<base::TimePoint> owner_heard_at_;
   bool is_stopping_ = false;
   base::TimePoint stop_begun_;
   wire::Timer head_timer_;
--- a/src/member/member_peers.cc
+++ b/src/member/member_peers.cc
@@ -31,6 +31,11 @@
 // If the better host doesn't take the cell, it isn't offered again soon.
 constexpr base::Duration kResignationGap = std::chrono::seconds(30);
 
+// Rounded up: an age must not look smaller than it is.
+Json::Int64 MillisecondsUp(base::Duration age) {
+  return std::chrono::ceil<std::chrono::milliseconds>(age).count();
+}
+
 }  // namespace
 
 void Member::Impl::Greet() {
@@ -45,18 +50,19 @@
   if (owner == nullptr) {
     return;
   }
+  greeted_token_ = owner->token;
   Json::Value params(Json::objectValue);
   params["host"] = settings_.host.value();
   params["address"] = settings_.peers_address;
   params["share"] = settings_.cpu_share;
   rpc_.Call(owner->address, "greet", std::move(params), kGreetTimeout,
-            [this, asked = *owner](const RpcResult& result) {
-              OnGreeted(asked, result);
+            [this, asked = *owner, sent_at = Now()](const RpcResult& result) {
+              OnGreeted(asked, result, sent_at);
             });
 }
 
 void Member::Impl::OnGreeted(const core::leadership::Head& owner,
-                             const RpcResult& result) {
+                             const RpcResult& result, base::TimePoint sent_at) {
   const core::leadership::Head* current = leadership_.owner();
   if (current == nullptr || current->token != owner.token) {
     return;
@@ -64,6 +70,7 @@
   bool is_gone = false;
   if (result.outcome == RpcOutcome::kAnswered) {
     refused_greetings_ = 0;
+    LearnFromGreeting(owner, result.result, sent_at);
     const Json::Value& best_share = result.result["best_share"];
     if (best_share.isNumeric()) {
       SetClaimDelay(best_share.asDouble());
@@ -84,6 +91,42 @@
   }
 }
 
+void Member::Impl::LearnFromGreeting(const core::leadership::Head& owner,
+                                     const Json::Value& greeting,
+                                     base::TimePoint sent_at) {
+  owner_heard_at_ = sent_at;
+  const Json::Value& version = greeting["desired_version"];
+  const Json::Value& age = greeting["desired_age_ms"];
+  if (version.isUInt64() && age.isInt64() &&
+      desired_.OnRelayed(base::ConfigVersion(version.asUInt64()), sent_at,
+                         std::chrono::milliseconds(age.asInt64()))) {
+    FetchDesired(owner.address);
+  }
+}
+
+void Member::Impl::FetchDesired(const std::string& owner_address) {
+  rpc_.Call(owner_address, "desired", Json::Value(Json::objectValue),
+            kGreetTimeout, [this, sent_at = Now()](const RpcResult& result) {
+              const Json::Value& text = result.result["text"];
+              const Json::Value& age = result.result["age_ms"];
+              if (result.outcome == RpcOutcome::kAnswered && text.isString() &&
+                  age.isInt64()) {
+                desired_.OnRelayedText(
+                    text.asString(), sent_at,
+                    std::chrono::milliseconds(age.asInt64()));
+              }
+            });
+}
+
+void Member::Impl::OnDesiredWanted(const RpcServer::Reply& reply) {
+  Json::Value result(Json::objectValue);
+  if (const auto age = desired_.ProofAge()) {
+    result["text"] = desired_.text();
+    result["age_ms"] = MillisecondsUp(*age);
+  }
+  reply(std::move(result));
+}
+
 void Member::Impl::OfferHandOver() {
   if (!writer_.IsFailing(Now())) {
     return;
@@ -128,6 +171,11 @@
   Json::Value result(Json::objectValue);
   result["incarnation"] = static_cast<Json::UInt64>(incarnation_.value());
   result["best_share"] = BestShare();
+  if (const auto age = desired_.ProofAge()) {
+    result["desired_version"] =
+        static_cast<Json::UInt64>(desired_.current()->version().value());
+    result["desired_age_ms"] = MillisecondsUp(*age);
+  }
   reply(std::move(result));
 }
 
--- a/src/member/owner_calls.cc
+++ b/src/member/owner_calls.cc
@@ -17,11 +17,13 @@
 
 OwnerCalls::OwnerCalls(const wire::EventLoop& loop, RpcClient* rpc,
                        core::scheduler::Telemetry telemetry,
-                       FindOwner find_owner, HandleHere handle_here)
+                       FindOwner find_owner, HandleHere handle_here,
+                       IsCutOff is_cut_off)
     : rpc_(rpc),
       telemetry_(telemetry),
       find_owner_(std::move(find_owner)),
       handle_here_(std::move(handle_here)),
+      is_cut_off_(std::move(is_cut_off)),
       sweep_timer_(loop, kSweepPeriod, [this] { Sweep(); }) {}
 
 void OwnerCalls::Call(const OwnerCall& call, OwnerReply reply) {
@@ -113,6 +115,11 @@
 }
 
 void OwnerCalls::Sweep() {
+  if (!pending_.empty() && is_cut_off_()) {
+    telemetry_.counters->Increment("owner_calls", "cut_off", pending_.size());
+    EndAll();
+    return;
+  }
   const std::optional<OwnerRoute> owner = find_owner_();
   const base::TimePoint now = Now();
   std::vector<std::uint64_t> overdue;
--- a/src/member/owner_calls.h
+++ b/src/member/owner_calls.h
@@ -35,11 +35,14 @@
  public:
   using FindOwner = std::function<std::optional<OwnerRoute>()>;
   using HandleHere = std::function<void(const OwnerCall&, const OwnerReply&)>;
+  // Whether this host hears neither from the store nor from the owner, so that
+  // no later answer is to be hoped for.
+  using IsCutOff = std::function<bool()>;
 
   // All must outlive this.
   OwnerCalls(const wire::EventLoop& loop, RpcClient* rpc,
              core::scheduler::Telemetry telemetry, FindOwner find_owner,
-             HandleHere handle_here);
+             HandleHere handle_here, IsCutOff is_cut_off);
 
   // Calls `reply` once, within the patience.
   void Call(const OwnerCall& call, OwnerReply reply);
@@ -78,6 +81,7 @@
   core::scheduler::Telemetry telemetry_;
   FindOwner find_owner_;
   HandleHere handle_here_;
+  IsCutOff is_cut_off_;
   std::map<std::uint64_t, Pending> pending_;
   std::uint64_t last_id_ = 0;
   wire::PeriodicTimer sweep_timer_;
