Hosts that the store turns away hear who owns the cell; a mute owner is replaced sooner; calls wait for the next owner

The cell changed hands within 0.5 s, but hosts that can't read the head went on to call the former owner, which answered 'no owner' for 8 s. Ruled out: slow claims (25 ms) and loading (120 ms). Change: the next owner tells the former one, who tells all that greet or call it; hosts without store and owner ask up to four that the last owner named. A broken connection counts as a failure, with 40 ms between tries; the cell is offered after 150 ms of failures, at once after a resignation. An owner that answers no greeting and whose head stands still is replaced after 0.6 s instead of 1.1 s. Calls that nothing was done of wait up to 0.7 s for an owner.

--- a/include/dotterelbarrow/core/leadership/leadership.h
+++ b/include/dotterelbarrow/core/leadership/leadership.h
@@ -45,11 +45,14 @@
   base::Incarnation incarnation;
   std::string address;
   // An owner that has nothing to write puts the head this often.
-  base::Duration renewal_period = std::chrono::milliseconds(400);
-  // An owner whose head didn't change for this long is replaced: two renewals
-  // and the time that one write may take. Where reads take long, writes do as
-  // well: `latency_factor` times the last read is added.
+  base::Duration renewal_period = std::chrono::milliseconds(200);
+  // An owner whose head didn't change for this long is replaced: its writes
+  // and their copies went without an effect. Where reads take long, writes do
+  // as well: `latency_factor` times the last read is added.
   base::Duration silence = std::chrono::milliseconds(1100);
+  // The same for an owner that answers no calls either: two renewals, and the
+  // time that a busy processor may take for them.
+  base::Duration silence_of_mute = std::chrono::milliseconds(600);
   int latency_factor = 4;
   // Two looks at an unchanged head further apart than this prove nothing:
   // neither side may have reached the store in between.
@@ -85,6 +88,8 @@
   Role role() const { return role_; }
   // The token of the own term; only as the owner.
   FencingToken token() const { return own_.token; }
+  // Whether the last term of this host ended because it gave the cell up.
+  bool has_resigned() const { return own_.is_resigned; }
   // Whether the owner before this one surely commanded nothing any more when
   // this host claimed the cell.
   bool was_former_owner_gone() const { return was_former_owner_gone_; }
@@ -93,12 +98,17 @@
   // Whose cell it is as far as is known, this host included; null if it is
   // nobody's.
   const Head* owner() const;
+  // Another host says who owns the cell. It counts only where this host has
+  // read nothing newer, and is never a ground for a claim.
+  void OnRelayed(const Head& head);
 
   // Takes what a read of the head showed, which took `latency`.
   void OnRead(const std::optional<Head>& head, base::RowVersion version,
               base::Duration latency, base::TimePoint now);
   // The owner's address refused a connection: its process is gone.
   void OnOwnerGone(base::TimePoint now);
+  // Whether the owner has been leaving this host's calls without an answer.
+  void set_owner_mute(bool is_mute) { owner_mute_ = is_mute; }
 
   // Lets this host wait this long while the cell is free, so that hosts that
   // can carry more claim it first.
@@ -141,6 +151,8 @@
   base::TimePoint last_read_;
   base::Duration read_latency_{0};
   bool owner_gone_ = false;
+  bool owner_mute_ = false;
+  std::optional<Head> relayed_;
   base::Duration claim_delay_{0};
   std::optional<base::TimePoint> free_since_;
   std::optional<Head> former_;
--- a/src/core/leadership/leadership.cc
+++ b/src/core/leadership/leadership.cc
@@ -48,9 +48,18 @@
   if (role_ == Role::kOwner) {
     return &own_;
   }
+  if (relayed_ && (!seen_ || relayed_->token > seen_->token)) {
+    return &*relayed_;
+  }
   return seen_ && !seen_->is_resigned ? &*seen_ : nullptr;
 }
 
+void Leadership::OnRelayed(const Head& head) {
+  if (!head.is_resigned && (!relayed_ || head.token > relayed_->token)) {
+    relayed_ = head;
+  }
+}
+
 void Leadership::OnRead(const std::optional<Head>& head,
                         base::RowVersion version, base::Duration latency,
                         base::TimePoint now) {
@@ -67,6 +76,7 @@
   }
   if (version != seen_version_) {
     owner_gone_ = false;
+    owner_mute_ = false;
     free_since_.reset();
   }
   was_read_ = true;
@@ -87,7 +97,8 @@
   const bool is_gone = !seen_ || seen_->is_resigned || owner_gone_ ||
                        seen_->holder == settings_.self;
   const base::Duration patience =
-      settings_.silence + read_latency_ * settings_.latency_factor;
+      (owner_mute_ ? settings_.silence_of_mute : settings_.silence) +
+      read_latency_ * settings_.latency_factor;
   if (!is_gone && now - unchanged_since_ < patience) {
     free_since_.reset();
     return std::nullopt;
@@ -150,6 +161,9 @@
 void Leadership::Abandon() {
   role_ = Role::kFollower;
   write_.reset();
+  if (relayed_ && relayed_->token <= own_.token) {
+    relayed_.reset();
+  }
   was_read_ = false;
   seen_.reset();
   owner_gone_ = false;
--- a/src/member/head_writer.cc
+++ b/src/member/head_writer.cc
@@ -19,11 +19,13 @@
 // How long one copy is waited for.
 constexpr base::Duration kTimeout = std::chrono::milliseconds(3000);
 constexpr int kMostCopies = 3;
-// Between two tries where the store refuses.
-constexpr base::Duration kRetryDelay = std::chrono::milliseconds(80);
-// Refusals, and silence, that last as long are not a passing trouble.
-constexpr base::Duration kFailingRefused = std::chrono::milliseconds(250);
-constexpr base::Duration kFailingSilent = std::chrono::milliseconds(1000);
+// Between two tries where the store refuses, or connections break.
+constexpr base::Duration kRetryDelay = std::chrono::milliseconds(40);
+// Failures, and silence, that last as long are not a passing trouble: several
+// tries, and many times what a write takes.
+constexpr base::Duration kFailingAtOnce = std::chrono::milliseconds(150);
+constexpr base::Duration kFailingSilent = std::chrono::milliseconds(500);
+constexpr base::Duration kFailingSilentMost = std::chrono::milliseconds(2000);
 // Weight of the last answer in the usual latency: one in this many.
 constexpr int kLatencyWindow = 8;
 
@@ -56,7 +58,7 @@
   transaction_ = std::move(transaction);
   done_ = std::move(done);
   begun_at_ = Now();
-  was_refused_ = false;
+  has_failed_ = false;
   copies_ = 0;
   copies_sent_ = 0;
   ++generation_;
@@ -68,8 +70,8 @@
     return false;
   }
   const base::Duration silent = std::clamp(store_->ReadLatency() * kReadFactor,
-                                           kFailingSilent, 2 * kFailingSilent);
-  return now - begun_at_ >= (was_refused_ ? kFailingRefused : silent);
+                                           kFailingSilent, kFailingSilentMost);
+  return now - begun_at_ >= (has_failed_ ? kFailingAtOnce : silent);
 }
 
 void HeadWriter::Cancel() {
@@ -136,13 +138,9 @@
       End(HeadWriteEnd::kReplaced, 0);
       return;
     case platform::StoreOutcome::kUnanswered:
-      if (copies_ == 0) {
-        retry_timer_.RunSoon();
-      }
-      break;
     case platform::StoreOutcome::kRefused:
     case platform::StoreOutcome::kNotSent:
-      was_refused_ = true;
+      has_failed_ = true;
       if (copies_ == 0) {
         retry_timer_.StartOnce(kRetryDelay);
       }
--- a/src/member/head_writer.h
+++ b/src/member/head_writer.h
@@ -61,8 +61,9 @@
   std::optional<platform::Transaction> transaction_;
   Done done_;
   base::TimePoint begun_at_;
-  // Whether the write under way was refused or couldn't be sent.
-  bool was_refused_ = false;
+  // Whether a copy of the write under way was refused, couldn't be sent or met
+  // a connection that broke.
+  bool has_failed_ = false;
   // Tells answers of forgotten writes from the current one's.
   std::uint64_t generation_ = 0;
   base::Duration usual_latency_ = std::chrono::milliseconds(20);
--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -19,6 +19,8 @@
 constexpr base::Duration kHeadPeriod = std::chrono::milliseconds(300);
 constexpr base::Duration kHeadTimeout = std::chrono::milliseconds(800);
 constexpr base::Duration kHeadRetry = std::chrono::milliseconds(100);
+// While the owner answers nothing, so that its replacement isn't held up.
+constexpr base::Duration kHeadPeriodOfMute = std::chrono::milliseconds(100);
 
 // What a host knows nothing of before its first greeting: a usual strong host.
 constexpr double kUsualShare = 0.5;
@@ -104,7 +106,8 @@
           [this](const OwnerCall& call, const OwnerReply& reply) {
             term_->Handle(call, reply);
           },
-          [this] { return FindReach() == core::admission::Reach::kCutOff; }),
+          [this] { return FindReach() == core::admission::Reach::kCutOff; },
+          [this](const std::string& head) { OnOwnerHint(head); }),
       job_api_(
           &callers_, &desired_, &store_,
           core::admission::Gate(settings.key_withdrawal), telemetry_,
@@ -154,7 +157,8 @@
     head_timer_.StartOnce(kHeadRetry);
     return;
   }
-  head_timer_.StartOnce(kHeadPeriod);
+  const bool is_mute = IsOwnerMute();
+  head_timer_.StartOnce(is_mute ? kHeadPeriodOfMute : kHeadPeriod);
   if (leadership_.role() == core::leadership::Role::kOwner) {
     return;
   }
@@ -169,6 +173,7 @@
     }
   }
   leadership_.OnRead(head, version, latency, Now());
+  leadership_.set_owner_mute(is_mute);
   ClaimIfFree();
   const core::leadership::Head* owner = leadership_.owner();
   if (owner != nullptr && owner->token != greeted_token_) {
@@ -211,17 +216,21 @@
                      const platform::WorkerClient::AdviceDone& done) {
                 Advise(ask, done);
               },
-          .ended = [this] { EndTerm(); }},
+          .ended = [this] { EndTerm(); },
+          .store_fails = [this] { OfferFailingCell(); }},
       SchedulerOf(settings_), store_now_ms);
   if (desired_.current() != nullptr) {
     term_->SetDesired(desired_.current());
   }
   UpdateAskers();
+  AnnounceOwnership();
 }
 
 void Member::Impl::EndTerm() {
   if (leadership_.role() == core::leadership::Role::kOwner) {
     leadership_.Abandon();
+  } else if (leadership_.has_resigned()) {
+    OfferCell(leadership_.token());
   }
   writer_.Cancel();
   // The term itself is calling.
--- a/src/member/member_calls.cc
+++ b/src/member/member_calls.cc
@@ -69,6 +69,19 @@
                                     const RpcServer::Reply& reply) {
     OnAdvise(params, reply);
   });
+  rpc_server_.Bind("owner_is", [this](const Json::Value& params,
+                                      const RpcServer::Reply& reply) {
+    if (params["owner"].isString()) {
+      OnOwnerHint(params["owner"].asString());
+    }
+    reply(Json::Value(Json::objectValue));
+  });
+  rpc_server_.Bind("who_owns",
+                   [this](const Json::Value&, const RpcServer::Reply& reply) {
+                     Json::Value result(Json::objectValue);
+                     AddOwnerHint(&result);
+                     reply(std::move(result));
+                   });
   rpc_server_.Bind("desired",
                    [this](const Json::Value&, const RpcServer::Reply& reply) {
                      OnDesiredWanted(reply);
@@ -82,13 +95,18 @@
         reply(member::ToJson(OwnerAnswer(Refused{"malformed_call", {}})));
         return;
       }
+      const auto answered = [this, reply](const OwnerAnswer& answer) {
+        Json::Value result = member::ToJson(answer);
+        if (std::holds_alternative<NoOwner>(answer)) {
+          AddOwnerHint(&result);
+        }
+        reply(std::move(result));
+      };
       if (term_ == nullptr) {
-        reply(member::ToJson(OwnerAnswer(NoOwner{})));
-        return;
+        answered(NoOwner{});
+      } else {
+        term_->Handle(*call, answered);
       }
-      term_->Handle(*call, [reply](const OwnerAnswer& answer) {
-        reply(member::ToJson(answer));
-      });
     });
   }
 }
--- a/src/member/member_impl.h
+++ b/src/member/member_impl.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "dotterelbarrow/core/admission/reach.h"
 #include "dotterelbarrow/core/counters.h"
@@ -72,10 +73,21 @@
   void LearnFromGreeting(const core::leadership::Head& owner,
                          const Json::Value& greeting, base::TimePoint sent_at);
   void OnGreeting(const Json::Value& params, const RpcServer::Reply& reply);
-  // An owner whose writes fail offers the cell to the others; one that the
-  // store serves takes it.
-  void OfferHandOver();
+  // Whether the owner has left greetings unanswered for a while.
+  bool IsOwnerMute() const;
+  // An owner whose writes fail, or that gave the cell up, offers it to the
+  // others; one that the store serves takes it.
+  void OfferFailingCell();
+  void OfferCell(core::leadership::FencingToken token);
   void OnTakeOver(const Json::Value& params, const RpcServer::Reply& reply);
+  // Hosts that the store turns away learn from others who owns the cell.
+  void AnnounceOwnership();
+  void OnOwnerHint(const std::string& head);
+  void AskDeputies();
+  // Adds who owns the cell, as far as this host knows.
+  void AddOwnerHint(Json::Value* answer) const;
+  // Returns the addresses of a few live hosts, the strongest first.
+  Json::Value Deputies() const;
   void UpdateAskers();
   // The largest part of a processor that a live host has, this one included.
   double BestShare() const;
@@ -126,6 +138,11 @@
   std::optional<base::TimePoint> weaker_since_;
   base::TimePoint next_resignation_;
   int refused_greetings_ = 0;
+  // When the first greeting was sent since the last answer to one.
+  std::optional<base::TimePoint> unanswered_since_;
+  base::TimePoint next_offer_;
+  // Hosts that the last owner named, to ask who owns the cell.
+  std::vector<std::string> deputies_;
   // The last token whose owner was greeted.
   core::scheduler::FencingToken greeted_token_;
   // When the last greeting that an owner answered was sent.
--- a/src/member/member_peers.cc
+++ b/src/member/member_peers.cc
@@ -12,13 +12,20 @@
 namespace {
 
 // Greetings keep a host on the list of those that may ask the advisor.
-constexpr base::Duration kGreetPeriod = std::chrono::milliseconds(400);
+constexpr base::Duration kGreetPeriod = std::chrono::milliseconds(300);
 constexpr base::Duration kGreetTimeout = std::chrono::milliseconds(900);
 // A refused greeting is repeated soon: two refusals mean a dead process.
 constexpr base::Duration kGreetRetry = std::chrono::milliseconds(100);
 constexpr int kRefusalsOfDead = 2;
-// Three greetings were missed.
+// Six greetings were missed.
 constexpr base::Duration kPeerSilence = std::chrono::milliseconds(2000);
+// An answer that takes this long is many times what a busy owner needs.
+constexpr base::Duration kMuteAfter = std::chrono::milliseconds(300);
+// The cell is offered again after this time, if nobody took it.
+constexpr base::Duration kOfferPeriod = std::chrono::milliseconds(300);
+// Enough that not all of them are lost where the store turns a third of the
+// hosts away.
+constexpr std::size_t kDeputies = 4;
 
 // How much longer a host waits to claim the cell for each whole processor that
 // it has less than the best one: more than the time between two looks at the
@@ -43,7 +50,6 @@
   greet_timer_.StartOnce(kGreetPeriod);
   if (leadership_.role() == core::leadership::Role::kOwner) {
     UpdateAskers();
-    OfferHandOver();
     ResignIfMuchWeaker();
     return;
   }
@@ -51,6 +57,9 @@
     return;
   }
   greeted_token_ = owner->token;
+  if (!unanswered_since_) {
+    unanswered_since_ = Now();
+  }
   Json::Value params(Json::objectValue);
   params["host"] = settings_.host.value();
   params["address"] = settings_.peers_address;
@@ -70,6 +79,7 @@
   bool is_gone = false;
   if (result.outcome == RpcOutcome::kAnswered) {
     refused_greetings_ = 0;
+    unanswered_since_.reset();
     LearnFromGreeting(owner, result.result, sent_at);
     const Json::Value& best_share = result.result["best_share"];
     if (best_share.isNumeric()) {
@@ -83,6 +93,15 @@
     is_gone = ++refused_greetings_ >= kRefusalsOfDead;
     greet_timer_.StartOnce(kGreetRetry);
   }
+  const auto since_read = desired_.SinceRead();
+  const bool is_store_silent =
+      !since_read || *since_read > core::admission::ReachPolicy::kSilent;
+  const bool is_owner = result.outcome == RpcOutcome::kAnswered &&
+                        result.result["is_owner"].isBool() &&
+                        result.result["is_owner"].asBool();
+  if (!is_owner && is_store_silent) {
+    AskDeputies();
+  }
   if (is_gone) {
     refused_greetings_ = 0;
     telemetry_.log->Write("owner_gone", {{"owner", owner.holder.value()}});
@@ -94,7 +113,19 @@
 void Member::Impl::LearnFromGreeting(const core::leadership::Head& owner,
                                      const Json::Value& greeting,
                                      base::TimePoint sent_at) {
+  if (const Json::Value& hint = greeting["owner"]; hint.isString()) {
+    OnOwnerHint(hint.asString());
+  }
+  if (!greeting["is_owner"].isBool() || !greeting["is_owner"].asBool()) {
+    return;
+  }
   owner_heard_at_ = sent_at;
+  deputies_.clear();
+  for (const Json::Value& address : greeting["deputies"]) {
+    if (address.isString()) {
+      deputies_.push_back(address.asString());
+    }
+  }
   const Json::Value& version = greeting["desired_version"];
   const Json::Value& age = greeting["desired_age_ms"];
   if (version.isUInt64() && age.isInt64() &&
@@ -127,14 +158,93 @@
   reply(std::move(result));
 }
 
-void Member::Impl::OfferHandOver() {
-  if (!writer_.IsFailing(Now())) {
+bool Member::Impl::IsOwnerMute() const {
+  return unanswered_since_ && Now() - *unanswered_since_ >= kMuteAfter;
+}
+
+void Member::Impl::AnnounceOwnership() {
+  const core::leadership::Head* former = leadership_.former_owner();
+  if (former == nullptr || former->holder == settings_.host) {
+    return;
+  }
+  Json::Value params(Json::objectValue);
+  AddOwnerHint(&params);
+  rpc_.Call(former->address, "owner_is", std::move(params), kGreetTimeout,
+            [](const RpcResult&) {});
+}
+
+void Member::Impl::AddOwnerHint(Json::Value* answer) const {
+  if (const core::leadership::Head* owner = leadership_.owner()) {
+    (*answer)["owner"] = core::leadership::EncodeHead(*owner);
+  }
+}
+
+void Member::Impl::OnOwnerHint(const std::string& text) {
+  base::Failure reason;
+  const auto head = core::leadership::DecodeHead(text, &reason);
+  if (!head) {
+    telemetry_.log->Write("owner_hint_unreadable", {{"detail", reason.detail}});
+    return;
+  }
+  const core::leadership::Head* known = leadership_.owner();
+  if (head->holder == settings_.host ||
+      (known != nullptr && head->token <= known->token)) {
     return;
   }
+  telemetry_.log->Write(
+      "owner_heard_of",
+      {{"owner", head->holder.value()},
+       {"token", static_cast<std::int64_t>(head->token.value())}});
+  if (term_ != nullptr) {
+    term_->NoteReplaced();
+  }
+  leadership_.OnRelayed(*head);
+  Greet();
+}
+
+void Member::Impl::AskDeputies() {
+  for (const std::string& address : deputies_) {
+    rpc_.Call(address, "who_owns", Json::Value(Json::objectValue),
+              kGreetTimeout, [this](const RpcResult& result) {
+                if (result.outcome == RpcOutcome::kAnswered &&
+                    result.result["owner"].isString()) {
+                  OnOwnerHint(result.result["owner"].asString());
+                }
+              });
+  }
+}
+
+Json::Value Member::Impl::Deputies() const {
+  std::vector<const Peer*> live;
+  for (const auto& [host, peer] : peers_) {
+    if (Now() - peer.greeted_at < kPeerSilence) {
+      live.push_back(&peer);
+    }
+  }
+  std::stable_sort(live.begin(), live.end(), [](const Peer* a, const Peer* b) {
+    return a->cpu_share > b->cpu_share;
+  });
+  Json::Value addresses(Json::arrayValue);
+  for (std::size_t i = 0; i < std::min(live.size(), kDeputies); ++i) {
+    addresses.append(live[i]->address);
+  }
+  return addresses;
+}
+
+void Member::Impl::OfferFailingCell() {
+  const base::TimePoint now = Now();
+  if (now < next_offer_) {
+    return;
+  }
+  next_offer_ = now + kOfferPeriod;
   telemetry_.log->Write("hand_over_offered", {});
+  OfferCell(leadership_.token());
+}
+
+void Member::Impl::OfferCell(core::leadership::FencingToken token) {
   for (const auto& [host, peer] : peers_) {
     Json::Value params(Json::objectValue);
-    params["token"] = static_cast<Json::UInt64>(leadership_.token().value());
+    params["token"] = static_cast<Json::UInt64>(token.value());
     rpc_.Call(peer.address, "take_over", std::move(params), kGreetTimeout,
               [](const RpcResult&) {});
   }
@@ -171,6 +281,13 @@
   Json::Value result(Json::objectValue);
   result["incarnation"] = static_cast<Json::UInt64>(incarnation_.value());
   result["best_share"] = BestShare();
+  const bool is_owner = term_ != nullptr && term_->is_ready();
+  result["is_owner"] = is_owner;
+  if (is_owner) {
+    result["deputies"] = Deputies();
+  } else {
+    AddOwnerHint(&result);
+  }
   if (const auto age = desired_.ProofAge()) {
     result["desired_version"] =
         static_cast<Json::UInt64>(desired_.current()->version().value());
--- a/src/member/owner_calls.cc
+++ b/src/member/owner_calls.cc
@@ -11,24 +11,27 @@
 namespace {
 
 // Calls without an outcome are looked at this often.
-constexpr base::Duration kSweepPeriod = std::chrono::milliseconds(100);
+constexpr base::Duration kSweepPeriod = std::chrono::milliseconds(50);
+// An owner that is reading what is stored is asked again after this time.
+constexpr base::Duration kRetryDelay = std::chrono::milliseconds(50);
 
 }  // namespace
 
 OwnerCalls::OwnerCalls(const wire::EventLoop& loop, RpcClient* rpc,
                        core::scheduler::Telemetry telemetry,
                        FindOwner find_owner, HandleHere handle_here,
-                       IsCutOff is_cut_off)
+                       IsCutOff is_cut_off, OwnerHint owner_hint)
     : rpc_(rpc),
       telemetry_(telemetry),
       find_owner_(std::move(find_owner)),
       handle_here_(std::move(handle_here)),
       is_cut_off_(std::move(is_cut_off)),
-      sweep_timer_(loop, kSweepPeriod, [this] { Sweep(); }) {}
+      owner_hint_(std::move(owner_hint)),
+      sweep_timer_(loop, [this] { Sweep(); }) {}
 
 void OwnerCalls::Call(const OwnerCall& call, OwnerReply reply) {
   const std::optional<OwnerRoute> owner = find_owner_();
-  if (!owner || !owner->is_ready) {
+  if ((!owner || !owner->is_ready) && !CanWaitForOwner(call)) {
     // Nothing was sent anywhere: another host may know better.
     reply(NoOwner{});
     return;
@@ -38,9 +41,17 @@
                                .reply = std::move(reply),
                                .begun = Now(),
                                .sent_to = {}});
+  if (pending_.size() == 1) {
+    ArmSweep();
+  }
   Dispatch(id);
 }
 
+bool OwnerCalls::CanWaitForOwner(const OwnerCall& call) {
+  return std::holds_alternative<SubmitCall>(call) ||
+         std::holds_alternative<CancelCall>(call);
+}
+
 void OwnerCalls::Dispatch(std::uint64_t id) {
   const std::optional<OwnerRoute> owner = find_owner_();
   const auto it = pending_.find(id);
@@ -48,6 +59,9 @@
     return;
   }
   Pending& pending = it->second;
+  if (pending.sent_to != core::scheduler::FencingToken()) {
+    telemetry_.counters->Increment("owner_calls", "sent_again");
+  }
   pending.sent_to = owner->token;
   pending.is_under_way = true;
   const OwnerCall call = pending.call;
@@ -69,6 +83,9 @@
                        const RpcResult& result) {
   switch (result.outcome) {
     case RpcOutcome::kAnswered:
+      if (const Json::Value& owner = result.result["owner"]; owner.isString()) {
+        owner_hint_(owner.asString());
+      }
       OnAnswer(id, sent_to, OwnerAnswerFromJson(result.result));
       break;
     case RpcOutcome::kNotSent:
@@ -94,8 +111,11 @@
     pending.may_be_done = true;
     return;  // The next owner decides, or time does.
   }
-  if (std::holds_alternative<NoOwner>(answer) && pending.may_be_done) {
-    return;
+  if (std::holds_alternative<NoOwner>(answer)) {
+    pending.next_try = Now() + kRetryDelay;
+    if (pending.may_be_done || CanWaitForOwner(pending.call)) {
+      return;
+    }
   }
   End(id, answer);
 }
@@ -110,7 +130,15 @@
 
 void OwnerCalls::EndAll() {
   while (!pending_.empty()) {
-    End(pending_.begin()->first, OutcomeUnknown{});
+    const auto& [id, pending] = *pending_.begin();
+    End(id, pending.is_untouched() ? OwnerAnswer(NoOwner{})
+                                   : OwnerAnswer(OutcomeUnknown{}));
+  }
+}
+
+void OwnerCalls::ArmSweep() {
+  if (!pending_.empty()) {
+    sweep_timer_.StartOnce(kSweepPeriod);
   }
 }
 
@@ -123,25 +151,34 @@
   const std::optional<OwnerRoute> owner = find_owner_();
   const base::TimePoint now = Now();
   std::vector<std::uint64_t> overdue;
+  std::vector<std::uint64_t> ownerless;
   std::vector<std::uint64_t> again;
   for (auto& [id, pending] : pending_) {
     const bool has_next = owner && owner->token > pending.sent_to;
-    if (now - pending.begun >= patience_) {
+    const base::Duration age = now - pending.begun;
+    if (age >= patience_) {
       overdue.push_back(id);
-    } else if (has_next || (!pending.is_under_way && pending.may_be_done)) {
+    } else if (has_next) {
       // What is open at a replaced owner may have been done there.
       pending.may_be_done = pending.may_be_done || pending.is_under_way;
       again.push_back(id);
+    } else if (pending.is_untouched() && age >= kOwnerPatience) {
+      ownerless.push_back(id);
+    } else if (!pending.is_under_way && now >= pending.next_try) {
+      again.push_back(id);
     }
   }
   for (const std::uint64_t id : overdue) {
     telemetry_.counters->Increment("owner_calls", "overdue");
     End(id, OutcomeUnknown{});
   }
+  for (const std::uint64_t id : ownerless) {
+    End(id, NoOwner{});
+  }
   for (const std::uint64_t id : again) {
-    telemetry_.counters->Increment("owner_calls", "sent_again");
     Dispatch(id);
   }
+  ArmSweep();
 }
 
 }  // namespace dotterelbarrow::member
--- a/src/member/owner_calls.h
+++ b/src/member/owner_calls.h
@@ -38,11 +38,13 @@
   // Whether this host hears neither from the store nor from the owner, so that
   // no later answer is to be hoped for.
   using IsCutOff = std::function<bool()>;
+  // Takes the head, as text, that a host named which isn't the owner.
+  using OwnerHint = std::function<void(const std::string& head)>;
 
   // All must outlive this.
   OwnerCalls(const wire::EventLoop& loop, RpcClient* rpc,
              core::scheduler::Telemetry telemetry, FindOwner find_owner,
-             HandleHere handle_here, IsCutOff is_cut_off);
+             HandleHere handle_here, IsCutOff is_cut_off, OwnerHint owner_hint);
 
   // Calls `reply` once, within the patience.
   void Call(const OwnerCall& call, OwnerReply reply);
@@ -51,6 +53,10 @@
 
   // How long a call may go without an outcome; for a process that ends soon.
   void set_patience(base::Duration patience) { patience_ = patience; }
+  // How long a call waits for an owner to whom it can go; nothing was done of
+  // it yet.
+  static constexpr base::Duration kOwnerPatience =
+      std::chrono::milliseconds(700);
   // Ends all calls as unknown.
   void EndAll();
 
@@ -64,9 +70,16 @@
     bool is_under_way = false;
     // Some owner may have done something of it.
     bool may_be_done = false;
+    // The last owner that answered said that it can't, or isn't it any more.
+    base::TimePoint next_try{};
+
+    // Whether surely nothing was done of it.
+    bool is_untouched() const { return !is_under_way && !may_be_done; }
   };
 
-  // Returns whether the call was sent or answered.
+  // Returns whether the call is worth holding while the owner changes: a state
+  // can be read elsewhere.
+  static bool CanWaitForOwner(const OwnerCall& call);
   void Dispatch(std::uint64_t id);
   void OnRpc(std::uint64_t id, core::scheduler::FencingToken sent_to,
              const RpcResult& result);
@@ -74,6 +87,7 @@
                 const OwnerAnswer& answer);
   void End(std::uint64_t id, const OwnerAnswer& answer);
   void Sweep();
+  void ArmSweep();
 
   // Callers wait 3 s; a later answer is of no use to them.
   base::Duration patience_ = std::chrono::milliseconds(2400);
@@ -82,9 +96,10 @@
   FindOwner find_owner_;
   HandleHere handle_here_;
   IsCutOff is_cut_off_;
+  OwnerHint owner_hint_;
   std::map<std::uint64_t, Pending> pending_;
   std::uint64_t last_id_ = 0;
-  wire::PeriodicTimer sweep_timer_;
+  wire::Timer sweep_timer_;
 };
 
 }  // namespace dotterelbarrow::member
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -218,6 +218,9 @@
   if (is_loaded_ && IsStoreAway()) {
     RefuseUnwritten();
   }
+  if (parts_.writer->IsFailing(Now())) {
+    parts_.store_fails();
+  }
   WriteIfDue();
 }
 
--- a/src/member/owner_term.h
+++ b/src/member/owner_term.h
@@ -36,6 +36,8 @@
     Advise advise;
     // The term is over: another owner was seen. Destroys the term, later.
     std::function<void()> ended;
+    // The store has kept failing the write under way.
+    std::function<void()> store_fails;
   };
 
   OwnerTerm(Parts parts, const core::scheduler::SchedulerSettings& settings,
@@ -53,6 +55,8 @@
   void Handle(const OwnerCall& call, const OwnerReply& reply);
   // Gives the cell up after what is under way.
   void Resign();
+  // Another host said that it owns the cell by now.
+  void NoteReplaced() { EndTerm("replaced_by_peer"); }
 
   bool is_ready() const { return is_loaded_; }
   const core::scheduler::Scheduler& scheduler() const { return scheduler_; }
--- a/test/core/leadership/leadership_test.cc
+++ b/test/core/leadership/leadership_test.cc
@@ -120,6 +120,43 @@
     cell.Watch(&other, milliseconds(1500), milliseconds(270));
     CHECK_FALSE(other.BeginClaim(cell.now));
   }
+  SUBCASE("a silent owner that answers no calls either is replaced sooner") {
+    cell.Watch(&other, milliseconds(900));
+    CHECK_FALSE(other.BeginClaim(cell.now));
+    other.set_owner_mute(true);
+    CHECK(cell.Claim(&other));
+  }
+  SUBCASE("an owner that answers no calls but writes is left alone") {
+    for (int i = 0; i < 10; ++i) {
+      cell.Carry(&owner, owner.BeginWrite(cell.now));
+      cell.Watch(&other, milliseconds(300));
+      other.set_owner_mute(true);
+      CHECK_FALSE(other.BeginClaim(cell.now));
+    }
+  }
+  SUBCASE("a host that the store turns away hears of the next owner") {
+    const Head next{FencingToken(2), base::EntryId("next"),
+                    base::Incarnation(1), "10.0.0.9:1"};
+    other.OnRelayed(next);
+    CHECK(other.owner()->holder == base::EntryId("next"));
+    SUBCASE("and claims nothing on such word") {
+      CHECK_FALSE(other.BeginClaim(cell.now));
+    }
+    SUBCASE("and doesn't go back to one before") {
+      other.OnRelayed({FencingToken(1), base::EntryId("owner"),
+                       base::Incarnation(1), "10.0.0.1:1"});
+      cell.Read(&other);
+      CHECK(other.owner()->holder == base::EntryId("next"));
+    }
+    SUBCASE("and believes the store again once that shows a newer one") {
+      Leadership third = MakeHost("third");
+      cell.Read(&third);
+      third.OnOwnerGone(cell.now);
+      REQUIRE(cell.Claim(&third));
+      cell.Read(&other);
+      CHECK(other.owner()->holder == base::EntryId("third"));
+    }
+  }
   SUBCASE("a process that is gone is replaced at once") {
     other.OnOwnerGone(cell.now);
     CHECK(cell.Claim(&other));
