A read beside the write tells a lost store from a slow one; a log line says why a step waits

Ruled out: slow followers, which claimed 0.1 s after they could. Change: core/leadership/store_patience decides from the write's age, failures, the last read and the oldest open one; the owner reads the head beside a write that takes long. Reasons of waiting (advice, room, cap, straying members) have a line each time that they change.

--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -31,8 +31,10 @@
   base::Duration ticket_margin = std::chrono::milliseconds(150);
   // A failed call for advice is repeated after this time.
   base::Duration advice_retry = std::chrono::milliseconds(150);
-  // Gangs for which room is kept free at a time; more would empty the fleet.
-  int max_held_gangs = 2;
+  // Workers that are kept free for gangs, as a part of the fleet; more would
+  // empty it. At least `min_held_gangs` gangs are served that way.
+  double max_held_share = 0.25;
+  int min_held_gangs = 2;
   // Steps in a row of their urgency that a pass finds no room for before it
   // ends: with a long backlog the rest would only cost processor time.
   int max_misses = 48;
@@ -40,6 +42,16 @@
   base::Duration overdue_period = std::chrono::milliseconds(50);
 };
 
+// Why a step that could start waits.
+enum class WaitReason {
+  kAdvice,    // It isn't known which workers may run it.
+  kRoom,      // The workers that may run it have no room.
+  kCap,       // Its organisation may not have more running.
+  kStraying,  // Members of its last attempt have not surely ended.
+};
+
+const char* ToString(WaitReason reason);
+
 class Dispatcher {
  public:
   Dispatcher(DispatcherSettings settings, Telemetry telemetry, JobBook* jobs,
@@ -119,10 +131,14 @@
   void PlaceAll(std::vector<Item> items, base::TimePoint now,
                 std::vector<Action>* actions);
   void LookAtRoom(base::TimePoint now);
-  // Tells the guard how long a job that found no room has been waiting.
+  // Tells the guard how long a job that found no room has been waiting, and the
+  // log why, each time that the reason changes.
   void NoteMiss(const Item& item, base::TimePoint now);
+  WaitReason WhyWaiting(const Item& item) const;
   // Returns nullopt where the step has nothing to place.
   std::optional<Item> ItemOf(const jobs::StepRef& ref, base::TimePoint now);
+  // Returns whether room may be kept for one more gang.
+  bool CanHold() const;
   // Returns whether some worker of the fleet may have room. Cheap.
   bool MayFit(const Item& item) const;
   // Fills in the candidates; returns whether there are any. If not, asks.
@@ -135,6 +151,10 @@
            base::TimePoint now, std::vector<Action>* actions);
   std::vector<base::BackendId> WorkersToAskAbout(const Item& item,
                                                  base::TimePoint now);
+  // Asks about all workers that the step wasn't asked about, whether they have
+  // room now or not, in as many calls at once as entry hosts are free.
+  void AskAboutAll(const Item& item, base::TimePoint now,
+                   std::vector<Action>* actions);
   // Where the allowed workers have no room, others may be allowed as well: asks
   // if at least `least` of them have room and weren't asked about.
   void AskAboutMore(const Item& item, std::size_t least, base::TimePoint now,
@@ -156,9 +176,9 @@
   // Returns a worker for each of `members`, or nothing if not all have room.
   std::vector<Choice> ChooseForGang(
       const Item& item, const std::vector<std::uint32_t>& members) const;
-  // Keeps the workers on which the gang will fit soonest from lesser work.
-  // Returns false if the allowed ones would never hold it.
-  bool HoldFor(const Item& item, base::TimePoint now);
+  // Keeps the workers on which the gang will fit soonest from lesser work, if
+  // the allowed ones can hold it at all.
+  void HoldFor(const Item& item, base::TimePoint now);
   // Sets room aside, and starts at once where tickets hold; else asks. With
   // `attempt` 0 each task gets its own next one.
   void Commit(const Item& item, std::vector<Choice> choices,
@@ -206,6 +226,8 @@
   // a burst; they are looked at less often, and after the others.
   std::set<jobs::StepRef> overdue_;
   base::TimePoint next_overdue_look_;
+  // What the log was last told of waiting steps.
+  std::unordered_map<jobs::StepRef, WaitReason> told_;
   // Jobs go on after their queue was dropped, under its last rules.
   std::unordered_map<desired::QueueId, desired::Queue> known_queues_;
   // Workers kept free for gangs of this pass, and of the one before.
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -11,6 +11,20 @@
 
 }  // namespace
 
+const char* ToString(WaitReason reason) {
+  switch (reason) {
+    case WaitReason::kAdvice:
+      return "advice";
+    case WaitReason::kRoom:
+      return "room";
+    case WaitReason::kCap:
+      return "cap";
+    case WaitReason::kStraying:
+      return "straying_members";
+  }
+  return "unknown";
+}
+
 void Dispatcher::SetDesired(
     std::shared_ptr<const desired::DesiredState> desired) {
   desired_ = std::move(desired);
@@ -27,6 +41,7 @@
 void Dispatcher::Forget(const jobs::StepRef& step) {
   waiting_.erase(step);
   overdue_.erase(step);
+  told_.erase(step);
   advice_.Forget(step);
 }
 
@@ -137,7 +152,38 @@
   }
 }
 
+WaitReason Dispatcher::WhyWaiting(const Item& item) const {
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  if (!FitsCap(item,
+               runs_->UsageOf(item.job->organisation) +
+                   UnseenUsageOf(item.job->organisation),
+               spec.gang ? spec.tasks : 1)) {
+    return WaitReason::kCap;
+  }
+  if (spec.gang && !runs_->OfStep(item.step).empty()) {
+    return WaitReason::kStraying;
+  }
+  return item.candidates.empty() ? WaitReason::kAdvice : WaitReason::kRoom;
+}
+
 void Dispatcher::NoteMiss(const Item& item, base::TimePoint now) {
+  const WaitReason reason = WhyWaiting(item);
+  const auto [told, is_new] = told_.try_emplace(item.step, reason);
+  if (is_new || told->second != reason) {
+    told->second = reason;
+    const advice::StepAdvice* advice = advice_.Find(item.step);
+    telemetry_.log->Write(
+        "step_waits",
+        {{"step", jobs::ToString(item.step)},
+         {"for", ToString(reason)},
+         {"tasks",
+          static_cast<std::int64_t>(item.job->SpecOf(item.step).tasks)},
+         {"allowed", static_cast<std::int64_t>(item.candidates.size())},
+         {"asked_about", static_cast<std::int64_t>(
+                             advice == nullptr ? 0 : advice->asked.size())},
+         {"slack_ms",
+          (item.urgency.latest_start - now) / std::chrono::milliseconds(1)}});
+  }
   const base::Duration slack =
       item.urgency.latest_start - item.job->accepted_at;
   if (item.urgency.standing != placement::Standing::kOnTime ||
@@ -156,9 +202,7 @@
 
 bool Dispatcher::MayFit(const Item& item) const {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
-  const bool may_be_held_for =
-      spec.gang && held_gangs_ < settings_.max_held_gangs;
-  return may_be_held_for || spec.Reservation().FitsIn(largest_room_);
+  return (spec.gang && CanHold()) || spec.Reservation().FitsIn(largest_room_);
 }
 
 bool Dispatcher::MayRunOn(const workers::Worker& worker, const Item& item,
@@ -253,9 +297,15 @@
     return !TicketFor(item, choice.worker, now).has_value();
   };
   std::vector<base::BackendId> without_ticket;
-  for (const Choice& choice : choices) {
-    if (needs_ticket(choice)) {
-      without_ticket.push_back(choice.worker);
+  if (std::any_of(choices.begin(), choices.end(), needs_ticket)) {
+    // What runs out before the call is answered is asked for with it.
+    const base::TimePoint answered =
+        now + advice::CallCost(*item.queue->advice, choices.size()) +
+        settings_.ticket_margin;
+    for (const Choice& choice : choices) {
+      if (!TicketFor(item, choice.worker, answered)) {
+        without_ticket.push_back(choice.worker);
+      }
     }
   }
   if (!without_ticket.empty() && !Ask(item, without_ticket, now, actions)) {
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -24,10 +24,6 @@
     return !item->candidates.empty();
   }
   advice::StepAdvice& advice = advice_.FindOrAdd(item->step);
-  const bool has_failed = advice.failed_calls > 0 && now < advice.retry_at;
-  if (advice.calls > 0 || has_failed) {
-    return false;
-  }
   if (advice.is_known) {
     item->candidates = CandidatesOf(*item, now);
     if (!item->candidates.empty()) {
@@ -35,7 +31,7 @@
     }
   }
   // Nobody allowed is left, or nothing is known yet.
-  if (now >= advice.retry_at && CanAsk(*item, now) &&
+  if (advice.calls == 0 && now >= advice.retry_at && CanAsk(*item, now) &&
       IsWorthAsking(*item, now) &&
       Ask(*item, WorkersToAskAbout(*item, now), now, actions)) {
     advice.retry_at = now + kAskAgainAfter;
@@ -48,6 +44,37 @@
                            now);
 }
 
+void Dispatcher::AskAboutAll(const Item& item, base::TimePoint now,
+                             std::vector<Action>* actions) {
+  if (!item.queue->advice) {
+    return;
+  }
+  advice::StepAdvice& advice = advice_.FindOrAdd(item.step);
+  if (advice.calls > 0 || now < advice.retry_at) {
+    return;
+  }
+  std::vector<const workers::Worker*> unknown;
+  for (const auto& [id, worker] : fleet_->workers()) {
+    if (MayRunOn(worker, item, now) && !advice.asked.contains(id)) {
+      unknown.push_back(&worker);
+    }
+  }
+  std::stable_sort(unknown.begin(), unknown.end(),
+                   [](const workers::Worker* a, const workers::Worker* b) {
+                     return a->FreeRoom().cpu > b->FreeRoom().cpu;
+                   });
+  for (std::size_t from = 0; from < unknown.size() && CanAsk(item, now);
+       from += settings_.max_advised) {
+    std::vector<base::BackendId> part;
+    const std::size_t end =
+        std::min(unknown.size(), from + settings_.max_advised);
+    for (std::size_t i = from; i < end; ++i) {
+      part.push_back(unknown[i]->id());
+    }
+    Ask(item, std::move(part), now, actions);
+  }
+}
+
 void Dispatcher::AskAboutMore(const Item& item, std::size_t least,
                               base::TimePoint now,
                               std::vector<Action>* actions) {
@@ -232,6 +259,10 @@
   };
   const bool all = std::all_of(earmarked.begin(), earmarked.end(), can_start);
   const bool is_gang = job->SpecOf(step).gang;
+  const advice::StepAdvice* advice = advice_.Find(step);
+  if (!all && advice != nullptr && advice->calls > 0) {
+    return;  // Another call may bring what is missing.
+  }
   for (const PlacedRun& run : earmarked) {
     if (is_gang ? all : can_start(run)) {
       StartRun(item, run, *TicketFor(item, run.worker, now), now, actions);
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -26,10 +26,6 @@
   return chosen;
 }
 
-// Workers of which nothing is known and that have room: a quarter of them would
-// be allowed.
-constexpr std::size_t kWorthACall = 12;
-
 // A moment at which one more task of a gang will fit on a worker.
 struct Opening {
   base::TimePoint at;
@@ -119,10 +115,8 @@
   std::iota(members.begin(), members.end(), 0);
   std::vector<Choice> choices = ChooseForGang(item, members);
   if (choices.empty()) {
-    // Where the allowed workers would never hold it, any other may help; else a
-    // call of half a second has to promise more.
-    const bool will_fit = HoldFor(item, now);
-    AskAboutMore(item, will_fit ? kWorthACall : 1, now, actions);
+    HoldFor(item, now);
+    AskAboutAll(item, now, actions);
     return false;
   }
   jobs::Attempt attempt = first_attempt_;
@@ -170,9 +164,18 @@
   return false;
 }
 
-bool Dispatcher::HoldFor(const Item& item, base::TimePoint now) {
-  if (held_gangs_ >= settings_.max_held_gangs) {
-    return true;
+bool Dispatcher::CanHold() const {
+  const double share = fleet_->workers().empty()
+                           ? 0.0
+                           : static_cast<double>(held_.size()) /
+                                 static_cast<double>(fleet_->workers().size());
+  return held_gangs_ < settings_.min_held_gangs ||
+         share < settings_.max_held_share;
+}
+
+void Dispatcher::HoldFor(const Item& item, base::TimePoint now) {
+  if (!CanHold()) {
+    return;
   }
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   std::vector<Opening> openings;
@@ -182,7 +185,7 @@
     }
   }
   if (openings.size() < spec.tasks) {
-    return false;
+    return;
   }
   std::stable_sort(
       openings.begin(), openings.end(),
@@ -191,7 +194,6 @@
     held_.insert(openings[i].worker);
   }
   ++held_gangs_;
-  return true;
 }
 
 }  // namespace dotterelbarrow::core::scheduler
--- a/src/member/head_writer.cc
+++ b/src/member/head_writer.cc
@@ -21,11 +21,6 @@
 constexpr int kMostCopies = 3;
 // Between two tries where the store refuses, or connections break.
 constexpr base::Duration kRetryDelay = std::chrono::milliseconds(40);
-// Failures, and silence, that last as long are not a passing trouble: several
-// tries, and many times what a write takes.
-constexpr base::Duration kFailingAtOnce = std::chrono::milliseconds(150);
-constexpr base::Duration kFailingSilent = std::chrono::milliseconds(500);
-constexpr base::Duration kFailingSilentMost = std::chrono::milliseconds(2000);
 // Weight of the last answer in the usual latency: one in this many.
 constexpr int kLatencyWindow = 8;
 
@@ -65,13 +60,15 @@
   Send();
 }
 
-bool HeadWriter::IsFailing(base::TimePoint now) const {
+std::optional<core::leadership::StoreSigns> HeadWriter::Signs(
+    base::TimePoint now) const {
   if (!transaction_) {
-    return false;
+    return std::nullopt;
   }
-  const base::Duration silent = std::clamp(store_->ReadLatency() * kReadFactor,
-                                           kFailingSilent, kFailingSilentMost);
-  return now - begun_at_ >= (has_failed_ ? kFailingAtOnce : silent);
+  return core::leadership::StoreSigns{.write_age = now - begun_at_,
+                                      .has_failed = has_failed_,
+                                      .read_latency = store_->read_latency(),
+                                      .oldest_read = store_->OldestRead()};
 }
 
 void HeadWriter::Cancel() {
@@ -82,9 +79,9 @@
 }
 
 base::Duration HeadWriter::Patience() const {
-  const base::Duration patience =
-      std::max({kLeastPatience, usual_latency_ * kPatienceFactor,
-                store_->ReadLatency() * kReadFactor});
+  const base::Duration patience = std::max(
+      {kLeastPatience, usual_latency_ * kPatienceFactor,
+       std::max(store_->read_latency(), store_->OldestRead()) * kReadFactor});
   return patience * (1 << std::min(copies_sent_, kMostCopies));
 }
 
@@ -114,9 +111,17 @@
       "store_write_repeated",
       {{"copies", copies_sent_},
        {"since_ms", (Now() - begun_at_) / std::chrono::milliseconds(1)}});
+  Probe();
   Send();
 }
 
+void HeadWriter::Probe() {
+  if (copies_sent_ == 1) {
+    store_->Read(platform::OnlyRow(HeadRow()), kTimeout,
+                 [](const platform::ReadResult&) {});
+  }
+}
+
 void HeadWriter::OnAnswer(const platform::WriteResult& result,
                           base::TimePoint sent_at) {
   const base::TimePoint now = Now();
--- a/src/member/head_writer.h
+++ b/src/member/head_writer.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "dotterelbarrow/core/leadership/leadership.h"
+#include "dotterelbarrow/core/leadership/store_patience.h"
 #include "dotterelbarrow/core/scheduler/decision_log.h"
 #include "dotterelbarrow/core/scheduler/job_book.h"
 #include "dotterelbarrow/wire/event_loop.h"
@@ -30,11 +31,8 @@
              core::scheduler::Telemetry telemetry);
 
   bool is_busy() const { return transaction_.has_value(); }
-  // Whether the store has kept refusing, or not answering, the write under
-  // way, longer than a slow one takes.
-  bool IsFailing(base::TimePoint now) const;
-  // When the write under way was first sent.
-  base::TimePoint begun_at() const { return begun_at_; }
+  // What the store shows of itself; nullopt without a write under way.
+  std::optional<core::leadership::StoreSigns> Signs(base::TimePoint now) const;
 
   // Writes the head with `changes`, again and again until it is stored or the
   // head turns out to be another's. Precondition: not busy.
@@ -48,6 +46,9 @@
   void Send();
   // Sends a copy of the write under way where its answer seems lost.
   void SendAgain();
+  // Reads the head beside the write: whether that is answered tells a slow
+  // store from a silent one.
+  void Probe();
   // How long an answer may take before it seems lost.
   base::Duration Patience() const;
   void OnAnswer(const platform::WriteResult& result, base::TimePoint sent_at);
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -31,12 +31,6 @@
 constexpr base::Duration kListingsPeriod = std::chrono::milliseconds(500);
 constexpr base::Duration kReadTimeout = std::chrono::milliseconds(1000);
 constexpr base::Duration kReadRetry = std::chrono::milliseconds(100);
-// A write without an outcome for this long, or for this many reads, means that
-// the store is away: what is handed in now couldn't be stored in time. A store
-// that is slow takes up to a second for a write.
-constexpr base::Duration kStoreAwayLeast = std::chrono::milliseconds(400);
-constexpr base::Duration kStoreAwayMost = std::chrono::milliseconds(1500);
-constexpr int kStoreAwayReads = 10;
 constexpr base::Duration kStoreAwayRetryAfter = std::chrono::seconds(1);
 // Counts of waiting jobs may be this old.
 constexpr base::Duration kPendingAge = std::chrono::milliseconds(300);
@@ -117,11 +111,8 @@
 }
 
 bool OwnerTerm::IsStoreAway() const {
-  const base::Duration patience =
-      std::clamp(parts_.store->ReadLatency() * kStoreAwayReads, kStoreAwayLeast,
-                 kStoreAwayMost);
-  return parts_.writer->is_busy() &&
-         Now() - parts_.writer->begun_at() >= patience;
+  const auto signs = parts_.writer->Signs(Now());
+  return signs && core::leadership::StorePatience::ShouldRefuse(*signs);
 }
 
 void OwnerTerm::RefuseUnwritten() {
@@ -218,7 +209,8 @@
   if (is_loaded_ && IsStoreAway()) {
     RefuseUnwritten();
   }
-  if (parts_.writer->IsFailing(Now())) {
+  const auto signs = parts_.writer->Signs(Now());
+  if (signs && core::leadership::StorePatience::ShouldOffer(*signs)) {
     parts_.store_fails();
   }
   WriteIfDue();
--- /dev/null
+++ b/test/core/leadership/store_patience_test.cc
@@ -0,0 +1,54 @@
+// How long an owner waits for a store that doesn't answer its write.
+#include "dotterelbarrow/core/leadership/store_patience.h"
+
+#include <doctest/doctest.h>
+
+namespace dotterelbarrow::core::leadership {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST_CASE("an owner whose write isn't answered") {
+  StoreSigns signs{.write_age = milliseconds(140),
+                   .read_latency = milliseconds(5)};
+  CHECK_FALSE(StorePatience::ShouldOffer(signs));
+
+  SUBCASE("is turned away, or its connections break") {
+    signs.has_failed = true;
+    CHECK_FALSE(StorePatience::ShouldOffer(signs));
+    signs.write_age = milliseconds(160);
+    CHECK(StorePatience::ShouldOffer(signs));
+    SUBCASE("and refuses new work only if nobody takes the cell") {
+      CHECK_FALSE(StorePatience::ShouldRefuse(signs));
+      signs.write_age = milliseconds(400);
+      CHECK(StorePatience::ShouldRefuse(signs));
+    }
+  }
+  SUBCASE("hears nothing at all: a read beside the write is silent too") {
+    signs.write_age = milliseconds(550);
+    signs.oldest_read = milliseconds(400);
+    CHECK(StorePatience::ShouldOffer(signs));
+  }
+  SUBCASE("keeps the cell while the store is sixty times as slow") {
+    signs.read_latency = milliseconds(270);
+    signs.oldest_read = milliseconds(200);
+    for (const int age : {300, 600, 1000, 1600}) {
+      signs.write_age = milliseconds(age);
+      CHECK_FALSE(StorePatience::ShouldOffer(signs));
+      CHECK_FALSE(StorePatience::ShouldRefuse(signs));
+    }
+  }
+  SUBCASE("keeps the cell at the first slow write, before a read was slow") {
+    signs.write_age = milliseconds(700);
+    signs.oldest_read = milliseconds(250);
+    CHECK_FALSE(StorePatience::ShouldOffer(signs));
+  }
+  SUBCASE("offers the cell in the end, however slow the store is") {
+    signs.write_age = milliseconds(2000);
+    signs.oldest_read = milliseconds(350);
+    CHECK(StorePatience::ShouldOffer(signs));
+  }
+}
+
+}  // namespace
+}  // namespace dotterelbarrow::core::leadership
