Patient work yields to waiting gangs; slack counts the steps that follow

A job's slack left out the steps behind the next one. Ruled out: caps (147 s) and the lease of lost workers (37 s). Change: placement/gang_room keeps workers for gangs up to a quarter of the fleet (two gangs before), and keeps work that has used less than half of its slack off all workers that waiting gangs could use. The latest start of a step counts the longest chain from it, with a call for advice each.

--- a/include/dotterelbarrow/core/jobs/job.h
+++ b/include/dotterelbarrow/core/jobs/job.h
@@ -92,6 +92,8 @@
   // acceptance; zero until they were worked out.
   base::Duration due_after{0};
   base::Duration worthless_after{0};
+  // For each step, how long the longest chain takes that begins with it.
+  std::vector<base::Duration> chains;
   JobState state = JobState::kQueued;
   // What the store holds; callers are shown nothing newer.
   JobState stored_state = JobState::kQueued;
--- a/include/dotterelbarrow/core/jobs/job_spec.h
+++ b/include/dotterelbarrow/core/jobs/job_spec.h
@@ -103,8 +103,9 @@
     return is_scheduled() ? repeat_count : 1;
   }
   bool has_long_running_step() const;
-  // Returns the sum of the estimates along the longest chain of steps.
-  base::Duration LongestChain() const;
+  // Returns, for each step, the time that the longest chain of steps takes
+  // which begins with it: the sum of the estimates, and `overhead` a step.
+  std::vector<base::Duration> ChainsFrom(base::Duration overhead) const;
 };
 
 }  // namespace dotterelbarrow::core::jobs
--- a/include/dotterelbarrow/core/placement/urgency.h
+++ b/include/dotterelbarrow/core/placement/urgency.h
@@ -17,10 +17,13 @@
   base::Duration late{0};
 };
 
-// Returns the objective of a job of `queue`, counted from its acceptance. A
-// call for advice is part of each step.
+// Returns the objective of a job of `queue` whose longest chain takes this
+// long, counted from its acceptance.
 CompletionObjective ObjectiveOf(const desired::Queue& queue,
-                                const jobs::JobSpec& spec);
+                                base::Duration chain);
+
+// Returns what a call for advice adds to each step of a job of `queue`.
+base::Duration AdviceTime(const desired::Queue& queue);
 
 enum class Standing {
   kOnTime,   // It can still be done in time.
@@ -38,7 +41,8 @@
   Standing standing = Standing::kOnTime;
   bool over_share = false;
   int priority = 0;
-  // The last moment at which the step can start for the job to be in time.
+  // The last moment at which the step can start for the job to be in time, with
+  // the steps that depend on it.
   base::TimePoint latest_start;
 
   friend bool operator==(const Urgency&, const Urgency&) = default;
@@ -46,7 +50,7 @@
 };
 
 // Works the objective of `job` out the first time, and keeps it there.
-Urgency UrgencyOf(jobs::Job* job, const jobs::StepSpec& step,
+Urgency UrgencyOf(jobs::Job* job, std::uint32_t step,
                   const desired::Queue& queue, bool over_share,
                   base::TimePoint now);
 
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -13,6 +13,7 @@
 
 #include "dotterelbarrow/core/advice/advice_book.h"
 #include "dotterelbarrow/core/desired/desired_state.h"
+#include "dotterelbarrow/core/placement/gang_room.h"
 #include "dotterelbarrow/core/placement/overload_guard.h"
 #include "dotterelbarrow/core/placement/urgency.h"
 #include "dotterelbarrow/core/placement/worker_choice.h"
@@ -31,10 +32,6 @@
   base::Duration ticket_margin = std::chrono::milliseconds(150);
   // A failed call for advice is repeated after this time.
   base::Duration advice_retry = std::chrono::milliseconds(150);
-  // Workers that are kept free for gangs, as a part of the fleet; more would
-  // empty it. At least `min_held_gangs` gangs are served that way.
-  double max_held_share = 0.25;
-  int min_held_gangs = 2;
   // Steps in a row of their urgency that a pass finds no room for before it
   // ends: with a long backlog the rest would only cost processor time.
   int max_misses = 48;
@@ -107,7 +104,7 @@
     return waiting_.size() + overdue_.size();
   }
   // Workers kept free for gangs in the last pass.
-  std::size_t held_workers() const { return held_.size(); }
+  std::size_t kept_workers() const { return gang_room_.kept(); }
 
  private:
   struct Item {
@@ -137,8 +134,6 @@
   WaitReason WhyWaiting(const Item& item) const;
   // Returns nullopt where the step has nothing to place.
   std::optional<Item> ItemOf(const jobs::StepRef& ref, base::TimePoint now);
-  // Returns whether room may be kept for one more gang.
-  bool CanHold() const;
   // Returns whether some worker of the fleet may have room. Cheap.
   bool MayFit(const Item& item) const;
   // Fills in the candidates; returns whether there are any. If not, asks.
@@ -177,8 +172,8 @@
   std::vector<Choice> ChooseForGang(
       const Item& item, const std::vector<std::uint32_t>& members) const;
   // Keeps the workers on which the gang will fit soonest from lesser work, if
-  // the allowed ones can hold it at all.
-  void HoldFor(const Item& item, base::TimePoint now);
+  // the allowed ones can hold it at all, and patient work off all of them.
+  void KeepRoomFor(const Item& item, base::TimePoint now);
   // Sets room aside, and starts at once where tickets hold; else asks. With
   // `attempt` 0 each task gets its own next one.
   void Commit(const Item& item, std::vector<Choice> choices,
@@ -230,10 +225,7 @@
   std::unordered_map<jobs::StepRef, WaitReason> told_;
   // Jobs go on after their queue was dropped, under its last rules.
   std::unordered_map<desired::QueueId, desired::Queue> known_queues_;
-  // Workers kept free for gangs of this pass, and of the one before.
-  std::set<base::BackendId> held_;
-  std::set<base::BackendId> held_before_;
-  int held_gangs_ = 0;
+  placement::GangRoom gang_room_;
   placement::OverloadGuard guard_;
   base::Resources stray_usage_;
   base::Resources unsettled_capacity_;
--- a/src/core/jobs/job_spec.cc
+++ b/src/core/jobs/job_spec.cc
@@ -88,18 +88,16 @@
                      [](const StepSpec& step) { return step.long_running; });
 }
 
-base::Duration JobSpec::LongestChain() const {
-  std::vector<base::Duration> until_end(steps.size(), base::Duration(0));
-  base::Duration longest{0};
-  for (std::size_t i = 0; i < steps.size(); ++i) {
-    base::Duration before{0};
+std::vector<base::Duration> JobSpec::ChainsFrom(base::Duration overhead) const {
+  // Steps depend on earlier ones only, so that those behind a step are done.
+  std::vector<base::Duration> chains(steps.size(), base::Duration(0));
+  for (std::size_t i = steps.size(); i-- > 0;) {
+    chains[i] += steps[i].estimate + overhead;
     for (const std::uint32_t earlier : steps[i].depends_on) {
-      before = std::max(before, until_end[earlier]);
+      chains[earlier] = std::max(chains[earlier], chains[i]);
     }
-    until_end[i] = before + steps[i].estimate;
-    longest = std::max(longest, until_end[i]);
   }
-  return longest;
+  return chains;
 }
 
 }  // namespace dotterelbarrow::core::jobs
--- a/src/core/placement/urgency.cc
+++ b/src/core/placement/urgency.cc
@@ -1,6 +1,7 @@
 // The order of waiting work.
 #include "dotterelbarrow/core/placement/urgency.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace dotterelbarrow::core::placement {
@@ -13,13 +14,14 @@
 
 }  // namespace
 
+base::Duration AdviceTime(const desired::Queue& queue) {
+  return queue.advice ? queue.advice->decision +
+                            queue.advice->per_worker * kAdvisedWorkers
+                      : base::Duration(0);
+}
+
 CompletionObjective ObjectiveOf(const desired::Queue& queue,
-                                const jobs::JobSpec& spec) {
-  base::Duration chain = spec.LongestChain();
-  if (queue.advice) {
-    chain +=
-        queue.advice->decision + queue.advice->per_worker * kAdvisedWorkers;
-  }
+                                base::Duration chain) {
   const auto on_time =
       base::Duration(static_cast<base::Duration::rep>(
           static_cast<double>(chain.count()) * queue.slack_factor)) +
@@ -32,11 +34,13 @@
          std::tie(b.standing, b.over_share, b.priority, b.latest_start);
 }
 
-Urgency UrgencyOf(jobs::Job* due, const jobs::StepSpec& step,
+Urgency UrgencyOf(jobs::Job* due, std::uint32_t step,
                   const desired::Queue& queue, bool over_share,
                   base::TimePoint now) {
-  if (due->due_after == base::Duration(0)) {
-    const CompletionObjective objective = ObjectiveOf(queue, due->spec);
+  if (due->chains.empty()) {
+    due->chains = due->spec.ChainsFrom(AdviceTime(queue));
+    const CompletionObjective objective = ObjectiveOf(
+        queue, *std::max_element(due->chains.begin(), due->chains.end()));
     due->due_after = objective.on_time;
     due->worthless_after = objective.late;
   }
@@ -44,7 +48,7 @@
   Urgency urgency;
   urgency.over_share = over_share;
   urgency.priority = queue.priority;
-  urgency.latest_start = job.accepted_at + job.due_after - step.estimate;
+  urgency.latest_start = job.accepted_at + job.due_after - job.chains[step];
   if (job.spec.is_scheduled() || job.spec.has_long_running_step()) {
     return urgency;
   }
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -65,9 +65,8 @@
   if (item.queue == nullptr) {
     return std::nullopt;
   }
-  item.urgency =
-      placement::UrgencyOf(item.job, item.job->SpecOf(ref), *item.queue,
-                           over_share_.contains(ref.job), now);
+  item.urgency = placement::UrgencyOf(item.job, ref.step, *item.queue,
+                                      over_share_.contains(ref.job), now);
   return item;
 }
 
@@ -119,10 +118,9 @@
 }
 
 void Dispatcher::Pass(base::TimePoint now, std::vector<Action>* actions) {
-  held_before_ = std::exchange(held_, {});
+  gang_room_.BeginPass(fleet_->workers().size());
   LookAtUnseen(now);
   cap_waiters_.clear();
-  held_gangs_ = 0;
   LookAtRoom(now);
   PlaceAll(Collect(&waiting_, now), now, actions);
   if (now >= next_overdue_look_) {
@@ -202,7 +200,8 @@
 
 bool Dispatcher::MayFit(const Item& item) const {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
-  return (spec.gang && CanHold()) || spec.Reservation().FitsIn(largest_room_);
+  return (spec.gang && gang_room_.CanKeep()) ||
+         spec.Reservation().FitsIn(largest_room_);
 }
 
 bool Dispatcher::MayRunOn(const workers::Worker& worker, const Item& item,
@@ -220,10 +219,8 @@
     if (!MayRunOn(worker, item, now)) {
       return;
     }
-    candidates.push_back(
-        {&worker, worker.FreeRoom(), 0,
-         held_.contains(worker.id()) || held_before_.contains(worker.id()),
-         has_ticket});
+    candidates.push_back({&worker, worker.FreeRoom(), 0,
+                          gang_room_.IsOrWasKept(worker.id()), has_ticket});
   };
   if (item.queue->advice) {
     const advice::StepAdvice* advice = advice_.Find(item.step);
@@ -257,8 +254,11 @@
   const jobs::Step& step = *item.job->FindStep(item.step);
   std::vector<Candidate> candidates = item.candidates;
   // Work of less urgency leaves the workers alone on which a gang waits.
-  std::erase_if(candidates, [this](const Candidate& candidate) {
-    return held_.contains(candidate.worker->id());
+  const bool yields =
+      placement::GangRoom::Yields(item.urgency, item.job->accepted_at, now);
+  std::erase_if(candidates, [&](const Candidate& candidate) {
+    const base::BackendId& id = candidate.worker->id();
+    return gang_room_.IsKept(id) || (yields && gang_room_.IsWanted(id));
   });
   std::vector<Choice> choices;
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -69,7 +69,7 @@
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   std::vector<Candidate> candidates = item.candidates;
   std::erase_if(candidates, [this](const Candidate& candidate) {
-    return held_.contains(candidate.worker->id());
+    return gang_room_.IsKept(candidate.worker->id());
   });
   std::vector<const workers::Worker*> chosen;
   if (spec.prefers_one_rack) {
@@ -115,7 +115,7 @@
   std::iota(members.begin(), members.end(), 0);
   std::vector<Choice> choices = ChooseForGang(item, members);
   if (choices.empty()) {
-    HoldFor(item, now);
+    KeepRoomFor(item, now);
     AskAboutAll(item, now, actions);
     return false;
   }
@@ -164,23 +164,17 @@
   return false;
 }
 
-bool Dispatcher::CanHold() const {
-  const double share = fleet_->workers().empty()
-                           ? 0.0
-                           : static_cast<double>(held_.size()) /
-                                 static_cast<double>(fleet_->workers().size());
-  return held_gangs_ < settings_.min_held_gangs ||
-         share < settings_.max_held_share;
-}
-
-void Dispatcher::HoldFor(const Item& item, base::TimePoint now) {
-  if (!CanHold()) {
+void Dispatcher::KeepRoomFor(const Item& item, base::TimePoint now) {
+  for (const Candidate& candidate : item.candidates) {
+    gang_room_.Want(candidate.worker->id());
+  }
+  if (!gang_room_.CanKeep()) {
     return;
   }
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   std::vector<Opening> openings;
   for (const Candidate& candidate : item.candidates) {
-    if (!held_.contains(candidate.worker->id())) {
+    if (!gang_room_.IsKept(candidate.worker->id())) {
       AppendOpenings(candidate, spec, spec.tasks, now, &openings);
     }
   }
@@ -191,9 +185,9 @@
       openings.begin(), openings.end(),
       [](const Opening& a, const Opening& b) { return a.at < b.at; });
   for (std::uint32_t i = 0; i < spec.tasks; ++i) {
-    held_.insert(openings[i].worker);
+    gang_room_.Keep(openings[i].worker);
   }
-  ++held_gangs_;
+  gang_room_.EndGang();
 }
 
 }  // namespace dotterelbarrow::core::scheduler
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -299,8 +299,8 @@
                {"memory", reserved.memory.value()},
                {"memory_in_all", capacity.memory.value()},
                {"workers_without_new_work", silent},
-               {"workers_held",
-                static_cast<std::int64_t>(dispatcher_.held_workers())}});
+               {"workers_kept",
+                static_cast<std::int64_t>(dispatcher_.kept_workers())}});
 }
 
 void Scheduler::OnStored(const StoredBatch& batch, base::TimePoint now) {
--- a/test/core/placement/policies_test.cc
+++ b/test/core/placement/policies_test.cc
@@ -34,7 +34,7 @@
 Urgency UrgencyAt(const jobs::Job& job, const desired::Queue& queue,
                   base::TimePoint now, bool over_share = false) {
   jobs::Job due = job;
-  return UrgencyOf(&due, job.spec.steps[0], queue, over_share, now);
+  return UrgencyOf(&due, 0, queue, over_share, now);
 }
 
 TEST_CASE("a burst fills the fleet for seconds") {
@@ -63,6 +63,30 @@
   }
 }
 
+TEST_CASE("a job of several steps") {
+  const desired::Queue batch = QueueOf(2, 4.0);
+  jobs::Job chain = JobOf(seconds(2), kStart);
+  jobs::StepSpec last;
+  last.estimate = seconds(3);
+  last.depends_on = {0};
+  chain.spec.steps.push_back(last);
+  const base::TimePoint due = kStart + 4 * seconds(5) + seconds(1);
+  SUBCASE("begins early enough for the steps that follow") {
+    CHECK(UrgencyAt(chain, batch, kStart).latest_start == due - seconds(5));
+  }
+  SUBCASE("has what is left for its last step") {
+    CHECK(UrgencyOf(&chain, 1, batch, false, kStart).latest_start ==
+          due - seconds(3));
+  }
+  SUBCASE("counts a call for advice with each step") {
+    desired::Queue advised = batch;
+    advised.advice =
+        desired::AdvicePolicy{milliseconds(70), milliseconds(1), seconds(1)};
+    CHECK(UrgencyOf(&chain, 1, advised, false, kStart).latest_start ==
+          due + 4 * milliseconds(200) - seconds(3) - milliseconds(100));
+  }
+}
+
 TEST_CASE("one organisation sends several times its usual") {
   SubmissionRates rates;
   const base::OrganisationId loud("loud");
