Trial: calls for advice name as many workers as should hold the step; first calls before further ones

Change: calls sized by free room and the learnt part of allowed workers; calls for more only after all first calls of the pass.

--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "dotterelbarrow/core/advice/advice_book.h"
+#include "dotterelbarrow/core/advice/ask_size.h"
 #include "dotterelbarrow/core/desired/desired_state.h"
 #include "dotterelbarrow/core/placement/gang_room.h"
 #include "dotterelbarrow/core/placement/overload_guard.h"
@@ -94,9 +95,8 @@
 
   // Places what can be placed.
   void Pass(base::TimePoint now, std::vector<Action>* actions);
-  void OnAdvice(const jobs::StepRef& step, const base::EntryId& asker,
-                const AdviceResult& result, base::TimePoint now,
-                std::vector<Action>* actions);
+  void OnAdvice(const AskAdvice& call, const AdviceResult& result,
+                base::TimePoint now, std::vector<Action>* actions);
   // The worker refused a ticket of the step.
   void DropTicket(const jobs::StepRef& step, const base::BackendId& worker);
 
@@ -144,16 +144,22 @@
   // Returns whether an entry host was free for the call.
   bool Ask(const Item& item, std::vector<base::BackendId> workers,
            base::TimePoint now, std::vector<Action>* actions);
+  // Returns the workers that could run the step: those that nothing is known of
+  // first, of these the ones with most room.
+  std::vector<const workers::Worker*> SuitableWorkers(const Item& item,
+                                                      base::TimePoint now);
   std::vector<base::BackendId> WorkersToAskAbout(const Item& item,
                                                  base::TimePoint now);
-  // Asks about all workers that the step wasn't asked about, whether they have
-  // room now or not, in as many calls at once as entry hosts are free.
-  void AskAboutAll(const Item& item, base::TimePoint now,
-                   std::vector<Action>* actions);
+  // Asks in as many calls at once as entry hosts are free; returns whether any
+  // was.
+  bool AskInParts(const Item& item, std::vector<base::BackendId> workers,
+                  base::TimePoint now, std::vector<Action>* actions);
   // Where the allowed workers have no room, others may be allowed as well: asks
-  // if at least `least` of them have room and weren't asked about.
-  void AskAboutMore(const Item& item, std::size_t least, base::TimePoint now,
+  // about those that the step wasn't asked about.
+  void AskAboutMore(const Item& item, base::TimePoint now,
                     std::vector<Action>* actions);
+  void LearnShare(const AskAdvice& call, const AdviceResult& result,
+                  const advice::StepAdvice& known);
   std::vector<placement::Candidate> CandidatesOf(const Item& item,
                                                  base::TimePoint now) const;
   // Returns whether the worker takes new work and could run the step's tasks.
@@ -213,6 +219,10 @@
   std::shared_ptr<const desired::DesiredState> desired_;
   advice::AdviceBook advice_;
   advice::AskerChooser askers_;
+  std::unordered_map<desired::QueueId, advice::AllowedShare> shares_;
+  // Items of the pass that would ask about more workers, after all others have
+  // asked about their first ones.
+  std::vector<const Item*> want_more_;
   jobs::Attempt first_attempt_ = jobs::Attempt(1);
   std::unordered_set<jobs::JobKey> inherited_;
   std::unordered_set<jobs::JobKey> over_share_;
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -148,6 +148,11 @@
       NoteMiss(item, now);
     }
   }
+  for (const Item* item : std::exchange(want_more_, {})) {
+    if (item->queue->advice && CanAsk(*item, now)) {
+      AskAboutMore(*item, now, actions);
+    }
+  }
 }
 
 WaitReason Dispatcher::WhyWaiting(const Item& item) const {
@@ -277,7 +282,7 @@
     choices.push_back({index, best->id()});
   }
   if (choices.empty()) {
-    AskAboutMore(item, 1, now, actions);
+    want_more_.push_back(&item);
     return false;
   }
   Commit(item, std::move(choices), jobs::Attempt(0), now, actions);
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -10,10 +10,6 @@
 // Workers come and go; whether others may run a step is asked again after this
 // time if none of the allowed ones is left.
 constexpr base::Duration kAskAgainAfter = std::chrono::seconds(1);
-// Of the workers asked about a quarter to two thirds are allowed, and each may
-// have room for some tasks.
-constexpr std::size_t kLeastAdvised = 12;
-constexpr std::size_t kAdvisedPerTask = 6;
 
 }  // namespace
 
@@ -32,68 +28,54 @@
   }
   // Nobody allowed is left, or nothing is known yet.
   if (advice.calls == 0 && now >= advice.retry_at && CanAsk(*item, now) &&
-      IsWorthAsking(*item, now) &&
-      Ask(*item, WorkersToAskAbout(*item, now), now, actions)) {
-    advice.retry_at = now + kAskAgainAfter;
+      IsWorthAsking(*item, now)) {
+    AskInParts(*item, WorkersToAskAbout(*item, now), now, actions);
   }
   return false;
 }
 
 bool Dispatcher::CanAsk(const Item& item, base::TimePoint now) {
-  return askers_.CanChoose(advice::CallCost(*item.queue->advice, kLeastAdvised),
-                           now);
+  return askers_.CanChoose(
+      advice::CallCost(*item.queue->advice, advice::AskSize::kLeast), now);
 }
 
-void Dispatcher::AskAboutAll(const Item& item, base::TimePoint now,
-                             std::vector<Action>* actions) {
-  if (!item.queue->advice) {
-    return;
-  }
-  advice::StepAdvice& advice = advice_.FindOrAdd(item.step);
+void Dispatcher::AskAboutMore(const Item& item, base::TimePoint now,
+                              std::vector<Action>* actions) {
+  const advice::StepAdvice& advice = advice_.FindOrAdd(item.step);
   if (advice.calls > 0 || now < advice.retry_at) {
     return;
   }
-  std::vector<const workers::Worker*> unknown;
-  for (const auto& [id, worker] : fleet_->workers()) {
-    if (MayRunOn(worker, item, now) && !advice.asked.contains(id)) {
-      unknown.push_back(&worker);
-    }
-  }
-  std::stable_sort(unknown.begin(), unknown.end(),
-                   [](const workers::Worker* a, const workers::Worker* b) {
-                     return a->FreeRoom().cpu > b->FreeRoom().cpu;
-                   });
-  for (std::size_t from = 0; from < unknown.size() && CanAsk(item, now);
-       from += settings_.max_advised) {
-    std::vector<base::BackendId> part;
-    const std::size_t end =
-        std::min(unknown.size(), from + settings_.max_advised);
-    for (std::size_t i = from; i < end; ++i) {
-      part.push_back(unknown[i]->id());
+  // Workers may be kept for a gang before they have room; other tasks go
+  // elsewhere meanwhile.
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  std::vector<base::BackendId> unknown;
+  for (const workers::Worker* worker : SuitableWorkers(item, now)) {
+    if (!advice.asked.contains(worker->id()) &&
+        (spec.gang || spec.Reservation().FitsIn(worker->FreeRoom()))) {
+      unknown.push_back(worker->id());
     }
-    Ask(item, std::move(part), now, actions);
   }
+  AskInParts(item, std::move(unknown), now, actions);
 }
 
-void Dispatcher::AskAboutMore(const Item& item, std::size_t least,
-                              base::TimePoint now,
-                              std::vector<Action>* actions) {
-  if (!item.queue->advice) {
-    return;
-  }
-  advice::StepAdvice& advice = advice_.FindOrAdd(item.step);
-  if (advice.calls > 0 || now < advice.retry_at || !CanAsk(item, now)) {
-    return;
+bool Dispatcher::AskInParts(const Item& item,
+                            std::vector<base::BackendId> workers,
+                            base::TimePoint now, std::vector<Action>* actions) {
+  bool is_any_asked = false;
+  for (auto from = workers.begin(); from != workers.end();) {
+    const auto rest = static_cast<std::size_t>(workers.end() - from);
+    const auto to = from + static_cast<std::ptrdiff_t>(
+                               std::min(rest, settings_.max_advised));
+    if (!Ask(item, {from, to}, now, actions)) {
+      break;
+    }
+    is_any_asked = true;
+    from = to;
   }
-  const base::Resources task = item.job->SpecOf(item.step).Reservation();
-  std::vector<base::BackendId> more = WorkersToAskAbout(item, now);
-  std::erase_if(more, [&](const base::BackendId& id) {
-    return advice.asked.contains(id) ||
-           !task.FitsIn(fleet_->workers().at(id).FreeRoom());
-  });
-  if (more.size() >= least && Ask(item, std::move(more), now, actions)) {
-    advice.retry_at = now + kAskAgainAfter;
+  if (is_any_asked) {
+    advice_.FindOrAdd(item.step).retry_at = now + kAskAgainAfter;
   }
+  return is_any_asked;
 }
 
 bool Dispatcher::IsWorthAsking(const Item& item, base::TimePoint now) const {
@@ -113,9 +95,8 @@
                      });
 }
 
-std::vector<base::BackendId> Dispatcher::WorkersToAskAbout(
+std::vector<const workers::Worker*> Dispatcher::SuitableWorkers(
     const Item& item, base::TimePoint now) {
-  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   const std::set<base::BackendId>& asked = advice_.FindOrAdd(item.step).asked;
   std::vector<const workers::Worker*> suitable;
   for (const auto& [id, worker] : fleet_->workers()) {
@@ -123,26 +104,28 @@
       suitable.push_back(&worker);
     }
   }
-  const std::size_t most =
-      std::min(settings_.max_advised,
-               std::max(spec.gang ? settings_.max_advised : kLeastAdvised,
-                        kAdvisedPerTask * spec.tasks));
-  if (suitable.size() > most) {
-    // Those that nothing is known of come first, then those with most room.
-    std::stable_sort(
-        suitable.begin(), suitable.end(),
-        [&asked](const workers::Worker* a, const workers::Worker* b) {
-          const bool knows_a = asked.contains(a->id());
-          const bool knows_b = asked.contains(b->id());
-          return knows_a != knows_b ? knows_b
-                                    : a->FreeRoom().cpu > b->FreeRoom().cpu;
-        });
-    suitable.resize(most);
-  }
+  std::stable_sort(
+      suitable.begin(), suitable.end(),
+      [&asked](const workers::Worker* a, const workers::Worker* b) {
+        const bool knows_a = asked.contains(a->id());
+        const bool knows_b = asked.contains(b->id());
+        return knows_a != knows_b ? knows_b
+                                  : a->FreeRoom().cpu > b->FreeRoom().cpu;
+      });
+  return suitable;
+}
+
+std::vector<base::BackendId> Dispatcher::WorkersToAskAbout(
+    const Item& item, base::TimePoint now) {
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  advice::AskSize size(spec.tasks, shares_[item.queue->id].value());
   std::vector<base::BackendId> ids;
-  ids.reserve(suitable.size());
-  for (const workers::Worker* worker : suitable) {
+  for (const workers::Worker* worker : SuitableWorkers(item, now)) {
     ids.push_back(worker->id());
+    if (!size.Take(placement::SlotsOf(worker->FreeRoom(), spec)) ||
+        ids.size() == settings_.max_advised) {
+      break;
+    }
   }
   return ids;
 }
@@ -188,13 +171,32 @@
   return it->second.text;
 }
 
-void Dispatcher::OnAdvice(const jobs::StepRef& step, const base::EntryId& asker,
-                          const AdviceResult& result, base::TimePoint now,
-                          std::vector<Action>* actions) {
+void Dispatcher::LearnShare(const AskAdvice& call, const AdviceResult& result,
+                            const advice::StepAdvice& known) {
+  const jobs::Job* job = jobs_->Find(call.step.job);
+  if (job == nullptr) {
+    return;
+  }
+  // Those that were allowed before are asked about for their tickets.
+  const auto is_new = [&known](const base::BackendId& id) {
+    return !known.allowed.contains(id);
+  };
+  const auto asked =
+      std::count_if(call.workers.begin(), call.workers.end(), is_new);
+  const auto allowed = std::count_if(
+      result.allowed.begin(), result.allowed.end(),
+      [&is_new](const AllowedWorker& one) { return is_new(one.worker); });
+  shares_[job->queue].Learn(static_cast<std::size_t>(asked),
+                            static_cast<std::size_t>(allowed));
+}
+
+void Dispatcher::OnAdvice(const AskAdvice& call, const AdviceResult& result,
+                          base::TimePoint now, std::vector<Action>* actions) {
+  const jobs::StepRef& step = call.step;
   if (result.outcome == AdviceResult::Outcome::kFailed) {
-    askers_.OnFailed(asker, now);
+    askers_.OnFailed(call.asker, now);
   } else {
-    askers_.OnEnded(asker, now);
+    askers_.OnEnded(call.asker, now);
   }
   advice::StepAdvice* advice = advice_.Find(step);
   if (advice == nullptr) {
@@ -202,6 +204,7 @@
   }
   advice->calls = std::max(0, advice->calls - 1);
   if (result.outcome == AdviceResult::Outcome::kAnswered) {
+    LearnShare(call, result, *advice);
     advice->is_known = true;
     advice->failed_calls = 0;
     for (const AllowedWorker& allowed : result.allowed) {
@@ -217,7 +220,7 @@
         result.outcome == AdviceResult::Outcome::kBusy ? "busy" : "failed");
     telemetry_.log->Write("advice_failed",
                           {{"step", jobs::ToString(step)},
-                           {"asker", asker.value()},
+                           {"asker", call.asker.value()},
                            {"failed_calls", advice->failed_calls}});
   }
   Consider(step);
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -116,7 +116,7 @@
   std::vector<Choice> choices = ChooseForGang(item, members);
   if (choices.empty()) {
     KeepRoomFor(item, now);
-    AskAboutAll(item, now, actions);
+    want_more_.push_back(&item);
     return false;
   }
   jobs::Attempt attempt = first_attempt_;
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -60,7 +60,7 @@
 void Scheduler::OnAdvice(const AskAdvice& order, const AdviceResult& result,
                          base::TimePoint now) {
   now_ = now;
-  dispatcher_.OnAdvice(order.step, order.asker, result, now, &actions_);
+  dispatcher_.OnAdvice(order, result, now, &actions_);
 }
 
 void Scheduler::OnRunEnded(const workers::Worker& worker,
