--- a/include/dotterelbarrow/core/placement/worker_choice.h
+++ b/include/dotterelbarrow/core/placement/worker_choice.h
@@ -32,9 +32,6 @@
 // Returns whether one more task of the step can go there now.
 bool HasRoom(const Candidate& candidate, const jobs::StepSpec& step);
 
-// Returns how many tasks of the step fit in `room` at once.
-std::int64_t SlotsOf(const base::Resources& room, const jobs::StepSpec& step);
-
 // Returns how badly the task would sit there; the least is best.
 //
 // Load pattern: a steady stream of small tasks beside gangs that need large
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -12,7 +12,6 @@
 #include <vector>
 
 #include "dotterelbarrow/core/advice/advice_book.h"
-#include "dotterelbarrow/core/advice/ask_size.h"
 #include "dotterelbarrow/core/desired/desired_state.h"
 #include "dotterelbarrow/core/placement/gang_room.h"
 #include "dotterelbarrow/core/placement/overload_guard.h"
@@ -158,8 +157,6 @@
   // about those that the step wasn't asked about.
   void AskAboutMore(const Item& item, base::TimePoint now,
                     std::vector<Action>* actions);
-  void LearnShare(const AskAdvice& call, const AdviceResult& result,
-                  const advice::StepAdvice& known);
   std::vector<placement::Candidate> CandidatesOf(const Item& item,
                                                  base::TimePoint now) const;
   // Returns whether the worker takes new work and could run the step's tasks.
@@ -219,7 +216,6 @@
   std::shared_ptr<const desired::DesiredState> desired_;
   advice::AdviceBook advice_;
   advice::AskerChooser askers_;
-  std::unordered_map<desired::QueueId, advice::AllowedShare> shares_;
   // Items of the pass that would ask about more workers, after all others have
   // asked about their first ones.
   std::vector<const Item*> want_more_;
--- a/src/core/placement/worker_choice.cc
+++ b/src/core/placement/worker_choice.cc
@@ -50,21 +50,6 @@
   return step.Reservation().FitsIn(candidate.free);
 }
 
-std::int64_t SlotsOf(const base::Resources& room, const jobs::StepSpec& step) {
-  const base::Resources task = step.Reservation();
-  std::int64_t slots = std::numeric_limits<std::int64_t>::max();
-  const auto limit = [&slots](std::int64_t whole, std::int64_t part) {
-    if (part > 0) {
-      slots = std::min(slots, std::max<std::int64_t>(0, whole / part));
-    }
-  };
-  limit(room.cpu.value(), task.cpu.value());
-  limit(room.memory.value(), task.memory.value());
-  limit(room.accelerators.value(), task.accelerators.value());
-  const auto tasks = static_cast<std::int64_t>(step.tasks);
-  return std::min(slots, tasks);
-}
-
 double Badness(const Candidate& candidate, const jobs::StepSpec& step,
                const base::BackendId& failed_on) {
   const workers::Listing& listing = candidate.worker->listing();
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -10,6 +10,10 @@
 // Workers come and go; whether others may run a step is asked again after this
 // time if none of the allowed ones is left.
 constexpr base::Duration kAskAgainAfter = std::chrono::seconds(1);
+// Of the workers asked about a quarter to two thirds are allowed, and each may
+// have room for some tasks. The more are known, the better what follows fits.
+constexpr std::size_t kLeastAdvised = 12;
+constexpr std::size_t kAdvisedPerTask = 6;
 
 }  // namespace
 
@@ -35,8 +39,8 @@
 }
 
 bool Dispatcher::CanAsk(const Item& item, base::TimePoint now) {
-  return askers_.CanChoose(
-      advice::CallCost(*item.queue->advice, advice::AskSize::kLeast), now);
+  return askers_.CanChoose(advice::CallCost(*item.queue->advice, kLeastAdvised),
+                           now);
 }
 
 void Dispatcher::AskAboutMore(const Item& item, base::TimePoint now,
@@ -118,14 +122,16 @@
 std::vector<base::BackendId> Dispatcher::WorkersToAskAbout(
     const Item& item, base::TimePoint now) {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
-  advice::AskSize size(spec.tasks, shares_[item.queue->id].value());
+  const std::size_t most =
+      std::min(settings_.max_advised,
+               std::max(spec.gang ? settings_.max_advised : kLeastAdvised,
+                        kAdvisedPerTask * spec.tasks));
   std::vector<base::BackendId> ids;
   for (const workers::Worker* worker : SuitableWorkers(item, now)) {
-    ids.push_back(worker->id());
-    if (!size.Take(placement::SlotsOf(worker->FreeRoom(), spec)) ||
-        ids.size() == settings_.max_advised) {
+    if (ids.size() == most) {
       break;
     }
+    ids.push_back(worker->id());
   }
   return ids;
 }
@@ -171,25 +177,6 @@
   return it->second.text;
 }
 
-void Dispatcher::LearnShare(const AskAdvice& call, const AdviceResult& result,
-                            const advice::StepAdvice& known) {
-  const jobs::Job* job = jobs_->Find(call.step.job);
-  if (job == nullptr) {
-    return;
-  }
-  // Those that were allowed before are asked about for their tickets.
-  const auto is_new = [&known](const base::BackendId& id) {
-    return !known.allowed.contains(id);
-  };
-  const auto asked =
-      std::count_if(call.workers.begin(), call.workers.end(), is_new);
-  const auto allowed = std::count_if(
-      result.allowed.begin(), result.allowed.end(),
-      [&is_new](const AllowedWorker& one) { return is_new(one.worker); });
-  shares_[job->queue].Learn(static_cast<std::size_t>(asked),
-                            static_cast<std::size_t>(allowed));
-}
-
 void Dispatcher::OnAdvice(const AskAdvice& call, const AdviceResult& result,
                           base::TimePoint now, std::vector<Action>* actions) {
   const jobs::StepRef& step = call.step;
@@ -204,7 +191,6 @@
   }
   advice->calls = std::max(0, advice->calls - 1);
   if (result.outcome == AdviceResult::Outcome::kAnswered) {
-    LearnShare(call, result, *advice);
     advice->is_known = true;
     advice->failed_calls = 0;
     for (const AllowedWorker& allowed : result.allowed) {
