An experiment tool: load patterns replayed through the real scheduler in virtual time

Patterns are small files; workers, advisor and store are models. It prints what callers would have seen by kind, the packing and where the owner's processor time goes.

--- /dev/null
+++ b/bench/experiment/experiment.cc
@@ -0,0 +1,461 @@
+// Drives the scheduler as an owner's term does.
+#include "bench/experiment/experiment.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <iostream>
+#include <utility>
+
+#include "dotterelbarrow/base/hash.h"
+#include "dotterelbarrow/base/overloaded.h"
+
+namespace dotterelbarrow::bench {
+namespace {
+
+using core::jobs::JobKey;
+using core::scheduler::AdviceResult;
+using core::scheduler::OrderOutcome;
+
+constexpr std::int64_t kMillisecond = 1000;
+constexpr std::int64_t kSecond = 1'000'000;
+// One way to a worker and back, and one transaction of the store.
+constexpr std::int64_t kRoundTrip = 2 * kMillisecond;
+constexpr std::int64_t kTransaction = 12 * kMillisecond;
+// As the owner's term does it.
+constexpr std::int64_t kPassDelay = 3 * kMillisecond;
+constexpr std::int64_t kPassShare = 3;
+constexpr std::int64_t kWriteGap = 20 * kMillisecond;
+constexpr std::int64_t kTickPeriod = 50 * kMillisecond;
+constexpr std::int64_t kListingsPeriod = 500 * kMillisecond;
+// Workers are claimed before the first job comes, and the last ones finish.
+constexpr std::int64_t kLead = 2 * kSecond;
+constexpr std::int64_t kTail = 30 * kSecond;
+constexpr double kMillicores = 1000;
+
+const char* const kService = "service";
+const char* const kOrganisation = "organisation";
+
+core::desired::Queue QueueOf(const Kind& kind) {
+  core::desired::Queue queue;
+  queue.id = core::desired::QueueId(kind.name);
+  queue.service = base::ServiceId(kService);
+  queue.priority = kind.priority;
+  queue.max_attempts = 3;
+  queue.slack_factor = kind.slack_factor;
+  queue.completion_target =
+      std::chrono::milliseconds(std::llround(kind.target_ms));
+  if (kind.decision_ms > 0) {
+    queue.advice = core::desired::AdvicePolicy{
+        std::chrono::microseconds(std::llround(kind.decision_ms * 1000)),
+        std::chrono::microseconds(std::llround(kind.per_worker_ms * 1000)),
+        std::chrono::microseconds(std::llround(kind.valid_ms * 1000))};
+  }
+  return queue;
+}
+
+// A number from 0 to 1 that is always the same for the same inputs.
+double Chance(std::uint64_t a, std::uint64_t b) {
+  constexpr double kScale = 1.0 / 9007199254740992.0;  // 2^-53
+  return static_cast<double>(base::MixBits(base::MixBits(a) ^ b) >> 11) *
+         kScale;
+}
+
+}  // namespace
+
+class Experiment::Log : public core::scheduler::DecisionLog {
+ public:
+  Log(Experiment* experiment, bool is_shown)
+      : experiment_(experiment), is_shown_(is_shown) {}
+
+  void Write(std::string_view event,
+             std::initializer_list<core::scheduler::LogField> fields) override {
+    if (!is_shown_) {
+      return;
+    }
+    std::cout << static_cast<double>(experiment_->timeline_.now_us()) / kSecond
+              << " event=" << event;
+    for (const auto& [name, value] : fields) {
+      std::cout << ' ' << name << '=';
+      std::visit([](const auto& shown) { std::cout << shown; }, value);
+    }
+    std::cout << '\n';
+  }
+
+ private:
+  Experiment* experiment_;
+  bool is_shown_;
+};
+
+Experiment::Experiment(const Pattern& pattern, const ExperimentOptions& options)
+    : pattern_(pattern),
+      options_(options),
+      fleet_(
+          &timeline_,
+          [this](const core::jobs::TaskRef& task, core::jobs::Attempt attempt) {
+            return PlanOf(task, attempt);
+          }),
+      log_(std::make_unique<Log>(this, options.is_log_shown)),
+      scheduler_(core::scheduler::SchedulerSettings(),
+                 core::scheduler::Telemetry{log_.get(), &counters_}),
+      random_(options.seed) {
+  outcome_.kinds.resize(pattern_.kinds.size());
+}
+
+Experiment::~Experiment() = default;
+
+double Experiment::Uniform(double least, double most) {
+  return std::uniform_real_distribution<double>(least, most)(random_);
+}
+
+void Experiment::AddWorkers() {
+  std::vector<core::workers::Listing> listings;
+  for (int i = 0; i < pattern_.workers; ++i) {
+    core::workers::Listing listing;
+    listing.id = base::BackendId("worker-" + std::to_string(i));
+    listing.address = listing.id.value();
+    listing.service = base::ServiceId(kService);
+    listing.capacity = {
+        base::Millicores(std::llround(pattern_.cores * kMillicores)),
+        base::Mebibytes(std::llround(pattern_.memory_mb)),
+        base::Accelerators(0), base::Slots(0)};
+    listing.born_ms = 1;
+    listings.push_back(std::move(listing));
+  }
+  scheduler_.UpdateListings(std::move(listings), timeline_.Now());
+}
+
+void Experiment::ScheduleSubmissions() {
+  for (std::size_t i = 0; i < pattern_.kinds.size(); ++i) {
+    const Kind& kind = pattern_.kinds[i];
+    double at_s = 0;
+    while (true) {
+      double rate = kind.jobs_per_s;
+      for (const Burst& burst : kind.bursts) {
+        const bool is_on =
+            at_s >= burst.at_s && at_s < burst.at_s + burst.for_s;
+        rate *= is_on ? burst.times : 1;
+      }
+      at_s += std::exponential_distribution<double>(rate)(random_);
+      if (at_s >= pattern_.seconds) {
+        break;
+      }
+      timeline_.After(kLead + std::llround(at_s * kSecond),
+                      [this, i] { Submit(i); });
+    }
+  }
+}
+
+core::jobs::JobSpec Experiment::MakeSpec(const Kind& kind, Submitted* job) {
+  core::jobs::JobSpec spec;
+  const double extra = kind.steps - 1;
+  const int steps = 1 + (Uniform(0, 1) < extra ? 1 : 0);
+  const bool is_gang = Uniform(0, 1) < kind.gang;
+  double chain_us = 0;
+  std::vector<std::int64_t> work;
+  for (int i = 0; i < steps; ++i) {
+    core::jobs::StepSpec step;
+    step.tasks = static_cast<std::uint32_t>(std::clamp<double>(
+        std::round(
+            std::exponential_distribution<double>(1 / kind.tasks)(random_)),
+        1, 6 * kind.tasks));
+    step.gang = is_gang && step.tasks > 1;
+    if (step.gang) {
+      gang_sizes_[{JobKey(last_job_), 0, static_cast<std::uint32_t>(i)}] =
+          step.tasks;
+    }
+    const double task_us =
+        kind.task_ms * static_cast<double>(kMillisecond) * Uniform(0.4, 1.6);
+    step.needs = {
+        base::Millicores(
+            std::llround(kind.cores * kMillicores * Uniform(0.6, 1.4))),
+        base::Mebibytes(std::llround(kind.memory_mb * Uniform(0.5, 1.5))),
+        base::Accelerators(0), base::Slots(0)};
+    step.estimate = std::chrono::microseconds(std::llround(
+        task_us * Uniform(1 - kind.estimate_off / 2, 1 + kind.estimate_off)));
+    if (i > 0) {
+      step.depends_on = {static_cast<std::uint32_t>(i - 1)};
+    }
+    chain_us += task_us;
+    job->work += static_cast<double>(step.tasks) * task_us / kSecond *
+                 static_cast<double>(step.needs.cpu.value()) / kMillicores;
+    work.push_back(std::llround(task_us));
+    spec.steps.push_back(std::move(step));
+  }
+  const double advice_us =
+      (kind.decision_ms + 30 * kind.per_worker_ms) * kMillisecond * steps;
+  job->objective_us = kind.slack_factor * (chain_us + advice_us) +
+                      kind.target_ms * kMillisecond;
+  work_us_[JobKey(last_job_)] = std::move(work);
+  return spec;
+}
+
+void Experiment::Submit(std::size_t index) {
+  const Kind& kind = pattern_.kinds[index];
+  const JobKey key(++last_job_);
+  Submitted job{.kind = index, .at_us = timeline_.now_us()};
+  core::jobs::JobSpec spec = MakeSpec(kind, &job);
+  KindOutcome& outcome = outcome_.kinds[index];
+  ++outcome.jobs;
+  outcome.work += job.work;
+  kind_of_[key] = index;
+  open_.emplace(key, job);
+  Do("submit", [this, key, index, spec = std::move(spec)]() mutable {
+    const auto answer = scheduler_.Submit(
+        {key, core::desired::QueueId(pattern_.kinds[index].name),
+         base::OrganisationId(kOrganisation), std::move(spec)},
+        core::scheduler::WaiterId(key.value()),
+        timeline_.now_us() / kMillisecond, timeline_.Now());
+    if (answer.outcome == core::scheduler::SubmitOutcome::kRefused) {
+      ++outcome_.kinds[index].refused;
+      open_.erase(key);
+    }
+    Wake();
+  });
+}
+
+RunPlan Experiment::PlanOf(const core::jobs::TaskRef& task,
+                           core::jobs::Attempt attempt) {
+  const JobKey key = task.step.job;
+  const Kind& kind = pattern_.kinds[kind_of_[key]];
+  const std::uint64_t base = key.value() * 1009 + task.step.step * 101;
+  const std::uint64_t run = attempt.value() * 31 + options_.seed;
+  RunPlan plan;
+  plan.duration_us = work_us_[key][task.step.step];
+  const auto submitted = open_.find(key);
+  std::uint32_t tasks = 0;
+  if (submitted != open_.end() && !submitted->second.has_started) {
+    submitted->second.has_started = true;
+    outcome_.kinds[submitted->second.kind].first_start_ms.push_back(
+        static_cast<double>(timeline_.now_us() - submitted->second.at_us) /
+        kMillisecond);
+  }
+  if (const auto it = gang_sizes_.find(task.step); it != gang_sizes_.end()) {
+    tasks = it->second;
+  }
+  plan.gang_size = tasks;
+  plan.fails = Chance(base + task.index * 7, run) < kind.failing;
+  return plan;
+}
+
+void Experiment::Do(const char* what, std::function<void()> work) {
+  if (options_.cpu_share > 0 && busy_until_us_ > timeline_.now_us()) {
+    timeline_.After(busy_until_us_ - timeline_.now_us(),
+                    [this, what, work = std::move(work)]() mutable {
+                      Do(what, std::move(work));
+                    });
+    return;
+  }
+  const auto begun = std::chrono::steady_clock::now();
+  work();
+  const std::chrono::duration<double> spent =
+      std::chrono::steady_clock::now() - begun;
+  outcome_.cpu_s[what] += spent.count();
+  if (options_.cpu_share > 0) {
+    busy_until_us_ = timeline_.now_us() +
+                     std::llround(spent.count() * kSecond / options_.cpu_share);
+  }
+}
+
+void Experiment::Wake() {
+  if (!is_pass_armed_) {
+    is_pass_armed_ = true;
+    const std::int64_t due =
+        std::max(timeline_.now_us() + kPassDelay, next_pass_us_);
+    timeline_.After(due - timeline_.now_us(), [this] { Pass(); });
+  }
+}
+
+void Experiment::Pass() {
+  Do("pass", [this] {
+    is_pass_armed_ = false;
+    const auto begun = std::chrono::steady_clock::now();
+    scheduler_.Pass(timeline_.Now());
+    const std::chrono::duration<double> spent =
+        std::chrono::steady_clock::now() - begun;
+    if (options_.cpu_share > 0) {
+      next_pass_us_ =
+          timeline_.now_us() +
+          std::llround(spent.count() * kSecond / options_.cpu_share) *
+              (1 + kPassShare);
+    }
+    CarryOut();
+    WriteIfDue();
+  });
+}
+
+void Experiment::Tick() {
+  Do("tick", [this] {
+    scheduler_.Tick(timeline_.Now(), 0);
+    CarryOut();
+    WriteIfDue();
+  });
+  double used = 0;
+  for (const auto& [id, worker] : scheduler_.fleet().workers()) {
+    used += static_cast<double>(worker.reserved().cpu.value()) / kMillicores;
+  }
+  if (timeline_.now_us() > kLead &&
+      timeline_.now_us() < kLead + std::llround(pattern_.seconds * kSecond)) {
+    used_core_s_ += used * kTickPeriod / kSecond;
+  }
+  timeline_.After(kTickPeriod, [this] { Tick(); });
+}
+
+void Experiment::CarryOut() {
+  for (const core::scheduler::Action& action : scheduler_.TakeActions()) {
+    CarryOut(action);
+  }
+}
+
+void Experiment::CarryOut(const core::scheduler::Action& action) {
+  std::visit(
+      base::Overloaded{
+          [this](const core::scheduler::StartTask& order) {
+            timeline_.After(kRoundTrip / 2, [this, order] {
+              fleet_.Start(order);
+              timeline_.After(kRoundTrip / 2, [this, order] {
+                Do("started", [this, order] {
+                  scheduler_.OnStarted(order, OrderOutcome::kDone,
+                                       fleet_.ClockMillis(), timeline_.Now());
+                  Wake();
+                });
+              });
+            });
+          },
+          [this](const core::scheduler::StopTask& order) {
+            timeline_.After(kRoundTrip, [this, order] {
+              fleet_.Stop(order);
+              Do("stopped", [this, order] {
+                scheduler_.OnStopped(order, OrderOutcome::kDone,
+                                     fleet_.ClockMillis(), timeline_.Now());
+                Wake();
+              });
+            });
+          },
+          [this](const core::scheduler::LookAtWorker& order) {
+            timeline_.After(kRoundTrip / 2, [this, order] {
+              fleet_.Look(order,
+                          [this, order](const core::scheduler::LookResult& r) {
+                            timeline_.After(kRoundTrip / 2, [this, order, r] {
+                              Do("looked", [this, order, r] {
+                                scheduler_.OnLooked(order, r, timeline_.Now());
+                                Wake();
+                              });
+                            });
+                          });
+            });
+          },
+          [this](const core::scheduler::AskAdvice& call) { Ask(call); }},
+      action);
+}
+
+void Experiment::Ask(const core::scheduler::AskAdvice& call) {
+  ++outcome_.advice_calls;
+  const Kind& kind = pattern_.kinds[kind_of_[call.step.job]];
+  std::int64_t& free_us = advisor_free_us_[call.asker.value()];
+  const double cost_ms =
+      kind.decision_ms +
+      kind.per_worker_ms * static_cast<double>(call.workers.size());
+  free_us = std::max(free_us, timeline_.now_us() + kRoundTrip) +
+            std::llround(cost_ms * kMillisecond);
+  AdviceResult result;
+  result.outcome = AdviceResult::Outcome::kAnswered;
+  result.ticket_validity =
+      std::chrono::milliseconds(std::llround(kind.valid_ms));
+  const std::uint64_t step = call.step.job.value() * 64 + call.step.step;
+  for (const base::BackendId& worker : call.workers) {
+    if (Chance(step, std::hash<std::string>()(worker.value())) < kind.allowed) {
+      result.allowed.push_back({worker, "ticket"});
+    }
+  }
+  timeline_.After(free_us + kRoundTrip - timeline_.now_us(),
+                  [this, call, result = std::move(result)] {
+                    Do("advice", [this, call, result] {
+                      scheduler_.OnAdvice(call, result, timeline_.Now());
+                      Wake();
+                    });
+                  });
+}
+
+void Experiment::WriteIfDue() {
+  if (is_writing_ || !scheduler_.has_changes()) {
+    return;
+  }
+  const std::int64_t due = last_write_us_ + kWriteGap;
+  if (timeline_.now_us() < due) {
+    timeline_.After(due - timeline_.now_us(), [this] { WriteIfDue(); });
+    return;
+  }
+  is_writing_ = true;
+  last_write_us_ = timeline_.now_us();
+  ++outcome_.batches;
+  const auto batch = std::make_shared<const core::scheduler::StoredBatch>(
+      scheduler_.TakeBatch());
+  timeline_.After(kTransaction, [this, batch] {
+    is_writing_ = false;
+    Do("stored", [this, batch] {
+      scheduler_.OnStored(*batch, timeline_.Now());
+      Wake();
+    });
+    NoteEnds();
+    WriteIfDue();
+  });
+}
+
+void Experiment::NoteEnds() {
+  for (auto it = open_.begin(); it != open_.end();) {
+    const auto state = scheduler_.StateOf(it->first);
+    if (!state || !core::jobs::IsFinal(*state)) {
+      ++it;
+      continue;
+    }
+    const Submitted& job = it->second;
+    KindOutcome& outcome = outcome_.kinds[job.kind];
+    const auto taken = static_cast<double>(timeline_.now_us() - job.at_us);
+    outcome.completion_ms.push_back(taken / kMillisecond);
+    if (*state == core::jobs::JobState::kCompleted &&
+        taken <= job.objective_us) {
+      ++outcome.on_time;
+      outcome.work_on_time += job.work;
+    } else {
+      ++outcome.late;
+    }
+    it = open_.erase(it);
+  }
+}
+
+Outcome Experiment::Run() {
+  std::vector<core::desired::Queue> queues;
+  for (const Kind& kind : pattern_.kinds) {
+    queues.push_back(QueueOf(kind));
+  }
+  core::desired::Organisation organisation;
+  organisation.id = base::OrganisationId(kOrganisation);
+  organisation.weight = 1e6;
+  scheduler_.SetDesired(std::make_shared<core::desired::DesiredState>(
+      base::ConfigVersion(1), std::move(queues),
+      std::vector<core::desired::Organisation>{organisation},
+      std::vector<core::desired::Service>{
+          {base::ServiceId(kService), false, false}},
+      core::desired::CallLimits()));
+  scheduler_.BeginTerm(core::scheduler::FencingToken(1), timeline_.Now());
+  std::vector<base::EntryId> askers;
+  for (int i = 0; i < pattern_.askers; ++i) {
+    askers.emplace_back("entry-" + std::to_string(i));
+  }
+  scheduler_.SetAskers(askers);
+  AddWorkers();
+  ScheduleSubmissions();
+  Tick();
+  timeline_.RunUntil(kLead + std::llround(pattern_.seconds * kSecond) + kTail);
+  for (const auto& [key, job] : open_) {
+    ++outcome_.kinds[job.kind].unfinished;
+  }
+  outcome_.starts = fleet_.starts();
+  outcome_.looks = fleet_.looks();
+  outcome_.packing =
+      used_core_s_ / (pattern_.seconds * pattern_.workers * pattern_.cores);
+  return outcome_;
+}
+
+}  // namespace dotterelbarrow::bench
--- /dev/null
+++ b/bench/experiment/main.cc
@@ -0,0 +1,92 @@
+// dotterel-experiment: replays load patterns and prints what callers would
+// have seen, and what the decisions cost.
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <cstdio>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "bench/experiment/experiment.h"
+
+namespace dotterelbarrow::bench {
+namespace {
+
+double Quantile(std::vector<double> values, double part) {
+  if (values.empty()) {
+    return 0;
+  }
+  std::sort(values.begin(), values.end());
+  const auto index =
+      static_cast<std::size_t>(part * static_cast<double>(values.size() - 1));
+  return values[index];
+}
+
+void Print(const Pattern& pattern, const Outcome& outcome) {
+  std::printf("%-12s %6s %7s %8s %6s %7s %10s %9s %9s %9s %9s\n", "kind",
+              "jobs", "refused", "on time", "late", "open", "work", "start50",
+              "start95", "done50", "done95");
+  for (std::size_t i = 0; i < outcome.kinds.size(); ++i) {
+    const KindOutcome& kind = outcome.kinds[i];
+    std::printf(
+        "%-12s %6d %7d %8d %6d %7d %9.1f%% %9.0f %9.0f %9.0f %9.0f\n",
+        pattern.kinds[i].name.c_str(), kind.jobs, kind.refused, kind.on_time,
+        kind.late, kind.unfinished,
+        kind.work > 0 ? 100 * kind.work_on_time / kind.work : 0,
+        Quantile(kind.first_start_ms, 0.5), Quantile(kind.first_start_ms, 0.95),
+        Quantile(kind.completion_ms, 0.5), Quantile(kind.completion_ms, 0.95));
+  }
+  std::printf(
+      "packing %.1f%%, %llu starts, %llu looks, %llu calls for advice, "
+      "%llu batches\n",
+      100 * outcome.packing, static_cast<unsigned long long>(outcome.starts),
+      static_cast<unsigned long long>(outcome.looks),
+      static_cast<unsigned long long>(outcome.advice_calls),
+      static_cast<unsigned long long>(outcome.batches));
+  std::printf("processor, s:");
+  for (const auto& [what, seconds] : outcome.cpu_s) {
+    std::printf(" %s %.2f", what.c_str(), seconds);
+  }
+  std::printf("\n");
+}
+
+int Main(int argc, char** argv) {
+  namespace po = boost::program_options;
+  std::string path;
+  ExperimentOptions options;
+  po::options_description described("dotterel-experiment");
+  described.add_options()("help", "this text")(
+      "pattern", po::value(&path)->required(), "load pattern, a JSON file")(
+      "seed", po::value(&options.seed)->default_value(1), "seed of the load")(
+      "cpu-share", po::value(&options.cpu_share)->default_value(0),
+      "part of a processor that the owner has; 0 charges no time")(
+      "log", po::bool_switch(&options.is_log_shown), "show the decisions");
+  po::variables_map values;
+  try {
+    po::store(po::parse_command_line(argc, argv, described), values);
+    if (values.count("help") > 0) {
+      std::cout << described;
+      return 0;
+    }
+    po::notify(values);
+  } catch (const po::error& error) {
+    std::cerr << error.what() << '\n' << described;
+    return 2;
+  }
+  base::Failure reason;
+  const auto pattern = ReadPattern(path, &reason);
+  if (!pattern) {
+    std::cerr << reason.detail << '\n';
+    return 2;
+  }
+  Experiment experiment(*pattern, options);
+  Print(*pattern, experiment.Run());
+  return 0;
+}
+
+}  // namespace
+}  // namespace dotterelbarrow::bench
+
+int main(int argc, char** argv) {
+  return dotterelbarrow::bench::Main(argc, argv);
+}
--- /dev/null
+++ b/bench/experiment/pattern.h
@@ -0,0 +1,67 @@
+// A load pattern: kinds of jobs, how often they come, and the fleet that they
+// come to. Read from a small JSON file:
+//
+//   {"workers": 350, "cores": 32, "memory_mb": 131072, "askers": 42,
+//    "seconds": 40, "kinds": [{"name", "rate", "priority", "slack",
+//    "target_ms", "tasks", "task_ms", "cores", "memory_mb", "steps", "gang",
+//    "estimate_off", "failing", "allowed", "decision_ms", "per_worker_ms",
+//    "valid_ms", "bursts": [{"at", "for", "times"}]}]}
+//
+// Rates are jobs a second, sizes are means; `allowed` is the part of the
+// workers that may run a step.
+#ifndef DOTTERELBARROW_BENCH_EXPERIMENT_PATTERN_H_
+#define DOTTERELBARROW_BENCH_EXPERIMENT_PATTERN_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dotterelbarrow/base/failure.h"
+
+namespace dotterelbarrow::bench {
+
+struct Burst {
+  double at_s = 0;
+  double for_s = 0;
+  double times = 1;
+};
+
+struct Kind {
+  std::string name;
+  double jobs_per_s = 0;
+  int priority = 0;
+  double slack_factor = 1;
+  double target_ms = 0;
+  double tasks = 1;
+  double task_ms = 1000;
+  double cores = 1;
+  double memory_mb = 1024;
+  double steps = 1;
+  // Part of the jobs whose steps are gangs.
+  double gang = 0;
+  // Estimates are off by up to this part, either way.
+  double estimate_off = 0;
+  // Part of the runs that fail.
+  double failing = 0;
+  double allowed = 1;
+  double decision_ms = 0;
+  double per_worker_ms = 0;
+  double valid_ms = 2000;
+  std::vector<Burst> bursts;
+};
+
+struct Pattern {
+  int workers = 48;
+  double cores = 16;
+  double memory_mb = 65536;
+  int askers = 7;
+  double seconds = 30;
+  std::vector<Kind> kinds;
+};
+
+std::optional<Pattern> ReadPattern(const std::string& path,
+                                   base::Failure* reason);
+
+}  // namespace dotterelbarrow::bench
+
+#endif  // DOTTERELBARROW_BENCH_EXPERIMENT_PATTERN_H_
