--- a/include/dotterelbarrow/core/advice/advice_book.h
+++ b/include/dotterelbarrow/core/advice/advice_book.h
@@ -8,7 +8,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -18,6 +17,7 @@
 #include "dotterelbarrow/base/units.h"
 #include "dotterelbarrow/core/desired/desired_state.h"
 #include "dotterelbarrow/core/jobs/job_spec.h"
+#include "dotterelbarrow/core/workers/worker_set.h"
 
 namespace dotterelbarrow::core::advice {
 
@@ -71,6 +71,7 @@
 };
 
 struct Ticket {
+  base::BackendId worker;
   std::string text;
   base::TimePoint valid_until;
 };
@@ -83,9 +84,9 @@
   bool is_known = false;
   // All that were found allowed; which workers may run a step never changes,
   // but tickets run out.
-  std::map<base::BackendId, Ticket> allowed;
+  std::map<workers::WorkerNumber, Ticket> allowed;
   // All that the advisor was asked about.
-  std::set<base::BackendId> asked;
+  workers::WorkerSet asked;
   // After a failed call, not before this moment.
   base::TimePoint retry_at;
   int failed_calls = 0;
--- a/include/dotterelbarrow/core/placement/gang_room.h
+++ b/include/dotterelbarrow/core/placement/gang_room.h
@@ -11,11 +11,10 @@
 #define DOTTERELBARROW_CORE_PLACEMENT_GANG_ROOM_H_
 
 #include <cstddef>
-#include <unordered_set>
 
-#include "dotterelbarrow/base/ids.h"
 #include "dotterelbarrow/base/units.h"
 #include "dotterelbarrow/core/placement/urgency.h"
+#include "dotterelbarrow/core/workers/worker_set.h"
 
 namespace dotterelbarrow::core::placement {
 
@@ -39,19 +38,19 @@
   // Whether workers may be kept for one more gang.
   bool CanKeep() const;
   // The workers of one gang: `Keep` for each, `EndGang` at the end.
-  void Keep(const base::BackendId& worker) { kept_.insert(worker); }
+  void Keep(workers::WorkerNumber worker) { kept_.insert(worker); }
   void EndGang() { ++gangs_; }
   // Some gang that waits could use the worker.
-  void Want(const base::BackendId& worker) { wanted_.insert(worker); }
+  void Want(workers::WorkerNumber worker) { wanted_.insert(worker); }
 
-  bool IsKept(const base::BackendId& worker) const {
+  bool IsKept(workers::WorkerNumber worker) const {
     return kept_.contains(worker);
   }
   // Whether the worker was kept in this pass or the one before.
-  bool IsOrWasKept(const base::BackendId& worker) const {
+  bool IsOrWasKept(workers::WorkerNumber worker) const {
     return IsKept(worker) || kept_before_.contains(worker);
   }
-  bool IsWanted(const base::BackendId& worker) const {
+  bool IsWanted(workers::WorkerNumber worker) const {
     return wanted_.contains(worker);
   }
   std::size_t kept() const { return kept_.size(); }
@@ -63,9 +62,9 @@
  private:
   std::size_t workers_ = 0;
   int gangs_ = 0;
-  std::unordered_set<base::BackendId> kept_;
-  std::unordered_set<base::BackendId> kept_before_;
-  std::unordered_set<base::BackendId> wanted_;
+  workers::WorkerSet kept_;
+  workers::WorkerSet kept_before_;
+  workers::WorkerSet wanted_;
 };
 
 }  // namespace dotterelbarrow::core::placement
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -110,6 +110,11 @@
                     base::TimePoint now);
 
   workers::Worker* Find(const base::BackendId& id);
+  // Returns null if the worker was forgotten.
+  const workers::Worker* FindNumber(workers::WorkerNumber number) const {
+    const auto index = static_cast<std::size_t>(number.value());
+    return index < by_number_.size() ? by_number_[index] : nullptr;
+  }
   const std::unordered_map<base::BackendId, workers::Worker>& workers() const {
     return workers_;
   }
@@ -141,6 +146,8 @@
   void EndAllRuns(workers::Worker* worker, jobs::RunEnd end);
   void EndRun(workers::Worker* worker, const RunKey& key, jobs::RunEnd end,
               const std::string& checkpoint);
+  workers::WorkerNumber NextNumber();
+  workers::Worker* Add(workers::Worker worker);
   void Settle(const base::BackendId& id);
   void LookIfDue(workers::Worker* worker, base::TimePoint now,
                  std::vector<Action>* actions);
@@ -164,6 +171,9 @@
   std::unordered_map<base::BackendId, workers::Worker> workers_;
   std::set<base::BackendId> unsettled_;
   bool is_fenced_ = false;
+  workers::WorkerNumber last_number_;
+  // Invariant: the workers in `workers_`, at their numbers; null elsewhere.
+  std::vector<const workers::Worker*> by_number_;
 };
 
 }  // namespace dotterelbarrow::core::scheduler
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -14,6 +14,7 @@
 #include "dotterelbarrow/base/units.h"
 #include "dotterelbarrow/core/jobs/job.h"
 #include "dotterelbarrow/core/jobs/job_spec.h"
+#include "dotterelbarrow/core/workers/worker_set.h"
 
 namespace dotterelbarrow::core::workers {
 
@@ -101,9 +102,12 @@
 
 class Worker {
  public:
-  explicit Worker(Listing listing) : listing_(std::move(listing)) {}
+  explicit Worker(Listing listing, WorkerNumber number = WorkerNumber())
+      : listing_(std::move(listing)), number_(number) {}
 
   const Listing& listing() const { return listing_; }
+  // Stays the same through all lives of the worker.
+  WorkerNumber number() const { return number_; }
   const base::BackendId& id() const { return listing_.id; }
   void Update(const Listing& listing) { listing_ = listing; }
   bool is_listed() const { return listed_; }
@@ -163,6 +167,7 @@
   void Count(const Run& run, int sign);
 
   Listing listing_;
+  WorkerNumber number_;
   bool listed_ = true;
   std::map<std::pair<jobs::TaskRef, jobs::Attempt>, Run> runs_;
   // Invariant: the sums over `runs_`.
--- a/src/core/placement/gang_room.cc
+++ b/src/core/placement/gang_room.cc
@@ -8,7 +8,8 @@
 void GangRoom::BeginPass(std::size_t workers) {
   workers_ = workers;
   gangs_ = 0;
-  kept_before_ = std::exchange(kept_, {});
+  std::swap(kept_before_, kept_);
+  kept_.clear();
   wanted_.clear();
 }
 
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -225,17 +225,16 @@
       return;
     }
     candidates.push_back({&worker, worker.FreeRoom(), 0,
-                          gang_room_.IsOrWasKept(worker.id()), has_ticket});
+                          gang_room_.IsOrWasKept(worker.number()), has_ticket});
   };
   if (item.queue->advice) {
     const advice::StepAdvice* advice = advice_.Find(item.step);
     if (advice == nullptr) {
       return candidates;
     }
-    for (const auto& [id, ticket] : advice->allowed) {
-      const auto it = fleet_->workers().find(id);
-      if (it != fleet_->workers().end()) {
-        add(it->second, now < ticket.valid_until);
+    for (const auto& [number, ticket] : advice->allowed) {
+      if (const workers::Worker* worker = fleet_->FindNumber(number)) {
+        add(*worker, now < ticket.valid_until);
       }
     }
   } else {
@@ -262,8 +261,8 @@
   const bool yields =
       placement::GangRoom::Yields(item.urgency, item.job->accepted_at, now);
   std::erase_if(candidates, [&](const Candidate& candidate) {
-    const base::BackendId& id = candidate.worker->id();
-    return gang_room_.IsKept(id) || (yields && gang_room_.IsWanted(id));
+    const workers::WorkerNumber number = candidate.worker->number();
+    return gang_room_.IsKept(number) || (yields && gang_room_.IsWanted(number));
   });
   std::vector<Choice> choices;
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -45,16 +45,17 @@
 
 void Dispatcher::AskAboutMore(const Item& item, base::TimePoint now,
                               std::vector<Action>* actions) {
-  const advice::StepAdvice& advice = advice_.FindOrAdd(item.step);
+  advice::StepAdvice& advice = advice_.FindOrAdd(item.step);
   if (advice.calls > 0 || now < advice.retry_at) {
     return;
   }
+  advice.retry_at = now + kAskAgainAfter;
   // Workers may be kept for a gang before they have room; other tasks go
   // elsewhere meanwhile.
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   std::vector<base::BackendId> unknown;
   for (const workers::Worker* worker : SuitableWorkers(item, now)) {
-    if (!advice.asked.contains(worker->id()) &&
+    if (!advice.asked.contains(worker->number()) &&
         (spec.gang || spec.Reservation().FitsIn(worker->FreeRoom()))) {
       unknown.push_back(worker->id());
     }
@@ -101,7 +102,7 @@
 
 std::vector<const workers::Worker*> Dispatcher::SuitableWorkers(
     const Item& item, base::TimePoint now) {
-  const std::set<base::BackendId>& asked = advice_.FindOrAdd(item.step).asked;
+  const workers::WorkerSet& asked = advice_.FindOrAdd(item.step).asked;
   std::vector<const workers::Worker*> suitable;
   for (const auto& [id, worker] : fleet_->workers()) {
     if (MayRunOn(worker, item, now)) {
@@ -111,8 +112,8 @@
   std::stable_sort(
       suitable.begin(), suitable.end(),
       [&asked](const workers::Worker* a, const workers::Worker* b) {
-        const bool knows_a = asked.contains(a->id());
-        const bool knows_b = asked.contains(b->id());
+        const bool knows_a = asked.contains(a->number());
+        const bool knows_b = asked.contains(b->number());
         return knows_a != knows_b ? knows_b
                                   : a->FreeRoom().cpu > b->FreeRoom().cpu;
       });
@@ -150,7 +151,11 @@
   }
   advice::StepAdvice& advice = advice_.FindOrAdd(item.step);
   ++advice.calls;
-  advice.asked.insert(workers.begin(), workers.end());
+  for (const base::BackendId& id : workers) {
+    if (const workers::Worker* worker = fleet_->Find(id)) {
+      advice.asked.insert(worker->number());
+    }
+  }
   telemetry_.counters->Increment("advice_calls", "asked");
   telemetry_.log->Write(
       "advice_asked", {{"step", jobs::ToString(item.step)},
@@ -170,7 +175,9 @@
   if (advice == nullptr) {
     return std::nullopt;
   }
-  const auto it = advice->allowed.find(worker);
+  const workers::Worker* target = fleet_->Find(worker);
+  const auto it = target == nullptr ? advice->allowed.end()
+                                    : advice->allowed.find(target->number());
   if (it == advice->allowed.end() || now >= it->second.valid_until) {
     return std::nullopt;
   }
@@ -194,9 +201,11 @@
     advice->is_known = true;
     advice->failed_calls = 0;
     for (const AllowedWorker& allowed : result.allowed) {
-      advice->allowed[allowed.worker] = {
-          allowed.ticket,
-          now + result.ticket_validity - settings_.ticket_margin};
+      if (const workers::Worker* worker = fleet_->Find(allowed.worker)) {
+        advice->allowed[worker->number()] = {
+            allowed.worker, allowed.ticket,
+            now + result.ticket_validity - settings_.ticket_margin};
+      }
     }
   } else {
     ++advice->failed_calls;
@@ -215,11 +224,14 @@
 
 void Dispatcher::DropTicket(const jobs::StepRef& step,
                             const base::BackendId& worker) {
-  if (advice::StepAdvice* advice = advice_.Find(step)) {
-    if (const auto it = advice->allowed.find(worker);
-        it != advice->allowed.end()) {
-      it->second.valid_until = base::TimePoint();
-    }
+  advice::StepAdvice* advice = advice_.Find(step);
+  const workers::Worker* target = fleet_->Find(worker);
+  if (advice == nullptr || target == nullptr) {
+    return;
+  }
+  if (const auto it = advice->allowed.find(target->number());
+      it != advice->allowed.end()) {
+    it->second.valid_until = base::TimePoint();
   }
 }
 
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -29,7 +29,7 @@
 // A moment at which one more task of a gang will fit on a worker.
 struct Opening {
   base::TimePoint at;
-  base::BackendId worker;
+  workers::WorkerNumber worker;
 };
 
 // Appends when the tasks fit as what runs there comes to its estimated end.
@@ -49,7 +49,7 @@
   auto next = ends.begin();
   while (found < most) {
     if (placement::HasRoom(later, spec)) {
-      openings->push_back({at, candidate.worker->id()});
+      openings->push_back({at, candidate.worker->number()});
       placement::TakeRoom(&later, spec);
       ++found;
     } else if (next != ends.end()) {
@@ -69,7 +69,7 @@
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   std::vector<Candidate> candidates = item.candidates;
   std::erase_if(candidates, [this](const Candidate& candidate) {
-    return gang_room_.IsKept(candidate.worker->id());
+    return gang_room_.IsKept(candidate.worker->number());
   });
   std::vector<const workers::Worker*> chosen;
   if (spec.prefers_one_rack) {
@@ -166,7 +166,7 @@
 
 void Dispatcher::KeepRoomFor(const Item& item, base::TimePoint now) {
   for (const Candidate& candidate : item.candidates) {
-    gang_room_.Want(candidate.worker->id());
+    gang_room_.Want(candidate.worker->number());
   }
   if (!gang_room_.CanKeep()) {
     return;
@@ -174,7 +174,7 @@
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   std::vector<Opening> openings;
   for (const Candidate& candidate : item.candidates) {
-    if (!gang_room_.IsKept(candidate.worker->id())) {
+    if (!gang_room_.IsKept(candidate.worker->number())) {
       AppendOpenings(candidate, spec, spec.tasks, now, &openings);
     }
   }
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -50,9 +50,9 @@
     seen.insert(listing.id);
     auto it = workers_.find(listing.id);
     if (it == workers_.end()) {
-      it = workers_.emplace(listing.id, Worker(listing)).first;
-      it->second.last_answer = now;
-      it->second.next_look = now;
+      Worker* added = Add(Worker(listing, NextNumber()));
+      added->last_answer = now;
+      added->next_look = now;
       continue;
     }
     Worker& worker = it->second;
@@ -82,13 +82,13 @@
 }
 
 void Fleet::Inherit(const Listing& listing, base::TimePoint taken_over_at) {
-  Worker worker(listing);
+  Worker worker(listing, NextNumber());
   worker.set_listed(false);
   worker.last_answer = taken_over_at;
   worker.next_look = taken_over_at;
   worker.inherited_until =
       LapseOfLeasesGivenAt(taken_over_at + settings_.former_owner_authority);
-  workers_.insert_or_assign(listing.id, std::move(worker));
+  Add(std::move(worker));
   unsettled_.insert(listing.id);
 }
 
@@ -136,7 +136,7 @@
     worker->RemoveRun(run.task, run.attempt);
   }
   EndAllRuns(worker, jobs::RunEnd::kWorkerGone);
-  Worker fresh(listing);
+  Worker fresh(listing, worker->number());
   fresh.last_answer = now;
   fresh.next_look = now;
   // A former owner may have used this life as well; its claim tells.
@@ -170,6 +170,23 @@
   run_ended.emit(*worker, run, end, resume_at);
 }
 
+Worker* Fleet::Add(Worker worker) {
+  const auto index = static_cast<std::size_t>(worker.number().value());
+  if (const Worker* known = Find(worker.id())) {
+    by_number_[static_cast<std::size_t>(known->number().value())] = nullptr;
+  }
+  const auto [it, added] =
+      workers_.insert_or_assign(worker.id(), std::move(worker));
+  by_number_.resize(index + 1);
+  by_number_[index] = &it->second;
+  return &it->second;
+}
+
+workers::WorkerNumber Fleet::NextNumber() {
+  last_number_ = last_number_.next();
+  return last_number_;
+}
+
 void Fleet::Settle(const base::BackendId& id) {
   unsettled_.erase(id);
   settled.emit(id);
@@ -179,6 +196,7 @@
   for (auto it = workers_.begin(); it != workers_.end();) {
     Worker& worker = it->second;
     if (LapseIfDue(&worker, now)) {
+      by_number_[static_cast<std::size_t>(worker.number().value())] = nullptr;
       it = workers_.erase(it);
       continue;
     }
--- a/test/core/placement/gang_room_test.cc
+++ b/test/core/placement/gang_room_test.cc
@@ -3,7 +3,7 @@
 
 #include <doctest/doctest.h>
 
-#include <string>
+#include <cstdint>
 
 namespace dotterelbarrow::core::placement {
 namespace {
@@ -13,8 +13,8 @@
 
 constexpr base::TimePoint kStart{seconds(100)};
 
-base::BackendId WorkerOf(int number) {
-  return base::BackendId("w" + std::to_string(number));
+workers::WorkerNumber WorkerOf(int number) {
+  return workers::WorkerNumber(static_cast<std::uint64_t>(number));
 }
 
 TEST_CASE("gangs wait for room in a fleet of 40 workers") {
