An owner that stops gives the cell up with its next write; backlogs behind a pass's end count for refusals

Change: the resignation is the next write, with what there is; caps are looked at before candidates; what lies behind a pass's end is counted; work beyond a share is refused in a fleet that is three quarters full, where others wait for room.

--- a/include/dotterelbarrow/core/placement/overload_guard.h
+++ b/include/dotterelbarrow/core/placement/overload_guard.h
@@ -35,6 +35,8 @@
   // Part of the fleet's processors or memory in use from which it counts as
   // full: the rest is in pieces that fit few tasks.
   static constexpr double kFullFleet = 0.9;
+  // The same for work beyond a share: a part of the rest is kept for gangs.
+  static constexpr double kBusyFleet = 0.75;
 
   // Begins a new look at what waits, with this part of the fleet in use.
   void Clear(double fleet_use) {
@@ -43,8 +45,8 @@
     most_used_ = 0;
     fleet_use_ = fleet_use;
   }
-  // A job of `queue` within its share waits for room; it has used this part of
-  // its slack, from 0 to 1.
+  // A job of `queue` within its share waits for room on workers; it has used
+  // this part of its slack, from 0 to 1.
   void NoteWaiting(const desired::QueueId& queue, double used_slack) {
     double& most = used_slack_[queue];
     most = std::max(most, used_slack);
@@ -70,12 +72,13 @@
         return Refusal::kAtCap;
       }
     }
+    const bool is_busy = fleet_use_ >= kBusyFleet || is_saturated_;
+    if (over_share && is_busy && most_used_ > kOthersWait) {
+      return Refusal::kOverShare;
+    }
     if (fleet_use_ < kFullFleet && !is_saturated_) {
       return Refusal::kNone;
     }
-    if (over_share && most_used_ > kOthersWait) {
-      return Refusal::kOverShare;
-    }
     const auto it = used_slack_.find(queue);
     const bool is_pressed =
         it != used_slack_.end() && it->second > kAboutToBeLate;
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -127,10 +127,16 @@
   void PlaceAll(std::vector<Item> items, base::TimePoint now,
                 std::vector<Action>* actions);
   void LookAtRoom(base::TimePoint now);
-  // Tells the guard how long a job that found no room has been waiting, and the
-  // log why, each time that the reason changes.
-  void NoteMiss(const Item& item, base::TimePoint now);
+  // Places what can be placed of one step; returns why the rest, or all of it,
+  // waits.
+  std::optional<WaitReason> Place(Item* item, base::TimePoint now,
+                                  std::vector<Action>* actions);
+  // Why a step waits that advice is known for.
   WaitReason WhyWaiting(const Item& item) const;
+  // Tells the guard how long a job has been waiting for room.
+  void NotePressure(const Item& item, WaitReason reason, base::TimePoint now);
+  // Logs why a step waits, each time that the reason changes.
+  void LogWait(const Item& item, WaitReason reason, base::TimePoint now);
   // Returns nullopt where the step has nothing to place.
   std::optional<Item> ItemOf(const jobs::StepRef& ref, base::TimePoint now);
   // Returns whether some worker of the fleet may have room. Cheap.
@@ -195,6 +201,8 @@
   // for any organisation; and on workers of former owners that were not claimed
   // yet, for an organisation no more than its own waiting tasks of before.
   void LookAtUnseen(base::TimePoint now);
+  // What the organisation may have running, seen and unseen.
+  base::Resources UsageOf(const base::OrganisationId& organisation) const;
   base::Resources UnseenUsageOf(const base::OrganisationId& organisation) const;
   // Returns the ticket to show; nullopt if a new one is needed.
   std::optional<std::string> TicketFor(const Item& item,
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -133,20 +133,18 @@
                           std::vector<Action>* actions) {
   int misses = 0;
   for (Item& item : items) {
-    if (misses >= settings_.max_misses) {
-      break;
-    }
-    if (!MayFit(item) || !FindCandidates(&item, now, actions)) {
-      NoteMiss(item, now);
+    // Behind a long backlog the rest is only counted.
+    const std::optional<WaitReason> reason =
+        misses < settings_.max_misses ? Place(&item, now, actions)
+                                      : std::optional(WhyWaiting(item));
+    if (!reason) {
       continue;
     }
-    const bool is_placed = item.job->SpecOf(item.step).gang
-                               ? PlaceGang(item, now, actions)
-                               : PlaceTasks(item, now, actions);
-    if (!is_placed) {
-      ++misses;
-      NoteMiss(item, now);
+    NotePressure(item, *reason, now);
+    if (misses < settings_.max_misses) {
+      LogWait(item, *reason, now);
     }
+    misses += *reason == WaitReason::kRoom ? 1 : 0;
   }
   for (const Item* item : std::exchange(want_more_, {})) {
     if (item->queue->advice && CanAsk(*item, now)) {
@@ -155,38 +153,58 @@
   }
 }
 
+std::optional<WaitReason> Dispatcher::Place(Item* item, base::TimePoint now,
+                                            std::vector<Action>* actions) {
+  const jobs::StepSpec& spec = item->job->SpecOf(item->step);
+  // Gangs ask for advice meanwhile, and wait for the cap before others.
+  if (!spec.gang && !IsWithinCap(*item, 1)) {
+    return WaitReason::kCap;
+  }
+  if (!MayFit(*item)) {
+    return WaitReason::kRoom;
+  }
+  if (!FindCandidates(item, now, actions)) {
+    return WaitReason::kAdvice;
+  }
+  const bool is_placed = spec.gang ? PlaceGang(*item, now, actions)
+                                   : PlaceTasks(*item, now, actions);
+  return is_placed ? std::nullopt : std::optional(WhyWaiting(*item));
+}
+
 WaitReason Dispatcher::WhyWaiting(const Item& item) const {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
-  if (!FitsCap(item,
-               runs_->UsageOf(item.job->organisation) +
-                   UnseenUsageOf(item.job->organisation),
-               spec.gang ? spec.tasks : 1)) {
+  const bool fits_cap =
+      spec.gang ? FitsCap(item, UsageOf(item.job->organisation), spec.tasks)
+                : IsWithinCap(item, 1);
+  if (!fits_cap) {
     return WaitReason::kCap;
   }
-  if (spec.gang && !runs_->OfStep(item.step).empty()) {
-    return WaitReason::kStraying;
-  }
-  return item.candidates.empty() ? WaitReason::kAdvice : WaitReason::kRoom;
+  return spec.gang && !runs_->OfStep(item.step).empty() ? WaitReason::kStraying
+                                                        : WaitReason::kRoom;
 }
 
-void Dispatcher::NoteMiss(const Item& item, base::TimePoint now) {
-  const WaitReason reason = WhyWaiting(item);
+void Dispatcher::LogWait(const Item& item, WaitReason reason,
+                         base::TimePoint now) {
   const auto [told, is_new] = told_.try_emplace(item.step, reason);
-  if (is_new || told->second != reason) {
-    told->second = reason;
-    const advice::StepAdvice* advice = advice_.Find(item.step);
-    telemetry_.log->Write(
-        "step_waits",
-        {{"step", jobs::ToString(item.step)},
-         {"for", ToString(reason)},
-         {"tasks",
-          static_cast<std::int64_t>(item.job->SpecOf(item.step).tasks)},
-         {"allowed", static_cast<std::int64_t>(item.candidates.size())},
-         {"asked_about", static_cast<std::int64_t>(
-                             advice == nullptr ? 0 : advice->asked.size())},
-         {"slack_ms",
-          (item.urgency.latest_start - now) / std::chrono::milliseconds(1)}});
+  if (!is_new && told->second == reason) {
+    return;
   }
+  told->second = reason;
+  const advice::StepAdvice* advice = advice_.Find(item.step);
+  telemetry_.log->Write(
+      "step_waits",
+      {{"step", jobs::ToString(item.step)},
+       {"for", ToString(reason)},
+       {"tasks", static_cast<std::int64_t>(item.job->SpecOf(item.step).tasks)},
+       {"allowed", static_cast<std::int64_t>(item.candidates.size())},
+       {"asked_about", static_cast<std::int64_t>(
+                           advice == nullptr ? 0 : advice->asked.size())},
+       {"slack_ms",
+        (item.urgency.latest_start - now) / std::chrono::milliseconds(1)}});
+}
+
+void Dispatcher::NotePressure(const Item& item, WaitReason reason,
+                              base::TimePoint now) {
   const base::Duration slack =
       item.urgency.latest_start - item.job->accepted_at;
   if (item.urgency.standing != placement::Standing::kOnTime ||
@@ -196,9 +214,9 @@
   const base::Duration waited = now - item.job->accepted_at;
   const double used =
       static_cast<double>(waited.count()) / static_cast<double>(slack.count());
-  if (!IsWithinCap(item, 1)) {
+  if (reason == WaitReason::kCap) {
     guard_.NoteCapped(item.job->organisation, used);
-  } else if (!item.urgency.over_share) {
+  } else if (reason == WaitReason::kRoom && !item.urgency.over_share) {
     guard_.NoteWaiting(item.queue->id, used);
   }
 }
--- a/src/core/scheduler/dispatcher_caps.cc
+++ b/src/core/scheduler/dispatcher_caps.cc
@@ -55,6 +55,11 @@
   return usage;
 }
 
+base::Resources Dispatcher::UsageOf(
+    const base::OrganisationId& organisation) const {
+  return runs_->UsageOf(organisation) + UnseenUsageOf(organisation);
+}
+
 bool Dispatcher::FitsCap(const Item& item, const base::Resources& used,
                          std::uint32_t tasks) const {
   const desired::Organisation* organisation =
@@ -75,10 +80,7 @@
 
 bool Dispatcher::IsWithinCap(const Item& item, std::uint32_t tasks) const {
   return !cap_waiters_.contains(item.job->organisation) &&
-         FitsCap(item,
-                 runs_->UsageOf(item.job->organisation) +
-                     UnseenUsageOf(item.job->organisation),
-                 tasks);
+         FitsCap(item, UsageOf(item.job->organisation), tasks);
 }
 
 bool Dispatcher::CanEverFitCap(const Item& item, std::uint32_t tasks) const {
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -297,13 +297,8 @@
   }
   const base::TimePoint now = Now();
   const bool has_changes = is_loaded_ && scheduler_.has_changes();
-  if (is_resigning_ && !has_changes) {
-    parts_.writer->Write(
-        parts_.leadership->BeginResignation(now), {},
-        Guarded([this](HeadWriteEnd, std::int64_t) { EndTerm("resigned"); }));
-    return;
-  }
-  const bool is_due = has_changes && now - last_write_begun_ >= kWriteGap;
+  const bool is_due =
+      is_resigning_ || (has_changes && now - last_write_begun_ >= kWriteGap);
   if (!is_due && !parts_.leadership->IsRenewalDue(now)) {
     if (has_changes) {
       WakeIn(last_write_begun_ + kWriteGap - now);
@@ -314,8 +309,13 @@
   // Shared, as callbacks are copied and a batch may be large.
   const auto batch = std::make_shared<const core::scheduler::StoredBatch>(
       has_changes ? scheduler_.TakeBatch(now) : core::scheduler::StoredBatch());
+  // The last write brings what there is and gives the cell up at once; under
+  // load there are always more changes, and the next owner learns of those from
+  // the workers and from callers.
   parts_.writer->Write(
-      parts_.leadership->BeginWrite(now), batch->changes,
+      is_resigning_ ? parts_.leadership->BeginResignation(now)
+                    : parts_.leadership->BeginWrite(now),
+      batch->changes,
       Guarded([this, batch](HeadWriteEnd end, std::int64_t store_now_ms) {
         OnWritten(end, store_now_ms, *batch);
       }));
@@ -334,6 +334,10 @@
   scheduler_.OnStored(batch, Now());
   ReplyTo(batch.accept_waiters, Accepted{});
   ReplyTo(batch.cancel_waiters, Cancelled{});
+  if (parts_.leadership->has_resigned()) {
+    EndTerm("resigned");
+    return;
+  }
   Wake();
 }
 
--- a/src/member/owner_term.h
+++ b/src/member/owner_term.h
@@ -53,7 +53,7 @@
   void NoteFormerOwnerGone();
   // Answers now or once the outcome is stored.
   void Handle(const OwnerCall& call, const OwnerReply& reply);
-  // Gives the cell up after what is under way.
+  // Gives the cell up with the next write.
   void Resign();
   // Another host said that it owns the cell by now.
   void NoteReplaced() { EndTerm("replaced_by_peer"); }
--- a/test/core/placement/policies_test.cc
+++ b/test/core/placement/policies_test.cc
@@ -143,6 +143,12 @@
     guard.Clear(kFull);
     CHECK(guard.Decide(lookups, loud, false) == Refusal::kNone);
   }
+  SUBCASE("what is beyond a share goes in a busy fleet, the rest stays") {
+    guard.Clear(0.8);
+    guard.NoteWaiting(lookups, 0.95);
+    CHECK(guard.Decide(lookups, loud, true) == Refusal::kOverShare);
+    CHECK(guard.Decide(lookups, loud, false) == Refusal::kNone);
+  }
   SUBCASE("an organisation at its cap is refused alone, in a free fleet") {
     guard.Clear(0.5);
     guard.NoteCapped(loud, 0.5);
