Workers that left end their runs at once; leases of 4 s; room under a cap kept for the gang that waits for workers

Ruled out: advice (1 s each). Change: a draining worker that is missing on the list, without a gap between two lists and less than three heartbeats after a report of its, has left; leases of 4 s with looks that wait 1 s (5 and 1.5 before), which still outlast the loss of all hosts for 2 s; the cap's room for the most urgent waiting gang counts as used, whatever it waits for. Periods of polls, the silence of workers and the patience with gangs come from the platform's settings.

--- a/bench/experiment/experiment.cc
+++ b/bench/experiment/experiment.cc
@@ -122,7 +122,8 @@
     listing.born_ms = 1;
     listings.push_back(std::move(listing));
   }
-  scheduler_.UpdateListings(std::move(listings), timeline_.Now());
+  scheduler_.UpdateListings(std::move(listings), timeline_.Now(),
+                            timeline_.Now());
 }
 
 void Experiment::ScheduleSubmissions() {
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -193,6 +193,8 @@
                                   jobs::Attempt attempt, base::TimePoint now);
   // Returns whether the organisation may have `tasks` more of these running.
   bool IsWithinCap(const Item& item, std::uint32_t tasks) const;
+  // Leaves room under the cap for a gang that waits, if it is the first one.
+  void ReserveCap(const Item& item, std::uint32_t tasks);
   // Returns whether the cap leaves room for these tasks and nothing else.
   bool CanEverFitCap(const Item& item, std::uint32_t tasks) const;
   bool FitsCap(const Item& item, const base::Resources& used,
@@ -246,9 +248,9 @@
   std::unordered_map<base::OrganisationId, base::Resources> unseen_;
   // At least the free room of any worker, in each dimension.
   base::Resources largest_room_;
-  // Organisations of which a gang waits for room under the cap. What is less
-  // urgent of theirs waits behind it: small tasks would fill each gap.
-  std::set<base::OrganisationId> cap_waiters_;
+  // What the most urgent waiting gang of an organisation needs. What is less
+  // urgent of theirs leaves it under the cap: small tasks would fill each gap.
+  std::unordered_map<base::OrganisationId, base::Resources> reserved_caps_;
 };
 
 }  // namespace dotterelbarrow::core::scheduler
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -10,6 +10,7 @@
 #include <sigc++/signal.h>
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -25,12 +26,15 @@
 namespace dotterelbarrow::core::scheduler {
 
 struct FleetSettings {
-  // How long a lease is given for. Outlasts a change of the owner, which takes
-  // about two seconds, after a look that waited, so that running work survives
-  // it. What a lost worker ran waits for as long.
-  base::Duration lease = std::chrono::milliseconds(5000);
+  // How long a lease is given for. Outlasts a change of the owner, or a loss of
+  // all hosts for two seconds, after a look that waited, so that running work
+  // survives it. What a lost worker ran waits for as long.
+  base::Duration lease = std::chrono::milliseconds(4000);
   // How long a look may wait for an end.
-  base::Duration look_wait = std::chrono::milliseconds(1500);
+  base::Duration look_wait = std::chrono::milliseconds(1000);
+  // The platform takes a silent worker off its list after this time: three
+  // heartbeats.
+  base::Duration listing_silence = std::chrono::milliseconds(4500);
   // Least time between two looks at a worker; gathers ends, as each look has a
   // price. In a large fleet it grows by `look_gap_per_worker`, so that the
   // owner's looks stay below 2,500 a second.
@@ -70,10 +74,11 @@
   // Ends of this worker up to this number wait for the store.
   sigc::signal<void(const base::BackendId&, std::uint64_t)> ends_taken;
 
-  // Takes the platform's list. Workers that are missing keep what they run
-  // until their leases have lapsed.
+  // Takes the platform's list, which was asked for at `asked_at`. Workers that
+  // are missing keep what they run until their leases have lapsed, but for one
+  // that surely left.
   void UpdateListings(const std::vector<workers::Listing>& listings,
-                      base::TimePoint now);
+                      base::TimePoint asked_at, base::TimePoint now);
   // Adds a worker that a former owner used, and may go on to use until its
   // authority ends; its leases hold for as long and one lease more.
   void Inherit(const workers::Listing& listing, base::TimePoint taken_over_at);
@@ -134,6 +139,15 @@
   base::TimePoint LapseOfLeasesGivenAt(base::TimePoint now) const {
     return now + settings_.lease + settings_.lease / 20;
   }
+  // Takes in what the list shows of a known worker.
+  void TakeListing(workers::Worker* worker, const workers::Listing& listing,
+                   base::TimePoint now);
+  // Whether a worker that is missing on the list for the first time has left,
+  // and wasn't taken off for its silence: it was draining, and had reported too
+  // recently for that.
+  bool HasLeft(const workers::Worker& worker, base::TimePoint now) const;
+  // Its process has ended, and all that ran there with it.
+  void EndRunsOfLeft(workers::Worker* worker);
   static WorkerAddress AddressOf(const workers::Worker& worker);
   // Returns the worker that an order went to, or null if its life is over or
   // another owner has fenced this one off, which is noted.
@@ -171,6 +185,8 @@
   std::unordered_map<base::BackendId, workers::Worker> workers_;
   std::set<base::BackendId> unsettled_;
   bool is_fenced_ = false;
+  // When the list was last asked for with success.
+  std::optional<base::TimePoint> list_asked_at_;
   workers::WorkerNumber last_number_;
   // Invariant: the workers in `workers_`, at their numbers; null elsewhere.
   std::vector<const workers::Worker*> by_number_;
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -43,6 +43,8 @@
   // Jobs that have not ended; beyond, new ones are refused. Bounds memory: a
   // job of the largest size takes about 20 kB.
   std::size_t max_jobs = 4000;
+  // A gang that isn't whole this long after its first start is stopped.
+  base::Duration gang_patience = std::chrono::milliseconds(2000);
 };
 
 // What a caller hands in, with what its entry host knows of it.
@@ -91,9 +93,9 @@
 
   void SetDesired(std::shared_ptr<const desired::DesiredState> desired);
   void SetAskers(const std::vector<base::EntryId>& entries);
-  // Takes the platform's list of workers.
+  // Takes the platform's list of workers, asked for at `asked_at`.
   void UpdateListings(std::vector<workers::Listing> listings,
-                      base::TimePoint now);
+                      base::TimePoint asked_at, base::TimePoint now);
 
   SubmitAnswer Submit(Submission submission, WaiterId waiter,
                       std::int64_t store_now_ms, base::TimePoint now);
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -34,6 +34,9 @@
   // Tells lives under one id apart; milliseconds since 1970.
   std::int64_t born_ms = 0;
   bool draining = false;
+  // Changes whenever the worker reports anything new of itself, as a draining
+  // one does with each heartbeat.
+  std::uint64_t revision = 0;
   // How much longer it is slow after its start.
   base::Duration cold_remaining{0};
 };
@@ -147,6 +150,8 @@
   bool look_under_way = false;
   base::TimePoint next_look;
   base::TimePoint last_answer;
+  // The list showed a new report, which the worker sent after this moment.
+  std::optional<base::TimePoint> reported_after;
   int looks_failed = 0;
   // Orders without an answer since the last answer of any kind.
   int orders_unanswered = 0;
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -120,7 +120,7 @@
 void Dispatcher::Pass(base::TimePoint now, std::vector<Action>* actions) {
   gang_room_.BeginPass(fleet_->workers().size());
   LookAtUnseen(now);
-  cap_waiters_.clear();
+  reserved_caps_.clear();
   LookAtRoom(now);
   PlaceAll(Collect(&waiting_, now), now, actions);
   if (now >= next_overdue_look_) {
--- a/src/core/scheduler/dispatcher_caps.cc
+++ b/src/core/scheduler/dispatcher_caps.cc
@@ -79,8 +79,23 @@
 }
 
 bool Dispatcher::IsWithinCap(const Item& item, std::uint32_t tasks) const {
-  return !cap_waiters_.contains(item.job->organisation) &&
-         FitsCap(item, UsageOf(item.job->organisation), tasks);
+  base::Resources used = UsageOf(item.job->organisation);
+  if (const auto it = reserved_caps_.find(item.job->organisation);
+      it != reserved_caps_.end()) {
+    used += it->second;
+  }
+  return FitsCap(item, used, tasks);
+}
+
+void Dispatcher::ReserveCap(const Item& item, std::uint32_t tasks) {
+  if (!CanEverFitCap(item, tasks)) {
+    return;
+  }
+  const auto [it, is_first] =
+      reserved_caps_.try_emplace(item.job->organisation);
+  for (std::uint32_t i = 0; is_first && i < tasks; ++i) {
+    it->second += item.job->SpecOf(item.step).needs;
+  }
 }
 
 bool Dispatcher::CanEverFitCap(const Item& item, std::uint32_t tasks) const {
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -106,15 +106,14 @@
   }
   const auto tasks = static_cast<std::uint32_t>(step.tasks.size());
   if (!IsWithinCap(item, tasks)) {
-    if (CanEverFitCap(item, tasks)) {
-      cap_waiters_.insert(item.job->organisation);
-    }
+    ReserveCap(item, tasks);
     return false;
   }
   std::vector<std::uint32_t> members(step.tasks.size());
   std::iota(members.begin(), members.end(), 0);
   std::vector<Choice> choices = ChooseForGang(item, members);
   if (choices.empty()) {
+    ReserveCap(item, tasks);
     KeepRoomFor(item, now);
     want_more_.push_back(&item);
     return false;
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -13,6 +13,11 @@
 using workers::RunState;
 using workers::Worker;
 
+// The list is read each half second; a longer gap means that some read failed.
+constexpr base::Duration kMostListGap = std::chrono::milliseconds(1100);
+// Covers the store's own delay in noticing silence.
+constexpr base::Duration kListingMargin = std::chrono::milliseconds(500);
+
 }  // namespace
 
 const char* ToString(OrderOutcome outcome) {
@@ -43,42 +48,76 @@
   return "unknown";
 }
 
+void Fleet::TakeListing(Worker* worker, const Listing& listing,
+                        base::TimePoint now) {
+  if (listing.born_ms < worker->listing().born_ms) {
+    return;  // Of a life that is over.
+  }
+  if (listing.born_ms > worker->listing().born_ms &&
+      worker->listing().born_ms != kUnknownLife) {
+    BeginLife(worker, listing, now);
+  }
+  if (listing.draining && !worker->listing().draining) {
+    telemetry_.log->Write("worker_draining", {{"worker", listing.id.value()}});
+  }
+  if (listing.revision != worker->listing().revision) {
+    worker->reported_after = list_asked_at_;
+  }
+  worker->Update(listing);
+  worker->set_listed(true);
+}
+
+bool Fleet::HasLeft(const Worker& worker, base::TimePoint now) const {
+  // Without a gap between two lists, so that the store wasn't away.
+  const bool is_gapless =
+      list_asked_at_ && now - *list_asked_at_ <= kMostListGap;
+  return is_gapless && worker.listing().draining && worker.reported_after &&
+         now - *worker.reported_after <
+             settings_.listing_silence - kListingMargin;
+}
+
+void Fleet::EndRunsOfLeft(Worker* worker) {
+  std::vector<RunKey> gone;
+  for (const auto& [key, run] : worker->runs()) {
+    // An order without an answer may still reach another life.
+    if (run.state == RunState::kEarmarked || run.confirmed_ms != 0) {
+      gone.push_back(key);
+    }
+  }
+  for (const RunKey& key : gone) {
+    EndRun(worker, key, jobs::RunEnd::kWorkerGone, {});
+  }
+}
+
 void Fleet::UpdateListings(const std::vector<Listing>& listings,
-                           base::TimePoint now) {
+                           base::TimePoint asked_at, base::TimePoint now) {
   std::set<base::BackendId> seen;
   for (const Listing& listing : listings) {
     seen.insert(listing.id);
-    auto it = workers_.find(listing.id);
-    if (it == workers_.end()) {
-      Worker* added = Add(Worker(listing, NextNumber()));
-      added->last_answer = now;
-      added->next_look = now;
+    if (Worker* known = Find(listing.id)) {
+      TakeListing(known, listing, now);
       continue;
     }
-    Worker& worker = it->second;
-    if (listing.born_ms < worker.listing().born_ms) {
-      continue;  // Of a life that is over.
-    }
-    if (listing.born_ms > worker.listing().born_ms &&
-        worker.listing().born_ms != kUnknownLife) {
-      BeginLife(&worker, listing, now);
-    }
-    if (listing.draining && !worker.listing().draining) {
-      telemetry_.log->Write("worker_draining",
-                            {{"worker", listing.id.value()}});
-    }
-    worker.Update(listing);
-    worker.set_listed(true);
+    Worker* added = Add(Worker(listing, NextNumber()));
+    added->last_answer = now;
+    added->next_look = now;
   }
   for (auto& [id, worker] : workers_) {
-    if (worker.is_listed() && !seen.contains(id)) {
-      worker.set_listed(false);
-      telemetry_.log->Write(
-          "worker_unlisted",
-          {{"worker", id.value()},
-           {"runs", static_cast<std::int64_t>(worker.runs().size())}});
+    if (!worker.is_listed() || seen.contains(id)) {
+      continue;
+    }
+    worker.set_listed(false);
+    const bool has_left = HasLeft(worker, now);
+    telemetry_.log->Write(
+        "worker_unlisted",
+        {{"worker", id.value()},
+         {"runs", static_cast<std::int64_t>(worker.runs().size())},
+         {"has_left", has_left ? "yes" : "no"}});
+    if (has_left) {
+      EndRunsOfLeft(&worker);
     }
   }
+  list_asked_at_ = asked_at;
 }
 
 void Fleet::Inherit(const Listing& listing, base::TimePoint taken_over_at) {
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -103,13 +103,13 @@
 }
 
 void Scheduler::UpdateListings(std::vector<workers::Listing> listings,
-                               base::TimePoint now) {
+                               base::TimePoint asked_at, base::TimePoint now) {
   now_ = now;
   // One of a service that nobody named is no worker to use.
   std::erase_if(listings, [this](const workers::Listing& listing) {
     return desired_->FindService(listing.service) == nullptr;
   });
-  fleet_.UpdateListings(listings, now);
+  fleet_.UpdateListings(listings, asked_at, now);
   for (const workers::Listing& listing : listings) {
     if (recorded_workers_.insert(listing.id).second) {
       jobs_.NoteWorker(listing.id, workers::EncodeWorkerRecord(listing));
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -8,10 +8,6 @@
 namespace dotterelbarrow::core::scheduler {
 namespace {
 
-// A gang that isn't whole this long after its first start is stopped: its
-// members would time out, by the platform's usual 3 s, while they wait.
-constexpr base::Duration kGangPatience = std::chrono::milliseconds(2000);
-
 // Consecutive failures of different jobs after which a worker is left alone.
 constexpr int kFailuresInRow = 3;
 // How long at first; doubled each time, up to the longest.
@@ -211,7 +207,7 @@
     }
     if (job == nullptr || runs.empty() || running == job->SpecOf(step).tasks) {
       it = forming_gangs_.erase(it);
-    } else if (now - it->second >= kGangPatience) {
+    } else if (now - it->second >= settings_.gang_patience) {
       telemetry_.log->Write(
           "gang_incomplete",
           {{"step", jobs::ToString(step)},
--- a/src/member/desired_watch.cc
+++ b/src/member/desired_watch.cc
@@ -10,8 +10,6 @@
 namespace dotterelbarrow::member {
 namespace {
 
-// A quarter of the time in which a version has to be in force (2 s).
-constexpr base::Duration kPeriod = std::chrono::milliseconds(500);
 constexpr base::Duration kRetry = std::chrono::milliseconds(150);
 // Many times what a read usually takes.
 constexpr base::Duration kSlowRead = std::chrono::milliseconds(60);
@@ -23,9 +21,10 @@
 DesiredWatch::DesiredWatch(const wire::EventLoop& loop,
                            platform::StoreClient* store,
                            core::scheduler::Telemetry telemetry,
-                           Changed changed)
+                           base::Duration period, Changed changed)
     : store_(store),
       telemetry_(telemetry),
+      period_(period),
       changed_(std::move(changed)),
       timer_(loop, [this] { Read(); }) {
   Read();
@@ -66,7 +65,7 @@
                           base::TimePoint sent_at) {
   const bool is_good = result.outcome == platform::StoreOutcome::kDone;
   NoteLatency(Now() - sent_at, is_good);
-  timer_.StartOnce(is_good ? kPeriod : kRetry);
+  timer_.StartOnce(is_good ? period_ : kRetry);
   if (is_good == is_silent_) {
     is_silent_ = !is_good;
     telemetry_.log->Write(is_good ? "desired_regained" : "desired_lost",
--- a/src/member/desired_watch.h
+++ b/src/member/desired_watch.h
@@ -22,9 +22,10 @@
   using Changed =
       std::function<void(std::shared_ptr<const core::desired::DesiredState>)>;
 
-  // Reads at once, and then periodically.
+  // Reads at once, and then each `period`.
   DesiredWatch(const wire::EventLoop& loop, platform::StoreClient* store,
-               core::scheduler::Telemetry telemetry, Changed changed);
+               core::scheduler::Telemetry telemetry, base::Duration period,
+               Changed changed);
 
   // Null until the first was read.
   const std::shared_ptr<const core::desired::DesiredState>& current() const {
@@ -57,6 +58,7 @@
 
   platform::StoreClient* store_;
   core::scheduler::Telemetry telemetry_;
+  base::Duration period_;
   Changed changed_;
   std::shared_ptr<const core::desired::DesiredState> current_;
   // The text of `current_`.
--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -22,6 +22,10 @@
 // While the owner answers nothing, so that its replacement isn't held up.
 constexpr base::Duration kHeadPeriodOfMute = std::chrono::milliseconds(100);
 
+// What has to be known within some time is asked for this often in that time:
+// one answer may be lost, and one be slow.
+constexpr int kPollsInTime = 4;
+
 // What a host knows nothing of before its first greeting: a usual strong host.
 constexpr double kUsualShare = 0.5;
 
@@ -67,6 +71,10 @@
     const platform::PlatformSettings& settings) {
   core::scheduler::SchedulerSettings result;
   result.fleet.lease = std::min(result.fleet.lease, settings.max_lease);
+  // The platform takes a worker off its list after three silent heartbeats.
+  result.fleet.listing_silence = settings.heartbeat * 3;
+  // Members of a gang time out by themselves; a stop is surer and sooner.
+  result.gang_patience = settings.gang_timeout * 2 / 3;
   // One minute more than callers may ask for it.
   result.jobs.retention = settings.job_retention + std::chrono::minutes(1);
   return result;
@@ -96,6 +104,7 @@
       leadership_(LeadershipOf(settings, incarnation_)),
       writer_(*loop, &store_, &leadership_, telemetry_),
       desired_(*loop, &store_, telemetry_,
+               settings.desired_apply / kPollsInTime,
                [this](const auto& desired) {
                  if (term_ != nullptr) {
                    term_->SetDesired(desired);
@@ -210,6 +219,7 @@
           .writer = &writer_,
           .leadership = &leadership_,
           .telemetry = telemetry_,
+          .listings_period = settings_.worker_drain / kPollsInTime,
           .advise =
               [this](const core::scheduler::AskAdvice& ask,
                      const platform::WorkerClient::AdviceDone& done) {
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -27,8 +27,6 @@
 constexpr int kLagWindow = 16;
 // One transaction holds all changes of this time; each has a price.
 constexpr base::Duration kWriteGap = std::chrono::milliseconds(20);
-// A quarter of the time in which a leaving worker must get no new work (2 s).
-constexpr base::Duration kListingsPeriod = std::chrono::milliseconds(500);
 constexpr base::Duration kReadTimeout = std::chrono::milliseconds(1000);
 constexpr base::Duration kReadRetry = std::chrono::milliseconds(100);
 constexpr base::Duration kStoreAwayRetryAfter = std::chrono::seconds(1);
@@ -69,29 +67,32 @@
 }
 
 void OwnerTerm::ReadListings() {
-  parts_.store->Read(platform::RegistrationRows(), kReadTimeout,
-                     Guarded([this](const platform::ReadResult& result) {
-                       OnListings(result);
-                     }));
+  parts_.store->Read(
+      platform::RegistrationRows(), kReadTimeout,
+      Guarded([this, asked_at = Now()](const platform::ReadResult& result) {
+        OnListings(result, asked_at);
+      }));
 }
 
-void OwnerTerm::OnListings(const platform::ReadResult& result) {
+void OwnerTerm::OnListings(const platform::ReadResult& result,
+                           base::TimePoint asked_at) {
   if (result.outcome != platform::StoreOutcome::kDone) {
     listings_timer_.StartOnce(kReadRetry);
     return;
   }
-  listings_timer_.StartOnce(kListingsPeriod);
+  listings_timer_.StartOnce(parts_.listings_period);
   std::vector<core::workers::Listing> listings;
   for (const platform::Row& row : result.rows) {
     base::Failure reason;
     if (auto listing = platform::ReadListing(row.key.key, row.value, &reason)) {
+      listing->revision = row.version.value();
       listings.push_back(std::move(*listing));
     } else {
       parts_.telemetry.counters->Increment("registrations_unreadable",
                                            base::ToString(reason.code));
     }
   }
-  scheduler_.UpdateListings(listings, Now());
+  scheduler_.UpdateListings(std::move(listings), asked_at, Now());
   Wake();
 }
 
--- a/src/member/owner_term.h
+++ b/src/member/owner_term.h
@@ -33,6 +33,8 @@
     HeadWriter* writer = nullptr;
     core::leadership::Leadership* leadership = nullptr;
     core::scheduler::Telemetry telemetry;
+    // How often the platform's list of workers is read.
+    base::Duration listings_period{0};
     Advise advise;
     // The term is over: another owner was seen. Destroys the term, later.
     std::function<void()> ended;
@@ -74,7 +76,7 @@
                 const platform::ReadResult& result);
   void BeginScheduling();
   void ReadListings();
-  void OnListings(const platform::ReadResult& result);
+  void OnListings(const platform::ReadResult& result, base::TimePoint asked_at);
 
   void Tick();
   // Lets what just happened lead to placements and writes, a little later, so
--- a/test/core/scheduler/fleet_test.cc
+++ b/test/core/scheduler/fleet_test.cc
@@ -31,6 +31,7 @@
   base::TimePoint now{seconds(100)};
   std::int64_t worker_ms = 5000;
   std::int64_t born_ms = 1;
+  std::uint64_t revision = 1;
   std::vector<Action> actions;
   std::vector<jobs::RunEnd> ends;
 
@@ -54,8 +55,10 @@
     listing.capacity.cpu = base::Millicores(4000);
     listing.born_ms = born_ms;
     listing.draining = draining;
-    fleet.UpdateListings({listing}, now);
+    listing.revision = revision;
+    fleet.UpdateListings({listing}, now, now);
   }
+  void ListNothing() { fleet.UpdateListings({}, now, now); }
   void Tick() { fleet.Tick(now, &actions); }
   // Answers a look with these lists.
   void Look(std::vector<ListedRun> active, std::vector<ListedEnd> ended = {}) {
@@ -164,7 +167,9 @@
     CHECK_FALSE(story.fleet.Find(kWorker)->TakesWork(story.now));
   }
   SUBCASE("keeps its task until its lease has surely lapsed") {
-    for (int i = 0; i < 24; ++i) {
+    // Up to one step before the lease that was given last has run out.
+    const auto steps = FleetSettings().lease / milliseconds(200) - 1;
+    for (int i = 0; i < steps; ++i) {
       story.Pass(milliseconds(200));
       story.Tick();
       story.FailLook();
@@ -218,7 +223,7 @@
   SUBCASE("isn't settled by its first listing") {
     workers::Listing listed = listing;
     listed.born_ms = 1;
-    next.UpdateListings({listed}, story.now);
+    next.UpdateListings({listed}, story.now, story.now);
     CHECK(next.unsettled().contains(kWorker));
   }
   SUBCASE("is waited for longer while its former owner may command it") {
@@ -231,5 +236,60 @@
   }
 }
 
+TEST_CASE("a worker is missing on the list") {
+  Story story;
+  story.Start();
+  story.AnswerStart(OrderOutcome::kDone);
+  const auto list_draining = [&story](base::Duration after) {
+    story.Pass(after);
+    ++story.revision;
+    story.List(true);
+  };
+  SUBCASE("after it was draining: it has left, and its runs with it") {
+    list_draining(milliseconds(500));
+    list_draining(milliseconds(500));
+    story.Pass(milliseconds(500));
+    story.ListNothing();
+    REQUIRE(story.ends.size() == 1);
+    CHECK(story.ends[0] == jobs::RunEnd::kWorkerGone);
+  }
+  SUBCASE("without having been draining: it may only be silent") {
+    story.Pass(milliseconds(500));
+    ++story.revision;
+    story.List();
+    story.Pass(milliseconds(500));
+    story.ListNothing();
+    CHECK(story.ends.empty());
+  }
+  SUBCASE("after it had been silent for long: it may run on") {
+    list_draining(milliseconds(500));
+    for (int i = 0; i < 8; ++i) {
+      story.Pass(milliseconds(500));
+      story.List(true);
+    }
+    story.Pass(milliseconds(500));
+    story.ListNothing();
+    CHECK(story.ends.empty());
+  }
+  SUBCASE("after the store was away: entries may have been lost meanwhile") {
+    list_draining(milliseconds(500));
+    list_draining(milliseconds(500));
+    story.Pass(milliseconds(1500));
+    story.ListNothing();
+    CHECK(story.ends.empty());
+  }
+  SUBCASE("with a start that wasn't answered: its next life may get it") {
+    Story lost;
+    lost.Start();
+    lost.AnswerStart(OrderOutcome::kUnanswered);
+    lost.Pass(milliseconds(500));
+    ++lost.revision;
+    lost.List(true);
+    lost.Pass(milliseconds(500));
+    lost.ListNothing();
+    CHECK(lost.ends.empty());
+  }
+}
+
 }  // namespace
 }  // namespace dotterelbarrow::core::scheduler
--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -169,7 +169,7 @@
         listings.push_back(workers_[i]->listing());
       }
     }
-    scheduler.UpdateListings(listings, Now());
+    scheduler.UpdateListings(listings, Now(), Now());
   }
   scheduler.Tick(Now(), now_ms_);
   scheduler.Pass(Now());
--- a/test/platform/decoders_test.cc
+++ b/test/platform/decoders_test.cc
@@ -53,6 +53,10 @@
     CHECK(settings->metrics_address == "10.1.0.17:7421");
     CHECK(settings->key_withdrawal == std::chrono::seconds(5));
     CHECK(settings->shutdown_grace == std::chrono::seconds(6));
+    CHECK(settings->heartbeat == std::chrono::milliseconds(1500));
+    CHECK(settings->gang_timeout == std::chrono::seconds(3));
+    CHECK(settings->worker_drain == std::chrono::seconds(2));
+    CHECK(settings->desired_apply == std::chrono::seconds(2));
   }
   SUBCASE("without what is needed is refused, with the name of it") {
     const std::string text(kSettings);
