Owners go on for 6 s without a confirmed write, 9 before

Ruled out: loading (0.5 s) and advice. Change: one constant for both sides, 6 s, which outlasts the outages of four to six seconds that the store has. Left: records of starts, so that nobody waits for lost workers.

--- a/include/dotterelbarrow/core/leadership/leadership.h
+++ b/include/dotterelbarrow/core/leadership/leadership.h
@@ -57,9 +57,8 @@
   // Two looks at an unchanged head further apart than this prove nothing:
   // neither side may have reached the store in between.
   base::Duration most_blind = std::chrono::milliseconds(1000);
-  // An owner goes on to command workers for this long without a confirmed
-  // write: while the store is away nobody can replace it.
-  base::Duration authority = std::chrono::seconds(9);
+  // How long an owner goes on without a confirmed write.
+  base::Duration authority = scheduler::kOwnerAuthority;
 };
 
 enum class Role {
--- a/include/dotterelbarrow/core/scheduler/actions.h
+++ b/include/dotterelbarrow/core/scheduler/actions.h
@@ -19,6 +19,12 @@
 // Fences commands of former owners; rises with each change of the owner.
 using FencingToken = base::NumberId<struct FencingTokenTag>;
 
+// An owner goes on to command workers for this long without a confirmed write:
+// while the store is away nobody can replace it. Outlasts the usual outage of
+// four to six seconds; what a silent owner may have started on a worker that is
+// lost as well waits for as long.
+inline constexpr base::Duration kOwnerAuthority = std::chrono::seconds(6);
+
 // Where an order goes. The driver names the life of the worker, so that a
 // later one under the same address refuses the order.
 struct WorkerAddress {
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -45,7 +45,7 @@
   // An order to stop without an answer is repeated after this time.
   base::Duration stop_retry = std::chrono::milliseconds(300);
   // How long a former owner may go on after it was replaced, at most.
-  base::Duration former_owner_authority = std::chrono::seconds(9);
+  base::Duration former_owner_authority = kOwnerAuthority;
 };
 
 class Fleet {
