--- a/include/dotterelbarrow/core/jobs/job.h
+++ b/include/dotterelbarrow/core/jobs/job.h
@@ -81,8 +81,9 @@
   JobKey key;
   desired::QueueId queue;
   base::OrganisationId organisation;
-  // The service that the queue named when the job was accepted.
-  base::ServiceId service;
+  // The queue as it was when the job was accepted: its rules go on to hold for
+  // the job if the queue is dropped.
+  desired::Queue rules;
   JobSpec spec;
   // When it was accepted, by the store's clock, in milliseconds.
   std::int64_t accepted_ms = 0;
--- a/include/dotterelbarrow/core/jobs/job_records.h
+++ b/include/dotterelbarrow/core/jobs/job_records.h
@@ -1,6 +1,6 @@
 // What the store keeps of a job, as JSON texts of the project's own:
 //
-//   acceptance {"queue","organisation","service","accepted_ms","payload",
+//   acceptance {"queue","organisation","rules":{..},"accepted_ms","payload",
 //               "steps":[..],"repeat","start_ms","interval_ms"}; never changes
 //   progress   {"state","begun","occurrences":[{"k","steps":[
 //               {"done":"<bits>","failed":[[index,attempt..]..],
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -71,6 +71,10 @@
   // known.
   void NoteInherited(jobs::JobKey job) { inherited_.insert(job); }
 
+  // Keeps the rules of a queue that may be dropped by now.
+  void RememberQueue(const desired::Queue& queue) {
+    known_queues_.try_emplace(queue.id, queue);
+  }
   // Returns the queue as it is or, if it was dropped, as it last was.
   const desired::Queue* FindQueue(const desired::QueueId& id) const;
 
--- a/scripts/relay.py
+++ b/scripts/relay.py
@@ -1,7 +1,7 @@
-"""Stands between two ends on loopback, so that a test can cut them off from each other.
+"""Stands between two ends on loopback, so that a test can disturb what passes between them.
 
-While cut, new connections are taken and nothing is passed on, as by a firewall that drops all packets. Mending closes
-the connections that were cut, since what was on its way is lost.
+While cut, new connections are taken and nothing is passed on, as by a firewall that drops all packets; it may be cut
+in one direction only. Mending closes the connections that were cut, since what was on its way is lost.
 """
 import asyncio
 import threading
@@ -9,6 +9,11 @@
 HOST = "127.0.0.1"
 CHUNK_BYTES = 65536
 
+# What passes on, by the mode of the relay: towards the target, and back.
+PASSES = {"pass": (True, True), "cut": (False, False), "deaf": (False, True), "mute": (True, False),
+          "delay": (True, True)}
+DELAY_S = 0.4
+
 
 class Relay:
     """Passes on what comes to each listening port to its target port; runs on a thread of its own until close()."""
@@ -17,16 +22,24 @@
         self._target_of = target_of
         self._loop = asyncio.new_event_loop()
         self._connections = set()
-        self._is_cut = False
+        self._mode = "pass"
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
         self._run(self._listen())
 
     def cut(self):
-        self._run(self._set_cut(True))
+        self.set_mode("cut")
 
     def mend(self):
-        self._run(self._set_cut(False))
+        self.set_mode("pass")
+
+    def set_mode(self, mode):
+        """One of PASSES; `pass` also drops the connections that there are."""
+        self._run(self._set_mode(mode))
+
+    def reset(self):
+        """Drops all connections; new ones are served."""
+        self._run(self._drop_connections())
 
     def close(self):
         self._run(self._drop_connections())
@@ -40,9 +53,9 @@
         for port, target in self._target_of.items():
             await asyncio.start_server(lambda reader, writer, to=target: self._serve(reader, writer, to), HOST, port)
 
-    async def _set_cut(self, is_cut):
-        self._is_cut = is_cut
-        if not is_cut:
+    async def _set_mode(self, mode):
+        self._mode = mode
+        if mode == "pass":
             await self._drop_connections()
 
     async def _drop_connections(self):
@@ -55,7 +68,7 @@
         try:
             far_reader, far_writer = await asyncio.open_connection(HOST, target)
             try:
-                await asyncio.gather(self._pass_on(reader, far_writer), self._pass_on(far_reader, writer))
+                await asyncio.gather(self._pass_on(reader, far_writer, 0), self._pass_on(far_reader, writer, 1))
             finally:
                 far_writer.close()
         except (OSError, asyncio.CancelledError):
@@ -64,9 +77,11 @@
             self._connections.discard(task)
             writer.close()
 
-    async def _pass_on(self, reader, writer):
+    async def _pass_on(self, reader, writer, direction):
         while data := await reader.read(CHUNK_BYTES):
-            if not self._is_cut:
+            if self._mode == "delay":
+                await asyncio.sleep(DELAY_S)
+            if PASSES[self._mode][direction]:
                 writer.write(data)
                 await writer.drain()
         writer.close()
--- /dev/null
+++ b/scripts/soak.py
@@ -0,0 +1,216 @@
+#!/usr/bin/env python3
+"""A randomized fault soak of the real programs against the stand-in site.
+
+Callers hand jobs in and ask for them over connections that they keep, while processes are stopped, paused, killed and
+restarted, links to the store are cut, silenced, reset and delayed, and the store and workers misbehave, in series and
+overlapping. The promises are checked by what callers and workers see. A seed repeats the choice of faults and jobs;
+their timing is the machine's.
+
+Usage: scripts/soak.py [--seeds FIRST-LAST | --file SEEDS] [--seconds S] [--hosts N] [--workers N] [--keep]
+"""
+import argparse
+import random
+import signal
+import sys
+import threading
+import time
+
+from soak_callers import Callers
+from soak_site import Site
+
+MEND_BOUND_S = 60.0
+# A withdrawn key must not work this long after the operator's write.
+KEY_BOUND_S = 5.0
+
+
+class Faults:
+    """Things that go wrong, one after the other and side by side."""
+
+    def __init__(self, site, chance):
+        self._site = site
+        self._chance = chance
+        self._undoing = []
+        # Hosts that are being ended and started again.
+        self._restarting = set()
+        self.done = []
+
+    def run(self, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self._chance.choice(self._kinds())()
+            time.sleep(self._chance.uniform(0.1, 1.0))
+        for thread in self._undoing:
+            thread.join()
+
+    def _kinds(self):
+        return [self._kill, self._kill, self._pause, self._terminate, self._kill_all, self._store, self._store,
+                self._link, self._link, self._reset_links, self._worker, self._worker, self._crash_worker,
+                self._leave, self._change_key]
+
+    def _later(self, seconds, undo):
+        def run():
+            time.sleep(seconds)
+            undo()
+        thread = threading.Thread(target=run)
+        thread.start()
+        self._undoing.append(thread)
+
+    def _note(self, what):
+        self.done.append(what)
+
+    def _hosts(self):
+        return [host for host in range(self._site.hosts)
+                if host not in self._restarting and self._site.is_running(host)]
+
+    def _host(self):
+        hosts = self._hosts()
+        return self._chance.choice(hosts) if hosts else None
+
+    def _start_again(self, host):
+        self._site.start_host(host)
+        self._restarting.discard(host)
+
+    def _kill(self):
+        host = self._host()
+        if host is not None:
+            self._note(f"kill {host}")
+            self._restarting.add(host)
+            self._site.end_host(host, signal.SIGKILL)
+            self._later(self._chance.uniform(0.1, 1.5), lambda: self._start_again(host))
+
+    def _kill_all(self):
+        hosts = self._hosts()
+        self._note("kill all")
+        self._restarting.update(hosts)
+        for host in hosts:
+            self._site.end_host(host, signal.SIGKILL)
+        self._later(self._chance.uniform(0.1, 1.0), lambda: [self._start_again(host) for host in hosts])
+
+    def _pause(self):
+        host = self._host()
+        if host is not None:
+            self._note(f"pause {host}")
+            self._site.signal_host(host, signal.SIGSTOP)
+            self._later(self._chance.uniform(0.3, 4.0), lambda: self._site.wake_host(host))
+
+    def _terminate(self):
+        host = self._host()
+        if host is not None:
+            self._note(f"terminate {host}")
+            self._restarting.add(host)
+
+            def end():
+                self._site.signal_host(host, signal.SIGCONT)
+                self._site.end_host(host, signal.SIGTERM)
+                self._start_again(host)
+            self._later(0, end)
+
+    def _store(self):
+        kind = self._chance.choice(["refusing", "silent", "losing", "late", "slow"])
+        self._note(f"store {kind}")
+        self._site.fault(store=kind, permille=self._chance.randrange(100, 600))
+        self._later(self._chance.uniform(0.3, 4.0), lambda: self._site.fault(store="none"))
+
+    def _link(self):
+        host = self._chance.randrange(self._site.hosts)
+        mode = self._chance.choice(["cut", "deaf", "mute", "delay"])
+        self._note(f"link {host} {mode}")
+        self._site.links[host].set_mode(mode)
+        self._later(self._chance.uniform(0.3, 5.0), self._site.links[host].mend)
+
+    def _reset_links(self):
+        self._note("reset links")
+        for link in self._site.links.values():
+            if self._chance.random() < 0.5:
+                link.reset()
+
+    def _worker(self):
+        worker = f"worker-{self._chance.randrange(self._site.workers)}"
+        kind = self._chance.choice(["silent", "late", "late", "failing", "refusing"])
+        self._note(f"{worker} {kind}")
+        self._site.fault(worker=worker, fault=kind, permille=self._chance.randrange(100, 700))
+        self._later(self._chance.uniform(0.3, 8.0), lambda: self._site.fault(worker=worker, fault="none"))
+
+    def _crash_worker(self):
+        worker = f"worker-{self._chance.randrange(self._site.workers)}"
+        self._note(f"{worker} crash")
+        self._site.fault(worker=worker, do="crash")
+        self._later(self._chance.uniform(0.2, 7.0), lambda: self._site.fault(worker=worker, do="restart"))
+
+    def _leave(self):
+        worker = f"worker-{self._chance.randrange(self._site.workers)}"
+        self._note(f"{worker} leaves")
+        self._site.fault(worker=worker, do="drain")
+
+        def leave():
+            self._site.fault(worker=worker, do="leave")
+            time.sleep(2)
+            self._site.fault(worker=worker, do="restart")
+        self._later(self._chance.uniform(2.0, 4.0), leave)
+
+    def _change_key(self):
+        """An organisation's key is withdrawn, and another one given."""
+        name = self._chance.choice(sorted(self._site.keys))
+        self._note(f"key of {name}")
+        self._site.version += 1
+        self._site.keys[name] = f"key-{name}-{self._site.version}"
+        self._site.write_desired()
+
+
+def soak(seed, arguments):
+    """Returns what was broken under one seed, and a line on what happened."""
+    chance = random.Random(seed)
+    site = Site(seed, arguments.hosts, arguments.workers)
+    broken = []
+    try:
+        site.start()
+        callers = Callers(site, random.Random(seed + 1), KEY_BOUND_S)
+        callers.start()
+        faults = Faults(site, chance)
+        faults.run(arguments.seconds)
+        site.fault(store="none")
+        for link in site.links.values():
+            link.mend()
+        for worker in range(site.workers):
+            site.fault(worker=f"worker-{worker}", fault="none")
+        broken += callers.finish(MEND_BOUND_S)
+        broken += site.truth()["broken"] + [f"ended by itself: {what}" for what in site.ended_by_itself]
+        line = f"{callers.summary()}, {site.truth()['starts']} starts, {len(faults.done)} faults"
+        if broken:
+            line += f"; faults: {faults.done}; logs in {site.folder}"
+    finally:
+        site.close(keep_logs=bool(broken) or arguments.keep)
+    return broken, line
+
+
+def seeds_of(arguments):
+    if arguments.file:
+        with open(arguments.file, encoding="utf-8") as lines:
+            return [int(line.split()[0]) for line in lines if line.strip() and not line.startswith("#")]
+    first, _, last = arguments.seeds.partition("-")
+    return range(int(first), int(last or first) + 1)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--seeds", default=str(random.SystemRandom().randrange(1, 1 << 31)))
+    parser.add_argument("--file", help="a file with a seed at the start of each line")
+    parser.add_argument("--seconds", type=float, default=20.0, help="how long things go wrong under each seed")
+    parser.add_argument("--hosts", type=int, default=5)
+    parser.add_argument("--workers", type=int, default=8)
+    parser.add_argument("--keep", action="store_true", help="keep logs also where nothing was broken")
+    arguments = parser.parse_args()
+    failed = []
+    for seed in seeds_of(arguments):
+        broken, line = soak(seed, arguments)
+        print(f"seed {seed}: {'BROKEN' if broken else 'ok'}: {line}", flush=True)
+        for what in broken:
+            print(f"  {what}", flush=True)
+        if broken:
+            failed.append(seed)
+    print(f"soak: {'broken under seeds ' + str(failed) if failed else 'all promises kept'}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/scripts/soak_callers.py
@@ -0,0 +1,206 @@
+"""Callers of the soak: hand jobs in, retry, cancel, ask for states, and know what each answer promised."""
+import http.client
+import json
+import threading
+import time
+
+from cell import HOST
+from soak_site import CALLERS_HOST
+
+CALLERS = 4
+PAUSE_S = 0.05
+TIMEOUT_S = 3.0
+MOST_TRIES = 5
+
+
+class Job:
+    def __init__(self, key, queue, organisation, steps):
+        self.key = key
+        self.queue = queue
+        self.organisation = organisation
+        self.steps = steps
+        # "accepted", "never" (each try was refused) or "unknown".
+        self.fate = "unknown"
+        self.is_cancelled = False
+
+    @property
+    def tasks(self):
+        return sum(step["count"] for step in self.steps)
+
+    def body(self):
+        plan = {"steps": [{"ms": step["estimate_ms"], "cpu": step["cpu"],
+                           "gang": step["count"] if step.get("gang") else 0} for step in self.steps]}
+        return json.dumps({"spec": json.dumps(plan), "job_steps": self.steps})
+
+
+class Callers:
+    """Some threads, each with a connection to each host that it keeps until the host drops it."""
+
+    def __init__(self, site, chance, key_bound_s):
+        self._site = site
+        self._chance = chance
+        self._key_bound_s = key_bound_s
+        self._lock = threading.Lock()
+        self._stopping = threading.Event()
+        self._threads = []
+        self.jobs = []
+        self.broken = []
+        self._withdrawn = {}
+
+    def start(self):
+        for number in range(CALLERS):
+            thread = threading.Thread(target=self._run, args=(number,))
+            thread.start()
+            self._threads.append(thread)
+
+    def summary(self):
+        fates = [job.fate for job in self.jobs]
+        return (f"{len(fates)} jobs, {fates.count('accepted')} accepted, {fates.count('never')} refused, "
+                f"{fates.count('unknown')} unknown, {sum(job.is_cancelled for job in self.jobs)} cancelled")
+
+    # -- calls ----------------------------------------------------------------------------------------------------
+
+    def _call(self, connections, host, method, path, key, body=None):
+        """Returns (status, parsed body), or (None, None) where no whole answer came."""
+        connection = connections.get(host)
+        if connection is None:
+            connection = http.client.HTTPConnection(HOST, self._site.port(host, 0), timeout=TIMEOUT_S)
+            connections[host] = connection
+        try:
+            connection.request(method, path, body, {"Host": CALLERS_HOST, "Authorization": f"Bearer {key}"})
+            response = connection.getresponse()
+            text = response.read().decode()
+            if response.will_close:
+                connections.pop(host).close()
+            return response.status, json.loads(text) if text else {}
+        except (OSError, http.client.HTTPException, ValueError):
+            connections.pop(host).close()
+            return None, None
+
+    def _path(self, job):
+        return f"/{job.queue}/{job.key}"
+
+    def _key(self, job):
+        return self._site.keys[job.organisation]
+
+    # -- work -----------------------------------------------------------------------------------------------------
+
+    def _run(self, number):
+        connections = {}
+        while not self._stopping.is_set():
+            with self._lock:
+                job = self._new_job()
+            self._hand_in(connections, job)
+            with self._lock:
+                other = self._chance.choice(self.jobs)
+                is_cancel = self._chance.random() < 0.05
+            if is_cancel:
+                self._cancel(connections, other)
+            else:
+                self._ask(connections, other)
+            if number == 0:
+                self._try_withdrawn_key(connections)
+            time.sleep(PAUSE_S)
+
+    def _new_job(self):
+        steps = []
+        for position in range(self._chance.choice([1, 1, 1, 2])):
+            step = {"count": self._chance.randrange(1, 5), "cpu": self._chance.choice([250, 500, 1000]),
+                    "mem_mb": 64, "estimate_ms": self._chance.randrange(20, 600)}
+            if self._chance.random() < 0.3 and step["count"] > 1:
+                step["gang"] = True
+            if position > 0:
+                step["depends_on"] = [position - 1]
+            steps.append(step)
+        job = Job(f"{self._chance.getrandbits(63) + 1:016x}", self._chance.choice(["plain", "advised"]),
+                  self._chance.choice(sorted(self._site.keys)), steps)
+        self.jobs.append(job)
+        return job
+
+    def _hand_in(self, connections, job):
+        refused = 0
+        for attempt in range(MOST_TRIES):
+            host = self._chance.randrange(self._site.hosts)
+            status, _ = self._call(connections, host, "POST", self._path(job), self._key(job), job.body())
+            if status == 200:
+                job.fate = "accepted"
+                return
+            if status in (429, 503, 401):
+                refused += 1
+            elif status is not None and status != 504:
+                self.broken.append(f"{job.key}: handed in, answered {status}")
+            time.sleep(0.1 * attempt)
+        if refused == MOST_TRIES:
+            job.fate = "never"
+
+    def _ask(self, connections, job):
+        fate = job.fate
+        host = self._chance.randrange(self._site.hosts)
+        status, answer = self._call(connections, host, "GET", self._path(job), self._key(job))
+        if status == 410 and fate == "accepted":
+            self.broken.append(f"{job.key}: accepted, and then not known at host {host}")
+        if status == 200 and answer.get("state") == "completed":
+            self._check_completed(job)
+        if status == 200 and answer.get("state") == "cancelled" and not job.is_cancelled:
+            self.broken.append(f"{job.key}: shown as cancelled, which nobody asked for")
+
+    def _check_completed(self, job):
+        done = self._site.truth(job.key)["done"]
+        if done != job.tasks:
+            self.broken.append(f"{job.key}: shown as completed with {done} of {job.tasks} tasks done")
+
+    def _cancel(self, connections, job):
+        job.is_cancelled = True  # From the first try on it may be.
+        self._call(connections, self._chance.randrange(self._site.hosts), "DELETE", self._path(job), self._key(job))
+
+    def _try_withdrawn_key(self, connections):
+        """A key that was withdrawn long enough ago works nowhere."""
+        now = time.monotonic()
+        for name, key in list(self._site.keys.items()):
+            self._withdrawn.setdefault(name, {})
+            known = self._withdrawn[name]
+            for other in known:
+                known[other] = known[other] or (now if other != key else None)
+            known.setdefault(key, None)
+            for other, since in list(known.items()):
+                if since is None or now - since < self._key_bound_s:
+                    continue
+                job = f"{self._chance.getrandbits(63) + 1:016x}"
+                host = self._chance.randrange(self._site.hosts)
+                steps = [{"count": 1, "cpu": 100, "mem_mb": 1, "estimate_ms": 10}]
+                status, _ = self._call(connections, host, "POST", f"/plain/{job}", other,
+                                       json.dumps({"spec": "{}", "job_steps": steps}))
+                if status == 200:
+                    self.broken.append(f"{job}: taken with a key withdrawn {now - since:.1f} s before, host {host}")
+
+    # -- the end --------------------------------------------------------------------------------------------------
+
+    def finish(self, bound_s):
+        """Waits until every accepted job has come to its end; returns what was broken."""
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join()
+        connections = {}
+        open_jobs = [job for job in self.jobs if job.fate == "accepted"]
+        end = time.monotonic() + bound_s
+        while open_jobs and time.monotonic() < end:
+            open_jobs = [job for job in open_jobs if not self._has_ended(connections, job)]
+            time.sleep(0.1)
+        broken = [f"{job.key}: accepted, and not ended {bound_s} s after all was mended" for job in open_jobs]
+        for job in self.jobs:
+            if job.fate == "never" and self._site.truth(job.key)["has_started"]:
+                broken.append(f"{job.key}: refused each time, and started")
+        return self.broken + broken
+
+    def _has_ended(self, connections, job):
+        host = self._chance.randrange(self._site.hosts)
+        status, answer = self._call(connections, host, "GET", self._path(job), self._key(job))
+        if status == 410:
+            self.broken.append(f"{job.key}: accepted, and then not known at host {host}")
+            return True
+        state = answer.get("state") if status == 200 else None
+        if state == "completed":
+            self._check_completed(job)
+        if state == "failed":
+            self.broken.append(f"{job.key}: shown as failed")
+        return state in ("completed", "failed", "cancelled")
--- /dev/null
+++ b/scripts/soak_site.py
@@ -0,0 +1,172 @@
+"""Starts the stand-in site and several daemons on loopback, each with a link of its own to the store.
+
+Ends only what it started.
+"""
+import json
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import tempfile
+import time
+
+from cell import HOST, NoAnswer, PortsTaken, call, reserve_ports, taken_ports
+from relay import Relay
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BUILD = pathlib.Path(os.environ.get("DOTTEREL_BUILD", ROOT / "build"))
+
+# Ports of a site, from its base on: store, advisor, control, hosts (callers, readiness, peers, metrics each), links of
+# the hosts to the store, workers.
+HOST_PORTS = 10
+PORTS_OF_A_HOST = 4
+LINK_PORTS = 70
+WORKER_PORTS = 100
+MOST_HOSTS = 15
+MOST_WORKERS = 99
+
+KEYS = {"school": "key-school", "parts": "key-parts"}
+CALLERS_HOST = "site.example"
+GRACE_S = 6
+# Many runs may fail before a job has: the soak's workers fail runs by chance.
+MAX_ATTEMPTS = 1000
+
+
+def desired_state(version, keys):
+    """What the operator writes: two queues, one of them with an advisor, and two organisations."""
+    def route(name, priority, advisor):
+        return {"name": name, "host": CALLERS_HOST, "path_prefix": f"/{name}/", "service": "tasks", "public": False,
+                "priority": priority, "max_attempts": MAX_ATTEMPTS, "slack_factor": 20.0,
+                "target_completion_ms": 5000, "timeout_ms": 3000, "advisor": advisor}
+    return {
+        "version": version,
+        "routes": [route("plain", 0, None),
+                   route("advised", 1, {"decision_ms": 10.0, "per_worker_ms": 0.1, "valid_ms": 1500})],
+        "services": [{"name": "tasks", "enforces_capacity": False, "standby": False}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "idle_timeout_ms": 15000},
+        "tenants": [{"name": name, "api_keys": [key], "weight": 1000, "cap": {"cpu": 0, "mem_mb": 0, "gpu": 0}}
+                    for name, key in keys.items()],
+    }
+
+
+class Site:
+    """`hosts` daemons, `workers` workers of `cores` cores."""
+
+    def __init__(self, seed, hosts=5, workers=8, cores=4):
+        self.base_port, self._ports_lock = reserve_ports()
+        self.seed = seed
+        self.hosts = hosts
+        self.workers = workers
+        self.cores = cores
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"dotterel-soak-{seed}-"))
+        self.processes = {}
+        self.links = {}
+        self.version = 1
+        self.keys = dict(KEYS)
+        self.control_port = self.base_port + 2
+        self.ended_by_itself = []
+
+    def port(self, host, which):
+        """`which`: 0 callers, 1 readiness, 2 peers, 3 metrics."""
+        return self.base_port + HOST_PORTS + host * PORTS_OF_A_HOST + which
+
+    def start(self):
+        worker_ports = range(self.base_port + WORKER_PORTS, self.base_port + WORKER_PORTS + self.workers)
+        taken = taken_ports(list(range(self.base_port, self.base_port + WORKER_PORTS)) + list(worker_ports))
+        if taken:
+            raise PortsTaken(f"ports in use: {taken}")
+        self._spawn("site", BUILD / "dotterel-standin-site", "--store", f"{HOST}:{self.base_port}", "--advisor",
+                    f"{HOST}:{self.base_port + 1}", "--control", f"{HOST}:{self.control_port}",
+                    "--first-worker-port", worker_ports.start, "--workers", self.workers, "--cores", self.cores,
+                    "--seed", self.seed)
+        self._wait(lambda: self.truth() is not None, "the stand-in")
+        self.write_desired()
+        for host in range(self.hosts):
+            self.links[host] = Relay({self.base_port + LINK_PORTS + host: self.base_port})
+            self.start_host(host)
+        self._wait(lambda: all(self._is_ready(host) for host in range(self.hosts)), "all hosts ready")
+
+    def _wait(self, holds, what, bound_s=30.0):
+        end = time.monotonic() + bound_s
+        while time.monotonic() < end:
+            try:
+                if holds():
+                    return
+            except NoAnswer:
+                pass
+            time.sleep(0.05)
+        raise TimeoutError(f"waited {bound_s} s for {what}; logs in {self.folder}")
+
+    def _is_ready(self, host):
+        return call(self.port(host, 1), "GET", "/readyz")[0] == 200
+
+    def _spawn(self, name, *command, environment=None):
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen([str(part) for part in command], stdout=log, stderr=log,
+                                                    env=environment)
+
+    def start_host(self, host):
+        path = self.folder / f"host-{host}.yaml"
+        path.write_text(json.dumps({  # JSON is YAML.
+            "node_name": f"host-{host}", "ip": HOST, "zone": f"zone-{host % 3}",
+            "listen_addrs": {"frontend": f"{HOST}:{self.port(host, 0)}", "readiness": f"{HOST}:{self.port(host, 1)}"},
+            "internal_ports": [self.port(host, 2), self.port(host, 3)],
+            "limits": {"cpu_share": 1.0}, "advisor": f"{HOST}:{self.base_port + 1}", "heartbeat_ms": 1500,
+            "platform": {"address": f"{HOST}:{self.base_port + LINK_PORTS + host}"},
+            "bounds": {"revoke_ms": 5000, "grace_s": GRACE_S, "max_hold_ms": 10000, "status_s": 120,
+                       "gang_timeout_ms": 3000, "drain_ms": 2000, "config_apply_ms": 2000},
+        }))
+        self._spawn(f"host-{host}", BUILD / "dotterelbarrowd", "--platform",
+                    environment=dict(os.environ, DOTTERELBARROW_CONFIG=str(path)))
+
+    def _process(self, host):
+        return self.processes[f"host-{host}"]
+
+    def is_running(self, host):
+        return self._process(host).poll() is None
+
+    def signal_host(self, host, number):
+        """Sends a signal to a daemon that runs; one that ended unasked is noted."""
+        if self.is_running(host):
+            self._process(host).send_signal(number)
+        else:
+            self.ended_by_itself.append(f"host-{host} with {self._process(host).returncode}")
+
+    def wake_host(self, host):
+        """Lets a paused daemon go on, if it hasn't been ended meanwhile."""
+        if self.is_running(host):
+            self._process(host).send_signal(signal.SIGCONT)
+
+    def end_host(self, host, number):
+        """Ends a daemon by a signal, and waits until it has."""
+        self.signal_host(host, number)
+        try:
+            self._process(host).wait(GRACE_S + 2)
+        except subprocess.TimeoutExpired:
+            self.ended_by_itself.append(f"host-{host} didn't end after signal {number}")
+            self._process(host).kill()
+            self._process(host).wait()
+
+    def fault(self, **what):
+        status, _ = call(self.control_port, "POST", "/fault", what)
+        assert status == 200, f"the stand-in refused {what}"
+
+    def write_desired(self):
+        self.fault(desired=desired_state(self.version, self.keys))
+
+    def truth(self, job=None):
+        status, answer = call(self.control_port, "GET", f"/truth?job={job}" if job else "/truth")
+        return answer if status == 200 else None
+
+    def close(self, keep_logs):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+        for link in self.links.values():
+            link.close()
+        self._ports_lock.close()
+        if not keep_logs:
+            shutil.rmtree(self.folder)
--- a/src/core/jobs/job_records.cc
+++ b/src/core/jobs/job_records.cc
@@ -16,6 +16,8 @@
 // Bounds on what one record may make a process allocate.
 constexpr std::int64_t kMostTasksOfStep = 100'000;
 constexpr std::int64_t kMostRepeats = 1'000'000'000;
+constexpr std::int64_t kMostPriority = 1'000'000;
+constexpr std::int64_t kMostAttempts = 4'000'000'000;
 constexpr std::int64_t kMostNumber = std::int64_t{1} << 52;
 
 constexpr std::array kAllStates = {JobState::kQueued, JobState::kInProgress,
@@ -258,6 +260,44 @@
   }
 }
 
+Json::Value RulesToJson(const desired::Queue& rules) {
+  Json::Value value(Json::objectValue);
+  value["service"] = rules.service.value();
+  value["priority"] = rules.priority;
+  value["attempts"] = rules.max_attempts;
+  value["slack"] = rules.slack_factor;
+  value["target_ms"] = Milliseconds(rules.completion_target);
+  if (rules.advice) {
+    value["decision_us"] = static_cast<Json::Int64>(
+        rules.advice->decision / std::chrono::microseconds(1));
+    value["per_worker_us"] = static_cast<Json::Int64>(
+        rules.advice->per_worker / std::chrono::microseconds(1));
+    value["valid_ms"] = Milliseconds(rules.advice->ticket_validity);
+  }
+  return value;
+}
+
+desired::Queue RulesFromJson(const Json::Value& value, Failure* reason) {
+  Reader reader(value, reason);
+  desired::Queue rules;
+  rules.service = base::ServiceId(reader.Text("service"));
+  rules.priority = static_cast<int>(reader.Number("priority", kMostPriority));
+  rules.max_attempts =
+      static_cast<std::uint32_t>(reader.Number("attempts", kMostAttempts));
+  rules.slack_factor =
+      value["slack"].isNumeric() ? value["slack"].asDouble() : 1.0;
+  rules.completion_target =
+      std::chrono::milliseconds(reader.Number("target_ms", kMostNumber / 1000));
+  if (value["decision_us"].isNumeric()) {
+    rules.advice = desired::AdvicePolicy{
+        std::chrono::microseconds(reader.Number("decision_us", kMostNumber)),
+        std::chrono::microseconds(reader.Number("per_worker_us", kMostNumber)),
+        std::chrono::milliseconds(
+            reader.Number("valid_ms", kMostNumber / 1000))};
+  }
+  return rules;
+}
+
 }  // namespace
 
 std::optional<JobState> ParseJobState(const std::string& name) {
@@ -306,7 +346,7 @@
   Json::Value value = ToJson(job.spec);
   value["queue"] = job.queue.value();
   value["organisation"] = job.organisation.value();
-  value["service"] = job.service.value();
+  value["rules"] = RulesToJson(job.rules);
   value["accepted_ms"] = static_cast<Json::Int64>(job.accepted_ms);
   return WriteJson(value);
 }
@@ -345,7 +385,8 @@
   job.spec = std::move(*spec);
   job.queue = desired::QueueId(reader.Text("queue"));
   job.organisation = base::OrganisationId(reader.Text("organisation"));
-  job.service = base::ServiceId(reader.Text("service"));
+  job.rules = RulesFromJson((*value)["rules"], reason);
+  job.rules.id = job.queue;
   job.accepted_ms = reader.Number("accepted_ms", kMostNumber);
   if (!job.spec.is_scheduled()) {
     job.BeginOccurrence();
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -30,7 +30,11 @@
       return true;
     }
   }
-  // Nobody allowed is left, or nothing is known yet.
+  if (advice.is_known) {
+    // None of the allowed workers takes work; which ones are doesn't change.
+    want_more_.push_back(item);
+    return false;
+  }
   if (advice.calls == 0 && now >= advice.retry_at && CanAsk(*item, now) &&
       IsWorthAsking(*item, now)) {
     AskInParts(*item, WorkersToAskAbout(*item, now), now, actions);
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -76,6 +76,7 @@
       scheduled_.insert(key);
     }
     dispatcher_.NoteInherited(key);
+    dispatcher_.RememberQueue(job->rules);
     ConsiderAll(*job);
   }
 }
@@ -163,7 +164,7 @@
   job.key = submission.key;
   job.queue = submission.queue;
   job.organisation = submission.organisation;
-  job.service = queue->service;
+  job.rules = *queue;
   job.spec = std::move(submission.spec);
   job.accepted_ms = store_now_ms;
   job.accepted_at = now;
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -94,7 +94,9 @@
     return;
   }
   const desired::Queue* queue = dispatcher_.FindQueue(job->queue);
-  const std::uint32_t max_attempts = queue == nullptr ? 1 : queue->max_attempts;
+  // Its rules came with the acceptance, if not with the desired state.
+  const std::uint32_t max_attempts =
+      (queue == nullptr ? job->rules : *queue).max_attempts;
   if (end != jobs::RunEnd::kDone) {
     telemetry_.log->Write(
         "run_ended", {{"task", jobs::ToString(task)},
--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -204,7 +204,9 @@
 }
 
 void Member::Impl::ClaimIfFree() {
-  if (is_stopping_ || writer_.is_busy() || term_ != nullptr) {
+  // An owner decides by the desired state from its first moment on.
+  if (is_stopping_ || writer_.is_busy() || term_ != nullptr ||
+      desired_.current() == nullptr) {
     return;
   }
   const auto claim = leadership_.BeginClaim(Now());
@@ -242,9 +244,7 @@
           .ended = [this] { EndTerm(); },
           .store_fails = [this] { OfferFailingCell(); }},
       SchedulerOf(settings_), store_now_ms);
-  if (desired_.current() != nullptr) {
-    term_->SetDesired(desired_.current());
-  }
+  term_->SetDesired(desired_.current());
   UpdateAskers();
   AnnounceOwnership();
 }
--- /dev/null
+++ b/src/standins/site/gang_model.cc
@@ -0,0 +1,64 @@
+// Looks at all members that are present.
+#include "src/standins/site/gang_model.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <utility>
+
+namespace dotterelbarrow::standins::site {
+namespace {
+
+// As the platform has it by default.
+constexpr std::int64_t kGangPatienceMs = 3000;
+
+struct Member {
+  WorkerModel* worker;
+  TaskRef task;
+  std::int64_t present_ms;
+};
+
+struct Gang {
+  RunPlan plan;
+  std::vector<Member> members;
+};
+
+void EndIfDue(const Gang& gang) {
+  const bool is_whole = gang.members.size() == gang.plan.gang_size;
+  const auto last = std::min_element(gang.members.begin(), gang.members.end(),
+                                     [](const Member& a, const Member& b) {
+                                       return a.present_ms < b.present_ms;
+                                     });
+  for (const Member& member : gang.members) {
+    if (is_whole && last->present_ms >= gang.plan.duration_ms) {
+      member.worker->EndGangMember(
+          member.task, gang.plan.fails ? RunEnd::kFailed : RunEnd::kDone);
+    } else if (!is_whole && member.present_ms >= kGangPatienceMs) {
+      member.worker->EndGangMember(member.task, RunEnd::kGangTimeout);
+    }
+  }
+}
+
+}  // namespace
+
+void EndDueGangs(const std::vector<WorkerModel*>& workers) {
+  std::map<std::pair<core::jobs::StepRef, Attempt>, Gang> gangs;
+  for (WorkerModel* worker : workers) {
+    if (!worker->is_up()) {
+      continue;
+    }
+    for (const auto& [task, run] : worker->runs()) {
+      if (run.plan.gang_size > 0) {
+        Gang& gang = gangs[{task.step, run.attempt}];
+        gang.plan = run.plan;
+        gang.members.push_back(
+            {worker, task, worker->clock_ms() - run.started_ms});
+      }
+    }
+  }
+  for (const auto& [key, gang] : gangs) {
+    EndIfDue(gang);
+  }
+}
+
+}  // namespace dotterelbarrow::standins::site
--- /dev/null
+++ b/src/standins/site/site_service.cc
@@ -0,0 +1,142 @@
+// Puts the parts of a site together.
+#include "src/standins/site/site_service.h"
+
+#include <utility>
+#include <vector>
+
+#include "dotterelbarrow/core/codec.h"
+#include "src/standins/site/gang_model.h"
+
+namespace dotterelbarrow::standins::site {
+namespace {
+
+constexpr base::Duration kTickPeriod = std::chrono::milliseconds(5);
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr std::int64_t kMillicores = 1000;
+constexpr std::int64_t kMemoryMb = 65536;
+constexpr int kRackSize = 4;
+// The platform takes a silent worker off its list after three heartbeats.
+constexpr std::int64_t kUnlistedAfterMs = 4500;
+
+core::workers::Listing ListingOf(const SiteOptions& options, int number) {
+  core::workers::Listing listing;
+  listing.id = base::BackendId("worker-" + std::to_string(number));
+  listing.address = options.worker_ip + ":" +
+                    std::to_string(options.first_worker_port + number);
+  listing.service = base::ServiceId("tasks");
+  listing.zone = base::AvailabilityZone("zone");
+  listing.rack = std::to_string(number / kRackSize);
+  listing.capacity = {base::Millicores(options.cores * kMillicores),
+                      base::Mebibytes(kMemoryMb), base::Accelerators(0),
+                      base::Slots(0)};
+  listing.born_ms = 1;
+  return listing;
+}
+
+}  // namespace
+
+SiteService::SiteService(wire::EventLoop* loop, const SiteOptions& options)
+    : loop_(loop),
+      options_(options),
+      random_(options.seed),
+      store_(*loop, &later_, options.seed),
+      advisor_(*loop, &later_, options.workers),
+      control_(*loop, wire::HttpServerOptions()),
+      tick_timer_(*loop, kTickPeriod, [this] { Tick(); }) {
+  control_.Route(wire::HttpMethod::kPost, "/fault",
+                 [this](const wire::HttpRequest& r) { OnFault(r); });
+  control_.Route(wire::HttpMethod::kGet, "/truth",
+                 [this](const wire::HttpRequest& r) { OnTruth(r); });
+  constexpr int kMostSlowness = 20;  // In thousandths; the platform states 2%.
+  for (int i = 0; i < options.workers; ++i) {
+    core::workers::Listing listing = ListingOf(options, i);
+    const std::string id = listing.id.value();
+    workers_[id] = std::make_unique<WorkerService>(
+        *loop, Site{&later_, &store_, &ledger_, &random_}, std::move(listing),
+        i % (kMostSlowness + 1));
+  }
+}
+
+bool SiteService::Listen(base::Failure* reason) {
+  for (const auto& [id, worker] : workers_) {
+    if (!worker->Listen(reason)) {
+      return false;
+    }
+  }
+  return store_.Listen(options_.store, reason) &&
+         advisor_.Listen(options_.advisor, reason) &&
+         control_.Listen(options_.control, reason).has_value();
+}
+
+void SiteService::Tick() {
+  later_.Run();
+  std::vector<WorkerModel*> models;
+  for (const auto& [id, worker] : workers_) {
+    worker->Tick();
+    models.push_back(worker->model());
+  }
+  EndDueGangs(models);
+}
+
+void SiteService::DoToWorker(const std::string& id, const std::string& what) {
+  WorkerService* worker = workers_.at(id).get();
+  if (what == "drain") {
+    worker->Drain();
+  } else if (what == "restart") {
+    worker->Restart();
+  } else if (what == "leave") {
+    worker->Crash();
+    store_.Remove("servers", id);
+  } else if (what == "crash") {
+    worker->Crash();
+    later_.After(kUnlistedAfterMs, [this, id] {
+      if (!workers_.at(id)->model()->is_up()) {
+        store_.Remove("servers", id);
+      }
+    });
+  }
+}
+
+void SiteService::OnFault(const wire::HttpRequest& request) {
+  base::Failure reason;
+  const auto body = core::ReadJson(request.body, &reason);
+  const int permille =
+      body && (*body)["permille"].isInt() ? (*body)["permille"].asInt() : 1000;
+  const std::string id =
+      body && (*body)["worker"].isString() ? (*body)["worker"].asString() : "";
+  if (body && (*body)["store"].isString()) {
+    store_.SetFault(StoreFaultOf((*body)["store"].asString()), permille);
+  } else if (body && (*body)["desired"].isObject()) {
+    store_.PutText("op", "config", core::WriteJson((*body)["desired"]));
+  } else if (workers_.contains(id) && (*body)["fault"].isString()) {
+    workers_.at(id)->SetFault(WorkerFaultOf((*body)["fault"].asString()),
+                              permille);
+  } else if (workers_.contains(id) && (*body)["do"].isString()) {
+    DoToWorker(id, (*body)["do"].asString());
+  } else {
+    control_.Reply(request.exchange, {.status = kBadRequest, .body = {}});
+    return;
+  }
+  control_.Reply(request.exchange, {.status = kOk, .body = "{}"});
+}
+
+void SiteService::OnTruth(const wire::HttpRequest& request) {
+  Json::Value answer(Json::objectValue);
+  answer["starts"] = static_cast<Json::UInt64>(ledger_.starts());
+  answer["broken"] = Json::Value(Json::arrayValue);
+  for (const std::string& broken : ledger_.broken()) {
+    answer["broken"].append(broken);
+  }
+  const auto job = request.query.find("job");
+  if (job != request.query.end()) {
+    if (const auto key = core::jobs::ParseJobKey(job->second)) {
+      answer["done"] = static_cast<Json::UInt64>(ledger_.DoneTasksOf(*key));
+      answer["has_started"] = ledger_.HasStarted(*key);
+    }
+  }
+  control_.Reply(request.exchange,
+                 {.status = kOk, .body = core::WriteJson(answer)});
+}
+
+}  // namespace dotterelbarrow::standins::site
--- /dev/null
+++ b/src/standins/site/store_service.cc
@@ -0,0 +1,186 @@
+// Calls of the store.
+#include "src/standins/site/store_service.h"
+
+#include <sodium.h>
+
+#include <utility>
+
+#include "dotterelbarrow/core/codec.h"
+
+namespace dotterelbarrow::standins::site {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kForbidden = 403;
+constexpr int kConflict = 412;
+constexpr int kUnavailable = 503;
+constexpr std::size_t kMostRows = 500;
+constexpr std::size_t kMostEntries = 100;
+// What a transaction and a read take, and how much longer if it is slow.
+constexpr std::int64_t kTransactionMs = 8;
+constexpr std::int64_t kReadMs = 2;
+constexpr std::int64_t kSlowness = 60;
+constexpr std::int64_t kLateLeastMs = 1000;
+constexpr std::int64_t kLateMostMs = 6000;
+
+std::string TextOf(const Json::Value& value, const char* name) {
+  return value[name].isString() ? value[name].asString() : std::string();
+}
+
+RowName RowOf(const Json::Value& value) {
+  return {TextOf(value, "table"), TextOf(value, "part"), TextOf(value, "key")};
+}
+
+std::uint64_t VersionOf(const Json::Value& value) {
+  const Json::Value& version = value["schema_version"];
+  return version.isUInt64() ? version.asUInt64() : 0;
+}
+
+Json::Value ToJson(const RowName& name, const StoredRow& row) {
+  Json::Value value(Json::objectValue);
+  value["table"] = name.table;
+  value["part"] = name.part;
+  value["key"] = name.key;
+  value["value"] = row.value;
+  value["schema_version"] = static_cast<Json::UInt64>(row.version);
+  return value;
+}
+
+std::string Base64(const std::string& bytes) {
+  std::string text(
+      sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL),
+      '\0');
+  sodium_bin2base64(text.data(), text.size(),
+                    reinterpret_cast<const unsigned char*>(bytes.data()),
+                    bytes.size(), sodium_base64_VARIANT_ORIGINAL);
+  text.pop_back();  // The terminating zero.
+  return text;
+}
+
+std::string QueryOf(const wire::HttpRequest& request, const char* name) {
+  const auto it = request.query.find(name);
+  return it == request.query.end() ? std::string() : it->second;
+}
+
+bool IsOthers(const RowName& row) {
+  return row.table == "op" || row.table == "servers";
+}
+
+}  // namespace
+
+StoreService::StoreService(const wire::EventLoop& loop, DelayedCalls* later,
+                           std::uint32_t seed)
+    : server_(loop, wire::HttpServerOptions()), later_(later), random_(seed) {
+  server_.Route(
+      wire::HttpMethod::kPost, "/rows-tx",
+      [this](const wire::HttpRequest& request) { OnTransaction(request); });
+  server_.Route(wire::HttpMethod::kGet, "/rows-get",
+                [this](const wire::HttpRequest& request) { OnRead(request); });
+}
+
+bool StoreService::Listen(const std::string& address, base::Failure* reason) {
+  return server_.Listen(address, reason).has_value();
+}
+
+void StoreService::PutText(const std::string& table, const std::string& key,
+                           const std::string& text) {
+  model_.Put({table, "", key}, Base64(text));
+}
+
+void StoreService::Remove(const std::string& table, const std::string& key) {
+  model_.Remove({table, "", key});
+}
+
+bool StoreService::MeetsOutage(const wire::HttpRequest& request) {
+  if (fault_ == StoreFault::kRefusing) {
+    Reply(request.exchange, kUnavailable, Json::Value(Json::objectValue));
+  }
+  return fault_ == StoreFault::kRefusing || fault_ == StoreFault::kSilent;
+}
+
+void StoreService::OnTransaction(const wire::HttpRequest& request) {
+  if (MeetsOutage(request)) {
+    return;
+  }
+  base::Failure reason;
+  const auto body = core::ReadJson(request.body, &reason);
+  StoreTransaction transaction;
+  bool is_allowed = true;
+  std::size_t entries = 0;
+  for (const Json::Value& row :
+       body ? (*body)["expected_revision"] : Json::Value()) {
+    transaction.conditions.push_back({RowOf(row), VersionOf(row)});
+    ++entries;
+  }
+  for (const Json::Value& row : body ? (*body)["put"] : Json::Value()) {
+    is_allowed = is_allowed && !IsOthers(RowOf(row));
+    transaction.puts[RowOf(row)] = TextOf(row, "value");
+    ++entries;
+  }
+  for (const Json::Value& row : body ? (*body)["remove"] : Json::Value()) {
+    is_allowed = is_allowed && !IsOthers(RowOf(row));
+    transaction.removals.push_back(RowOf(row));
+    ++entries;
+  }
+  if (!body || entries > kMostEntries || !is_allowed) {
+    Reply(request.exchange, is_allowed ? kBadRequest : kForbidden,
+          Json::Value(Json::objectValue));
+    return;
+  }
+  const bool is_late = fault_ == StoreFault::kLate && Chance();
+  const bool is_lost = is_late || (fault_ == StoreFault::kLosing && Chance());
+  std::int64_t delay =
+      kTransactionMs * (fault_ == StoreFault::kSlow ? kSlowness : 1);
+  if (is_late) {
+    delay = std::uniform_int_distribution<std::int64_t>(kLateLeastMs,
+                                                        kLateMostMs)(random_);
+  }
+  later_->After(delay, [this, exchange = request.exchange, is_lost,
+                        transaction = std::move(transaction)] {
+    const auto version = model_.Apply(transaction);
+    if (is_lost) {
+      return;
+    }
+    Json::Value answer(Json::objectValue);
+    answer["schema_version"] =
+        static_cast<Json::UInt64>(version.value_or(model_.version()));
+    for (const auto& condition : transaction.conditions) {
+      const StoredRow* row = model_.Find(condition.row);
+      if (!version && row != nullptr) {
+        answer["rows"].append(ToJson(condition.row, *row));
+      }
+    }
+    Reply(exchange, version ? kOk : kConflict, answer);
+  });
+}
+
+void StoreService::OnRead(const wire::HttpRequest& request) {
+  if (MeetsOutage(request)) {
+    return;
+  }
+  const std::int64_t delay =
+      kReadMs * (fault_ == StoreFault::kSlow ? kSlowness : 1);
+  later_->After(delay, [this, request] {
+    const StoreModel::Range range = model_.Read(
+        QueryOf(request, "table"), QueryOf(request, "part"),
+        QueryOf(request, "from"), QueryOf(request, "target"), kMostRows);
+    Json::Value answer(Json::objectValue);
+    answer["rows"] = Json::Value(Json::arrayValue);
+    for (const auto& [name, row] : range.rows) {
+      answer["rows"].append(ToJson(name, row));
+    }
+    answer["has_more"] = range.has_more;
+    answer["schema_version"] = static_cast<Json::UInt64>(model_.version());
+    Reply(request.exchange, kOk, answer);
+  });
+}
+
+void StoreService::Reply(wire::ExchangeId exchange, int status,
+                         const Json::Value& body) {
+  Json::Value answer = body;
+  answer["now_ms"] = static_cast<Json::Int64>(NowMillis());
+  server_.Reply(exchange, {.status = status, .body = core::WriteJson(answer)});
+}
+
+}  // namespace dotterelbarrow::standins::site
--- a/test/fuzz/scheduler/model_worker.cc
+++ b/src/standins/site/worker_model.cc
@@ -1,10 +1,10 @@
 // Orders, leases and ends of a model worker.
-#include "test/fuzz/scheduler/model_worker.h"
+#include "src/standins/site/worker_model.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace dotterelbarrow::test {
+namespace dotterelbarrow::standins::site {
 namespace {
 
 constexpr std::int64_t kStopMs = 200;
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-void ModelWorker::AdvanceTo(std::int64_t now_ms) {
+void WorkerModel::AdvanceTo(std::int64_t now_ms) {
   const std::int64_t passed =
       (now_ms - world_ms_) * (kPermille - slowness_permille_) +
       clock_remainder_;
@@ -39,7 +39,7 @@
   }
 }
 
-bool ModelWorker::PassesFence(FencingToken token) {
+bool WorkerModel::PassesFence(FencingToken token) {
   if (token < fence_) {
     return false;
   }
@@ -47,7 +47,7 @@
   return true;
 }
 
-void ModelWorker::End(const TaskRef& task, RunEnd end) {
+void WorkerModel::End(const TaskRef& task, RunEnd end) {
   const auto it = runs_.find(task);
   if (it == runs_.end()) {
     return;
@@ -57,7 +57,7 @@
   runs_.erase(it);
 }
 
-OrderOutcome ModelWorker::Start(const core::scheduler::StartTask& order,
+OrderOutcome WorkerModel::Start(const core::scheduler::StartTask& order,
                                 FencingToken token, const RunPlan& plan) {
   if (!PassesFence(token)) {
     return OrderOutcome::kFenced;
@@ -84,7 +84,7 @@
   return OrderOutcome::kDone;
 }
 
-OrderOutcome ModelWorker::Stop(const core::scheduler::StopTask& order,
+OrderOutcome WorkerModel::Stop(const core::scheduler::StopTask& order,
                                FencingToken token) {
   if (!PassesFence(token)) {
     return OrderOutcome::kFenced;
@@ -98,7 +98,7 @@
   return OrderOutcome::kDone;
 }
 
-LookResult ModelWorker::Look(const core::scheduler::LookAtWorker& order,
+LookResult WorkerModel::Look(const core::scheduler::LookAtWorker& order,
                              FencingToken token) {
   LookResult result;
   result.clock_ms = clock_ms_;
@@ -121,12 +121,12 @@
   return result;
 }
 
-void ModelWorker::Crash() {
+void WorkerModel::Crash() {
   is_up_ = false;
   runs_.clear();
 }
 
-void ModelWorker::Restart(std::int64_t born_ms) {
+void WorkerModel::Restart(std::int64_t born_ms) {
   is_up_ = true;
   listing_.born_ms = born_ms;
   fence_ = FencingToken(0);
@@ -137,4 +137,4 @@
   last_end_ = 0;
 }
 
-}  // namespace dotterelbarrow::test
+}  // namespace dotterelbarrow::standins::site
--- a/test/fuzz/scheduler/model_worker.h
+++ b/src/standins/site/worker_model.h
@@ -1,8 +1,8 @@
 // A worker as the platform describes it: fences, leases on its own clock,
 // numbered ends, gangs. It breaks no promise itself, and notes where an owner
 // made it break one.
-#ifndef DOTTERELBARROW_TEST_FUZZ_SCHEDULER_MODEL_WORKER_H_
-#define DOTTERELBARROW_TEST_FUZZ_SCHEDULER_MODEL_WORKER_H_
+#ifndef DOTTERELBARROW_STANDINS_SITE_WORKER_MODEL_H_
+#define DOTTERELBARROW_STANDINS_SITE_WORKER_MODEL_H_
 
 #include <cstdint>
 #include <functional>
@@ -13,7 +13,7 @@
 
 #include "dotterelbarrow/core/scheduler/actions.h"
 
-namespace dotterelbarrow::test {
+namespace dotterelbarrow::standins::site {
 
 using core::jobs::Attempt;
 using core::jobs::RunEnd;
@@ -23,7 +23,7 @@
 using core::scheduler::LookResult;
 using core::scheduler::OrderOutcome;
 
-// What a run needs and how it will go; the fuzzer's choice.
+// What a run needs and how it will go.
 struct RunPlan {
   base::Resources needs;
   std::int64_t duration_ms = 500;
@@ -32,7 +32,7 @@
   std::uint32_t gang_size = 0;
 };
 
-class ModelWorker {
+class WorkerModel {
  public:
   struct Run {
     Attempt attempt;
@@ -42,7 +42,7 @@
   };
 
   // `slowness_permille` is what its clock loses.
-  ModelWorker(core::workers::Listing listing, std::int64_t slowness_permille)
+  WorkerModel(core::workers::Listing listing, std::int64_t slowness_permille)
       : listing_(std::move(listing)), slowness_permille_(slowness_permille) {}
 
   const core::workers::Listing& listing() const { return listing_; }
@@ -90,6 +90,6 @@
   bool was_overloaded_ = false;
 };
 
-}  // namespace dotterelbarrow::test
+}  // namespace dotterelbarrow::standins::site
 
-#endif  // DOTTERELBARROW_TEST_FUZZ_SCHEDULER_MODEL_WORKER_H_
+#endif  // DOTTERELBARROW_STANDINS_SITE_WORKER_MODEL_H_
--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "dotterelbarrow/base/overloaded.h"
+#include "src/standins/site/gang_model.h"
 
 namespace dotterelbarrow::test {
 namespace {
@@ -26,7 +27,6 @@
 constexpr std::int64_t kStepMs = 10;
 constexpr std::int64_t kListingsPeriodMs = 500;
 constexpr std::int64_t kAnswerTimeoutMs = 500;
-constexpr std::int64_t kGangPatienceMs = 3000;
 constexpr std::int64_t kWorkerCores = 16;
 constexpr std::int64_t kWorkerMemory = 64;
 constexpr std::int64_t kMostMendMs = 120'000;
@@ -89,7 +89,7 @@
                         base::Mebibytes(kWorkerMemory), base::Accelerators(0),
                         base::Slots(0)};
     listing.born_ms = 1;
-    workers_.push_back(std::make_unique<ModelWorker>(listing, Between(0, 20)));
+    workers_.push_back(std::make_unique<WorkerModel>(listing, Between(0, 20)));
   }
   BeginTerm();
 }
@@ -144,7 +144,11 @@
       Break("overloaded: " + worker->listing().id.value());
     }
   }
-  StepGangs();
+  std::vector<WorkerModel*> all;
+  for (const auto& worker : workers_) {
+    all.push_back(worker.get());
+  }
+  standins::site::EndDueGangs(all);
   while (!events_.empty() && events_.begin()->first.first <= now_ms_) {
     const Event event = std::move(events_.begin()->second);
     events_.erase(events_.begin());
@@ -220,7 +224,7 @@
 
 void Cell::Deliver(
     const std::shared_ptr<Owner>& owner, const std::string& worker,
-    const std::function<OrderOutcome(ModelWorker*)>& order,
+    const std::function<OrderOutcome(WorkerModel*)>& order,
     const std::function<void(OrderOutcome, std::int64_t)>& answer) {
   const auto it = std::find_if(
       workers_.begin(), workers_.end(),
@@ -245,7 +249,7 @@
   const std::int64_t delay = is_late ? Between(2000, 8000) : Between(1, 15);
   const std::int64_t born_ms = (*it)->listing().born_ms;
   After(delay, [this, index, order, reply, is_answered, is_late, born_ms] {
-    ModelWorker* target = workers_[index].get();
+    WorkerModel* target = workers_[index].get();
     // What a worker carries out late it has received before: it goes with the
     // worker's life.
     if (!target->is_up() || (is_late && target->listing().born_ms != born_ms)) {
@@ -275,7 +279,7 @@
           [&](const StartTask& start) {
             Deliver(
                 owner, start.worker.address,
-                [this, owner, start](ModelWorker* worker) {
+                [this, owner, start](WorkerModel* worker) {
                   const bool was_there = worker->runs().contains(start.task);
                   const OrderOutcome outcome =
                       worker->Start(start, owner->token, PlanOf(start.task));
@@ -291,7 +295,7 @@
           [&](const StopTask& stop) {
             Deliver(
                 owner, stop.worker.address,
-                [owner, stop](ModelWorker* worker) {
+                [owner, stop](WorkerModel* worker) {
                   return worker->Stop(stop, owner->token);
                 },
                 [this, owner, stop](OrderOutcome outcome, std::int64_t clock) {
@@ -302,7 +306,7 @@
             auto result = std::make_shared<LookResult>();
             Deliver(
                 owner, look.worker.address,
-                [this, owner, look, result](ModelWorker* worker) {
+                [this, owner, look, result](WorkerModel* worker) {
                   for (const ListedEnd& end : worker->ends()) {
                     if (end.number <= look.ends_stored &&
                         end.end == RunEnd::kDone) {
@@ -343,7 +347,7 @@
       action);
 }
 
-void Cell::CheckStart(const ModelWorker& worker, const TaskRef& task,
+void Cell::CheckStart(const WorkerModel& worker, const TaskRef& task,
                       Attempt attempt) {
   ++starts_;
   const std::string name = core::jobs::ToString(task) + " attempt " +
@@ -374,45 +378,6 @@
   }
 }
 
-void Cell::StepGangs() {
-  // Members by step and attempt.
-  struct Member {
-    ModelWorker* worker;
-    TaskRef task;
-    std::int64_t present_ms;
-  };
-  std::map<std::pair<StepRef, Attempt>, std::vector<Member>> gangs;
-  std::map<std::pair<StepRef, Attempt>, RunPlan> plans;
-  for (const auto& worker : workers_) {
-    if (!worker->is_up()) {
-      continue;
-    }
-    for (const auto& [task, run] : worker->runs()) {
-      if (run.plan.gang_size > 0) {
-        gangs[{task.step, run.attempt}].push_back(
-            {worker.get(), task, worker->clock_ms() - run.started_ms});
-        plans[{task.step, run.attempt}] = run.plan;
-      }
-    }
-  }
-  for (const auto& [key, members] : gangs) {
-    const RunPlan& plan = plans[key];
-    const bool is_whole = members.size() == plan.gang_size;
-    std::int64_t least_present = members.front().present_ms;
-    for (const Member& member : members) {
-      least_present = std::min(least_present, member.present_ms);
-    }
-    for (const Member& member : members) {
-      if (is_whole && least_present >= plan.duration_ms) {
-        member.worker->EndGangMember(
-            member.task, plan.fails ? RunEnd::kFailed : RunEnd::kDone);
-      } else if (!is_whole && member.present_ms >= kGangPatienceMs) {
-        member.worker->EndGangMember(member.task, RunEnd::kGangTimeout);
-      }
-    }
-  }
-}
-
 JobKey Cell::Submit(JobSpec spec) {
   const JobKey key(++last_job_);
   specs_[key] = spec;
@@ -486,7 +451,7 @@
 }
 
 void Cell::CrashWorker(std::size_t index) {
-  ModelWorker* worker = workers_[index].get();
+  WorkerModel* worker = workers_[index].get();
   if (!worker->is_up()) {
     return;
   }
--- a/test/fuzz/scheduler/cell.h
+++ b/test/fuzz/scheduler/cell.h
@@ -14,10 +14,20 @@
 #include <vector>
 
 #include "dotterelbarrow/core/scheduler/scheduler.h"
-#include "test/fuzz/scheduler/model_worker.h"
+#include "src/standins/site/worker_model.h"
 
 namespace dotterelbarrow::test {
 
+using standins::site::Attempt;
+using standins::site::FencingToken;
+using standins::site::ListedEnd;
+using standins::site::LookResult;
+using standins::site::OrderOutcome;
+using standins::site::RunEnd;
+using standins::site::RunPlan;
+using standins::site::TaskRef;
+using standins::site::WorkerModel;
+
 // How much goes wrong, in thousandths.
 struct Faults {
   int orders_lost = 0;
@@ -99,12 +109,11 @@
                 const core::scheduler::Action& action);
   // Brings an order to its worker and its answer back, as the network does.
   void Deliver(const std::shared_ptr<Owner>& owner, const std::string& worker,
-               const std::function<OrderOutcome(ModelWorker*)>& order,
+               const std::function<OrderOutcome(WorkerModel*)>& order,
                const std::function<void(OrderOutcome, std::int64_t)>& answer);
   void WriteBatch(const std::shared_ptr<Owner>& owner);
   void Store(const core::scheduler::StoredBatch& batch);
-  void StepGangs();
-  void CheckStart(const ModelWorker& worker, const TaskRef& task,
+  void CheckStart(const WorkerModel& worker, const TaskRef& task,
                   Attempt attempt);
   void Break(const std::string& what) { broken_.push_back(what); }
   RunPlan PlanOf(const TaskRef& task);
@@ -116,7 +125,7 @@
   std::uint64_t next_event_ = 0;
   std::map<std::pair<std::int64_t, std::uint64_t>, Event> events_;
   std::shared_ptr<core::desired::DesiredState> desired_;
-  std::vector<std::unique_ptr<ModelWorker>> workers_;
+  std::vector<std::unique_ptr<WorkerModel>> workers_;
   std::set<std::size_t> cut_;
   std::vector<std::shared_ptr<Owner>> owners_;
   std::uint64_t last_token_ = 0;
