Owners say that a job is unknown only once a write confirms their term; starts that no list showed may run in the next life

Change: 'unknown job' is answered once a head write begun after the question is stored. Runs that no list of a worker's life showed are closed in its next life before they end. The stand-in's ledger hears of ends first.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build test demo bench fuzz mutants format check-format lint
+.PHONY: all deps build test demo bench experiment fuzz soak mutants format check-format lint
 all: build
 
 deps:
@@ -23,9 +23,17 @@
 	$(BUILD)/dotterel-bench-cell
 	scripts/bench-lookups
 
+experiment: build
+	$(BUILD)/dotterel-experiment --pattern bench/experiment/patterns/large-fleet.json $(EXPERIMENT_ARGS)
+	$(BUILD)/dotterel-experiment --pattern bench/experiment/patterns/small-fleet.json $(EXPERIMENT_ARGS)
+
 fuzz: build
 	scripts/fuzz $(FUZZ_ARGS)
 
+# Fresh seeds by default; SOAK_ARGS="--file test/soak/seeds.txt" plays those that once failed.
+soak: build
+	DOTTEREL_BUILD=$(BUILD) python3 -B scripts/soak.py $(SOAK_ARGS)
+
 mutants: deps
 	scripts/mutants $(MUTANT_ARGS)
 
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -75,6 +75,9 @@
   // to stop; 0 before. A list of a later clock shows the order's effect.
   std::int64_t confirmed_ms = 0;
   std::int64_t stop_taken_ms = 0;
+  // Whether a list showed it, so that it surely runs in this life of the
+  // worker: the answer to its start may have come from the next one.
+  bool is_listed = false;
   base::TimePoint stop_sent_at{};
   // Where another attempt could go on, as the worker last said.
   std::string checkpoint{};
--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -45,10 +45,12 @@
     """The other end refused the connection, closed it, or was silent for too long."""
 
 
-def call(port, method, path, body=None, key=None, timeout=10.0):
-    """One HTTP call; returns (status, parsed JSON or text)."""
+def call(port, method, path, body=None, key=None, timeout=10.0, host=None):
+    """One HTTP call, to the name `host` if that is given; returns (status, parsed JSON or text)."""
     connection = http.client.HTTPConnection(HOST, port, timeout=timeout)
     headers = {"Content-Type": "application/json"}
+    if host:
+        headers["Host"] = host
     if key:
         headers["Authorization"] = f"Bearer {key}"
     try:
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -7,6 +7,7 @@
 their timing is the machine's.
 
 Usage: scripts/soak.py [--seeds FIRST-LAST | --file SEEDS] [--seconds S] [--hosts N] [--workers N] [--keep]
+                       [--until-broken]
 """
 import argparse
 import random
@@ -199,6 +200,7 @@
     parser.add_argument("--hosts", type=int, default=5)
     parser.add_argument("--workers", type=int, default=8)
     parser.add_argument("--keep", action="store_true", help="keep logs also where nothing was broken")
+    parser.add_argument("--until-broken", action="store_true", help="end with the first seed that breaks a promise")
     arguments = parser.parse_args()
     failed = []
     for seed in seeds_of(arguments):
@@ -208,6 +210,8 @@
             print(f"  {what}", flush=True)
         if broken:
             failed.append(seed)
+            if arguments.until_broken:
+                break
     print(f"soak: {'broken under seeds ' + str(failed) if failed else 'all promises kept'}")
     return 1 if failed else 0
 
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -79,7 +79,8 @@
 void Fleet::EndRunsOfLeft(Worker* worker) {
   std::vector<RunKey> gone;
   for (const auto& [key, run] : worker->runs()) {
-    // An order without an answer may still reach another life.
+    // An order without an answer may still reach another life. One that was
+    // answered reached this one: it took its entry off the list itself.
     if (run.state == RunState::kEarmarked || run.confirmed_ms != 0) {
       gone.push_back(key);
     }
@@ -162,12 +163,12 @@
       {{"worker", worker->id().value()},
        {"born_ms", listing.born_ms},
        {"lost_runs", static_cast<std::int64_t>(worker->runs().size())}});
-  // Starts without an answer may still be carried out, by the new life as
-  // well: it is reached under the same id. They are closed there.
+  // The new life is reached under the same id: it may carry out starts without
+  // an answer, and may have carried out those that no list has shown. They are
+  // closed there.
   std::vector<Run> unresolved;
   for (const auto& [key, run] : worker->runs()) {
-    const bool was_ordered = run.state != RunState::kEarmarked;
-    if (was_ordered && run.confirmed_ms == 0) {
+    if (run.state != RunState::kEarmarked && !run.is_listed) {
       unresolved.push_back(run);
     }
   }
@@ -182,6 +183,7 @@
   fresh.inherited_until = worker->inherited_until;
   for (Run& run : unresolved) {
     run.state = RunState::kStopping;
+    run.confirmed_ms = 0;
     run.stop_taken_ms = 0;
     run.stop_sent_at = base::TimePoint();
     fresh.AddRun(std::move(run));
--- a/src/core/scheduler/fleet_runs.cc
+++ b/src/core/scheduler/fleet_runs.cc
@@ -274,6 +274,7 @@
     if (run->confirmed_ms == 0) {
       run->confirmed_ms = result.clock_ms;
     }
+    run->is_listed = true;
     run->checkpoint =
         listed.checkpoint.empty() ? run->checkpoint : listed.checkpoint;
   }
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -162,17 +162,19 @@
                    const auto answer =
                        scheduler_.Cancel(cancel.key, waiter, Now());
                    using core::scheduler::CancelAnswer;
-                   if (answer != CancelAnswer::kStoring) {
+                   if (answer == CancelAnswer::kUnknown) {
+                     unknown_waiters_.push_back(waiter);
+                   } else if (answer == CancelAnswer::kCancelled) {
                      waiters_.erase(waiter);
-                     reply(answer == CancelAnswer::kCancelled
-                               ? OwnerAnswer(Cancelled{})
-                               : OwnerAnswer(UnknownJob{}));
+                     reply(Cancelled{});
                    }
                  },
                  [&](const StateCall& state) {
-                   const auto found = scheduler_.StateOf(state.key);
-                   reply(found ? OwnerAnswer(JobStateAnswer{*found})
-                               : OwnerAnswer(UnknownJob{}));
+                   if (const auto found = scheduler_.StateOf(state.key)) {
+                     reply(JobStateAnswer{*found});
+                   } else {
+                     unknown_waiters_.push_back(AddWaiter(reply));
+                   }
                  },
                  [&](const PendingCall& pending) {
                    if (Now() - pending_counted_at_ >= kPendingAge) {
@@ -298,10 +300,11 @@
   }
   const base::TimePoint now = Now();
   const bool has_changes = is_loaded_ && scheduler_.has_changes();
+  const bool has_reason = has_changes || !unknown_waiters_.empty();
   const bool is_due =
-      is_resigning_ || (has_changes && now - last_write_begun_ >= kWriteGap);
+      is_resigning_ || (has_reason && now - last_write_begun_ >= kWriteGap);
   if (!is_due && !parts_.leadership->IsRenewalDue(now)) {
-    if (has_changes) {
+    if (has_reason) {
       WakeIn(last_write_begun_ + kWriteGap - now);
     }
     return;
@@ -317,8 +320,12 @@
       is_resigning_ ? parts_.leadership->BeginResignation(now)
                     : parts_.leadership->BeginWrite(now),
       batch->changes,
-      Guarded([this, batch](HeadWriteEnd end, std::int64_t store_now_ms) {
+      Guarded([this, batch, unknown = std::exchange(unknown_waiters_, {})](
+                  HeadWriteEnd end, std::int64_t store_now_ms) {
         OnWritten(end, store_now_ms, *batch);
+        if (end == HeadWriteEnd::kStored) {
+          ReplyTo(unknown, UnknownJob{});
+        }
       }));
 }
 
--- a/src/member/owner_term.h
+++ b/src/member/owner_term.h
@@ -125,6 +125,10 @@
   std::int64_t store_clock_offset_ms_ = 0;
   std::uint64_t last_waiter_ = 0;
   std::unordered_map<core::scheduler::WaiterId, OwnerReply> waiters_;
+  // Those who asked for a job that isn't known here. They hear so once a write
+  // begun after they asked shows that this host still owns the cell: the next
+  // owner may have taken the job while this one was paused.
+  std::vector<core::scheduler::WaiterId> unknown_waiters_;
   base::TimePoint last_write_begun_;
   std::map<core::desired::QueueId, std::uint64_t> pending_;
   base::TimePoint pending_counted_at_;
--- a/src/standins/site/worker_service.cc
+++ b/src/standins/site/worker_service.cc
@@ -151,7 +151,7 @@
       server_.Reply(exchange, {.status = kBadRequest, .body = {}});
       return;
     }
-    model_.AdvanceTo(NowMillis());
+    Advance();
     core::scheduler::StartTask order;
     order.task = *task;
     order.attempt = Attempt(CountOf(body, "attempt"));
@@ -183,7 +183,7 @@
       server_.Reply(exchange, {.status = kBadRequest, .body = {}});
       return;
     }
-    model_.AdvanceTo(NowMillis());
+    Advance();
     const OrderOutcome outcome =
         model_.Stop({.worker = {},
                      .task = *task,
@@ -198,7 +198,7 @@
 void WorkerService::OnLook(const wire::HttpRequest& request) {
   Carry(request, [this, exchange = request.exchange](const Json::Value& body,
                                                      bool is_answered) {
-    model_.AdvanceTo(NowMillis());
+    Advance();
     core::scheduler::LookAtWorker order;
     order.ends_stored = CountOf(body, "acked_through");
     if (body["deadline_ms"].isInt64()) {
@@ -227,6 +227,7 @@
 }
 
 void WorkerService::AnswerLooks() {
+  NoteEnds();
   Json::Value answer;
   const std::int64_t now = NowMillis();
   const auto is_due = [&](const WaitingLook& look) {
@@ -275,12 +276,17 @@
   }
 }
 
-void WorkerService::Tick() {
+void WorkerService::Advance() {
   model_.AdvanceTo(NowMillis());
+  // The ledger knows of an end before an owner does.
+  NoteEnds();
+}
+
+void WorkerService::Tick() {
+  Advance();
   if (!model_.is_up()) {
     return;
   }
-  NoteEnds();
   if (fault_ != WorkerFault::kSilent) {
     AnswerLooks();
   }
--- a/src/standins/site/worker_service.h
+++ b/src/standins/site/worker_service.h
@@ -66,6 +66,7 @@
   void OnLook(const wire::HttpRequest& request);
   void AnswerLooks();
   void Answer(wire::ExchangeId exchange, OrderOutcome outcome);
+  void Advance();
   void NoteEnds();
   void Register();
   bool Chance();
--- a/test/core/jobs/job_test.cc
+++ b/test/core/jobs/job_test.cc
@@ -173,6 +173,30 @@
     CHECK(read->spec.steps[1].gang);
     CHECK(read->accepted_ms == 51230);
   }
+  SUBCASE("an acceptance keeps the rules of its queue") {
+    job.rules.id = job.queue;
+    job.rules.service = base::ServiceId("tasks");
+    job.rules.priority = 2;
+    job.rules.max_attempts = 5;
+    job.rules.slack_factor = 1.5;
+    job.rules.completion_target = std::chrono::milliseconds(800);
+    job.rules.advice = desired::AdvicePolicy{std::chrono::milliseconds(10),
+                                             std::chrono::microseconds(100),
+                                             std::chrono::milliseconds(1500)};
+    const auto read = ReadAcceptance(job.key, AcceptanceRecord(job), &reason);
+    REQUIRE(read);
+    CHECK(read->rules.id == job.queue);
+    CHECK(read->rules.service == job.rules.service);
+    CHECK(read->rules.priority == 2);
+    CHECK(read->rules.max_attempts == 5);
+    CHECK(read->rules.slack_factor == doctest::Approx(1.5));
+    CHECK(read->rules.completion_target == job.rules.completion_target);
+    REQUIRE(read->rules.advice);
+    CHECK(read->rules.advice->decision == job.rules.advice->decision);
+    CHECK(read->rules.advice->per_worker == job.rules.advice->per_worker);
+    CHECK(read->rules.advice->ticket_validity ==
+          job.rules.advice->ticket_validity);
+  }
   SUBCASE("progress keeps what is done and which runs failed") {
     End(&job, TaskOf(job, 0, 1), 1, RunEnd::kDone);
     End(&job, TaskOf(job, 0, 5), 1, RunEnd::kDone);
--- a/test/core/scheduler/fleet_test.cc
+++ b/test/core/scheduler/fleet_test.cc
@@ -7,18 +7,14 @@
 #include <variant>
 #include <vector>
 
+#include "test/core/scheduler/scheduler_story.h"
+
 namespace dotterelbarrow::core::scheduler {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-class NoLog : public DecisionLog {
- public:
-  void Write(std::string_view /*event*/,
-             std::initializer_list<LogField> /*fields*/) override {}
-};
-
 const base::BackendId kWorker("worker");
 constexpr jobs::TaskRef kTask{{jobs::JobKey(1), 0, 0}, 0};
 constexpr jobs::Attempt kAttempt(1);
@@ -192,6 +188,35 @@
   }
 }
 
+// A worker that crashes may be back at once, under the id and address that it
+// had, before the list shows it.
+TEST_CASE("a start that was answered, but never listed") {
+  Story story;
+  story.Start();
+  story.AnswerStart(OrderOutcome::kDone);
+  story.born_ms = 2;
+  story.worker_ms = 40;
+  story.actions.clear();
+  story.List();
+
+  SUBCASE("may run in the worker's next life, and isn't taken for gone") {
+    CHECK(story.ends.empty());
+    CHECK(story.FreeCpu() == 1000);
+  }
+  SUBCASE("is closed there before its room is free") {
+    story.Tick();
+    story.Look({{kTask, kAttempt, ""}});
+    CHECK(story.CountActions<StopTask>() >= 1);
+    story.fleet.OnStopped(kWorker, story.born_ms, {kTask, kAttempt},
+                          OrderOutcome::kDone, story.worker_ms, &story.actions);
+    CHECK(story.ends.empty());
+    story.Pass(milliseconds(200));
+    story.Look({}, {{1, kTask, kAttempt, jobs::RunEnd::kStopped, ""}});
+    CHECK(story.ends == std::vector{jobs::RunEnd::kStopped});
+    CHECK(story.FreeCpu() == 4000);
+  }
+}
+
 TEST_CASE("ends") {
   Story story;
   story.Start();
--- /dev/null
+++ b/test/core/scheduler/scheduler_story.cc
@@ -0,0 +1,242 @@
+// Carries out what the scheduler of a story wants done.
+#include "test/core/scheduler/scheduler_story.h"
+
+#include <utility>
+
+#include "dotterelbarrow/base/overloaded.h"
+
+namespace dotterelbarrow::core::scheduler {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::int64_t kWorkerCores = 4;
+constexpr std::int64_t kMillicores = 1000;
+const base::ServiceId kService("tasks");
+
+desired::Queue MakeQueue(const std::string& name) {
+  desired::Queue queue;
+  queue.id = desired::QueueId(name);
+  queue.service = kService;
+  queue.max_attempts = SchedulerStory::kMaxAttempts;
+  queue.slack_factor = 10.0;
+  queue.completion_target = seconds(5);
+  return queue;
+}
+
+}  // namespace
+
+const base::OrganisationId SchedulerStory::kSchool("school");
+
+SchedulerStory::SchedulerStory() {
+  desired::Queue advised = MakeQueue("advised");
+  advised.advice = desired::AdvicePolicy{
+      milliseconds(20), std::chrono::microseconds(100), kTicketValidity};
+  queues_ = {MakeQueue("plain"), advised};
+  organisation_.id = kSchool;
+  organisation_.weight = 1000;
+  BeginTerm();
+}
+
+void SchedulerStory::BeginTerm() {
+  scheduler_ = std::make_unique<Scheduler>(SchedulerSettings(),
+                                           Telemetry{&log_, &counters_});
+  scheduler_->BeginTerm(FencingToken(++token_), now_);
+  for (const RecordTable table :
+       {RecordTable::kLivePages, RecordTable::kEndedPages}) {
+    for (const auto& [key, text] : rows_[table]) {
+      scheduler_->RestorePage(table, key, text, now_);
+    }
+  }
+  scheduler_->RestoreJobs(now_, NowMillis());
+  for (const auto& [id, record] : rows_[RecordTable::kWorkers]) {
+    scheduler_->Inherit(base::BackendId(id), record, now_);
+  }
+  DropQueue("");
+  scheduler_->SetAskers({base::EntryId("host-0"), base::EntryId("host-1")});
+}
+
+void SchedulerStory::AddWorkers(int count) {
+  for (int i = 0; i < count; ++i) {
+    Worker worker;
+    worker.listing.id =
+        base::BackendId("worker-" + std::to_string(workers_.size()));
+    worker.listing.address = worker.listing.id.value();
+    worker.listing.service = kService;
+    worker.listing.capacity.cpu = base::Millicores(kWorkerCores * kMillicores);
+    worker.listing.capacity.memory = base::Mebibytes(1024);
+    worker.listing.born_ms = 1;
+    worker.listing.revision = 1;
+    workers_.emplace(worker.listing.id, std::move(worker));
+  }
+  Pass();
+  Store();
+}
+
+void SchedulerStory::SetCap(int cores) {
+  organisation_.cap.cpu = base::Millicores(cores * kMillicores);
+  DropQueue("");
+}
+
+void SchedulerStory::DropQueue(const std::string& name) {
+  std::erase_if(queues_, [&name](const desired::Queue& queue) {
+    return queue.id.value() == name;
+  });
+  scheduler_->SetDesired(std::make_shared<desired::DesiredState>(
+      base::ConfigVersion(1), queues_,
+      std::vector<desired::Organisation>{organisation_},
+      std::vector<desired::Service>{{kService, false, false}},
+      desired::CallLimits()));
+}
+
+jobs::StepSpec SchedulerStory::Step(std::uint32_t tasks) {
+  jobs::StepSpec step;
+  step.tasks = tasks;
+  step.needs.cpu = base::Millicores(kMillicores);
+  step.estimate = milliseconds(500);
+  return step;
+}
+
+jobs::StepSpec SchedulerStory::Gang(std::uint32_t tasks) {
+  jobs::StepSpec step = Step(tasks);
+  step.gang = true;
+  step.needs.cpu = base::Millicores(kWorkerCores * kMillicores);
+  return step;
+}
+
+SubmitAnswer SchedulerStory::Submit(std::uint64_t key, const std::string& queue,
+                                    std::vector<jobs::StepSpec> steps) {
+  Submission submission{
+      jobs::JobKey(key), desired::QueueId(queue), kSchool, {}};
+  submission.spec.steps = std::move(steps);
+  return scheduler_->Submit(std::move(submission), WaiterId(++last_waiter_),
+                            NowMillis(), now_);
+}
+
+std::vector<WaiterId> SchedulerStory::Store() {
+  std::vector<WaiterId> heard;
+  while (scheduler_->has_changes()) {
+    const StoredBatch batch = scheduler_->TakeBatch(now_);
+    for (const RecordChange& change : batch.changes) {
+      if (change.value) {
+        rows_[change.table][change.key] = *change.value;
+      } else {
+        rows_[change.table].erase(change.key);
+      }
+    }
+    scheduler_->OnStored(batch, now_);
+    heard.insert(heard.end(), batch.accept_waiters.begin(),
+                 batch.accept_waiters.end());
+    heard.insert(heard.end(), batch.cancel_waiters.begin(),
+                 batch.cancel_waiters.end());
+  }
+  return heard;
+}
+
+void SchedulerStory::Accept(std::uint64_t key, const std::string& queue,
+                            std::vector<jobs::StepSpec> steps) {
+  Submit(key, queue, std::move(steps));
+  Store();
+}
+
+void SchedulerStory::Pass() {
+  std::vector<workers::Listing> listings;
+  for (const auto& [id, worker] : workers_) {
+    listings.push_back(worker.listing);
+  }
+  scheduler_->UpdateListings(listings, now_, now_);
+  scheduler_->Tick(now_, NowMillis());
+  scheduler_->Pass(now_);
+  CarryOut();
+}
+
+void SchedulerStory::Passes(int count) {
+  for (int i = 0; i < count; ++i) {
+    Advance(milliseconds(100));
+    Pass();
+  }
+}
+
+void SchedulerStory::CarryOut() {
+  for (auto actions = scheduler_->TakeActions(); !actions.empty();
+       actions = scheduler_->TakeActions()) {
+    for (const Action& action : actions) {
+      CarryOut(action);
+    }
+  }
+}
+
+void SchedulerStory::CarryOut(const Action& action) {
+  std::visit(base::Overloaded{
+                 [this](const StartTask& order) {
+                   starts_.push_back(order);
+                   OrderOutcome outcome = OrderOutcome::kBadTicket;
+                   if (!refuses_tickets) {
+                     outcome = OrderOutcome::kDone;
+                     workers_.at(order.worker.id).running[order.task] =
+                         order.attempt;
+                   }
+                   scheduler_->OnStarted(order, outcome, NowMillis(), now_);
+                 },
+                 [this](const StopTask& order) {
+                   Worker& worker = workers_.at(order.worker.id);
+                   if (worker.running.erase(order.task) > 0) {
+                     worker.ended.push_back({++worker.last_end,
+                                             order.task,
+                                             order.attempt,
+                                             jobs::RunEnd::kStopped,
+                                             {}});
+                   }
+                   scheduler_->OnStopped(order, OrderOutcome::kDone,
+                                         NowMillis(), now_);
+                 },
+                 [this](const LookAtWorker& order) {
+                   Worker& worker = workers_.at(order.worker.id);
+                   std::erase_if(worker.ended, [&](const ListedEnd& end) {
+                     return end.number <= order.ends_stored;
+                   });
+                   LookResult result;
+                   result.outcome = OrderOutcome::kDone;
+                   result.clock_ms = NowMillis();
+                   result.born_ms = worker.listing.born_ms;
+                   for (const auto& [task, attempt] : worker.running) {
+                     result.active.push_back({task, attempt, {}});
+                   }
+                   result.ended = worker.ended;
+                   scheduler_->OnLooked(order, result, now_);
+                 },
+                 [this](const AskAdvice& order) { calls_.push_back(order); }},
+             action);
+}
+
+void SchedulerStory::Advise(const AskAdvice& call,
+                            const std::set<std::string>& allowed) {
+  AdviceResult result;
+  result.outcome = AdviceResult::Outcome::kAnswered;
+  result.ticket_validity = kTicketValidity;
+  for (const base::BackendId& worker : call.workers) {
+    if (allowed.contains(worker.value())) {
+      result.allowed.push_back({worker, "ticket of " + worker.value()});
+    }
+  }
+  scheduler_->OnAdvice(call, result, now_);
+  CarryOut();
+}
+
+void SchedulerStory::End(const jobs::TaskRef& task, jobs::RunEnd end) {
+  for (auto& [id, worker] : workers_) {
+    if (const auto it = worker.running.find(task); it != worker.running.end()) {
+      worker.ended.push_back({++worker.last_end, task, it->second, end, {}});
+      worker.running.erase(it);
+    }
+  }
+}
+
+void SchedulerStory::TakeOver() {
+  BeginTerm();
+  scheduler_->NoteFormerOwnerGone(now_);
+  Pass();
+}
+
+}  // namespace dotterelbarrow::core::scheduler
