--- a/bench/experiment/experiment.cc
+++ b/bench/experiment/experiment.cc
@@ -27,11 +27,11 @@
 constexpr std::int64_t kPassShare = 3;
 constexpr std::int64_t kWriteGap = 20 * kMillisecond;
 constexpr std::int64_t kTickPeriod = 50 * kMillisecond;
-constexpr std::int64_t kListingsPeriod = 500 * kMillisecond;
 // Workers are claimed before the first job comes, and the last ones finish.
 constexpr std::int64_t kLead = 2 * kSecond;
 constexpr std::int64_t kTail = 30 * kSecond;
 constexpr double kMillicores = 1000;
+constexpr double kPerFraction = 1.0 / 9007199254740992.0;  // 2^-53
 
 const char* const kService = "service";
 const char* const kOrganisation = "organisation";
@@ -56,9 +56,8 @@
 
 // A number from 0 to 1 that is always the same for the same inputs.
 double Chance(std::uint64_t a, std::uint64_t b) {
-  constexpr double kScale = 1.0 / 9007199254740992.0;  // 2^-53
   return static_cast<double>(base::MixBits(base::MixBits(a) ^ b) >> 11) *
-         kScale;
+         kPerFraction;
 }
 
 }  // namespace
@@ -219,8 +218,9 @@
                            core::jobs::Attempt attempt) {
   const JobKey key = task.step.job;
   const Kind& kind = pattern_.kinds[kind_of_[key]];
-  const std::uint64_t base = key.value() * 1009 + task.step.step * 101;
-  const std::uint64_t run = attempt.value() * 31 + options_.seed;
+  const std::uint64_t base =
+      key.value() * 1009 + std::uint64_t{task.step.step} * 101;
+  const std::uint64_t run = std::uint64_t{attempt.value()} * 31 + options_.seed;
   RunPlan plan;
   plan.duration_us = work_us_[key][task.step.step];
   const auto submitted = open_.find(key);
@@ -235,7 +235,7 @@
     tasks = it->second;
   }
   plan.gang_size = tasks;
-  plan.fails = Chance(base + task.index * 7, run) < kind.failing;
+  plan.fails = Chance(base + std::uint64_t{task.index} * 7, run) < kind.failing;
   return plan;
 }
 
@@ -441,6 +441,7 @@
       core::desired::CallLimits()));
   scheduler_.BeginTerm(core::scheduler::FencingToken(1), timeline_.Now());
   std::vector<base::EntryId> askers;
+  askers.reserve(pattern_.askers);
   for (int i = 0; i < pattern_.askers; ++i) {
     askers.emplace_back("entry-" + std::to_string(i));
   }
--- a/src/standins/site/faults.cc
+++ b/src/standins/site/faults.cc
@@ -5,14 +5,24 @@
 #include <utility>
 
 namespace dotterelbarrow::standins::site {
+namespace {
+
+constexpr std::array kStoreFaults = {
+    std::pair("refusing", StoreFault::kRefusing),
+    std::pair("silent", StoreFault::kSilent),
+    std::pair("losing", StoreFault::kLosing),
+    std::pair("late", StoreFault::kLate), std::pair("slow", StoreFault::kSlow)};
+
+constexpr std::array kWorkerFaults = {
+    std::pair("silent", WorkerFault::kSilent),
+    std::pair("late", WorkerFault::kLate),
+    std::pair("failing", WorkerFault::kFailing),
+    std::pair("refusing", WorkerFault::kRefusing)};
+
+}  // namespace
 
 StoreFault StoreFaultOf(const std::string& name) {
-  constexpr std::array kNames = {std::pair("refusing", StoreFault::kRefusing),
-                                 std::pair("silent", StoreFault::kSilent),
-                                 std::pair("losing", StoreFault::kLosing),
-                                 std::pair("late", StoreFault::kLate),
-                                 std::pair("slow", StoreFault::kSlow)};
-  for (const auto& [known, fault] : kNames) {
+  for (const auto& [known, fault] : kStoreFaults) {
     if (name == known) {
       return fault;
     }
@@ -21,11 +31,7 @@
 }
 
 WorkerFault WorkerFaultOf(const std::string& name) {
-  constexpr std::array kNames = {std::pair("silent", WorkerFault::kSilent),
-                                 std::pair("late", WorkerFault::kLate),
-                                 std::pair("failing", WorkerFault::kFailing),
-                                 std::pair("refusing", WorkerFault::kRefusing)};
-  for (const auto& [known, fault] : kNames) {
+  for (const auto& [known, fault] : kWorkerFaults) {
     if (name == known) {
       return fault;
     }
--- a/src/standins/site/site_service.cc
+++ b/src/standins/site/site_service.cc
@@ -16,6 +16,9 @@
 constexpr std::int64_t kMillicores = 1000;
 constexpr std::int64_t kMemoryMb = 65536;
 constexpr int kRackSize = 4;
+// Clocks of workers run slow by up to so many thousandths; the platform states
+// 2%.
+constexpr int kMostSlowness = 20;
 // The platform takes a silent worker off its list after three heartbeats.
 constexpr std::int64_t kUnlistedAfterMs = 4500;
 
@@ -48,7 +51,6 @@
                  [this](const wire::HttpRequest& r) { OnFault(r); });
   control_.Route(wire::HttpMethod::kGet, "/truth",
                  [this](const wire::HttpRequest& r) { OnTruth(r); });
-  constexpr int kMostSlowness = 20;  // In thousandths; the platform states 2%.
   for (int i = 0; i < options.workers; ++i) {
     core::workers::Listing listing = ListingOf(options, i);
     const std::string id = listing.id.value();
