--- a/src/member/job_api.cc
+++ b/src/member/job_api.cc
@@ -126,14 +126,17 @@
     Reply(request.exchange, kBadRequest, platform::ErrorBody(reason.detail));
     return;
   }
-  SubmitCall call{{key, admitted.queue->id,
-                   admitted.organisation == nullptr ? base::OrganisationId()
-                                                    : admitted.organisation->id,
-                   std::move(*spec)}};
-  pass_on_(call, [this, exchange = request.exchange,
-                  key](const OwnerAnswer& answer) {
+  const base::OrganisationId organisation = admitted.organisation == nullptr
+                                                ? base::OrganisationId()
+                                                : admitted.organisation->id;
+  SubmitCall call{{key, admitted.queue->id, organisation, std::move(*spec)}};
+  pass_on_(call, [this, exchange = request.exchange, key,
+                  queue = call.submission.queue,
+                  organisation](const OwnerAnswer& answer) {
     telemetry_.log->Write("submission_answered",
                           {{"job", core::jobs::ToString(key)},
+                           {"queue", queue.value()},
+                           {"organisation", organisation.value()},
                            {"answer", NameOf(answer)},
                            {"reason", ReasonOf(answer)}});
     if (std::holds_alternative<Accepted>(answer)) {
