Cheaper passes: only workers with room are candidates, gangs that can't fit are passed over

Change: steps other than gangs keep only candidates with room for a task; whether any allowed worker takes work is told apart from that, so that the reasons of waiting stay as they were. A gang is filled only if the counts of tasks that fit add up (placement::RoomFor). A step's reservation is inline.

Test: 'room for several tasks is what taking one by one finds'.

--- a/include/dotterelbarrow/core/jobs/job_spec.h
+++ b/include/dotterelbarrow/core/jobs/job_spec.h
@@ -85,7 +85,13 @@
 
   bool is_serving() const { return response_target > base::Duration(0); }
   // Returns what a worker must set aside for one task.
-  base::Resources Reservation() const;
+  base::Resources Reservation() const {
+    base::Resources reservation = needs;
+    if (fills_idle_cpu) {
+      reservation.cpu = base::Millicores(0);
+    }
+    return reservation;
+  }
 };
 
 struct JobSpec {
--- a/include/dotterelbarrow/core/placement/worker_choice.h
+++ b/include/dotterelbarrow/core/placement/worker_choice.h
@@ -32,6 +32,10 @@
 // Returns whether one more task of the step can go there now.
 bool HasRoom(const Candidate& candidate, const jobs::StepSpec& step);
 
+// Returns how many more tasks of the step can go there now, at most `most`.
+std::uint32_t RoomFor(const Candidate& candidate, const jobs::StepSpec& step,
+                      std::uint32_t most);
+
 // Returns how badly the task would sit there; the least is best.
 //
 // Load pattern: a steady stream of small tasks beside gangs that need large
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -119,7 +119,9 @@
     const desired::Queue* queue = nullptr;
     // Why nothing of it may start yet, although it has its turn.
     std::optional<WaitReason> blocked_by{};
-    // Allowed workers that take work; filled in once advice is known.
+    // Allowed workers that take work; filled in once advice is known. For other
+    // steps than gangs, whose members may need room that frees later, only
+    // those with room for a task.
     std::vector<placement::Candidate> candidates{};
   };
   // One task on one worker.
@@ -171,8 +173,9 @@
   // about those that the step wasn't asked about.
   void AskAboutMore(const Item& item, base::TimePoint now,
                     std::vector<Action>* actions);
-  std::vector<placement::Candidate> CandidatesOf(const Item& item,
-                                                 base::TimePoint now) const;
+  // Fills in the candidates; returns whether any allowed worker takes work,
+  // with room or without.
+  bool FindWorkers(Item* item, base::TimePoint now) const;
   // Returns whether the worker takes new work and could run the step's tasks.
   static bool MayRunOn(const workers::Worker& worker, const Item& item,
                        base::TimePoint now);
--- a/src/core/jobs/job_spec.cc
+++ b/src/core/jobs/job_spec.cc
@@ -75,14 +75,6 @@
   return TaskRef{{*key, *occurrence, *step}, *index};
 }
 
-base::Resources StepSpec::Reservation() const {
-  base::Resources reservation = needs;
-  if (fills_idle_cpu) {
-    reservation.cpu = base::Millicores(0);
-  }
-  return reservation;
-}
-
 bool JobSpec::has_long_running_step() const {
   return std::any_of(steps.begin(), steps.end(),
                      [](const StepSpec& step) { return step.long_running; });
--- a/src/core/placement/worker_choice.cc
+++ b/src/core/placement/worker_choice.cc
@@ -50,6 +50,28 @@
   return step.Reservation().FitsIn(candidate.free);
 }
 
+std::uint32_t RoomFor(const Candidate& candidate, const jobs::StepSpec& step,
+                      std::uint32_t most) {
+  if (!HasRoom(candidate, step)) {
+    return 0;
+  }
+  const base::Resources needs = step.Reservation();
+  std::uint32_t tasks = most;
+  const auto limit = [&tasks](std::int64_t need, std::int64_t free) {
+    if (need > 0) {
+      tasks = static_cast<std::uint32_t>(
+          std::min<std::int64_t>(tasks, free / need));
+    }
+  };
+  limit(needs.cpu.value(), candidate.free.cpu.value());
+  limit(needs.memory.value(), candidate.free.memory.value());
+  limit(needs.accelerators.value(), candidate.free.accelerators.value());
+  limit(needs.slots.value(), candidate.free.slots.value());
+  return step.max_per_worker == 0
+             ? tasks
+             : std::min(tasks, step.max_per_worker - candidate.of_step);
+}
+
 double Badness(const Candidate& candidate, const jobs::StepSpec& step,
                const base::BackendId& failed_on) {
   const workers::Listing& listing = candidate.worker->listing();
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -216,7 +216,9 @@
       {{"step", jobs::ToString(item.step)},
        {"for", ToString(reason)},
        {"tasks", static_cast<std::int64_t>(item.job->SpecOf(item.step).tasks)},
-       {"allowed", static_cast<std::int64_t>(item.candidates.size())},
+       {"allowed", static_cast<std::int64_t>(
+                       advice == nullptr ? 0 : advice->allowed.size())},
+       {"with_room", static_cast<std::int64_t>(item.candidates.size())},
        {"asked_about", static_cast<std::int64_t>(
                            advice == nullptr ? 0 : advice->asked.size())},
        {"slack_ms",
@@ -254,21 +256,30 @@
          placement::IsSuitable(worker, item.job->SpecOf(item.step));
 }
 
-std::vector<Candidate> Dispatcher::CandidatesOf(const Item& item,
-                                                base::TimePoint now) const {
-  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
-  std::vector<Candidate> candidates;
+bool Dispatcher::FindWorkers(Item* item, base::TimePoint now) const {
+  const jobs::StepSpec& spec = item->job->SpecOf(item->step);
+  const base::Resources reservation = spec.Reservation();
+  std::vector<Candidate>& candidates = item->candidates;
+  candidates.clear();
+  bool is_any_taking = false;
   const auto add = [&](const workers::Worker& worker, bool has_ticket) {
-    if (!MayRunOn(worker, item, now)) {
+    // Most workers are full when many steps wait.
+    const base::Resources room = worker.FreeRoom();
+    const bool is_full = !spec.gang && !reservation.FitsIn(room);
+    if ((is_full && is_any_taking) || !MayRunOn(worker, *item, now)) {
       return;
     }
-    candidates.push_back({&worker, worker.FreeRoom(), 0,
-                          gang_room_.IsOrWasKept(worker.number()), has_ticket});
+    is_any_taking = true;
+    if (!is_full) {
+      candidates.push_back({&worker, room, 0,
+                            gang_room_.IsOrWasKept(worker.number()),
+                            has_ticket});
+    }
   };
-  if (item.queue->advice) {
-    const advice::StepAdvice* advice = advice_.Find(item.step);
+  if (item->queue->advice) {
+    const advice::StepAdvice* advice = advice_.Find(item->step);
     if (advice == nullptr) {
-      return candidates;
+      return false;
     }
     for (const auto& [number, ticket] : advice->allowed) {
       if (const workers::Worker* worker = fleet_->FindNumber(number)) {
@@ -281,13 +292,13 @@
     }
   }
   if (spec.max_per_worker > 0) {
-    for (const PlacedRun& run : runs_->OfStep(item.step)) {
+    for (const PlacedRun& run : runs_->OfStep(item->step)) {
       for (Candidate& candidate : candidates) {
         candidate.of_step += candidate.worker->id() == run.worker ? 1 : 0;
       }
     }
   }
-  return candidates;
+  return is_any_taking;
 }
 
 bool Dispatcher::PlaceTasks(const Item& item, base::TimePoint now,
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -20,17 +20,13 @@
 bool Dispatcher::FindCandidates(Item* item, base::TimePoint now,
                                 std::vector<Action>* actions) {
   if (!item->queue->advice) {
-    item->candidates = CandidatesOf(*item, now);
-    return !item->candidates.empty();
+    return FindWorkers(item, now);
   }
   advice::StepAdvice& advice = advice_.FindOrAdd(item->step);
   if (advice.is_known) {
-    item->candidates = CandidatesOf(*item, now);
-    if (!item->candidates.empty()) {
+    if (FindWorkers(item, now)) {
       return true;
     }
-  }
-  if (advice.is_known) {
     // None of the allowed workers takes work; which ones are doesn't change.
     want_more_.push_back(item);
     return false;
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -15,6 +15,14 @@
 std::vector<const workers::Worker*> Fill(std::vector<Candidate> candidates,
                                          const jobs::StepSpec& spec,
                                          std::size_t tasks) {
+  std::size_t room = 0;
+  for (const Candidate& candidate : candidates) {
+    room +=
+        placement::RoomFor(candidate, spec, static_cast<std::uint32_t>(tasks));
+  }
+  if (room < tasks) {
+    return {};
+  }
   std::vector<const workers::Worker*> chosen;
   while (chosen.size() < tasks) {
     const workers::Worker* best = placement::TakeBest(&candidates, spec, {});
--- a/test/core/placement/policies_test.cc
+++ b/test/core/placement/policies_test.cc
@@ -239,6 +239,27 @@
     candidate.of_step = 1;
     CHECK_FALSE(HasRoom(candidate, step));
   }
+  SUBCASE("for several tasks is what taking one by one finds") {
+    const workers::Worker large = WorkerOf("large", 16);
+    for (const std::int64_t cores : {0, 1, 3, 5, 16}) {
+      for (const std::uint32_t bound : {0U, 2U}) {
+        step.needs.cpu = base::Millicores(cores * 1000);
+        step.needs.memory = base::Mebibytes(9000);
+        step.max_per_worker = bound;
+        for (const std::uint32_t most : {1U, 4U, 9U}) {
+          Candidate candidate = CandidateOf(large, 3);
+          std::uint32_t found = 0;
+          while (found < most && HasRoom(candidate, step)) {
+            TakeRoom(&candidate, step);
+            ++found;
+          }
+          CAPTURE(cores);
+          CAPTURE(bound);
+          CHECK(RoomFor(CandidateOf(large, 3), step, most) == found);
+        }
+      }
+    }
+  }
   SUBCASE("is never shared by tasks that serve and tasks that fill") {
     workers::Worker with_serving = worker;
     workers::Run run;
