The list of workers is read in pages, by a part of its own

Cause: the store answers with at most 500 rows; what lies behind was taken as not listed, so that a fleet of more than 500 workers lost the rest of it. Change: member/listing_reader asks on behind the last key until there is no more, and hands the list over whole; a page that is refused begins it anew. Ruled out: the feed, which tells of each heartbeat, so that a large fleet costs as much by it as by a full list each half second.

--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "dotterelbarrow/base/overloaded.h"
-#include "platform/operator_records.h"
 #include "src/member/clock.h"
 #include "src/member/store_layout.h"
 
@@ -27,8 +26,6 @@
 constexpr int kLagWindow = 16;
 // One transaction holds all changes of this time; each has a price.
 constexpr base::Duration kWriteGap = std::chrono::milliseconds(20);
-constexpr base::Duration kReadTimeout = std::chrono::milliseconds(1000);
-constexpr base::Duration kReadRetry = std::chrono::milliseconds(100);
 constexpr base::Duration kStoreAwayRetryAfter = std::chrono::seconds(1);
 // Counts of waiting jobs may be this old.
 constexpr base::Duration kPendingAge = std::chrono::milliseconds(300);
@@ -45,7 +42,16 @@
       scheduler_(settings, parts_.telemetry),
       token_(parts_.leadership->token()),
       store_clock_offset_ms_(store_now_ms),
-      listings_timer_(*parts_.loop, [this] { ReadListings(); }),
+      listings_(*parts_.loop, parts_.store, parts_.telemetry.counters,
+                parts_.listings_period,
+                [this](std::vector<core::workers::Listing> listings,
+                       base::TimePoint asked_at) {
+                  if (!is_over_) {
+                    scheduler_.UpdateListings(std::move(listings), asked_at,
+                                              Now());
+                    Wake();
+                  }
+                }),
       pass_timer_(*parts_.loop, [this] { Pass(); }),
       times_(parts_.telemetry.log),
       tick_timer_(*parts_.loop, kTickPeriod, [this] { Tick(); }) {
@@ -67,36 +73,6 @@
   }
 }
 
-void OwnerTerm::ReadListings() {
-  parts_.store->Read(
-      platform::RegistrationRows(), kReadTimeout,
-      Guarded([this, asked_at = Now()](const platform::ReadResult& result) {
-        OnListings(result, asked_at);
-      }));
-}
-
-void OwnerTerm::OnListings(const platform::ReadResult& result,
-                           base::TimePoint asked_at) {
-  if (result.outcome != platform::StoreOutcome::kDone) {
-    listings_timer_.StartOnce(kReadRetry);
-    return;
-  }
-  listings_timer_.StartOnce(parts_.listings_period);
-  std::vector<core::workers::Listing> listings;
-  for (const platform::Row& row : result.rows) {
-    base::Failure reason;
-    if (auto listing = platform::ReadListing(row.key.key, row.value, &reason)) {
-      listing->revision = row.version.value();
-      listings.push_back(std::move(*listing));
-    } else {
-      parts_.telemetry.counters->Increment("registrations_unreadable",
-                                           base::ToString(reason.code));
-    }
-  }
-  scheduler_.UpdateListings(std::move(listings), asked_at, Now());
-  Wake();
-}
-
 void OwnerTerm::SetDesired(
     std::shared_ptr<const core::desired::DesiredState> desired) {
   scheduler_.SetDesired(std::move(desired));
--- a/src/member/owner_term.h
+++ b/src/member/owner_term.h
@@ -17,6 +17,7 @@
 #include "platform/worker_client.h"
 #include "src/member/calls.h"
 #include "src/member/head_writer.h"
+#include "src/member/listing_reader.h"
 #include "src/member/owner_times.h"
 
 namespace dotterelbarrow::member {
@@ -76,8 +77,6 @@
   void OnLoaded(core::scheduler::RecordTable table, const std::string& from,
                 const platform::ReadResult& result);
   void BeginScheduling();
-  void ReadListings();
-  void OnListings(const platform::ReadResult& result, base::TimePoint asked_at);
 
   void Tick();
   // Lets what just happened lead to placements and writes, a little later, so
@@ -133,7 +132,7 @@
   base::TimePoint last_write_begun_;
   std::map<core::desired::QueueId, std::uint64_t> pending_;
   base::TimePoint pending_counted_at_;
-  wire::Timer listings_timer_;
+  ListingReader listings_;
   wire::Timer pass_timer_;
   bool is_pass_armed_ = false;
   base::TimePoint next_pass_;
--- a/src/member/owner_term_load.cc
+++ b/src/member/owner_term_load.cc
@@ -38,8 +38,7 @@
     rows[row.key.key] = row.value;
   }
   if (result.has_more && !result.rows.empty()) {
-    // The least key behind the last one.
-    Load(table, result.rows.back().key.key + '\x01');
+    Load(table, platform::KeyBehind(result.rows.back().key.key));
     return;
   }
   if (--tables_loading_ == 0) {
@@ -70,7 +69,7 @@
     is_former_owner_gone_ = true;
     scheduler_.NoteFormerOwnerGone(now);
   }
-  ReadListings();
+  listings_.Read();
 }
 
 }  // namespace dotterelbarrow::member
