A silent worker's record names the end of its leases; the next owner goes by it

Ruled out: starting elsewhere once the platform has taken a worker off its list (it may be cut off and go on until its lease lapses); a record of each start before it is sent (a write's latency for every start). Change: after two looks without an answer the owner stores with the worker's record until when its leases may hold, by the store's clock, and grants none and starts nothing there before a record without that is stored (core/ scheduler/worker_records). The next owner waits for that end only. A note that no batch holds yet is taken back, so that a store that is away closes no worker that was silent for a moment.

--- a/include/dotterelbarrow/core/admission/refusal_pauses.h
+++ b/include/dotterelbarrow/core/admission/refusal_pauses.h
@@ -21,16 +21,19 @@
 
 namespace dotterelbarrow::core::admission {
 
+// Jobs of an organisation that all hosts together ask the owner about, for each
+// one that its share allows.
+inline constexpr double kAsksPerShare = 2.0;
+// A share that becomes free is noticed within this time.
+inline constexpr base::Duration kMostPause = std::chrono::milliseconds(250);
+
 // Returns how long each of `hosts` leaves the owner alone after a refusal of an
 // organisation that may send `weight` jobs a second.
 inline base::Duration PauseAfterRefusal(std::size_t hosts, double weight) {
-  constexpr double kAsksPerShare = 2.0;
-  // A share that becomes free is noticed within this time.
-  constexpr base::Duration kMost = std::chrono::milliseconds(250);
   const std::chrono::duration<double> pause(static_cast<double>(hosts) /
                                             (kAsksPerShare * weight));
-  return pause < kMost ? std::chrono::duration_cast<base::Duration>(pause)
-                       : kMost;
+  return pause < kMostPause ? std::chrono::duration_cast<base::Duration>(pause)
+                            : kMostPause;
 }
 
 class RefusalPauses {
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -40,6 +40,10 @@
   // owner's looks stay below 5,000 a second.
   base::Duration look_gap = std::chrono::milliseconds(60);
   base::Duration look_gap_per_worker = std::chrono::microseconds(200);
+  // Looks without an answer in a row after which a worker counts as silent, and
+  // the store is told: answers that are lost by chance seldom are that in a
+  // row.
+  int silent_looks = 2;
   // A failed look is repeated after this time.
   base::Duration look_retry = std::chrono::milliseconds(200);
   // An order to stop without an answer is repeated after this time.
@@ -74,17 +78,29 @@
   // Ends of this worker up to this number wait for the store.
   sigc::signal<void(const base::BackendId&, std::uint64_t)> ends_taken;
 
+  // A worker didn't answer several looks in a row, and all its leases end at
+  // the moment given if no other is granted.
+  sigc::signal<void(const workers::Worker&, base::TimePoint)> silent;
+  // A closed worker answers.
+  sigc::signal<void(const workers::Worker&, base::TimePoint)> answers_again;
+
   // Takes the platform's list, which was asked for at `asked_at`. Workers that
   // are missing keep what they run until their leases have lapsed, but for one
   // that surely left.
   void UpdateListings(const std::vector<workers::Listing>& listings,
                       base::TimePoint asked_at, base::TimePoint now);
   // Adds a worker that a former owner used, and may go on to use until its
-  // authority ends; its leases hold for as long and one lease more.
-  void Inherit(const workers::Listing& listing, base::TimePoint taken_over_at);
+  // authority ends; its leases hold for as long and one lease more, or until
+  // `leases_end` if the former owner stored that. Then it is closed.
+  void Inherit(const workers::Listing& listing, base::TimePoint taken_over_at,
+               std::optional<base::TimePoint> leases_end = std::nullopt);
   // The former owner surely commands nothing any more.
   void NoteFormerOwnerGone(base::TimePoint now);
 
+  // Grants no lease to the worker and starts nothing there before Open.
+  void Close(const base::BackendId& worker);
+  void Open(const base::BackendId& worker, base::TimePoint now);
+
   // Appends the looks, repeated stops and lapses that are due.
   void Tick(base::TimePoint now, std::vector<Action>* actions);
 
--- a/include/dotterelbarrow/core/scheduler/job_book.h
+++ b/include/dotterelbarrow/core/scheduler/job_book.h
@@ -39,6 +39,8 @@
   std::vector<WaiterId> cancel_waiters;
   // Ends of these workers up to these numbers are stored.
   std::map<base::BackendId, std::uint64_t> ends;
+  // Workers whose records are stored with it, each as often as it was noted.
+  std::vector<base::BackendId> workers;
 };
 
 struct JobBookSettings {
@@ -82,8 +84,12 @@
   void NoteChanged(jobs::JobKey key, base::TimePoint now);
   // Ends up to `number` may be acknowledged once what happened is stored.
   void NoteEnds(const base::BackendId& worker, std::uint64_t number);
+  // The worker's record, or that there is none any more, is to be stored.
   void NoteWorker(const base::BackendId& worker,
                   std::optional<std::string> record);
+  // Takes back what was noted last of the worker; returns false if a batch
+  // holds it already.
+  bool WithdrawWorker(const base::BackendId& worker);
 
   // Forgets the jobs that no batch has held yet, so that they surely never run;
   // returns who waits for them.
@@ -128,6 +134,7 @@
   using Waiting = std::variant<jobs::JobKey, WorkerEnds, WorkerRecord>;
 
   void AddToBatch(jobs::JobKey key, base::TimePoint now, StoredBatch* batch);
+  static void AddToBatch(const WorkerRecord& record, StoredBatch* batch);
   bool RestoreJob(jobs::JobKey key, const JobPages::StoredJob& stored,
                   base::TimePoint now, base::Failure* reason);
 
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -33,6 +33,7 @@
 #include "dotterelbarrow/core/scheduler/fleet.h"
 #include "dotterelbarrow/core/scheduler/job_book.h"
 #include "dotterelbarrow/core/scheduler/run_index.h"
+#include "dotterelbarrow/core/scheduler/worker_records.h"
 
 namespace dotterelbarrow::core::scheduler {
 
@@ -85,8 +86,9 @@
                    const std::string& text, base::TimePoint now);
   // After the last page.
   void RestoreJobs(base::TimePoint now, std::int64_t store_now_ms);
+  // Here and above the store's clock shows `store_now_ms` or more.
   void Inherit(const base::BackendId& worker, const std::string& record,
-               base::TimePoint now);
+               std::int64_t store_now_ms, base::TimePoint now);
 
   // The owner before this one surely commands no worker any more.
   void NoteFormerOwnerGone(base::TimePoint now) {
@@ -130,6 +132,10 @@
   bool has_changes() const { return jobs_.has_changes(); }
   StoredBatch TakeBatch(base::TimePoint now) { return jobs_.TakeBatch(now); }
   void OnStored(const StoredBatch& batch, base::TimePoint now);
+  // The store's clock shows at most `at_most_ms`.
+  void NoteStoreClock(std::int64_t at_most_ms, base::TimePoint now) {
+    worker_records_.NoteStoreClock(at_most_ms, now);
+  }
 
   bool is_fenced() const { return fleet_.is_fenced(); }
   std::size_t live_jobs() const { return jobs_.jobs().size(); }
@@ -170,6 +176,7 @@
   JobBook jobs_;
   Fleet fleet_;
   RunIndex runs_;
+  WorkerRecords worker_records_;
   Dispatcher dispatcher_;
   placement::SubmissionRates rates_;
   std::vector<Action> actions_;
@@ -177,8 +184,6 @@
   // Entry hosts that hand jobs in.
   std::size_t asking_hosts_ = 1;
   base::TimePoint load_logged_at_;
-  // Workers whose record is stored or on its way.
-  std::unordered_set<base::BackendId> recorded_workers_;
   // Jobs with times.
   std::unordered_set<jobs::JobKey> scheduled_;
   // Gangs of which not all members are known to run, since their first start.
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -97,6 +97,9 @@
   std::int64_t AtLeast(base::TimePoint now) const;
   // Returns what it shows if it runs as ours does.
   std::int64_t Estimate(base::TimePoint now) const;
+  // Returns from when on AtLeast is more than `clock_ms`. Precondition: it is
+  // known.
+  base::TimePoint SurelyAfter(std::int64_t clock_ms) const;
 
  private:
   struct Reading {
@@ -150,6 +153,10 @@
   std::uint64_t ends_taken = 0;
   // Ends up to here are stored and may be forgotten by the worker.
   std::uint64_t ends_stored = 0;
+  // The store's record names an end of its leases, or will: none is granted and
+  // nothing is started until a record without that is stored. The next owner
+  // goes by it.
+  bool is_closed = false;
   bool look_under_way = false;
   base::TimePoint next_look;
   base::TimePoint last_answer;
@@ -167,6 +174,9 @@
   // Returns whether nothing that was ever ordered can run there any more,
   // although the worker was not heard of.
   bool LeaseSurelyLapsed(base::TimePoint now) const;
+  // Returns when all leases granted so far have lapsed, whatever happens, if no
+  // other is granted. Precondition: the clock is known.
+  base::TimePoint LeasesEnd() const;
   // Returns whether new work may be started there.
   bool TakesWork(base::TimePoint now) const;
 
--- a/include/dotterelbarrow/core/workers/worker_record.h
+++ b/include/dotterelbarrow/core/workers/worker_record.h
@@ -1,6 +1,7 @@
 // What the store keeps of a worker as long as anything may run there, so that
 // the next owner can claim it although the platform doesn't list it any more:
-// {"address","cpu","memory","accelerators"}, in millicores and mebibytes.
+// {"address","cpu","memory","accelerators"}, in millicores and mebibytes, and
+// "leases_end_ms" of a silent one.
 #ifndef DOTTERELBARROW_CORE_WORKERS_WORKER_RECORD_H_
 #define DOTTERELBARROW_CORE_WORKERS_WORKER_RECORD_H_
 
@@ -12,12 +13,19 @@
 
 namespace dotterelbarrow::core::workers {
 
-std::string EncodeWorkerRecord(const Listing& listing);
+struct WorkerRecord {
+  // Of an unknown life.
+  Listing listing;
+  // By the store's clock: until then the leases of a silent worker may hold;
+  // none is granted before a record without this is stored.
+  std::optional<std::int64_t> leases_end_ms;
+};
 
-// Returns a listing with what the record holds, of an unknown life.
-std::optional<Listing> DecodeWorkerRecord(const base::BackendId& id,
-                                          const std::string& record,
-                                          base::Failure* reason);
+std::string EncodeWorkerRecord(const WorkerRecord& record);
+
+std::optional<WorkerRecord> DecodeWorkerRecord(const base::BackendId& id,
+                                               const std::string& text,
+                                               base::Failure* reason);
 
 }  // namespace dotterelbarrow::core::workers
 
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -121,13 +121,19 @@
   list_asked_at_ = asked_at;
 }
 
-void Fleet::Inherit(const Listing& listing, base::TimePoint taken_over_at) {
+void Fleet::Inherit(const Listing& listing, base::TimePoint taken_over_at,
+                    std::optional<base::TimePoint> leases_end) {
   Worker worker(listing, NextNumber());
+  worker.is_closed = leases_end.has_value();
   worker.set_listed(false);
-  worker.last_answer = taken_over_at;
+  // Where the end is known, no answer was heard for some time.
+  worker.last_answer = leases_end ? base::TimePoint() : taken_over_at;
   worker.next_look = taken_over_at;
   worker.inherited_until =
       LapseOfLeasesGivenAt(taken_over_at + settings_.former_owner_authority);
+  if (leases_end) {
+    worker.inherited_until = std::min(worker.inherited_until, *leases_end);
+  }
   Add(std::move(worker));
   unsettled_.insert(listing.id);
 }
@@ -140,6 +146,23 @@
   }
 }
 
+void Fleet::Close(const base::BackendId& worker) {
+  if (Worker* found = Find(worker)) {
+    found->is_closed = true;
+  }
+}
+
+void Fleet::Open(const base::BackendId& worker, base::TimePoint now) {
+  Worker* found = Find(worker);
+  if (found == nullptr || !found->is_closed) {
+    return;
+  }
+  found->is_closed = false;
+  if (!found->look_under_way) {
+    found->next_look = now;
+  }
+}
+
 Worker* Fleet::Find(const base::BackendId& id) {
   const auto it = workers_.find(id);
   return it == workers_.end() ? nullptr : &it->second;
@@ -181,6 +204,7 @@
   fresh.next_look = now;
   // A former owner may have used this life as well; its claim tells.
   fresh.inherited_until = worker->inherited_until;
+  fresh.is_closed = worker->is_closed;
   for (Run& run : unresolved) {
     run.state = RunState::kStopping;
     run.confirmed_ms = 0;
@@ -278,7 +302,7 @@
                     .wait = base::Duration(0)};
   // A silent worker's lease isn't renewed: each renewal without an answer may
   // hold, so that the lease would never have lapsed for sure.
-  if (worker->is_claimed && worker->looks_failed == 0) {
+  if (worker->is_claimed && !worker->is_closed && worker->looks_failed == 0) {
     look.lease_until_ms = GrantLease(worker, now);
     look.wait = settings_.look_wait;
   }
--- a/src/core/scheduler/fleet_runs.cc
+++ b/src/core/scheduler/fleet_runs.cc
@@ -182,6 +182,9 @@
           "worker_silent",
           {{"worker", worker.value()}, {"outcome", ToString(result.outcome)}});
     }
+    if (target->looks_failed == settings_.silent_looks && target->is_claimed) {
+      silent.emit(*target, target->LeasesEnd());
+    }
     return;
   }
   if (target->listing().born_ms == kUnknownLife) {
@@ -223,6 +226,9 @@
          {"ended", static_cast<std::int64_t>(result.ended.size())}});
     Settle(worker);
   }
+  if (target->is_closed) {
+    answers_again.emit(*target, now);
+  }
   if (was_waiting && target->ends_taken > target->ends_stored) {
     // The worker would only list the same ends again until they are stored.
     target->next_look = now + settings_.look_wait;
--- a/src/core/scheduler/job_book.cc
+++ b/src/core/scheduler/job_book.cc
@@ -75,6 +75,34 @@
   waiting_.emplace_back(WorkerRecord{worker, std::move(record)});
 }
 
+bool JobBook::WithdrawWorker(const base::BackendId& worker) {
+  for (auto it = waiting_.rbegin(); it != waiting_.rend(); ++it) {
+    const auto* record = std::get_if<WorkerRecord>(&*it);
+    if (record != nullptr && record->worker == worker) {
+      waiting_.erase(std::next(it).base());
+      return true;
+    }
+  }
+  return false;
+}
+
+void JobBook::AddToBatch(const WorkerRecord& record, StoredBatch* batch) {
+  batch->workers.push_back(record.worker);
+  const auto same =
+      std::find_if(batch->changes.begin(), batch->changes.end(),
+                   [&record](const RecordChange& change) {
+                     return change.table == RecordTable::kWorkers &&
+                            change.key == record.worker.value();
+                   });
+  // A transaction holds a row once; the later record counts.
+  if (same != batch->changes.end()) {
+    same->value = record.record;
+  } else {
+    batch->changes.push_back(
+        {RecordTable::kWorkers, record.worker.value(), record.record});
+  }
+}
+
 void JobBook::AddToBatch(jobs::JobKey key, base::TimePoint now,
                          StoredBatch* batch) {
   changed_.erase(key);
@@ -145,10 +173,7 @@
             [&](const WorkerEnds& ends) {
               batch.ends[ends.worker] = ends.number;
             },
-            [&](const WorkerRecord& record) {
-              batch.changes.push_back({RecordTable::kWorkers,
-                                       record.worker.value(), record.record});
-            }},
+            [&](const WorkerRecord& record) { AddToBatch(record, &batch); }},
         waiting_.front());
     waiting_.pop_front();
   }
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -32,6 +32,7 @@
       desired_(std::make_shared<desired::DesiredState>()),
       jobs_(settings.jobs),
       fleet_(settings.fleet, telemetry),
+      worker_records_(&jobs_, &fleet_),
       dispatcher_(settings.dispatcher, telemetry, &jobs_, &fleet_, &runs_) {
   fleet_.run_ended.connect(sigc::mem_fun(*this, &Scheduler::OnRunEnded));
   fleet_.unknown_end.connect(sigc::mem_fun(*this, &Scheduler::OnUnknownEnd));
@@ -83,15 +84,15 @@
 }
 
 void Scheduler::Inherit(const base::BackendId& worker,
-                        const std::string& record, base::TimePoint now) {
+                        const std::string& record, std::int64_t store_now_ms,
+                        base::TimePoint now) {
   base::Failure reason;
-  const auto listing = workers::DecodeWorkerRecord(worker, record, &reason);
-  if (!listing) {
+  const auto decoded = workers::DecodeWorkerRecord(worker, record, &reason);
+  if (!decoded) {
     LogUnreadable(worker.value(), reason);
     return;
   }
-  recorded_workers_.insert(worker);
-  fleet_.Inherit(*listing, now);
+  worker_records_.Inherit(*decoded, store_now_ms, now);
 }
 
 void Scheduler::SetDesired(
@@ -113,19 +114,7 @@
     return desired_->FindService(listing.service) == nullptr;
   });
   fleet_.UpdateListings(listings, asked_at, now);
-  for (const workers::Listing& listing : listings) {
-    if (recorded_workers_.insert(listing.id).second) {
-      jobs_.NoteWorker(listing.id, workers::EncodeWorkerRecord(listing));
-    }
-  }
-  for (auto it = recorded_workers_.begin(); it != recorded_workers_.end();) {
-    if (fleet_.workers().contains(*it)) {
-      ++it;
-    } else {
-      jobs_.NoteWorker(*it, std::nullopt);
-      it = recorded_workers_.erase(it);
-    }
-  }
+  worker_records_.Update(listings);
 }
 
 SubmitAnswer Scheduler::Submit(Submission submission, WaiterId waiter,
@@ -319,6 +308,7 @@
 void Scheduler::OnStored(const StoredBatch& batch, base::TimePoint now) {
   now_ = now;
   jobs_.OnStored(batch);
+  worker_records_.OnStored(batch, now);
   for (const auto& [worker, number] : batch.ends) {
     fleet_.OnEndsStored(worker, number, now);
   }
--- a/src/core/workers/worker.cc
+++ b/src/core/workers/worker.cc
@@ -9,6 +9,7 @@
 
 // A worker's clock may lose this share of the time (the platform states 2%).
 constexpr std::int64_t kMostDriftPercent = 2;
+constexpr std::int64_t kSlowestPercent = 100 - kMostDriftPercent;
 // Covers the rounding of clocks to whole milliseconds and the worker's own
 // timer.
 constexpr std::int64_t kLapseMarginMs = 100;
@@ -70,6 +71,14 @@
   return read_ ? read_->clock_ms + Milliseconds(now - read_->answered_at) : 0;
 }
 
+base::TimePoint WorkerClock::SurelyAfter(std::int64_t clock_ms) const {
+  const std::int64_t ahead =
+      std::max<std::int64_t>(0, clock_ms + 1 - read_->clock_ms);
+  return read_->answered_at +
+         std::chrono::milliseconds((ahead * 100 + kSlowestPercent - 1) /
+                                   kSlowestPercent);
+}
+
 Run* Worker::FindRun(const jobs::TaskRef& task, jobs::Attempt attempt) {
   const auto it = runs_.find({task, attempt});
   return it == runs_.end() ? nullptr : &it->second;
@@ -113,9 +122,14 @@
          clock.AtLeast(now) > granted_until_ms + kLapseMarginMs;
 }
 
+base::TimePoint Worker::LeasesEnd() const {
+  return std::max(inherited_until,
+                  clock.SurelyAfter(granted_until_ms + kLapseMarginMs));
+}
+
 bool Worker::TakesWork(base::TimePoint now) const {
-  return is_claimed && listed_ && !listing_.draining && strays_ == 0 &&
-         now >= quarantined_until && looks_failed == 0 &&
+  return is_claimed && !is_closed && listed_ && !listing_.draining &&
+         strays_ == 0 && now >= quarantined_until && looks_failed == 0 &&
          orders_unanswered < kSilentOrders;
 }
 
--- a/src/core/workers/worker_record.cc
+++ b/src/core/workers/worker_record.cc
@@ -7,20 +7,24 @@
 
 namespace dotterelbarrow::core::workers {
 
-std::string EncodeWorkerRecord(const Listing& listing) {
+std::string EncodeWorkerRecord(const WorkerRecord& record) {
+  const Listing& listing = record.listing;
   Json::Value value(Json::objectValue);
   value["address"] = listing.address;
   value["cpu"] = static_cast<Json::Int64>(listing.capacity.cpu.value());
   value["memory"] = static_cast<Json::Int64>(listing.capacity.memory.value());
   value["accelerators"] =
       static_cast<Json::Int64>(listing.capacity.accelerators.value());
+  if (record.leases_end_ms) {
+    value["leases_end_ms"] = static_cast<Json::Int64>(*record.leases_end_ms);
+  }
   return WriteJson(value);
 }
 
-std::optional<Listing> DecodeWorkerRecord(const base::BackendId& id,
-                                          const std::string& record,
-                                          base::Failure* reason) {
-  const auto value = ReadJson(record, reason);
+std::optional<WorkerRecord> DecodeWorkerRecord(const base::BackendId& id,
+                                               const std::string& text,
+                                               base::Failure* reason) {
+  const auto value = ReadJson(text, reason);
   if (!value) {
     return std::nullopt;
   }
@@ -32,14 +36,18 @@
                "worker: a field is missing or of another type"};
     return std::nullopt;
   }
-  Listing listing;
+  WorkerRecord record;
+  if (fields["leases_end_ms"].isInt64()) {
+    record.leases_end_ms = fields["leases_end_ms"].asInt64();
+  }
+  Listing& listing = record.listing;
   listing.id = id;
   listing.address = fields["address"].asString();
   listing.capacity = {base::Millicores(fields["cpu"].asInt64()),
                       base::Mebibytes(fields["memory"].asInt64()),
                       base::Accelerators(fields["accelerators"].asInt64()),
                       base::Slots(0)};
-  return listing;
+  return record;
 }
 
 }  // namespace dotterelbarrow::core::workers
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -317,8 +317,13 @@
     return;
   }
   if (store_now_ms > 0) {
+    const base::TimePoint now = Now();
     store_clock_offset_ms_ =
-        store_now_ms - Now().time_since_epoch() / std::chrono::milliseconds(1);
+        store_now_ms - now.time_since_epoch() / std::chrono::milliseconds(1);
+    // It stamped its answer after the write was begun.
+    scheduler_.NoteStoreClock(
+        store_now_ms + (now - last_write_begun_) / std::chrono::milliseconds(1),
+        now);
   }
   times_.NoteWrite(Now() - last_write_begun_);
   scheduler_.OnStored(batch, Now());
--- a/src/member/owner_term_load.cc
+++ b/src/member/owner_term_load.cc
@@ -56,7 +56,7 @@
   }
   scheduler_.RestoreJobs(now, StoreNowMillis());
   for (const auto& [id, record] : loading_[RecordTable::kWorkers]) {
-    scheduler_.Inherit(base::BackendId(id), record, now);
+    scheduler_.Inherit(base::BackendId(id), record, StoreNowMillis(), now);
   }
   parts_.telemetry.log->Write(
       "term_loaded",
--- a/src/member/owner_times.cc
+++ b/src/member/owner_times.cc
@@ -8,13 +8,14 @@
 namespace dotterelbarrow::member {
 namespace {
 
+constexpr std::int64_t kMicrosPerSecond = 1'000'000;
+
 std::int64_t Micros(base::Duration duration) {
   return duration / std::chrono::microseconds(1);
 }
 
 // Returns the processor time that this process has used so far.
 std::int64_t ProcessorMicros() {
-  constexpr std::int64_t kMicrosPerSecond = 1'000'000;
   return static_cast<std::int64_t>(std::clock()) * kMicrosPerSecond /
          CLOCKS_PER_SEC;
 }
--- a/test/core/scheduler/scheduler_story.cc
+++ b/test/core/scheduler/scheduler_story.cc
@@ -51,7 +51,7 @@
   }
   scheduler_->RestoreJobs(now_, NowMillis());
   for (const auto& [id, record] : rows_[RecordTable::kWorkers]) {
-    scheduler_->Inherit(base::BackendId(id), record, now_);
+    scheduler_->Inherit(base::BackendId(id), record, NowMillis(), now_);
   }
   DropQueue("");
   scheduler_->SetAskers({base::EntryId("host-0"), base::EntryId("host-1")});
@@ -125,6 +125,7 @@
         rows_[change.table].erase(change.key);
       }
     }
+    scheduler_->NoteStoreClock(NowMillis(), now_);
     scheduler_->OnStored(batch, now_);
     heard.insert(heard.end(), batch.accept_waiters.begin(),
                  batch.accept_waiters.end());
@@ -172,7 +173,9 @@
                  [this](const StartTask& order) {
                    starts_.push_back(order);
                    OrderOutcome outcome = OrderOutcome::kBadTicket;
-                   if (!refuses_tickets) {
+                   if (IsSilent(order.worker)) {
+                     outcome = OrderOutcome::kUnanswered;
+                   } else if (!refuses_tickets) {
                      outcome = OrderOutcome::kDone;
                      workers_.at(order.worker.id).running[order.task] =
                          order.attempt;
@@ -180,6 +183,9 @@
                    scheduler_->OnStarted(order, outcome, NowMillis(), now_);
                  },
                  [this](const StopTask& order) {
+                   if (IsSilent(order.worker)) {
+                     return;
+                   }
                    Worker& worker = workers_.at(order.worker.id);
                    if (worker.running.erase(order.task) > 0) {
                      worker.ended.push_back({++worker.last_end,
@@ -192,6 +198,10 @@
                                          NowMillis(), now_);
                  },
                  [this](const LookAtWorker& order) {
+                   if (IsSilent(order.worker)) {
+                     scheduler_->OnLooked(order, LookResult(), now_);
+                     return;
+                   }
                    Worker& worker = workers_.at(order.worker.id);
                    std::erase_if(worker.ended, [&](const ListedEnd& end) {
                      return end.number <= order.ends_stored;
--- a/test/core/scheduler/scheduler_story.h
+++ b/test/core/scheduler/scheduler_story.h
@@ -59,6 +59,8 @@
   void End(const jobs::TaskRef& task, jobs::RunEnd end);
   // Workers refuse the tickets of starts that come now.
   bool refuses_tickets = false;
+  // Workers that no order reaches, and that answer nothing.
+  std::set<std::string> silent_workers;
 
   // Throws the owner away; the next one begins with what is stored.
   void TakeOver();
@@ -80,6 +82,9 @@
   void BeginTerm();
   void CarryOut();
   void CarryOut(const Action& action);
+  bool IsSilent(const WorkerAddress& worker) const {
+    return silent_workers.contains(worker.id.value());
+  }
   std::int64_t NowMillis() const {
     return now_.time_since_epoch() / std::chrono::milliseconds(1);
   }
--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -122,7 +122,7 @@
   }
   scheduler.RestoreJobs(Now(), now_ms_);
   for (const auto& [id, record] : rows_[RecordTable::kWorkers]) {
-    scheduler.Inherit(base::BackendId(id), record, Now());
+    scheduler.Inherit(base::BackendId(id), record, now_ms_, Now());
   }
   scheduler.SetDesired(desired_);
   scheduler.SetAskers({base::EntryId("a"), base::EntryId("b")});
@@ -197,6 +197,7 @@
       return;
     }
     Store(batch);
+    owner->scheduler->NoteStoreClock(now_ms_, Now());
     owner->scheduler->OnStored(batch, Now());
     for (const auto waiter : batch.accept_waiters) {
       accepted_.insert(owner->waiters[waiter]);
--- a/test/wire/http_client_test.cc
+++ b/test/wire/http_client_test.cc
@@ -91,16 +91,17 @@
   CHECK(f.client.connections(server.address) == 0);
 }
 
+constexpr std::size_t kLargeBody = std::size_t{256} * 1024;
+// libevent alone would write it in pieces of 16 KiB, one a turn.
+constexpr int kTurnsInPieces = 16;
+
 TEST_CASE("a large body on a busy loop") {
-  // libevent alone would write it in pieces of 16 KiB, one a turn.
-  constexpr std::size_t kSize = std::size_t{256} * 1024;
-  constexpr int kTurnsInPieces = 16;
   Fixture f;
   RawSocket listener;
   const std::string address = AddressOf(listener.Listen());
   f.client.Call({.address = address,
                  .uri = "/",
-                 .body = std::string(kSize, 'b'),
+                 .body = std::string(kLargeBody, 'b'),
                  .timeout = seconds(10)},
                 [](const HttpResult&) {});
   int accepted = -1;
@@ -110,7 +111,7 @@
   f.loop.RunUntil([&] {
     ++turns;
     connection.Receive();
-    return connection.received().size() > kSize;
+    return connection.received().size() > kLargeBody;
   });
   CHECK(turns < kTurnsInPieces);
 }
