A test that a step asks no worker twice: the mutant asked-once survived

Cause: in the story that stood for it the workers asked before had no room, so that nothing asked about them again anyway.

--- a/test/core/scheduler/scheduler_test.cc
+++ b/test/core/scheduler/scheduler_test.cc
@@ -186,6 +186,28 @@
   }
 }
 
+TEST_CASE("a step that none of the workers asked about may run") {
+  Story story;
+  story.AddWorkers(2);
+  story.Accept(kJob, "advised", {Story::Step(1)});
+  story.Passes(2);
+  const std::vector<AskAdvice> calls = story.TakeCalls();
+  REQUIRE(calls.size() == 1);
+  story.Advise(calls.front(), {});
+  story.AddWorkers(1);
+
+  SUBCASE("asks about a new one, and not about the others again") {
+    story.Passes(30);
+    std::set<std::string> asked;
+    for (const AskAdvice& call : story.TakeCalls()) {
+      for (const base::BackendId& worker : call.workers) {
+        asked.insert(worker.value());
+      }
+    }
+    CHECK(asked == std::set<std::string>{"worker-2"});
+  }
+}
+
 TEST_CASE("a gang") {
   Story story;
   story.AddWorkers(3);
