Stories of the member wait for the line that names the owner

Ruled out: the product (the job had been accepted, so an owner was there). Change: the three stories that need the owner wait for its line. No check was changed.

--- a/test/e2e/member_test.py
+++ b/test/e2e/member_test.py
@@ -63,11 +63,16 @@
         last = begun[max(begun)] if begun else None
         return None if last == but else last
 
+    def known_owner(self):
+        """Returns the owner once the logs tell: their lines come a little after what they tell of."""
+        self.wait(lambda: self.owner() is not None, "a line that tells who owns the cell")
+        return self.owner()
+
     # -- stories --------------------------------------------------------------------------------------------------
 
     def test_a_paused_owner_does_not_deny_a_job_of_its_successor(self):
         self.hand_in(0)
-        old = self.owner()
+        old = self.known_owner()
         other = next(host for host in range(self.site.hosts) if host != old)
         self.site.signal_host(old, signal.SIGSTOP)
         self.wait(lambda: self.owner(but=old) is not None, "another host owns the cell")
@@ -86,7 +91,7 @@
 
     def test_jobs_of_a_killed_owner_go_on(self):
         jobs = [self.hand_in(0, tasks=4, estimate_ms=1500) for _ in range(6)]
-        old = self.owner()
+        old = self.known_owner()
         self.site.end_host(old, signal.SIGKILL)
         other = next(host for host in range(self.site.hosts) if host != old)
         for job in jobs:
@@ -96,7 +101,7 @@
 
     def test_an_owner_that_is_told_to_stop_hands_over_and_loses_nothing(self):
         jobs = [self.hand_in(0, tasks=4, estimate_ms=800) for _ in range(6)]
-        old = self.owner()
+        old = self.known_owner()
         self.site.end_host(old, signal.SIGTERM)
         self.assertEqual([], self.site.ended_by_itself)
         other = next(host for host in range(self.site.hosts) if host != old)
