--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -84,9 +84,10 @@
   void BeginTerm(FencingToken token, base::TimePoint now);
   void RestorePage(RecordTable table, const std::string& key,
                    const std::string& text, base::TimePoint now);
-  // After the last page.
+  // After the last page. `store_now_ms`, here and below, is at most what the
+  // store's clock shows.
   void RestoreJobs(base::TimePoint now, std::int64_t store_now_ms);
-  // Here and above the store's clock shows `store_now_ms` or more.
+  // Takes the record of a worker that a former owner used.
   void Inherit(const base::BackendId& worker, const std::string& record,
                std::int64_t store_now_ms, base::TimePoint now);
 
@@ -132,7 +133,8 @@
   bool has_changes() const { return jobs_.has_changes(); }
   StoredBatch TakeBatch(base::TimePoint now) { return jobs_.TakeBatch(now); }
   void OnStored(const StoredBatch& batch, base::TimePoint now);
-  // The store's clock shows at most `at_most_ms`.
+  // The store's clock shows at most `at_most_ms`. By it records of silent
+  // workers name the end of their leases; before the first call none does.
   void NoteStoreClock(std::int64_t at_most_ms, base::TimePoint now) {
     worker_records_.NoteStoreClock(at_most_ms, now);
   }
--- a/src/member/owner_times.h
+++ b/src/member/owner_times.h
@@ -24,6 +24,7 @@
   // The store took `latency` for a batch, from its encoding to its answer.
   void NoteWrite(base::Duration latency);
   // Writes the line if it is due.
+  // Its fields: passes and writes, how many; the others in microseconds.
   void WriteIfDue(base::TimePoint now);
 
  private:
