A job's records are written and read once; needs of many tasks are multiplied

Cause, found on rereading the change: a submission encoded the acceptance record to learn its size, threw it away, and the batch encoded it again; a progress record was parsed twice when it was read; what tasks need under a cap was added up task by task in three places; a gang's candidates were copied before it was known that it can't fit. Change: the record goes with the job until a batch has it (JobBook::Accept); ReadProgress reads the state itself, and ReadState, which nothing else called any more, and Job::stored_state, which nothing read, are gone; Resources can be multiplied; Fill copies what it fills only. Ruled out: a bound instead of the size, which would refuse other jobs.

--- a/include/dotterelbarrow/base/units.h
+++ b/include/dotterelbarrow/base/units.h
@@ -87,6 +87,13 @@
   friend constexpr Resources operator-(Resources a, const Resources& b) {
     return a -= b;
   }
+  // Returns what `count` times as much is.
+  friend constexpr Resources operator*(const Resources& a, std::int64_t count) {
+    return {Millicores(a.cpu.value() * count),
+            Mebibytes(a.memory.value() * count),
+            Accelerators(a.accelerators.value() * count),
+            Slots(a.slots.value() * count)};
+  }
   friend constexpr bool operator==(const Resources&,
                                    const Resources&) = default;
 
--- a/include/dotterelbarrow/core/jobs/job.h
+++ b/include/dotterelbarrow/core/jobs/job.h
@@ -96,8 +96,6 @@
   // For each step, how long the longest chain takes that begins with it.
   std::vector<base::Duration> chains;
   JobState state = JobState::kQueued;
-  // What the store holds; callers are shown nothing newer.
-  JobState stored_state = JobState::kQueued;
   // Invariant: holds the occurrences that were due and are not done. Those
   // below `occurrences_begun` that are missing are done.
   std::map<std::uint32_t, Occurrence> occurrences;
--- a/include/dotterelbarrow/core/jobs/job_records.h
+++ b/include/dotterelbarrow/core/jobs/job_records.h
@@ -37,9 +37,6 @@
 // Applies a progress record to a job from its acceptance. Returns whether it
 // could be read; if not, `job` is as before.
 bool ReadProgress(const std::string& record, Job* job, base::Failure* reason);
-// Returns the state of a progress record alone.
-std::optional<JobState> ReadState(const std::string& record,
-                                  base::Failure* reason);
 std::optional<JobState> ParseJobState(const std::string& name);
 
 }  // namespace dotterelbarrow::core::jobs
--- a/include/dotterelbarrow/core/scheduler/job_book.h
+++ b/include/dotterelbarrow/core/scheduler/job_book.h
@@ -59,8 +59,9 @@
  public:
   explicit JobBook(JobBookSettings settings) : settings_(settings) {}
 
-  // Adds a job that no batch holds yet. Precondition: IsKnown is false.
-  void Accept(jobs::Job job, WaiterId waiter);
+  // Adds a job that no batch holds yet, with its record. Precondition: IsKnown
+  // is false.
+  void Accept(jobs::Job job, std::string acceptance, WaiterId waiter);
   // Lets `waiter` hear when the job is stored; returns whether it already is.
   bool AwaitAccepted(jobs::JobKey key, WaiterId waiter);
   // Lets `waiter` hear when all that happened to the job is stored; returns
@@ -145,8 +146,8 @@
   std::unordered_map<jobs::JobKey, Ended> ended_;
   // Invariant: in order of their ends.
   std::deque<jobs::JobKey> ended_order_;
-  // Jobs whose acceptance isn't stored.
-  std::unordered_set<jobs::JobKey> unstored_;
+  // Jobs whose acceptance isn't stored; with the record, until a batch has it.
+  std::unordered_map<jobs::JobKey, std::string> unstored_;
   std::deque<Waiting> waiting_;
   // Invariant: the jobs in `waiting_`.
   std::unordered_set<jobs::JobKey> changed_;
--- a/src/core/jobs/job_records.cc
+++ b/src/core/jobs/job_records.cc
@@ -396,13 +396,18 @@
 
 bool ReadProgress(const std::string& record, Job* job, Failure* reason) {
   const auto value = ReadJson(record, reason);
-  const auto state = ReadState(record, reason);
-  if (!value || !state) {
+  if (!value || !value->isObject() || !(*value)["state"].isString()) {
+    *reason = {FailureCode::kMalformed, "progress: expected a state"};
+    return false;
+  }
+  const std::string name = (*value)["state"].asString();
+  const auto state = ParseJobState(name);
+  if (!state) {
+    *reason = {FailureCode::kUnknownValue, "state: found " + name};
     return false;
   }
   Job read = *job;
   read.state = *state;
-  read.stored_state = *state;
   Reader reader(*value, reason);
   const auto begun =
       static_cast<std::uint32_t>(reader.Number("begun", kMostRepeats));
@@ -435,18 +440,4 @@
   return true;
 }
 
-std::optional<JobState> ReadState(const std::string& record, Failure* reason) {
-  const auto value = ReadJson(record, reason);
-  if (!value || !value->isObject() || !(*value)["state"].isString()) {
-    *reason = {FailureCode::kMalformed, "progress: expected a state"};
-    return std::nullopt;
-  }
-  const auto state = ParseJobState((*value)["state"].asString());
-  if (!state) {
-    *reason = {FailureCode::kUnknownValue,
-               "state: found " + (*value)["state"].asString()};
-  }
-  return state;
-}
-
 }  // namespace dotterelbarrow::core::jobs
--- a/src/core/scheduler/dispatcher_caps.cc
+++ b/src/core/scheduler/dispatcher_caps.cc
@@ -34,11 +34,8 @@
       if (!item) {
         continue;
       }
-      base::Resources& unseen = unseen_[item->job->organisation];
-      const std::uint32_t tasks = item->job->FindStep(ref)->waiting();
-      for (std::uint32_t i = 0; i < tasks; ++i) {
-        unseen += item->job->SpecOf(ref).needs;
-      }
+      unseen_[item->job->organisation] +=
+          item->job->SpecOf(ref).needs * item->job->FindStep(ref)->waiting();
     }
   }
 }
@@ -67,11 +64,8 @@
   if (organisation == nullptr) {
     return true;
   }
-  base::Resources total = used;
-  const base::Resources& needs = item.job->SpecOf(item.step).needs;
-  for (std::uint32_t i = 0; i < tasks; ++i) {
-    total += needs;
-  }
+  const base::Resources total =
+      used + item.job->SpecOf(item.step).needs * tasks;
   const base::Resources& cap = organisation->cap;
   return FitsUnderCap(total.cpu.value(), cap.cpu.value()) &&
          FitsUnderCap(total.memory.value(), cap.memory.value()) &&
@@ -91,11 +85,8 @@
   if (!CanEverFitCap(item, tasks)) {
     return;
   }
-  const auto [it, is_first] =
-      reserved_caps_.try_emplace(item.job->organisation);
-  for (std::uint32_t i = 0; is_first && i < tasks; ++i) {
-    it->second += item.job->SpecOf(item.step).needs;
-  }
+  reserved_caps_.try_emplace(item.job->organisation,
+                             item.job->SpecOf(item.step).needs * tasks);
 }
 
 bool Dispatcher::CanEverFitCap(const Item& item, std::uint32_t tasks) const {
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -12,9 +12,9 @@
 using placement::Candidate;
 
 // Places `tasks` like tasks, each where it sits best; empty if not all fit.
-std::vector<const workers::Worker*> Fill(std::vector<Candidate> candidates,
-                                         const jobs::StepSpec& spec,
-                                         std::size_t tasks) {
+std::vector<const workers::Worker*> Fill(
+    const std::vector<Candidate>& candidates, const jobs::StepSpec& spec,
+    std::size_t tasks) {
   std::size_t room = 0;
   for (const Candidate& candidate : candidates) {
     room +=
@@ -23,9 +23,10 @@
   if (room < tasks) {
     return {};
   }
+  std::vector<Candidate> left = candidates;
   std::vector<const workers::Worker*> chosen;
   while (chosen.size() < tasks) {
-    const workers::Worker* best = placement::TakeBest(&candidates, spec, {});
+    const workers::Worker* best = placement::TakeBest(&left, spec, {});
     if (best == nullptr) {
       return {};
     }
--- a/src/core/scheduler/job_book.cc
+++ b/src/core/scheduler/job_book.cc
@@ -9,9 +9,9 @@
 
 namespace dotterelbarrow::core::scheduler {
 
-void JobBook::Accept(jobs::Job job, WaiterId waiter) {
+void JobBook::Accept(jobs::Job job, std::string acceptance, WaiterId waiter) {
   const jobs::JobKey key = job.key;
-  unstored_.insert(key);
+  unstored_.emplace(key, std::move(acceptance));
   accept_waiters_[key].push_back(waiter);
   jobs_.emplace(key, std::move(job));
   changed_.insert(key);
@@ -107,7 +107,8 @@
                          StoredBatch* batch) {
   changed_.erase(key);
   const auto job = jobs_.find(key);
-  const bool is_new = unstored_.contains(key);
+  const auto unstored = unstored_.find(key);
+  const bool is_new = unstored != unstored_.end();
   if (job == jobs_.end()) {
     const auto ended = ended_.find(key);
     if (ended == ended_.end()) {
@@ -117,7 +118,7 @@
     batch->ended.push_back(key);
   } else if (is_new) {
     pages_.PutRecord(key, JobPages::Kind::kAcceptance,
-                     jobs::AcceptanceRecord(job->second), now);
+                     std::exchange(unstored->second, {}), now);
   } else {
     pages_.PutRecord(key, JobPages::Kind::kProgress,
                      jobs::ProgressRecord(job->second), now);
@@ -139,7 +140,7 @@
 std::vector<WaiterId> JobBook::WithdrawUnwritten(
     std::vector<jobs::JobKey>* keys) {
   std::vector<WaiterId> waiters;
-  for (const jobs::JobKey key : unstored_) {
+  for (const auto& [key, acceptance] : unstored_) {
     if (!under_way_.contains(key) && jobs_.contains(key)) {
       keys->push_back(key);
     }
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -161,7 +161,8 @@
   job.spec = std::move(submission.spec);
   job.accepted_ms = store_now_ms;
   job.accepted_at = now;
-  if (jobs::AcceptanceRecord(job).size() > JobPages::kMostRecordBytes) {
+  std::string acceptance = jobs::AcceptanceRecord(job);
+  if (acceptance.size() > JobPages::kMostRecordBytes) {
     return {SubmitOutcome::kRefused, "job_too_large", base::Duration(0)};
   }
   if (job.spec.is_scheduled()) {
@@ -177,7 +178,7 @@
        {"organisation", job.organisation.value()},
        {"steps", static_cast<std::int64_t>(job.spec.steps.size())},
        {"config", static_cast<std::int64_t>(desired_->version().value())}});
-  jobs_.Accept(std::move(job), waiter);
+  jobs_.Accept(std::move(job), std::move(acceptance), waiter);
   return {SubmitOutcome::kStoring};
 }
 
