One piece of code for what was written again

Gone, as nothing used them: Ticket::worker, AskInParts' result, OwnerCalls::OnOwnerChanged, a parameter of NoteLatency. Left, weighed: the stand-in's names of ends beside the adapter's (it is met through the protocol, so it spells it by itself); paged reads of the list and of the owner's tables (one begins anew after a refusal, the other goes on).

--- a/bench/experiment/main.cc
+++ b/bench/experiment/main.cc
@@ -1,40 +1,30 @@
 // dotterel-experiment: replays load patterns and prints what callers would
 // have seen, and what the decisions cost.
-#include <algorithm>
 #include <boost/program_options.hpp>
 #include <cstdio>
 #include <iostream>
 #include <string>
-#include <vector>
 
 #include "bench/experiment/experiment.h"
+#include "bench/figure.h"
 
 namespace dotterelbarrow::bench {
 namespace {
 
-double Quantile(std::vector<double> values, double part) {
-  if (values.empty()) {
-    return 0;
-  }
-  std::sort(values.begin(), values.end());
-  const auto index =
-      static_cast<std::size_t>(part * static_cast<double>(values.size() - 1));
-  return values[index];
-}
-
 void Print(const Pattern& pattern, const Outcome& outcome) {
   std::printf("%-12s %6s %7s %8s %6s %7s %10s %9s %9s %9s %9s\n", "kind",
               "jobs", "refused", "on time", "late", "open", "work", "start50",
               "start95", "done50", "done95");
   for (std::size_t i = 0; i < outcome.kinds.size(); ++i) {
     const KindOutcome& kind = outcome.kinds[i];
-    std::printf(
-        "%-12s %6d %7d %8d %6d %7d %9.1f%% %9.0f %9.0f %9.0f %9.0f\n",
-        pattern.kinds[i].name.c_str(), kind.jobs, kind.refused, kind.on_time,
-        kind.late, kind.unfinished,
-        kind.work > 0 ? 100 * kind.work_on_time / kind.work : 0,
-        Quantile(kind.first_start_ms, 0.5), Quantile(kind.first_start_ms, 0.95),
-        Quantile(kind.completion_ms, 0.5), Quantile(kind.completion_ms, 0.95));
+    std::printf("%-12s %6d %7d %8d %6d %7d %9.1f%% %9.0f %9.0f %9.0f %9.0f\n",
+                pattern.kinds[i].name.c_str(), kind.jobs, kind.refused,
+                kind.on_time, kind.late, kind.unfinished,
+                kind.work > 0 ? 100 * kind.work_on_time / kind.work : 0,
+                Percentile(kind.first_start_ms, 0.5),
+                Percentile(kind.first_start_ms, 0.95),
+                Percentile(kind.completion_ms, 0.5),
+                Percentile(kind.completion_ms, 0.95));
   }
   std::printf(
       "packing %.1f%%, %llu starts, %llu looks, %llu calls for advice, "
--- a/include/dotterelbarrow/core/advice/advice_book.h
+++ b/include/dotterelbarrow/core/advice/advice_book.h
@@ -71,7 +71,6 @@
 };
 
 struct Ticket {
-  base::BackendId worker;
   std::string text;
   base::TimePoint valid_until;
 };
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -165,9 +165,8 @@
                                                       base::TimePoint now);
   std::vector<base::BackendId> WorkersToAskAbout(const Item& item,
                                                  base::TimePoint now);
-  // Asks in as many calls at once as entry hosts are free; returns whether any
-  // was.
-  bool AskInParts(const Item& item, std::vector<base::BackendId> workers,
+  // Asks in as many calls at once as entry hosts are free.
+  void AskInParts(const Item& item, std::vector<base::BackendId> workers,
                   base::TimePoint now, std::vector<Action>* actions);
   // Where the allowed workers have no room, others may be allowed as well: asks
   // about those that the step wasn't asked about.
@@ -217,6 +216,9 @@
   // What the organisation may have running, seen and unseen.
   base::Resources UsageOf(const base::OrganisationId& organisation) const;
   base::Resources UnseenUsageOf(const base::OrganisationId& organisation) const;
+  // Returns null if the step has no ticket for the worker.
+  advice::Ticket* FindTicket(const jobs::StepRef& step,
+                             const base::BackendId& worker);
   // Returns the ticket to show; nullopt if a new one is needed.
   std::optional<std::string> TicketFor(const Item& item,
                                        const base::BackendId& worker,
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -63,24 +63,19 @@
   AskInParts(item, std::move(unknown), now, actions);
 }
 
-bool Dispatcher::AskInParts(const Item& item,
+void Dispatcher::AskInParts(const Item& item,
                             std::vector<base::BackendId> workers,
                             base::TimePoint now, std::vector<Action>* actions) {
-  bool is_any_asked = false;
   for (auto from = workers.begin(); from != workers.end();) {
     const auto rest = static_cast<std::size_t>(workers.end() - from);
     const auto to = from + static_cast<std::ptrdiff_t>(
                                std::min(rest, settings_.max_advised));
     if (!Ask(item, {from, to}, now, actions)) {
-      break;
+      return;
     }
-    is_any_asked = true;
-    from = to;
-  }
-  if (is_any_asked) {
     advice_.FindOrAdd(item.step).retry_at = now + kAskAgainAfter;
+    from = to;
   }
-  return is_any_asked;
 }
 
 bool Dispatcher::IsWorthAsking(const Item& item, base::TimePoint now) const {
@@ -165,23 +160,27 @@
   return true;
 }
 
+advice::Ticket* Dispatcher::FindTicket(const jobs::StepRef& step,
+                                       const base::BackendId& worker) {
+  advice::StepAdvice* advice = advice_.Find(step);
+  const workers::Worker* target = fleet_->Find(worker);
+  if (advice == nullptr || target == nullptr) {
+    return nullptr;
+  }
+  const auto it = advice->allowed.find(target->number());
+  return it == advice->allowed.end() ? nullptr : &it->second;
+}
+
 std::optional<std::string> Dispatcher::TicketFor(const Item& item,
                                                  const base::BackendId& worker,
                                                  base::TimePoint now) {
   if (!item.queue->advice) {
     return std::string();
   }
-  const advice::StepAdvice* advice = advice_.Find(item.step);
-  if (advice == nullptr) {
-    return std::nullopt;
-  }
-  const workers::Worker* target = fleet_->Find(worker);
-  const auto it = target == nullptr ? advice->allowed.end()
-                                    : advice->allowed.find(target->number());
-  if (it == advice->allowed.end() || now >= it->second.valid_until) {
-    return std::nullopt;
-  }
-  return it->second.text;
+  const advice::Ticket* ticket = FindTicket(item.step, worker);
+  return ticket == nullptr || now >= ticket->valid_until
+             ? std::nullopt
+             : std::optional(ticket->text);
 }
 
 void Dispatcher::OnAdvice(const AskAdvice& call, const AdviceResult& result,
@@ -203,7 +202,7 @@
     for (const AllowedWorker& allowed : result.allowed) {
       if (const workers::Worker* worker = fleet_->Find(allowed.worker)) {
         advice->allowed[worker->number()] = {
-            allowed.worker, allowed.ticket,
+            allowed.ticket,
             now + result.ticket_validity - settings_.ticket_margin};
       }
     }
@@ -224,14 +223,8 @@
 
 void Dispatcher::DropTicket(const jobs::StepRef& step,
                             const base::BackendId& worker) {
-  advice::StepAdvice* advice = advice_.Find(step);
-  const workers::Worker* target = fleet_->Find(worker);
-  if (advice == nullptr || target == nullptr) {
-    return;
-  }
-  if (const auto it = advice->allowed.find(target->number());
-      it != advice->allowed.end()) {
-    it->second.valid_until = base::TimePoint();
+  if (advice::Ticket* ticket = FindTicket(step, worker)) {
+    ticket->valid_until = base::TimePoint();
   }
 }
 
--- a/src/member/desired_watch.cc
+++ b/src/member/desired_watch.cc
@@ -90,7 +90,9 @@
                           base::TimePoint sent_at) {
   is_reading_ = false;
   const bool is_good = result.outcome == platform::StoreOutcome::kDone;
-  NoteLatency(Now() - sent_at, is_good);
+  if (is_good) {
+    NoteLatency(Now() - sent_at);
+  }
   timer_.StartOnce(is_good ? period_ : kRetry);
   if (is_good == is_silent_) {
     is_silent_ = !is_good;
@@ -106,9 +108,9 @@
   }
 }
 
-void DesiredWatch::NoteLatency(base::Duration latency, bool is_answered) {
-  const bool is_slow = is_answered && latency >= kSlowRead;
-  if (is_answered && is_slow != is_slow_) {
+void DesiredWatch::NoteLatency(base::Duration latency) {
+  const bool is_slow = latency >= kSlowRead;
+  if (is_slow != is_slow_) {
     is_slow_ = is_slow;
     telemetry_.log->Write(
         is_slow ? "store_slow" : "store_fast_again",
--- a/src/member/desired_watch.h
+++ b/src/member/desired_watch.h
@@ -53,8 +53,8 @@
   void ReadIfDue();
   void Read();
   void OnRead(const platform::ReadResult& result, base::TimePoint sent_at);
-  // Logs when reads become slow, and when they are fast again.
-  void NoteLatency(base::Duration latency, bool is_answered);
+  // Logs when answered reads become slow, and when they are fast again.
+  void NoteLatency(base::Duration latency);
   // Returns whether `text` is in force now.
   bool Take(const std::string& text);
 
--- a/src/member/member_peers.cc
+++ b/src/member/member_peers.cc
@@ -43,6 +43,11 @@
   return std::chrono::ceil<std::chrono::milliseconds>(age).count();
 }
 
+// Whether a greeting was answered by the owner itself.
+bool IsOwners(const Json::Value& greeting) {
+  return greeting["is_owner"].isBool() && greeting["is_owner"].asBool();
+}
+
 }  // namespace
 
 void Member::Impl::Greet() {
@@ -98,9 +103,8 @@
   const bool is_store_silent =
       !head_heard_at_ ||
       Now() - *head_heard_at_ > core::admission::ReachPolicy::kSilent;
-  const bool is_owner = result.outcome == RpcOutcome::kAnswered &&
-                        result.result["is_owner"].isBool() &&
-                        result.result["is_owner"].asBool();
+  const bool is_owner =
+      result.outcome == RpcOutcome::kAnswered && IsOwners(result.result);
   if (!is_owner && is_store_silent) {
     AskDeputies();
   }
@@ -118,7 +122,7 @@
   if (const Json::Value& hint = greeting["owner"]; hint.isString()) {
     OnOwnerHint(hint.asString());
   }
-  if (!greeting["is_owner"].isBool() || !greeting["is_owner"].asBool()) {
+  if (!IsOwners(greeting)) {
     return;
   }
   owner_heard_at_ = sent_at;
--- a/src/member/owner_calls.h
+++ b/src/member/owner_calls.h
@@ -48,8 +48,6 @@
 
   // Calls `reply` once, within the patience.
   void Call(const OwnerCall& call, OwnerReply reply);
-  // Looks again at calls without an outcome; for when the owner changed.
-  void OnOwnerChanged() { Sweep(); }
 
   // How long a call may go without an outcome; for a process that ends soon.
   void set_patience(base::Duration patience) { patience_ = patience; }
--- a/src/standins/backends/main.cc
+++ b/src/standins/backends/main.cc
@@ -86,13 +86,9 @@
       "availability-zones", po::value(&options.availability_zones),
       "comma-separated")("service", po::value(&plan.service),
                          "service of the runners");
-  po::variables_map values;
-  po::store(po::parse_command_line(argc, argv, flags), values);
-  if (values.contains("help")) {
-    std::cout << flags;
+  if (!ReadFlags(argc, argv, flags)) {
     return std::nullopt;
   }
-  po::notify(values);
   CompletePlan(&options);
   return options;
 }
--- a/src/standins/platform/main.cc
+++ b/src/standins/platform/main.cc
@@ -35,13 +35,9 @@
       "hosts", po::value(&options.hosts), "file with the host list")(
       "host-list-lag-ms", po::value(&options.host_list_lag_ms),
       "how late the host list shows a change");
-  po::variables_map values;
-  po::store(po::parse_command_line(argc, argv, flags), values);
-  if (values.contains("help")) {
-    std::cout << flags;
+  if (!ReadFlags(argc, argv, flags)) {
     return std::nullopt;
   }
-  po::notify(values);
   return options;
 }
 
--- a/src/standins/program.h
+++ b/src/standins/program.h
@@ -24,6 +24,22 @@
   wire::SignalWatch on_interrupt_;
 };
 
+// Reads the command line into what `flags` names. Returns whether the program
+// should run: not if help was asked for, which is shown.
+inline bool ReadFlags(
+    int argc, char** argv,
+    const boost::program_options::options_description& flags) {
+  namespace po = boost::program_options;
+  po::variables_map values;
+  po::store(po::parse_command_line(argc, argv, flags), values);
+  if (values.contains("help")) {
+    std::cout << flags;
+    return false;
+  }
+  po::notify(values);
+  return true;
+}
+
 // Runs a program: `parse` returns its options, nothing if help was shown, or
 // throws what boost does; `run` returns the exit code.
 template <typename Parse, typename Run>
--- a/src/standins/site/main.cc
+++ b/src/standins/site/main.cc
@@ -30,13 +30,9 @@
       "cores of each worker")("seed",
                               po::value(&options.seed)->default_value(1),
                               "seed of what goes wrong by chance");
-  po::variables_map values;
-  po::store(po::parse_command_line(argc, argv, flags), values);
-  if (values.contains("help")) {
-    std::cout << flags;
+  if (!ReadFlags(argc, argv, flags)) {
     return std::nullopt;
   }
-  po::notify(values);
   return options;
 }
 
--- a/src/standins/site/store_service.cc
+++ b/src/standins/site/store_service.cc
@@ -1,11 +1,10 @@
 // Calls of the store.
 #include "src/standins/site/store_service.h"
 
-#include <sodium.h>
-
 #include <utility>
 
 #include "dotterelbarrow/core/codec.h"
+#include "platform/base64.h"
 
 namespace dotterelbarrow::standins::site {
 namespace {
@@ -47,17 +46,6 @@
   return value;
 }
 
-std::string Base64(const std::string& bytes) {
-  std::string text(
-      sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL),
-      '\0');
-  sodium_bin2base64(text.data(), text.size(),
-                    reinterpret_cast<const unsigned char*>(bytes.data()),
-                    bytes.size(), sodium_base64_VARIANT_ORIGINAL);
-  text.pop_back();  // The terminating zero.
-  return text;
-}
-
 std::string QueryOf(const wire::HttpRequest& request, const char* name) {
   const auto it = request.query.find(name);
   return it == request.query.end() ? std::string() : it->second;
@@ -85,7 +73,7 @@
 
 void StoreService::PutText(const std::string& table, const std::string& key,
                            const std::string& text) {
-  model_.Put({table, "", key}, Base64(text));
+  model_.Put({table, "", key}, platform::EncodeBase64(text));
 }
 
 void StoreService::Remove(const std::string& table, const std::string& key) {
--- a/src/standins/site/worker_service.cc
+++ b/src/standins/site/worker_service.cc
@@ -127,6 +127,25 @@
       });
 }
 
+void WorkerService::CarryRun(
+    const wire::HttpRequest& request,
+    const std::function<OrderOutcome(const core::jobs::TaskRef&,
+                                     const Json::Value&)>& order) {
+  Carry(request, [this, exchange = request.exchange, order](
+                     const Json::Value& body, bool is_answered) {
+    const auto task = TaskOf(body);
+    if (!task) {
+      server_.Reply(exchange, {.status = kBadRequest, .body = {}});
+      return;
+    }
+    Advance();
+    const OrderOutcome outcome = order(*task, body);
+    if (is_answered) {
+      Answer(exchange, outcome);
+    }
+  });
+}
+
 void WorkerService::Answer(wire::ExchangeId exchange, OrderOutcome outcome) {
   Json::Value answer(Json::objectValue);
   answer["clock_ms"] = static_cast<Json::Int64>(model_.clock_ms());
@@ -144,55 +163,37 @@
     server_.Reply(request.exchange, {.status = kUnavailable, .body = {}});
     return;
   }
-  Carry(request, [this, exchange = request.exchange](const Json::Value& body,
-                                                     bool is_answered) {
-    const auto task = TaskOf(body);
-    if (!task) {
-      server_.Reply(exchange, {.status = kBadRequest, .body = {}});
-      return;
-    }
-    Advance();
-    core::scheduler::StartTask order;
-    order.task = *task;
-    order.attempt = Attempt(CountOf(body, "attempt"));
-    order.lease_until_ms =
-        static_cast<std::int64_t>(CountOf(body, "deadline_ms"));
-    RunPlan plan = PlanOf(*task, body["spec"].asString());
-    plan.fails = fault_ == WorkerFault::kFailing;
-    const bool was_there = model_.runs().contains(*task);
-    const OrderOutcome outcome =
-        model_.Start(order, FencingToken(CountOf(body, "fencing_token")), plan);
-    if (outcome == OrderOutcome::kDone && !was_there) {
-      site_.ledger->OnStarted(model_.listing().id.value(), *task);
-    }
-    if (model_.was_overloaded() && !was_overloaded_) {
-      was_overloaded_ = true;
-      site_.ledger->OnOverloaded(model_.listing().id.value());
-    }
-    if (is_answered) {
-      Answer(exchange, outcome);
-    }
-  });
+  CarryRun(request,
+           [this](const core::jobs::TaskRef& task, const Json::Value& body) {
+             core::scheduler::StartTask order;
+             order.task = task;
+             order.attempt = Attempt(CountOf(body, "attempt"));
+             order.lease_until_ms =
+                 static_cast<std::int64_t>(CountOf(body, "deadline_ms"));
+             RunPlan plan = PlanOf(task, body["spec"].asString());
+             plan.fails = fault_ == WorkerFault::kFailing;
+             const bool was_there = model_.runs().contains(task);
+             const OrderOutcome outcome = model_.Start(
+                 order, FencingToken(CountOf(body, "fencing_token")), plan);
+             if (outcome == OrderOutcome::kDone && !was_there) {
+               site_.ledger->OnStarted(model_.listing().id.value(), task);
+             }
+             if (model_.was_overloaded() && !was_overloaded_) {
+               was_overloaded_ = true;
+               site_.ledger->OnOverloaded(model_.listing().id.value());
+             }
+             return outcome;
+           });
 }
 
 void WorkerService::OnStop(const wire::HttpRequest& request) {
-  Carry(request, [this, exchange = request.exchange](const Json::Value& body,
-                                                     bool is_answered) {
-    const auto task = TaskOf(body);
-    if (!task) {
-      server_.Reply(exchange, {.status = kBadRequest, .body = {}});
-      return;
-    }
-    Advance();
-    const OrderOutcome outcome =
-        model_.Stop({.worker = {},
-                     .task = *task,
-                     .attempt = Attempt(CountOf(body, "attempt"))},
-                    FencingToken(CountOf(body, "fencing_token")));
-    if (is_answered) {
-      Answer(exchange, outcome);
-    }
-  });
+  CarryRun(request,
+           [this](const core::jobs::TaskRef& task, const Json::Value& body) {
+             return model_.Stop({.worker = {},
+                                 .task = task,
+                                 .attempt = Attempt(CountOf(body, "attempt"))},
+                                FencingToken(CountOf(body, "fencing_token")));
+           });
 }
 
 void WorkerService::OnLook(const wire::HttpRequest& request) {
--- a/src/standins/site/worker_service.h
+++ b/src/standins/site/worker_service.h
@@ -61,6 +61,10 @@
   void Carry(
       const wire::HttpRequest& request,
       const std::function<void(const Json::Value&, bool is_answered)>& order);
+  // The same for an order that names a task; answers with its outcome.
+  void CarryRun(const wire::HttpRequest& request,
+                const std::function<OrderOutcome(const core::jobs::TaskRef&,
+                                                 const Json::Value&)>& order);
   void OnStart(const wire::HttpRequest& request);
   void OnStop(const wire::HttpRequest& request);
   void OnLook(const wire::HttpRequest& request);
--- a/test/member/listing_reader_test.cc
+++ b/test/member/listing_reader_test.cc
@@ -3,30 +3,19 @@
 
 #include <doctest/doctest.h>
 #include <json/json.h>
-#include <sodium.h>
 
 #include <map>
 #include <string>
 
 #include "dotterelbarrow/core/codec.h"
 #include "dotterelbarrow/wire/http_server.h"
+#include "platform/base64.h"
 
 namespace dotterelbarrow::member {
 namespace {
 
 using std::chrono::milliseconds;
 
-std::string Base64(const std::string& bytes) {
-  std::string text(
-      sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL),
-      '\0');
-  sodium_bin2base64(text.data(), text.size(),
-                    reinterpret_cast<const unsigned char*>(bytes.data()),
-                    bytes.size(), sodium_base64_VARIANT_ORIGINAL);
-  text.pop_back();
-  return text;
-}
-
 // A store that lists workers, some a page.
 class PagedStore {
  public:
@@ -40,7 +29,7 @@
   }
 
   void Add(const std::string& worker, const std::string& text) {
-    rows_[worker] = Base64(text);
+    rows_[worker] = platform::EncodeBase64(text);
   }
   // The next reads are refused.
   void RefuseReads(int count) { refusals_ = count; }
