--- a/test/core/scheduler/scheduler_story.cc
+++ b/test/core/scheduler/scheduler_story.cc
@@ -198,6 +198,9 @@
                                          NowMillis(), now_);
                  },
                  [this](const LookAtWorker& order) {
+                   if (order.lease_until_ms) {
+                     renewed_.insert(order.worker.id.value());
+                   }
                    if (IsSilent(order.worker)) {
                      scheduler_->OnLooked(order, LookResult(), now_);
                      return;
--- a/test/core/scheduler/scheduler_story.h
+++ b/test/core/scheduler/scheduler_story.h
@@ -70,6 +70,8 @@
   // Return what was ordered since they were last called.
   std::vector<StartTask> TakeStarts() { return std::exchange(starts_, {}); }
   std::vector<AskAdvice> TakeCalls() { return std::exchange(calls_, {}); }
+  // Workers to which a look granted a lease since this was last called.
+  std::set<std::string> TakeRenewed() { return std::exchange(renewed_, {}); }
 
  private:
   struct Worker {
@@ -101,6 +103,7 @@
   std::map<RecordTable, std::map<std::string, std::string>> rows_;
   std::vector<StartTask> starts_;
   std::vector<AskAdvice> calls_;
+  std::set<std::string> renewed_;
 };
 
 }  // namespace dotterelbarrow::core::scheduler
--- a/test/core/scheduler/worker_records_test.cc
+++ b/test/core/scheduler/worker_records_test.cc
@@ -80,11 +80,14 @@
     Live(&story, seconds(1));
     story.silent_workers.clear();
     story.Accept(kJob, "plain", {Story::Step(8)});
+    story.TakeRenewed();
     story.Passes(5);
     CHECK(StartsOn(&story, kLost) == 0);
+    CHECK_FALSE(story.TakeRenewed().contains(kLost));
     story.Store();
     story.Passes(1);
     CHECK(StartsOn(&story, kLost) == 4);
+    CHECK(story.TakeRenewed().contains(kLost));
   }
   SUBCASE("after a moment, while the store is away: nothing is to be stored") {
     story.Passes(12);
