--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -158,9 +158,10 @@
                                             base::TimePoint now);
   void PlaceAll(std::vector<WaitingStep> items, base::TimePoint now,
                 std::vector<Action>* actions);
-  // Computes the largest free resources of any worker, and resets the overload
-  // guard with the current utilisation.
-  void UpdateFreeResources(base::TimePoint now);
+  // Computes the largest free resources of any worker and the capacity of
+  // workers with orphaned runs, and resets the overload guard with the current
+  // utilisation. The only part of a pass that goes through the whole fleet.
+  void UpdateFleetUsage(base::TimePoint now);
   // Places tasks of one step. Returns nullopt if any were placed, otherwise why
   // the step waits.
   std::optional<WaitReason> Place(WaitingStep* item, base::TimePoint now,
@@ -194,10 +195,11 @@
   bool SendAdviceRequest(const WaitingStep& item,
                          std::vector<base::BackendId> workers,
                          base::TimePoint now, std::vector<Action>* actions);
-  // Returns the workers that could run the step: first those that the advisor
-  // was not asked about; among equals, those with the most free processor time
-  // first.
+  // Returns up to `most` workers that could run the step: first those that the
+  // advisor was not asked about; among equals, those with the most free
+  // processor time first.
   std::vector<const workers::Worker*> SuitableWorkers(const WaitingStep& item,
+                                                      std::size_t most,
                                                       base::TimePoint now);
   // Returns the workers to name in the first advice requests for the step.
   std::vector<base::BackendId> WorkersToRequestFirst(const WaitingStep& item,
@@ -259,11 +261,10 @@
   // `used`.
   bool FitsCap(const WaitingStep& item, const base::Resources& used,
                std::uint32_t tasks) const;
-  // Computes upper bounds of the resources that untracked runs may use.
-  // Orphaned runs, whose job is unknown, may belong to any organisation. Runs
-  // on workers of previous owners that are not claimed yet use no more, for
-  // each organisation, than its inherited tasks that wait.
-  void UpdateUntrackedUsage(base::TimePoint now);
+  // Computes upper bounds of the resources that untracked runs may use on
+  // workers of previous owners that are not claimed yet: for each organisation
+  // no more than its inherited tasks that wait.
+  void UpdateInheritedUsage(base::TimePoint now);
   // Return upper bounds of the resources that the organisation's runs use: the
   // first for all runs, the second for untracked ones only.
   base::Resources UsageOf(const base::OrganisationId& organisation) const;
@@ -320,7 +321,8 @@
   std::unordered_map<desired::QueueId, desired::Queue> known_queues_;
   placement::GangHolds gang_holds_;
   placement::LoadShedder load_shedder_;
-  // Capacity of reconciled workers that have orphaned runs.
+  // Capacity of reconciled workers that have orphaned runs. Such runs, whose
+  // job is unknown, may belong to any organisation.
   base::Resources orphan_usage_;
   // Capacity of workers that are not reconciled yet.
   base::Resources unreconciled_capacity_;
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -110,11 +110,17 @@
   return items;
 }
 
-void Dispatcher::UpdateFreeResources(base::TimePoint now) {
+void Dispatcher::UpdateFleetUsage(base::TimePoint now) {
   largest_free_ = base::Resources();
   base::Resources reserved;
   base::Resources capacity;
+  orphan_usage_ = base::Resources();
+  const std::set<base::BackendId>& unreconciled = fleet_->unreconciled();
   for (const auto& [id, worker] : fleet_->workers()) {
+    if (worker.has_orphans() &&
+        (unreconciled.empty() || !unreconciled.contains(id))) {
+      orphan_usage_ += worker.listing().capacity;
+    }
     if (!worker.CanAcceptWork(now)) {
       continue;
     }
@@ -131,9 +137,9 @@
 
 void Dispatcher::RunPass(base::TimePoint now, std::vector<Action>* actions) {
   gang_holds_.BeginPass(fleet_->workers().size());
-  UpdateUntrackedUsage(now);
+  UpdateFleetUsage(now);
+  UpdateInheritedUsage(now);
   reserved_caps_.clear();
-  UpdateFreeResources(now);
   PlaceAll(CollectByUrgency(&waiting_, now), now, actions);
   if (now >= next_overdue_pass_) {
     next_overdue_pass_ = now + settings_.overdue_pass_interval;
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -1,5 +1,7 @@
 // Placement advice and tickets for waiting steps.
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 #include <utility>
 
 #include "dotterelbarrow/core/scheduler/dispatcher.h"
@@ -60,7 +62,8 @@
   // meanwhile.
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   std::vector<base::BackendId> not_asked;
-  for (const workers::Worker* worker : SuitableWorkers(item, now)) {
+  for (const workers::Worker* worker :
+       SuitableWorkers(item, fleet_->workers().size(), now)) {
     if (!advice.queried_workers.contains(worker->number()) &&
         (spec.gang || spec.Reservation().FitsIn(worker->FreeResources()))) {
       not_asked.push_back(worker->id());
@@ -105,24 +108,36 @@
 }
 
 std::vector<const workers::Worker*> Dispatcher::SuitableWorkers(
-    const WaitingStep& item, base::TimePoint now) {
+    const WaitingStep& item, std::size_t most, base::TimePoint now) {
+  // Compared in this order; the position keeps the order of equals.
+  struct Ranked {
+    bool was_asked = false;
+    std::int64_t used_first = 0;  // Negated free processor time.
+    std::size_t position = 0;
+    const workers::Worker* worker = nullptr;
+
+    bool operator<(const Ranked& other) const {
+      return std::tie(was_asked, used_first, position) <
+             std::tie(other.was_asked, other.used_first, other.position);
+    }
+  };
   const workers::WorkerSet& asked =
       advice_.FindOrAdd(item.step).queried_workers;
-  std::vector<const workers::Worker*> suitable;
+  std::vector<Ranked> ranked;
+  ranked.reserve(fleet_->workers().size());
   for (const auto& [id, worker] : fleet_->workers()) {
     if (MayRunOn(worker, item, now)) {
-      suitable.push_back(&worker);
+      ranked.push_back({asked.contains(worker.number()),
+                        -worker.FreeResources().cpu.value(), ranked.size(),
+                        &worker});
     }
   }
-  std::stable_sort(
-      suitable.begin(), suitable.end(),
-      [&asked](const workers::Worker* a, const workers::Worker* b) {
-        const bool was_asked_a = asked.contains(a->number());
-        const bool was_asked_b = asked.contains(b->number());
-        return was_asked_a != was_asked_b
-                   ? was_asked_b
-                   : a->FreeResources().cpu > b->FreeResources().cpu;
-      });
+  const auto end = ranked.begin() +
+                   static_cast<std::ptrdiff_t>(std::min(most, ranked.size()));
+  std::partial_sort(ranked.begin(), end, ranked.end());
+  std::vector<const workers::Worker*> suitable;
+  std::transform(ranked.begin(), end, std::back_inserter(suitable),
+                 [](const Ranked& entry) { return entry.worker; });
   return suitable;
 }
 
@@ -135,10 +150,8 @@
                                   : kMinAdvisedWorkers,
                         kAdvisedWorkersPerTask * spec.tasks));
   std::vector<base::BackendId> ids;
-  for (const workers::Worker* worker : SuitableWorkers(item, now)) {
-    if (ids.size() == max_workers) {
-      break;
-    }
+  for (const workers::Worker* worker :
+       SuitableWorkers(item, max_workers, now)) {
     ids.push_back(worker->id());
   }
   return ids;
--- a/src/core/scheduler/dispatcher_caps.cc
+++ b/src/core/scheduler/dispatcher_caps.cc
@@ -13,20 +13,15 @@
 
 }  // namespace
 
-void Dispatcher::UpdateUntrackedUsage(base::TimePoint now) {
-  orphan_usage_ = base::Resources();
+void Dispatcher::UpdateInheritedUsage(base::TimePoint now) {
   unreconciled_capacity_ = base::Resources();
   inherited_demand_.clear();
-  for (const auto& [id, worker] : fleet_->workers()) {
-    if (fleet_->unreconciled().contains(id)) {
-      unreconciled_capacity_ += worker.listing().capacity;
-    } else if (worker.has_orphans()) {
-      orphan_usage_ += worker.listing().capacity;
-    }
-  }
   if (fleet_->unreconciled().empty()) {
     return;
   }
+  for (const base::BackendId& id : fleet_->unreconciled()) {
+    unreconciled_capacity_ += fleet_->Find(id)->listing().capacity;
+  }
   for (const std::set<jobs::StepRef>* steps : {&waiting_, &overdue_}) {
     for (const jobs::StepRef& ref : *steps) {
       const std::optional<WaitingStep> item = inherited_.contains(ref.job)
--- a/src/wire/event_loop.cc
+++ b/src/wire/event_loop.cc
@@ -16,6 +16,10 @@
   // Only one thread uses the loop, so libevent needs no locks.
   event_config* config = event_config_new();
   event_config_set_flag(config, EVENT_BASE_FLAG_NOLOCK);
+  // An exchange enables and disables events of its socket several times in one
+  // turn. This makes one system call of them. It is safe as long as no
+  // descriptor is duplicated.
+  event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
   event_base* base = event_base_new_with_config(config);
   event_config_free(config);
   return base;
--- a/src/wire/http_client.cc
+++ b/src/wire/http_client.cc
@@ -13,8 +13,11 @@
 namespace dotterelbarrow::wire {
 namespace {
 
-// How often idle connections and waiting calls are checked for timeouts.
+// How often waiting calls are checked for timeouts.
 constexpr base::Duration kSweepPeriod = std::chrono::milliseconds(50);
+// How often idle connections are: a tenth of their timeout, but not less often
+// than waiting calls.
+constexpr int kIdleChecksPerTimeout = 10;
 
 }  // namespace
 
@@ -40,6 +43,7 @@
       connection->Start(call, std::move(done), deadline);
     } else if (pool->waiting.size() < options_.max_waiting_calls) {
       pool->waiting.push_back({std::move(call), std::move(done), deadline});
+      ++waiting_calls_;
     } else {
       FailAsNotSent(std::move(done));
     }
@@ -130,6 +134,7 @@
       }
       WaitingCall next = std::move(pool->waiting.front());
       pool->waiting.pop_front();
+      --waiting_calls_;
       connection->Start(next.call, std::move(next.done), next.deadline);
     }
   }
@@ -149,6 +154,10 @@
 
   void Sweep() {
     const base::TimePoint now = MonotonicNow();
+    if (waiting_calls_ == 0 && now < next_idle_check_) {
+      return;
+    }
+    next_idle_check_ = now + options_.idle_timeout / kIdleChecksPerTimeout;
     for (auto it = pools_.begin(); it != pools_.end();) {
       Pool& pool = it->second;
       CloseIdle(&pool, now);
@@ -172,6 +181,7 @@
         return false;
       }
       FailAsNotSent(std::move(call.done));
+      --waiting_calls_;
       return true;
     });
   }
@@ -183,6 +193,9 @@
   std::unordered_map<std::string, Pool> pools_;
   std::vector<Callback> not_sent_callbacks_;
   std::size_t calls_under_way_ = 0;
+  // Invariant: the number of calls that wait in all pools.
+  std::size_t waiting_calls_ = 0;
+  base::TimePoint next_idle_check_;
   Timer not_sent_timer_;
   PeriodicTimer sweep_timer_;
 };
