An owner's connections stay below its descriptors; an unreachable worker gets no work

Ruled out: busy or cut workers (the same workers answered polls on open connections). Change: a limit on all connections of a client, half of the descriptors in the settings; at the limit the longest idle connection is closed for a new one, or the call waits. A start that can't be sent counts like an unanswered one, so that after two the worker gets no work until it answers. Tests fail without the change: total limit of the client, starts that can't be sent, max_fds in the settings.

--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -190,7 +190,8 @@
   // revision in the platform's list showed.
   std::optional<base::TimePoint> reported_after;
   int failed_polls = 0;
-  // Number of unanswered commands since the last answer of any kind.
+  // Number of commands since the last answer of any kind that were unanswered
+  // or could not be sent.
   int unanswered_commands = 0;
   // No new work is started before this time, because runs failed here.
   base::TimePoint quarantined_until;
--- a/include/dotterelbarrow/wire/http_client.h
+++ b/include/dotterelbarrow/wire/http_client.h
@@ -57,6 +57,10 @@
 struct HttpClientOptions {
   // Connections per address.
   std::size_t max_connections = 64;
+  // Connections to all addresses; 0 for no limit. At the limit, the connection
+  // that has been idle for longest is closed before another one is opened; if
+  // none is idle, the call waits.
+  std::size_t max_total_connections = 0;
   // Calls per address that may wait for a connection. Further calls fail with
   // kNotSent.
   std::size_t max_waiting_calls = 1024;
@@ -90,6 +94,8 @@
 
   // Returns the number of connections to `address`, for tests and metrics.
   std::size_t connections(const std::string& address) const;
+  // Returns the number of connections to all addresses.
+  std::size_t total_connections() const;
   // Returns the number of calls whose callback has not been called yet.
   std::size_t calls_under_way() const;
 
--- a/src/core/scheduler/fleet_runs.cc
+++ b/src/core/scheduler/fleet_runs.cc
@@ -113,9 +113,10 @@
   if (target == nullptr) {
     return;
   }
-  target->unanswered_commands = outcome == CommandOutcome::kUnanswered
-                                    ? target->unanswered_commands + 1
-                                    : 0;
+  const bool was_unreachable = outcome == CommandOutcome::kUnanswered ||
+                               outcome == CommandOutcome::kNotSent;
+  target->unanswered_commands =
+      was_unreachable ? target->unanswered_commands + 1 : 0;
   Run* run = target->FindRun(key.first, key.second);
   if (run == nullptr) {
     return;
--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -37,6 +37,10 @@
 
 // A worker accepts 64 connections, shared by all entry hosts.
 constexpr std::size_t kMaxConnections = 16;
+// Each client may use one of this many descriptors, so that descriptors remain
+// for callers, peers and files. Without descriptors an owner can send its
+// workers nothing.
+constexpr std::size_t kDescriptorsPerConnection = 2;
 // Reconnecting costs time, and workers keep idle connections open for longer
 // than this.
 constexpr base::Duration kIdleTimeout = std::chrono::seconds(30);
@@ -61,8 +65,10 @@
   return base::Incarnation(static_cast<std::uint64_t>(UnixMillis()));
 }
 
-wire::HttpClientOptions ClientOptions() {
+// `max_descriptors` is 0 if the process's descriptors are not limited.
+wire::HttpClientOptions ClientOptions(std::size_t max_descriptors) {
   return {.max_connections = kMaxConnections,
+          .max_total_connections = max_descriptors / kDescriptorsPerConnection,
           .connect_timeout = std::chrono::milliseconds(600),
           .idle_timeout = kIdleTimeout,
           .unacknowledged_timeout = kSilenceTimeout};
@@ -102,8 +108,8 @@
       latencies_(&metrics_),
       log_(*loop, STDOUT_FILENO),
       telemetry_{&log_, &counters_, &latencies_},
-      client_(*loop, ClientOptions()),
-      peer_client_(*loop, ClientOptions()),
+      client_(*loop, ClientOptions(settings.max_descriptors)),
+      peer_client_(*loop, ClientOptions(settings.max_descriptors / 4)),
       callers_(*loop, {.max_body_bytes = kMaxCallBytes,
                        .receive_timeout = std::chrono::seconds(3)}),
       readiness_(*loop, wire::HttpServerOptions()),
--- a/src/wire/http_client.cc
+++ b/src/wire/http_client.cc
@@ -53,6 +53,7 @@
     const auto it = pools_.find(address);
     return it == pools_.end() ? 0 : it->second.connections.size();
   }
+  std::size_t total_connections() const { return total_connections_; }
   std::size_t calls_under_way() const { return calls_under_way_; }
 
  private:
@@ -85,7 +86,8 @@
     return &pool;
   }
 
-  // Returns an idle or new connection, or null if `max_connections` are busy.
+  // Returns an idle or new connection, or null if as many as permitted are
+  // busy.
   HttpConnection* FreeConnection(Pool* pool) {
     while (!pool->idle.empty()) {
       HttpConnection* connection = pool->idle.back();
@@ -95,15 +97,40 @@
         return connection;
       }
     }
-    if (pool->connections.size() >= options_.max_connections) {
+    if (pool->connections.size() >= options_.max_connections ||
+        (IsAtTotalLimit() && !CloseLongestIdle())) {
       return nullptr;
     }
+    ++total_connections_;
     pool->connections.push_back(std::make_unique<HttpConnection>(
         loop_, pool->address, options_,
         [this, pool](HttpConnection* changed) { OnChanged(pool, changed); }));
     return pool->connections.back().get();
   }
 
+  bool IsAtTotalLimit() const {
+    return options_.max_total_connections > 0 &&
+           total_connections_ >= options_.max_total_connections;
+  }
+
+  // Closes the connection of any pool that has been idle for longest; returns
+  // false if none is idle.
+  bool CloseLongestIdle() {
+    Pool* best = nullptr;
+    for (auto& [address, pool] : pools_) {
+      if (!pool.idle.empty() &&
+          (best == nullptr || pool.idle.front()->idle_since() <
+                                  best->idle.front()->idle_since())) {
+        best = &pool;
+      }
+    }
+    if (best == nullptr) {
+      return false;
+    }
+    Remove(best, best->idle.front());
+    return true;
+  }
+
   void OnChanged(Pool* pool, HttpConnection* connection) {
     std::optional<EndedCall> ended = connection->TakeEndedCall();
     std::erase(pool->idle, connection);
@@ -119,11 +146,12 @@
     }
   }
 
-  static void Remove(Pool* pool, HttpConnection* connection) {
+  void Remove(Pool* pool, HttpConnection* connection) {
     std::erase(pool->idle, connection);
-    std::erase_if(pool->connections, [connection](const auto& candidate) {
-      return candidate.get() == connection;
-    });
+    total_connections_ -=
+        std::erase_if(pool->connections, [connection](const auto& candidate) {
+          return candidate.get() == connection;
+        });
   }
 
   void StartWaiting(Pool* pool) {
@@ -162,6 +190,8 @@
       Pool& pool = it->second;
       CloseIdle(&pool, now);
       ExpireWaiting(&pool, now);
+      // Another pool may have closed a connection since.
+      StartWaiting(&pool);
       const bool unused = pool.connections.empty() && pool.waiting.empty();
       it = unused ? pools_.erase(it) : std::next(it);
     }
@@ -192,6 +222,8 @@
   // elements, and a pool is erased only when it has no connections.
   std::unordered_map<std::string, Pool> pools_;
   std::vector<Callback> not_sent_callbacks_;
+  // Invariant: the number of connections in all pools.
+  std::size_t total_connections_ = 0;
   std::size_t calls_under_way_ = 0;
   // Invariant: the number of calls that wait in all pools.
   std::size_t waiting_calls_ = 0;
@@ -213,6 +245,10 @@
   return impl_->connections(address);
 }
 
+std::size_t HttpClient::total_connections() const {
+  return impl_->total_connections();
+}
+
 std::size_t HttpClient::calls_under_way() const {
   return impl_->calls_under_way();
 }
--- a/test/core/scheduler/fleet_test.cc
+++ b/test/core/scheduler/fleet_test.cc
@@ -154,6 +154,28 @@
   }
 }
 
+// Load pattern: no connection to a worker can be opened. Each start that isn't
+// sent makes its task wait again at once; without a pause the owner does
+// nothing but try these starts.
+TEST_CASE("start commands that can't be sent") {
+  FleetScenario scenario;
+  const auto fail_start = [&scenario] {
+    scenario.Start();
+    scenario.AnswerStart(CommandOutcome::kNotSent);
+  };
+  fail_start();
+  CHECK(scenario.fleet.Find(kWorker)->CanAcceptWork(scenario.now));
+  fail_start();
+  SUBCASE("free their resources, but the worker gets no new work") {
+    CHECK(scenario.FreeCpu() == 4000);
+    CHECK_FALSE(scenario.fleet.Find(kWorker)->CanAcceptWork(scenario.now));
+  }
+  SUBCASE("are forgotten once it answers") {
+    scenario.AnswerPoll({});
+    CHECK(scenario.fleet.Find(kWorker)->CanAcceptWork(scenario.now));
+  }
+}
+
 TEST_CASE("a worker becomes unresponsive while a task runs") {
   FleetScenario scenario;
   scenario.Start();
--- a/test/platform/decoders_test.cc
+++ b/test/platform/decoders_test.cc
@@ -45,6 +45,14 @@
 
 TEST_CASE("the settings file") {
   base::Failure reason;
+  SUBCASE("gives the host's share of resources") {
+    const auto settings = ParsePlatformSettings(
+        std::string(kSettings) + "limits: {cpu_share: 0.25, max_fds: 4100}",
+        &reason);
+    REQUIRE_MESSAGE(settings, reason.detail);
+    CHECK(settings->cpu_share == 0.25);
+    CHECK(settings->max_descriptors == 4100);
+  }
   SUBCASE("gives addresses and time limits; unknown fields are ignored") {
     const auto settings = ParsePlatformSettings(kSettings, &reason);
     REQUIRE_MESSAGE(settings, reason.detail);
--- a/test/wire/http_client_test.cc
+++ b/test/wire/http_client_test.cc
@@ -208,5 +208,54 @@
   CHECK(f.client.connections(address) == 0);
 }
 
+// Load pattern: a burst of calls to more than a thousand addresses, each of
+// which may have several connections, in a process with some thousand
+// descriptors.
+TEST_CASE("HttpClient: a limit on all connections") {
+  EventLoop loop;
+  HttpClient client{loop, {.max_connections = 2, .max_total_connections = 2}};
+  std::vector<HttpResult> results;
+  const auto call = [&](const Server& server) {
+    client.Call(
+        {.address = server.address,
+         .uri = "/",
+         .body = "b",
+         .timeout = seconds(10)},
+        [&results](const HttpResult& result) { results.push_back(result); });
+  };
+  Server first(loop);
+  Server second(loop);
+  Server third(loop);
+  SUBCASE("closes the longest idle connection for a call elsewhere") {
+    for (Server* server : {&first, &second, &third}) {
+      call(*server);
+      loop.RunUntil([&] { return !server->unanswered.empty(); });
+      server->AnswerOldest(200, "");
+      loop.RunUntil([&] { return client.calls_under_way() == 0; });
+    }
+    CHECK(results.size() == 3);
+    CHECK(client.total_connections() == 2);
+    CHECK(client.connections(first.address) == 0);
+    CHECK(client.connections(third.address) == 1);
+  }
+  SUBCASE("lets a call wait while all connections are busy") {
+    call(first);
+    call(second);
+    call(third);
+    loop.RunUntil([&] {
+      return !first.unanswered.empty() && !second.unanswered.empty();
+    });
+    CHECK(client.total_connections() == 2);
+    CHECK(third.unanswered.empty());
+    first.AnswerOldest(200, "");
+    loop.RunUntil([&] { return !third.unanswered.empty(); });
+    CHECK(client.total_connections() == 2);
+    second.AnswerOldest(200, "");
+    third.AnswerOldest(200, "");
+    loop.RunUntil([&] { return results.size() == 3; });
+    CHECK(results[2].outcome == HttpOutcome::kAnswered);
+  }
+}
+
 }  // namespace
 }  // namespace dotterelbarrow::wire
