Run ends are polled sooner; patient work leaves its cap's headroom to urgent work

Ruled out: advice (answered within 35 ms), free workers (5 of 5,968 waited for room). Change: placement/cap_headroom keeps half as much again as the mean urgent demand of the last seconds free from work that yields, at most half the cap; poll interval of 0.1 ms a worker from the last answer, ticks of 20 ms. Tests fail without: a cap with urgent jobs, the poll after ends were stored.

--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -14,6 +14,7 @@
 
 #include "dotterelbarrow/core/advice/advice_cache.h"
 #include "dotterelbarrow/core/desired/desired_state.h"
+#include "dotterelbarrow/core/placement/cap_headroom.h"
 #include "dotterelbarrow/core/placement/gang_holds.h"
 #include "dotterelbarrow/core/placement/load_shedder.h"
 #include "dotterelbarrow/core/placement/urgency.h"
@@ -110,6 +111,10 @@
       bool over_share) const {
     return load_shedder_.Decide(queue, organisation, over_share);
   }
+  // Records that the job has arrived, so that room under its organisation's cap
+  // is kept for urgent jobs like it.
+  void RecordArrival(jobs::Job* job, const desired::Queue& queue,
+                     base::TimePoint now);
   // Marks an accepted job as beyond its organisation's share.
   void MarkOverShare(jobs::JobKey job) { over_share_.insert(job); }
   // Drops the marks of a job.
@@ -143,6 +148,9 @@
     jobs::StepRef step;
     jobs::Job* job = nullptr;
     const desired::Queue* queue = nullptr;
+    // Whether the step has so much slack left that it yields capacity to gangs
+    // and to urgent work.
+    bool yields = false;
     // Why no task of the step may start yet, even if resources are free.
     std::optional<WaitReason> blocked_by{};
     // Allowed workers that accept new work; filled in once the advice is known.
@@ -267,8 +275,12 @@
                                      jobs::Attempt attempt,
                                      base::TimePoint now);
   // Returns whether `tasks` more tasks of the step fit under the organisation's
-  // cap, next to what is reserved there for a gang.
+  // cap, next to what is reserved there for a gang and, if the step yields, for
+  // urgent work.
   bool IsWithinCap(const WaitingStep& item, std::uint32_t tasks) const;
+  // Returns whether `tasks` more tasks of a step that yields leave enough of
+  // the organisation's cap to its urgent work.
+  bool LeavesHeadroom(const WaitingStep& item, std::uint32_t tasks) const;
   // Reserves a part of the organisation's cap for a waiting gang, unless a more
   // urgent gang has such a reservation in this pass.
   void ReserveCap(const WaitingStep& item, std::uint32_t tasks);
@@ -343,6 +355,9 @@
   std::unordered_map<jobs::StepRef, UnplacedGang> unplaced_gangs_;
   base::TimePoint next_gang_retry_;
   placement::LoadShedder load_shedder_;
+  placement::CapHeadroom cap_headroom_;
+  // When the current pass began.
+  base::TimePoint pass_began_;
   // Capacity of reconciled workers that have orphaned runs. Such runs, whose
   // job is unknown, may belong to any organisation.
   base::Resources orphan_usage_;
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -39,12 +39,12 @@
   // The platform removes an unresponsive worker from its list after this time,
   // which is three heartbeats.
   base::Duration listing_timeout = std::chrono::milliseconds(4500);
-  // Minimum time between two polls of a worker, so that one poll, which has a
-  // cost, collects several run ends. In a large fleet it is
-  // `poll_interval_per_worker` times the number of workers, so that the owner
-  // sends fewer than 5,000 polls a second.
+  // Minimum time from the answer of a poll to the next poll of the worker, so
+  // that one poll, which has a cost, collects several run ends. In a large
+  // fleet it is `poll_interval_per_worker` times the number of workers, so that
+  // the owner sends fewer than 10,000 polls a second.
   base::Duration poll_interval = std::chrono::milliseconds(60);
-  base::Duration poll_interval_per_worker = std::chrono::microseconds(200);
+  base::Duration poll_interval_per_worker = std::chrono::microseconds(100);
   // Consecutive unanswered polls after which a worker counts as unresponsive
   // and the store is told so. Answers lost by chance are seldom that many in a
   // row.
--- a/include/dotterelbarrow/core/scheduler/run_index.h
+++ b/include/dotterelbarrow/core/scheduler/run_index.h
@@ -37,10 +37,14 @@
   const std::set<PlacedRun>& RunsOfStep(const jobs::StepRef& step) const;
   // Returns the resources of all runs of an organisation that may be running.
   base::Resources UsageOf(const base::OrganisationId& organisation) const;
+  // Returns the resources of those that had much slack when they were placed.
+  base::Resources UsageWithSlackOf(
+      const base::OrganisationId& organisation) const;
 
  private:
   std::unordered_map<jobs::StepRef, std::set<PlacedRun>> by_step_;
   std::unordered_map<base::OrganisationId, base::Resources> usage_;
+  std::unordered_map<base::OrganisationId, base::Resources> usage_with_slack_;
 };
 
 }  // namespace dotterelbarrow::core::scheduler
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -67,6 +67,8 @@
   // slows down a serving one on the same worker.
   bool is_serving = false;
   bool fills_idle_cpu = false;
+  // Whether its job had much slack left when the run was placed.
+  bool has_slack = false;
   // The resources that the task may use, and the part of them that is reserved
   // on the worker.
   base::Resources needs{};
@@ -185,6 +187,9 @@
   bool leases_suspended = false;
   bool poll_in_flight = false;
   base::TimePoint next_poll;
+  // The next poll is not sent before this time, a minimum interval after the
+  // last answer.
+  base::TimePoint earliest_poll;
   base::TimePoint last_answer;
   // The worker sent its last report to the platform after this time, as a new
   // revision in the platform's list showed.
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -71,6 +71,8 @@
   }
   item.urgency = placement::UrgencyOf(item.job, ref.step, *item.queue,
                                       over_share_.contains(ref.job), now);
+  item.yields =
+      placement::GangHolds::MustYield(item.urgency, item.job->accepted_at, now);
   return item;
 }
 
@@ -136,6 +138,7 @@
 }
 
 void Dispatcher::RunPass(base::TimePoint now, std::vector<Action>* actions) {
+  pass_began_ = now;
   gang_holds_.BeginPass(fleet_->workers().size());
   if (now >= next_gang_retry_) {
     next_gang_retry_ =
@@ -337,12 +340,10 @@
   std::vector<Candidate> candidates = item.candidates;
   // Avoids workers that are kept free for more urgent gangs and, if this work
   // can wait, all workers that such a gang could use.
-  const bool yields =
-      placement::GangHolds::MustYield(item.urgency, item.job->accepted_at, now);
   std::erase_if(candidates, [&](const Candidate& candidate) {
     const workers::WorkerNumber number = candidate.worker->number();
     return gang_holds_.IsHeld(number) ||
-           (yields && gang_holds_.IsWanted(number));
+           (item.yields && gang_holds_.IsWanted(number));
   });
   std::vector<Choice> choices;
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
@@ -437,8 +438,8 @@
     const jobs::TaskRef task{item.step, choice.index};
     const jobs::Attempt number =
         attempt.value() > 0 ? attempt : NextAttempt(step, choice.index);
-    const workers::Run run =
-        workers::MakeReservedRun(*item.job, task, number, now);
+    workers::Run run = workers::MakeReservedRun(*item.job, task, number, now);
+    run.has_slack = item.yields;
     fleet_->Reserve(choice.worker, run);
     runs_->Add(choice.worker, run);
     item.job->RecordRun(task, number);
--- a/src/core/scheduler/dispatcher_caps.cc
+++ b/src/core/scheduler/dispatcher_caps.cc
@@ -76,7 +76,33 @@
       it != reserved_caps_.end()) {
     used += it->second;
   }
-  return FitsCap(item, used, tasks);
+  return FitsCap(item, used, tasks) &&
+         (!item.yields || LeavesHeadroom(item, tasks));
+}
+
+bool Dispatcher::LeavesHeadroom(const WaitingStep& item,
+                                std::uint32_t tasks) const {
+  const desired::Organisation* organisation =
+      desired_->FindOrganisation(item.job->organisation);
+  return organisation == nullptr ||
+         FitsCap(item,
+                 runs_->UsageWithSlackOf(organisation->id) +
+                     cap_headroom_.HeadroomOf(organisation->id,
+                                              organisation->cap, pass_began_),
+                 tasks);
+}
+
+void Dispatcher::RecordArrival(jobs::Job* job, const desired::Queue& queue,
+                               base::TimePoint now) {
+  const placement::Urgency urgency =
+      placement::UrgencyOf(job, 0, queue, false, now);
+  if (placement::GangHolds::MustYield(urgency, job->accepted_at, now)) {
+    return;
+  }
+  for (const jobs::StepSpec& step : job->spec.steps) {
+    cap_headroom_.RecordUrgent(job->organisation, step.needs * step.tasks,
+                               step.estimate, now);
+  }
 }
 
 void Dispatcher::ReserveCap(const WaitingStep& item, std::uint32_t tasks) {
--- a/src/core/scheduler/fleet_runs.cc
+++ b/src/core/scheduler/fleet_runs.cc
@@ -170,7 +170,8 @@
   }
   if (was_regular_poll) {
     target->poll_in_flight = false;
-    target->next_poll = now + PollInterval();
+    target->earliest_poll = now + PollInterval();
+    target->next_poll = target->earliest_poll;
   }
   if (result.outcome == CommandOutcome::kFenced) {
     is_fenced_ = true;
@@ -331,7 +332,8 @@
   }
   target->ends_stored = std::min(number, target->ends_received);
   if (!target->poll_in_flight) {
-    target->next_poll = std::min(target->next_poll, now + PollInterval());
+    target->next_poll =
+        std::min(target->next_poll, std::max(now, target->earliest_poll));
   }
 }
 
--- a/src/core/scheduler/run_index.cc
+++ b/src/core/scheduler/run_index.cc
@@ -9,6 +9,9 @@
                          .second;
   if (added) {
     usage_[run.organisation] += run.needs;
+    if (run.has_slack) {
+      usage_with_slack_[run.organisation] += run.needs;
+    }
   }
 }
 
@@ -19,6 +22,9 @@
     return;
   }
   usage_[run.organisation] -= run.needs;
+  if (run.has_slack) {
+    usage_with_slack_[run.organisation] -= run.needs;
+  }
   if (it->second.empty()) {
     by_step_.erase(it);
   }
@@ -37,4 +43,10 @@
   return it == usage_.end() ? base::Resources() : it->second;
 }
 
+base::Resources RunIndex::UsageWithSlackOf(
+    const base::OrganisationId& organisation) const {
+  const auto it = usage_with_slack_.find(organisation);
+  return it == usage_with_slack_.end() ? base::Resources() : it->second;
+}
+
 }  // namespace dotterelbarrow::core::scheduler
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -193,6 +193,7 @@
     scheduled_jobs_.insert(job.key);
   } else {
     job.BeginOccurrence();
+    dispatcher_.RecordArrival(&job, *queue, now);
   }
   EnqueueReadySteps(job);
   telemetry_.log->Write(
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -15,7 +15,7 @@
 using core::scheduler::RecordTable;
 
 // How often lease renewals, stops and expiries are checked.
-constexpr base::Duration kTickPeriod = std::chrono::milliseconds(50);
+constexpr base::Duration kTickPeriod = std::chrono::milliseconds(20);
 // After a pass the next one waits for at least this many times as long as the
 // pass took, so that a long backlog leaves time to answer calls.
 constexpr int kPassPauseFactor = 3;
--- a/test/core/scheduler/fleet_test.cc
+++ b/test/core/scheduler/fleet_test.cc
@@ -257,6 +257,18 @@
     scenario.AnswerPoll({}, {run_end});
     CHECK(scenario.ends.size() == 1);
   }
+  SUBCASE("are stored before the next poll, which then waits no longer") {
+    scenario.AnswerPoll({}, {run_end});
+    scenario.actions.clear();
+    scenario.Advance(milliseconds(50));
+    scenario.fleet.OnEndsStored(kWorker, 7, scenario.now);
+    scenario.Tick();
+    CHECK(scenario.CountActions<PollWorker>() == 0);
+    // The minimum interval of a small fleet, counted from the poll's answer.
+    scenario.Advance(milliseconds(10));
+    scenario.Tick();
+    CHECK(scenario.CountActions<PollWorker>() == 1);
+  }
   SUBCASE("are acknowledged only once they are stored") {
     CHECK(scenario.EndsAcknowledgedByNextPoll() == 0);
     scenario.AnswerPoll({}, {run_end});
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -33,7 +33,10 @@
   desired::Queue advised = MakeQueue("advised");
   advised.advice = desired::AdvicePolicy{
       milliseconds(20), std::chrono::microseconds(100), kTicketValidity};
-  queues_ = {MakeQueue("plain"), advised};
+  desired::Queue urgent = MakeQueue("urgent");
+  urgent.slack_factor = 1.5;
+  urgent.completion_target = milliseconds(250);
+  queues_ = {MakeQueue("plain"), advised, urgent};
   organisation_.id = kSchool;
   organisation_.weight = 1000;
   BeginTerm();
--- a/test/core/scheduler/scheduler_scenario.h
+++ b/test/core/scheduler/scheduler_scenario.h
@@ -20,8 +20,8 @@
              std::initializer_list<LogField> /*fields*/) override {}
 };
 
-// Has the queues "plain", without placement advice, and "advised", and one
-// organisation, "school".
+// Has the queues "plain", without placement advice, "advised", and "urgent",
+// whose jobs have half a second of slack, and one organisation, "school".
 class SchedulerScenario {
  public:
   static constexpr base::Duration kTicketValidity =
--- a/test/core/scheduler/scheduler_test.cc
+++ b/test/core/scheduler/scheduler_test.cc
@@ -321,6 +321,42 @@
   }
 }
 
+// Load pattern: an organisation's batch jobs have much slack and could fill its
+// cap, while its urgent jobs arrive all the time.
+TEST_CASE("the cap of an organisation with urgent jobs") {
+  Scenario scenario;
+  scenario.AddWorkers(4);
+  scenario.SetCap(8);
+  std::uint64_t key = 100;
+  const auto run_urgent_job = [&scenario, &key] {
+    scenario.SubmitAndStore(++key, "urgent", {Scenario::Step(2)});
+    scenario.RunPasses(1);
+    const std::size_t starts = scenario.TakeStarts().size();
+    for (std::uint32_t i = 0; i < 2; ++i) {
+      scenario.EndRun(TaskOf(key, i), RunEnd::kDone);
+    }
+    scenario.RunPasses(4);
+    return starts;
+  };
+  for (int i = 0; i < 30; ++i) {
+    REQUIRE(run_urgent_job() == 2);
+  }
+  scenario.SubmitAndStore(kJob, "plain", {Scenario::Step(20)});
+  scenario.RunPasses(1);
+  SUBCASE("is not filled by work that can wait") {
+    const std::size_t starts = scenario.TakeStarts().size();
+    CHECK(starts >= 4);
+    CHECK(starts <= 6);
+    CHECK(run_urgent_job() == 2);
+  }
+  SUBCASE("is filled by it once its slack is half used up") {
+    scenario.TakeStarts();
+    scenario.RunPasses(60);
+    CHECK(scenario.TakeStarts().size() >= 2);
+    CHECK(run_urgent_job() == 0);
+  }
+}
+
 TEST_CASE("the next owner") {
   Scenario scenario;
   scenario.AddWorkers(2);
