The owner sheds load at a lag of 12 ms and polls less often while it lags

Change: target 12 ms, nothing new from 70 ms on; polls are stretched by up to four with the lag, as a later poll collects more ends.

--- a/include/dotterelbarrow/core/admission/saturation_gate.h
+++ b/include/dotterelbarrow/core/admission/saturation_gate.h
@@ -21,13 +21,14 @@
 class SaturationGate {
  public:
   // Timers that are this late on the mean show that the processor is just
-  // saturated: small against the slack of work that is due within a second.
-  static constexpr base::Duration kTargetLag = std::chrono::milliseconds(40);
+  // saturated. A job takes a dozen exchanges, each of which waits for a turn of
+  // the loop, so the lag must be small against its slack of half a second.
+  static constexpr base::Duration kTargetLag = std::chrono::milliseconds(12);
   // From this lag on almost nothing is accepted. In between the fraction falls
   // evenly, so that the lag settles where what is accepted can just be handled.
   // A fraction that rises and falls by steps would swing, as a job causes most
   // of its cost after it was accepted.
-  static constexpr base::Duration kMaxLag = std::chrono::milliseconds(140);
+  static constexpr base::Duration kMaxLag = std::chrono::milliseconds(70);
   // Time constant of the mean: as long as the time in which a processor's
   // allotment may be used up and given again.
   static constexpr base::Duration kTimeConstant =
@@ -35,6 +36,7 @@
   // Some jobs are accepted at any lag, so that none is refused by mistake for
   // long.
   static constexpr double kMinFraction = 0.05;
+  static constexpr double kMaxStretch = 4.0;
 
   // Records that a periodic timer ran `lag` after it was due.
   void OnLag(base::Duration lag, base::TimePoint now);
@@ -44,6 +46,9 @@
   // The fraction of new jobs that is accepted, from kMinFraction to 1.
   double fraction() const;
   base::Duration mean_lag() const { return mean_lag_; }
+  // By which factor to stretch the intervals of periodic work that may be done
+  // less often, from 1 without lag to kMaxStretch.
+  double stretch() const;
 
  private:
   base::Duration mean_lag_{0};
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -125,6 +125,11 @@
   // The previous owner is certain to send no further commands.
   void OnPreviousOwnerStopped(base::TimePoint now);
 
+  // Sets the factor by which the interval between polls is longer than in the
+  // settings, because the owner's processor is saturated. A later poll collects
+  // more run ends.
+  void set_poll_stretch(double factor) { poll_stretch_ = factor; }
+
   // Suspends the leases of a worker: until ResumeLeases is called, it is
   // granted no lease and nothing is started on it.
   void SuspendLeases(const base::BackendId& worker);
@@ -187,8 +192,9 @@
   // fleet.
   base::Duration PollInterval() const {
     const auto workers = static_cast<base::Duration::rep>(workers_.size());
-    return std::max(settings_.poll_interval,
-                    settings_.poll_interval_per_worker * workers);
+    const base::Duration interval = std::max(
+        settings_.poll_interval, settings_.poll_interval_per_worker * workers);
+    return std::chrono::duration_cast<base::Duration>(interval * poll_stretch_);
   }
   // Returns when all leases granted up to `now` have expired, on the slowest
   // permitted clock.
@@ -251,6 +257,7 @@
   std::unordered_map<base::BackendId, workers::Worker> workers_;
   std::set<base::BackendId> unreconciled_;
   bool is_fenced_ = false;
+  double poll_stretch_ = 1.0;
   // When the last successful list request was sent.
   std::optional<base::TimePoint> list_requested_at_;
   workers::WorkerNumber last_number_;
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -144,6 +144,8 @@
   void Tick(base::TimePoint now, std::int64_t unix_now_ms);
   // Tells whether the owner's processor can't keep up with its work.
   void set_saturated(bool saturated) { dispatcher_.set_saturated(saturated); }
+  // Sets by which factor workers are polled less often than usual.
+  void set_poll_stretch(double factor) { fleet_.set_poll_stretch(factor); }
   // Runs one scheduling pass.
   void RunPass(base::TimePoint now) { dispatcher_.RunPass(now, &actions_); }
 
--- a/src/core/admission/saturation_gate.cc
+++ b/src/core/admission/saturation_gate.cc
@@ -41,6 +41,11 @@
       kMinFraction, 1.0);
 }
 
+double SaturationGate::stretch() const {
+  const double of_target = Seconds(mean_lag_) / Seconds(kTargetLag);
+  return std::clamp(of_target, 1.0, kMaxStretch);
+}
+
 bool SaturationGate::Admits(std::uint64_t job_key, base::TimePoint now) const {
   const double accepted = fraction();
   if (accepted >= 1.0) {
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -228,6 +228,7 @@
   const base::TimePoint begun = Now();
   saturation_gate_.OnLag(begun - last_tick_ - kTickPeriod, begun);
   last_tick_ = begun;
+  scheduler_.set_poll_stretch(saturation_gate_.stretch());
   if (is_loaded_ && parts_.leadership->HoldsOwnershipLease(Now())) {
     scheduler_.Tick(Now(), UnixMillis());
     Execute();
--- a/test/core/scheduler/fleet_test.cc
+++ b/test/core/scheduler/fleet_test.cc
@@ -269,6 +269,18 @@
     scenario.Tick();
     CHECK(scenario.CountActions<PollWorker>() == 1);
   }
+  SUBCASE("are polled later, but all at once, by a saturated owner") {
+    scenario.fleet.set_poll_stretch(4.0);
+    scenario.AnswerPoll({}, {run_end});
+    scenario.fleet.OnEndsStored(kWorker, 7, scenario.now);
+    scenario.actions.clear();
+    scenario.Advance(milliseconds(230));
+    scenario.Tick();
+    CHECK(scenario.CountActions<PollWorker>() == 0);
+    scenario.Advance(milliseconds(10));
+    scenario.Tick();
+    CHECK(scenario.CountActions<PollWorker>() == 1);
+  }
   SUBCASE("are acknowledged only once they are stored") {
     CHECK(scenario.EndsAcknowledgedByNextPoll() == 0);
     scenario.AnswerPoll({}, {run_end});
