--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -119,11 +119,6 @@
       workers_(&client_, platform::WorkerClientSettings()),
       rpc_(&peer_client_, &counters_),
       rpc_server_(&peers_server_, &counters_),
-      relay_client_(
-          *loop, &peer_client_, &counters_, incarnation_.value(),
-          settings.peers_address,
-          [this](const base::EntryId& relay) { OnRelayFailed(relay); }),
-      relay_server_(*loop, &client_, &peer_client_, &counters_),
       leadership_(LeadershipOf(settings, incarnation_)),
       writer_(*loop, &store_, &leadership_, telemetry_),
       desired_(*loop, &store_, telemetry_,
@@ -155,7 +150,6 @@
       stop_timer_(*loop, [this] { StopIfDrained(); }) {
   SetClaimDelay(kInitialBestCpuShare);
   BindRpc();
-  BindRelay();
   BindPages();
 }
 
@@ -269,12 +263,6 @@
                      const platform::WorkerClient::AdviceDone& done) {
                 Advise(request, done);
               },
-          .poll =
-              [this](const core::scheduler::PollWorker& poll,
-                     core::scheduler::FencingToken token,
-                     platform::WorkerClient::PollDone done) {
-                Poll(poll, token, std::move(done));
-              },
           .ended = [this] { EndTerm(); },
           .on_store_failing = [this] { OfferCellOnStoreFailure(); }},
       SchedulerOf(settings_), store_now_ms);
--- a/src/member/member_calls.cc
+++ b/src/member/member_calls.cc
@@ -12,7 +12,6 @@
 
 constexpr base::Duration kAdviseTimeout = std::chrono::milliseconds(3000);
 constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
 
 using core::scheduler::AdviceResult;
@@ -113,25 +112,6 @@
   }
 }
 
-void Member::Impl::BindRelay() {
-  const auto route = [this](const char* path, auto handle) {
-    peers_server_.Route(
-        wire::HttpMethod::kPost, path,
-        [this, handle](const wire::HttpRequest& request) {
-          const bool is_valid = handle(request.body);
-          peers_server_.Reply(
-              request.exchange,
-              {.status = is_valid ? kOk : kBadRequest, .body = {}});
-        });
-  };
-  route(kRelayedPollsPath, [this](const std::string& body) {
-    return relay_server_.OnPolls(body);
-  });
-  route(kRelayedAnswersPath, [this](const std::string& body) {
-    return relay_client_.OnAnswers(body);
-  });
-}
-
 void Member::Impl::BindPages() {
   readiness_.Route(wire::HttpMethod::kGet, "/readyz",
                    [this](const wire::HttpRequest& request) {
@@ -211,47 +191,4 @@
       [reply](const AdviceResult& result) { reply(ToJson(result)); });
 }
 
-void Member::Impl::Poll(const core::scheduler::PollWorker& poll,
-                        core::scheduler::FencingToken token,
-                        platform::WorkerClient::PollDone done) {
-  const auto relay = poll.is_immediate
-                         ? std::nullopt
-                         : poll_relays_.RelayOf(poll.worker.id, Now());
-  const auto peer = relay ? peers_.find(*relay) : peers_.end();
-  if (peer == peers_.end()) {
-    workers_.Poll(poll, token, std::move(done));
-    return;
-  }
-  relay_client_.Poll(*relay, peer->second.address,
-                     {.id = 0,
-                      .address = poll.worker.address,
-                      .worker = poll.worker.id.value(),
-                      .body = platform::EncodePoll(poll, token),
-                      .timeout = workers_.PollTimeout(poll)},
-                     [done = std::move(done)](const wire::HttpResult& answer) {
-                       done(platform::DecodePollAnswer(answer));
-                     });
-}
-
-void Member::Impl::OnRelayFailed(const base::EntryId& relay) {
-  telemetry_.log->Write("relay_failed", {{"relay", relay.value()}});
-  poll_relays_.OnFailed(relay, Now());
-  UpdatePollRelays();
-}
-
-void Member::Impl::UpdatePollRelays() {
-  if (term_ == nullptr) {
-    return;
-  }
-  std::vector<core::workers::PollRelays::Host> live;
-  for (const auto& [host, peer] : peers_) {
-    if (Now() - peer.last_heartbeat_at < kPeerTimeout &&
-        host != settings_.host) {
-      live.push_back({host, peer.cpu_share});
-    }
-  }
-  poll_relays_.Update(std::move(live), settings_.cpu_share,
-                      term_->scheduler().fleet().workers().size(), Now());
-}
-
 }  // namespace dotterelbarrow::member
--- a/src/member/member_impl.h
+++ b/src/member/member_impl.h
@@ -11,7 +11,6 @@
 #include "dotterelbarrow/core/admission/reachability.h"
 #include "dotterelbarrow/core/counters.h"
 #include "dotterelbarrow/core/leadership/leadership.h"
-#include "dotterelbarrow/core/workers/poll_relays.h"
 #include "dotterelbarrow/member/member.h"
 #include "dotterelbarrow/wire/http_client.h"
 #include "dotterelbarrow/wire/http_server.h"
@@ -24,15 +23,10 @@
 #include "src/member/owner_call_forwarder.h"
 #include "src/member/owner_term.h"
 #include "src/member/ownership_writer.h"
-#include "src/member/poll_relay.h"
 #include "src/member/rpc.h"
 
 namespace dotterelbarrow::member {
 
-// A host counts as live for this long after its last heartbeat: until six were
-// missed.
-inline constexpr base::Duration kPeerTimeout = std::chrono::milliseconds(2000);
-
 // Records latencies in the histograms of the metrics page.
 class LatencyMetrics : public core::scheduler::LatencySink {
  public:
@@ -63,7 +57,6 @@
   };
 
   void BindRpc();
-  void BindRelay();
   void BindPages();
 
   // Polls the ownership record in the store, and claims the cell when it has no
@@ -111,13 +104,6 @@
   // share first.
   Json::Value Deputies() const;
   void UpdateAdviceClients();
-  // Chooses the hosts that poll workers for this owner.
-  void UpdatePollRelays();
-  // Polls a worker through a relay or, if there is none, directly.
-  void Poll(const core::scheduler::PollWorker& poll,
-            core::scheduler::FencingToken token,
-            platform::WorkerClient::PollDone done);
-  void OnRelayFailed(const base::EntryId& relay);
   // Returns the largest processor share, in processors, among the live hosts
   // and this one.
   double LargestCpuShare() const;
@@ -162,9 +148,6 @@
   platform::WorkerClient workers_;
   RpcClient rpc_;
   RpcServer rpc_server_;
-  core::workers::PollRelays poll_relays_;
-  PollRelayClient relay_client_;
-  PollRelayServer relay_server_;
   core::leadership::Leadership leadership_;
   OwnershipWriter writer_;
   std::unique_ptr<OwnerTerm> term_;
--- a/src/member/member_peers.cc
+++ b/src/member/member_peers.cc
@@ -19,6 +19,9 @@
 // without an answer in between mean that the process has ended.
 constexpr base::Duration kHeartbeatRetryDelay = std::chrono::milliseconds(100);
 constexpr int kRefusalsUntilGone = 2;
+// A host counts as live for this long after its last heartbeat: until six were
+// missed.
+constexpr base::Duration kPeerTimeout = std::chrono::milliseconds(2000);
 // An owner that leaves heartbeats unanswered for this long is unresponsive: it
 // is many times what a busy owner needs to answer.
 constexpr base::Duration kUnresponsiveAfter = std::chrono::milliseconds(300);
@@ -61,7 +64,6 @@
   heartbeat_timer_.StartOnce(kHeartbeatPeriod);
   if (leadership_.role() == core::leadership::Role::kOwner) {
     UpdateAdviceClients();
-    UpdatePollRelays();
     ResignIfMuchWeaker();
     return;
   }
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -307,7 +307,7 @@
                 }));
           },
           [this](const core::scheduler::PollWorker& poll) {
-            parts_.poll(
+            parts_.workers->Poll(
                 poll, token_,
                 Guarded([this, poll](const core::scheduler::PollResult& r) {
                   scheduler_.OnPolled(poll, r, Now());
--- a/src/member/owner_term.h
+++ b/src/member/owner_term.h
@@ -31,11 +31,6 @@
   using Advise = std::function<void(const core::scheduler::RequestAdvice&,
                                     const platform::WorkerClient::AdviceDone&)>;
 
-  // Polls a worker, directly or through another entry host.
-  using Poll = std::function<void(const core::scheduler::PollWorker&,
-                                  core::scheduler::FencingToken,
-                                  platform::WorkerClient::PollDone)>;
-
   struct Parts {
     wire::EventLoop* loop = nullptr;
     platform::StoreClient* store = nullptr;
@@ -46,7 +41,6 @@
     // How often the platform's list of workers is read.
     base::Duration listings_period{0};
     Advise advise;
-    Poll poll;
     // Called when the term is over: another owner was seen, a worker rejected
     // its fencing token, or this owner resigned. Must destroy the term, but
     // only after returning.
