--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -61,9 +61,14 @@
   // before they have free resources. Other tasks are placed elsewhere
   // meanwhile.
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  // Steps other than gangs send one request at a time: in a large fleet that is
+  // nearly full, requests about all workers for each of hundreds of waiting
+  // steps would take most of the owner's time. A gang needs many workers at
+  // once.
+  const std::size_t most = spec.gang ? fleet_->workers().size()
+                                     : settings_.max_workers_per_request;
   std::vector<base::BackendId> not_asked;
-  for (const workers::Worker* worker :
-       SuitableWorkers(item, fleet_->workers().size(), now)) {
+  for (const workers::Worker* worker : SuitableWorkers(item, most, now)) {
     if (!advice.queried_workers.contains(worker->number()) &&
         (spec.gang || spec.Reservation().FitsIn(worker->FreeResources()))) {
       not_asked.push_back(worker->id());
--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -150,6 +150,7 @@
       stop_timer_(*loop, [this] { StopIfDrained(); }) {
   SetClaimDelay(kInitialBestCpuShare);
   BindRpc();
+  BindAdvice();
   BindPages();
 }
 
--- a/src/member/member_calls.cc
+++ b/src/member/member_calls.cc
@@ -32,29 +32,6 @@
   return value;
 }
 
-AdviceResult AdviceFromJson(const Json::Value& value) {
-  AdviceResult result;
-  if (value["busy"].isBool() && value["busy"].asBool()) {
-    result.outcome = AdviceResult::Outcome::kBusy;
-  }
-  const Json::Value& allowed = value["allowed"];
-  if (!value["answered"].isBool() || !value["answered"].asBool() ||
-      !value["valid_ms"].isInt64() || !allowed.isArray()) {
-    return result;
-  }
-  result.outcome = AdviceResult::Outcome::kAnswered;
-  result.ticket_validity =
-      std::chrono::milliseconds(value["valid_ms"].asInt64());
-  for (const Json::Value& row : allowed) {
-    if (row.isArray() && row.size() == 2 && row[0].isString() &&
-        row[1].isString()) {
-      result.allowed.push_back(
-          {base::BackendId(row[0].asString()), row[1].asString()});
-    }
-  }
-  return result;
-}
-
 }  // namespace
 
 void Member::Impl::BindRpc() {
@@ -112,6 +89,24 @@
   }
 }
 
+void Member::Impl::BindAdvice() {
+  peers_server_.Route(
+      wire::HttpMethod::kPost, platform::kAdvicePath,
+      [this](const wire::HttpRequest& request) {
+        workers_.ForwardAdviceRequest(
+            settings_.advisor_address, request.body,
+            [this,
+             exchange = request.exchange](const wire::HttpResult& answer) {
+              const bool is_answered =
+                  answer.outcome == wire::HttpOutcome::kAnswered;
+              peers_server_.Reply(
+                  exchange,
+                  {.status = is_answered ? answer.status : kUnavailable,
+                   .body = answer.body});
+            });
+      });
+}
+
 void Member::Impl::BindPages() {
   readiness_.Route(wire::HttpMethod::kGet, "/readyz",
                    [this](const wire::HttpRequest& request) {
@@ -157,18 +152,11 @@
     done(AdviceResult{});
     return;
   }
-  Json::Value params(Json::objectValue);
-  params["step"] = core::jobs::ToString(core::jobs::TaskRef{request.step, 0});
-  params["workers"] = Json::Value(Json::arrayValue);
-  for (const base::BackendId& worker : request.workers) {
-    params["workers"].append(worker.value());
-  }
-  rpc_.Call(peer->second.address, "advise", std::move(params), kAdviseTimeout,
-            [done](const RpcResult& result) {
-              done(result.outcome == RpcOutcome::kAnswered
-                       ? AdviceFromJson(result.result)
-                       : AdviceResult{});
-            });
+  peer_client_.Call(platform::AdviceCall(peer->second.address, request.step,
+                                         request.workers, kAdviseTimeout),
+                    [done](const wire::HttpResult& answer) {
+                      done(platform::DecodeAdvice(answer));
+                    });
 }
 
 void Member::Impl::HandleAdviceRequest(const Json::Value& params,
--- a/src/member/member_impl.h
+++ b/src/member/member_impl.h
@@ -57,6 +57,8 @@
   };
 
   void BindRpc();
+  // Passes requests for advice on to the advisor, and its answers back, unread.
+  void BindAdvice();
   void BindPages();
 
   // Polls the ownership record in the store, and claims the cell when it has no
--- a/test/core/scheduler/scheduler_test.cc
+++ b/test/core/scheduler/scheduler_test.cc
@@ -195,6 +195,35 @@
   }
 }
 
+// Load pattern: hundreds of steps wait in a large fleet that is nearly full,
+// and each of them needs further workers.
+TEST_CASE("a step in a fleet of 250 workers, none of them allowed so far") {
+  Scenario scenario;
+  scenario.AddWorkers(250);
+  scenario.SubmitAndStore(kJob, "advised", {Scenario::Step(20)});
+  scenario.RunPasses(2);
+  std::set<std::string> asked;
+  const auto answer_requests = [&] {
+    std::size_t named = 0;
+    for (const RequestAdvice& request : scenario.TakeAdviceRequests()) {
+      for (const base::BackendId& worker : request.workers) {
+        asked.insert(worker.value());
+      }
+      named += request.workers.size();
+      scenario.AnswerAdviceRequest(request, {});
+    }
+    return named;
+  };
+  CHECK(answer_requests() == 100);
+  SUBCASE("requests advice about the others a hundred at a time") {
+    scenario.RunPasses(10);
+    CHECK(answer_requests() == 100);
+    scenario.RunPasses(10);
+    CHECK(answer_requests() == 50);
+    CHECK(asked.size() == 250);
+  }
+}
+
 TEST_CASE("a step for which the advisor allowed none of the workers") {
   Scenario scenario;
   scenario.AddWorkers(2);
