The owner looks for workers to ask about only if a host is free for that request

Cause: under a backlog a fifth of a pass went to choosing the hundred workers of a first request that no host was free to send: whether one is free was asked for a call about twelve workers, which is short where one about a hundred is long, and long calls use other hosts. Ruled out: the fleet scan (4%).

--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -213,6 +213,8 @@
   // accepts new work. If none does, requests advice where that is due.
   bool FindCandidates(WaitingStep* item, base::TimePoint now,
                       std::vector<Action>* actions);
+  // Returns how many workers the first request for a step names at most.
+  std::size_t FirstRequestSize(const jobs::StepSpec& spec) const;
   // Returns whether an entry host is free for an advice request.
   bool CanRequestAdvice(const WaitingStep& item, base::TimePoint now);
   // Returns whether an advice request is of use now: a gang must fit under the
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -43,11 +43,21 @@
   return false;
 }
 
+std::size_t Dispatcher::FirstRequestSize(const jobs::StepSpec& spec) const {
+  return spec.gang ? settings_.max_workers_per_request
+                   : std::min(settings_.max_workers_per_request,
+                              std::max(kMinAdvisedWorkers,
+                                       kAdvisedWorkersPerTask * spec.tasks));
+}
+
 bool Dispatcher::CanRequestAdvice(const WaitingStep& item,
                                   base::TimePoint now) {
+  // For the size of the request that will be sent: a long call needs another
+  // host than a short one.
+  const std::size_t workers = std::min(
+      FirstRequestSize(item.job->SpecOf(item.step)), fleet_->workers().size());
   return advice_clients_.CanChoose(
-      advice::ExpectedCallDuration(*item.queue->advice, kMinAdvisedWorkers),
-      now);
+      advice::ExpectedCallDuration(*item.queue->advice, workers), now);
 }
 
 void Dispatcher::RequestMoreAdvice(const WaitingStep& item, base::TimePoint now,
@@ -148,12 +158,7 @@
 
 std::vector<base::BackendId> Dispatcher::WorkersToRequestFirst(
     const WaitingStep& item, base::TimePoint now) {
-  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
-  const std::size_t max_workers =
-      std::min(settings_.max_workers_per_request,
-               std::max(spec.gang ? settings_.max_workers_per_request
-                                  : kMinAdvisedWorkers,
-                        kAdvisedWorkersPerTask * spec.tasks));
+  const std::size_t max_workers = FirstRequestSize(item.job->SpecOf(item.step));
   std::vector<base::BackendId> ids;
   for (const workers::Worker* worker :
        SuitableWorkers(item, max_workers, now)) {
