The whole list is read at most once a period if the store keeps no history

Cause, found by reading: a store that drops its history at once answers each read of the feed that the history is gone, and the reader then read all pages at once and again, some 16 times a second where it used to be twice. Change: the next whole read waits for the rest of the period. The test fails without it.

--- a/src/member/listing_reader.cc
+++ b/src/member/listing_reader.cc
@@ -1,6 +1,7 @@
 // Reads the pages of the list in key order, then the feed of its changes.
 #include "src/member/listing_reader.h"
 
+#include <algorithm>
 #include <chrono>
 #include <set>
 #include <utility>
@@ -82,7 +83,9 @@
 void ListingReader::OnFeed(const platform::FeedResult& result,
                            base::TimePoint sent_at) {
   if (result.outcome == platform::StoreOutcome::kHistoryGone) {
-    Read();
+    // Not more often than once a period, in case the store keeps no history.
+    const base::Duration since_read = Now() - incoming_.requested_at;
+    page_timer_.StartOnce(std::max(base::Duration(0), period_ - since_read));
     return;
   }
   if (result.outcome != platform::StoreOutcome::kDone) {
--- a/test/member/listing_reader_test.cc
+++ b/test/member/listing_reader_test.cc
@@ -131,9 +131,11 @@
     R"("born":5,"capacity":{"cpu":4000,"mem_mb":1024,"gpu":0}})";
 
 struct Fixture {
-  explicit Fixture(std::size_t rows_per_page)
-      : fake_store(loop, rows_per_page) {}
+  explicit Fixture(std::size_t rows_per_page,
+                   base::Duration reading_period = milliseconds(5))
+      : period(reading_period), fake_store(loop, rows_per_page) {}
 
+  base::Duration period;
   wire::EventLoop loop;
   PagedStore fake_store;
   core::Counters counters;
