--- a/test/member/listing_reader_test.cc
+++ b/test/member/listing_reader_test.cc
@@ -147,7 +147,7 @@
       loop,
       &store,
       &counters,
-      milliseconds(5),
+      period,
       [this](std::vector<core::workers::Listing> list, base::TimePoint) {
         lists.push_back(std::move(list));
       },
@@ -225,6 +225,28 @@
   }
 }
 
+// Load pattern: a store that keeps no history while workers come and go.
+// Reading the whole list for each change would cost more than reading it
+// regularly.
+TEST_CASE("ListingReader: a store without a history") {
+  Fixture f(2, std::chrono::hours(1));
+  f.fake_store.Add("a", kRegistration);
+  f.reader.Read();
+  f.RunUntilLists(1);
+  const int reads = f.fake_store.reads();
+  f.fake_store.Remove("a");
+  f.fake_store.DropHistory();
+  f.loop.RunUntil(
+      [&] { return f.counters.value("store_feeds", "history_gone") == 1; });
+  // The answer to another call comes after whatever the reader has sent.
+  bool is_answered = false;
+  f.store.ReadFeed("servers", base::RowVersion(100), milliseconds(0),
+                   std::chrono::seconds(5),
+                   [&](const platform::FeedResult&) { is_answered = true; });
+  f.loop.RunUntil([&] { return is_answered; });
+  CHECK(f.fake_store.reads() == reads);
+}
+
 TEST_CASE(
     "ListingReader: a list is delivered late, but never in part, if the "
     "store refuses reads") {
