--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -124,10 +124,8 @@
   base::Resources reserved;
   base::Resources capacity;
   orphan_usage_ = base::Resources();
-  const std::set<base::BackendId>& unreconciled = fleet_->unreconciled();
   for (const auto& [id, worker] : fleet_->workers()) {
-    if (worker.has_orphans() &&
-        (unreconciled.empty() || !unreconciled.contains(id))) {
+    if (worker.has_orphans() && !fleet_->unreconciled().contains(id)) {
       orphan_usage_ += worker.listing().capacity;
     }
     if (!worker.CanAcceptWork(now)) {
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -127,13 +127,13 @@
   // Compared in this order; the position keeps the order of equals.
   struct Ranked {
     bool was_asked = false;
-    std::int64_t used_first = 0;  // Negated free processor time.
+    std::int64_t negated_free_cpu = 0;
     std::size_t position = 0;
     const workers::Worker* worker = nullptr;
 
     bool operator<(const Ranked& other) const {
-      return std::tie(was_asked, used_first, position) <
-             std::tie(other.was_asked, other.used_first, other.position);
+      return std::tie(was_asked, negated_free_cpu, position) <
+             std::tie(other.was_asked, other.negated_free_cpu, other.position);
     }
   };
   const workers::WorkerSet& asked =
--- a/src/member/member_calls.cc
+++ b/src/member/member_calls.cc
@@ -43,6 +43,7 @@
                                        const RpcServer::Reply& reply) {
     HandleTakeOverOffer(params, reply);
   });
+  // For owners of the earlier version; see BindAdvice.
   rpc_server_.Bind("advise", [this](const Json::Value& params,
                                     const RpcServer::Reply& reply) {
     HandleAdviceRequest(params, reply);
