Logs tell a desired state that arrives slowly from a silent store

Change: desired_lost has waited_ms and received_bytes; desired_sent is logged at the host that sends the text to another one; the counter peer_answer_bytes has the bytes sent to other hosts by kind of call.

Nothing else behaves differently. The test of a lost call also checks the bytes that had arrived.

--- a/include/dotterelbarrow/wire/http_client.h
+++ b/include/dotterelbarrow/wire/http_client.h
@@ -52,6 +52,9 @@
   // `status` and `body` are set only for kAnswered.
   int status = 0;
   std::string body;
+  // How many bytes of the answer arrived, headers included. Positive also for
+  // an answer that was not complete in time.
+  std::size_t received_bytes = 0;
 };
 
 struct HttpClientOptions {
--- a/src/member/desired_watch.cc
+++ b/src/member/desired_watch.cc
@@ -99,8 +99,11 @@
   timer_.StartOnce(is_good ? period_ : kRetryDelay);
   if (is_good == is_store_unavailable_) {
     is_store_unavailable_ = !is_good;
-    telemetry_.log->Write(is_good ? "desired_regained" : "desired_lost",
-                          {{"outcome", platform::ToString(result.outcome)}});
+    telemetry_.log->Write(
+        is_good ? "desired_regained" : "desired_lost",
+        {{"outcome", platform::ToString(result.outcome)},
+         {"waited_ms", (Now() - sent_at) / std::chrono::milliseconds(1)},
+         {"received_bytes", static_cast<std::int64_t>(result.received_bytes)}});
   }
   if (!is_good || result.rows.empty()) {
     return;
--- a/src/member/member_peers.cc
+++ b/src/member/member_peers.cc
@@ -170,6 +170,11 @@
   if (const auto age = desired_.ConfirmationAge()) {
     result["text"] = desired_.text();
     result["age_ms"] = CeilMilliseconds(*age);
+    telemetry_.log->Write(
+        "desired_sent",
+        {{"version",
+          static_cast<std::int64_t>(desired_.current()->version().value())},
+         {"bytes", static_cast<std::int64_t>(desired_.text().size())}});
   }
   reply(std::move(result));
 }
--- a/src/member/rpc.cc
+++ b/src/member/rpc.cc
@@ -74,16 +74,18 @@
     server_->Reply(post.exchange, {.status = kStatusBadRequest, .body = {}});
     return;
   }
-  handler->second(
-      (*request)["params"], [this, exchange = post.exchange,
-                             id = (*request)["id"]](Json::Value result) {
-        Json::Value response(Json::objectValue);
-        response["jsonrpc"] = "2.0";
-        response["id"] = id;
-        response["result"] = std::move(result);
-        server_->Reply(
-            exchange, {.status = kStatusOk, .body = core::WriteJson(response)});
-      });
+  handler->second((*request)["params"], [this, exchange = post.exchange,
+                                         id = (*request)["id"],
+                                         method = handler->first](
+                                            Json::Value result) {
+    Json::Value response(Json::objectValue);
+    response["jsonrpc"] = "2.0";
+    response["id"] = id;
+    response["result"] = std::move(result);
+    std::string body = core::WriteJson(response);
+    counters_->Increment("peer_answer_bytes", method.c_str(), body.size());
+    server_->Reply(exchange, {.status = kStatusOk, .body = std::move(body)});
+  });
 }
 
 }  // namespace dotterelbarrow::member
--- a/src/wire/http_connection.cc
+++ b/src/wire/http_connection.cc
@@ -63,12 +63,16 @@
   bufferevent_set_max_single_write(stream, kMaxBytesPerTurn);
   evbuffer_add_cb(bufferevent_get_output(stream), &HttpConnection::OnOutput,
                   this);
+  evbuffer_add_cb(bufferevent_get_input(stream), &HttpConnection::OnInput,
+                  this);
 }
 
 HttpConnection::~HttpConnection() {
-  evbuffer_remove_cb(
-      bufferevent_get_output(evhttp_connection_get_bufferevent(connection_)),
-      &HttpConnection::OnOutput, this);
+  bufferevent* stream = evhttp_connection_get_bufferevent(connection_);
+  evbuffer_remove_cb(bufferevent_get_output(stream), &HttpConnection::OnOutput,
+                     this);
+  evbuffer_remove_cb(bufferevent_get_input(stream), &HttpConnection::OnInput,
+                     this);
   evhttp_connection_set_closecb(connection_, nullptr, nullptr);
   // Frees a pending request without calling its callback.
   evhttp_connection_free(connection_);
@@ -79,6 +83,7 @@
   done_ = std::move(done);
   deadline_ = deadline;
   sent_ = false;
+  received_bytes_ = 0;
   const base::Duration left = deadline - MonotonicNow();
   deadline_timer_.StartOnce(opened_ ? left
                                     : std::min(left, options_.connect_timeout));
@@ -170,6 +175,11 @@
   }
 }
 
+void HttpConnection::OnInput(evbuffer* /*buffer*/, const evbuffer_cb_info* info,
+                             void* self) {
+  static_cast<HttpConnection*>(self)->received_bytes_ += info->n_added;
+}
+
 void HttpConnection::OnDeadline() {
   const base::TimePoint now = MonotonicNow();
   if (sent_ && now < deadline_) {
@@ -188,6 +198,7 @@
   if (!done_) {
     return;
   }
+  result.received_bytes = received_bytes_;
   ended_ = EndedCall{std::move(result), std::exchange(done_, nullptr)};
   idle_since_ = MonotonicNow();
   deadline_timer_.Cancel();
--- a/src/wire/http_connection.h
+++ b/src/wire/http_connection.h
@@ -52,6 +52,8 @@
   static void OnClosed(evhttp_connection* connection, void* self);
   static void OnOutput(evbuffer* buffer, const evbuffer_cb_info* info,
                        void* self);
+  static void OnInput(evbuffer* buffer, const evbuffer_cb_info* info,
+                      void* self);
   void OnDeadline();
   evhttp_request* MakeRequest(const HttpCall& call);
   void SetSocketOptions();
@@ -70,6 +72,8 @@
   bool opened_ = false;
   // Whether any byte of the pending call was handed to the kernel.
   bool sent_ = false;
+  // How many bytes of the pending call's answer have arrived.
+  std::size_t received_bytes_ = 0;
   // Set when a call fails or the connection is closed. Invariant: never reset
   // to false.
   bool broken_ = false;
--- a/test/wire/http_client_test.cc
+++ b/test/wire/http_client_test.cc
@@ -181,6 +181,7 @@
   Fixture f;
   RawSocket listener;
   const std::string address = AddressOf(listener.Listen());
+  std::string partial_answer;
   SUBCASE("when the server does not answer") {
     f.Call(address, milliseconds(50));
   }
@@ -198,13 +199,15 @@
     });
     SUBCASE("before its answer") {}
     SUBCASE("in the middle of its answer") {
-      connection.Send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+      partial_answer = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf";
+      connection.Send(partial_answer);
     }
     shutdown(accepted, SHUT_RDWR);
     f.RunUntilResults(1);
   }
   f.RunUntilResults(1);
   CHECK(f.results[0].outcome == HttpOutcome::kLost);
+  CHECK(f.results[0].received_bytes == partial_answer.size());
   CHECK(f.client.connections(address) == 0);
 }
 
