--- a/scripts/relay.py
+++ b/scripts/relay.py
@@ -1,7 +1,8 @@
 """A TCP relay on loopback that lets a test disturb the traffic between a client and a server.
 
 While cut, the relay accepts connections but forwards no data, like a firewall that drops all packets; it can be cut in
-one direction only. repair() closes the connections that were cut, since the data in transit is lost.
+one direction only. repair() closes the connections that were cut, since the data in transit is lost. limit_rate() gives
+the link a bandwidth towards the client, which all connections share.
 """
 import asyncio
 import threading
@@ -23,6 +24,9 @@
         self._loop = asyncio.new_event_loop()
         self._connections = set()
         self._mode = "pass"
+        self._bytes_per_s = None
+        # When the link has sent all that was handed to it, by the loop's clock.
+        self._free_at = 0.0
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
         self._run(self._listen())
@@ -37,6 +41,10 @@
         """Sets one of the modes in FORWARDS; `pass` also drops all present connections."""
         self._run(self._set_mode(mode))
 
+    def limit_rate(self, bytes_per_s):
+        """Limits the bandwidth from the server to the client; None lifts the limit."""
+        self._bytes_per_s = bytes_per_s
+
     def reset(self):
         """Drops all present connections; new ones are served."""
         self._run(self._drop_connections())
@@ -77,10 +85,17 @@
             self._connections.discard(task)
             writer.close()
 
+    async def _wait_for_bandwidth(self, size):
+        now = self._loop.time()
+        self._free_at = max(self._free_at, now) + size / self._bytes_per_s
+        await asyncio.sleep(self._free_at - now)
+
     async def _forward(self, reader, writer, direction):
         while data := await reader.read(CHUNK_BYTES):
             if self._mode == "delay":
                 await asyncio.sleep(DELAY_S)
+            if direction == 1 and self._bytes_per_s:
+                await self._wait_for_bandwidth(len(data))
             if FORWARDS[self._mode][direction]:
                 writer.write(data)
                 await writer.drain()
--- a/scripts/soak_site.py
+++ b/scripts/soak_site.py
@@ -33,8 +33,11 @@
 MAX_ATTEMPTS = 1000
 
 
-def desired_state(version, keys):
-    """Returns the desired state that the operator writes: two queues, one with an advisor, and two organisations."""
+def desired_state(version, keys, unused_queues=0):
+    """Returns the desired state that the operator writes.
+
+    It has two organisations, two queues, one of them with an advisor, and further queues to which no job is submitted.
+    """
     def route(name, priority, advisor):
         return {"name": name, "host": CALLERS_HOST, "path_prefix": f"/{name}/", "service": "tasks", "public": False,
                 "priority": priority, "max_attempts": MAX_ATTEMPTS, "slack_factor": 20.0,
@@ -42,7 +45,8 @@
     return {
         "version": version,
         "routes": [route("plain", 0, None),
-                   route("advised", 1, {"decision_ms": 10.0, "per_worker_ms": 0.1, "valid_ms": 1500})],
+                   route("advised", 1, {"decision_ms": 10.0, "per_worker_ms": 0.1, "valid_ms": 1500}),
+                   *(route(f"unused-{number}", 2, None) for number in range(unused_queues))],
         "services": [{"name": "tasks", "enforces_capacity": False, "standby": False}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "idle_timeout_ms": 15000},
         "tenants": [{"name": name, "api_keys": [key], "weight": 1000, "cap": {"cpu": 0, "mem_mb": 0, "gpu": 0}}
@@ -64,6 +68,7 @@
         self.links = {}
         self.version = 1
         self.keys = dict(KEYS)
+        self.unused_queues = 0
         self.control_port = self.base_port + 2
         self.ended_by_itself = []
 
@@ -153,7 +158,7 @@
         assert status == 200, f"the stand-in refused {what}"
 
     def write_desired(self):
-        self.fault(desired=desired_state(self.version, self.keys))
+        self.fault(desired=desired_state(self.version, self.keys, self.unused_queues))
 
     def truth(self, job=None):
         status, answer = call(self.control_port, "GET", f"/truth?job={job}" if job else "/truth")
--- a/test/e2e/member_test.py
+++ b/test/e2e/member_test.py
@@ -15,8 +15,12 @@
 from soak_site import CALLERS_HOST, Site  # noqa: E402
 
 TIMEOUT_S = 60.0
+KEY_REVOCATION_S = 5.0
 SEED = 1
 KEY = "key-school"
+# The link carries the text of a desired state with that many queues in some two seconds.
+MANY_QUEUES = 4000
+SLOW_LINK_BYTES_PER_S = 600_000
 
 
 class MemberStory(unittest.TestCase):
@@ -68,6 +72,10 @@
         self.wait(lambda: self.owner() is not None, "a log line of a term that began")
         return self.owner()
 
+    def has_applied(self, host, version):
+        log = (self.site.folder / f"host-{host}.log").read_text(encoding="utf-8")
+        return f"event=desired_applied version={version} " in log
+
     # -- tests ----------------------------------------------------------------------------------------------------
 
     def test_a_paused_owner_does_not_deny_a_job_of_its_successor(self):
@@ -112,6 +120,22 @@
                       f"job {job} is completed")
         self.assertEqual([], self.site.truth()["broken"])
 
+    def test_a_desired_state_that_takes_seconds_to_read_is_applied_and_confirmed(self):
+        # Regression test for incident inc1: a read of the desired state was given up before a slow link had carried it.
+        job = self.submit(0)
+        for link in self.site.links.values():
+            link.limit_rate(SLOW_LINK_BYTES_PER_S)
+        self.site.version += 1
+        self.site.unused_queues = MANY_QUEUES
+        self.site.write_desired()
+        for host in range(self.site.hosts):
+            self.wait(lambda host=host: self.has_applied(host, self.site.version),
+                      f"host {host} applies version {self.site.version}")
+        # A host that can't confirm its state refuses calls with keys from then on.
+        time.sleep(KEY_REVOCATION_S + 1.0)
+        for host in range(self.site.hosts):
+            self.assertEqual(200, self.ask(host, "GET", job)[0], f"expected host {host} to confirm its desired state")
+
 
 if __name__ == "__main__":
     unittest.main()
