A desired state is transferred once a change, for as long as it keeps arriving

Cause: to confirm that its desired state is the newest, a host read the whole state, and gave up each read 900 ms after it was sent, however many bytes had come. A state of 1.2 MB needs 0.96 s of a link of 10 Mbit/s: no read could end, and each began again from the first byte. Ruled out: a store that is slow or down (no failed call in its record; other hosts were served).

Change: - Calls to the store end when no byte has come for their time-out, at the latest after 10 s, instead of at a fixed time after sending. - After the first read a host polls the feed of the table: an answer without a change confirms the state at the cost of some hundred bytes.

--- a/src/member/desired_watch.cc
+++ b/src/member/desired_watch.cc
@@ -1,6 +1,6 @@
-// Polls the store's row of the desired state. A change feed would deliver
-// changes sooner, but an idle feed doesn't confirm that the state is still the
-// newest; a linearizable read does.
+// Reads the row of the desired state, then polls the feed of its changes. Each
+// answer of the feed comes at once and is linearizable: one without a change of
+// the row confirms the state as of the time at which it was requested.
 #include "src/member/desired_watch.h"
 
 #include <utility>
@@ -15,10 +15,10 @@
 // While the owner confirms the state, this host reads the store only once in
 // this many periods.
 constexpr int kPeriodsPerOwnRead = 4;
-// Many times the usual latency of a read.
+// Many times the usual latency of an answer.
 constexpr base::Duration kSlowReadLatency = std::chrono::milliseconds(60);
-// A slow store answers a read within a quarter of a second. A read that takes
-// much longer is given up and sent again.
+// A slow store begins to answer within a quarter of a second. A call without a
+// further byte for much longer is given up and sent again.
 constexpr base::Duration kReadTimeout = std::chrono::milliseconds(900);
 
 }  // namespace
@@ -31,7 +31,7 @@
       telemetry_(telemetry),
       period_(period),
       changed_(std::move(changed)),
-      timer_(loop, [this] { ReadIfDue(); }) {
+      timer_(loop, [this] { AskIfDue(); }) {
   Read();
 }
 
@@ -60,12 +60,13 @@
 void DesiredWatch::OnPeerText(const std::string& text, base::TimePoint sent_at,
                               base::Duration age) {
   if (Apply(text)) {
+    is_stored_text_ = false;
     confirmation_.OnPeerVersion(current_->version(), current_->version(),
                                 sent_at, age);
   }
 }
 
-void DesiredWatch::ReadIfDue() {
+void DesiredWatch::AskIfDue() {
   const base::TimePoint now = Now();
   const auto age = confirmation_.Age(now);
   const auto since_read = confirmation_.TimeSinceRead(now);
@@ -74,7 +75,11 @@
     timer_.StartOnce(period_ - *age);
     return;
   }
-  Read();
+  if (followed_version_) {
+    ReadChanges();
+  } else {
+    Read();
+  }
 }
 
 void DesiredWatch::Read() {
@@ -82,38 +87,90 @@
     return;
   }
   is_reading_ = true;
-  const base::TimePoint sent_at = Now();
-  store_->Read(platform::DesiredStateRow(), kReadTimeout,
-               [this, sent_at](const platform::ReadResult& result) {
+  store_->Read(platform::SingleRowRange(platform::DesiredStateRow()),
+               kReadTimeout,
+               [this, sent_at = Now()](const platform::ReadResult& result) {
                  OnRead(result, sent_at);
                });
 }
 
 void DesiredWatch::OnRead(const platform::ReadResult& result,
                           base::TimePoint sent_at) {
+  OnOutcome(result.outcome, result.received_bytes, sent_at);
+  if (result.outcome != platform::StoreOutcome::kDone) {
+    return;
+  }
+  followed_version_ = result.version;
+  is_stored_text_ = false;
+  if (!result.rows.empty()) {
+    OnStoredText(result.rows.front().value);
+  }
+  if (is_stored_text_) {
+    confirmation_.OnRead(sent_at);
+  }
+}
+
+void DesiredWatch::ReadChanges() {
+  if (is_reading_) {
+    return;
+  }
+  is_reading_ = true;
+  store_->ReadFeed(platform::DesiredStateRow().table, *followed_version_,
+                   base::Duration(0), kReadTimeout,
+                   [this, sent_at = Now()](const platform::FeedResult& result) {
+                     OnChanges(result, sent_at);
+                   });
+}
+
+void DesiredWatch::OnChanges(const platform::FeedResult& result,
+                             base::TimePoint sent_at) {
+  if (result.outcome == platform::StoreOutcome::kHistoryGone) {
+    is_reading_ = false;
+    followed_version_.reset();
+    Read();
+    return;
+  }
+  OnOutcome(result.outcome, result.received_bytes, sent_at);
+  if (result.outcome != platform::StoreOutcome::kDone) {
+    return;
+  }
+  followed_version_ = result.version;
+  // Only the last change of the row counts.
+  for (auto change = result.changes.rbegin(); change != result.changes.rend();
+       ++change) {
+    if (change->row.key == platform::DesiredStateRow()) {
+      OnStoredText(change->row.value);
+      break;
+    }
+  }
+  if (is_stored_text_) {
+    confirmation_.OnRead(sent_at);
+  }
+}
+
+void DesiredWatch::OnOutcome(platform::StoreOutcome outcome,
+                             std::size_t received_bytes,
+                             base::TimePoint sent_at) {
   is_reading_ = false;
-  const bool is_good = result.outcome == platform::StoreOutcome::kDone;
+  const bool is_good = outcome == platform::StoreOutcome::kDone;
   if (is_good) {
-    RecordReadLatency(Now() - sent_at);
+    RecordReadLatency(store_->read_latency());
   }
   timer_.StartOnce(is_good ? period_ : kRetryDelay);
   if (is_good == is_store_unavailable_) {
     is_store_unavailable_ = !is_good;
     telemetry_.log->Write(
         is_good ? "desired_regained" : "desired_lost",
-        {{"outcome", platform::ToString(result.outcome)},
+        {{"outcome", platform::ToString(outcome)},
          {"waited_ms", (Now() - sent_at) / std::chrono::milliseconds(1)},
-         {"received_bytes", static_cast<std::int64_t>(result.received_bytes)}});
-  }
-  if (!is_good || result.rows.empty()) {
-    return;
-  }
-  const std::string& text = result.rows.front().value;
-  if (text == text_ || Apply(text)) {
-    confirmation_.OnRead(sent_at);
+         {"received_bytes", static_cast<std::int64_t>(received_bytes)}});
   }
 }
 
+void DesiredWatch::OnStoredText(const std::string& text) {
+  is_stored_text_ = text == text_ || Apply(text);
+}
+
 void DesiredWatch::RecordReadLatency(base::Duration latency) {
   const bool is_slow = latency >= kSlowReadLatency;
   if (is_slow != is_slow_) {
--- a/src/member/desired_watch.h
+++ b/src/member/desired_watch.h
@@ -1,5 +1,9 @@
-// Polls the store for the desired state, and tracks how recently it was
+// Follows the desired state in the store, and tracks how recently it was
 // confirmed to be the newest.
+//
+// Load pattern: a desired state of a megabyte, and hosts whose links carry that
+// in a second. The state is therefore transferred once for each change; to
+// confirm it costs the same whatever its size.
 #ifndef DOTTERELBARROW_SRC_MEMBER_DESIRED_WATCH_H_
 #define DOTTERELBARROW_SRC_MEMBER_DESIRED_WATCH_H_
 
@@ -22,8 +26,9 @@
   using Changed =
       std::function<void(std::shared_ptr<const core::desired::DesiredState>)>;
 
-  // Reads at once, and then every `period`. Calls `changed` with each newer
-  // state. `loop`, `store` and what `telemetry` points to must outlive this.
+  // Reads at once, and then asks for changes every `period`. Calls `changed`
+  // with each newer state. `loop`, `store` and what `telemetry` points to must
+  // outlive this.
   DesiredWatch(const wire::EventLoop& loop, platform::StoreClient* store,
                core::scheduler::Telemetry telemetry, base::Duration period,
                Changed changed);
@@ -43,9 +48,9 @@
   const std::string& text() const { return text_; }
   // Handles another host's answer to a call sent at `sent_at`: its `version`
   // was confirmed to be the newest `age` before it answered. If that version is
-  // newer than the current one, reads the store at once. Returns true if the
-  // caller should fetch the text from that host instead, because the store
-  // doesn't answer this one.
+  // newer than the current one, reads it from the store at once. Returns true
+  // if the caller should fetch the text from that host instead, because the
+  // store doesn't answer this one.
   bool OnPeerVersion(base::ConfigVersion version, base::TimePoint sent_at,
                      base::Duration age);
   // Applies the text of another host's desired state, confirmed `age` before it
@@ -54,11 +59,20 @@
                   base::Duration age);
 
  private:
-  // Reads the store, unless another host has confirmed the state within the
-  // last period and the last read is recent.
-  void ReadIfDue();
+  // Asks the store for changes, unless another host has confirmed the state
+  // within the last period and the store has recently answered.
+  void AskIfDue();
+  // Reads the state.
   void Read();
   void OnRead(const platform::ReadResult& result, base::TimePoint sent_at);
+  // Asks for changes since `followed_version_`.
+  void ReadChanges();
+  void OnChanges(const platform::FeedResult& result, base::TimePoint sent_at);
+  // Handles an answer or its absence, and schedules the next call.
+  void OnOutcome(platform::StoreOutcome outcome, std::size_t received_bytes,
+                 base::TimePoint sent_at);
+  // Applies what the store holds as of `followed_version_`.
+  void OnStoredText(const std::string& text);
   // Logs when answered reads become slow and when they become fast again.
   void RecordReadLatency(base::Duration latency);
   // Makes `text` the current state unless it is malformed or older. Returns
@@ -73,7 +87,15 @@
   // The encoded text of `current_`.
   std::string text_;
   core::desired::Confirmation confirmation_;
+  // The store's version of which this host knows whether the row of the desired
+  // state had changed; nullopt before the first read and when the store has
+  // dropped the history since.
+  std::optional<base::RowVersion> followed_version_;
+  // Whether `text_` is what that row held at `followed_version_`. It is not if
+  // the row can't be used, or while another host's newer state is in use.
+  bool is_stored_text_ = false;
   bool is_store_unavailable_ = false;
+  // Whether a call to the store is pending.
   bool is_reading_ = false;
   bool is_slow_ = false;
   wire::Timer timer_;
--- a/src/wire/http_connection.cc
+++ b/src/wire/http_connection.cc
@@ -82,6 +82,10 @@
                            base::TimePoint deadline) {
   done_ = std::move(done);
   deadline_ = deadline;
+  stall_timeout_ = call.timeout;
+  final_deadline_ =
+      std::max(deadline, deadline - call.timeout + call.max_transfer_time);
+  on_answer_begun_ = call.on_answer_begun;
   sent_ = false;
   received_bytes_ = 0;
   const base::Duration left = deadline - MonotonicNow();
@@ -177,13 +181,30 @@
 
 void HttpConnection::OnInput(evbuffer* /*buffer*/, const evbuffer_cb_info* info,
                              void* self) {
-  static_cast<HttpConnection*>(self)->received_bytes_ += info->n_added;
+  auto* connection = static_cast<HttpConnection*>(self);
+  if (info->n_added == 0) {
+    return;
+  }
+  connection->received_bytes_ += info->n_added;
+  connection->last_received_at_ = MonotonicNow();
+  if (const auto begun = std::exchange(connection->on_answer_begun_, nullptr)) {
+    begun();
+  }
+}
+
+base::TimePoint HttpConnection::CurrentDeadline() const {
+  if (received_bytes_ == 0) {
+    return deadline_;
+  }
+  return std::max(
+      deadline_, std::min(last_received_at_ + stall_timeout_, final_deadline_));
 }
 
 void HttpConnection::OnDeadline() {
   const base::TimePoint now = MonotonicNow();
-  if (sent_ && now < deadline_) {
-    deadline_timer_.StartOnce(deadline_ - now);
+  const base::TimePoint deadline = CurrentDeadline();
+  if (sent_ && now < deadline) {
+    deadline_timer_.StartOnce(deadline - now);
     return;
   }
   Fail();
--- a/src/wire/http_connection.h
+++ b/src/wire/http_connection.h
@@ -34,8 +34,9 @@
   HttpConnection(const HttpConnection&) = delete;
   HttpConnection& operator=(const HttpConnection&) = delete;
 
-  // Starts `call`, which fails if it has not ended by `deadline`. Must be
-  // called only while is_idle().
+  // Starts `call`, which fails if it has not ended by `deadline`, or at a later
+  // time that `call.max_transfer_time` permits. Must be called only while
+  // is_idle().
   void Start(const HttpCall& call, HttpClient::Callback done,
              base::TimePoint deadline);
   // Removes and returns the call that has ended, if there is one.
@@ -55,6 +56,8 @@
   static void OnInput(evbuffer* buffer, const evbuffer_cb_info* info,
                       void* self);
   void OnDeadline();
+  // Returns when the pending call fails unless more bytes of its answer arrive.
+  base::TimePoint CurrentDeadline() const;
   evhttp_request* MakeRequest(const HttpCall& call);
   void SetSocketOptions();
   void Fail();
@@ -67,6 +70,11 @@
   HttpClient::Callback done_;
   std::optional<EndedCall> ended_;
   base::TimePoint deadline_;
+  // The `timeout` of the pending call, and the time by which its answer must be
+  // complete however steadily it arrives.
+  base::Duration stall_timeout_{0};
+  base::TimePoint final_deadline_;
+  std::function<void()> on_answer_begun_;
   base::TimePoint idle_since_;
   // Whether a first call has opened the socket and its options have been set.
   bool opened_ = false;
@@ -74,6 +82,7 @@
   bool sent_ = false;
   // How many bytes of the pending call's answer have arrived.
   std::size_t received_bytes_ = 0;
+  base::TimePoint last_received_at_;
   // Set when a call fails or the connection is closed. Invariant: never reset
   // to false.
   bool broken_ = false;
--- a/test/wire/http_client_test.cc
+++ b/test/wire/http_client_test.cc
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <deque>
+#include <memory>
 #include <vector>
 
 #include "dotterelbarrow/wire/http_server.h"
@@ -211,6 +212,68 @@
   CHECK(f.client.connections(address) == 0);
 }
 
+// A server whose answer arrives in parts, one tick apart.
+struct SteadyAnswer {
+  static constexpr base::Duration kTick = milliseconds(20);
+
+  RawSocket listener;
+  std::string address = AddressOf(listener.Listen());
+  std::unique_ptr<RawSocket> connection;
+  int parts_left = 0;
+  PeriodicTimer timer;
+
+  SteadyAnswer(const EventLoop& loop, int body_bytes, int parts)
+      : parts_left(parts), timer(loop, kTick, [this, body_bytes] {
+          if (const int fd = listener.Accept(); fd >= 0) {
+            connection = std::make_unique<RawSocket>(fd);
+            connection->Send("HTTP/1.1 200 OK\r\nContent-Length: " +
+                             std::to_string(body_bytes) + "\r\n\r\n");
+          } else if (connection != nullptr && parts_left > 0) {
+            --parts_left;
+            connection->Send("x");
+          }
+        }) {}
+};
+
+// Load pattern: an answer that takes longer than any time-out for an
+// unresponsive server, because the link is slow.
+TEST_CASE("HttpClient: an answer that keeps arriving after the timeout") {
+  constexpr base::Duration kTimeout = SteadyAnswer::kTick * 20;
+  constexpr int kBodyBytes = 60;
+  Fixture f;
+  const auto call = [&](const SteadyAnswer& server, base::Duration longest) {
+    f.client.Call(
+        {.address = server.address,
+         .uri = "/",
+         .body = {},
+         .timeout = kTimeout,
+         .max_transfer_time = longest},
+        [&](const HttpResult& result) { f.results.push_back(result); });
+    f.RunUntilResults(1);
+  };
+  SUBCASE("is complete if the call may take that long") {
+    SteadyAnswer server(f.loop, kBodyBytes, kBodyBytes);
+    call(server, seconds(10));
+    CHECK(f.results[0].outcome == HttpOutcome::kAnswered);
+    CHECK(f.results[0].body.size() == kBodyBytes);
+  }
+  SUBCASE("is lost if the call has only its timeout") {
+    SteadyAnswer server(f.loop, kBodyBytes, kBodyBytes);
+    call(server, base::Duration(0));
+    CHECK(f.results[0].outcome == HttpOutcome::kLost);
+  }
+  SUBCASE("is lost once it has stopped arriving for the timeout") {
+    SteadyAnswer server(f.loop, kBodyBytes, kBodyBytes / 2);
+    call(server, std::chrono::hours(1));
+    CHECK(f.results[0].outcome == HttpOutcome::kLost);
+  }
+  SUBCASE("is lost at the end of the longest time, however steadily it comes") {
+    SteadyAnswer server(f.loop, 1'000'000, 1'000'000);
+    call(server, kTimeout * 2);
+    CHECK(f.results[0].outcome == HttpOutcome::kLost);
+  }
+}
+
 // Load pattern: a burst of calls to more than a thousand addresses, each of
 // which may have several connections, in a process with some thousand
 // descriptors.
