A host asks the owner for one text at a time, and texts take half of its link

Cause: a host whose reads of the desired state failed asked the owner for its text with each heartbeat, every 300 ms, beside its earlier requests, and gave up each after 900 ms. 24 hosts asked for 80 texts a second of about 0.9 MB; the owner's link carries 25. Evidence: 10,000 to 21,500 kB/s out at whoever owned the cell, 470 kB/s at the same host before and after.

Change: admission/transfer_budget lets texts take half of the owner's link; beyond that it answers without the text, and the host asks again at its next heartbeat. member/desired_fetcher has one request pending at most, and waits as long as bytes arrive. The link's bandwidth is read from the settings.

Tests: transfer_budget_test replays 24 hosts in virtual time, desired_fetcher_test, decoders_test. Weighed: several hosts as sources of the text; not needed at these sizes.

--- a/include/dotterelbarrow/base/units.h
+++ b/include/dotterelbarrow/base/units.h
@@ -60,6 +60,9 @@
 // Requests that a runner can serve concurrently.
 using Slots = Quantity<struct SlotsTag>;
 
+using Bytes = Quantity<struct BytesTag>;
+using BytesPerSecond = Quantity<struct BytesPerSecondTag>;
+
 // The resources that a backend server has, or that a task needs.
 struct Resources {
   Millicores cpu;
--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -128,6 +128,12 @@
                    term_->SetDesired(desired);
                  }
                }),
+      desired_fetcher_(&rpc_, &counters_,
+                       [this](const std::string& text, base::TimePoint sent_at,
+                              base::Duration age) {
+                         desired_.OnPeerText(text, sent_at, age);
+                       }),
+      desired_texts_(settings.link),
       owner_calls_(
           *loop, &rpc_, telemetry_, [this] { return FindOwner(); },
           [this](const OwnerCall& call, const OwnerReply& reply) {
--- a/src/member/member_impl.h
+++ b/src/member/member_impl.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "dotterelbarrow/core/admission/reachability.h"
+#include "dotterelbarrow/core/admission/transfer_budget.h"
 #include "dotterelbarrow/core/counters.h"
 #include "dotterelbarrow/core/leadership/leadership.h"
 #include "dotterelbarrow/member/member.h"
@@ -17,6 +18,7 @@
 #include "dotterelbarrow/wire/metrics.h"
 #include "platform/store_client.h"
 #include "platform/worker_client.h"
+#include "src/member/desired_fetcher.h"
 #include "src/member/desired_watch.h"
 #include "src/member/job_api.h"
 #include "src/member/log_writer.h"
@@ -117,9 +119,8 @@
   std::optional<OwnerRoute> FindOwner() const;
   // Returns which of the store and the owner this host can reach now.
   core::admission::Reachability FindReach() const;
-  // Fetches the desired state from the owner, for a host that the store refuses
-  // to serve.
-  void FetchDesired(const std::string& owner_address);
+  // Sends the text of the desired state to a host that the store doesn't serve,
+  // unless texts already take their part of the link.
   void HandleDesiredRequest(const RpcServer::Reply& reply);
   void Advise(const core::scheduler::RequestAdvice& request,
               const platform::WorkerClient::AdviceDone& done);
@@ -154,6 +155,8 @@
   OwnershipWriter writer_;
   std::unique_ptr<OwnerTerm> term_;
   DesiredWatch desired_;
+  DesiredFetcher desired_fetcher_;
+  core::admission::TransferBudget desired_texts_;
   OwnerCallForwarder owner_calls_;
   JobApi job_api_;
   std::map<base::EntryId, Peer> peers_;
--- a/src/member/member_peers.cc
+++ b/src/member/member_peers.cc
@@ -148,33 +148,22 @@
   if (version.isUInt64() && age.isInt64() &&
       desired_.OnPeerVersion(base::ConfigVersion(version.asUInt64()), sent_at,
                              std::chrono::milliseconds(age.asInt64()))) {
-    FetchDesired(owner.address);
+    desired_fetcher_.Fetch(owner.address);
   }
 }
 
-void Member::Impl::FetchDesired(const std::string& owner_address) {
-  rpc_.Call(owner_address, "desired", Json::Value(Json::objectValue),
-            kPeerCallTimeout, [this, sent_at = Now()](const RpcResult& result) {
-              const Json::Value& text = result.result["text"];
-              const Json::Value& age = result.result["age_ms"];
-              if (result.outcome == RpcOutcome::kAnswered && text.isString() &&
-                  age.isInt64()) {
-                desired_.OnPeerText(text.asString(), sent_at,
-                                    std::chrono::milliseconds(age.asInt64()));
-              }
-            });
-}
-
 void Member::Impl::HandleDesiredRequest(const RpcServer::Reply& reply) {
   Json::Value result(Json::objectValue);
-  if (const auto age = desired_.ConfirmationAge()) {
+  const auto age = desired_.ConfirmationAge();
+  const base::Bytes size(static_cast<std::int64_t>(desired_.text().size()));
+  if (age && desired_texts_.TryAcquire(size, Now())) {
     result["text"] = desired_.text();
     result["age_ms"] = CeilMilliseconds(*age);
     telemetry_.log->Write(
         "desired_sent",
         {{"version",
           static_cast<std::int64_t>(desired_.current()->version().value())},
-         {"bytes", static_cast<std::int64_t>(desired_.text().size())}});
+         {"bytes", size.value()}});
   }
   reply(std::move(result));
 }
--- a/src/member/rpc.cc
+++ b/src/member/rpc.cc
@@ -19,7 +19,8 @@
 }  // namespace
 
 void RpcClient::Call(const std::string& address, const std::string& method,
-                     Json::Value params, base::Duration timeout, Done done) {
+                     Json::Value params, base::Duration timeout, Done done,
+                     base::Duration max_transfer_time) {
   Json::Value request(Json::objectValue);
   request["jsonrpc"] = "2.0";
   request["id"] = 1;  // A connection carries one request at a time.
@@ -52,7 +53,8 @@
                  .method = wire::HttpMethod::kPost,
                  .uri = "/rpc",
                  .body = core::WriteJson(request),
-                 .timeout = timeout},
+                 .timeout = timeout,
+                 .max_transfer_time = max_transfer_time},
                 on_answer);
 }
 
--- a/src/member/rpc.h
+++ b/src/member/rpc.h
@@ -38,9 +38,11 @@
   RpcClient(wire::HttpClient* client, core::Counters* counters)
       : client_(client), counters_(counters) {}
 
-  // Calls `done` once, with the result or the reason why there is none.
+  // Calls `done` once, with the result or the reason why there is none. See
+  // wire::HttpCall about `timeout` and `max_transfer_time`.
   void Call(const std::string& address, const std::string& method,
-            Json::Value params, base::Duration timeout, Done done);
+            Json::Value params, base::Duration timeout, Done done,
+            base::Duration max_transfer_time = base::Duration(0));
 
  private:
   wire::HttpClient* client_;
--- a/test/platform/decoders_test.cc
+++ b/test/platform/decoders_test.cc
@@ -47,11 +47,23 @@
   base::Failure reason;
   SUBCASE("gives the host's share of resources") {
     const auto settings = ParsePlatformSettings(
-        std::string(kSettings) + "limits: {cpu_share: 0.25, max_fds: 4100}",
+        std::string(kSettings) +
+            "limits: {cpu_share: 0.25, max_fds: 4100, link_mbps: 200.0}",
         &reason);
     REQUIRE_MESSAGE(settings, reason.detail);
     CHECK(settings->cpu_share == 0.25);
     CHECK(settings->max_descriptors == 4100);
+    CHECK(settings->link == base::BytesPerSecond(25'000'000));
+  }
+  SUBCASE("has a usable link whatever the field holds") {
+    for (const char* mbps : {"0", "-3", ".nan", ".inf", "1e300", "[1]", "x"}) {
+      CAPTURE(mbps);
+      const auto settings = ParsePlatformSettings(
+          std::string(kSettings) + "limits: {link_mbps: " + mbps + "}",
+          &reason);
+      REQUIRE_MESSAGE(settings, reason.detail);
+      CHECK(settings->link >= base::BytesPerSecond(1'250'000));
+    }
   }
   SUBCASE("gives addresses and time limits; unknown fields are ignored") {
     const auto settings = ParsePlatformSettings(kSettings, &reason);
