A new owner is asked for the desired state although the former one hasn't answered

A host that had asked one owner for the text waited up to 10 s for it, also after the cell had moved, and refused keyed calls meanwhile.

Test: desired_fetcher_test, "another owner is asked at once": 1 call under way before, 2 now.

--- a/src/member/desired_fetcher.cc
+++ b/src/member/desired_fetcher.cc
@@ -8,28 +8,30 @@
 
 // Without a byte of the answer for this long the owner counts as unresponsive.
 constexpr base::Duration kAnswerTimeout = std::chrono::milliseconds(900);
-// A text that takes longer has been replaced by a newer one, or the caller has
-// found an owner that sends it faster.
+// A text that takes longer is likely to be replaced before it is complete.
 constexpr base::Duration kMaxTransferTime = std::chrono::seconds(10);
 
 }  // namespace
 
 void DesiredFetcher::Fetch(const std::string& owner_address) {
-  if (is_pending_) {
+  if (owner_address == pending_owner_) {
     return;
   }
-  is_pending_ = true;
+  pending_owner_ = owner_address;
   rpc_->Call(
       owner_address, "desired", Json::Value(Json::objectValue), kAnswerTimeout,
-      [this, sent_at = Now()](const RpcResult& result) {
-        OnAnswer(result, sent_at);
+      [this, owner_address, sent_at = Now()](const RpcResult& result) {
+        OnAnswer(owner_address, result, sent_at);
       },
       kMaxTransferTime);
 }
 
-void DesiredFetcher::OnAnswer(const RpcResult& result,
+void DesiredFetcher::OnAnswer(const std::string& owner_address,
+                              const RpcResult& result,
                               base::TimePoint sent_at) {
-  is_pending_ = false;
+  if (owner_address == pending_owner_) {
+    pending_owner_.clear();
+  }
   if (result.outcome != RpcOutcome::kAnswered) {
     counters_->Increment("desired_fetches", "unanswered");
     return;
--- a/src/member/desired_fetcher.h
+++ b/src/member/desired_fetcher.h
@@ -23,18 +23,20 @@
   DesiredFetcher(RpcClient* rpc, core::Counters* counters, OnText on_text)
       : rpc_(rpc), counters_(counters), on_text_(std::move(on_text)) {}
 
-  // Requests the text, unless an earlier request is pending. The owner may
-  // answer that it sends the text to other hosts first; the caller should then
-  // try again.
+  // Requests the text, unless an earlier request to that owner is pending. The
+  // owner may answer that it sends the text to other hosts first; the caller
+  // should then try again.
   void Fetch(const std::string& owner_address);
 
  private:
-  void OnAnswer(const RpcResult& result, base::TimePoint sent_at);
+  void OnAnswer(const std::string& owner_address, const RpcResult& result,
+                base::TimePoint sent_at);
 
   RpcClient* rpc_;
   core::Counters* counters_;
   OnText on_text_;
-  bool is_pending_ = false;
+  // Whom the last request went to, while it is pending; empty otherwise.
+  std::string pending_owner_;
 };
 
 }  // namespace dotterelbarrow::member
--- a/test/member/desired_fetcher_test.cc
+++ b/test/member/desired_fetcher_test.cc
@@ -67,6 +67,13 @@
     CHECK(f.texts.empty());
     f.FetchAndAwaitRequest(2);
   }
+  SUBCASE("another owner is asked at once") {
+    Fixture next;
+    f.fetcher.Fetch(next.address);
+    CHECK(f.client.calls_under_way() == 2);
+    f.fetcher.Fetch(next.address);
+    CHECK(f.client.calls_under_way() == 2);
+  }
   SUBCASE("an owner that doesn't answer is given up") {
     f.AwaitCounted("unanswered");
     f.FetchAndAwaitRequest(2);
