A host confirms its desired state whoever it has it from, and bounds what the feed sends

What the store holds is now kept as a version, and compared. - Before the first state, a row without a usable value counted as the current one, with no state behind it. - A feed that lists each of several states in a row would bring them all over a slow link, and again from the start after a failure. After such an answer, or after one that broke off, the state is read instead. - An answer with more changes to come doesn't confirm; the rest is asked for.

desired_watch_test replays each.

--- a/src/member/desired_watch.cc
+++ b/src/member/desired_watch.cc
@@ -59,8 +59,7 @@
 
 void DesiredWatch::OnPeerText(const std::string& text, base::TimePoint sent_at,
                               base::Duration age) {
-  if (Apply(text)) {
-    is_stored_text_ = false;
+  if (IsCurrent(text) || Apply(text)) {
     confirmation_.OnPeerVersion(current_->version(), current_->version(),
                                 sent_at, age);
   }
@@ -75,7 +74,12 @@
     timer_.StartOnce(period_ - *age);
     return;
   }
-  if (followed_version_) {
+  Ask();
+}
+
+void DesiredWatch::Ask() {
+  // Version 0 means that the store has told none.
+  if (followed_version_.value_or(base::RowVersion()) != base::RowVersion()) {
     ReadChanges();
   } else {
     Read();
@@ -101,13 +105,11 @@
     return;
   }
   followed_version_ = result.version;
-  is_stored_text_ = false;
+  stored_version_.reset();
   if (!result.rows.empty()) {
     OnStoredText(result.rows.front().value);
   }
-  if (is_stored_text_) {
-    confirmation_.OnRead(sent_at);
-  }
+  Confirm(sent_at);
 }
 
 void DesiredWatch::ReadChanges() {
@@ -132,19 +134,28 @@
   }
   OnOutcome(result.outcome, result.received_bytes, sent_at);
   if (result.outcome != platform::StoreOutcome::kDone) {
+    if (result.received_bytes > 0) {
+      followed_version_.reset();
+    }
     return;
   }
   followed_version_ = result.version;
+  int changes = 0;
   // Only the last change of the row counts.
   for (auto change = result.changes.rbegin(); change != result.changes.rend();
        ++change) {
-    if (change->row.key == platform::DesiredStateRow()) {
+    if (change->row.key == platform::DesiredStateRow() && ++changes == 1) {
       OnStoredText(change->row.value);
-      break;
     }
   }
-  if (is_stored_text_) {
-    confirmation_.OnRead(sent_at);
+  if (changes > 1) {
+    // The feed may list each of several states in a row; a read returns one.
+    followed_version_.reset();
+  }
+  if (result.has_more) {
+    Ask();
+  } else {
+    Confirm(sent_at);
   }
 }
 
@@ -168,7 +179,20 @@
 }
 
 void DesiredWatch::OnStoredText(const std::string& text) {
-  is_stored_text_ = text == text_ || Apply(text);
+  stored_version_.reset();
+  if (IsCurrent(text) || Apply(text)) {
+    stored_version_ = current_->version();
+  }
+}
+
+void DesiredWatch::Confirm(base::TimePoint sent_at) {
+  if (current_ != nullptr && stored_version_ == current_->version()) {
+    confirmation_.OnRead(sent_at);
+  }
+}
+
+bool DesiredWatch::IsCurrent(const std::string& text) const {
+  return current_ != nullptr && text == text_;
 }
 
 void DesiredWatch::RecordReadLatency(base::Duration latency) {
--- a/src/member/desired_watch.h
+++ b/src/member/desired_watch.h
@@ -62,6 +62,8 @@
   // Asks the store for changes, unless another host has confirmed the state
   // within the last period and the store has recently answered.
   void AskIfDue();
+  // Asks the store for changes, or reads the state if it follows none.
+  void Ask();
   // Reads the state.
   void Read();
   void OnRead(const platform::ReadResult& result, base::TimePoint sent_at);
@@ -73,8 +75,13 @@
                  base::TimePoint sent_at);
   // Applies what the store holds as of `followed_version_`.
   void OnStoredText(const std::string& text);
+  // Records that the store's answer to a call sent at `sent_at` was complete.
+  // It confirms the current state if that is what the store holds.
+  void Confirm(base::TimePoint sent_at);
   // Logs when answered reads become slow and when they become fast again.
   void RecordReadLatency(base::Duration latency);
+  // Returns whether `text` is that of the current state.
+  bool IsCurrent(const std::string& text) const;
   // Makes `text` the current state unless it is malformed or older. Returns
   // whether it is current now.
   bool Apply(const std::string& text);
@@ -87,13 +94,12 @@
   // The encoded text of `current_`.
   std::string text_;
   core::desired::Confirmation confirmation_;
-  // The store's version of which this host knows whether the row of the desired
-  // state had changed; nullopt before the first read and when the store has
-  // dropped the history since.
+  // The store's version up to which this host knows the row of the desired
+  // state; nullopt before the first read, and when a read costs less than the
+  // changes since.
   std::optional<base::RowVersion> followed_version_;
-  // Whether `text_` is what that row held at `followed_version_`. It is not if
-  // the row can't be used, or while another host's newer state is in use.
-  bool is_stored_text_ = false;
+  // The version of the desired state in that row; nullopt if it can't be used.
+  std::optional<base::ConfigVersion> stored_version_;
   bool is_store_unavailable_ = false;
   // Whether a call to the store is pending.
   bool is_reading_ = false;
--- a/test/member/desired_watch_test.cc
+++ b/test/member/desired_watch_test.cc
@@ -8,11 +8,14 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "dotterelbarrow/core/codec.h"
+#include "dotterelbarrow/wire/http_server.h"
 #include "platform/base64.h"
+#include "src/member/clock.h"
 #include "test/wire/raw_socket.h"
 
 namespace dotterelbarrow::member {
@@ -99,8 +102,9 @@
       const std::size_t size =
           is_stalled_ ? 0
                       : std::min(bytes_per_tick_, connection->unsent.size());
-      connection->socket.Send(connection->unsent.substr(0, size));
-      connection->unsent.erase(0, size);
+      if (connection->socket.Send(connection->unsent.substr(0, size))) {
+        connection->unsent.erase(0, size);
+      }
     }
     std::erase_if(connections_,
                   [](const auto& connection) { return connection->is_closed; });
@@ -157,45 +161,238 @@
              std::initializer_list<core::scheduler::LogField>) override {}
 };
 
-TEST_CASE("DesiredWatch: a state that takes long to arrive") {
-  wire::EventLoop loop;
-  // Several thousand queues over a link that carries them in two seconds.
-  const std::string text = DesiredText(7, 4000);
-  constexpr base::Duration kTick = milliseconds(20);
-  constexpr int kTicks = 100;
-  SlowStore slow_store(loop, kTick,
-                       platform::EncodeBase64(text).size() / kTicks);
-  slow_store.Put(text);
-  core::Counters counters;
-  DiscardingLog log;
-  const core::scheduler::Telemetry telemetry{&log, &counters, nullptr};
-  wire::HttpClient client(loop, {});
-  platform::StoreClient store(&client, slow_store.address(), &counters);
-  DesiredWatch watch(loop, &store, telemetry, milliseconds(100),
-                     [](const auto&) {});
-  const auto run_until = [&](const std::function<bool()>& done) {
+// A store that answers at once. Its feed lists every change.
+class FastStore {
+ public:
+  explicit FastStore(const wire::EventLoop& loop)
+      : http_(loop, wire::HttpServerOptions()) {
+    http_.Route(wire::HttpMethod::kGet, "/rows-get",
+                [this](const wire::HttpRequest& request) { OnRead(request); });
+    http_.Route(wire::HttpMethod::kGet, "/rows-feed",
+                [this](const wire::HttpRequest& request) { OnFeed(request); });
+    base::Failure reason;
+    address_ = "127.0.0.1:" +
+               std::to_string(http_.Listen("127.0.0.1:0", &reason).value_or(0));
+  }
+
+  const std::string& address() const { return address_; }
+  void Put(const std::string& text) { changes_.push_back({++version_, text}); }
+  void Delete() { changes_.push_back({++version_, std::nullopt}); }
+  void DropHistory() { history_begin_ = version_; }
+  // Lets the feed return one change an answer.
+  void set_pages(bool pages) { pages_ = pages; }
+  int reads() const { return reads_; }
+  int feeds() const { return feeds_; }
+
+ private:
+  struct Change {
+    std::uint64_t version;
+    std::optional<std::string> text;
+  };
+
+  static Json::Value RowOf(const Change& change) {
+    Json::Value row(Json::objectValue);
+    row["table"] = "op";
+    row["part"] = "";
+    row["key"] = "config";
+    row["schema_version"] = static_cast<Json::UInt64>(change.version);
+    if (change.text) {
+      row["value"] = platform::EncodeBase64(*change.text);
+    } else {
+      row["deleted"] = true;
+    }
+    return row;
+  }
+  void Reply(const wire::HttpRequest& request, Json::Value rows,
+             std::uint64_t version, bool has_more) {
+    Json::Value answer(Json::objectValue);
+    answer["rows"] = std::move(rows);
+    answer["has_more"] = has_more;
+    answer["schema_version"] = static_cast<Json::UInt64>(version);
+    http_.Reply(request.exchange,
+                {.status = 200, .body = core::WriteJson(answer)});
+  }
+  void OnRead(const wire::HttpRequest& request) {
+    ++reads_;
+    Json::Value rows(Json::arrayValue);
+    if (!changes_.empty() && changes_.back().text) {
+      rows.append(RowOf(changes_.back()));
+    }
+    Reply(request, std::move(rows), version_, false);
+  }
+  void OnFeed(const wire::HttpRequest& request) {
+    ++feeds_;
+    const std::uint64_t after = std::stoull(request.query.at("depends_on"));
+    if (after < history_begin_) {
+      http_.Reply(request.exchange, {.status = 410, .body = "{}"});
+      return;
+    }
+    Json::Value rows(Json::arrayValue);
+    for (const Change& change : changes_) {
+      if (change.version <= after) {
+        continue;
+      }
+      rows.append(RowOf(change));
+      if (pages_) {
+        Reply(request, std::move(rows), change.version,
+              change.version < version_);
+        return;
+      }
+    }
+    Reply(request, std::move(rows), version_, false);
+  }
+
+  wire::HttpServer http_;
+  std::string address_;
+  // Version 1 is that of another row.
+  std::uint64_t version_ = 1;
+  std::uint64_t history_begin_ = 0;
+  std::vector<Change> changes_;
+  bool pages_ = false;
+  int reads_ = 0;
+  int feeds_ = 0;
+};
+
+// A DesiredWatch of the store at `address`.
+struct Watched {
+  Watched(wire::EventLoop* event_loop, const std::string& address)
+      : loop(event_loop),
+        client(*event_loop, {}),
+        store(&client, address, &counters),
+        watch(*event_loop, &store, {&log, &counters, nullptr}, milliseconds(50),
+              [](const auto&) {}) {}
+
+  // Returns whether `done` became true in time.
+  bool RunUntil(const std::function<bool()>& done) {
     const base::TimePoint begun = wire::MonotonicNow();
     bool is_done = false;
-    loop.RunUntil([&] {
+    loop->RunUntil([&] {
       is_done = done();
       return is_done || wire::MonotonicNow() - begun > kTestTimeout;
     });
     return is_done;
-  };
+  }
+  bool RunUntilVersion(std::uint64_t version) {
+    return RunUntil([&] {
+      return watch.current() != nullptr &&
+             watch.current()->version() == base::ConfigVersion(version);
+    });
+  }
+  // Returns whether the state is confirmed by a call that begins now or later.
+  bool IsConfirmedAnew() {
+    const base::TimePoint begun = Now();
+    return RunUntil([&] {
+      const auto age = watch.TimeSinceRead();
+      return age && Now() - *age > begun;
+    });
+  }
+
+  wire::EventLoop* loop;
+  core::Counters counters;
+  DiscardingLog log;
+  wire::HttpClient client;
+  platform::StoreClient store;
+  DesiredWatch watch;
+};
+
+TEST_CASE("DesiredWatch: a state that takes long to arrive") {
+  wire::EventLoop loop;
+  // Several thousand queues over a link that carries them in two seconds.
+  const std::string text = DesiredText(7, 4000);
+  constexpr base::Duration kTick = milliseconds(20);
+  constexpr int kTicks = 100;
+  SlowStore store(loop, kTick, platform::EncodeBase64(text).size() / kTicks);
+  store.Put(text);
+  Watched w(&loop, store.address());
 
   SUBCASE("is applied") {
-    CHECK(run_until([&] { return watch.current() != nullptr; }));
+    CHECK(w.RunUntilVersion(7));
     SUBCASE("and confirmed from then on without another transfer") {
-      const int requests = slow_store.requests();
-      REQUIRE(run_until([&] { return slow_store.requests() > requests + 5; }));
-      CHECK(slow_store.texts_begun() == 1);
-      CHECK(*watch.ConfirmationAge() < seconds(1));
+      const int requests = store.requests();
+      REQUIRE(w.RunUntil([&] { return store.requests() > requests + 5; }));
+      CHECK(w.IsConfirmedAnew());
+      CHECK(store.texts_begun() == 1);
     }
   }
   SUBCASE("is requested again if it stops arriving") {
-    REQUIRE(run_until([&] { return slow_store.texts_begun() == 1; }));
-    slow_store.Stall();
-    CHECK(run_until([&] { return slow_store.texts_begun() > 1; }));
+    REQUIRE(w.RunUntil([&] { return store.texts_begun() == 1; }));
+    store.Stall();
+    CHECK(w.RunUntil([&] { return store.texts_begun() > 1; }));
+  }
+}
+
+TEST_CASE("DesiredWatch: following the feed of changes") {
+  wire::EventLoop loop;
+  FastStore store(loop);
+  Watched w(&loop, store.address());
+
+  SUBCASE("without a state confirms none") {
+    REQUIRE(w.RunUntil([&] { return store.feeds() > 0; }));
+    store.Delete();
+    REQUIRE(w.RunUntil([&] { return store.feeds() > 3; }));
+    CHECK(w.watch.current() == nullptr);
+    CHECK_FALSE(w.watch.ConfirmationAge());
+  }
+  SUBCASE("from a first state on") {
+    store.Put(DesiredText(7, 1));
+    REQUIRE(w.RunUntilVersion(7));
+    const int reads = store.reads();
+    SUBCASE("applies a newer one") {
+      store.Put(DesiredText(8, 1));
+      CHECK(w.RunUntilVersion(8));
+      CHECK(w.IsConfirmedAnew());
+      CHECK(store.reads() == reads);
+    }
+    SUBCASE("applies the newest of several, and reads it once more") {
+      store.Put(DesiredText(8, 1));
+      store.Put(DesiredText(9, 1));
+      CHECK(w.RunUntilVersion(9));
+      CHECK(w.RunUntil([&] { return store.reads() == reads + 1; }));
+    }
+    SUBCASE("asks for the rest of a list in pages before it confirms") {
+      store.set_pages(true);
+      store.Put(DesiredText(8, 1));
+      store.Put(DesiredText(9, 1));
+      CHECK(w.RunUntilVersion(9));
+      CHECK(w.IsConfirmedAnew());
+    }
+    SUBCASE("reads the state again if the history is gone") {
+      store.Put(DesiredText(8, 1));
+      store.DropHistory();
+      CHECK(w.RunUntilVersion(8));
+      CHECK(store.reads() > reads);
+    }
+    SUBCASE(
+        "keeps, but doesn't confirm, a state that was replaced by one it "
+        "can't use") {
+      bool is_deleted = false;
+      SUBCASE("as it isn't readable") {}
+      SUBCASE("as it was deleted") { is_deleted = true; }
+      is_deleted ? store.Delete() : store.Put("no state");
+      const int feeds = store.feeds();
+      REQUIRE(w.RunUntil([&] { return store.feeds() > feeds + 2; }));
+      const base::Duration age = *w.watch.ConfirmationAge();
+      REQUIRE(w.RunUntil([&] { return store.feeds() > feeds + 5; }));
+      CHECK(*w.watch.ConfirmationAge() > age);
+      CHECK(w.watch.current()->version() == base::ConfigVersion(7));
+      SUBCASE("until there is a newer one") {
+        store.Put(DesiredText(8, 1));
+        CHECK(w.RunUntilVersion(8));
+        CHECK(w.IsConfirmedAnew());
+      }
+    }
+    SUBCASE("confirms it also after another host sent the same text") {
+      w.watch.OnPeerText(DesiredText(7, 1), Now(), base::Duration(0));
+      CHECK(w.IsConfirmedAnew());
+    }
+    SUBCASE("confirms another host's newer state once the store has it") {
+      w.watch.OnPeerText(DesiredText(8, 1), Now(), base::Duration(0));
+      const int feeds = store.feeds();
+      REQUIRE(w.RunUntil([&] { return store.feeds() > feeds + 2; }));
+      CHECK(w.watch.current()->version() == base::ConfigVersion(8));
+      store.Put(DesiredText(8, 1));
+      CHECK(w.IsConfirmedAnew());
+    }
   }
 }
 
