--- a/test/platform/store_client_test.cc
+++ b/test/platform/store_client_test.cc
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -27,8 +28,18 @@
   StoreClient store{&client, address, &counters};
   int answers = 0;
 
+  // Runs the loop until `done`; fails the test after ten seconds.
+  void RunUntil(const std::function<bool()>& done) {
+    const base::TimePoint end = wire::MonotonicNow() + seconds(10);
+    bool is_done = false;
+    loop.RunUntil([&] {
+      is_done = done();
+      return is_done || wire::MonotonicNow() > end;
+    });
+    REQUIRE(is_done);
+  }
   void AwaitRequest() {
-    loop.RunUntil([this] {
+    RunUntil([this] {
       if (connection == nullptr) {
         const int fd = listener.Accept();
         connection = fd < 0 ? nullptr : std::make_unique<wire::RawSocket>(fd);
@@ -61,12 +72,12 @@
   f.AwaitRequest();
   CHECK(f.store.OldestReadAge() > base::Duration(0));
   f.SendHalfAnAnswer();
-  f.loop.RunUntil([&] { return f.store.OldestReadAge() == base::Duration(0); });
+  f.RunUntil([&] { return f.store.OldestReadAge() == base::Duration(0); });
   CHECK(f.answers == 0);
   CHECK(f.store.read_latency() > base::Duration(0));
   // Nor does it count again when the rest fails to arrive.
   f.connection.reset();
-  f.loop.RunUntil([&] { return f.answers == 1; });
+  f.RunUntil([&] { return f.answers == 1; });
   CHECK(f.store.OldestReadAge() == base::Duration(0));
 }
 
