A batch with rewritten pages stays within the store's limit

What callers would have seen: half a minute after a burst of large jobs, the owner's write is refused, or takes longer than an unchanged ownership record may last on a link of 10 Mbit/s. The cell moves in either case, and callers wait.

Cause: max_bytes of a batch (500 KiB) held only for new records. TakeBatch added rewrites of up to 40 KiB each by the number of rows alone. A trial with the real JobPages gave 29 pages, 1,157,760 bytes, 1,543,680 as base64. The store takes bodies of 1 MB (job_registry.h); the link needs 1.23 s, and other hosts replace an owner whose record is unchanged for 1.1 s.

Ruled out: new records alone, which end at max_bytes and two records at most. Not run: such a batch against the platform's store itself.

Change: rewrites begin only below max_bytes; the others are found by a later scan. A batch thus holds at most 580 KiB of records of jobs, 792 kB as base64.

Test before: JobPages: many large pages are due for a rewrite CHECK( 1543680 < 1000000 ), CHECK( 1195280 < 1000000 ), CHECK( 1184560 < 1000000 ); 59 of 62 assertions passed After: core_test, 138 of 138 test cases passed.

--- a/include/dotterelbarrow/core/scheduler/job_pages.h
+++ b/include/dotterelbarrow/core/scheduler/job_pages.h
@@ -91,8 +91,11 @@
   // `retention`. Returns whether any page is marked.
   bool Maintain(base::TimePoint now, base::Duration retention);
   // Returns the rows of the next batch, at most `max_rows`. Removals and
-  // rewrites that do not fit are left to later batches.
+  // rewrites that do not fit are left to later batches. Rewrites begin only
+  // while the records of the batch have fewer than `max_bytes`, so they exceed
+  // it by less than a page.
   std::vector<RecordChange> TakeBatch(std::size_t max_rows,
+                                      std::size_t max_bytes,
                                       const RecordReader& reread,
                                       base::TimePoint now);
 
--- a/src/core/scheduler/job_pages.cc
+++ b/src/core/scheduler/job_pages.cc
@@ -224,12 +224,14 @@
 }
 
 std::vector<RecordChange> JobPages::TakeBatch(std::size_t max_rows,
+                                              std::size_t max_bytes,
                                               const RecordReader& reread,
                                               base::TimePoint now) {
   // Rewriting a page adds up to one row, and one more for the removal of the
   // old page. Pages that are not rewritten now are found by a later scan.
   for (const PageNumber number : std::exchange(live_pages_to_rewrite_, {})) {
-    if (unwritten_.size() + live_pages_to_remove_.size() + 2 < max_rows / 2) {
+    if (unwritten_.size() + live_pages_to_remove_.size() + 2 < max_rows / 2 &&
+        pending_bytes_ < max_bytes) {
       Rewrite(number, reread, now);
     }
   }
--- a/src/core/scheduler/job_registry.cc
+++ b/src/core/scheduler/job_registry.cc
@@ -194,8 +194,9 @@
                ? jobs::AcceptanceRecord(job->second)
                : jobs::ProgressRecord(job->second);
   };
-  for (RecordChange& change : pages_.TakeBatch(
-           settings_.max_changes - batch.changes.size(), reread, now)) {
+  for (RecordChange& change :
+       pages_.TakeBatch(settings_.max_changes - batch.changes.size(),
+                        settings_.max_bytes, reread, now)) {
     batch.changes.push_back(std::move(change));
   }
   has_due_pages_ = false;
--- a/test/core/scheduler/job_pages_test.cc
+++ b/test/core/scheduler/job_pages_test.cc
@@ -18,6 +18,7 @@
 using std::chrono::seconds;
 
 constexpr std::size_t kMaxRows = 98;
+constexpr std::size_t kMaxBytes = std::size_t{500} * 1024;
 constexpr base::Duration kRetention = seconds(180);
 
 // The expected records, one of each kind for each job.
@@ -37,6 +38,8 @@
   ExpectedRecords expected;
   base::TimePoint now{seconds(100)};
   std::size_t rows_written = 0;
+  // Bytes of the last batch's values, encoded as base64.
+  std::size_t last_batch_bytes = 0;
 
   void Accept(JobKey key, const std::string& record) {
     expected.live[key].acceptance = record;
@@ -54,7 +57,7 @@
   std::size_t Write() {
     pages.Maintain(now, kRetention);
     const auto changes = pages.TakeBatch(
-        kMaxRows,
+        kMaxRows, kMaxBytes,
         [this](JobKey key,
                JobPages::RecordKind kind) -> std::optional<std::string> {
           const auto it = expected.live.find(key);
@@ -66,8 +69,10 @@
                      : it->second.progress;
         },
         now);
+    last_batch_bytes = 0;
     for (const RecordChange& change : changes) {
       if (change.value) {
+        last_batch_bytes += (change.value->size() + 2) / 3 * 4;
         rows[change.table][change.key] = *change.value;
       } else {
         rows[change.table].erase(change.key);
@@ -168,6 +173,47 @@
   }
 }
 
+// Load pattern: bursts of large jobs, a few of which end. Half a minute later
+// all pages of the bursts are due for a rewrite, while the next burst arrives.
+TEST_CASE("JobPages: many large pages are due for a rewrite") {
+  Owner owner;
+  constexpr std::size_t kStoreMaxBodyBytes = 1'000'000;
+  const std::string record(4000, 'x');
+  std::uint64_t last_job = 0;
+  const auto accept_burst = [&] {
+    while (owner.pages.pending_bytes() < kMaxBytes) {
+      owner.Accept(JobKey(++last_job), record);
+    }
+  };
+  for (int burst = 0; burst < 4; ++burst) {
+    accept_burst();
+    owner.Write();
+  }
+  for (std::uint64_t job = 1; job <= last_job; job += 10) {
+    owner.End(JobKey(job), JobState::kCompleted);
+  }
+  owner.Write();
+  owner.now += JobPages::kRewriteAfter;
+
+  SUBCASE("a batch stays within the store's limit") {
+    accept_burst();
+    owner.Write();
+    CHECK(owner.last_batch_bytes < kStoreMaxBodyBytes);
+  }
+  SUBCASE("all are rewritten within seconds") {
+    constexpr int kScans = 10;
+    for (int scan = 0; scan < kScans; ++scan) {
+      owner.Write();
+      CHECK(owner.last_batch_bytes < kStoreMaxBodyBytes);
+      owner.now += seconds(1);
+    }
+    const std::size_t rows_written = owner.rows_written;
+    owner.Write();
+    CHECK(owner.rows_written == rows_written);
+    CHECK(owner.Matches(owner.TakeOver()));
+  }
+}
+
 TEST_CASE("unreadable pages") {
   JobPages pages;
   base::Failure reason;
