A transaction is sent once, for as long as the connection takes its bytes

What callers would have seen: an owner with a link of 10 Mbit/s gets a large batch and never stores it. No submission is confirmed, the owner offers the cell, and the copies of the write fill its link.

Cause: a write was sent again 160 ms after it began, although the first copy was still being sent, up to three at a time, and each was given up after 3 s in total and begun again from its first byte. The age of the write, by which the cell is offered, counted from its first byte.

Ruled out: a store that doesn't answer; the one in the test answers at once when the body is complete. The kernel's buffer: it must be limited too, else it takes the whole request and progress isn't visible.

Change: HttpCall::max_transfer_time covers the request as well, except its first bytes, so that a request taken at once has the same limits as before; on_request_progress reports it. OwnershipWriter waits for an answer since the last of them, and so does the age of the write.

Not changed: other hosts replace an owner whose record is unchanged for 1.1 s, as for a batch of 792 kB that gets less than 0.75 MB/s of the link.

--- a/include/dotterelbarrow/core/leadership/store_timeout_policy.h
+++ b/include/dotterelbarrow/core/leadership/store_timeout_policy.h
@@ -16,7 +16,7 @@
 
 // The owner's observations of the store while a write is in flight.
 struct StoreHealth {
-  // Time since the write was first sent.
+  // Time since the last bytes of the write were first sent.
   base::Duration write_age{0};
   // Whether some attempt of the write was rejected, couldn't be sent or lost
   // its connection.
--- a/include/dotterelbarrow/wire/http_client.h
+++ b/include/dotterelbarrow/wire/http_client.h
@@ -39,11 +39,15 @@
   // The limit on the time from Call to the complete answer, including the wait
   // for a connection.
   base::Duration timeout{0};
-  // If longer than `timeout`, an answer that has begun to arrive may take until
-  // this long after Call, as long as never `timeout` passes without a byte of
-  // it. For answers of unbounded size: a slow link is no reason to give up and
+  // If longer than `timeout`, a request that the kernel doesn't take at once,
+  // and an answer that has begun to arrive, may take until this long after
+  // Call, as long as never `timeout` passes without a byte of them. For
+  // transfers of unbounded size: a slow link is no reason to give up and
   // transfer the same bytes again.
   base::Duration max_transfer_time{0};
+  // Called whenever the kernel has taken bytes of the request. Must not use the
+  // client.
+  std::function<void()> on_request_progress{};
   // Called when the first bytes of the answer have arrived. Must not use the
   // client.
   std::function<void()> on_answer_begun{};
--- a/src/member/ownership_writer.cc
+++ b/src/member/ownership_writer.cc
@@ -2,6 +2,7 @@
 #include "src/member/ownership_writer.h"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 #include "src/member/clock.h"
@@ -11,13 +12,14 @@
 namespace {
 
 // An answer counts as lost after this many times the usual write latency or the
-// read latency, whichever is longer. Another copy is then sent, which is
-// harmless because the write is conditional. The read latency counts so that a
-// slow store gets no copies: they would only queue up behind the write.
+// read latency, whichever is longer, since the last bytes of a copy were taken.
+// Another copy is then sent, which is harmless because the write is
+// conditional. The read latency counts so that a slow store gets no copies:
+// they would only queue up behind the write.
 constexpr int kWriteLatencyFactor = 8;
 constexpr int kReadLatencyFactor = 10;
 constexpr base::Duration kMinResendTimeout = std::chrono::milliseconds(150);
-// Time-out of a single copy.
+// Time-out of a single copy without progress.
 constexpr base::Duration kCopyTimeout = std::chrono::milliseconds(3000);
 constexpr int kMaxCopies = 3;
 // Delay before a retry when the store refuses the write or connections break.
@@ -57,6 +59,7 @@
   transaction_ = std::move(transaction);
   done_ = std::move(done);
   begun_at_ = Now();
+  sent_at_ = begun_at_;
   has_failed_ = false;
   unanswered_copies_ = 0;
   copies_sent_ = 0;
@@ -69,7 +72,7 @@
   if (!transaction_) {
     return std::nullopt;
   }
-  return core::leadership::StoreHealth{.write_age = now - begun_at_,
+  return core::leadership::StoreHealth{.write_age = now - sent_at_,
                                        .has_failed = has_failed_,
                                        .read_latency = store_->read_latency(),
                                        .oldest_read = store_->OldestReadAge()};
@@ -93,14 +96,32 @@
 void OwnershipWriter::Send() {
   ++unanswered_copies_;
   ++copies_sent_;
-  store_->Write(*transaction_, kCopyTimeout,
-                [this, generation = generation_,
-                 sent_at = Now()](const platform::WriteResult& result) {
-                  if (generation == generation_) {
-                    --unanswered_copies_;
-                    OnAnswer(result, sent_at);
-                  }
-                });
+  // Shared by both callbacks: when the store can have begun to answer.
+  const auto sent_at = std::make_shared<base::TimePoint>(Now());
+  store_->Write(
+      *transaction_, kCopyTimeout,
+      [this, generation = generation_,
+       sent_at](const platform::WriteResult& result) {
+        if (generation == generation_) {
+          --unanswered_copies_;
+          OnAnswer(result, *sent_at);
+        }
+      },
+      [this, generation = generation_, is_first = copies_sent_ == 1, sent_at] {
+        *sent_at = Now();
+        if (generation == generation_) {
+          OnProgress(is_first);
+        }
+      });
+  retry_timer_.StartOnce(ResendTimeout());
+}
+
+void OwnershipWriter::OnProgress(bool is_first_copy) {
+  // Later copies don't make the write younger: the store has left the first
+  // one unanswered.
+  if (is_first_copy) {
+    sent_at_ = Now();
+  }
   retry_timer_.StartOnce(ResendTimeout());
 }
 
--- a/src/member/ownership_writer.h
+++ b/src/member/ownership_writer.h
@@ -49,6 +49,8 @@
 
  private:
   void Send();
+  // Waits for the answer anew because the connection has taken bytes of a copy.
+  void OnProgress(bool is_first_copy);
   // Sends another copy of the current write if its answer seems lost.
   void Resend();
   // Reads the ownership record while the write is in progress: an answered read
@@ -67,6 +69,8 @@
   std::optional<platform::Transaction> transaction_;
   Done done_;
   base::TimePoint begun_at_;
+  // When the connection took the last bytes of the first copy so far.
+  base::TimePoint sent_at_;
   // Whether a copy of the current write was refused, couldn't be sent, or lost
   // its connection.
   bool has_failed_ = false;
--- a/src/wire/http_connection.cc
+++ b/src/wire/http_connection.cc
@@ -25,6 +25,11 @@
 // is 16 KiB, so a large transaction would take many turns on a busy loop. This
 // limit is larger than any message.
 constexpr std::size_t kMaxBytesPerTurn = std::size_t{1} << 21;
+// The kernel takes no more bytes while it holds this many that it hasn't sent
+// yet. Otherwise it may take a whole request that the link carries in seconds,
+// and the progress of the transfer is not visible. The slowest links, of 10
+// Mbit/s, carry this many in 50 ms.
+constexpr int kMaxUnsentBytes = 64 * 1024;
 
 evhttp_cmd_type ToCommand(HttpMethod method) {
   switch (method) {
@@ -85,9 +90,11 @@
   stall_timeout_ = call.timeout;
   final_deadline_ =
       std::max(deadline, deadline - call.timeout + call.max_transfer_time);
+  on_request_progress_ = call.on_request_progress;
   on_answer_begun_ = call.on_answer_begun;
   sent_ = false;
   received_bytes_ = 0;
+  last_progress_at_.reset();
   const base::Duration left = deadline - MonotonicNow();
   deadline_timer_.StartOnce(opened_ ? left
                                     : std::min(left, options_.connect_timeout));
@@ -145,6 +152,7 @@
                                      duration_cast<std::chrono::seconds>(
                                          silence / (kMaxUnansweredProbes + 1)));
   set(IPPROTO_TCP, TCP_NODELAY, 1);
+  set(IPPROTO_TCP, TCP_NOTSENT_LOWAT, kMaxUnsentBytes);
   set(SOL_SOCKET, SO_KEEPALIVE, 1);
   set(IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(probe_period.count()));
   set(IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(probe_period.count()));
@@ -174,8 +182,15 @@
 
 void HttpConnection::OnOutput(evbuffer* /*buffer*/,
                               const evbuffer_cb_info* info, void* self) {
-  if (info->n_deleted > 0) {
-    static_cast<HttpConnection*>(self)->sent_ = true;
+  auto* connection = static_cast<HttpConnection*>(self);
+  if (info->n_deleted == 0) {
+    return;
+  }
+  if (std::exchange(connection->sent_, true)) {
+    connection->last_progress_at_ = MonotonicNow();
+  }
+  if (connection->done_ && connection->on_request_progress_) {
+    connection->on_request_progress_();
   }
 }
 
@@ -186,18 +201,18 @@
     return;
   }
   connection->received_bytes_ += info->n_added;
-  connection->last_received_at_ = MonotonicNow();
+  connection->last_progress_at_ = MonotonicNow();
   if (const auto begun = std::exchange(connection->on_answer_begun_, nullptr)) {
     begun();
   }
 }
 
 base::TimePoint HttpConnection::CurrentDeadline() const {
-  if (received_bytes_ == 0) {
+  if (!last_progress_at_) {
     return deadline_;
   }
-  return std::max(
-      deadline_, std::min(last_received_at_ + stall_timeout_, final_deadline_));
+  return std::max(deadline_, std::min(*last_progress_at_ + stall_timeout_,
+                                      final_deadline_));
 }
 
 void HttpConnection::OnDeadline() {
--- a/src/wire/http_connection.h
+++ b/src/wire/http_connection.h
@@ -56,7 +56,7 @@
   static void OnInput(evbuffer* buffer, const evbuffer_cb_info* info,
                       void* self);
   void OnDeadline();
-  // Returns when the pending call fails unless more bytes of its answer arrive.
+  // Returns when the pending call fails unless more bytes are transferred.
   base::TimePoint CurrentDeadline() const;
   evhttp_request* MakeRequest(const HttpCall& call);
   void SetSocketOptions();
@@ -74,6 +74,7 @@
   // complete however steadily it arrives.
   base::Duration stall_timeout_{0};
   base::TimePoint final_deadline_;
+  std::function<void()> on_request_progress_;
   std::function<void()> on_answer_begun_;
   base::TimePoint idle_since_;
   // Whether a first call has opened the socket and its options have been set.
@@ -82,7 +83,9 @@
   bool sent_ = false;
   // How many bytes of the pending call's answer have arrived.
   std::size_t received_bytes_ = 0;
-  base::TimePoint last_received_at_;
+  // When the last bytes of the answer arrived or, except for the first ones, of
+  // the request were handed to the kernel; not set before.
+  std::optional<base::TimePoint> last_progress_at_;
   // Set when a call fails or the connection is closed. Invariant: never reset
   // to false.
   bool broken_ = false;
--- a/test/wire/http_client_test.cc
+++ b/test/wire/http_client_test.cc
@@ -3,9 +3,13 @@
 #include "dotterelbarrow/wire/http_client.h"
 
 #include <doctest/doctest.h>
+#include <sys/socket.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <deque>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "dotterelbarrow/wire/http_server.h"
@@ -274,6 +278,91 @@
   }
 }
 
+// A server that receives a request at a limited rate, and answers it once its
+// body has arrived.
+struct SlowReceiver {
+  static constexpr base::Duration kTick = milliseconds(10);
+  static constexpr std::size_t kBytesPerTick = 8'000;
+
+  RawSocket listener;
+  std::string address;
+  std::unique_ptr<RawSocket> connection;
+  // How many bytes it receives before it stops.
+  std::size_t bytes_left;
+  std::size_t body_bytes;
+  PeriodicTimer timer;
+
+  SlowReceiver(const EventLoop& loop, std::size_t body, std::size_t most)
+      : bytes_left(most),
+        body_bytes(body),
+        timer(loop, kTick, [this] { Tick(); }) {
+    // Small against the bodies of the tests.
+    constexpr int kReceiveBuffer = 64 * 1024;
+    setsockopt(listener.fd(), SOL_SOCKET, SO_RCVBUF, &kReceiveBuffer,
+               sizeof(kReceiveBuffer));
+    address = AddressOf(listener.Listen());
+  }
+
+  void Tick() {
+    if (connection == nullptr) {
+      const int fd = listener.Accept();
+      connection = fd < 0 ? nullptr : std::make_unique<RawSocket>(fd);
+      return;
+    }
+    std::string bytes(std::min(kBytesPerTick, bytes_left), '\0');
+    const ssize_t size = recv(connection->fd(), bytes.data(), bytes.size(), 0);
+    if (size <= 0) {
+      return;
+    }
+    bytes_left -= static_cast<std::size_t>(size);
+    body_bytes -= std::min(body_bytes, static_cast<std::size_t>(size));
+    if (body_bytes == 0) {
+      connection->Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
+  }
+};
+
+// Load pattern: a transaction that takes longer to send than any time-out for
+// an unresponsive server, because the link is slow.
+TEST_CASE("HttpClient: a request that keeps being sent after the timeout") {
+  constexpr base::Duration kTimeout = milliseconds(500);
+  constexpr std::size_t kBodyBytes = 1'200'000;
+  Fixture f;
+  int progress = 0;
+  const auto call = [&](const SlowReceiver& server, base::Duration longest) {
+    f.client.Call(
+        {.address = server.address,
+         .uri = "/",
+         .body = std::string(kBodyBytes, 'x'),
+         .timeout = kTimeout,
+         .max_transfer_time = longest,
+         .on_request_progress = [&] { ++progress; }},
+        [&](const HttpResult& result) { f.results.push_back(result); });
+    f.RunUntilResults(1);
+  };
+  SUBCASE("is answered if the call may take that long") {
+    SlowReceiver server(f.loop, kBodyBytes, SIZE_MAX);
+    call(server, seconds(20));
+    CHECK(f.results[0].outcome == HttpOutcome::kAnswered);
+    CHECK(progress > 1);
+  }
+  SUBCASE("is lost if the call has only its timeout") {
+    SlowReceiver server(f.loop, kBodyBytes, SIZE_MAX);
+    call(server, base::Duration(0));
+    CHECK(f.results[0].outcome == HttpOutcome::kLost);
+  }
+  SUBCASE("is lost once no more of it is taken for the timeout") {
+    SlowReceiver server(f.loop, kBodyBytes, kBodyBytes / 2);
+    call(server, std::chrono::hours(1));
+    CHECK(f.results[0].outcome == HttpOutcome::kLost);
+  }
+  SUBCASE("is lost at the end of the longest time, however steadily it goes") {
+    SlowReceiver server(f.loop, kBodyBytes, SIZE_MAX);
+    call(server, kTimeout * 2);
+    CHECK(f.results[0].outcome == HttpOutcome::kLost);
+  }
+}
+
 // Load pattern: a burst of calls to more than a thousand addresses, each of
 // which may have several connections, in a process with some thousand
 // descriptors.
