The soak's desired state grows behind narrow links, and every host must recover

Change: - New faults, seeded and overlapping with the others: the operator adds or removes 1,000 to 2,000 unused queues, up to three times in a second or two, up to 4,000; links of some hosts get 300 to 1,500 kB/s for seconds, in half of the runs for the whole run and the final check; a series of narrow links, growth, links cut or silent, the owner killed, growth. In half of the runs the series comes last, so that the state is often large when hosts recover. - After the faults every host must answer a state query within the recovery bound, not before 6 s: until then a host that can no longer confirm its desired state may still answer. Other checks and bounds are unchanged. - The relay reads a limit once, as it may be lifted meanwhile, and waits for the connections it drops (tasks were destroyed with their loop). - Site.owner, which the soak needs too, was in member_test; the test calls it.

--- a/scripts/relay.py
+++ b/scripts/relay.py
@@ -67,8 +67,10 @@
             await self._drop_connections()
 
     async def _drop_connections(self):
-        for task in list(self._connections):
+        tasks = list(self._connections)
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _serve(self, reader, writer, target):
         task = asyncio.current_task()
@@ -85,17 +87,19 @@
             self._connections.discard(task)
             writer.close()
 
-    async def _wait_for_bandwidth(self, size):
+    async def _wait_for_bandwidth(self, size, bytes_per_s):
         now = self._loop.time()
-        self._free_at = max(self._free_at, now) + size / self._bytes_per_s
+        self._free_at = max(self._free_at, now) + size / bytes_per_s
         await asyncio.sleep(self._free_at - now)
 
     async def _forward(self, reader, writer, direction):
         while data := await reader.read(CHUNK_BYTES):
             if self._mode == "delay":
                 await asyncio.sleep(DELAY_S)
-            if direction == 1 and self._bytes_per_s:
-                await self._wait_for_bandwidth(len(data))
+            # Read once, since another thread may lift the limit meanwhile.
+            rate = self._bytes_per_s
+            if direction == 1 and rate:
+                await self._wait_for_bandwidth(len(data), rate)
             if FORWARDS[self._mode][direction]:
                 writer.write(data)
                 await writer.drain()
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -2,9 +2,10 @@
 """A randomized soak test that injects faults into the real programs, which run against the stand-in site.
 
 Callers submit jobs and request their states over persistent connections. Meanwhile processes are stopped, paused,
-killed and restarted, connections to the store are cut in one or both directions, reset and delayed, and the store and
-the workers misbehave; faults follow each other and overlap. The guarantees are checked by what callers and workers
-observe. A seed reproduces the choice of faults and jobs, but not their timing.
+killed and restarted, connections to the store are cut in one or both directions, reset, delayed and narrow, the store
+and the workers misbehave, and the operator changes keys and the size of the desired state; faults follow each other and
+overlap. The guarantees are checked by what callers and workers observe. A seed reproduces the choice of faults and
+jobs, but not their timing.
 
 Usage: scripts/soak.py [--seeds FIRST-LAST | --file SEEDS] [--seconds S] [--hosts N] [--workers N] [--keep]
                        [--until-broken]
@@ -22,6 +23,13 @@
 RECOVERY_BOUND_S = 60.0
 # A revoked key must no longer work this long after the operator's write.
 KEY_REVOCATION_BOUND_S = 5.0
+# Bandwidths of links to the store that carry a desired state of MAX_UNUSED_QUEUES in some 0.8 to 4 s.
+MIN_LINK_BYTES_PER_S = 300_000
+MAX_LINK_BYTES_PER_S = 1_500_000
+MAX_UNUSED_QUEUES = 4000
+MIN_QUEUES_CHANGED = 1000
+# At most half of MAX_UNUSED_QUEUES, so that they can always be either added or removed.
+MAX_QUEUES_CHANGED = 2000
 
 
 class Faults:
@@ -33,20 +41,31 @@
         self._undo_threads = []
         # Hosts whose daemon is being ended and restarted.
         self._restarting = set()
+        # The bandwidth of each link that is narrow during the whole run, and during the final check.
+        self._lasting_rates = {}
+        # Held while a fault is injected, since a series injects its faults on a thread of its own.
+        self._lock = threading.Lock()
         self.done = []
 
     def run(self, seconds):
         end = time.monotonic() + seconds
+        if self._rng.random() < 0.5:
+            self._narrow_links_for_good()
         while time.monotonic() < end:
-            self._rng.choice(self._kinds())()
+            with self._lock:
+                self._rng.choice(self._kinds())()
             time.sleep(self._rng.uniform(0.1, 1.0))
+        if self._rng.random() < 0.5:
+            # So that hosts often have to recover with a large desired state.
+            self._grow_behind_narrow_links()
         for thread in self._undo_threads:
             thread.join()
 
     def _kinds(self):
         return [self._kill, self._kill, self._pause, self._terminate, self._kill_all, self._store, self._store,
                 self._link, self._link, self._reset_links, self._worker, self._worker, self._crash_worker,
-                self._leave, self._change_key]
+                self._leave, self._change_key, self._resize_desired, self._resize_desired, self._narrow_links,
+                self._narrow_links, self._grow_behind_narrow_links]
 
     def _later(self, seconds, undo):
         def run():
@@ -56,6 +75,15 @@
         thread.start()
         self._undo_threads.append(thread)
 
+    def _in_series(self, steps):
+        """Injects faults one after the other; each step is a pause in seconds before a fault, and the fault."""
+        def run():
+            for pause_s, inject in steps:
+                time.sleep(pause_s)
+                with self._lock:
+                    inject()
+        self._later(0, run)
+
     def _record(self, what):
         self.done.append(what)
 
@@ -71,13 +99,24 @@
         self._site.start_host(host)
         self._restarting.discard(host)
 
+    def _some_hosts(self):
+        return sorted(self._rng.sample(range(self._site.hosts), self._rng.randrange(1, self._site.hosts + 1)))
+
     def _kill(self):
         host = self._host()
         if host is not None:
-            self._record(f"kill {host}")
-            self._restarting.add(host)
-            self._site.end_host(host, signal.SIGKILL)
-            self._later(self._rng.uniform(0.1, 1.5), lambda: self._restart(host))
+            self._kill_host(host, self._rng.uniform(0.1, 1.5))
+
+    def _kill_host(self, host, seconds):
+        self._record(f"kill {host}")
+        self._restarting.add(host)
+        self._site.end_host(host, signal.SIGKILL)
+        self._later(seconds, lambda: self._restart(host))
+
+    def _kill_owner(self, seconds):
+        owner = self._site.owner()
+        if owner in self._hosts():
+            self._kill_host(owner, seconds)
 
     def _kill_all(self):
         hosts = self._hosts()
@@ -115,9 +154,12 @@
     def _link(self):
         host = self._rng.randrange(self._site.hosts)
         mode = self._rng.choice(["cut", "deaf", "mute", "delay"])
+        self._disturb_link(host, mode, self._rng.uniform(0.3, 5.0))
+
+    def _disturb_link(self, host, mode, seconds):
         self._record(f"link {host} {mode}")
         self._site.links[host].set_mode(mode)
-        self._later(self._rng.uniform(0.3, 5.0), self._site.links[host].repair)
+        self._later(seconds, self._site.links[host].repair)
 
     def _reset_links(self):
         self._record("reset links")
@@ -157,6 +199,60 @@
         self._site.keys[name] = f"key-{name}-{self._site.version}"
         self._site.write_desired()
 
+    def _resize_desired(self):
+        """The operator adds or removes many queues, more often the former, by up to three writes in a second or two."""
+        self._in_series([(self._rng.uniform(0.0, 0.7), lambda added=added: self._change_queues(added))
+                         for added in self._queues_changed([-1, 1, 1, 1])])
+
+    def _queues_changed(self, signs):
+        return [self._rng.choice(signs) * self._rng.randrange(MIN_QUEUES_CHANGED, MAX_QUEUES_CHANGED + 1)
+                for _ in range(self._rng.randrange(1, 4))]
+
+    def _change_queues(self, added):
+        """Adds queues, or removes them where there would be too many; the reverse if `added` is negative."""
+        if not 0 <= self._site.unused_queues + added <= MAX_UNUSED_QUEUES:
+            added = -added
+        self._site.version += 1
+        self._site.unused_queues += added
+        self._record(f"{self._site.unused_queues} unused queues")
+        self._site.write_desired()
+
+    def _rate(self):
+        return round(MIN_LINK_BYTES_PER_S * (MAX_LINK_BYTES_PER_S / MIN_LINK_BYTES_PER_S) ** self._rng.random())
+
+    def _narrow_links_for_good(self):
+        # Of the same bandwidth, so that none of these hosts can supply the others if a state is too large for it.
+        rate = self._rate()
+        hosts = self._rng.choice([self._some_hosts(), range(self._site.hosts)])
+        self._lasting_rates = {host: rate for host in hosts}
+        self._record(f"narrow links during the whole run {self._lasting_rates}")
+        for host, rate in self._lasting_rates.items():
+            self._site.links[host].limit_rate(rate)
+
+    def _narrow_links(self):
+        self._narrow({host: self._rate() for host in self._some_hosts()}, self._rng.uniform(0.5, 8.0))
+
+    def _narrow(self, rates, seconds):
+        self._record(f"narrow links {rates}")
+        for host, rate in rates.items():
+            self._site.links[host].limit_rate(rate)
+        self._later(seconds, lambda: self._widen(rates))
+
+    def _widen(self, hosts):
+        for host in hosts:
+            self._site.links[host].limit_rate(self._lasting_rates.get(host))
+
+    def _grow_behind_narrow_links(self):
+        """Lets the desired state grow, cuts or silences links that transfer it, and kills the owner between changes."""
+        rates = {host: self._rate() for host in self._some_hosts()}
+        mode = self._rng.choice(["cut", "mute"])
+        narrow_s, away_s, restart_s = (self._rng.uniform(*range_s) for range_s in ((2, 10), (0.3, 5), (0.1, 1.5)))
+        grow = [lambda added=added: self._change_queues(added) for added in self._queues_changed([1])]
+        disturb = [lambda host=host: self._disturb_link(host, mode, away_s) for host in self._some_hosts()]
+        faults = [lambda: self._narrow(rates, narrow_s), grow[0], *disturb, lambda: self._kill_owner(restart_s),
+                  *grow[1:]]
+        self._in_series([(self._rng.uniform(0.0, 0.5), fault) for fault in faults])
+
 
 def soak(seed, arguments):
     """Runs one seed; returns the violations that were found, and a summary line."""
--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -12,6 +12,7 @@
 PAUSE_S = 0.05
 TIMEOUT_S = 3.0
 MAX_TRIES = 5
+CONFIRMATION_MARGIN_S = 1.0
 
 
 class Job:
@@ -177,22 +178,41 @@
     # -- final check -----------------------------------------------------------------------------------------
 
     def finish(self, bound_s):
-        """Waits until every accepted job has finished; returns the violations that were found."""
+        """Waits until every accepted job has finished and every host answers; returns the violations that were found.
+        """
         self._stopping.set()
         for thread in self._threads:
             thread.join()
         connections = {}
         open_jobs = [job for job in self.jobs if job.outcome == "accepted"]
-        end = time.monotonic() + bound_s
-        while open_jobs and time.monotonic() < end:
+        now = time.monotonic()
+        end = now + bound_s
+        # Until then a host that can no longer confirm its desired state may still answer.
+        confirmed_from = now + self._key_bound_s + CONFIRMATION_MARGIN_S
+        silent = {host: None for host in range(self._site.hosts)}
+        while (open_jobs or silent) and time.monotonic() < end:
+            if time.monotonic() >= confirmed_from:
+                silent = self._without_answer(connections, silent)
             open_jobs = [job for job in open_jobs if not self._has_ended(connections, job)]
             time.sleep(0.1)
         broken = [f"{job.key}: accepted, but not finished {bound_s} s after the faults ended" for job in open_jobs]
+        broken += [f"host {host} answered no state query {bound_s} s after the faults ended, but {status}"
+                   for host, status in silent.items()]
         for job in self.jobs:
             if job.outcome == "never" and self._site.truth(job.key)["has_started"]:
                 broken.append(f"{job.key}: refused each time, but started")
         return self.broken + broken
 
+    def _without_answer(self, connections, hosts):
+        """Asks `hosts` for the state of the newest job; returns those that don't answer, each with its status."""
+        job = next((job for job in reversed(self.jobs) if job.outcome == "accepted"), self.jobs[-1])
+        # A host may truly say that it doesn't know a job which may not have been accepted.
+        answers = (200,) if job.outcome == "accepted" else (200, 410)
+        statuses = {host: self._call(connections, host, "GET", self._path(job), self._key(job))[0] for host in hosts}
+        self.broken += [f"{job.key}: accepted, but unknown at host {host}" for host, status in statuses.items()
+                        if status == 410 and 410 not in answers]
+        return {host: status for host, status in statuses.items() if status not in answers}
+
     def _has_ended(self, connections, job):
         host = self._rng.randrange(self._site.hosts)
         status, answer = self._call(connections, host, "GET", self._path(job), self._key(job))
--- a/scripts/soak_site.py
+++ b/scripts/soak_site.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import re
 import shutil
 import signal
 import subprocess
@@ -153,6 +154,14 @@
             self._process(host).kill()
             self._process(host).wait()
 
+    def owner(self):
+        """Returns the host whose term began last according to the logs, or None."""
+        begun = {}
+        for host in range(self.hosts):
+            log = (self.folder / f"host-{host}.log").read_text(encoding="utf-8")
+            begun.update((int(token), host) for token in re.findall(r"event=term_begun token=(\d+)", log))
+        return begun[max(begun)] if begun else None
+
     def fault(self, **what):
         status, _ = call(self.control_port, "POST", "/fault", what)
         assert status == 200, f"the stand-in refused {what}"
--- a/test/e2e/member_test.py
+++ b/test/e2e/member_test.py
@@ -4,7 +4,6 @@
 """
 import json
 import pathlib
-import re
 import signal
 import sys
 import time
@@ -60,11 +59,7 @@
 
     def owner(self, but=None):
         """Returns the host whose term began last, or None if there is none or it is `but`."""
-        begun = {}
-        for host in range(self.site.hosts):
-            log = (self.site.folder / f"host-{host}.log").read_text(encoding="utf-8")
-            begun.update((int(token), host) for token in re.findall(r"event=term_begun token=(\d+)", log))
-        last = begun[max(begun)] if begun else None
+        last = self.site.owner()
         return None if last == but else last
 
     def known_owner(self):
