After a call without an answer the desired state is read, not its missed changes

It was eight changes behind over a link of 352 kB/s; the feed listed all eight texts, some 5.6 MB, which that link carries in 16 s, and each call was given up after 10 s and sent again with the same version.

Tests: desired_watch_test, "reads only the newest of those that it missed in an outage" and "is read as a whole if a list of changes stops arriving".

--- a/src/member/desired_watch.cc
+++ b/src/member/desired_watch.cc
@@ -134,9 +134,9 @@
   }
   OnOutcome(result.outcome, result.received_bytes, sent_at);
   if (result.outcome != platform::StoreOutcome::kDone) {
-    if (result.received_bytes > 0) {
-      followed_version_.reset();
-    }
+    // The feed lists every state of the time that was missed; together they may
+    // take longer than a call may. A read returns one.
+    followed_version_.reset();
     return;
   }
   followed_version_ = result.version;
@@ -149,7 +149,7 @@
     }
   }
   if (changes > 1) {
-    // The feed may list each of several states in a row; a read returns one.
+    // The state changes faster than this host asks.
     followed_version_.reset();
   }
   if (result.has_more) {
--- a/test/member/desired_watch_test.cc
+++ b/test/member/desired_watch_test.cc
@@ -79,6 +79,7 @@
   // Stops sending, in the middle of an answer if one is being sent.
   void Stall() { is_stalled_ = true; }
   int requests() const { return requests_; }
+  const std::string& last_request() const { return last_request_; }
   // How many answers held the desired state.
   int texts_begun() const { return texts_begun_; }
 
@@ -124,6 +125,7 @@
 
   void Answer(const std::string& request, Connection* connection) {
     ++requests_;
+    last_request_ = request;
     Json::Value answer = RowsWith(text_, changed_at_, version_);
     const std::string after = "depends_on=";
     const std::size_t begin = request.find(after);
@@ -150,6 +152,7 @@
   std::uint64_t changed_at_ = 0;
   bool is_stalled_ = false;
   int requests_ = 0;
+  std::string last_request_;
   int texts_begun_ = 0;
   std::vector<std::unique_ptr<Connection>> connections_;
   wire::PeriodicTimer timer_;
@@ -179,6 +182,9 @@
   void Put(const std::string& text) { changes_.push_back({++version_, text}); }
   void Delete() { changes_.push_back({++version_, std::nullopt}); }
   void DropHistory() { history_begin_ = version_; }
+  void set_refusing(bool refusing) { is_refusing_ = refusing; }
+  // How many changes the feed has listed.
+  int listed() const { return listed_; }
   // Lets the feed return one change an answer.
   void set_pages(bool pages) { pages_ = pages; }
   int reads() const { return reads_; }
@@ -205,6 +211,10 @@
   }
   void Reply(const wire::HttpRequest& request, Json::Value rows,
              std::uint64_t version, bool has_more) {
+    if (is_refusing_) {
+      http_.Reply(request.exchange, {.status = 503, .body = "{}"});
+      return;
+    }
     Json::Value answer(Json::objectValue);
     answer["rows"] = std::move(rows);
     answer["has_more"] = has_more;
@@ -233,6 +243,7 @@
         continue;
       }
       rows.append(RowOf(change));
+      listed_ += is_refusing_ ? 0 : 1;
       if (pages_) {
         Reply(request, std::move(rows), change.version,
               change.version < version_);
@@ -249,6 +260,8 @@
   std::uint64_t history_begin_ = 0;
   std::vector<Change> changes_;
   bool pages_ = false;
+  bool is_refusing_ = false;
+  int listed_ = 0;
   int reads_ = 0;
   int feeds_ = 0;
 };
@@ -314,6 +327,16 @@
       CHECK(store.texts_begun() == 1);
     }
   }
+  SUBCASE("is read as a whole if a list of changes stops arriving") {
+    REQUIRE(w.RunUntilVersion(7));
+    store.Put(DesiredText(8, 4000));
+    REQUIRE(w.RunUntil([&] { return store.texts_begun() == 2; }));
+    CHECK(store.last_request().find("/rows-feed") != std::string::npos);
+    store.Stall();
+    CHECK(w.RunUntil([&] {
+      return store.last_request().find("/rows-get") != std::string::npos;
+    }));
+  }
   SUBCASE("is requested again if it stops arriving") {
     REQUIRE(w.RunUntil([&] { return store.texts_begun() == 1; }));
     store.Stall();
@@ -349,6 +372,17 @@
       CHECK(w.RunUntilVersion(9));
       CHECK(w.RunUntil([&] { return store.reads() == reads + 1; }));
     }
+    SUBCASE("reads only the newest of those that it missed in an outage") {
+      store.set_refusing(true);
+      const int feeds = store.feeds();
+      REQUIRE(w.RunUntil([&] { return store.feeds() > feeds; }));
+      for (std::uint64_t version = 8; version <= 20; ++version) {
+        store.Put(DesiredText(version, 1));
+      }
+      store.set_refusing(false);
+      CHECK(w.RunUntilVersion(20));
+      CHECK(store.listed() == 0);
+    }
     SUBCASE("asks for the rest of a list in pages before it confirms") {
       store.set_pages(true);
       store.Put(DesiredText(8, 1));
