--- a/src/member/desired_watch.cc
+++ b/src/member/desired_watch.cc
@@ -152,10 +152,10 @@
     // The state changes faster than this host asks.
     followed_version_.reset();
   }
-  if (result.has_more) {
-    Ask();
-  } else {
+  if (!result.has_more) {
     Confirm(sent_at);
+  } else if (!result.changes.empty()) {
+    Ask();
   }
 }
 
