--- a/test/member/desired_fetcher_test.cc
+++ b/test/member/desired_fetcher_test.cc
@@ -41,7 +41,7 @@
   }
   void AwaitCounted(const char* outcome) {
     loop.RunUntil(
-        [&] { return counters.value("desired_fetches", outcome) == 1; });
+        [&] { return counters.value("desired_fetches", outcome) >= 1; });
   }
 };
 
