--- a/src/standins/site/worker_model.cc
+++ b/src/standins/site/worker_model.cc
@@ -80,7 +80,7 @@
   for (const auto& [task, run] : runs_) {
     used += run.plan.needs;
   }
-  was_overloaded_ = was_overloaded_ || !used.FitsIn(listing_.capacity);
+  was_overloaded_ = was_overloaded_ || !used.FitsIn(CapacityInForce());
   return CommandOutcome::kDone;
 }
 
@@ -122,6 +122,25 @@
   return result;
 }
 
+void WorkerModel::SetCapacity(const base::Resources& capacity) {
+  former_capacities_.push_back({listing_.capacity, site_ms_});
+  listing_.capacity = capacity;
+  ++listing_.revision;
+}
+
+base::Resources WorkerModel::CapacityInForce() const {
+  base::Resources largest = listing_.capacity;
+  for (const FormerCapacity& former : former_capacities_) {
+    if (site_ms_ - former.until_ms <= kCapacityNoticeMs) {
+      largest.cpu = std::max(largest.cpu, former.capacity.cpu);
+      largest.memory = std::max(largest.memory, former.capacity.memory);
+      largest.accelerators =
+          std::max(largest.accelerators, former.capacity.accelerators);
+    }
+  }
+  return largest;
+}
+
 void WorkerModel::Crash() {
   is_up_ = false;
   runs_.clear();
--- a/src/standins/site/worker_model.h
+++ b/src/standins/site/worker_model.h
@@ -76,16 +76,36 @@
   // another incarnation that is identified by `born_ms`.
   void Crash();
   void Restart(std::int64_t born_ms);
+  // Gives the worker another id, as its next incarnation on the same machine
+  // may have.
+  void Rename(base::BackendId id) { listing_.id = std::move(id); }
 
-  // Whether concurrent runs have ever exceeded the capacity.
+  // Changes the capacity. Starts are still judged by the largest capacity of
+  // the last kCapacityNoticeMs.
+  void SetCapacity(const base::Resources& capacity);
+
+  // Whether a start has ever brought the concurrent runs above the capacity.
   bool was_overloaded() const { return was_overloaded_; }
 
  private:
   // Returns whether the token is at least the highest one seen, and stores it.
   bool AcceptToken(FencingToken token);
+  // Returns the capacity by which a start is judged.
+  base::Resources CapacityInForce() const;
   void End(const TaskRef& task, RunEnd end);
 
+  // How long an owner may overlook a smaller capacity: the time for which a
+  // host must be in touch, and a heartbeat.
+  static constexpr std::int64_t kCapacityNoticeMs = 4500;
+
+  // A capacity that the worker had until `until_ms` on the site's clock.
+  struct FormerCapacity {
+    base::Resources capacity;
+    std::int64_t until_ms = 0;
+  };
+
   core::workers::Listing listing_;
+  std::vector<FormerCapacity> former_capacities_;
   std::int64_t clock_loss_permille_;
   std::int64_t site_ms_ = 0;
   std::int64_t clock_ms_ = 0;
--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -34,6 +34,10 @@
 constexpr std::uint32_t kMaxAttempts = 3;
 // Low enough for the cap to take effect: 3/8 of the cores of eight workers.
 constexpr std::int64_t kCapCores = 48;
+// A task that has crashed this many workers may be started fewer than
+// kStartsOverBudget times more.
+constexpr std::uint64_t kCrashesBeforeBudget = 3;
+constexpr std::uint64_t kStartsOverBudget = 3;
 constexpr double kAmpleSlack = 100;
 constexpr double kAmpleWeight = 1000;
 
@@ -226,14 +230,21 @@
   }
 }
 
+std::size_t Cell::IndexOf(const std::string& address) const {
+  const auto it = std::find_if(workers_.begin(), workers_.end(),
+                               [&address](const auto& worker) {
+                                 return worker->listing().address == address;
+                               });
+  return static_cast<std::size_t>(it - workers_.begin());
+}
+
 void Cell::Deliver(
-    const std::shared_ptr<Owner>& owner, const std::string& worker,
+    const std::shared_ptr<Owner>& owner,
+    const core::scheduler::WorkerAddress& worker,
     const std::function<CommandOutcome(WorkerModel*)>& order,
     const std::function<void(CommandOutcome, std::int64_t)>& answer) {
-  const auto it = std::find_if(
-      workers_.begin(), workers_.end(),
-      [&worker](const auto& w) { return w->listing().id.value() == worker; });
-  const auto index = static_cast<std::size_t>(it - workers_.begin());
+  const std::size_t index = IndexOf(worker.address);
+  const WorkerModel& model = *workers_[index];
   const auto reply = [this, owner, answer](std::int64_t delay,
                                            CommandOutcome outcome,
                                            std::int64_t clock) {
@@ -244,22 +255,32 @@
     });
   };
   const bool is_late = Chance(faults.commands_late);
-  if (!is_late && (cut_.contains(index) || !(*it)->is_up() ||
+  if (!is_late && (cut_.contains(index) || !model.is_up() ||
                    Chance(faults.commands_lost))) {
     reply(kAnswerTimeoutMs, CommandOutcome::kUnanswered, 0);
     return;
   }
   const bool is_answered = !is_late && !Chance(faults.answers_lost);
   const std::int64_t delay = is_late ? Between(2000, 8000) : Between(1, 15);
-  const std::int64_t born_ms = (*it)->listing().born_ms;
-  After(delay, [this, index, order, reply, is_answered, is_late, born_ms] {
+  const std::int64_t born_ms = model.listing().born_ms;
+  After(delay, [this, index, order, reply, is_answered, is_late, born_ms,
+                id = worker.id] {
     WorkerModel* target = workers_[index].get();
+    if (!target->is_up()) {
+      if (is_answered) {
+        // The connection breaks with the process.
+        reply(0, CommandOutcome::kUnanswered, 0);
+      }
+      return;
+    }
     // The worker received a late command when it was sent, so the command is
     // lost if the worker has restarted since.
-    if (!target->is_up() || (is_late && target->listing().born_ms != born_ms)) {
+    if (is_late && target->listing().born_ms != born_ms) {
       return;
     }
-    const CommandOutcome outcome = order(target);
+    const CommandOutcome outcome = target->listing().id == id
+                                       ? order(target)
+                                       : CommandOutcome::kOtherIncarnation;
     if (is_answered && !cut_.contains(index)) {
       reply(Between(1, 15), outcome, target->clock_ms());
     }
@@ -282,13 +303,16 @@
       base::Overloaded{
           [&](const StartTask& start) {
             Deliver(
-                owner, start.worker.address,
+                owner, start.worker,
                 [this, owner, start](WorkerModel* worker) {
                   const bool was_there = worker->runs().contains(start.task);
                   const CommandOutcome outcome =
                       worker->Start(start, owner->token, PlanOf(start.task));
                   if (outcome == CommandOutcome::kDone && !was_there) {
                     CheckStart(*worker, start.task, start.attempt);
+                    if (IsDeadly(start.task)) {
+                      CrashUnder(IndexOf(start.worker.address), start.task);
+                    }
                   }
                   return outcome;
                 },
@@ -299,7 +323,7 @@
           },
           [&](const StopTask& stop) {
             Deliver(
-                owner, stop.worker.address,
+                owner, stop.worker,
                 [owner, stop](WorkerModel* worker) {
                   return worker->Stop(stop, owner->token);
                 },
@@ -311,7 +335,7 @@
           [&](const PollWorker& look) {
             auto result = std::make_shared<PollResult>();
             Deliver(
-                owner, look.worker.address,
+                owner, look.worker,
                 [this, owner, look, result](WorkerModel* worker) {
                   for (const ListedEnd& end : worker->ends()) {
                     if (end.number <= look.ends_stored &&
@@ -324,8 +348,9 @@
                 },
                 [this, owner, look, result](CommandOutcome outcome,
                                             std::int64_t) {
-                  if (outcome == CommandOutcome::kUnanswered) {
+                  if (outcome != CommandOutcome::kDone) {
                     *result = PollResult();
+                    result->outcome = outcome;
                   }
                   owner->scheduler->OnPolled(look, *result, Now());
                 });
@@ -463,11 +488,63 @@
     return;
   }
   worker->Crash();
-  After(Between(500, 4000),
-        [this, worker] { worker->Restart(now_ms_ + 1'000'000); });
+  After(Between(500, 4000), [this, worker] {
+    worker->Restart(now_ms_ + 1'000'000);
+    if (renames_workers) {
+      worker->Rename(
+          base::BackendId("renamed-" + std::to_string(++last_rename_)));
+    }
+  });
+}
+
+void Cell::MakeDeadly(JobKey job, bool first_task_only) {
+  deadly_[job] = first_task_only;
+}
+
+bool Cell::IsDeadly(const TaskRef& task) const {
+  const auto it = deadly_.find(task.step.job);
+  return it != deadly_.end() &&
+         (!it->second || (task.step.step == 0 && task.index == 0));
+}
+
+void Cell::CrashUnder(std::size_t index, const TaskRef& task) {
+  CrashCount& count = crash_counts_[task];
+  ++count.starts;
+  if (count.crashes >= kCrashesBeforeBudget &&
+      count.starts - count.starts_at_third_crash >= kStartsOverBudget) {
+    Break("started " + std::to_string(kStartsOverBudget) +
+          " times more after three workers crashed under it: " +
+          core::jobs::ToString(task));
+  }
+  After(kStepMs, [this, index, task] {
+    const WorkerModel& worker = *workers_[index];
+    if (!worker.is_up() || !worker.runs().contains(task)) {
+      return;
+    }
+    CrashCount& crashed = crash_counts_[task];
+    if (++crashed.crashes == kCrashesBeforeBudget) {
+      crashed.starts_at_third_crash = crashed.starts;
+    }
+    ++task_crashes_;
+    victims_ += worker.runs().size() - 1;
+    CrashWorker(index);
+  });
+}
+
+void Cell::ResizeWorker(std::size_t index, std::int64_t cores) {
+  WorkerModel& worker = *workers_[index];
+  base::Resources capacity = worker.listing().capacity;
+  capacity.cpu = base::Millicores(cores * 1000);
+  worker.SetCapacity(capacity);
 }
 
 bool Cell::Mend() {
+  for (std::size_t i = 0; i < workers_.size(); ++i) {
+    if (workers_[i]->listing().capacity.cpu !=
+        base::Millicores(kWorkerCores * 1000)) {
+      ResizeWorker(i, kWorkerCores);
+    }
+  }
   faults = Faults{.runs_failing = 0};
   cut_.clear();
   const std::int64_t end = now_ms_ + kMaxRecoveryMs;
--- a/test/fuzz/scheduler/cell.h
+++ b/test/fuzz/scheduler/cell.h
@@ -68,7 +68,22 @@
   // unaware of its successor.
   void ChangeOwnerKeepingPrevious();
   void CutWorker(std::size_t index, bool is_cut);
+  // Crashes the worker. It is back after 0.5 to 4 s.
   void CrashWorker(std::size_t index);
+  // From now on, each start of a task of this job crashes its worker 10 ms
+  // later. Only the first task of the first step does so if `first_task_only`.
+  void MakeDeadly(core::jobs::JobKey job, bool first_task_only);
+  // Sets the worker's processors; it has `kWorkerCores` at first.
+  void ResizeWorker(std::size_t index, std::int64_t cores);
+  // Whether a restarted worker has a new id. Its address remains the same.
+  bool renames_workers = false;
+  std::optional<core::jobs::JobState> StateOf(core::jobs::JobKey job) const {
+    return owners_.back()->scheduler->StateOf(job);
+  }
+  // The number of workers that deadly tasks have crashed.
+  std::size_t task_crashes() const { return task_crashes_; }
+  // The number of runs of other tasks that ended with those workers.
+  std::size_t victims() const { return victims_; }
   std::size_t workers() const { return workers_.size(); }
 
   // Ends all faults and runs the cell until all accepted jobs have finished.
@@ -110,13 +125,19 @@
                 const core::scheduler::Action& action);
   // Delivers a command to its worker and the answer to the owner, subject to
   // the faults of the network.
-  void Deliver(const std::shared_ptr<Owner>& owner, const std::string& worker,
+  void Deliver(const std::shared_ptr<Owner>& owner,
+               const core::scheduler::WorkerAddress& worker,
                const std::function<CommandOutcome(WorkerModel*)>& order,
                const std::function<void(CommandOutcome, std::int64_t)>& answer);
   void WriteBatch(const std::shared_ptr<Owner>& owner);
   void Store(const core::scheduler::RecordBatch& batch);
   void CheckStart(const WorkerModel& worker, const TaskRef& task,
                   Attempt attempt);
+  bool IsDeadly(const TaskRef& task) const;
+  // Crashes the worker under the deadly task that it has just started.
+  void CrashUnder(std::size_t index, const TaskRef& task);
+  // Returns the index of the worker at this address.
+  std::size_t IndexOf(const std::string& address) const;
   void Break(const std::string& what) { broken_.push_back(what); }
   RunPlan PlanOf(const TaskRef& task);
 
@@ -139,6 +160,19 @@
   std::set<core::jobs::JobKey> cancelled_;
   // Tasks whose success the owner has acknowledged to a worker.
   std::set<TaskRef> acknowledged_done_;
+  // Deadly jobs, and whether only their first task is deadly.
+  std::map<core::jobs::JobKey, bool> deadly_;
+  // For each deadly task, how often it was started, and the number of the start
+  // that was its third crash.
+  struct CrashCount {
+    std::uint64_t starts = 0;
+    std::uint64_t crashes = 0;
+    std::uint64_t starts_at_third_crash = 0;
+  };
+  std::map<TaskRef, CrashCount> crash_counts_;
+  std::size_t task_crashes_ = 0;
+  std::size_t victims_ = 0;
+  std::uint64_t last_rename_ = 0;
   // The contents of the store.
   std::map<core::scheduler::RecordTable, std::map<std::string, std::string>>
       rows_;
