The loss of a worker is told apart: it crashed, or nobody knows why

What was missing: run_ended end=lapsed is written alike for a worker that crashed, was cut off or was slow, and nothing said which runs were young when their worker was lost.

Log line worker_lost (worker, how, runs, suspects), counter workers_lost. fleet_test shows each case, with a run that had just been started and one that had not.

--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -25,6 +25,7 @@
 #include "dotterelbarrow/core/scheduler/actions.h"
 #include "dotterelbarrow/core/scheduler/decision_log.h"
 #include "dotterelbarrow/core/workers/worker.h"
+#include "dotterelbarrow/core/workers/worker_loss.h"
 
 namespace dotterelbarrow::core::scheduler {
 
@@ -90,6 +91,11 @@
   sigc::signal<void(const workers::Worker&, const workers::Run&,
                     CommandOutcome)>
       start_refused;
+  // A worker was lost without having left. The ends of its runs that are
+  // certain to have ended were reported before.
+  sigc::signal<void(const workers::WorkerLoss&)> worker_lost;
+  // A run that is a suspect has run for longer than workers::kSuspectAge.
+  sigc::signal<void(const workers::Run&)> suspect_survived;
   // A worker is reconciled: either it was claimed, or its lease expired.
   sigc::signal<void(const base::BackendId&)> worker_reconciled;
   // Run ends of this worker up to this number were received and must be stored
@@ -212,9 +218,16 @@
   // down, and was not removed for being unresponsive: it was draining, and its
   // last report is too recent for that removal.
   bool HasShutDown(const workers::Worker& worker, base::TimePoint now) const;
-  // Ends the runs of a worker that has shut down: its process has ended, and
-  // its runs with it.
-  void EndRunsAfterShutdown(workers::Worker* worker);
+  // Ends the runs that this incarnation of the worker had confirmed, because
+  // its process has ended.
+  void EndConfirmedRuns(workers::Worker* worker);
+  // Handles that another incarnation answered at the worker's address.
+  void OnReplaced(workers::Worker* worker);
+  // Describes the loss of the worker; nullopt if it was reported before or
+  // nothing ran there.
+  std::optional<workers::WorkerLoss> DescribeLoss(workers::Worker* worker,
+                                                  workers::LossKind kind);
+  void ReportLoss(const std::optional<workers::WorkerLoss>& loss);
   static WorkerAddress AddressOf(const workers::Worker& worker);
   // Returns the worker that answered a command. Returns null if that
   // incarnation is over, or if another owner has fenced this owner off, in
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -69,6 +69,10 @@
   bool fills_idle_cpu = false;
   // Whether its job had much slack left when the run was placed.
   bool has_slack = false;
+  // Whether workers have crashed under its task, so that the run is started
+  // apart from others until it has survived for a while.
+  bool is_suspect = false;
+  bool is_gang_member = false;
   // The resources that the task may use, and the part of them that is reserved
   // on the worker.
   base::Resources needs{};
@@ -146,6 +150,7 @@
   bool has_orphans() const { return orphan_count_ > 0; }
   bool has_serving() const { return serving_count_ > 0; }
   bool has_idle_fillers() const { return idle_filler_count_ > 0; }
+  bool has_suspects() const { return suspect_count_ > 0; }
   // The processor time that tasks which only fill idle time would use; none of
   // it is reserved.
   base::Millicores idle_filler_demand() const {
@@ -160,6 +165,8 @@
   Run* AddRun(Run run);
   // Removes the run, if it exists, and releases its resources.
   void RemoveRun(const jobs::TaskRef& task, jobs::Attempt attempt);
+  // The run, which must be one of this worker, is not a suspect any more.
+  void ClearSuspicion(Run* run);
   const std::map<std::pair<jobs::TaskRef, jobs::Attempt>, Run>& runs() const {
     return runs_;
   }
@@ -191,6 +198,14 @@
   // last answer.
   base::TimePoint earliest_poll;
   base::TimePoint last_answer;
+  // The latest time at which the worker is known to have been running: that of
+  // its last answer, or when the connection of a poll broke off that it was
+  // holding.
+  base::TimePoint alive_at;
+  // When the regular poll was sent that is in flight, or was last.
+  base::TimePoint poll_sent_at;
+  // Whether the loss of this incarnation was reported.
+  bool is_loss_reported = false;
   // The worker sent its last report to the platform after this time, as a new
   // revision in the platform's list showed.
   std::optional<base::TimePoint> reported_after;
@@ -230,11 +245,12 @@
   // Invariant: the sums of the runs' reserved and needed resources.
   base::Resources total_reserved_;
   base::Resources total_needs_;
-  // Invariant: the numbers of runs that are orphaned, that serve, and that fill
-  // idle processor time.
+  // Invariant: the numbers of runs that are orphaned, that serve, that fill
+  // idle processor time, and that are suspects.
   int orphan_count_ = 0;
   int serving_count_ = 0;
   int idle_filler_count_ = 0;
+  int suspect_count_ = 0;
 };
 
 }  // namespace dotterelbarrow::core::workers
--- /dev/null
+++ b/include/dotterelbarrow/core/workers/worker_loss.h
@@ -0,0 +1,52 @@
+// What is known about the loss of a worker, and which of its runs may have
+// caused it.
+//
+// Load pattern: a few tasks crash each worker that starts them, some
+// milliseconds after the start, on workers that hold ten other runs. Nearly all
+// of those have run for longer than that, so the runs that had just been
+// started are the suspects. A run that crashes its worker later is found by its
+// history: it is among the lost runs each time.
+#ifndef DOTTERELBARROW_CORE_WORKERS_WORKER_LOSS_H_
+#define DOTTERELBARROW_CORE_WORKERS_WORKER_LOSS_H_
+
+#include <vector>
+
+#include "dotterelbarrow/base/ids.h"
+#include "dotterelbarrow/base/units.h"
+#include "dotterelbarrow/core/workers/worker.h"
+
+namespace dotterelbarrow::core::workers {
+
+// How a worker was lost that had not left after draining.
+enum class LossKind {
+  kCrashed,      // Another incarnation answers, so its process has ended.
+  kUnexplained,  // It was silent until its leases had expired: it crashed, was
+                 // cut off, or was too slow.
+};
+
+const char* ToString(LossKind kind);
+
+struct WorkerLoss {
+  base::BackendId worker;
+  LossKind kind = LossKind::kUnexplained;
+  // The worker was running at this time.
+  base::TimePoint alive_at;
+  // The runs that may have been active, in the state before their ends.
+  std::vector<Run> runs;
+};
+
+// A run is a suspect if its worker is lost within this time after its start. It
+// covers the time until a broken connection is noticed by a busy owner.
+inline constexpr base::Duration kSuspectAge = std::chrono::milliseconds(500);
+
+// Whether the run had been started less than kSuspectAge before `alive_at`, or
+// after it.
+bool IsYoungAt(const Run& run, base::TimePoint alive_at);
+
+// Returns the runs that may have crashed the worker: those that were young, and
+// those of tasks that are suspects already. Returns none if no run stands out.
+std::vector<const Run*> FindSuspects(const WorkerLoss& loss);
+
+}  // namespace dotterelbarrow::core::workers
+
+#endif  // DOTTERELBARROW_CORE_WORKERS_WORKER_LOSS_H_
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -9,9 +9,11 @@
 
 using workers::kUnknownIncarnation;
 using workers::Listing;
+using workers::LossKind;
 using workers::Run;
 using workers::RunState;
 using workers::Worker;
+using workers::WorkerLoss;
 
 // The list, or what has changed in it, is read at least every half second; a
 // longer interval means that a read failed.
@@ -79,7 +81,7 @@
              settings_.listing_timeout - kListingMargin;
 }
 
-void Fleet::EndRunsAfterShutdown(Worker* worker) {
+void Fleet::EndConfirmedRuns(Worker* worker) {
   std::vector<RunKey> departed;
   for (const auto& [key, run] : worker->runs()) {
     // An unanswered command may still reach another incarnation. An answered
@@ -93,6 +95,43 @@
   }
 }
 
+void Fleet::OnReplaced(Worker* worker) {
+  const std::optional<WorkerLoss> loss =
+      DescribeLoss(worker, LossKind::kCrashed);
+  EndConfirmedRuns(worker);
+  ReportLoss(loss);
+}
+
+std::optional<WorkerLoss> Fleet::DescribeLoss(Worker* worker, LossKind kind) {
+  if (worker->is_loss_reported || worker->runs().empty() ||
+      worker->listing().draining) {
+    return std::nullopt;
+  }
+  worker->is_loss_reported = true;
+  WorkerLoss loss{.worker = worker->id(),
+                  .kind = kind,
+                  .alive_at = worker->alive_at,
+                  .runs = {}};
+  for (const auto& [key, run] : worker->runs()) {
+    loss.runs.push_back(run);
+  }
+  return loss;
+}
+
+void Fleet::ReportLoss(const std::optional<WorkerLoss>& loss) {
+  if (!loss) {
+    return;
+  }
+  telemetry_.counters->Increment("workers_lost", ToString(loss->kind));
+  telemetry_.log->Write(
+      "worker_lost", {{"worker", loss->worker.value()},
+                      {"how", ToString(loss->kind)},
+                      {"runs", static_cast<std::int64_t>(loss->runs.size())},
+                      {"suspects", static_cast<std::int64_t>(
+                                       workers::FindSuspects(*loss).size())}});
+  worker_lost.emit(*loss);
+}
+
 void Fleet::UpdateListings(const std::vector<Listing>& listings,
                            base::TimePoint requested_at, base::TimePoint now) {
   std::set<base::BackendId> listed;
@@ -144,7 +183,7 @@
        {"runs", static_cast<std::int64_t>(worker->runs().size())},
        {"has_left", has_left ? "yes" : "no"}});
   if (has_left) {
-    EndRunsAfterShutdown(worker);
+    EndConfirmedRuns(worker);
   }
 }
 
@@ -217,6 +256,8 @@
       {{"worker", worker->id().value()},
        {"born_ms", listing.born_ms},
        {"lost_runs", static_cast<std::int64_t>(worker->runs().size())}});
+  const std::optional<WorkerLoss> loss =
+      DescribeLoss(worker, LossKind::kCrashed);
   // The new incarnation is reached under the same ID. It may execute start
   // commands that are still unanswered, and may have executed those whose runs
   // were never listed. These runs stay here, to be stopped in the new
@@ -247,6 +288,7 @@
     restarted.AddRun(std::move(run));
   }
   *worker = std::move(restarted);
+  ReportLoss(loss);
 }
 
 void Fleet::EndAllRuns(Worker* worker, jobs::RunEnd end) {
@@ -318,8 +360,11 @@
          {"runs", static_cast<std::int64_t>(worker->runs().size())},
          {"silent_ms",
           (now - worker->last_answer) / std::chrono::milliseconds(1)}});
+    const std::optional<WorkerLoss> loss =
+        DescribeLoss(worker, LossKind::kUnexplained);
     EndAllRuns(worker, jobs::RunEnd::kLeaseExpired);
     MarkReconciled(worker->id());
+    ReportLoss(loss);
   }
   worker->is_claimed = false;
   return !worker->is_listed();
@@ -331,6 +376,7 @@
     return;
   }
   worker->poll_in_flight = true;
+  worker->poll_sent_at = now;
   PollWorker poll{.worker = AddressOf(*worker),
                   .lease_until_ms = std::nullopt,
                   .ends_stored = worker->ends_stored,
--- a/src/core/scheduler/fleet_runs.cc
+++ b/src/core/scheduler/fleet_runs.cc
@@ -125,6 +125,9 @@
                                outcome == CommandOutcome::kNotSent;
   target->unanswered_commands =
       was_unreachable ? target->unanswered_commands + 1 : 0;
+  if (outcome == CommandOutcome::kDone) {
+    target->alive_at = now;
+  }
   Run* run = target->FindRun(key.first, key.second);
   if (run == nullptr) {
     return;
@@ -186,6 +189,17 @@
     return;
   }
   if (result.outcome != CommandOutcome::kDone) {
+    const bool is_held_poll =
+        was_regular_poll && target->is_claimed && target->failed_polls == 0;
+    if (is_held_poll && result.outcome == CommandOutcome::kUnanswered &&
+        now - target->poll_sent_at < settings_.long_poll_timeout) {
+      // The connection broke while the worker was holding the poll.
+      target->alive_at = now;
+    }
+    if (was_regular_poll && target->is_claimed &&
+        result.outcome == CommandOutcome::kOtherIncarnation) {
+      OnReplaced(target);
+    }
     ++target->failed_polls;
     if (was_regular_poll) {
       target->next_poll = now + settings_.poll_retry_delay;
@@ -223,6 +237,7 @@
   target->failed_polls = 0;
   target->unanswered_commands = 0;
   target->last_answer = now;
+  target->alive_at = now;
   target->clock.RecordReading(result.clock_ms, now);
   ApplyRunEnds(target, result.ended);
   ApplyActiveRuns(target, result, now, actions);
@@ -298,6 +313,10 @@
       run->start_confirmed_ms = result.clock_ms;
     }
     run->is_listed = true;
+    if (run->is_suspect && !workers::IsYoungAt(*run, now)) {
+      worker->ClearSuspicion(run);
+      suspect_survived.emit(*run);
+    }
     run->checkpoint =
         listed.checkpoint.empty() ? run->checkpoint : listed.checkpoint;
   }
--- a/src/core/workers/worker.cc
+++ b/src/core/workers/worker.cc
@@ -46,6 +46,7 @@
           .state = RunState::kReserved,
           .is_serving = spec.is_serving(),
           .fills_idle_cpu = spec.fills_idle_cpu,
+          .is_gang_member = spec.gang,
           .needs = spec.needs,
           .reserved = spec.Reservation(),
           .organisation = job.organisation,
@@ -114,6 +115,12 @@
   orphan_count_ += run.is_orphan ? sign : 0;
   serving_count_ += run.is_serving ? sign : 0;
   idle_filler_count_ += run.fills_idle_cpu ? sign : 0;
+  suspect_count_ += run.is_suspect ? sign : 0;
+}
+
+void Worker::ClearSuspicion(Run* run) {
+  suspect_count_ -= run->is_suspect ? 1 : 0;
+  run->is_suspect = false;
 }
 
 bool Worker::IsLeaseGuaranteedExpired(base::TimePoint now) const {
--- a/test/core/scheduler/fleet_test.cc
+++ b/test/core/scheduler/fleet_test.cc
@@ -30,8 +30,11 @@
   std::uint64_t revision = 1;
   std::vector<Action> actions;
   std::vector<jobs::RunEnd> ends;
+  std::vector<workers::WorkerLoss> losses;
 
   FleetScenario() {
+    fleet.worker_lost.connect(
+        [this](const workers::WorkerLoss& loss) { losses.push_back(loss); });
     fleet.run_ended.connect(
         [this](const workers::Worker&, const workers::Run&, jobs::RunEnd end,
                const std::string&) { ends.push_back(end); });
@@ -67,8 +70,10 @@
     result.ended = std::move(ended);
     fleet.OnPolled(kWorker, born_ms, true, result, now, &actions);
   }
-  void FailPoll() {
-    fleet.OnPolled(kWorker, born_ms, true, PollResult(), now, &actions);
+  void FailPoll(CommandOutcome outcome = CommandOutcome::kUnanswered) {
+    PollResult result;
+    result.outcome = outcome;
+    fleet.OnPolled(kWorker, born_ms, true, result, now, &actions);
   }
   void Start() {
     workers::Run run;
@@ -243,6 +248,79 @@
   }
 }
 
+TEST_CASE("a worker is lost with a run") {
+  FleetScenario scenario;
+  scenario.Start();
+  scenario.Advance(milliseconds(5));
+  scenario.AnswerStart(CommandOutcome::kDone);
+  scenario.Advance(milliseconds(60));
+  scenario.Tick();
+
+  SUBCASE("another incarnation answers at its address: it has crashed") {
+    scenario.Advance(milliseconds(10));
+    scenario.FailPoll();
+    CHECK(scenario.losses.empty());
+    scenario.Advance(seconds(3));
+    scenario.FailPoll(CommandOutcome::kOtherIncarnation);
+    REQUIRE(scenario.losses.size() == 1);
+    CHECK(scenario.losses[0].kind == workers::LossKind::kCrashed);
+    CHECK(scenario.ends == std::vector{jobs::RunEnd::kWorkerGone});
+    // The connection broke 75 ms after the start.
+    CHECK(workers::FindSuspects(scenario.losses[0]).size() == 1);
+
+    SUBCASE("which is reported once") {
+      scenario.Advance(seconds(5));
+      scenario.Tick();
+      CHECK(scenario.losses.size() == 1);
+    }
+  }
+  SUBCASE("a run that had lived for a while is no suspect") {
+    scenario.Advance(milliseconds(900));
+    scenario.AnswerPoll({{kTask, kAttempt, ""}});
+    scenario.Advance(milliseconds(60));
+    scenario.Tick();
+    scenario.FailPoll();
+    scenario.Advance(seconds(3));
+    scenario.FailPoll(CommandOutcome::kOtherIncarnation);
+    REQUIRE(scenario.losses.size() == 1);
+    CHECK(workers::FindSuspects(scenario.losses[0]).empty());
+  }
+  SUBCASE("a poll that times out doesn't prove that the worker was alive") {
+    scenario.Advance(milliseconds(1500));
+    scenario.FailPoll();
+    scenario.Advance(seconds(2));
+    scenario.FailPoll(CommandOutcome::kOtherIncarnation);
+    REQUIRE(scenario.losses.size() == 1);
+    CHECK(workers::FindSuspects(scenario.losses[0]).size() == 1);
+  }
+  SUBCASE("a new list entry under the same id: it has crashed") {
+    scenario.Advance(seconds(3));
+    scenario.born_ms = 2;
+    scenario.ApplyList();
+    REQUIRE(scenario.losses.size() == 1);
+    CHECK(scenario.losses[0].kind == workers::LossKind::kCrashed);
+  }
+  SUBCASE("it stays silent: nobody knows why") {
+    for (int i = 0; i < 12; ++i) {
+      scenario.Advance(milliseconds(500));
+      scenario.FailPoll();
+      scenario.Tick();
+    }
+    REQUIRE(scenario.losses.size() == 1);
+    CHECK(scenario.losses[0].kind == workers::LossKind::kUnexplained);
+    CHECK(scenario.ends == std::vector{jobs::RunEnd::kLeaseExpired});
+  }
+  SUBCASE("it had announced that it leaves: that is no loss") {
+    ++scenario.revision;
+    scenario.ApplyList(true);
+    scenario.FailPoll();
+    scenario.Advance(seconds(3));
+    scenario.FailPoll(CommandOutcome::kOtherIncarnation);
+    CHECK(scenario.losses.empty());
+    CHECK(scenario.ends == std::vector{jobs::RunEnd::kWorkerGone});
+  }
+}
+
 TEST_CASE("ends") {
   FleetScenario scenario;
   scenario.Start();
