A task under which workers crash is remembered, started apart and given up

Cause: a run that ended because its worker was gone left nothing in the job. Only ends that the worker reported as failed counted, and a crashed worker reports nothing. So the task was queued again at once, without limit and beside anything. Ruled out: the change of owner (the starts go on without one), cut connections (each address answered with another incarnation).

Change: the runs that had been started less than 0.5 s before a worker was lost are suspects; the only one bears sole blame, several share it. Suspects are started on a worker where nothing else was started just now and where the least would be lost, and nothing else is started there until they have survived. A job is given up after two crashes with sole blame (three for gangs and services), or after four or five in all; the platform allows five. Crashes are part of the job's progress record, so that they outlive the owner and the cell.

The cell's model refuses connections to crashed processes, holds long polls, and keeps the advisor's answers when a worker has a new id; its tasks may crash workers 1.5 s after their start too.

--- /dev/null
+++ b/include/dotterelbarrow/core/jobs/crash_history.h
@@ -0,0 +1,83 @@
+// How often workers have crashed under a task, or under the members of a gang,
+// and what follows from it.
+//
+// A worker that crashes takes all its runs with it, so a single crash proves
+// nothing against any of them. A task that may have caused one is a suspect: it
+// is started again apart from other suspects. It is guilty once it was the only
+// suspect of several crashes, and its job then fails, because each further
+// start would cost another worker.
+#ifndef DOTTERELBARROW_CORE_JOBS_CRASH_HISTORY_H_
+#define DOTTERELBARROW_CORE_JOBS_CRASH_HISTORY_H_
+
+#include <cstddef>
+#include <vector>
+
+#include "dotterelbarrow/core/jobs/job_spec.h"
+
+namespace dotterelbarrow::core::jobs {
+
+// What the loss of a worker says about one of the runs that were lost with it.
+enum class CrashBlame {
+  kSole,    // The worker crashed, and no other run can have caused it.
+  kShared,  // Other runs may have caused it, or the worker has not crashed.
+  kFaint,   // No run stands out: all had run for some time.
+};
+
+const char* ToString(CrashBlame blame);
+
+class CrashHistory {
+ public:
+  struct Crash {
+    Attempt attempt;
+    CrashBlame blame = CrashBlame::kShared;
+    friend bool operator==(const Crash&, const Crash&) = default;
+  };
+
+  // Crashes with sole blame after which a task is guilty.
+  static constexpr std::size_t kSoleCrashesOfTask = 2;
+  // The same for gangs and long-running tasks: workers that crash by themselves
+  // hit these more often, since they have more workers or run for longer.
+  static constexpr std::size_t kSoleCrashesOfGang = 3;
+  // Crashes with sole or shared blame after which a task is guilty in any case.
+  // The platform allows two starts after the third crash.
+  static constexpr std::size_t kMaxCrashes = 5;
+  // One less is enough if one of them was with sole blame.
+  static constexpr std::size_t kMaxCrashesWithProof = 4;
+  // Crashes with faint blame that make a task a suspect.
+  static constexpr std::size_t kFaintCrashesOfSuspect = 2;
+
+  // Records that a worker was lost with this attempt. Returns whether there is
+  // something new to store. Faint blame is not stored.
+  bool Add(Attempt attempt, CrashBlame blame);
+  // A run of the task has lived long enough to be no suspect any more. With
+  // `forget` its crashes don't count any longer.
+  void OnSurvived(bool forget);
+
+  // Whether the task must be started apart from other suspects.
+  bool is_suspect() const;
+  // Whether the task was lost several times with workers for which no run stood
+  // out.
+  bool was_lost_before() const {
+    return faint_crashes_ >= kFaintCrashesOfSuspect;
+  }
+  // Whether the job must be given up, if this many crashes with sole blame
+  // prove it.
+  bool IsGuilty(std::size_t sole_crashes) const;
+
+  // The crashes to store.
+  const std::vector<Crash>& crashes() const { return crashes_; }
+  bool empty() const { return crashes_.empty(); }
+
+ private:
+  std::size_t Count(CrashBlame blame) const;
+
+  // Invariant: each attempt at most once, none with faint blame.
+  std::vector<Crash> crashes_;
+  std::size_t faint_crashes_ = 0;
+  // Whether a run has survived since the last crash.
+  bool has_survived_ = false;
+};
+
+}  // namespace dotterelbarrow::core::jobs
+
+#endif  // DOTTERELBARROW_CORE_JOBS_CRASH_HISTORY_H_
--- a/include/dotterelbarrow/core/jobs/job.h
+++ b/include/dotterelbarrow/core/jobs/job.h
@@ -12,6 +12,7 @@
 #include "dotterelbarrow/base/ids.h"
 #include "dotterelbarrow/base/units.h"
 #include "dotterelbarrow/core/desired/desired_state.h"
+#include "dotterelbarrow/core/jobs/crash_history.h"
 #include "dotterelbarrow/core/jobs/job_spec.h"
 
 namespace dotterelbarrow::core::jobs {
@@ -58,6 +59,8 @@
   // The worker that stopped the last attempt before it started, and so won't
   // start the same attempt again.
   base::BackendId stopped_before_start_on;
+  // The workers that crashed under the task. Not used for members of gangs.
+  CrashHistory crashes;
 };
 
 struct Step {
@@ -67,6 +70,8 @@
   std::uint32_t possibly_running = 0;
   // Attempts of the gang in which a member failed, without duplicates.
   std::vector<Attempt> failed_gang_attempts;
+  // The workers that crashed under members of the gang.
+  CrashHistory gang_crashes;
 
   bool is_done() const { return done == tasks.size(); }
   // Returns the number of tasks that are neither done nor possibly running.
@@ -128,6 +133,15 @@
   bool RecordRunEnd(const TaskRef& ref, Attempt attempt, RunEnd end,
                     const std::string& checkpoint,
                     const base::BackendId& worker, std::uint32_t max_attempts);
+  // Records that a worker was lost with this attempt. The job fails if the task
+  // is guilty of crashing workers. Returns whether the job's progress record
+  // changed.
+  bool RecordCrash(const TaskRef& ref, Attempt attempt, CrashBlame blame);
+  // Records that a run of the task has lived for a while after a crash.
+  void RecordSurvival(const TaskRef& ref);
+  // Returns the crashes under the task or, for a member, under its gang; null
+  // for an unknown task.
+  CrashHistory* CrashesOf(const TaskRef& ref);
 
  private:
   bool RecordDone(const TaskRef& ref, Step* step);
--- a/include/dotterelbarrow/core/jobs/job_records.h
+++ b/include/dotterelbarrow/core/jobs/job_records.h
@@ -5,7 +5,9 @@
 //               "steps":[..],"repeat","start_ms","interval_ms"}; never changes
 //   progress   {"state","begun","occurrences":[{"k","steps":[
 //               {"done":"<bits>","failed":[[index,attempt..]..],
-//                "gang_failed":[attempt..]}..]}..]}
+//                "gang_failed":[attempt..],
+//                "crashed":[[index,attempt,is_sole..]..],
+//                "gang_crashed":[attempt,is_sole..]}..]}..]}
 //
 // Most members with a default value are omitted. Times are milliseconds of the
 // store's clock, except start_ms, which counts from 1970.
--- a/include/dotterelbarrow/core/placement/worker_choice.h
+++ b/include/dotterelbarrow/core/placement/worker_choice.h
@@ -26,6 +26,13 @@
   bool has_valid_ticket = true;
 };
 
+// How much of the fleet a task may endanger.
+enum class Exposure {
+  kOrdinary,
+  // The task may crash its worker, so it goes where the least would be lost.
+  kContained,
+};
+
 // Returns whether the worker, when empty, could run a task of the step.
 bool IsSuitable(const workers::Worker& worker, const jobs::StepSpec& step);
 
@@ -48,7 +55,13 @@
 // on another rack, a worker on which the task failed before, and a worker that
 // is still cold after its start cost more than the best packing gains.
 double PlacementCost(const Candidate& candidate, const jobs::StepSpec& step,
-                     const base::BackendId& failed_on);
+                     const base::BackendId& failed_on,
+                     Exposure exposure = Exposure::kOrdinary);
+
+// Returns what would be lost if the worker crashed, as a fraction of its
+// processors. A gang's member counts several times, because all members of its
+// gang are lost with it.
+double LossIfCrashed(const workers::Worker& worker);
 
 // Allocates the resources of one more task of the step on the candidate.
 // Precondition: the task fits (see `HasCapacityFor`).
@@ -58,7 +71,8 @@
 // Returns its worker, or null if the task fits on none.
 const workers::Worker* AllocateOnBest(std::vector<Candidate>* candidates,
                                       const jobs::StepSpec& step,
-                                      const base::BackendId& failed_on);
+                                      const base::BackendId& failed_on,
+                                      Exposure exposure = Exposure::kOrdinary);
 
 }  // namespace dotterelbarrow::core::placement
 
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -250,8 +250,8 @@
   bool FillCandidates(WaitingStep* item, base::TimePoint now) const;
   // Returns whether the worker accepts new work and is suitable for the step's
   // tasks.
-  static bool MayRunOn(const workers::Worker& worker, const WaitingStep& item,
-                       base::TimePoint now);
+  bool MayRunOn(const workers::Worker& worker, const WaitingStep& item,
+                base::TimePoint now) const;
   // Returns whether all tasks of a gang wait for a part of its organisation's
   // cap, and reserves that part.
   bool WaitsForCap(const WaitingStep& item);
@@ -263,6 +263,18 @@
                   std::vector<Action>* actions);
   bool PlaceGang(const WaitingStep& item, base::TimePoint now,
                  std::vector<Action>* actions);
+  // Chooses a worker for a task that is suspected of crashing workers: one on
+  // which nothing was started just now, so that another crash proves which task
+  // caused it. If there is none, lets no other task start on a worker until it
+  // will do. Removes the worker from `candidates`. Returns null if the task has
+  // to wait.
+  const workers::Worker* ChooseForSuspect(
+      std::vector<placement::Candidate>* candidates, const jobs::StepSpec& spec,
+      const base::BackendId& failed_on, base::TimePoint now);
+  // Whether the worker takes no new tasks because one that is suspected of
+  // crashing workers runs there or is about to.
+  bool IsKeptForSuspect(const workers::Worker& worker,
+                        base::TimePoint now) const;
   // Places gang members whose start did not reach a worker on other workers,
   // while the members that started wait for them.
   bool PlaceMissingMembers(const WaitingStep& item, base::TimePoint now,
@@ -361,6 +373,10 @@
   // dropped continue under its last rules.
   std::unordered_map<desired::QueueId, desired::Queue> known_queues_;
   placement::GangHolds gang_holds_;
+  // The worker on which nothing is started until a suspect can be, and when
+  // that ends in any case.
+  workers::WorkerNumber kept_for_suspect_;
+  base::TimePoint kept_for_suspect_until_;
   // Gangs for which there was no capacity. Emptied at `next_gang_retry_`, so
   // that all of them are tried again in one pass, in the order of their
   // urgency.
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -195,6 +195,12 @@
                             base::TimePoint now);
   void OnStartRefused(const workers::Worker& worker, const workers::Run& run,
                       CommandOutcome outcome);
+  // Records the loss in the jobs of the runs that may have caused it, and fails
+  // those that are proved to crash workers.
+  void OnWorkerLost(const workers::WorkerLoss& loss);
+  void RecordCrash(const workers::WorkerLoss& loss, const workers::Run& run,
+                   jobs::CrashBlame blame);
+  void OnSuspectSurvived(const workers::Run& run);
   // The worker is reconciled: it can't have untracked runs any more.
   void OnWorkerReconciled(const base::BackendId& worker);
 
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -72,6 +72,9 @@
   // Whether workers have crashed under its task, so that the run is started
   // apart from others until it has survived for a while.
   bool is_suspect = false;
+  // Whether its task was lost with workers before that were lost for no known
+  // cause.
+  bool was_lost_before = false;
   bool is_gang_member = false;
   // The resources that the task may use, and the part of them that is reserved
   // on the worker.
--- a/include/dotterelbarrow/core/workers/worker_loss.h
+++ b/include/dotterelbarrow/core/workers/worker_loss.h
@@ -44,7 +44,8 @@
 bool IsYoungAt(const Run& run, base::TimePoint alive_at);
 
 // Returns the runs that may have crashed the worker: those that were young, and
-// those of tasks that are suspects already. Returns none if no run stands out.
+// those that are suspects already. If there are none, returns those whose tasks
+// were lost with other workers before. Returns none if no run stands out.
 std::vector<const Run*> FindSuspects(const WorkerLoss& loss);
 
 }  // namespace dotterelbarrow::core::workers
--- /dev/null
+++ b/src/core/jobs/crash_history.cc
@@ -0,0 +1,60 @@
+// Decides which tasks are suspected of crashing workers, and which are guilty.
+#include "dotterelbarrow/core/jobs/crash_history.h"
+
+#include <algorithm>
+
+namespace dotterelbarrow::core::jobs {
+
+const char* ToString(CrashBlame blame) {
+  switch (blame) {
+    case CrashBlame::kSole:
+      return "sole";
+    case CrashBlame::kShared:
+      return "shared";
+    case CrashBlame::kFaint:
+      return "faint";
+  }
+  return "unknown";
+}
+
+bool CrashHistory::Add(Attempt attempt, CrashBlame blame) {
+  if (blame == CrashBlame::kFaint) {
+    ++faint_crashes_;
+    return false;
+  }
+  const bool is_known = std::any_of(
+      crashes_.begin(), crashes_.end(),
+      [attempt](const Crash& crash) { return crash.attempt == attempt; });
+  if (is_known) {
+    return false;
+  }
+  crashes_.push_back({attempt, blame});
+  has_survived_ = false;
+  return true;
+}
+
+void CrashHistory::OnSurvived(bool forget) {
+  has_survived_ = true;
+  if (forget) {
+    crashes_.clear();
+    faint_crashes_ = 0;
+  }
+}
+
+bool CrashHistory::is_suspect() const {
+  return (!crashes_.empty() && !has_survived_) || was_lost_before();
+}
+
+bool CrashHistory::IsGuilty(std::size_t sole_crashes) const {
+  const std::size_t sole = Count(CrashBlame::kSole);
+  return sole >= sole_crashes || crashes_.size() >= kMaxCrashes ||
+         (sole > 0 && crashes_.size() >= kMaxCrashesWithProof);
+}
+
+std::size_t CrashHistory::Count(CrashBlame blame) const {
+  return static_cast<std::size_t>(std::count_if(
+      crashes_.begin(), crashes_.end(),
+      [blame](const Crash& crash) { return crash.blame == blame; }));
+}
+
+}  // namespace dotterelbarrow::core::jobs
--- a/src/core/jobs/job.cc
+++ b/src/core/jobs/job.cc
@@ -129,11 +129,46 @@
     return RecordDone(ref, step);
   }
   if (end == RunEnd::kFailed) {
+    // Its worker is there to report it.
+    RecordSurvival(ref);
     return RecordFailure(ref, attempt, step, worker, max_attempts);
   }
   return false;
 }
 
+CrashHistory* Job::CrashesOf(const TaskRef& ref) {
+  Task* task = FindTask(ref);
+  if (task == nullptr) {
+    return nullptr;
+  }
+  return SpecOf(ref.step).gang ? &FindStep(ref.step)->gang_crashes
+                               : &task->crashes;
+}
+
+bool Job::RecordCrash(const TaskRef& ref, Attempt attempt, CrashBlame blame) {
+  CrashHistory* crashes = CrashesOf(ref);
+  if (crashes == nullptr || IsFinal(state) || FindTask(ref)->done ||
+      !crashes->Add(attempt, blame)) {
+    return false;
+  }
+  const StepSpec& spec_of_step = SpecOf(ref.step);
+  const std::size_t sole_crashes =
+      spec_of_step.gang || spec_of_step.long_running
+          ? CrashHistory::kSoleCrashesOfGang
+          : CrashHistory::kSoleCrashesOfTask;
+  if (crashes->IsGuilty(sole_crashes)) {
+    state = JobState::kFailed;
+  }
+  return true;
+}
+
+void Job::RecordSurvival(const TaskRef& ref) {
+  if (CrashHistory* crashes = CrashesOf(ref)) {
+    const StepSpec& spec_of_step = SpecOf(ref.step);
+    crashes->OnSurvived(spec_of_step.gang || spec_of_step.long_running);
+  }
+}
+
 bool Job::RecordDone(const TaskRef& ref, Step* step) {
   const auto finish = [step](Task* task) {
     if (task->done) {
--- a/src/core/jobs/job_records.cc
+++ b/src/core/jobs/job_records.cc
@@ -213,6 +213,26 @@
   }
 }
 
+// Appends each crash as its attempt and whether the blame is sole (1) or shared
+// (0).
+void AppendCrashes(const CrashHistory& history, Json::Value* row) {
+  for (const CrashHistory::Crash& crash : history.crashes()) {
+    row->append(static_cast<Json::UInt64>(crash.attempt.value()));
+    row->append(crash.blame == CrashBlame::kSole ? 1U : 0U);
+  }
+}
+
+// Reads what AppendCrashes wrote, from position `from` of an array of whole
+// numbers.
+void ReadCrashes(const Json::Value& row, Json::ArrayIndex from,
+                 CrashHistory* history) {
+  for (Json::ArrayIndex i = from; i + 1 < row.size(); i += 2) {
+    history->Add(Attempt(row[i].asUInt64()), row[i + 1].asUInt64() == 1
+                                                 ? CrashBlame::kSole
+                                                 : CrashBlame::kShared);
+  }
+}
+
 Json::Value ProgressOfStep(const Step& step) {
   Json::Value value(Json::objectValue);
   if (step.done > 0) {
@@ -226,6 +246,15 @@
       AppendAttempts(task.failed_attempts, &row);
       value["failed"].append(std::move(row));
     }
+    if (!task.crashes.empty() && !task.done) {
+      Json::Value row(Json::arrayValue);
+      row.append(static_cast<Json::UInt64>(i));
+      AppendCrashes(task.crashes, &row);
+      value["crashed"].append(std::move(row));
+    }
+  }
+  if (!step.gang_crashes.empty()) {
+    AppendCrashes(step.gang_crashes, &value["gang_crashed"]);
   }
   if (!step.failed_gang_attempts.empty()) {
     AppendAttempts(step.failed_gang_attempts, &value["gang_failed"]);
@@ -240,6 +269,20 @@
          });
 }
 
+// Reads rows that begin with the index of a task. Returns false if a row is
+// malformed.
+template <typename ReadRow>
+bool ReadTaskRows(const Json::Value& rows, Step* step, ReadRow read_row) {
+  for (const Json::Value& row : rows) {
+    if (!IsArrayOfUnsigned(row) || row.empty() ||
+        row[0].asUInt64() >= step->tasks.size()) {
+      return false;
+    }
+    read_row(row, &step->tasks[row[0].asUInt64()]);
+  }
+  return true;
+}
+
 void ReadStepProgress(const Json::Value& value, ObjectReader* reader,
                       Step* step) {
   if (!value.isObject()) {
@@ -250,17 +293,25 @@
   if (done.isString()) {
     SetDoneBits(done.asString(), step);
   }
-  for (const Json::Value& row : value["failed"]) {
-    if (!IsArrayOfUnsigned(row) || row.empty() ||
-        row[0].asUInt64() >= step->tasks.size()) {
-      reader->SetError(FailureCode::kMalformed,
-                       "failed: expected rows of an index and attempts");
-      return;
-    }
-    Task& task = step->tasks[row[0].asUInt64()];
-    for (Json::ArrayIndex i = 1; i < row.size(); ++i) {
-      task.failed_attempts.emplace_back(row[i].asUInt64());
-    }
+  const bool is_readable =
+      ReadTaskRows(value["failed"], step,
+                   [](const Json::Value& row, Task* task) {
+                     for (Json::ArrayIndex i = 1; i < row.size(); ++i) {
+                       task->failed_attempts.emplace_back(row[i].asUInt64());
+                     }
+                   }) &&
+      ReadTaskRows(value["crashed"], step,
+                   [](const Json::Value& row, Task* task) {
+                     ReadCrashes(row, 1, &task->crashes);
+                   });
+  if (!is_readable) {
+    reader->SetError(FailureCode::kMalformed,
+                     "failed, crashed: expected rows of an index and attempts");
+    return;
+  }
+  const Json::Value& gang_crashes = value["gang_crashed"];
+  if (IsArrayOfUnsigned(gang_crashes)) {
+    ReadCrashes(gang_crashes, 0, &step->gang_crashes);
   }
   const Json::Value& gangs = value["gang_failed"];
   if (IsArrayOfUnsigned(gangs)) {
--- a/src/core/placement/worker_choice.cc
+++ b/src/core/placement/worker_choice.cc
@@ -14,6 +14,12 @@
 constexpr double kColdPenalty = 5;
 constexpr double kRemoteDataPenalty = 10;
 constexpr double kFailedHerePenalty = 20;
+// Multiplies the fraction of the worker that would be lost with it. A lost task
+// costs at least its time, a remote one only a part of it.
+constexpr double kLossPenalty = 40;
+// How much more than its own processors the loss of a gang's member costs; a
+// gang has eight members or more.
+constexpr std::int64_t kGangLossFactor = 4;
 
 double Fraction(std::int64_t part, std::int64_t whole) {
   return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole)
@@ -75,11 +81,22 @@
              : std::min(tasks, step.max_per_worker - candidate.tasks_of_step);
 }
 
+double LossIfCrashed(const workers::Worker& worker) {
+  std::int64_t lost = 0;
+  for (const auto& [key, run] : worker.runs()) {
+    lost += run.needs.cpu.value() * (run.is_gang_member ? kGangLossFactor : 1);
+  }
+  return Fraction(lost, worker.listing().capacity.cpu.value());
+}
+
 double PlacementCost(const Candidate& candidate, const jobs::StepSpec& step,
-                     const base::BackendId& failed_on) {
+                     const base::BackendId& failed_on, Exposure exposure) {
   const workers::Listing& listing = candidate.worker->listing();
   const base::Resources left = candidate.free - step.Reservation();
   double cost = LeftOver(left, listing.capacity);
+  if (exposure == Exposure::kContained) {
+    cost += kLossPenalty * LossIfCrashed(*candidate.worker);
+  }
   if (step.fills_idle_cpu) {
     const base::Millicores idle =
         candidate.free.cpu - candidate.worker->idle_filler_demand();
@@ -110,14 +127,15 @@
 
 const workers::Worker* AllocateOnBest(std::vector<Candidate>* candidates,
                                       const jobs::StepSpec& step,
-                                      const base::BackendId& failed_on) {
+                                      const base::BackendId& failed_on,
+                                      Exposure exposure) {
   Candidate* best = nullptr;
   double lowest_cost = std::numeric_limits<double>::max();
   for (Candidate& candidate : *candidates) {
     if (!HasCapacityFor(candidate, step)) {
       continue;
     }
-    const double cost = PlacementCost(candidate, step, failed_on);
+    const double cost = PlacementCost(candidate, step, failed_on, exposure);
     if (cost < lowest_cost) {
       lowest_cost = cost;
       best = &candidate;
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -2,6 +2,7 @@
 #include "dotterelbarrow/core/scheduler/dispatcher.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace dotterelbarrow::core::scheduler {
@@ -9,6 +10,21 @@
 
 using placement::Candidate;
 
+// How long nothing else is started on a worker that a suspect is to use. Tasks
+// that have just been started there are past the suspects' age by then.
+constexpr base::Duration kMaxKeptForSuspect =
+    workers::kSuspectAge + std::chrono::milliseconds(200);
+
+// Whether nothing was started on the worker just now, or is about to be.
+bool IsQuiet(const workers::Worker& worker, base::TimePoint now) {
+  return std::none_of(worker.runs().begin(), worker.runs().end(),
+                      [now](const auto& entry) {
+                        const workers::Run& run = entry.second;
+                        return run.state == workers::RunState::kReserved ||
+                               workers::IsYoungAt(run, now);
+                      });
+}
+
 }  // namespace
 
 const char* ToString(WaitReason reason) {
@@ -288,8 +304,8 @@
 }
 
 bool Dispatcher::MayRunOn(const workers::Worker& worker,
-                          const WaitingStep& item, base::TimePoint now) {
-  return worker.CanAcceptWork(now) &&
+                          const WaitingStep& item, base::TimePoint now) const {
+  return worker.CanAcceptWork(now) && !worker.has_suspects() &&
          worker.listing().service == item.queue->service &&
          placement::IsSuitable(worker, item.job->SpecOf(item.step));
 }
@@ -351,6 +367,10 @@
     return gang_holds_.IsHeld(number) ||
            (item.yields && gang_holds_.IsWanted(number));
   });
+  std::vector<Candidate> suspects_candidates = candidates;
+  std::erase_if(candidates, [&](const Candidate& candidate) {
+    return IsKeptForSuspect(*candidate.worker, now);
+  });
   std::vector<Choice> choices;
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
     const jobs::Task& task = step.tasks[index];
@@ -360,11 +380,22 @@
     if (!IsWithinCap(item, static_cast<std::uint32_t>(choices.size()) + 1)) {
       break;
     }
+    const bool is_suspect = task.crashes.is_suspect();
     const workers::Worker* best =
-        placement::AllocateOnBest(&candidates, spec, task.failed_on);
+        is_suspect
+            ? ChooseForSuspect(&suspects_candidates, spec, task.failed_on, now)
+            : placement::AllocateOnBest(&candidates, spec, task.failed_on);
+    if (best == nullptr && is_suspect) {
+      continue;
+    }
     if (best == nullptr) {
       break;
     }
+    // Neither kind joins the other.
+    std::erase_if(is_suspect ? candidates : suspects_candidates,
+                  [best](const Candidate& candidate) {
+                    return candidate.worker == best;
+                  });
     choices.push_back({index, best->id()});
   }
   if (choices.empty()) {
@@ -375,6 +406,38 @@
   return true;
 }
 
+const workers::Worker* Dispatcher::ChooseForSuspect(
+    std::vector<Candidate>* candidates, const jobs::StepSpec& spec,
+    const base::BackendId& failed_on, base::TimePoint now) {
+  std::vector<Candidate> quiet;
+  std::copy_if(candidates->begin(), candidates->end(),
+               std::back_inserter(quiet), [now](const Candidate& candidate) {
+                 return IsQuiet(*candidate.worker, now);
+               });
+  const workers::Worker* best = placement::AllocateOnBest(
+      &quiet, spec, failed_on, placement::Exposure::kContained);
+  if (best != nullptr) {
+    std::erase_if(*candidates, [best](const Candidate& candidate) {
+      return candidate.worker == best;
+    });
+    return best;
+  }
+  if (now >= kept_for_suspect_until_) {
+    std::vector<Candidate> busy = *candidates;
+    if (const workers::Worker* kept = placement::AllocateOnBest(
+            &busy, spec, failed_on, placement::Exposure::kContained)) {
+      kept_for_suspect_ = kept->number();
+      kept_for_suspect_until_ = now + kMaxKeptForSuspect;
+    }
+  }
+  return nullptr;
+}
+
+bool Dispatcher::IsKeptForSuspect(const workers::Worker& worker,
+                                  base::TimePoint now) const {
+  return worker.number() == kept_for_suspect_ && now < kept_for_suspect_until_;
+}
+
 jobs::Attempt Dispatcher::NextAttempt(const jobs::Step& step,
                                       std::uint32_t index) const {
   return std::max(first_attempt_, step.tasks[index].last_attempt.next());
@@ -446,6 +509,9 @@
         attempt.value() > 0 ? attempt : NextAttempt(step, choice.index);
     workers::Run run = workers::MakeReservedRun(*item.job, task, number, now);
     run.has_slack = item.yields;
+    const jobs::CrashHistory& crashes = *item.job->CrashesOf(task);
+    run.is_suspect = crashes.is_suspect();
+    run.was_lost_before = crashes.was_lost_before();
     fleet_->Reserve(choice.worker, run);
     runs_->Add(choice.worker, run);
     item.job->RecordRun(task, number);
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -81,7 +81,8 @@
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   std::vector<Candidate> candidates = item.candidates;
   std::erase_if(candidates, [this](const Candidate& candidate) {
-    return gang_holds_.IsHeld(candidate.worker->number());
+    return gang_holds_.IsHeld(candidate.worker->number()) ||
+           IsKeptForSuspect(*candidate.worker, pass_began_);
   });
   std::vector<const workers::Worker*> chosen;
   if (spec.prefers_one_rack) {
--- a/src/core/scheduler/fleet_runs.cc
+++ b/src/core/scheduler/fleet_runs.cc
@@ -313,7 +313,9 @@
       run->start_confirmed_ms = result.clock_ms;
     }
     run->is_listed = true;
-    if (run->is_suspect && !workers::IsYoungAt(*run, now)) {
+    // A task that was lost before after some time remains a suspect.
+    if (run->is_suspect && !run->was_lost_before &&
+        !workers::IsYoungAt(*run, now)) {
       worker->ClearSuspicion(run);
       suspect_survived.emit(*run);
     }
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -177,6 +177,70 @@
               outcome != CommandOutcome::kOutdated);
 }
 
+void Scheduler::OnWorkerLost(const workers::WorkerLoss& loss) {
+  const std::vector<const workers::Run*> suspects = workers::FindSuspects(loss);
+  // The members of a gang are one suspect.
+  const bool is_one_suspect =
+      !suspects.empty() &&
+      std::all_of(suspects.begin(), suspects.end(),
+                  [&](const workers::Run* run) {
+                    return run == suspects.front() ||
+                           (run->is_gang_member &&
+                            run->task.step == suspects.front()->task.step);
+                  });
+  const bool is_crash = loss.kind == workers::LossKind::kCrashed;
+  const bool is_explained = is_crash && is_one_suspect;
+  for (const workers::Run* run : suspects) {
+    RecordCrash(
+        loss, *run,
+        is_explained ? jobs::CrashBlame::kSole : jobs::CrashBlame::kShared);
+  }
+  if (!is_crash || is_explained) {
+    return;
+  }
+  for (const workers::Run& run : loss.runs) {
+    if (std::find(suspects.begin(), suspects.end(), &run) == suspects.end()) {
+      RecordCrash(loss, run, jobs::CrashBlame::kFaint);
+    }
+  }
+}
+
+void Scheduler::RecordCrash(const workers::WorkerLoss& loss,
+                            const workers::Run& run, jobs::CrashBlame blame) {
+  jobs::Job* job = jobs_.Find(run.task.step.job);
+  if (job == nullptr || !job->RecordCrash(run.task, run.attempt, blame)) {
+    return;
+  }
+  const bool is_guilty = jobs::IsFinal(job->state);
+  telemetry_.counters->Increment("crash_suspects", jobs::ToString(blame));
+  telemetry_.log->Write(
+      is_guilty ? "task_crashes_workers" : "task_suspected",
+      {{"task", jobs::ToString(run.task)},
+       {"attempt", static_cast<std::int64_t>(run.attempt.value())},
+       {"worker", loss.worker.value()},
+       {"blame", jobs::ToString(blame)},
+       {"lived_ms",
+        (loss.alive_at - run.started_at) / std::chrono::milliseconds(1)},
+       {"crashes", static_cast<std::int64_t>(
+                       job->CrashesOf(run.task)->crashes().size())}});
+  if (is_guilty) {
+    telemetry_.counters->Increment("jobs_given_up", "crashes_workers");
+    EndJob(*job);
+  } else {
+    jobs_.EnqueueJob(job->key, now_);
+  }
+}
+
+void Scheduler::OnSuspectSurvived(const workers::Run& run) {
+  if (jobs::Job* job = jobs_.Find(run.task.step.job)) {
+    job->RecordSurvival(run.task);
+    telemetry_.log->Write(
+        "suspect_cleared",
+        {{"task", jobs::ToString(run.task)},
+         {"attempt", static_cast<std::int64_t>(run.attempt.value())}});
+  }
+}
+
 void Scheduler::OnWorkerReconciled(const base::BackendId& worker) {
   if (fleet_.unreconciled().empty()) {
     telemetry_.log->Write("workers_settled", {{"last", worker.value()}});
--- a/src/core/workers/worker_loss.cc
+++ b/src/core/workers/worker_loss.cc
@@ -19,14 +19,18 @@
 
 std::vector<const Run*> FindSuspects(const WorkerLoss& loss) {
   std::vector<const Run*> suspects;
+  std::vector<const Run*> repeated;
   for (const Run& run : loss.runs) {
-    const bool may_have_started =
-        run.state != RunState::kReserved && !run.is_orphan;
-    if (may_have_started && (run.is_suspect || IsYoungAt(run, loss.alive_at))) {
+    if (run.state == RunState::kReserved || run.is_orphan) {
+      continue;
+    }
+    if (run.is_suspect || IsYoungAt(run, loss.alive_at)) {
       suspects.push_back(&run);
+    } else if (run.was_lost_before) {
+      repeated.push_back(&run);
     }
   }
-  return suspects;
+  return suspects.empty() ? repeated : suspects;
 }
 
 }  // namespace dotterelbarrow::core::workers
--- /dev/null
+++ b/test/core/jobs/crash_history_test.cc
@@ -0,0 +1,76 @@
+// Tests when a task is a suspect of crashing workers, and when it is guilty.
+#include "dotterelbarrow/core/jobs/crash_history.h"
+
+#include <doctest/doctest.h>
+
+namespace dotterelbarrow::core::jobs {
+namespace {
+
+constexpr std::size_t kNeeded = CrashHistory::kSoleCrashesOfTask;
+
+TEST_CASE("a task that was lost with a worker") {
+  CrashHistory history;
+  CHECK_FALSE(history.is_suspect());
+
+  SUBCASE("is a suspect if it may have caused it, but not guilty") {
+    CHECK(history.Add(Attempt(1), CrashBlame::kShared));
+    CHECK(history.is_suspect());
+    CHECK_FALSE(history.IsGuilty(kNeeded));
+
+    SUBCASE("until a run of it survives") {
+      history.OnSurvived(false);
+      CHECK_FALSE(history.is_suspect());
+    }
+    SUBCASE("its crashes count on if it crashes a worker later") {
+      history.OnSurvived(false);
+      history.Add(Attempt(2), CrashBlame::kSole);
+      history.Add(Attempt(3), CrashBlame::kSole);
+      CHECK(history.IsGuilty(kNeeded));
+    }
+  }
+  SUBCASE("is guilty once it was alone to blame twice") {
+    history.Add(Attempt(1), CrashBlame::kSole);
+    CHECK_FALSE(history.IsGuilty(kNeeded));
+    history.Add(Attempt(2), CrashBlame::kSole);
+    CHECK(history.IsGuilty(kNeeded));
+
+    SUBCASE("three times for a gang") {
+      CHECK_FALSE(history.IsGuilty(CrashHistory::kSoleCrashesOfGang));
+      history.Add(Attempt(3), CrashBlame::kSole);
+      CHECK(history.IsGuilty(CrashHistory::kSoleCrashesOfGang));
+    }
+  }
+  SUBCASE("the same loss counts once") {
+    CHECK(history.Add(Attempt(1), CrashBlame::kSole));
+    CHECK_FALSE(history.Add(Attempt(1), CrashBlame::kSole));
+    CHECK_FALSE(history.IsGuilty(kNeeded));
+  }
+  SUBCASE("is given up before a third start after its third crash") {
+    for (std::uint64_t attempt = 1; attempt <= 4; ++attempt) {
+      history.Add(Attempt(attempt), CrashBlame::kShared);
+      CHECK_FALSE(history.IsGuilty(kNeeded));
+    }
+    history.Add(Attempt(5), CrashBlame::kShared);
+    CHECK(history.IsGuilty(kNeeded));
+  }
+  SUBCASE("having run for some time, it is a suspect the second time only") {
+    CHECK_FALSE(history.Add(Attempt(1), CrashBlame::kFaint));
+    CHECK_FALSE(history.is_suspect());
+    history.Add(Attempt(2), CrashBlame::kFaint);
+    CHECK(history.is_suspect());
+    for (std::uint64_t attempt = 3; attempt <= 20; ++attempt) {
+      history.Add(Attempt(attempt), CrashBlame::kFaint);
+    }
+    CHECK_FALSE(history.IsGuilty(kNeeded));
+  }
+  SUBCASE("a gang or a service that survives starts afresh") {
+    history.Add(Attempt(1), CrashBlame::kSole);
+    history.Add(Attempt(2), CrashBlame::kSole);
+    history.OnSurvived(true);
+    history.Add(Attempt(3), CrashBlame::kSole);
+    CHECK_FALSE(history.IsGuilty(CrashHistory::kSoleCrashesOfGang));
+  }
+}
+
+}  // namespace
+}  // namespace dotterelbarrow::core::jobs
--- a/test/core/jobs/job_test.cc
+++ b/test/core/jobs/job_test.cc
@@ -119,6 +119,51 @@
   }
 }
 
+TEST_CASE("a task under which workers crash") {
+  StepSpec step;
+  step.tasks = 2;
+  Job job = MakeJob({step});
+  const TaskRef task = TaskOf(job, 0, 0);
+  job.RecordRun(task, Attempt(1));
+  CHECK(job.RecordCrash(task, Attempt(1), CrashBlame::kSole));
+
+  SUBCASE("fails its job with the second crash") {
+    CHECK(job.state == JobState::kInProgress);
+    CHECK(job.RecordCrash(task, Attempt(2), CrashBlame::kSole));
+    CHECK(job.state == JobState::kFailed);
+  }
+  SUBCASE("is remembered by the next owner") {
+    job.RecordCrash(TaskOf(job, 0, 1), Attempt(7), CrashBlame::kShared);
+    Job read = MakeJob({step});
+    base::Failure reason;
+    REQUIRE(ReadProgress(ProgressRecord(job), &read, &reason));
+    CHECK(read.CrashesOf(task)->crashes() == job.CrashesOf(task)->crashes());
+    CHECK(read.CrashesOf(TaskOf(job, 0, 1))->crashes() ==
+          job.CrashesOf(TaskOf(job, 0, 1))->crashes());
+    CHECK(read.RecordCrash(task, Attempt(10001), CrashBlame::kSole));
+    CHECK(read.state == JobState::kFailed);
+  }
+  SUBCASE("is cleared when it is reported to have failed") {
+    EndRun(&job, task, 2, RunEnd::kFailed);
+    CHECK_FALSE(job.CrashesOf(task)->is_suspect());
+  }
+}
+
+TEST_CASE("workers crash under members of a gang") {
+  StepSpec step;
+  step.tasks = 2;
+  step.gang = true;
+  Job job = MakeJob({step});
+  job.RecordCrash(TaskOf(job, 0, 0), Attempt(1), CrashBlame::kSole);
+  job.RecordCrash(TaskOf(job, 0, 1), Attempt(2), CrashBlame::kSole);
+  CHECK(job.state != JobState::kFailed);
+  Job read = MakeJob({step});
+  base::Failure reason;
+  REQUIRE(ReadProgress(ProgressRecord(job), &read, &reason));
+  read.RecordCrash(TaskOf(job, 0, 0), Attempt(3), CrashBlame::kSole);
+  CHECK(read.state == JobState::kFailed);
+}
+
 TEST_CASE("a gang") {
   StepSpec gang;
   gang.tasks = 3;
--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -230,6 +230,18 @@
   }
 }
 
+bool Cell::IsAllowed(const base::BackendId& worker, const StepRef& step) const {
+  const auto it = std::find_if(
+      workers_.begin(), workers_.end(),
+      [&worker](const auto& model) { return model->listing().id == worker; });
+  // The workers that may run a step never change. Those that are allowed for
+  // every step can hold any job.
+  constexpr std::ptrdiff_t kAllowedForAll = 3;
+  const auto mark =
+      std::hash<std::string>()(worker.value() + core::jobs::ToString(step));
+  return mark % 2 == 0 || it - workers_.begin() < kAllowedForAll;
+}
+
 std::size_t Cell::IndexOf(const std::string& address) const {
   const auto it = std::find_if(workers_.begin(), workers_.end(),
                                [&address](const auto& worker) {
@@ -242,7 +254,8 @@
     const std::shared_ptr<Owner>& owner,
     const core::scheduler::WorkerAddress& worker,
     const std::function<CommandOutcome(WorkerModel*)>& order,
-    const std::function<void(CommandOutcome, std::int64_t)>& answer) {
+    const std::function<void(CommandOutcome, std::int64_t)>& answer,
+    std::int64_t wait_ms) {
   const std::size_t index = IndexOf(worker.address);
   const WorkerModel& model = *workers_[index];
   const auto reply = [this, owner, answer](std::int64_t delay,
@@ -255,9 +268,15 @@
     });
   };
   const bool is_late = Chance(faults.commands_late);
-  if (!is_late && (cut_.contains(index) || !model.is_up() ||
-                   Chance(faults.commands_lost))) {
-    reply(kAnswerTimeoutMs, CommandOutcome::kUnanswered, 0);
+  const std::int64_t timeout_ms = wait_ms + kAnswerTimeoutMs;
+  const bool is_reachable = !cut_.contains(index) && !dark_.contains(index);
+  if (!model.is_up() && is_reachable) {
+    reply(Between(1, 15), CommandOutcome::kNotSent, 0);
+    return;
+  }
+  if (!is_late &&
+      (!is_reachable || !model.is_up() || Chance(faults.commands_lost))) {
+    reply(timeout_ms, CommandOutcome::kUnanswered, 0);
     return;
   }
   const bool is_answered = !is_late && !Chance(faults.answers_lost);
@@ -286,16 +305,17 @@
     }
   });
   if (!is_answered) {
-    reply(kAnswerTimeoutMs, CommandOutcome::kUnanswered, 0);
+    reply(timeout_ms, CommandOutcome::kUnanswered, 0);
   }
 }
 
 RunPlan Cell::PlanOf(const TaskRef& task) {
   const StepSpec& spec = specs_.at(task.step.job).steps[task.step.step];
-  return {.needs = spec.Reservation(),
-          .duration_ms = Between(50, 2000),
-          .fails = Chance(faults.runs_failing),
-          .gang_size = spec.gang ? spec.tasks : 0};
+  return {
+      .needs = spec.Reservation(),
+      .duration_ms = Between(50, 2000) + (IsDeadly(task) ? deadly_after_ms : 0),
+      .fails = Chance(faults.runs_failing),
+      .gang_size = spec.gang ? spec.tasks : 0};
 }
 
 void Cell::CarryOut(const std::shared_ptr<Owner>& owner, const Action& action) {
@@ -311,7 +331,8 @@
                   if (outcome == CommandOutcome::kDone && !was_there) {
                     CheckStart(*worker, start.task, start.attempt);
                     if (IsDeadly(start.task)) {
-                      CrashUnder(IndexOf(start.worker.address), start.task);
+                      CrashUnder(IndexOf(start.worker.address), start.task,
+                                 start.attempt);
                     }
                   }
                   return outcome;
@@ -353,7 +374,8 @@
                     result->outcome = outcome;
                   }
                   owner->scheduler->OnPolled(look, *result, Now());
-                });
+                },
+                look.wait / std::chrono::milliseconds(1));
           },
           [&](const RequestAdvice& ask) {
             After(Between(20, 60), [this, owner, ask] {
@@ -364,11 +386,7 @@
               result.outcome = AdviceResult::Outcome::kAnswered;
               result.ticket_validity = std::chrono::milliseconds(1500);
               for (const base::BackendId& worker : ask.workers) {
-                // The workers that may run a step never change. Those that are
-                // allowed for every step can hold any job.
-                const auto mark = std::hash<std::string>()(
-                    worker.value() + core::jobs::ToString(ask.step));
-                if (mark % 2 == 0 || worker <= workers_[2]->listing().id) {
+                if (IsAllowed(worker, ask.step)) {
                   result.allowed.push_back({worker, "ticket"});
                 }
               }
@@ -488,7 +506,11 @@
     return;
   }
   worker->Crash();
-  After(Between(500, 4000), [this, worker] {
+  if (Chance(300)) {
+    dark_.insert(index);
+  }
+  After(Between(500, 4000), [this, index, worker] {
+    dark_.erase(index);
     worker->Restart(now_ms_ + 1'000'000);
     if (renames_workers) {
       worker->Rename(
@@ -507,7 +529,7 @@
          (!it->second || (task.step.step == 0 && task.index == 0));
 }
 
-void Cell::CrashUnder(std::size_t index, const TaskRef& task) {
+void Cell::CrashUnder(std::size_t index, const TaskRef& task, Attempt attempt) {
   CrashCount& count = crash_counts_[task];
   ++count.starts;
   if (count.crashes >= kCrashesBeforeBudget &&
@@ -516,9 +538,11 @@
           " times more after three workers crashed under it: " +
           core::jobs::ToString(task));
   }
-  After(kStepMs, [this, index, task] {
+  After(deadly_after_ms, [this, index, task, attempt] {
     const WorkerModel& worker = *workers_[index];
-    if (!worker.is_up() || !worker.runs().contains(task)) {
+    const auto run = worker.runs().find(task);
+    if (!worker.is_up() || run == worker.runs().end() ||
+        run->second.attempt != attempt) {
       return;
     }
     CrashCount& crashed = crash_counts_[task];
--- a/test/fuzz/scheduler/cell.h
+++ b/test/fuzz/scheduler/cell.h
@@ -70,11 +70,13 @@
   void CutWorker(std::size_t index, bool is_cut);
   // Crashes the worker. It is back after 0.5 to 4 s.
   void CrashWorker(std::size_t index);
-  // From now on, each start of a task of this job crashes its worker 10 ms
-  // later. Only the first task of the first step does so if `first_task_only`.
+  // From now on, each start of a task of this job crashes its worker
+  // `deadly_after_ms` later. Only the first task of the first step does so if
+  // `first_task_only`.
   void MakeDeadly(core::jobs::JobKey job, bool first_task_only);
   // Sets the worker's processors; it has `kWorkerCores` at first.
   void ResizeWorker(std::size_t index, std::int64_t cores);
+  std::int64_t deadly_after_ms = 10;
   // Whether a restarted worker has a new id. Its address remains the same.
   bool renames_workers = false;
   std::optional<core::jobs::JobState> StateOf(core::jobs::JobKey job) const {
@@ -124,18 +126,22 @@
   void CarryOut(const std::shared_ptr<Owner>& owner,
                 const core::scheduler::Action& action);
   // Delivers a command to its worker and the answer to the owner, subject to
-  // the faults of the network.
+  // the faults of the network. The worker may hold the answer for `wait_ms`.
   void Deliver(const std::shared_ptr<Owner>& owner,
                const core::scheduler::WorkerAddress& worker,
                const std::function<CommandOutcome(WorkerModel*)>& order,
-               const std::function<void(CommandOutcome, std::int64_t)>& answer);
+               const std::function<void(CommandOutcome, std::int64_t)>& answer,
+               std::int64_t wait_ms = 0);
   void WriteBatch(const std::shared_ptr<Owner>& owner);
   void Store(const core::scheduler::RecordBatch& batch);
   void CheckStart(const WorkerModel& worker, const TaskRef& task,
                   Attempt attempt);
+  // Whether the advisor allows the step on the worker.
+  bool IsAllowed(const base::BackendId& worker,
+                 const core::jobs::StepRef& step) const;
   bool IsDeadly(const TaskRef& task) const;
   // Crashes the worker under the deadly task that it has just started.
-  void CrashUnder(std::size_t index, const TaskRef& task);
+  void CrashUnder(std::size_t index, const TaskRef& task, Attempt attempt);
   // Returns the index of the worker at this address.
   std::size_t IndexOf(const std::string& address) const;
   void Break(const std::string& what) { broken_.push_back(what); }
@@ -150,6 +156,9 @@
   std::shared_ptr<core::desired::DesiredState> desired_;
   std::vector<std::unique_ptr<WorkerModel>> workers_;
   std::set<std::size_t> cut_;
+  // Crashed workers whose machine is gone too, so that nothing refuses
+  // connections.
+  std::set<std::size_t> dark_;
   std::vector<std::shared_ptr<Owner>> owners_;
   std::uint64_t last_token_ = 0;
   std::uint64_t last_job_ = 0;
--- a/test/fuzz/scheduler/deadly_tasks_test.cc
+++ b/test/fuzz/scheduler/deadly_tasks_test.cc
@@ -44,18 +44,22 @@
 struct Variant {
   bool renames_workers = false;
   int owner_changes = 0;
+  // How long after its start a deadly task crashes its worker.
+  std::int64_t deadly_after_ms = 10;
 };
 
 TEST_CASE("a task that crashes each worker under it") {
-  for (const Variant variant :
-       {Variant{false, 0}, Variant{true, 0}, Variant{true, 2}}) {
+  for (const Variant variant : {Variant{false, 0}, Variant{true, 0},
+                                Variant{true, 2}, Variant{true, 0, 1500}}) {
     CAPTURE(variant.renames_workers);
     CAPTURE(variant.owner_changes);
+    CAPTURE(variant.deadly_after_ms);
     for (std::uint32_t seed = 1; seed <= 5; ++seed) {
       CAPTURE(seed);
       Cell cell(seed, kWorkers);
       cell.faults.runs_failing = 0;
       cell.renames_workers = variant.renames_workers;
+      cell.deadly_after_ms = variant.deadly_after_ms;
       cell.Run(1000);
       std::set<JobKey> deadly;
       std::set<JobKey> harmless;
