--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -4,6 +4,7 @@
 #ifndef DOTTERELBARROW_CORE_SCHEDULER_DISPATCHER_H_
 #define DOTTERELBARROW_CORE_SCHEDULER_DISPATCHER_H_
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -64,6 +65,8 @@
   kFreeResources,  // The allowed workers lack free resources.
   kCap,            // Its organisation has reached its cap.
   kOrphanedMembers,  // Members of its last attempt may still be running.
+  kIsolation,        // Its tasks may crash workers, and no worker is apart from
+                     // others.
 };
 
 const char* ToString(WaitReason reason);
@@ -166,6 +169,8 @@
     // Steps other than gangs list only workers with free resources for a task.
     // Gangs list the others too, since resources may be freed there later.
     std::vector<placement::Candidate> candidates{};
+    // Whether a task waits for a worker on which it can be told apart.
+    bool waits_for_isolation = false;
   };
   // What the last try to place a gang found.
   struct UnplacedGang {
@@ -259,7 +264,7 @@
   // returns false if it is to be tried again.
   bool KeepHoldingFor(const WaitingStep& item);
   // These functions return whether any task was placed.
-  bool PlaceTasks(const WaitingStep& item, base::TimePoint now,
+  bool PlaceTasks(WaitingStep* item, base::TimePoint now,
                   std::vector<Action>* actions);
   bool PlaceGang(const WaitingStep& item, base::TimePoint now,
                  std::vector<Action>* actions);
@@ -373,10 +378,9 @@
   // dropped continue under its last rules.
   std::unordered_map<desired::QueueId, desired::Queue> known_queues_;
   placement::GangHolds gang_holds_;
-  // The worker on which nothing is started until a suspect can be, and when
-  // that ends in any case.
-  workers::WorkerNumber kept_for_suspect_;
-  base::TimePoint kept_for_suspect_until_;
+  // The workers on which nothing else is started until a suspect can be, and
+  // when that ends in any case.
+  std::map<workers::WorkerNumber, base::TimePoint> kept_for_suspects_;
   // Gangs for which there was no capacity. Emptied at `next_gang_retry_`, so
   // that all of them are tried again in one pass, in the order of their
   // urgency.
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -252,6 +252,10 @@
                   std::vector<Action>* actions);
   void SendStop(workers::Worker* worker, workers::Run* run, base::TimePoint now,
                 std::vector<Action>* actions);
+  // Polls the worker at once if it has a suspect that may have survived, so
+  // that other work can start there soon.
+  void PollForSuspects(workers::Worker* worker, base::TimePoint now,
+                       std::vector<Action>* actions);
   // Returns whether the worker can be removed.
   bool ExpireIfDue(workers::Worker* worker, base::TimePoint now);
   void ApplyRunEnds(workers::Worker* worker,
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -215,6 +215,8 @@
   // Whether some run may be in the state kStopping, so that its stop command
   // may have to be repeated.
   bool may_have_stopping_runs = false;
+  // When it was last polled to see whether a suspect survives there.
+  base::TimePoint suspects_polled_at;
   int failed_polls = 0;
   // Number of commands since the last answer of any kind that were unanswered
   // or could not be sent.
--- a/include/dotterelbarrow/core/workers/worker_loss.h
+++ b/include/dotterelbarrow/core/workers/worker_loss.h
@@ -36,8 +36,9 @@
 };
 
 // A run is a suspect if its worker is lost within this time after its start. It
-// covers the time until a broken connection is noticed by a busy owner.
-inline constexpr base::Duration kSuspectAge = std::chrono::milliseconds(500);
+// covers the time until a busy owner notices a broken connection. Ten times as
+// long would leave several suspects on each busy worker.
+inline constexpr base::Duration kSuspectAge = std::chrono::milliseconds(250);
 
 // Whether the run had been started less than kSuspectAge before `alive_at`, or
 // after it.
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -15,6 +15,10 @@
 constexpr base::Duration kMaxKeptForSuspect =
     workers::kSuspectAge + std::chrono::milliseconds(200);
 
+// At most one worker of this many is kept for suspects, so that the others can
+// take all the rest of the work.
+constexpr std::size_t kWorkersPerKeptOne = 8;
+
 // Whether nothing was started on the worker just now, or is about to be.
 bool IsQuiet(const workers::Worker& worker, base::TimePoint now) {
   return std::none_of(worker.runs().begin(), worker.runs().end(),
@@ -41,6 +45,8 @@
       return "cap";
     case WaitReason::kOrphanedMembers:
       return "straying_members";
+    case WaitReason::kIsolation:
+      return "isolation";
   }
   return "unknown";
 }
@@ -236,7 +242,7 @@
     return WaitReason::kAdvice;
   }
   const bool is_placed = spec.gang ? PlaceGang(*item, now, actions)
-                                   : PlaceTasks(*item, now, actions);
+                                   : PlaceTasks(item, now, actions);
   return is_placed ? std::nullopt : std::optional(WaitReasonOf(*item));
 }
 
@@ -248,6 +254,9 @@
   if (!fits_cap) {
     return WaitReason::kCap;
   }
+  if (item.waits_for_isolation) {
+    return WaitReason::kIsolation;
+  }
   return spec.gang && !runs_->RunsOfStep(item.step).empty()
              ? WaitReason::kOrphanedMembers
              : WaitReason::kFreeResources;
@@ -355,8 +364,9 @@
   return any_accepts_work;
 }
 
-bool Dispatcher::PlaceTasks(const WaitingStep& item, base::TimePoint now,
+bool Dispatcher::PlaceTasks(WaitingStep* waiting, base::TimePoint now,
                             std::vector<Action>* actions) {
+  const WaitingStep& item = *waiting;
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   const jobs::Step& step = *item.job->FindStep(item.step);
   std::vector<Candidate> candidates = item.candidates;
@@ -386,6 +396,7 @@
             ? ChooseForSuspect(&suspects_candidates, spec, task.failed_on, now)
             : placement::AllocateOnBest(&candidates, spec, task.failed_on);
     if (best == nullptr && is_suspect) {
+      waiting->waits_for_isolation = true;
       continue;
     }
     if (best == nullptr) {
@@ -422,12 +433,18 @@
     });
     return best;
   }
-  if (now >= kept_for_suspect_until_) {
+  std::erase_if(kept_for_suspects_,
+                [now](const auto& entry) { return now >= entry.second; });
+  const std::size_t most =
+      std::max<std::size_t>(1, fleet_->workers().size() / kWorkersPerKeptOne);
+  if (kept_for_suspects_.size() < most) {
     std::vector<Candidate> busy = *candidates;
+    std::erase_if(busy, [&](const Candidate& candidate) {
+      return IsKeptForSuspect(*candidate.worker, now);
+    });
     if (const workers::Worker* kept = placement::AllocateOnBest(
             &busy, spec, failed_on, placement::Exposure::kContained)) {
-      kept_for_suspect_ = kept->number();
-      kept_for_suspect_until_ = now + kMaxKeptForSuspect;
+      kept_for_suspects_[kept->number()] = now + kMaxKeptForSuspect;
     }
   }
   return nullptr;
@@ -435,7 +452,8 @@
 
 bool Dispatcher::IsKeptForSuspect(const workers::Worker& worker,
                                   base::TimePoint now) const {
-  return worker.number() == kept_for_suspect_ && now < kept_for_suspect_until_;
+  const auto it = kept_for_suspects_.find(worker.number());
+  return it != kept_for_suspects_.end() && now < it->second;
 }
 
 jobs::Attempt Dispatcher::NextAttempt(const jobs::Step& step,
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -343,6 +343,7 @@
     }
     PollIfDue(&worker, now, actions);
     RetryStops(&worker, now, actions);
+    PollForSuspects(&worker, now, actions);
     ++it;
   }
 }
@@ -392,6 +393,25 @@
   actions->push_back(std::move(poll));
 }
 
+void Fleet::PollForSuspects(Worker* worker, base::TimePoint now,
+                            std::vector<Action>* actions) {
+  if (!worker->has_suspects() || !worker->is_claimed ||
+      worker->failed_polls > 0 ||
+      now - worker->suspects_polled_at < workers::kSuspectAge) {
+    return;
+  }
+  const bool is_due = std::any_of(
+      worker->runs().begin(), worker->runs().end(), [now](const auto& entry) {
+        const Run& run = entry.second;
+        return run.is_suspect && !run.was_lost_before &&
+               run.state == RunState::kRunning && !workers::IsYoungAt(run, now);
+      });
+  if (is_due) {
+    worker->suspects_polled_at = now;
+    PollImmediately(worker, actions);
+  }
+}
+
 void Fleet::PollImmediately(Worker* worker, std::vector<Action>* actions) {
   actions->push_back(PollWorker{.worker = AddressOf(*worker),
                                 .lease_until_ms = std::nullopt,
