Queues whose tasks crash workers are on alert, and suspects limited

Cause: a first crash can't be foreseen, but nothing was learnt from it for the next job of the same queue, and blame was spread over all runs of the last 250 ms.

Change: the last runs that were started before a loss are the suspects (50 ms, whatever the owner's delay), so most crashes have one; others are suspects if they are lost like this again. Two losses under one queue put it on alert for ten seconds: first tasks go to workers without gangs, other tasks of a job with slack wait until the first survives. Once a job of a queue is proved deadly, the next needs one sole crash after another one. Suspects with sole blame take a sixth of a busy fleet at most, and all of the idle part of an idle one.

--- a/include/dotterelbarrow/core/jobs/crash_history.h
+++ b/include/dotterelbarrow/core/jobs/crash_history.h
@@ -43,6 +43,9 @@
   static constexpr std::size_t kMaxCrashes = 5;
   // One less is enough if one of them was with sole blame.
   static constexpr std::size_t kMaxCrashesWithProof = 4;
+  // Crashes with sole or shared blame, one of them sole, after which a task is
+  // guilty if there is a precedent.
+  static constexpr std::size_t kCrashesWithPrecedent = 2;
   // Crashes with faint blame that make a task a suspect.
   static constexpr std::size_t kFaintCrashesOfSuspect = 2;
 
@@ -55,14 +58,17 @@
 
   // Whether the task must be started apart from other suspects.
   bool is_suspect() const;
+  // Whether it was the only suspect of a crash.
+  bool is_sole_suspect() const { return Count(CrashBlame::kSole) > 0; }
   // Whether the task was lost several times with workers for which no run stood
   // out.
   bool was_lost_before() const {
     return faint_crashes_ >= kFaintCrashesOfSuspect;
   }
   // Whether the job must be given up, if this many crashes with sole blame
-  // prove it.
-  bool IsGuilty(std::size_t sole_crashes) const;
+  // prove it. One is enough after another crash if other jobs of its queue were
+  // proved to crash workers just now (`has_precedent`).
+  bool IsGuilty(std::size_t sole_crashes, bool has_precedent) const;
 
   // The crashes to store.
   const std::vector<Crash>& crashes() const { return crashes_; }
--- a/include/dotterelbarrow/core/jobs/job.h
+++ b/include/dotterelbarrow/core/jobs/job.h
@@ -134,9 +134,10 @@
                     const std::string& checkpoint,
                     const base::BackendId& worker, std::uint32_t max_attempts);
   // Records that a worker was lost with this attempt. The job fails if the task
-  // is guilty of crashing workers. Returns whether the job's progress record
-  // changed.
-  bool RecordCrash(const TaskRef& ref, Attempt attempt, CrashBlame blame);
+  // is guilty of crashing workers; `has_precedent` tells whether other jobs of
+  // its queue were just now. Returns whether the job's progress record changed.
+  bool RecordCrash(const TaskRef& ref, Attempt attempt, CrashBlame blame,
+                   bool has_precedent = false);
   // Records that a run of the task has lived for a while after a crash.
   void RecordSurvival(const TaskRef& ref);
   // Returns the crashes under the task or, for a member, under its gang; null
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -17,6 +17,7 @@
 #include "dotterelbarrow/core/advice/advice_cache.h"
 #include "dotterelbarrow/core/desired/desired_state.h"
 #include "dotterelbarrow/core/placement/cap_headroom.h"
+#include "dotterelbarrow/core/placement/crash_containment.h"
 #include "dotterelbarrow/core/placement/gang_holds.h"
 #include "dotterelbarrow/core/placement/load_shedder.h"
 #include "dotterelbarrow/core/placement/urgency.h"
@@ -131,6 +132,20 @@
   // Tells whether the owner's processor can't keep up with its work.
   void set_saturated(bool saturated) { load_shedder_.set_saturated(saturated); }
 
+  // A worker was lost, and runs of one of these queues may have caused it.
+  void RecordLoss(const std::vector<desired::QueueId>& queues,
+                  base::TimePoint now) {
+    containment_.RecordLoss(queues, now);
+  }
+  // A job of the queue is proved to crash workers.
+  void RecordCrashProof(const desired::QueueId& queue, base::TimePoint now) {
+    containment_.RecordProof(queue, now);
+  }
+
+  bool HasCrashProof(const desired::QueueId& queue, base::TimePoint now) const {
+    return containment_.HasProof(queue, now);
+  }
+
   // Runs one scheduling pass: tries to place all waiting steps, the most urgent
   // first, and the overdue steps if they are due. Appends the resulting
   // actions.
@@ -268,6 +283,17 @@
                   std::vector<Action>* actions);
   bool PlaceGang(const WaitingStep& item, base::TimePoint now,
                  std::vector<Action>* actions);
+  // Chooses a worker for a task of the step, according to what it may endanger.
+  // Returns null if there is none, or if the task has to wait; then notes that
+  // in the step.
+  const workers::Worker* ChooseForTask(
+      WaitingStep* item, const jobs::Task& task,
+      std::vector<placement::Candidate>* candidates,
+      std::vector<placement::Candidate>* suspects_candidates,
+      base::TimePoint now);
+  // Whether the step's queue is on alert and none of its tasks has shown yet
+  // that it doesn't crash its worker.
+  bool IsUnproven(const WaitingStep& item, base::TimePoint now) const;
   // Chooses a worker for a task that is suspected of crashing workers: one on
   // which nothing was started just now, so that another crash proves which task
   // caused it. If there is none, lets no other task start on a worker until it
@@ -378,6 +404,7 @@
   // dropped continue under its last rules.
   std::unordered_map<desired::QueueId, desired::Queue> known_queues_;
   placement::GangHolds gang_holds_;
+  placement::CrashContainment containment_;
   // The workers on which nothing else is started until a suspect can be, and
   // when that ends in any case.
   std::map<workers::WorkerNumber, base::TimePoint> kept_for_suspects_;
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -223,10 +223,10 @@
   void EndConfirmedRuns(workers::Worker* worker);
   // Handles that another incarnation answered at the worker's address.
   void OnReplaced(workers::Worker* worker);
-  // Describes the loss of the worker; nullopt if it was reported before or
-  // nothing ran there.
-  std::optional<workers::WorkerLoss> DescribeLoss(workers::Worker* worker,
-                                                  workers::LossKind kind);
+  // Describes the loss of the worker; nullopt if it was described before, if
+  // the worker had announced that it leaves, or if nothing ran there.
+  std::optional<workers::WorkerLoss> NoteLoss(workers::Worker* worker,
+                                              workers::LossKind kind);
   void ReportLoss(const std::optional<workers::WorkerLoss>& loss);
   static WorkerAddress AddressOf(const workers::Worker& worker);
   // Returns the worker that answered a command. Returns null if that
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -195,9 +195,16 @@
                             base::TimePoint now);
   void OnStartRefused(const workers::Worker& worker, const workers::Run& run,
                       CommandOutcome outcome);
+  // A worker fell silent. Its loss is certain only later, but until then more
+  // of the same work would be started.
+  void OnWorkerUnresponsive(const workers::Worker& worker,
+                            base::TimePoint leases_end);
   // Records the loss in the jobs of the runs that may have caused it, and fails
   // those that are proved to crash workers.
   void OnWorkerLost(const workers::WorkerLoss& loss);
+  // Whether workers crashed under the run's task before, or under tasks of
+  // other jobs of its queue just now.
+  bool IsKnownCause(const workers::Run& run);
   void RecordCrash(const workers::WorkerLoss& loss, const workers::Run& run,
                    jobs::CrashBlame blame);
   void OnSuspectSurvived(const workers::Run& run);
--- a/include/dotterelbarrow/core/workers/worker_loss.h
+++ b/include/dotterelbarrow/core/workers/worker_loss.h
@@ -35,18 +35,28 @@
   std::vector<Run> runs;
 };
 
-// A run is a suspect if its worker is lost within this time after its start. It
-// covers the time until a busy owner notices a broken connection. Ten times as
-// long would leave several suspects on each busy worker.
+// Describes the loss of a worker in its present state.
+WorkerLoss DescribeLoss(const Worker& worker, LossKind kind);
+
+// A run is young if its worker is lost within this time after its start. It
+// covers the time until a busy owner notices a broken connection.
 inline constexpr base::Duration kSuspectAge = std::chrono::milliseconds(250);
+// Of the young runs, those that were started at most this long before the last
+// one of them are suspects. A busy owner notices the loss late for all of them
+// alike, so the order of their starts tells more than their ages.
+inline constexpr base::Duration kMaxStartGap = std::chrono::milliseconds(50);
+
+// Whether the worker may have begun the run.
+bool MayHaveStarted(const Run& run);
 
 // Whether the run had been started less than kSuspectAge before `alive_at`, or
 // after it.
 bool IsYoungAt(const Run& run, base::TimePoint alive_at);
 
-// Returns the runs that may have crashed the worker: those that were young, and
-// those that are suspects already. If there are none, returns those whose tasks
-// were lost with other workers before. Returns none if no run stands out.
+// Returns the runs that are most likely to have crashed the worker: the last
+// ones that were started, if they were young, and those that are suspects
+// already. If there are none, returns those whose tasks were lost with other
+// workers before. Returns none if no run stands out.
 std::vector<const Run*> FindSuspects(const WorkerLoss& loss);
 
 }  // namespace dotterelbarrow::core::workers
--- a/src/core/jobs/crash_history.cc
+++ b/src/core/jobs/crash_history.cc
@@ -45,10 +45,13 @@
   return (!crashes_.empty() && !has_survived_) || was_lost_before();
 }
 
-bool CrashHistory::IsGuilty(std::size_t sole_crashes) const {
+bool CrashHistory::IsGuilty(std::size_t sole_crashes,
+                            bool has_precedent) const {
   const std::size_t sole = Count(CrashBlame::kSole);
+  const std::size_t enough_with_proof =
+      has_precedent ? kCrashesWithPrecedent : kMaxCrashesWithProof;
   return sole >= sole_crashes || crashes_.size() >= kMaxCrashes ||
-         (sole > 0 && crashes_.size() >= kMaxCrashesWithProof);
+         (sole > 0 && crashes_.size() >= enough_with_proof);
 }
 
 std::size_t CrashHistory::Count(CrashBlame blame) const {
--- a/src/core/jobs/job.cc
+++ b/src/core/jobs/job.cc
@@ -145,18 +145,19 @@
                                : &task->crashes;
 }
 
-bool Job::RecordCrash(const TaskRef& ref, Attempt attempt, CrashBlame blame) {
+bool Job::RecordCrash(const TaskRef& ref, Attempt attempt, CrashBlame blame,
+                      bool has_precedent) {
   CrashHistory* crashes = CrashesOf(ref);
   if (crashes == nullptr || IsFinal(state) || FindTask(ref)->done ||
       !crashes->Add(attempt, blame)) {
     return false;
   }
   const StepSpec& spec_of_step = SpecOf(ref.step);
-  const std::size_t sole_crashes =
-      spec_of_step.gang || spec_of_step.long_running
-          ? CrashHistory::kSoleCrashesOfGang
-          : CrashHistory::kSoleCrashesOfTask;
-  if (crashes->IsGuilty(sole_crashes)) {
+  const bool is_exposed = spec_of_step.gang || spec_of_step.long_running;
+  const std::size_t sole_crashes = is_exposed
+                                       ? CrashHistory::kSoleCrashesOfGang
+                                       : CrashHistory::kSoleCrashesOfTask;
+  if (crashes->IsGuilty(sole_crashes, has_precedent && !is_exposed)) {
     state = JobState::kFailed;
   }
   return true;
--- a/src/core/placement/worker_choice.cc
+++ b/src/core/placement/worker_choice.cc
@@ -84,7 +84,7 @@
 double LossIfCrashed(const workers::Worker& worker) {
   std::int64_t lost = 0;
   for (const auto& [key, run] : worker.runs()) {
-    lost += run.needs.cpu.value() * (run.is_gang_member ? kGangLossFactor : 1);
+    lost += run.is_gang_member ? run.needs.cpu.value() : 0;
   }
   return Fraction(lost, worker.listing().capacity.cpu.value());
 }
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -2,7 +2,6 @@
 #include "dotterelbarrow/core/scheduler/dispatcher.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace dotterelbarrow::core::scheduler {
@@ -10,25 +9,6 @@
 
 using placement::Candidate;
 
-// How long nothing else is started on a worker that a suspect is to use. Tasks
-// that have just been started there are past the suspects' age by then.
-constexpr base::Duration kMaxKeptForSuspect =
-    workers::kSuspectAge + std::chrono::milliseconds(200);
-
-// At most one worker of this many is kept for suspects, so that the others can
-// take all the rest of the work.
-constexpr std::size_t kWorkersPerKeptOne = 8;
-
-// Whether nothing was started on the worker just now, or is about to be.
-bool IsQuiet(const workers::Worker& worker, base::TimePoint now) {
-  return std::none_of(worker.runs().begin(), worker.runs().end(),
-                      [now](const auto& entry) {
-                        const workers::Run& run = entry.second;
-                        return run.state == workers::RunState::kReserved ||
-                               workers::IsYoungAt(run, now);
-                      });
-}
-
 }  // namespace
 
 const char* ToString(WaitReason reason) {
@@ -175,6 +155,7 @@
     unplaced_gangs_.clear();
   }
   UpdateFleetUsage(now);
+  containment_.BeginPass(fleet_->workers().size(), fleet_usage_);
   UpdateInheritedUsage(now);
   reserved_caps_.clear();
   PlaceAll(CollectByUrgency(&waiting_, now), now, actions);
@@ -367,7 +348,6 @@
 bool Dispatcher::PlaceTasks(WaitingStep* waiting, base::TimePoint now,
                             std::vector<Action>* actions) {
   const WaitingStep& item = *waiting;
-  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   const jobs::Step& step = *item.job->FindStep(item.step);
   std::vector<Candidate> candidates = item.candidates;
   // Avoids workers that are kept free for more urgent gangs and, if this work
@@ -381,6 +361,10 @@
   std::erase_if(candidates, [&](const Candidate& candidate) {
     return IsKeptForSuspect(*candidate.worker, now);
   });
+  const bool waits_for_first =
+      item.urgency.latest_start - now >
+          placement::CrashContainment::kMinSlackToWait &&
+      IsUnproven(item, now);
   std::vector<Choice> choices;
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
     const jobs::Task& task = step.tasks[index];
@@ -390,25 +374,24 @@
     if (!IsWithinCap(item, static_cast<std::uint32_t>(choices.size()) + 1)) {
       break;
     }
-    const bool is_suspect = task.crashes.is_suspect();
-    const workers::Worker* best =
-        is_suspect
-            ? ChooseForSuspect(&suspects_candidates, spec, task.failed_on, now)
-            : placement::AllocateOnBest(&candidates, spec, task.failed_on);
-    if (best == nullptr && is_suspect) {
+    if (waits_for_first && (step.possibly_running > 0 || !choices.empty())) {
       waiting->waits_for_isolation = true;
+      break;
+    }
+    const workers::Worker* best =
+        ChooseForTask(waiting, task, &candidates, &suspects_candidates, now);
+    if (best == nullptr && task.crashes.is_suspect()) {
       continue;
     }
     if (best == nullptr) {
       break;
     }
-    // Neither kind joins the other.
-    std::erase_if(is_suspect ? candidates : suspects_candidates,
-                  [best](const Candidate& candidate) {
-                    return candidate.worker == best;
-                  });
     choices.push_back({index, best->id()});
   }
+  if (choices.empty() && item.waits_for_isolation && !item.candidates.empty()) {
+    // It doesn't lack allowed workers.
+    return false;
+  }
   if (choices.empty()) {
     needing_more_advice_.push_back(&item);
     return false;
@@ -417,45 +400,6 @@
   return true;
 }
 
-const workers::Worker* Dispatcher::ChooseForSuspect(
-    std::vector<Candidate>* candidates, const jobs::StepSpec& spec,
-    const base::BackendId& failed_on, base::TimePoint now) {
-  std::vector<Candidate> quiet;
-  std::copy_if(candidates->begin(), candidates->end(),
-               std::back_inserter(quiet), [now](const Candidate& candidate) {
-                 return IsQuiet(*candidate.worker, now);
-               });
-  const workers::Worker* best = placement::AllocateOnBest(
-      &quiet, spec, failed_on, placement::Exposure::kContained);
-  if (best != nullptr) {
-    std::erase_if(*candidates, [best](const Candidate& candidate) {
-      return candidate.worker == best;
-    });
-    return best;
-  }
-  std::erase_if(kept_for_suspects_,
-                [now](const auto& entry) { return now >= entry.second; });
-  const std::size_t most =
-      std::max<std::size_t>(1, fleet_->workers().size() / kWorkersPerKeptOne);
-  if (kept_for_suspects_.size() < most) {
-    std::vector<Candidate> busy = *candidates;
-    std::erase_if(busy, [&](const Candidate& candidate) {
-      return IsKeptForSuspect(*candidate.worker, now);
-    });
-    if (const workers::Worker* kept = placement::AllocateOnBest(
-            &busy, spec, failed_on, placement::Exposure::kContained)) {
-      kept_for_suspects_[kept->number()] = now + kMaxKeptForSuspect;
-    }
-  }
-  return nullptr;
-}
-
-bool Dispatcher::IsKeptForSuspect(const workers::Worker& worker,
-                                  base::TimePoint now) const {
-  const auto it = kept_for_suspects_.find(worker.number());
-  return it != kept_for_suspects_.end() && now < it->second;
-}
-
 jobs::Attempt Dispatcher::NextAttempt(const jobs::Step& step,
                                       std::uint32_t index) const {
   return std::max(first_attempt_, step.tasks[index].last_attempt.next());
--- /dev/null
+++ b/src/core/scheduler/dispatcher_suspects.cc
@@ -0,0 +1,117 @@
+// Placement of tasks that may crash their workers.
+#include <algorithm>
+#include <iterator>
+
+#include "dotterelbarrow/core/scheduler/dispatcher.h"
+
+namespace dotterelbarrow::core::scheduler {
+namespace {
+
+using placement::Candidate;
+
+// How long nothing else is started on a worker that a suspect is to use: until
+// the tasks that were just started there are confirmed, and the suspect is the
+// last one by more than workers::kMaxStartGap.
+constexpr base::Duration kMaxKeptForSuspect = std::chrono::milliseconds(300);
+
+// Whether a task that is started on the worker now will be the last one by more
+// than workers::kMaxStartGap.
+bool IsQuiet(const workers::Worker& worker, base::TimePoint now) {
+  return std::none_of(worker.runs().begin(), worker.runs().end(),
+                      [now](const auto& entry) {
+                        const workers::Run& run = entry.second;
+                        return run.state == workers::RunState::kReserved ||
+                               run.state == workers::RunState::kStarting ||
+                               now - run.started_at <= workers::kMaxStartGap;
+                      });
+}
+
+}  // namespace
+
+bool Dispatcher::IsUnproven(const WaitingStep& item,
+                            base::TimePoint now) const {
+  if (!containment_.IsOnAlert(item.queue->id, now) ||
+      item.job->FindStep(item.step)->done > 0) {
+    return false;
+  }
+  const std::set<PlacedRun>& runs = runs_->RunsOfStep(item.step);
+  return std::none_of(runs.begin(), runs.end(), [&](const PlacedRun& placed) {
+    workers::Worker* worker = fleet_->Find(placed.worker);
+    const workers::Run* run = worker->FindRun(placed.task, placed.attempt);
+    return run->state == workers::RunState::kRunning &&
+           worker->failed_polls == 0 && !workers::IsYoungAt(*run, now);
+  });
+}
+
+const workers::Worker* Dispatcher::ChooseForTask(
+    WaitingStep* item, const jobs::Task& task,
+    std::vector<Candidate>* candidates,
+    std::vector<Candidate>* suspects_candidates, base::TimePoint now) {
+  const jobs::StepSpec& spec = item->job->SpecOf(item->step);
+  const bool is_suspect = task.crashes.is_suspect();
+  const bool is_first = !is_suspect && IsUnproven(*item, now);
+  const bool is_sole_suspect = is_suspect && task.crashes.is_sole_suspect();
+  if (is_sole_suspect && !containment_.MayExposeToSuspect(now)) {
+    item->waits_for_isolation = true;
+    return nullptr;
+  }
+  const workers::Worker* best = nullptr;
+  if (is_suspect) {
+    best = ChooseForSuspect(suspects_candidates, spec, task.failed_on, now);
+    item->waits_for_isolation |= best == nullptr;
+  } else {
+    best = placement::AllocateOnBest(candidates, spec, task.failed_on,
+                                     is_first ? placement::Exposure::kContained
+                                              : placement::Exposure::kOrdinary);
+  }
+  if (best == nullptr) {
+    return nullptr;
+  }
+  if (is_sole_suspect) {
+    containment_.RecordSuspectStart(now);
+  }
+  // Neither kind joins the other.
+  std::erase_if(
+      is_suspect ? *candidates : *suspects_candidates,
+      [best](const Candidate& candidate) { return candidate.worker == best; });
+  return best;
+}
+
+const workers::Worker* Dispatcher::ChooseForSuspect(
+    std::vector<Candidate>* candidates, const jobs::StepSpec& spec,
+    const base::BackendId& failed_on, base::TimePoint now) {
+  std::vector<Candidate> quiet;
+  std::copy_if(candidates->begin(), candidates->end(),
+               std::back_inserter(quiet), [now](const Candidate& candidate) {
+                 return IsQuiet(*candidate.worker, now);
+               });
+  const workers::Worker* best = placement::AllocateOnBest(
+      &quiet, spec, failed_on, placement::Exposure::kContained);
+  if (best != nullptr) {
+    std::erase_if(*candidates, [best](const Candidate& candidate) {
+      return candidate.worker == best;
+    });
+    return best;
+  }
+  std::erase_if(kept_for_suspects_,
+                [now](const auto& entry) { return now >= entry.second; });
+  if (kept_for_suspects_.size() < containment_.MaxKeptWorkers()) {
+    std::vector<Candidate> busy = *candidates;
+    std::erase_if(busy, [&](const Candidate& candidate) {
+      return IsKeptForSuspect(*candidate.worker, now);
+    });
+    if (const workers::Worker* kept = placement::AllocateOnBest(
+            &busy, spec, failed_on, placement::Exposure::kContained)) {
+      kept_for_suspects_[kept->number()] = now + kMaxKeptForSuspect;
+    }
+  }
+  return nullptr;
+}
+
+bool Dispatcher::IsKeptForSuspect(const workers::Worker& worker,
+                                  base::TimePoint now) const {
+  const auto it = kept_for_suspects_.find(worker.number());
+  return it != kept_for_suspects_.end() && now < it->second;
+}
+
+}  // namespace dotterelbarrow::core::scheduler
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -81,57 +81,6 @@
              settings_.listing_timeout - kListingMargin;
 }
 
-void Fleet::EndConfirmedRuns(Worker* worker) {
-  std::vector<RunKey> departed;
-  for (const auto& [key, run] : worker->runs()) {
-    // An unanswered command may still reach another incarnation. An answered
-    // one reached this incarnation, which removed its own entry from the list.
-    if (run.state == RunState::kReserved || run.start_confirmed_ms != 0) {
-      departed.push_back(key);
-    }
-  }
-  for (const RunKey& key : departed) {
-    EndRun(worker, key, jobs::RunEnd::kWorkerGone, {});
-  }
-}
-
-void Fleet::OnReplaced(Worker* worker) {
-  const std::optional<WorkerLoss> loss =
-      DescribeLoss(worker, LossKind::kCrashed);
-  EndConfirmedRuns(worker);
-  ReportLoss(loss);
-}
-
-std::optional<WorkerLoss> Fleet::DescribeLoss(Worker* worker, LossKind kind) {
-  if (worker->is_loss_reported || worker->runs().empty() ||
-      worker->listing().draining) {
-    return std::nullopt;
-  }
-  worker->is_loss_reported = true;
-  WorkerLoss loss{.worker = worker->id(),
-                  .kind = kind,
-                  .alive_at = worker->alive_at,
-                  .runs = {}};
-  for (const auto& [key, run] : worker->runs()) {
-    loss.runs.push_back(run);
-  }
-  return loss;
-}
-
-void Fleet::ReportLoss(const std::optional<WorkerLoss>& loss) {
-  if (!loss) {
-    return;
-  }
-  telemetry_.counters->Increment("workers_lost", ToString(loss->kind));
-  telemetry_.log->Write(
-      "worker_lost", {{"worker", loss->worker.value()},
-                      {"how", ToString(loss->kind)},
-                      {"runs", static_cast<std::int64_t>(loss->runs.size())},
-                      {"suspects", static_cast<std::int64_t>(
-                                       workers::FindSuspects(*loss).size())}});
-  worker_lost.emit(*loss);
-}
-
 void Fleet::UpdateListings(const std::vector<Listing>& listings,
                            base::TimePoint requested_at, base::TimePoint now) {
   std::set<base::BackendId> listed;
@@ -256,8 +205,7 @@
       {{"worker", worker->id().value()},
        {"born_ms", listing.born_ms},
        {"lost_runs", static_cast<std::int64_t>(worker->runs().size())}});
-  const std::optional<WorkerLoss> loss =
-      DescribeLoss(worker, LossKind::kCrashed);
+  const std::optional<WorkerLoss> loss = NoteLoss(worker, LossKind::kCrashed);
   // The new incarnation is reached under the same ID. It may execute start
   // commands that are still unanswered, and may have executed those whose runs
   // were never listed. These runs stay here, to be stopped in the new
@@ -362,7 +310,7 @@
          {"silent_ms",
           (now - worker->last_answer) / std::chrono::milliseconds(1)}});
     const std::optional<WorkerLoss> loss =
-        DescribeLoss(worker, LossKind::kUnexplained);
+        NoteLoss(worker, LossKind::kUnexplained);
     EndAllRuns(worker, jobs::RunEnd::kLeaseExpired);
     MarkReconciled(worker->id());
     ReportLoss(loss);
@@ -393,25 +341,6 @@
   actions->push_back(std::move(poll));
 }
 
-void Fleet::PollForSuspects(Worker* worker, base::TimePoint now,
-                            std::vector<Action>* actions) {
-  if (!worker->has_suspects() || !worker->is_claimed ||
-      worker->failed_polls > 0 ||
-      now - worker->suspects_polled_at < workers::kSuspectAge) {
-    return;
-  }
-  const bool is_due = std::any_of(
-      worker->runs().begin(), worker->runs().end(), [now](const auto& entry) {
-        const Run& run = entry.second;
-        return run.is_suspect && !run.was_lost_before &&
-               run.state == RunState::kRunning && !workers::IsYoungAt(run, now);
-      });
-  if (is_due) {
-    worker->suspects_polled_at = now;
-    PollImmediately(worker, actions);
-  }
-}
-
 void Fleet::PollImmediately(Worker* worker, std::vector<Action>* actions) {
   actions->push_back(PollWorker{.worker = AddressOf(*worker),
                                 .lease_until_ms = std::nullopt,
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -45,6 +45,8 @@
       sigc::mem_fun(*this, &Scheduler::OnUntrackedRunListed));
   fleet_.start_refused.connect(
       sigc::mem_fun(*this, &Scheduler::OnStartRefused));
+  fleet_.worker_unresponsive.connect(
+      sigc::mem_fun(*this, &Scheduler::OnWorkerUnresponsive));
   fleet_.worker_lost.connect(sigc::mem_fun(*this, &Scheduler::OnWorkerLost));
   fleet_.suspect_survived.connect(
       sigc::mem_fun(*this, &Scheduler::OnSuspectSurvived));
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -177,6 +177,19 @@
               outcome != CommandOutcome::kOutdated);
 }
 
+void Scheduler::OnWorkerUnresponsive(const workers::Worker& worker,
+                                     base::TimePoint /*leases_end*/) {
+  std::vector<desired::QueueId> queues;
+  const workers::WorkerLoss loss =
+      workers::DescribeLoss(worker, workers::LossKind::kUnexplained);
+  for (const workers::Run* run : workers::FindSuspects(loss)) {
+    if (const jobs::Job* job = jobs_.Find(run->task.step.job)) {
+      queues.push_back(job->queue);
+    }
+  }
+  dispatcher_.RecordLoss(queues, now_);
+}
+
 void Scheduler::OnWorkerLost(const workers::WorkerLoss& loss) {
   const std::vector<const workers::Run*> suspects = workers::FindSuspects(loss);
   // The members of a gang are one suspect.
@@ -189,26 +202,39 @@
                             run->task.step == suspects.front()->task.step);
                   });
   const bool is_crash = loss.kind == workers::LossKind::kCrashed;
-  const bool is_explained = is_crash && is_one_suspect;
+  const bool is_sole = is_crash && is_one_suspect;
+  const bool is_explained = is_sole && IsKnownCause(*suspects.front());
   for (const workers::Run* run : suspects) {
-    RecordCrash(
-        loss, *run,
-        is_explained ? jobs::CrashBlame::kSole : jobs::CrashBlame::kShared);
+    RecordCrash(loss, *run,
+                is_sole ? jobs::CrashBlame::kSole : jobs::CrashBlame::kShared);
   }
   if (!is_crash || is_explained) {
     return;
   }
+  // The others are suspects only if they are lost like this again.
   for (const workers::Run& run : loss.runs) {
-    if (std::find(suspects.begin(), suspects.end(), &run) == suspects.end()) {
+    const bool is_suspect =
+        std::find(suspects.begin(), suspects.end(), &run) != suspects.end();
+    if (!is_suspect && workers::MayHaveStarted(run)) {
       RecordCrash(loss, run, jobs::CrashBlame::kFaint);
     }
   }
 }
 
+bool Scheduler::IsKnownCause(const workers::Run& run) {
+  jobs::Job* job = jobs_.Find(run.task.step.job);
+  const jobs::CrashHistory* crashes =
+      job == nullptr ? nullptr : job->CrashesOf(run.task);
+  return crashes != nullptr &&
+         (!crashes->empty() || dispatcher_.HasCrashProof(job->queue, now_));
+}
+
 void Scheduler::RecordCrash(const workers::WorkerLoss& loss,
                             const workers::Run& run, jobs::CrashBlame blame) {
   jobs::Job* job = jobs_.Find(run.task.step.job);
-  if (job == nullptr || !job->RecordCrash(run.task, run.attempt, blame)) {
+  if (job == nullptr ||
+      !job->RecordCrash(run.task, run.attempt, blame,
+                        dispatcher_.HasCrashProof(job->queue, now_))) {
     return;
   }
   const bool is_guilty = jobs::IsFinal(job->state);
@@ -225,6 +251,7 @@
                        job->CrashesOf(run.task)->crashes().size())}});
   if (is_guilty) {
     telemetry_.counters->Increment("jobs_given_up", "crashes_workers");
+    dispatcher_.RecordCrashProof(job->queue, now_);
     EndJob(*job);
   } else {
     jobs_.EnqueueJob(job->key, now_);
--- a/test/core/jobs/crash_history_test.cc
+++ b/test/core/jobs/crash_history_test.cc
@@ -15,7 +15,7 @@
   SUBCASE("is a suspect if it may have caused it, but not guilty") {
     CHECK(history.Add(Attempt(1), CrashBlame::kShared));
     CHECK(history.is_suspect());
-    CHECK_FALSE(history.IsGuilty(kNeeded));
+    CHECK_FALSE(history.IsGuilty(kNeeded, false));
 
     SUBCASE("until a run of it survives") {
       history.OnSurvived(false);
@@ -25,33 +25,45 @@
       history.OnSurvived(false);
       history.Add(Attempt(2), CrashBlame::kSole);
       history.Add(Attempt(3), CrashBlame::kSole);
-      CHECK(history.IsGuilty(kNeeded));
+      CHECK(history.IsGuilty(kNeeded, false));
     }
   }
   SUBCASE("is guilty once it was alone to blame twice") {
     history.Add(Attempt(1), CrashBlame::kSole);
-    CHECK_FALSE(history.IsGuilty(kNeeded));
+    CHECK_FALSE(history.IsGuilty(kNeeded, false));
     history.Add(Attempt(2), CrashBlame::kSole);
-    CHECK(history.IsGuilty(kNeeded));
+    CHECK(history.IsGuilty(kNeeded, false));
 
     SUBCASE("three times for a gang") {
-      CHECK_FALSE(history.IsGuilty(CrashHistory::kSoleCrashesOfGang));
+      CHECK_FALSE(history.IsGuilty(CrashHistory::kSoleCrashesOfGang, false));
       history.Add(Attempt(3), CrashBlame::kSole);
-      CHECK(history.IsGuilty(CrashHistory::kSoleCrashesOfGang));
+      CHECK(history.IsGuilty(CrashHistory::kSoleCrashesOfGang, false));
     }
   }
+  SUBCASE("is guilty after a shared and a sole crash if there is a precedent") {
+    history.Add(Attempt(1), CrashBlame::kShared);
+    CHECK_FALSE(history.IsGuilty(kNeeded, true));
+    history.Add(Attempt(2), CrashBlame::kSole);
+    CHECK(history.IsGuilty(kNeeded, true));
+    CHECK_FALSE(history.IsGuilty(kNeeded, false));
+  }
+  SUBCASE("a precedent proves nothing without a crash of its own") {
+    history.Add(Attempt(1), CrashBlame::kShared);
+    history.Add(Attempt(2), CrashBlame::kShared);
+    CHECK_FALSE(history.IsGuilty(kNeeded, true));
+  }
   SUBCASE("the same loss counts once") {
     CHECK(history.Add(Attempt(1), CrashBlame::kSole));
     CHECK_FALSE(history.Add(Attempt(1), CrashBlame::kSole));
-    CHECK_FALSE(history.IsGuilty(kNeeded));
+    CHECK_FALSE(history.IsGuilty(kNeeded, false));
   }
   SUBCASE("is given up before a third start after its third crash") {
     for (std::uint64_t attempt = 1; attempt <= 4; ++attempt) {
       history.Add(Attempt(attempt), CrashBlame::kShared);
-      CHECK_FALSE(history.IsGuilty(kNeeded));
+      CHECK_FALSE(history.IsGuilty(kNeeded, false));
     }
     history.Add(Attempt(5), CrashBlame::kShared);
-    CHECK(history.IsGuilty(kNeeded));
+    CHECK(history.IsGuilty(kNeeded, false));
   }
   SUBCASE("having run for some time, it is a suspect the second time only") {
     CHECK_FALSE(history.Add(Attempt(1), CrashBlame::kFaint));
@@ -61,14 +73,14 @@
     for (std::uint64_t attempt = 3; attempt <= 20; ++attempt) {
       history.Add(Attempt(attempt), CrashBlame::kFaint);
     }
-    CHECK_FALSE(history.IsGuilty(kNeeded));
+    CHECK_FALSE(history.IsGuilty(kNeeded, false));
   }
   SUBCASE("a gang or a service that survives starts afresh") {
     history.Add(Attempt(1), CrashBlame::kSole);
     history.Add(Attempt(2), CrashBlame::kSole);
     history.OnSurvived(true);
     history.Add(Attempt(3), CrashBlame::kSole);
-    CHECK_FALSE(history.IsGuilty(CrashHistory::kSoleCrashesOfGang));
+    CHECK_FALSE(history.IsGuilty(CrashHistory::kSoleCrashesOfGang, false));
   }
 }
 
--- a/test/core/workers/worker_loss_test.cc
+++ b/test/core/workers/worker_loss_test.cc
@@ -19,6 +19,7 @@
   run.attempt = jobs::Attempt(1);
   run.state = RunState::kRunning;
   run.started_at = kLostAt - age;
+  run.start_confirmed_ms = 1;
   return run;
 }
 
@@ -37,6 +38,24 @@
     REQUIRE(FindSuspects(loss).size() == 1);
     CHECK(FindSuspects(loss)[0]->task.index == 4);
   }
+  SUBCASE("of several, the last that were started do") {
+    loss.runs[2].started_at = kLostAt - milliseconds(200);
+    loss.runs[4].started_at = kLostAt - milliseconds(60);
+    loss.runs[5].started_at = kLostAt - milliseconds(20);
+    REQUIRE(FindSuspects(loss).size() == 2);
+    CHECK(FindSuspects(loss)[0]->task.index == 4);
+    CHECK(FindSuspects(loss)[1]->task.index == 5);
+
+    SUBCASE("however late a busy owner notices it") {
+      loss.alive_at = kLostAt + milliseconds(100);
+      CHECK(FindSuspects(loss).size() == 2);
+    }
+    SUBCASE("a start that was sent to a dead worker clears none of them") {
+      loss.runs[6].started_at = kLostAt + milliseconds(40);
+      loss.runs[6].start_confirmed_ms = 0;
+      CHECK(FindSuspects(loss).size() == 3);
+    }
+  }
   SUBCASE("so does one whose start was never answered") {
     loss.runs[4].started_at = kLostAt + milliseconds(10);
     loss.runs[4].state = RunState::kUncertain;
