The start of a suspect is announced in the store before it is sent

Cause: an owner notices a crash three to four seconds after it. If the owner is lost in between, the next one sees a task that waits and a worker that is gone, and counts nothing.

Now the number of a suspect's next attempt is stored first. An announced attempt whose end nobody knows counts as a crash with shared blame once the task would be started again. A first start is not announced, since that would delay every job by a write; so one crash fewer is allowed, four in all, or three with a sole one.

--- a/include/dotterelbarrow/core/jobs/crash_history.h
+++ b/include/dotterelbarrow/core/jobs/crash_history.h
@@ -10,6 +10,7 @@
 #define DOTTERELBARROW_CORE_JOBS_CRASH_HISTORY_H_
 
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 #include "dotterelbarrow/core/jobs/job_spec.h"
@@ -39,10 +40,11 @@
   // hit these more often, since they have more workers or run for longer.
   static constexpr std::size_t kSoleCrashesOfGang = 3;
   // Crashes with sole or shared blame after which a task is guilty in any case.
-  // The platform allows two starts after the third crash.
-  static constexpr std::size_t kMaxCrashes = 5;
+  // The platform allows two starts after the third crash; one may go unnoticed
+  // when the owner changes.
+  static constexpr std::size_t kMaxCrashes = 4;
   // One less is enough if one of them was with sole blame.
-  static constexpr std::size_t kMaxCrashesWithProof = 4;
+  static constexpr std::size_t kMaxCrashesWithProof = 3;
   // Crashes with sole or shared blame, one of them sole, after which a task is
   // guilty if there is a precedent.
   static constexpr std::size_t kCrashesWithPrecedent = 2;
@@ -52,6 +54,17 @@
   // Records that a worker was lost with this attempt. Returns whether there is
   // something new to store. Faint blame is not stored.
   bool Add(Attempt attempt, CrashBlame blame);
+  // Announces the next start of a suspect. It must be stored before the start:
+  // the worker may crash, and then the owner change, before anyone has noticed.
+  void AnnounceStart(Attempt attempt);
+  // The announced attempt has ended in a known way. Returns whether there is
+  // something new to store.
+  bool OnEnded(Attempt attempt);
+  // The announced attempt was made by a previous owner and is nowhere to be
+  // found, so that it counts as lost with its worker.
+  void CountMissingStart();
+  std::optional<Attempt> announced_start() const { return announced_start_; }
+
   // A run of the task has lived long enough to be no suspect any more. With
   // `forget` its crashes don't count any longer.
   void OnSurvived(bool forget);
@@ -72,7 +85,7 @@
 
   // The crashes to store.
   const std::vector<Crash>& crashes() const { return crashes_; }
-  bool empty() const { return crashes_.empty(); }
+  bool empty() const { return crashes_.empty() && !announced_start_; }
 
  private:
   std::size_t Count(CrashBlame blame) const;
@@ -80,6 +93,7 @@
   // Invariant: each attempt at most once, none with faint blame.
   std::vector<Crash> crashes_;
   std::size_t faint_crashes_ = 0;
+  std::optional<Attempt> announced_start_;
   // Whether a run has survived since the last crash.
   bool has_survived_ = false;
 };
--- a/include/dotterelbarrow/core/jobs/job_records.h
+++ b/include/dotterelbarrow/core/jobs/job_records.h
@@ -6,8 +6,10 @@
 //   progress   {"state","begun","occurrences":[{"k","steps":[
 //               {"done":"<bits>","failed":[[index,attempt..]..],
 //                "gang_failed":[attempt..],
-//                "crashed":[[index,attempt,is_sole..]..],
-//                "gang_crashed":[attempt,is_sole..]}..]}..]}
+//                "crashed":[[index,attempt,kind..]..],
+//                "gang_crashed":[attempt,kind..]}..]}..]}
+//   kind 0 and 1 are crashes with shared and with sole blame, 2 is an announced
+//   start of a suspect
 //
 // Most members with a default value are omitted. Times are milliseconds of the
 // store's clock, except start_ms, which counts from 1970.
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -287,10 +287,15 @@
   // Returns null if there is none, or if the task has to wait; then notes that
   // in the step.
   const workers::Worker* ChooseForTask(
-      WaitingStep* item, const jobs::Task& task,
+      WaitingStep* item, std::uint32_t index,
       std::vector<placement::Candidate>* candidates,
       std::vector<placement::Candidate>* suspects_candidates,
       base::TimePoint now);
+  // Announces the next start of a suspect, and returns whether that is stored,
+  // so that it can be started. A start that a previous owner had announced and
+  // that no worker reported counts as a crash.
+  bool IsStartAnnounced(jobs::Job* job, jobs::CrashHistory* crashes,
+                        jobs::Attempt attempt, base::TimePoint now);
   // Whether the step's queue is on alert and none of its tasks has shown yet
   // that it doesn't crash its worker.
   bool IsUnproven(const WaitingStep& item, base::TimePoint now) const;
--- a/include/dotterelbarrow/core/scheduler/job_registry.h
+++ b/include/dotterelbarrow/core/scheduler/job_registry.h
@@ -91,6 +91,10 @@
     return !unstored_acceptances_.contains(key);
   }
 
+  // Whether all changes of the job that were enqueued are stored.
+  bool IsUpToDate(jobs::JobKey key) const {
+    return !changed_jobs_.contains(key) && !jobs_in_batch_.contains(key);
+  }
   // Enqueues the job's progress, or its final state. Only the state of an ended
   // job is kept.
   void EnqueueJob(jobs::JobKey key, base::TimePoint now);
--- a/src/core/jobs/crash_history.cc
+++ b/src/core/jobs/crash_history.cc
@@ -2,6 +2,7 @@
 #include "dotterelbarrow/core/jobs/crash_history.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dotterelbarrow::core::jobs {
 
@@ -33,6 +34,24 @@
   return true;
 }
 
+void CrashHistory::AnnounceStart(Attempt attempt) {
+  announced_start_ = attempt;
+}
+
+bool CrashHistory::OnEnded(Attempt attempt) {
+  if (announced_start_ != attempt) {
+    return false;
+  }
+  announced_start_.reset();
+  return true;
+}
+
+void CrashHistory::CountMissingStart() {
+  if (const auto attempt = std::exchange(announced_start_, std::nullopt)) {
+    Add(*attempt, CrashBlame::kShared);
+  }
+}
+
 void CrashHistory::OnSurvived(bool forget) {
   has_survived_ = true;
   if (forget) {
--- a/src/core/jobs/job.cc
+++ b/src/core/jobs/job.cc
@@ -128,12 +128,14 @@
   if (end == RunEnd::kDone && !SpecOf(ref.step).long_running) {
     return RecordDone(ref, step);
   }
+  const bool was_announced = CrashesOf(ref)->OnEnded(attempt);
   if (end == RunEnd::kFailed) {
     // Its worker is there to report it.
     RecordSurvival(ref);
-    return RecordFailure(ref, attempt, step, worker, max_attempts);
+    return RecordFailure(ref, attempt, step, worker, max_attempts) ||
+           was_announced;
   }
-  return false;
+  return was_announced;
 }
 
 CrashHistory* Job::CrashesOf(const TaskRef& ref) {
--- a/src/core/jobs/job_records.cc
+++ b/src/core/jobs/job_records.cc
@@ -213,12 +213,22 @@
   }
 }
 
-// Appends each crash as its attempt and whether the blame is sole (1) or shared
-// (0).
+// What the second number of each pair says about the attempt in the first one.
+constexpr unsigned kSharedCrash = 0;
+constexpr unsigned kSoleCrash = 1;
+constexpr unsigned kAnnouncedStart = 2;
+
 void AppendCrashes(const CrashHistory& history, Json::Value* row) {
+  const auto append = [row](Attempt attempt, unsigned kind) {
+    row->append(static_cast<Json::UInt64>(attempt.value()));
+    row->append(kind);
+  };
   for (const CrashHistory::Crash& crash : history.crashes()) {
-    row->append(static_cast<Json::UInt64>(crash.attempt.value()));
-    row->append(crash.blame == CrashBlame::kSole ? 1U : 0U);
+    append(crash.attempt,
+           crash.blame == CrashBlame::kSole ? kSoleCrash : kSharedCrash);
+  }
+  if (history.announced_start()) {
+    append(*history.announced_start(), kAnnouncedStart);
   }
 }
 
@@ -227,9 +237,14 @@
 void ReadCrashes(const Json::Value& row, Json::ArrayIndex from,
                  CrashHistory* history) {
   for (Json::ArrayIndex i = from; i + 1 < row.size(); i += 2) {
-    history->Add(Attempt(row[i].asUInt64()), row[i + 1].asUInt64() == 1
-                                                 ? CrashBlame::kSole
-                                                 : CrashBlame::kShared);
+    const Attempt attempt(row[i].asUInt64());
+    const Json::UInt64 kind = row[i + 1].asUInt64();
+    if (kind == kAnnouncedStart) {
+      history->AnnounceStart(attempt);
+    } else {
+      history->Add(attempt, kind == kSoleCrash ? CrashBlame::kSole
+                                               : CrashBlame::kShared);
+    }
   }
 }
 
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -379,7 +379,7 @@
       break;
     }
     const workers::Worker* best =
-        ChooseForTask(waiting, task, &candidates, &suspects_candidates, now);
+        ChooseForTask(waiting, index, &candidates, &suspects_candidates, now);
     if (best == nullptr && task.crashes.is_suspect()) {
       continue;
     }
--- a/src/core/scheduler/dispatcher_suspects.cc
+++ b/src/core/scheduler/dispatcher_suspects.cc
@@ -28,6 +28,17 @@
 
 }  // namespace
 
+bool Dispatcher::IsStartAnnounced(jobs::Job* job, jobs::CrashHistory* crashes,
+                                  jobs::Attempt attempt, base::TimePoint now) {
+  if (crashes->announced_start() != attempt) {
+    crashes->CountMissingStart();
+    crashes->AnnounceStart(attempt);
+    jobs_->EnqueueJob(job->key, now);
+    return false;
+  }
+  return jobs_->IsUpToDate(job->key);
+}
+
 bool Dispatcher::IsUnproven(const WaitingStep& item,
                             base::TimePoint now) const {
   if (!containment_.IsOnAlert(item.queue->id, now) ||
@@ -44,14 +55,17 @@
 }
 
 const workers::Worker* Dispatcher::ChooseForTask(
-    WaitingStep* item, const jobs::Task& task,
-    std::vector<Candidate>* candidates,
+    WaitingStep* item, std::uint32_t index, std::vector<Candidate>* candidates,
     std::vector<Candidate>* suspects_candidates, base::TimePoint now) {
   const jobs::StepSpec& spec = item->job->SpecOf(item->step);
+  jobs::Step* step = item->job->FindStep(item->step);
+  jobs::Task& task = step->tasks[index];
   const bool is_suspect = task.crashes.is_suspect();
   const bool is_first = !is_suspect && IsUnproven(*item, now);
   const bool is_sole_suspect = is_suspect && task.crashes.is_sole_suspect();
-  if (is_sole_suspect && !containment_.MayExposeToSuspect(now)) {
+  if ((is_sole_suspect && !containment_.MayExposeToSuspect(now)) ||
+      (is_suspect && !IsStartAnnounced(item->job, &task.crashes,
+                                       NextAttempt(*step, index), now))) {
     item->waits_for_isolation = true;
     return nullptr;
   }
--- a/src/core/scheduler/job_registry.cc
+++ b/src/core/scheduler/job_registry.cc
@@ -28,7 +28,7 @@
 }
 
 bool JobRegistry::AwaitStored(jobs::JobKey key, WaiterId waiter) {
-  if (!changed_jobs_.contains(key) && !jobs_in_batch_.contains(key)) {
+  if (IsUpToDate(key)) {
     return true;
   }
   change_waiters_[key].push_back(waiter);
--- a/test/core/jobs/crash_history_test.cc
+++ b/test/core/jobs/crash_history_test.cc
@@ -57,14 +57,41 @@
     CHECK_FALSE(history.Add(Attempt(1), CrashBlame::kSole));
     CHECK_FALSE(history.IsGuilty(kNeeded, false));
   }
-  SUBCASE("is given up before a third start after its third crash") {
-    for (std::uint64_t attempt = 1; attempt <= 4; ++attempt) {
+  SUBCASE("is given up after four crashes, whoever else was there") {
+    for (std::uint64_t attempt = 1; attempt <= 3; ++attempt) {
       history.Add(Attempt(attempt), CrashBlame::kShared);
       CHECK_FALSE(history.IsGuilty(kNeeded, false));
     }
-    history.Add(Attempt(5), CrashBlame::kShared);
+    history.Add(Attempt(4), CrashBlame::kShared);
     CHECK(history.IsGuilty(kNeeded, false));
   }
+  SUBCASE("is given up after three if it was alone to blame once") {
+    history.Add(Attempt(1), CrashBlame::kShared);
+    history.Add(Attempt(2), CrashBlame::kSole);
+    CHECK_FALSE(history.IsGuilty(kNeeded, false));
+    history.Add(Attempt(3), CrashBlame::kShared);
+    CHECK(history.IsGuilty(kNeeded, false));
+  }
+  SUBCASE("a start that was announced") {
+    history.Add(Attempt(1), CrashBlame::kShared);
+    history.AnnounceStart(Attempt(2));
+
+    SUBCASE("counts as a crash if nobody knows how it ended") {
+      history.CountMissingStart();
+      CHECK(history.crashes().size() == 2);
+      CHECK_FALSE(history.announced_start());
+    }
+    SUBCASE("counts for nothing if its end is known") {
+      CHECK(history.OnEnded(Attempt(2)));
+      CHECK_FALSE(history.OnEnded(Attempt(2)));
+      history.CountMissingStart();
+      CHECK(history.crashes().size() == 1);
+    }
+    SUBCASE("an earlier end says nothing about it") {
+      CHECK_FALSE(history.OnEnded(Attempt(1)));
+      CHECK(history.announced_start() == Attempt(2));
+    }
+  }
   SUBCASE("having run for some time, it is a suspect the second time only") {
     CHECK_FALSE(history.Add(Attempt(1), CrashBlame::kFaint));
     CHECK_FALSE(history.is_suspect());
--- a/test/core/jobs/job_test.cc
+++ b/test/core/jobs/job_test.cc
@@ -143,6 +143,15 @@
     CHECK(read.RecordCrash(task, Attempt(10001), CrashBlame::kSole));
     CHECK(read.state == JobState::kFailed);
   }
+  SUBCASE("its announced start is known to the next owner") {
+    job.CrashesOf(task)->AnnounceStart(Attempt(2));
+    Job read = MakeJob({step});
+    base::Failure reason;
+    REQUIRE(ReadProgress(ProgressRecord(job), &read, &reason));
+    CHECK(read.CrashesOf(task)->announced_start() == Attempt(2));
+    CHECK(EndRun(&read, task, 2, RunEnd::kStopped));
+    CHECK_FALSE(read.CrashesOf(task)->announced_start());
+  }
   SUBCASE("is cleared when it is reported to have failed") {
     EndRun(&job, task, 2, RunEnd::kFailed);
     CHECK_FALSE(job.CrashesOf(task)->is_suspect());
