A reserved start isn't sent to a worker whose capacity has shrunk meanwhile

What callers would see: a worker that doesn't guard its capacity gets more than it holds (LIMIT).

Cause: a task that is placed while its ticket has expired is reserved, and started when the new ticket comes. Whether the worker still holds it was judged at the reservation only. The advisor may take longer than the time that a smaller capacity may be overlooked, and calls are repeated.

--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -150,6 +150,11 @@
     return listing_.capacity - total_reserved_;
   }
   const base::Resources& reserved() const { return total_reserved_; }
+  // Whether more is reserved than the worker holds, because its capacity has
+  // shrunk.
+  bool is_over_capacity() const {
+    return !total_reserved_.FitsIn(listing_.capacity);
+  }
   bool has_orphans() const { return orphan_count_ > 0; }
   bool has_serving() const { return serving_count_ > 0; }
   bool has_idle_fillers() const { return idle_filler_count_ > 0; }
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -289,7 +289,7 @@
   const auto can_start = [&](const PlacedRun& run) {
     const workers::Worker* worker = fleet_->Find(run.worker);
     return TicketFor(item, run.worker, now).has_value() &&
-           worker->CanAcceptWork(now);
+           worker->CanAcceptWork(now) && !worker->is_over_capacity();
   };
   const bool can_start_all =
       std::all_of(reserved.begin(), reserved.end(), can_start);
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -79,6 +79,12 @@
   Store();
 }
 
+void SchedulerScenario::ResizeWorker(const std::string& name, int cores) {
+  workers::Listing& listing = workers_.at(base::BackendId(name)).listing;
+  listing.capacity.cpu = base::Millicores(cores * kMillicores);
+  ++listing.revision;
+}
+
 void SchedulerScenario::SetCap(int cores) {
   organisation_.cap.cpu = base::Millicores(cores * kMillicores);
   DropQueue("");
--- a/test/core/scheduler/scheduler_scenario.h
+++ b/test/core/scheduler/scheduler_scenario.h
@@ -33,6 +33,8 @@
 
   // Adds workers of four cores each, runs a pass and stores its changes.
   void AddWorkers(int count);
+  // Sets the capacity that a worker lists from now on.
+  void ResizeWorker(const std::string& name, int cores);
   // Sets the cap of the organisation, in cores.
   void SetCap(int cores);
   // Removes the queue from the configuration.
