Blame for crashes narrows with what is known, and the soak has deadly tasks

Causes: (1) only the last runs that were started, within 50 ms, were suspects. The soak's deadly tasks crash after 10, 50 or 150 ms, so later starts bore the blame. (2) A start without an answer, sent to a worker that was dead already, got sole blame, and after a precedent one more shared crash was enough.

Now all young runs are suspects until proved tasks have shown how soon they crash their workers; twice the longest such time then clears earlier starts. Starts without an answer count only if nothing else stands out, and never alone. A precedent convicts only if the last crash was with sole blame. A suspect that was started last clears the runs started 50 ms before it, as the worker had survived them; else suspects would wait long for a worker without young runs.

The soak's jobs are deadly with a probability of a hundredth, the stand-in site counts starts after the third crash, and workers shrink and grow while the owner is killed at the end of each run.

--- a/include/dotterelbarrow/core/jobs/crash_history.h
+++ b/include/dotterelbarrow/core/jobs/crash_history.h
@@ -45,8 +45,8 @@
   static constexpr std::size_t kMaxCrashes = 4;
   // One less is enough if one of them was with sole blame.
   static constexpr std::size_t kMaxCrashesWithProof = 3;
-  // Crashes with sole or shared blame, one of them sole, after which a task is
-  // guilty if there is a precedent.
+  // Crashes after which a task is guilty if there is a precedent and the last
+  // one was with sole blame.
   static constexpr std::size_t kCrashesWithPrecedent = 2;
   // Crashes with faint blame that make a task a suspect.
   static constexpr std::size_t kFaintCrashesOfSuspect = 2;
--- a/include/dotterelbarrow/core/placement/crash_containment.h
+++ b/include/dotterelbarrow/core/placement/crash_containment.h
@@ -18,6 +18,7 @@
 
 #include "dotterelbarrow/base/units.h"
 #include "dotterelbarrow/core/desired/desired_state.h"
+#include "dotterelbarrow/core/workers/worker_loss.h"
 
 namespace dotterelbarrow::core::placement {
 
@@ -55,8 +56,14 @@
   // nothing if `queues` is empty.
   void RecordLoss(const std::vector<desired::QueueId>& queues,
                   base::TimePoint now);
-  // A job of the queue is proved to crash workers.
-  void RecordProof(const desired::QueueId& queue, base::TimePoint now);
+  // A job of the queue is proved to crash workers. Its last run had lived for
+  // `lived` when its worker broke off; not positive if that is not known.
+  void RecordProof(const desired::QueueId& queue, base::Duration lived,
+                   base::TimePoint now);
+  // By how much a run must have been started before another one to be cleared
+  // of a crash. Short once it is known how soon deadly tasks crash their
+  // workers.
+  base::Duration suspect_gap() const { return suspect_gap_; }
 
   // Whether that was within kAlertDuration.
   bool HasProof(const desired::QueueId& queue, base::TimePoint now) const;
@@ -77,7 +84,13 @@
   // Removes what has ended.
   void ForgetOldExposures(base::TimePoint now);
 
+  // Of the ages at which proved tasks crashed their workers, those of others
+  // may be as many times as long.
+  static constexpr int kAgeFactor = 2;
+
   double workers_ = 1;
+  base::Duration suspect_gap_ = workers::kSuspectAge;
+  base::Duration longest_lived_{0};
   double usage_ = 0;
   // For each worker that is lost, or exposed to a suspect, when that ends.
   std::vector<base::TimePoint> exposures_;
--- a/include/dotterelbarrow/core/placement/worker_choice.h
+++ b/include/dotterelbarrow/core/placement/worker_choice.h
@@ -29,7 +29,7 @@
 // How much of the fleet a task may endanger.
 enum class Exposure {
   kOrdinary,
-  // The task may crash its worker, so it goes where the least would be lost.
+  // The task may crash its worker, so it avoids gangs.
   kContained,
 };
 
@@ -58,10 +58,9 @@
                      const base::BackendId& failed_on,
                      Exposure exposure = Exposure::kOrdinary);
 
-// Returns what would be lost if the worker crashed, as a fraction of its
-// processors. A gang's member counts several times, because all members of its
-// gang are lost with it.
-double LossIfCrashed(const workers::Worker& worker);
+// Returns the fraction of the worker's processors that members of gangs use. If
+// it crashed, these would be lost with all members of their gangs elsewhere.
+double GangFraction(const workers::Worker& worker);
 
 // Allocates the resources of one more task of the step on the candidate.
 // Precondition: the task fits (see `HasCapacityFor`).
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -132,19 +132,8 @@
   // Tells whether the owner's processor can't keep up with its work.
   void set_saturated(bool saturated) { load_shedder_.set_saturated(saturated); }
 
-  // A worker was lost, and runs of one of these queues may have caused it.
-  void RecordLoss(const std::vector<desired::QueueId>& queues,
-                  base::TimePoint now) {
-    containment_.RecordLoss(queues, now);
-  }
-  // A job of the queue is proved to crash workers.
-  void RecordCrashProof(const desired::QueueId& queue, base::TimePoint now) {
-    containment_.RecordProof(queue, now);
-  }
-
-  bool HasCrashProof(const desired::QueueId& queue, base::TimePoint now) const {
-    return containment_.HasProof(queue, now);
-  }
+  // What is known about crashes; the scheduler reports proofs to it.
+  placement::CrashContainment& containment() { return containment_; }
 
   // Runs one scheduling pass: tries to place all waiting steps, the most urgent
   // first, and the overdue steps if they are due. Appends the resulting
--- a/include/dotterelbarrow/core/workers/worker_loss.h
+++ b/include/dotterelbarrow/core/workers/worker_loss.h
@@ -41,10 +41,9 @@
 // A run is young if its worker is lost within this time after its start. It
 // covers the time until a busy owner notices a broken connection.
 inline constexpr base::Duration kSuspectAge = std::chrono::milliseconds(250);
-// Of the young runs, those that were started at most this long before the last
-// one of them are suspects. A busy owner notices the loss late for all of them
-// alike, so the order of their starts tells more than their ages.
-inline constexpr base::Duration kMaxStartGap = std::chrono::milliseconds(50);
+// The shortest time that may be taken as the age at which deadly tasks crash
+// their workers, so that all but the last starts are cleared.
+inline constexpr base::Duration kMinSuspectGap = std::chrono::milliseconds(50);
 
 // Whether the worker may have begun the run.
 bool MayHaveStarted(const Run& run);
@@ -53,11 +52,15 @@
 // after it.
 bool IsYoungAt(const Run& run, base::TimePoint alive_at);
 
-// Returns the runs that are most likely to have crashed the worker: the last
-// ones that were started, if they were young, and those that are suspects
-// already. If there are none, returns those whose tasks were lost with other
-// workers before. Returns none if no run stands out.
-std::vector<const Run*> FindSuspects(const WorkerLoss& loss);
+// Returns the runs that are most likely to have crashed the worker: those that
+// are suspects already, and the young ones that were started at most `gap`
+// before the last young one. A busy owner notices a loss late for all of them
+// alike, so the order of their starts tells more than their ages. Starts
+// without an answer count only if no other run stands out: most were sent to a
+// dead worker. If there are none of these, returns the runs whose tasks were
+// lost with other workers before. Returns none if no run stands out.
+std::vector<const Run*> FindSuspects(const WorkerLoss& loss,
+                                     base::Duration gap = kSuspectAge);
 
 }  // namespace dotterelbarrow::core::workers
 
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -27,6 +27,9 @@
 MIN_LINK_BYTES_PER_S = 300_000
 MAX_LINK_BYTES_PER_S = 1_500_000
 MAX_UNUSED_QUEUES = 4000
+# Processors of the stand-in's workers, and how long they have fewer. A smaller capacity counts after 4.5 s.
+WORKER_CORES = 4
+RESIZED_S = 7.0
 MIN_QUEUES_CHANGED = 1000
 # At most half of MAX_UNUSED_QUEUES, so that they can always be either added or removed.
 MAX_QUEUES_CHANGED = 2000
@@ -191,6 +194,20 @@
             self._site.fault(worker=worker, do="restart")
         self._later(self._rng.uniform(2.0, 4.0), leave)
 
+    def resize_workers(self):
+        """Workers shrink while the owner changes, and grow again. Without other faults, so that all hosts learn of it.
+        """
+        for worker in self._rng.sample(range(self._site.workers), self._site.workers // 2):
+            cpu = self._rng.randrange(1, WORKER_CORES) * 1000
+            self._record(f"worker-{worker} has {cpu} millicores")
+            self._site.fault(worker=f"worker-{worker}", cpu=cpu)
+            self._later(RESIZED_S, lambda worker=worker: self._site.fault(worker=f"worker-{worker}",
+                                                                         cpu=WORKER_CORES * 1000))
+        self._kill_owner(0.5)
+        time.sleep(RESIZED_S)
+        for thread in self._undo_threads:
+            thread.join()
+
     def _change_key(self):
         """Revokes the key of an organisation, and assigns another one."""
         name = self._rng.choice(sorted(self._site.keys))
@@ -270,6 +287,7 @@
             link.repair()
         for worker in range(site.workers):
             site.fault(worker=f"worker-{worker}", fault="none")
+        faults.resize_workers()
         broken += callers.finish(RECOVERY_BOUND_S)
         broken += site.truth()["broken"] + [f"ended by itself: {what}" for what in site.ended_by_itself]
         line = f"{callers.summary()}, {site.truth()['starts']} starts, {len(faults.done)} faults"
--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -13,6 +13,8 @@
 TIMEOUT_S = 3.0
 MAX_TRIES = 5
 CONFIRMATION_MARGIN_S = 1.0
+# Each deadly job takes two or three workers away for three seconds.
+DEADLY_SHARE = 0.01
 
 
 class Job:
@@ -24,14 +26,17 @@
         # "accepted", "never" (each attempt to submit it was refused) or "unknown".
         self.outcome = "unknown"
         self.is_cancelled = False
+        # Its first task crashes each worker this long after its start; 0 for none.
+        self.deadly_ms = 0
 
     @property
     def tasks(self):
         return sum(step["count"] for step in self.steps)
 
     def body(self):
-        plan = {"steps": [{"ms": step["estimate_ms"], "cpu": step["cpu"],
+        plan = {"steps": [{"ms": step["estimate_ms"] + self.deadly_ms, "cpu": step["cpu"],
                            "gang": step["count"] if step.get("gang") else 0} for step in self.steps]}
+        plan["steps"][0]["deadly_ms"] = self.deadly_ms
         return json.dumps({"spec": json.dumps(plan), "job_steps": self.steps})
 
 
@@ -116,6 +121,8 @@
             steps.append(step)
         job = Job(f"{self._rng.getrandbits(63) + 1:016x}", self._rng.choice(["plain", "advised"]),
                   self._rng.choice(sorted(self._site.keys)), steps)
+        if not steps[0].get("gang") and self._rng.random() < DEADLY_SHARE:
+            job.deadly_ms = self._rng.choice([10, 10, 50, 150])
         self.jobs.append(job)
         return job
 
@@ -222,6 +229,6 @@
         state = answer.get("state") if status == 200 else None
         if state == "completed":
             self._check_completed(job)
-        if state == "failed":
+        if state == "failed" and not job.deadly_ms:
             self.broken.append(f"{job.key}: shown as failed")
         return state in ("completed", "failed", "cancelled")
--- a/src/core/placement/crash_containment.cc
+++ b/src/core/placement/crash_containment.cc
@@ -3,8 +3,6 @@
 
 #include <algorithm>
 
-#include "dotterelbarrow/core/workers/worker_loss.h"
-
 namespace dotterelbarrow::core::placement {
 
 void CrashContainment::BeginPass(std::size_t workers, double usage) {
@@ -41,8 +39,13 @@
 }
 
 void CrashContainment::RecordProof(const desired::QueueId& queue,
-                                   base::TimePoint now) {
+                                   base::Duration lived, base::TimePoint now) {
   proofs_[queue] = now;
+  if (lived > base::Duration(0)) {
+    longest_lived_ = std::max(longest_lived_, lived);
+    suspect_gap_ = std::clamp(longest_lived_ * kAgeFactor,
+                              workers::kMinSuspectGap, workers::kSuspectAge);
+  }
 }
 
 bool CrashContainment::HasProof(const desired::QueueId& queue,
--- a/src/core/placement/worker_choice.cc
+++ b/src/core/placement/worker_choice.cc
@@ -14,12 +14,9 @@
 constexpr double kColdPenalty = 5;
 constexpr double kRemoteDataPenalty = 10;
 constexpr double kFailedHerePenalty = 20;
-// Multiplies the fraction of the worker that would be lost with it. A lost task
-// costs at least its time, a remote one only a part of it.
-constexpr double kLossPenalty = 40;
-// How much more than its own processors the loss of a gang's member costs; a
-// gang has eight members or more.
-constexpr std::int64_t kGangLossFactor = 4;
+// Multiplies the fraction of the worker that gangs use, which would be lost
+// with it. All members of a gang are lost with one.
+constexpr double kGangCompanyPenalty = 40;
 
 double Fraction(std::int64_t part, std::int64_t whole) {
   return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole)
@@ -81,7 +78,7 @@
              : std::min(tasks, step.max_per_worker - candidate.tasks_of_step);
 }
 
-double LossIfCrashed(const workers::Worker& worker) {
+double GangFraction(const workers::Worker& worker) {
   std::int64_t lost = 0;
   for (const auto& [key, run] : worker.runs()) {
     lost += run.is_gang_member ? run.needs.cpu.value() : 0;
@@ -95,7 +92,7 @@
   const base::Resources left = candidate.free - step.Reservation();
   double cost = LeftOver(left, listing.capacity);
   if (exposure == Exposure::kContained) {
-    cost += kLossPenalty * LossIfCrashed(*candidate.worker);
+    cost += kGangCompanyPenalty * GangFraction(*candidate.worker);
   }
   if (step.fills_idle_cpu) {
     const base::Millicores idle =
--- a/src/core/scheduler/dispatcher_suspects.cc
+++ b/src/core/scheduler/dispatcher_suspects.cc
@@ -10,19 +10,18 @@
 using placement::Candidate;
 
 // How long nothing else is started on a worker that a suspect is to use: until
-// the tasks that were just started there are confirmed, and the suspect is the
-// last one by more than workers::kMaxStartGap.
+// the tasks that were just started there are confirmed.
 constexpr base::Duration kMaxKeptForSuspect = std::chrono::milliseconds(300);
 
 // Whether a task that is started on the worker now will be the last one by more
-// than workers::kMaxStartGap.
+// than workers::kMinSuspectGap.
 bool IsQuiet(const workers::Worker& worker, base::TimePoint now) {
   return std::none_of(worker.runs().begin(), worker.runs().end(),
                       [now](const auto& entry) {
                         const workers::Run& run = entry.second;
                         return run.state == workers::RunState::kReserved ||
                                run.state == workers::RunState::kStarting ||
-                               now - run.started_at <= workers::kMaxStartGap;
+                               now - run.started_at <= workers::kMinSuspectGap;
                       });
 }
 
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -182,16 +182,18 @@
   std::vector<desired::QueueId> queues;
   const workers::WorkerLoss loss =
       workers::DescribeLoss(worker, workers::LossKind::kUnexplained);
-  for (const workers::Run* run : workers::FindSuspects(loss)) {
+  for (const workers::Run* run :
+       workers::FindSuspects(loss, dispatcher_.containment().suspect_gap())) {
     if (const jobs::Job* job = jobs_.Find(run->task.step.job)) {
       queues.push_back(job->queue);
     }
   }
-  dispatcher_.RecordLoss(queues, now_);
+  dispatcher_.containment().RecordLoss(queues, now_);
 }
 
 void Scheduler::OnWorkerLost(const workers::WorkerLoss& loss) {
-  const std::vector<const workers::Run*> suspects = workers::FindSuspects(loss);
+  const std::vector<const workers::Run*> suspects =
+      workers::FindSuspects(loss, dispatcher_.containment().suspect_gap());
   // The members of a gang are one suspect.
   const bool is_one_suspect =
       !suspects.empty() &&
@@ -202,7 +204,9 @@
                             run->task.step == suspects.front()->task.step);
                   });
   const bool is_crash = loss.kind == workers::LossKind::kCrashed;
-  const bool is_sole = is_crash && is_one_suspect;
+  // A start without an answer may have been sent to a dead worker.
+  const bool is_sole =
+      is_crash && is_one_suspect && suspects.front()->start_confirmed_ms != 0;
   const bool is_explained = is_sole && IsKnownCause(*suspects.front());
   for (const workers::Run* run : suspects) {
     RecordCrash(loss, *run,
@@ -226,7 +230,8 @@
   const jobs::CrashHistory* crashes =
       job == nullptr ? nullptr : job->CrashesOf(run.task);
   return crashes != nullptr &&
-         (!crashes->empty() || dispatcher_.HasCrashProof(job->queue, now_));
+         (!crashes->empty() ||
+          dispatcher_.containment().HasProof(job->queue, now_));
 }
 
 void Scheduler::RecordCrash(const workers::WorkerLoss& loss,
@@ -234,7 +239,7 @@
   jobs::Job* job = jobs_.Find(run.task.step.job);
   if (job == nullptr ||
       !job->RecordCrash(run.task, run.attempt, blame,
-                        dispatcher_.HasCrashProof(job->queue, now_))) {
+                        dispatcher_.containment().HasProof(job->queue, now_))) {
     return;
   }
   const bool is_guilty = jobs::IsFinal(job->state);
@@ -251,7 +256,8 @@
                        job->CrashesOf(run.task)->crashes().size())}});
   if (is_guilty) {
     telemetry_.counters->Increment("jobs_given_up", "crashes_workers");
-    dispatcher_.RecordCrashProof(job->queue, now_);
+    dispatcher_.containment().RecordProof(job->queue,
+                                          loss.alive_at - run.started_at, now_);
     EndJob(*job);
   } else {
     jobs_.EnqueueJob(job->key, now_);
--- a/src/core/workers/worker_loss.cc
+++ b/src/core/workers/worker_loss.cc
@@ -34,31 +34,38 @@
   return alive_at - run.started_at < kSuspectAge;
 }
 
-std::vector<const Run*> FindSuspects(const WorkerLoss& loss) {
-  std::vector<const Run*> young;
+std::vector<const Run*> FindSuspects(const WorkerLoss& loss,
+                                     base::Duration gap) {
+  std::vector<const Run*> confirmed;
+  std::vector<const Run*> unanswered;
   std::vector<const Run*> repeated;
-  base::TimePoint last_confirmed_start;
+  const Run* last = nullptr;
   for (const Run& run : loss.runs) {
     if (!MayHaveStarted(run)) {
       continue;
     }
     if (run.is_suspect || IsYoungAt(run, loss.alive_at)) {
-      young.push_back(&run);
-      last_confirmed_start = std::max(
-          last_confirmed_start,
-          run.start_confirmed_ms != 0 ? run.started_at : base::TimePoint());
+      const bool is_confirmed = run.start_confirmed_ms != 0;
+      (is_confirmed ? confirmed : unanswered).push_back(&run);
+      if (is_confirmed &&
+          (last == nullptr || run.started_at >= last->started_at)) {
+        last = &run;
+      }
     } else if (run.was_lost_before) {
       repeated.push_back(&run);
     }
   }
-  if (young.empty()) {
-    return repeated;
+  if (confirmed.empty()) {
+    return unanswered.empty() ? repeated : unanswered;
   }
-  std::erase_if(young, [last_confirmed_start](const Run* run) {
+  // A suspect was started when the worker had just shown that it survives the
+  // starts before.
+  const base::Duration cleared_after = last->is_suspect ? kMinSuspectGap : gap;
+  std::erase_if(confirmed, [last, cleared_after](const Run* run) {
     return !run->is_suspect &&
-           last_confirmed_start - run->started_at > kMaxStartGap;
+           last->started_at - run->started_at > cleared_after;
   });
-  return young;
+  return confirmed;
 }
 
 }  // namespace dotterelbarrow::core::workers
--- a/src/standins/site/site_service.cc
+++ b/src/standins/site/site_service.cc
@@ -116,6 +116,8 @@
   } else if (workers_.contains(id) && (*body)["fault"].isString()) {
     workers_.at(id)->SetFault(ParseWorkerFault((*body)["fault"].asString()),
                               permille);
+  } else if (workers_.contains(id) && (*body)["cpu"].isInt64()) {
+    workers_.at(id)->Resize(base::Millicores((*body)["cpu"].asInt64()));
   } else if (workers_.contains(id) && (*body)["do"].isString()) {
     ControlWorker(id, (*body)["do"].asString());
   } else {
--- a/src/standins/site/task_ledger.cc
+++ b/src/standins/site/task_ledger.cc
@@ -8,6 +8,15 @@
 using core::jobs::RunEnd;
 using core::jobs::TaskRef;
 
+namespace {
+
+// A task that has crashed this many workers may be started fewer than
+// kStartsOverBudget times more.
+constexpr int kCrashesBeforeBudget = 3;
+constexpr int kStartsOverBudget = 3;
+
+}  // namespace
+
 void TaskLedger::OnStarted(const std::string& worker, const TaskRef& task) {
   ++starts_;
   started_jobs_.insert(task.step.job);
@@ -22,8 +31,15 @@
                           core::jobs::ToString(task) + " on " + worker);
   }
   state.running_on.insert(worker);
+  if (state.crashes >= kCrashesBeforeBudget &&
+      ++state.starts_after_third_crash >= kStartsOverBudget) {
+    violations_.push_back("started three times more after three crashes: " +
+                          core::jobs::ToString(task) + " on " + worker);
+  }
 }
 
+void TaskLedger::OnCrashedUnder(const TaskRef& task) { ++tasks_[task].crashes; }
+
 void TaskLedger::OnEnded(const std::string& worker, const TaskRef& task,
                          RunEnd end) {
   Task& state = tasks_[task];
--- a/src/standins/site/task_ledger.h
+++ b/src/standins/site/task_ledger.h
@@ -24,6 +24,8 @@
   // Records that an owner acknowledged the run's end, which it does once it has
   // stored it.
   void OnAcknowledged(const core::jobs::TaskRef& task, core::jobs::RunEnd end);
+  // Records that the worker that ran the task crashed because of it.
+  void OnCrashedUnder(const core::jobs::TaskRef& task);
   // Records that the runs on the worker exceed its capacity.
   void OnOverloaded(const std::string& worker);
 
@@ -41,6 +43,8 @@
     std::set<std::string> running_on;
     bool is_done = false;
     bool is_done_acknowledged = false;
+    int crashes = 0;
+    int starts_after_third_crash = 0;
   };
 
   std::map<core::jobs::TaskRef, Task> tasks_;
--- a/src/standins/site/worker_model.h
+++ b/src/standins/site/worker_model.h
@@ -29,6 +29,8 @@
   base::Resources needs;
   std::int64_t duration_ms = 500;
   bool fails = false;
+  // How long after its start the run crashes the worker; 0 if it doesn't.
+  std::int64_t crashes_after_ms = 0;
   // Number of members of the gang; 0 for a task without a gang.
   std::uint32_t gang_size = 0;
 };
--- a/src/standins/site/worker_service.cc
+++ b/src/standins/site/worker_service.cc
@@ -47,6 +47,9 @@
   }
 }
 
+// How long a worker is down that one of its runs has crashed.
+constexpr std::int64_t kRestartAfterCrashMs = 3000;
+
 std::uint64_t CountOf(const Json::Value& value, const char* name) {
   return value[name].isUInt64() ? value[name].asUInt64() : 0;
 }
@@ -58,7 +61,8 @@
 }
 
 // Returns how the task's run goes. The soak test's jobs say so for each step in
-// their payload: {"steps":[{"ms":300,"cpu":500,"gang":4,"fails":0}]}.
+// their payload: {"steps":[{"ms":300,"cpu":500,"gang":4,"deadly_ms":0}]}. The
+// first task of a step with "deadly_ms" crashes its worker after that time.
 RunPlan PlanOf(const core::jobs::TaskRef& task, const std::string& payload) {
   RunPlan plan;
   base::Failure reason;
@@ -72,6 +76,10 @@
   plan.needs.cpu =
       base::Millicores(static_cast<std::int64_t>(CountOf(step, "cpu")));
   plan.gang_size = static_cast<std::uint32_t>(CountOf(step, "gang"));
+  if (task.index == 0) {
+    plan.crashes_after_ms =
+        static_cast<std::int64_t>(CountOf(step, "deadly_ms"));
+  }
   return plan;
 }
 
@@ -178,6 +186,9 @@
         command, FencingToken(CountOf(body, "fencing_token")), plan);
     if (outcome == CommandOutcome::kDone && !was_running) {
       site_.ledger->OnStarted(model_.listing().id.value(), task);
+      if (plan.crashes_after_ms > 0) {
+        CrashUnder(task, command.attempt, plan.crashes_after_ms);
+      }
     }
     if (model_.was_overloaded() && !was_overloaded_) {
       was_overloaded_ = true;
@@ -327,6 +338,29 @@
   polls_.clear();
 }
 
+void WorkerService::CrashUnder(const core::jobs::TaskRef& task, Attempt attempt,
+                               std::int64_t after_ms) {
+  site_.delayed_calls->After(after_ms, [this, task, attempt] {
+    const auto run = model_.runs().find(task);
+    if (!model_.is_up() || run == model_.runs().end() ||
+        run->second.attempt != attempt) {
+      return;
+    }
+    site_.ledger->OnCrashedUnder(task);
+    Crash();
+    site_.delayed_calls->After(kRestartAfterCrashMs, [this] { Restart(); });
+  });
+}
+
+void WorkerService::Resize(base::Millicores cpu) {
+  base::Resources capacity = model_.listing().capacity;
+  capacity.cpu = cpu;
+  model_.SetCapacity(capacity);
+  if (model_.is_up()) {
+    WriteRegistration();
+  }
+}
+
 void WorkerService::Restart() {
   if (model_.is_up()) {
     return;
--- a/src/standins/site/worker_service.h
+++ b/src/standins/site/worker_service.h
@@ -55,6 +55,8 @@
   // incarnation; it has no effect while the worker is up.
   void Crash();
   void Restart();
+  // Changes the processors that the worker has, and says so at once.
+  void Resize(base::Millicores cpu);
   // Lets the registration say that the worker accepts no new work.
   void Drain() { is_draining_ = true; }
 
@@ -82,6 +84,9 @@
   void AnswerPolls();
   void Answer(wire::ExchangeId exchange, CommandOutcome outcome);
   void Advance();
+  // Lets the task's run crash this worker after the time that its plan says.
+  void CrashUnder(const core::jobs::TaskRef& task, Attempt attempt,
+                  std::int64_t after_ms);
   // Reports new run ends to the ledger.
   void RecordRunEnds();
   // Writes the worker's registration, which is also its heartbeat.
--- a/test/core/jobs/crash_history_test.cc
+++ b/test/core/jobs/crash_history_test.cc
@@ -47,6 +47,11 @@
     CHECK(history.IsGuilty(kNeeded, true));
     CHECK_FALSE(history.IsGuilty(kNeeded, false));
   }
+  SUBCASE("not after a sole and a shared one") {
+    history.Add(Attempt(1), CrashBlame::kSole);
+    history.Add(Attempt(2), CrashBlame::kShared);
+    CHECK_FALSE(history.IsGuilty(kNeeded, true));
+  }
   SUBCASE("a precedent proves nothing without a crash of its own") {
     history.Add(Attempt(1), CrashBlame::kShared);
     history.Add(Attempt(2), CrashBlame::kShared);
