--- a/include/dotterelbarrow/core/jobs/crash_history.h
+++ b/include/dotterelbarrow/core/jobs/crash_history.h
@@ -21,7 +21,8 @@
 enum class CrashBlame {
   kSole,    // The worker crashed, and no other run can have caused it.
   kShared,  // Other runs may have caused it, or the worker has not crashed.
-  kFaint,   // No run stands out: all had run for some time.
+  kFaint,   // It had run for some time, and no other run is known to be the
+            // cause.
 };
 
 const char* ToString(CrashBlame blame);
--- a/include/dotterelbarrow/core/placement/crash_containment.h
+++ b/include/dotterelbarrow/core/placement/crash_containment.h
@@ -4,10 +4,10 @@
 // and nothing tells them apart before they are started. Each first start takes
 // a worker with ten runs of other queues away, and gangs lose a member with
 // nearly every one. Once workers have been lost under tasks of one queue, the
-// queue is on alert: of each of its jobs one task is started first, where the
-// least would be lost, and the others wait until it has survived. And only so
-// many workers are exposed to such starts at a time that the fleet can do
-// without them.
+// queue is on alert: the first tasks of its jobs are started away from gangs,
+// and the other tasks of jobs with enough slack wait until the first one has
+// survived. Tasks that are nearly certain to crash another worker wait as long
+// as many workers are missing.
 #ifndef DOTTERELBARROW_CORE_PLACEMENT_CRASH_CONTAINMENT_H_
 #define DOTTERELBARROW_CORE_PLACEMENT_CRASH_CONTAINMENT_H_
 
@@ -65,10 +65,11 @@
   // workers.
   base::Duration suspect_gap() const { return suspect_gap_; }
 
-  // Whether that was within kAlertDuration.
+  // Whether a job of the queue was proved to crash workers within
+  // kAlertDuration.
   bool HasProof(const desired::QueueId& queue, base::TimePoint now) const;
 
-  // Whether tasks of the queue are started one at a time for each job.
+  // Whether the first tasks of the queue's jobs may crash their workers.
   bool IsOnAlert(const desired::QueueId& queue, base::TimePoint now) const;
 
   // On how many workers nothing else may be started until a suspect can be.
@@ -84,14 +85,16 @@
   // Removes what has ended.
   void ForgetOldExposures(base::TimePoint now);
 
-  // Of the ages at which proved tasks crashed their workers, those of others
-  // may be as many times as long.
+  // How many times as long as the longest age at which a proved task crashed
+  // its worker those of other tasks may be.
   static constexpr int kAgeFactor = 2;
 
+  // The size of the fleet, and the fraction of it that is in use.
   double workers_ = 1;
-  base::Duration suspect_gap_ = workers::kSuspectAge;
-  base::Duration longest_lived_{0};
   double usage_ = 0;
+  // The longest age at which a proved task crashed its worker.
+  base::Duration longest_lived_{0};
+  base::Duration suspect_gap_ = workers::kSuspectAge;
   // For each worker that is lost, or exposed to a suspect, when that ends.
   std::vector<base::TimePoint> exposures_;
   // For each queue, the times of its losses, oldest first.
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -259,8 +259,8 @@
   bool FillCandidates(WaitingStep* item, base::TimePoint now) const;
   // Returns whether the worker accepts new work and is suitable for the step's
   // tasks.
-  bool MayRunOn(const workers::Worker& worker, const WaitingStep& item,
-                base::TimePoint now) const;
+  static bool MayRunOn(const workers::Worker& worker, const WaitingStep& item,
+                       base::TimePoint now);
   // Returns whether all tasks of a gang wait for a part of its organisation's
   // cap, and reserves that part.
   bool WaitsForCap(const WaitingStep& item);
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -294,7 +294,7 @@
 }
 
 bool Dispatcher::MayRunOn(const workers::Worker& worker,
-                          const WaitingStep& item, base::TimePoint now) const {
+                          const WaitingStep& item, base::TimePoint now) {
   return worker.CanAcceptWork(now) && !worker.has_suspects() &&
          worker.listing().service == item.queue->service &&
          placement::IsSuitable(worker, item.job->SpecOf(item.step));
