A task whose start is missing after a change of owner is judged before its next start

Cause: a start that a previous owner had announced and that no worker reports was counted as a crash, but the verdict was only taken at the next crash that an owner notices. With owners that change as fast as workers crash, no one notices one. Ruled out: the announcement itself (it was stored each time) and the reported attempt numbers.

The verdict is now taken when the missing start is counted, before the next start is announced; the scheduler ends the job after the pass. crashing_tasks_test fails on the code before with six starts and no verdict (bound: five, twice after the third crash) and passes now, for tasks and for gangs.

--- a/include/dotterelbarrow/core/jobs/job.h
+++ b/include/dotterelbarrow/core/jobs/job.h
@@ -138,6 +138,10 @@
   // its queue were just now. Returns whether the job's progress record changed.
   bool RecordCrash(const TaskRef& ref, Attempt attempt, CrashBlame blame,
                    bool has_precedent = false);
+  // Records that an announced start of the task, if there is one, was lost with
+  // its worker and its owner. The job fails under the same conditions as in
+  // RecordCrash; returns whether it does.
+  bool RecordMissingStart(const TaskRef& ref, bool has_precedent);
   // Records that a run of the task has lived for a while after a crash.
   void RecordSurvival(const TaskRef& ref);
   // Returns the crashes under the task or, for a member, under its gang; null
@@ -145,6 +149,9 @@
   CrashHistory* CrashesOf(const TaskRef& ref);
 
  private:
+  // Fails the job if the task, or the gang of the member, is guilty of crashing
+  // workers.
+  void FailIfGuilty(const TaskRef& ref, bool has_precedent);
   bool RecordDone(const TaskRef& ref, Step* step);
   bool RecordFailure(const TaskRef& ref, Attempt attempt, Step* step,
                      const base::BackendId& worker, std::uint32_t max_attempts);
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -20,6 +20,7 @@
 #include "dotterelbarrow/core/placement/crash_containment.h"
 #include "dotterelbarrow/core/placement/gang_holds.h"
 #include "dotterelbarrow/core/placement/load_shedder.h"
+#include "dotterelbarrow/core/placement/run_time_model.h"
 #include "dotterelbarrow/core/placement/urgency.h"
 #include "dotterelbarrow/core/placement/worker_choice.h"
 #include "dotterelbarrow/core/scheduler/actions.h"
@@ -134,6 +135,8 @@
 
   // What is known about crashes; the scheduler reports proofs to it.
   placement::CrashContainment& containment() { return containment_; }
+  // What is known about run times; the scheduler records completed runs in it.
+  placement::RunTimeModel& run_times() { return run_times_; }
 
   // Runs one scheduling pass: tries to place all waiting steps, the most urgent
   // first, and the overdue steps if they are due. Appends the resulting
@@ -147,6 +150,12 @@
   void InvalidateTicket(const jobs::StepRef& step,
                         const base::BackendId& worker);
 
+  // Returns the tasks that were found guilty of crashing workers since the last
+  // call, because of starts that are missing after a change of owner. Their
+  // jobs have failed.
+  std::vector<jobs::TaskRef> TakeGuiltyTasks() {
+    return std::exchange(guilty_tasks_, {});
+  }
   // Returns how many jobs have had their first task started since the last
   // call.
   std::uint64_t TakeJobsBegun() { return std::exchange(jobs_begun_, 0); }
@@ -282,8 +291,9 @@
       base::TimePoint now);
   // Announces the next start of a suspect, and returns whether that is stored,
   // so that it can be started. A start that a previous owner had announced and
-  // that no worker reported counts as a crash.
-  bool IsStartAnnounced(jobs::Job* job, jobs::CrashHistory* crashes,
+  // that no worker reported counts as a crash; if that proves the task guilty,
+  // its job is given up instead.
+  bool IsStartAnnounced(jobs::Job* job, const jobs::TaskRef& task,
                         jobs::Attempt attempt, base::TimePoint now);
   // Whether the step's queue is on alert and none of its tasks has shown yet
   // that it doesn't crash its worker.
@@ -399,6 +409,7 @@
   std::unordered_map<desired::QueueId, desired::Queue> known_queues_;
   placement::GangHolds gang_holds_;
   placement::CrashContainment containment_;
+  placement::RunTimeModel run_times_;
   // The workers on which nothing else is started until a suspect can be, and
   // when that ends in any case.
   std::map<workers::WorkerNumber, base::TimePoint> kept_for_suspects_;
@@ -408,6 +419,7 @@
   std::unordered_map<jobs::StepRef, UnplacedGang> unplaced_gangs_;
   base::TimePoint next_gang_retry_;
   std::uint64_t jobs_begun_ = 0;
+  std::vector<jobs::TaskRef> guilty_tasks_;
   base::TimePoint next_usage_update_;
   // The fraction of the fleet in use.
   double fleet_usage_ = 0;
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -150,7 +150,7 @@
   // Sets by which factor workers are polled less often than usual.
   void set_poll_stretch(double factor) { fleet_.set_poll_stretch(factor); }
   // Runs one scheduling pass.
-  void RunPass(base::TimePoint now) { dispatcher_.RunPass(now, &actions_); }
+  void RunPass(base::TimePoint now);
 
   // These report the result of an action. `clock_ms` is the worker's clock when
   // it answered.
@@ -207,6 +207,9 @@
   bool IsKnownCause(const workers::Run& run);
   void RecordCrash(const workers::WorkerLoss& loss, const workers::Run& run,
                    jobs::CrashBlame blame);
+  // Ends a job that has failed because its task crashes workers. `lived` is how
+  // long the task's last run had lived; not positive if that is not known.
+  void GiveUp(const jobs::Job& job, base::Duration lived);
   void OnSuspectSurvived(const workers::Run& run);
   // The worker is reconciled: it can't have untracked runs any more.
   void OnWorkerReconciled(const base::BackendId& worker);
--- a/src/core/jobs/job.cc
+++ b/src/core/jobs/job.cc
@@ -154,15 +154,25 @@
       !crashes->Add(attempt, blame)) {
     return false;
   }
+  FailIfGuilty(ref, has_precedent);
+  return true;
+}
+
+bool Job::RecordMissingStart(const TaskRef& ref, bool has_precedent) {
+  CrashesOf(ref)->CountMissingStart();
+  FailIfGuilty(ref, has_precedent);
+  return IsFinal(state);
+}
+
+void Job::FailIfGuilty(const TaskRef& ref, bool has_precedent) {
   const StepSpec& spec_of_step = SpecOf(ref.step);
   const bool is_exposed = spec_of_step.gang || spec_of_step.long_running;
   const std::size_t sole_crashes = is_exposed
                                        ? CrashHistory::kSoleCrashesOfGang
                                        : CrashHistory::kSoleCrashesOfTask;
-  if (crashes->IsGuilty(sole_crashes, has_precedent && !is_exposed)) {
+  if (CrashesOf(ref)->IsGuilty(sole_crashes, has_precedent && !is_exposed)) {
     state = JobState::kFailed;
   }
-  return true;
 }
 
 void Job::RecordSurvival(const TaskRef& ref) {
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -162,9 +162,8 @@
   for (const std::uint32_t index : members) {
     attempt = std::max(attempt, NextAttempt(step, index));
   }
-  jobs::CrashHistory& crashes = item.job->FindStep(item.step)->gang_crashes;
-  if (crashes.is_suspect() &&
-      !IsStartAnnounced(item.job, &crashes, attempt, now)) {
+  if (step.gang_crashes.is_suspect() &&
+      !IsStartAnnounced(item.job, {item.step, 0}, attempt, now)) {
     return false;
   }
   Commit(item, std::move(choices), attempt, now, actions);
--- a/src/core/scheduler/dispatcher_suspects.cc
+++ b/src/core/scheduler/dispatcher_suspects.cc
@@ -27,10 +27,19 @@
 
 }  // namespace
 
-bool Dispatcher::IsStartAnnounced(jobs::Job* job, jobs::CrashHistory* crashes,
+bool Dispatcher::IsStartAnnounced(jobs::Job* job, const jobs::TaskRef& task,
                                   jobs::Attempt attempt, base::TimePoint now) {
+  jobs::CrashHistory* crashes = job->CrashesOf(task);
+  if (jobs::IsFinal(job->state)) {
+    return false;
+  }
   if (crashes->announced_start() != attempt) {
-    crashes->CountMissingStart();
+    // The verdict must come before the next start: owners may change so often
+    // that none of them sees a crash.
+    if (job->RecordMissingStart(task, containment_.HasProof(job->queue, now))) {
+      guilty_tasks_.push_back(task);
+      return false;
+    }
     crashes->AnnounceStart(attempt);
     jobs_->EnqueueJob(job->key, now);
     return false;
@@ -63,7 +72,7 @@
   const bool is_first = !is_suspect && IsUnproven(*item, now);
   const bool is_sole_suspect = is_suspect && task.crashes.is_sole_suspect();
   if ((is_sole_suspect && !containment_.MayExposeToSuspect(now)) ||
-      (is_suspect && !IsStartAnnounced(item->job, &task.crashes,
+      (is_suspect && !IsStartAnnounced(item->job, {item->step, index},
                                        NextAttempt(*step, index), now))) {
     item->waits_for_isolation = true;
     return nullptr;
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -255,15 +255,18 @@
        {"crashes", static_cast<std::int64_t>(
                        job->CrashesOf(run.task)->crashes().size())}});
   if (is_guilty) {
-    telemetry_.counters->Increment("jobs_given_up", "crashes_workers");
-    dispatcher_.containment().RecordProof(job->queue,
-                                          loss.alive_at - run.started_at, now_);
-    EndJob(*job);
+    GiveUp(*job, loss.alive_at - run.started_at);
   } else {
     jobs_.EnqueueJob(job->key, now_);
   }
 }
 
+void Scheduler::GiveUp(const jobs::Job& job, base::Duration lived) {
+  telemetry_.counters->Increment("jobs_given_up", "crashes_workers");
+  dispatcher_.containment().RecordProof(job.queue, lived, now_);
+  EndJob(job);
+}
+
 void Scheduler::OnSuspectSurvived(const workers::Run& run) {
   if (jobs::Job* job = jobs_.Find(run.task.step.job)) {
     job->RecordSurvival(run.task);
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -261,6 +261,19 @@
   }
 }
 
+bool SchedulerScenario::CrashWorkerOf(const jobs::TaskRef& task) {
+  for (auto& [id, worker] : workers_) {
+    if (worker.running.contains(task)) {
+      workers::Listing next = worker.listing;
+      ++next.born_ms;
+      ++next.revision;
+      worker = Worker{next, {}, {}, 0};
+      return true;
+    }
+  }
+  return false;
+}
+
 void SchedulerScenario::TakeOver() {
   BeginTerm();
   scheduler_->OnPreviousOwnerStopped(now_);
--- a/test/core/scheduler/scheduler_scenario.h
+++ b/test/core/scheduler/scheduler_scenario.h
@@ -65,6 +65,9 @@
                            const std::set<std::string>& allowed);
   // Ends the active run of the task, wherever it is, with this result.
   void EndRun(const jobs::TaskRef& task, jobs::RunEnd end);
+  // Crashes the worker on which the task runs; its next incarnation is there at
+  // once. Returns false if the task runs nowhere.
+  bool CrashWorkerOf(const jobs::TaskRef& task);
   // Whether workers refuse the ticket of each start.
   bool refuses_tickets = false;
   // Workers that receive no command and answer nothing.
