Overdue steps behind many that fit nowhere are tried in rotation

Ruled out: the limits of containment (these steps wait for room or advice, not for isolation).

A pass over overdue steps now tries 16 of the remaining ones as well, in rotation, so each is tried every few hundred milliseconds at bounded cost. overdue_steps_test fails on the code before (no start) and passes.

--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -44,6 +44,11 @@
   // for this many steps, taken in the order of their urgency. With a long
   // backlog, trying the remaining steps would only cost processor time.
   int max_unplaced_steps = 48;
+  // After that, a pass over overdue steps still tries this many of the
+  // remaining ones, each time those after the last ones tried. Otherwise steps
+  // that fit nowhere for a long time, such as suspects of crashes, would keep
+  // all steps behind them from capacity that is free.
+  std::size_t rotating_steps = 16;
   // Interval at which gangs are tried again for which there was no capacity,
   // for each worker of the fleet. Passes in between only keep the same workers
   // free for them. A hundredth of a second for 500 workers is small against the
@@ -202,8 +207,15 @@
   // `waiting_` to `overdue_`.
   std::vector<WaitingStep> CollectByUrgency(std::set<jobs::StepRef>* steps,
                                             base::TimePoint now);
-  void PlaceAll(std::vector<WaitingStep> items, base::TimePoint now,
-                std::vector<Action>* actions);
+  // `rotation` is the last step that a previous pass tried out of turn; null if
+  // none are tried out of turn.
+  void PlaceAll(std::vector<WaitingStep> items, jobs::StepRef* rotation,
+                base::TimePoint now, std::vector<Action>* actions);
+  // Returns those of the items from index `first` that are tried out of turn in
+  // this pass, and updates `rotation`.
+  std::set<jobs::StepRef> ChooseOutOfTurn(const std::vector<WaitingStep>& items,
+                                          std::size_t first,
+                                          jobs::StepRef* rotation) const;
   // Computes the largest free resources of any worker and the capacity of
   // workers with orphaned runs, and resets the overload guard with the current
   // utilisation. Goes through the whole fleet, so that large fleets are left as
@@ -400,6 +412,8 @@
   // be thousands of them, so they are considered less often than the others,
   // and after them.
   std::set<jobs::StepRef> overdue_;
+  // The last overdue step that was tried out of turn.
+  jobs::StepRef overdue_rotation_;
   // When overdue steps are next considered.
   base::TimePoint next_overdue_pass_;
   // The reason last logged for each waiting step.
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -158,28 +158,56 @@
   containment_.BeginPass(fleet_->workers().size(), fleet_usage_);
   UpdateInheritedUsage(now);
   reserved_caps_.clear();
-  PlaceAll(CollectByUrgency(&waiting_, now), now, actions);
+  PlaceAll(CollectByUrgency(&waiting_, now), nullptr, now, actions);
   if (now >= next_overdue_pass_) {
     next_overdue_pass_ = now + settings_.overdue_pass_interval;
-    PlaceAll(CollectByUrgency(&overdue_, now), now, actions);
+    PlaceAll(CollectByUrgency(&overdue_, now), &overdue_rotation_, now,
+             actions);
   }
 }
 
-void Dispatcher::PlaceAll(std::vector<WaitingStep> items, base::TimePoint now,
+std::set<jobs::StepRef> Dispatcher::ChooseOutOfTurn(
+    const std::vector<WaitingStep>& items, std::size_t first,
+    jobs::StepRef* rotation) const {
+  std::set<jobs::StepRef> remaining;
+  for (std::size_t i = first; i < items.size(); ++i) {
+    remaining.insert(items[i].step);
+  }
+  std::set<jobs::StepRef> chosen;
+  auto next = remaining.upper_bound(*rotation);
+  while (chosen.size() < std::min(settings_.rotating_steps, remaining.size())) {
+    if (next == remaining.end()) {
+      next = remaining.begin();
+    }
+    *rotation = *next;
+    chosen.insert(*next++);
+  }
+  return chosen;
+}
+
+void Dispatcher::PlaceAll(std::vector<WaitingStep> items,
+                          jobs::StepRef* rotation, base::TimePoint now,
                           std::vector<Action>* actions) {
   int unplaced_steps = 0;
-  for (WaitingStep& item : items) {
-    // Once too many steps were found without free resources, the remaining ones
-    // are not tried, only reported to the overload guard.
+  std::optional<std::set<jobs::StepRef>> out_of_turn;
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    WaitingStep& item = items[i];
+    const bool is_budget_used = unplaced_steps >= settings_.max_unplaced_steps;
+    if (is_budget_used && !out_of_turn) {
+      out_of_turn = rotation == nullptr ? std::set<jobs::StepRef>()
+                                        : ChooseOutOfTurn(items, i, rotation);
+    }
+    // Once too many steps were found without free resources, most of the
+    // remaining ones are not tried, only reported to the overload guard.
+    const bool is_tried = !is_budget_used || out_of_turn->contains(item.step);
     const std::optional<WaitReason> reason =
-        unplaced_steps < settings_.max_unplaced_steps
-            ? Place(&item, now, actions)
-            : std::optional(WaitReasonOf(item));
+        is_tried ? Place(&item, now, actions)
+                 : std::optional(WaitReasonOf(item));
     if (!reason) {
       continue;
     }
     RecordUsedSlack(item, *reason, now);
-    if (unplaced_steps < settings_.max_unplaced_steps) {
+    if (is_tried) {
       LogWait(item, *reason, now);
     }
     unplaced_steps += *reason == WaitReason::kFreeResources ? 1 : 0;
