Crashes that no owner notices are remembered, and gangs keep their crash history

Three causes, each with a test that fails before: - A crash just before the owner is lost leaves no trace, from the first one on. A new owner now recognises a worker that was restarted since the previous owner recorded it (its record names the incarnation), and announces the next start of inherited tasks in the store, with the worker; a missing start counts only if that very worker is lost.

--- a/include/dotterelbarrow/core/jobs/crash_history.h
+++ b/include/dotterelbarrow/core/jobs/crash_history.h
@@ -10,6 +10,7 @@
 #define DOTTERELBARROW_CORE_JOBS_CRASH_HISTORY_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -55,16 +56,21 @@
   // Records that a worker was lost with this attempt. Returns whether there is
   // something new to store. Faint blame is not stored.
   bool Add(Attempt attempt, CrashBlame blame);
-  // Announces the next start of a suspect. It must be stored before the start:
-  // the worker may crash, and then the owner change, before anyone has noticed.
-  void AnnounceStart(Attempt attempt);
+  // Announces the next start, on the worker with this hash; 0 if the start is
+  // on several workers. It must be stored before the start: the worker may
+  // crash, and then the owner change, before anyone has noticed.
+  void AnnounceStart(Attempt attempt, std::uint32_t worker_hash = 0);
   // The announced attempt has ended in a known way. Returns whether there is
   // something new to store.
   bool OnEnded(Attempt attempt);
   // The announced attempt was made by a previous owner and is nowhere to be
-  // found, so that it counts as lost with its worker.
+  // found, and its worker is lost, so that it counts as a crash.
   void CountMissingStart();
+  // The announced attempt did not take place.
+  void WithdrawAnnouncement() { announced_start_.reset(); }
   std::optional<Attempt> announced_start() const { return announced_start_; }
+  // The worker that was last announced; 0 if it is not known.
+  std::uint32_t announced_worker() const { return announced_worker_; }
 
   // A run of the task has lived long enough to be no suspect any more. With
   // `forget` its crashes don't count any longer.
@@ -95,6 +101,7 @@
   std::vector<Crash> crashes_;
   std::size_t faint_crashes_ = 0;
   std::optional<Attempt> announced_start_;
+  std::uint32_t announced_worker_ = 0;
   // Whether a run has survived since the last crash.
   bool has_survived_ = false;
 };
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -102,6 +102,14 @@
   // run of this job.
   void MarkInherited(jobs::JobKey job) { inherited_.insert(job); }
 
+  // Records that a worker of a previous owner is lost. If it has crashed, it
+  // may have done so under runs that nobody remembers; the next start of each
+  // task that may have been one of them is then announced in the store, so that
+  // a further crash is remembered even if no owner lives long enough to see
+  // one.
+  void RecordInheritedLoss(const base::BackendId& worker,
+                           workers::LossKind kind);
+
   // Adds the rules of a queue that may have been dropped from the configuration
   // since. Does nothing if the queue is known.
   void RememberQueue(const desired::Queue& queue) {
@@ -301,12 +309,26 @@
       std::vector<placement::Candidate>* candidates,
       std::vector<placement::Candidate>* suspects_candidates,
       base::TimePoint now);
-  // Announces the next start of a suspect, and returns whether that is stored,
-  // so that it can be started. A start that a previous owner had announced and
-  // that no worker reported counts as a crash; if that proves the task guilty,
-  // its job is given up instead.
+  // Whether the next start of the task must be announced in the store.
+  bool NeedsAnnouncement(const WaitingStep& item, const jobs::Task& task,
+                         const jobs::CrashHistory& crashes) const;
+  // Announces the next start of such a task on `worker`, null for a gang, and
+  // returns whether that is stored, so that it can be started. A start that a
+  // previous owner had announced, that no worker reported and whose worker is
+  // lost counts as a crash; if that proves the task guilty, its job is given up
+  // instead.
   bool IsStartAnnounced(jobs::Job* job, const jobs::TaskRef& task,
-                        jobs::Attempt attempt, base::TimePoint now);
+                        jobs::Attempt attempt, const workers::Worker* worker,
+                        base::TimePoint now);
+  // Returns whether a previous owner's announced start is missing because its
+  // worker is lost.
+  bool IsAnnouncedWorkerLost(const jobs::CrashHistory& crashes) const;
+  // If the next start of the task was announced on one of the candidates and
+  // still fits there, moves all other candidates to `others`.
+  void KeepAnnouncedOnly(const jobs::CrashHistory& crashes,
+                         jobs::Attempt attempt, const jobs::StepSpec& spec,
+                         std::vector<placement::Candidate>* candidates,
+                         std::vector<placement::Candidate>* others) const;
   // Whether the step's queue is on alert and none of its tasks has shown yet
   // that it doesn't crash its worker.
   bool IsUnproven(const WaitingStep& item, base::TimePoint now) const;
@@ -405,6 +427,9 @@
   jobs::Attempt first_attempt_ = jobs::Attempt(1);
   // Jobs accepted by previous owners.
   std::unordered_set<jobs::JobKey> inherited_;
+  bool announces_inherited_starts_ = false;
+  // Hashes of the lost workers of previous owners.
+  std::set<std::uint32_t> lost_inherited_workers_;
   // Jobs accepted beyond their organisation's share.
   std::unordered_set<jobs::JobKey> over_share_;
   std::set<jobs::StepRef> waiting_;
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -94,6 +94,10 @@
   // A worker was lost without having left. The ends of its runs that are
   // certain to have ended were reported before.
   sigc::signal<void(const workers::WorkerLoss&)> worker_lost;
+  // A worker that a previous owner used has crashed, or was silent until its
+  // leases had expired, possibly with runs of which this owner knows nothing.
+  sigc::signal<void(const base::BackendId&, workers::LossKind)>
+      inherited_worker_lost;
   // A run that is a suspect has run for longer than workers::kSuspectAge.
   sigc::signal<void(const workers::Run&)> suspect_survived;
   // A worker is reconciled: either it was claimed, or its lease expired.
@@ -124,10 +128,11 @@
   // its ownership lease ends, so the worker's leases may hold for that time and
   // one lease duration more. If the previous owner stored an end of the leases,
   // `leases_end`, they hold no longer than that, and the worker's leases are
-  // suspended.
+  // suspended. `born_ms` is the incarnation that the previous owner used.
   void AddInheritedWorker(
       const workers::Listing& listing, base::TimePoint taken_over_at,
-      std::optional<base::TimePoint> leases_end = std::nullopt);
+      std::optional<base::TimePoint> leases_end = std::nullopt,
+      std::int64_t born_ms = workers::kUnknownIncarnation);
   // The previous owner is certain to send no further commands.
   void OnPreviousOwnerStopped(base::TimePoint now);
 
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -211,6 +211,8 @@
   // long the task's last run had lived; not positive if that is not known.
   void GiveUp(const jobs::Job& job, base::Duration lived);
   void OnSuspectSurvived(const workers::Run& run);
+  void OnInheritedWorkerLost(const base::BackendId& worker,
+                             workers::LossKind kind);
   // The worker is reconciled: it can't have untracked runs any more.
   void OnWorkerReconciled(const base::BackendId& worker);
 
--- a/include/dotterelbarrow/core/scheduler/worker_records.h
+++ b/include/dotterelbarrow/core/scheduler/worker_records.h
@@ -58,6 +58,8 @@
     // Whether the last enqueued record is a removal, because the fleet no
     // longer holds the worker.
     bool is_removal = false;
+    // The incarnation that the last enqueued record names.
+    std::int64_t recorded_born_ms = workers::kUnknownIncarnation;
     // The number of enqueued records that are not stored yet.
     int unstored_records = 0;
   };
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -75,6 +75,9 @@
   // Whether its task was lost with workers before that were lost for no known
   // cause.
   bool was_lost_before = false;
+  // Whether the worker crashed after the start command was sent: the run may
+  // have been active there, although the next incarnation doesn't know it.
+  bool was_lost_in_crash = false;
   bool is_gang_member = false;
   // The resources that the task may use, and the part of them that is reserved
   // on the worker.
@@ -188,6 +191,9 @@
   // Whether this owner has claimed the worker: acquired its fencing token and
   // read its lists of runs. Nothing is started before that.
   bool is_claimed = false;
+  // The incarnation that a previous owner used; unknown for workers that this
+  // owner found first.
+  std::int64_t inherited_born_ms = kUnknownIncarnation;
   // The time by which all leases granted by previous owners, whose deadlines
   // are not known, have expired.
   base::TimePoint inherited_leases_end;
--- a/include/dotterelbarrow/core/workers/worker_record.h
+++ b/include/dotterelbarrow/core/workers/worker_record.h
@@ -1,8 +1,8 @@
 // The record that the store holds of a worker as long as any run may exist on
 // it, so that the next owner can claim the worker even if the platform doesn't
 // list it any more. Its JSON fields are "address", "cpu" in millicores,
-// "memory" in mebibytes, "accelerators" and, for an unresponsive worker,
-// "leases_end_ms".
+// "memory" in mebibytes, "accelerators", "born_ms" and, for an unresponsive
+// worker, "leases_end_ms".
 #ifndef DOTTERELBARROW_CORE_WORKERS_WORKER_RECORD_H_
 #define DOTTERELBARROW_CORE_WORKERS_WORKER_RECORD_H_
 
@@ -15,12 +15,16 @@
 namespace dotterelbarrow::core::workers {
 
 struct WorkerRecord {
-  // Its incarnation is unknown.
+  // In a decoded record its incarnation is unknown: another one may answer by
+  // now.
   Listing listing;
   // The time, by the store's clock, until which leases of an unresponsive
   // worker may be valid. No lease is granted until a record without this field
   // is stored.
-  std::optional<std::int64_t> leases_end_ms;
+  std::optional<std::int64_t> leases_end_ms{};
+  // The incarnation that the record was written for, in milliseconds since
+  // 1970; unknown in the records of earlier versions of this program.
+  std::int64_t recorded_born_ms = kUnknownIncarnation;
 };
 
 std::string EncodeWorkerRecord(const WorkerRecord& record);
--- a/src/core/jobs/crash_history.cc
+++ b/src/core/jobs/crash_history.cc
@@ -34,8 +34,9 @@
   return true;
 }
 
-void CrashHistory::AnnounceStart(Attempt attempt) {
+void CrashHistory::AnnounceStart(Attempt attempt, std::uint32_t worker_hash) {
   announced_start_ = attempt;
+  announced_worker_ = worker_hash;
 }
 
 bool CrashHistory::OnEnded(Attempt attempt) {
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -408,7 +408,7 @@
     }
     const workers::Worker* best =
         ChooseForTask(waiting, index, &candidates, &suspects_candidates, now);
-    if (best == nullptr && task.crashes.is_suspect()) {
+    if (best == nullptr && NeedsAnnouncement(item, task, task.crashes)) {
       continue;
     }
     if (best == nullptr) {
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -162,8 +162,8 @@
   for (const std::uint32_t index : members) {
     attempt = std::max(attempt, NextAttempt(step, index));
   }
-  if (step.gang_crashes.is_suspect() &&
-      !IsStartAnnounced(item.job, {item.step, 0}, attempt, now)) {
+  if (NeedsAnnouncement(item, step.tasks.front(), step.gang_crashes) &&
+      !IsStartAnnounced(item.job, {item.step, 0}, attempt, nullptr, now)) {
     return false;
   }
   Commit(item, std::move(choices), attempt, now, actions);
--- a/src/core/scheduler/dispatcher_suspects.cc
+++ b/src/core/scheduler/dispatcher_suspects.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <iterator>
 
+#include "dotterelbarrow/base/hash.h"
 #include "dotterelbarrow/core/scheduler/dispatcher.h"
 
 namespace dotterelbarrow::core::scheduler {
@@ -25,26 +26,79 @@
                       });
 }
 
+// Identifies a worker in the record of an announced start. Never 0.
+std::uint32_t HashOf(const base::BackendId& worker) {
+  return static_cast<std::uint32_t>(base::StableHash(worker.value(), 0)) | 1U;
+}
+
 }  // namespace
 
+bool Dispatcher::NeedsAnnouncement(const WaitingStep& item,
+                                   const jobs::Task& task,
+                                   const jobs::CrashHistory& crashes) const {
+  return crashes.is_suspect() ||
+         (announces_inherited_starts_ && inherited_.contains(item.step.job) &&
+          task.last_attempt < first_attempt_);
+}
+
+void Dispatcher::RecordInheritedLoss(const base::BackendId& worker,
+                                     workers::LossKind kind) {
+  lost_inherited_workers_.insert(HashOf(worker));
+  announces_inherited_starts_ |= kind == workers::LossKind::kCrashed;
+}
+
+bool Dispatcher::IsAnnouncedWorkerLost(
+    const jobs::CrashHistory& crashes) const {
+  return crashes.announced_start() &&
+         *crashes.announced_start() < first_attempt_ &&
+         (crashes.announced_worker() == 0
+              ? !lost_inherited_workers_.empty()
+              : lost_inherited_workers_.contains(crashes.announced_worker()));
+}
+
 bool Dispatcher::IsStartAnnounced(jobs::Job* job, const jobs::TaskRef& task,
-                                  jobs::Attempt attempt, base::TimePoint now) {
-  jobs::CrashHistory* crashes = job->CrashesOf(task);
+                                  jobs::Attempt attempt,
+                                  const workers::Worker* worker,
+                                  base::TimePoint now) {
   if (jobs::IsFinal(job->state)) {
     return false;
   }
-  if (crashes->announced_start() != attempt) {
-    // The verdict must come before the next start: owners may change so often
-    // that none of them sees a crash.
-    if (job->RecordMissingStart(task, containment_.HasProof(job->queue, now))) {
-      guilty_tasks_.push_back(task);
-      return false;
-    }
-    crashes->AnnounceStart(attempt);
-    jobs_->EnqueueJob(job->key, now);
+  jobs::CrashHistory* crashes = job->CrashesOf(task);
+  const std::uint32_t hash = worker == nullptr ? 0 : HashOf(worker->id());
+  if (crashes->announced_start() == attempt &&
+      crashes->announced_worker() == hash) {
+    return jobs_->IsUpToDate(job->key);
+  }
+  // The verdict must come before the next start: owners may change so often
+  // that none of them sees a crash.
+  if (IsAnnouncedWorkerLost(*crashes) &&
+      job->RecordMissingStart(task, containment_.HasProof(job->queue, now))) {
+    guilty_tasks_.push_back(task);
     return false;
   }
-  return jobs_->IsUpToDate(job->key);
+  crashes->AnnounceStart(attempt, hash);
+  jobs_->EnqueueJob(job->key, now);
+  return false;
+}
+
+void Dispatcher::KeepAnnouncedOnly(const jobs::CrashHistory& crashes,
+                                   jobs::Attempt attempt,
+                                   const jobs::StepSpec& spec,
+                                   std::vector<Candidate>* candidates,
+                                   std::vector<Candidate>* others) const {
+  if (crashes.announced_start() != attempt) {
+    return;
+  }
+  const auto is_announced = [&](const Candidate& candidate) {
+    return HashOf(candidate.worker->id()) == crashes.announced_worker() &&
+           placement::HasCapacityFor(candidate, spec);
+  };
+  if (std::any_of(candidates->begin(), candidates->end(), is_announced)) {
+    const auto first_other = std::stable_partition(
+        candidates->begin(), candidates->end(), is_announced);
+    others->assign(first_other, candidates->end());
+    candidates->erase(first_other, candidates->end());
+  }
 }
 
 bool Dispatcher::IsUnproven(const WaitingStep& item,
@@ -71,24 +125,34 @@
   const bool is_suspect = task.crashes.is_suspect();
   const bool is_first = !is_suspect && IsUnproven(*item, now);
   const bool is_sole_suspect = is_suspect && task.crashes.is_sole_suspect();
-  if ((is_sole_suspect && !containment_.MayExposeToSuspect(now)) ||
-      (is_suspect && !IsStartAnnounced(item->job, {item->step, index},
-                                       NextAttempt(*step, index), now))) {
+  if (is_sole_suspect && !containment_.MayExposeToSuspect(now)) {
     item->waits_for_isolation = true;
     return nullptr;
   }
+  const bool needs_announcement = NeedsAnnouncement(*item, task, task.crashes);
+  const jobs::Attempt attempt = NextAttempt(*step, index);
+  std::vector<Candidate>* choices =
+      is_suspect ? suspects_candidates : candidates;
+  std::vector<Candidate> others;
+  KeepAnnouncedOnly(task.crashes, attempt, spec, choices, &others);
   const workers::Worker* best = nullptr;
   if (is_suspect) {
-    best = ChooseForSuspect(suspects_candidates, spec, task.failed_on, now);
+    best = ChooseForSuspect(choices, spec, task.failed_on, now);
     item->waits_for_isolation |= best == nullptr;
   } else {
-    best = placement::AllocateOnBest(candidates, spec, task.failed_on,
+    best = placement::AllocateOnBest(choices, spec, task.failed_on,
                                      is_first ? placement::Exposure::kContained
                                               : placement::Exposure::kOrdinary);
   }
+  choices->insert(choices->end(), others.begin(), others.end());
   if (best == nullptr) {
     return nullptr;
   }
+  if (needs_announcement &&
+      !IsStartAnnounced(item->job, {item->step, index}, attempt, best, now)) {
+    item->waits_for_isolation = true;
+    return nullptr;
+  }
   if (is_sole_suspect) {
     containment_.RecordSuspectStart(now);
   }
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -138,8 +138,10 @@
 
 void Fleet::AddInheritedWorker(const Listing& listing,
                                base::TimePoint taken_over_at,
-                               std::optional<base::TimePoint> leases_end) {
+                               std::optional<base::TimePoint> leases_end,
+                               std::int64_t born_ms) {
   Worker worker(listing, NextNumber());
+  worker.inherited_born_ms = born_ms;
   worker.leases_suspended = leases_end.has_value();
   worker.set_listed(false);
   // If the end of the leases is known, the worker has not answered for some
@@ -226,9 +228,11 @@
   // A previous owner may have used this incarnation as well; claiming the
   // worker shows whether it did.
   restarted.inherited_leases_end = worker->inherited_leases_end;
+  restarted.inherited_born_ms = worker->inherited_born_ms;
   restarted.leases_suspended = worker->leases_suspended;
   for (Run& run : unlisted_runs) {
     run.state = RunState::kStopping;
+    run.was_lost_in_crash = true;
     run.start_confirmed_ms = 0;
     run.stop_accepted_ms = 0;
     run.stop_sent_at = base::TimePoint();
@@ -312,6 +316,9 @@
     const std::optional<WorkerLoss> loss =
         NoteLoss(worker, LossKind::kUnexplained);
     EndAllRuns(worker, jobs::RunEnd::kLeaseExpired);
+    if (unreconciled_.contains(worker->id())) {
+      inherited_worker_lost.emit(worker->id(), LossKind::kUnexplained);
+    }
     MarkReconciled(worker->id());
     ReportLoss(loss);
   }
--- a/src/core/scheduler/fleet_runs.cc
+++ b/src/core/scheduler/fleet_runs.cc
@@ -255,6 +255,12 @@
         {{"worker", worker.value()},
          {"running", static_cast<std::int64_t>(result.active.size())},
          {"ended", static_cast<std::int64_t>(result.ended.size())}});
+    if (target->inherited_born_ms != kUnknownIncarnation &&
+        result.born_ms > target->inherited_born_ms) {
+      // Later crashes are those of this owner's term.
+      target->inherited_born_ms = kUnknownIncarnation;
+      inherited_worker_lost.emit(worker, workers::LossKind::kCrashed);
+    }
     MarkReconciled(worker);
   }
   if (target->leases_suspended) {
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -50,6 +50,8 @@
   fleet_.worker_lost.connect(sigc::mem_fun(*this, &Scheduler::OnWorkerLost));
   fleet_.suspect_survived.connect(
       sigc::mem_fun(*this, &Scheduler::OnSuspectSurvived));
+  fleet_.inherited_worker_lost.connect(
+      sigc::mem_fun(*this, &Scheduler::OnInheritedWorkerLost));
   fleet_.worker_reconciled.connect(
       sigc::mem_fun(*this, &Scheduler::OnWorkerReconciled));
   fleet_.run_ends_received.connect(
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -67,8 +67,9 @@
                            const std::string& checkpoint) {
   runs_.Remove(worker.id(), run);
   UpdateQuarantine(worker, run, end);
-  const bool never_started =
-      end == jobs::RunEnd::kStopped && run.start_confirmed_ms == 0;
+  const bool never_started = end == jobs::RunEnd::kStopped &&
+                             run.start_confirmed_ms == 0 &&
+                             !run.was_lost_in_crash;
   ApplyRunEnd(run.task, run.attempt, end, checkpoint, worker.id(),
               never_started);
 }
@@ -268,6 +269,16 @@
 }
 
 void Scheduler::OnSuspectSurvived(const workers::Run& run) {
+  const auto is_suspect = [this](const PlacedRun& placed) {
+    const workers::Run* member =
+        fleet_.Find(placed.worker)->FindRun(placed.task, placed.attempt);
+    return member->is_suspect;
+  };
+  const std::set<PlacedRun>& runs = runs_.RunsOfStep(run.task.step);
+  if (run.is_gang_member && std::any_of(runs.begin(), runs.end(), is_suspect)) {
+    // One member may crash its worker while the others live on elsewhere.
+    return;
+  }
   if (jobs::Job* job = jobs_.Find(run.task.step.job)) {
     job->RecordSurvival(run.task);
     telemetry_.log->Write(
@@ -277,6 +288,16 @@
   }
 }
 
+void Scheduler::OnInheritedWorkerLost(const base::BackendId& worker,
+                                      workers::LossKind kind) {
+  telemetry_.counters->Increment("inherited_workers_lost",
+                                 workers::ToString(kind));
+  telemetry_.log->Write(
+      "inherited_worker_lost",
+      {{"worker", worker.value()}, {"how", workers::ToString(kind)}});
+  dispatcher_.RecordInheritedLoss(worker, kind);
+}
+
 void Scheduler::OnWorkerReconciled(const base::BackendId& worker) {
   if (fleet_.unreconciled().empty()) {
     telemetry_.log->Write("workers_settled", {{"last", worker.value()}});
--- a/src/core/scheduler/worker_records.cc
+++ b/src/core/scheduler/worker_records.cc
@@ -27,14 +27,16 @@
 
 void WorkerRecords::Inherit(const workers::WorkerRecord& record,
                             std::int64_t store_now_ms, base::TimePoint now) {
-  worker_states_[record.listing.id] = {.names_leases_end =
-                                           record.leases_end_ms.has_value()};
+  worker_states_[record.listing.id] = {
+      .names_leases_end = record.leases_end_ms.has_value(),
+      .recorded_born_ms = record.recorded_born_ms};
   std::optional<base::TimePoint> leases_end;
   if (record.leases_end_ms) {
     leases_end =
         now + std::chrono::milliseconds(*record.leases_end_ms - store_now_ms);
   }
-  fleet_->AddInheritedWorker(record.listing, now, leases_end);
+  fleet_->AddInheritedWorker(record.listing, now, leases_end,
+                             record.recorded_born_ms);
 }
 
 void WorkerRecords::Update(const std::vector<workers::Listing>& listings) {
@@ -48,6 +50,11 @@
     }
     if (it == worker_states_.end() || it->second.is_removal) {
       EnqueueRecord(listing.id, workers::WorkerRecord{listing, std::nullopt});
+    } else if (!it->second.names_leases_end &&
+               listing.born_ms > it->second.recorded_born_ms) {
+      // Otherwise the next owner would take this incarnation for a crash that
+      // nobody has noticed.
+      EnqueueRecord(listing.id, workers::WorkerRecord{listing, std::nullopt});
     }
   }
   for (auto& [id, state] : worker_states_) {
@@ -62,6 +69,7 @@
   WorkerState& state = worker_states_[worker];
   state.names_leases_end = record && record->leases_end_ms.has_value();
   state.is_removal = !record.has_value();
+  state.recorded_born_ms = record ? record->listing.born_ms : 0;
   ++state.unstored_records;
   jobs_->EnqueueWorkerRecord(
       worker, record ? std::optional(workers::EncodeWorkerRecord(*record))
--- a/src/core/workers/worker_record.cc
+++ b/src/core/workers/worker_record.cc
@@ -15,6 +15,7 @@
   value["memory"] = static_cast<Json::Int64>(listing.capacity.memory.value());
   value["accelerators"] =
       static_cast<Json::Int64>(listing.capacity.accelerators.value());
+  value["born_ms"] = static_cast<Json::Int64>(listing.born_ms);
   if (record.leases_end_ms) {
     value["leases_end_ms"] = static_cast<Json::Int64>(*record.leases_end_ms);
   }
@@ -40,6 +41,9 @@
   if (fields["leases_end_ms"].isInt64()) {
     record.leases_end_ms = fields["leases_end_ms"].asInt64();
   }
+  if (fields["born_ms"].isInt64()) {
+    record.recorded_born_ms = fields["born_ms"].asInt64();
+  }
   Listing& listing = record.listing;
   listing.id = id;
   listing.address = fields["address"].asString();
--- a/test/core/scheduler/crashing_tasks_test.cc
+++ b/test/core/scheduler/crashing_tasks_test.cc
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 #include "test/core/scheduler/scheduler_scenario.h"
 
@@ -53,5 +54,111 @@
         jobs::JobState::kFailed);
 }
 
+// Guards against crashes that leave no trace because the owner is lost before
+// it notices them, from the first crash on (soak, seeds 101 to 103).
+TEST_CASE("a task that crashes its workers and each time the owner is lost") {
+  Scenario scenario;
+  scenario.AddWorkers(6);
+  jobs::StepSpec step = Scenario::Step(1);
+  SUBCASE("is started twice at most after the third crash") {}
+  SUBCASE("as a member of a gang: too") { step.gang = true; }
+  scenario.SubmitAndStore(kJob, "plain", {step});
+  int starts = 0;
+  while (starts <= kMaxStarts && StartAndCrash(&scenario)) {
+    ++starts;
+    scenario.TakeOver();
+  }
+  CHECK(starts <= kMaxStarts);
+  scenario.Store();
+  CHECK(scenario.scheduler().StateOf(jobs::JobKey(kJob)) ==
+        jobs::JobState::kFailed);
+}
+
+TEST_CASE("a gang of which one member crashes its workers") {
+  // Guards against a member that is placed again and again in one attempt, as
+  // if the start that crashed the worker had never reached it (scheduler
+  // fuzzer, seed 289984715).
+  int passes_until_noticed = 0;
+  SUBCASE("at once, which is noticed at once") {}
+  // Guards against crashes that are forgotten each time, because the other
+  // member has survived on its own worker before the loss is noticed (scheduler
+  // fuzzer, seed 0).
+  SUBCASE("which is noticed late") { passes_until_noticed = 5; }
+  Scenario scenario;
+  scenario.AddWorkers(6);
+  scenario.SubmitAndStore(kJob, "plain", {Scenario::Gang(2)});
+  const jobs::TaskRef deadly{{jobs::JobKey(kJob), 0, 0}, 0};
+  int starts = 0;
+  for (int pass = 0; pass < 600 && starts <= kMaxStarts; ++pass) {
+    scenario.RunPasses(1);
+    scenario.Store();
+    const std::string worker = scenario.WorkerOf(deadly);
+    if (worker.empty()) {
+      continue;
+    }
+    ++starts;
+    scenario.CrashWorkerOf(deadly);
+    scenario.unresponsive_workers = {worker};
+    for (int i = 0; i < passes_until_noticed; ++i) {
+      scenario.RunPasses(1);
+      scenario.Store();
+    }
+    scenario.unresponsive_workers.clear();
+  }
+  CHECK(starts <= kMaxStarts);
+  CHECK(scenario.scheduler().StateOf(jobs::JobKey(kJob)) ==
+        jobs::JobState::kFailed);
+}
+
+// Guards against a job that is given up although nothing crashed under it: each
+// owner is lost after it has announced a start and before it has sent it, while
+// other workers crash (soak, seed 102).
+TEST_CASE("announced starts that were never sent") {
+  Scenario scenario;
+  scenario.AddWorkers(6);
+  constexpr std::uint64_t kOther = 2;
+  scenario.SubmitAndStore(kOther, "plain", {Scenario::Step(1)});
+  scenario.SubmitAndStore(kJob, "plain", {Scenario::Step(1)});
+  scenario.RunPasses(1);
+  const jobs::TaskRef task{{jobs::JobKey(kJob), 0, 0}, 0};
+  REQUIRE(scenario.CrashWorkerOf(task));
+  for (int owner = 0; owner < 8; ++owner) {
+    scenario.TakeOver();
+    // The pass announces the start; the owner is lost once that is stored.
+    scenario.RunPasses(1);
+    scenario.Store();
+    scenario.CrashWorkerOf({{jobs::JobKey(kOther), 0, 0}, 0});
+  }
+  scenario.TakeOver();
+  for (int pass = 0; pass < 120; ++pass) {
+    scenario.RunPasses(1);
+    scenario.Store();
+  }
+  scenario.EndRun(task, jobs::RunEnd::kDone);
+  for (int pass = 0; pass < 30; ++pass) {
+    scenario.RunPasses(1);
+    scenario.Store();
+  }
+  CHECK(scenario.scheduler().StateOf(jobs::JobKey(kJob)) ==
+        jobs::JobState::kCompleted);
+}
+
+// Guards against announcements that keep work from its start when owners
+// change without a crash.
+TEST_CASE("waiting tasks under an owner that finds all workers as they were") {
+  Scenario scenario;
+  scenario.AddWorkers(1);
+  scenario.SubmitAndStore(kJob, "plain", {Scenario::Step(6)});
+  scenario.RunPasses(1);
+  REQUIRE(scenario.TakeStarts().size() == 4);
+  scenario.TakeOver();
+  for (std::uint32_t i = 0; i < 2; ++i) {
+    scenario.EndRun({{jobs::JobKey(kJob), 0, 0}, i}, jobs::RunEnd::kDone);
+  }
+  // Nothing is written to the store meanwhile.
+  scenario.RunPasses(20);
+  CHECK(scenario.TakeStarts().size() == 2);
+}
+
 }  // namespace
 }  // namespace dotterelbarrow::core::scheduler
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -1,6 +1,7 @@
 // Executes the actions of the scheduler under test.
 #include "test/core/scheduler/scheduler_scenario.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "dotterelbarrow/base/overloaded.h"
@@ -261,17 +262,25 @@
   }
 }
 
+std::string SchedulerScenario::WorkerOf(const jobs::TaskRef& task) const {
+  const auto it = std::find_if(workers_.begin(), workers_.end(),
+                               [&task](const auto& entry) {
+                                 return entry.second.running.contains(task);
+                               });
+  return it == workers_.end() ? std::string() : it->first.value();
+}
+
 bool SchedulerScenario::CrashWorkerOf(const jobs::TaskRef& task) {
-  for (auto& [id, worker] : workers_) {
-    if (worker.running.contains(task)) {
-      workers::Listing next = worker.listing;
-      ++next.born_ms;
-      ++next.revision;
-      worker = Worker{next, {}, {}, 0};
-      return true;
-    }
+  const std::string id = WorkerOf(task);
+  if (id.empty()) {
+    return false;
   }
-  return false;
+  Worker& worker = workers_.at(base::BackendId(id));
+  workers::Listing next = worker.listing;
+  ++next.born_ms;
+  ++next.revision;
+  worker = Worker{next, {}, {}, 0};
+  return true;
 }
 
 void SchedulerScenario::TakeOver() {
--- a/test/core/scheduler/scheduler_scenario.h
+++ b/test/core/scheduler/scheduler_scenario.h
@@ -65,6 +65,8 @@
                            const std::set<std::string>& allowed);
   // Ends the active run of the task, wherever it is, with this result.
   void EndRun(const jobs::TaskRef& task, jobs::RunEnd end);
+  // Returns the worker on which the task runs, empty if it runs nowhere.
+  std::string WorkerOf(const jobs::TaskRef& task) const;
   // Crashes the worker on which the task runs; its next incarnation is there at
   // once. Returns false if the task runs nowhere.
   bool CrashWorkerOf(const jobs::TaskRef& task);
