Long advice calls borrow hosts that short calls don't need

Cause: the hosts are split in halves whatever the load. Ruled out: caps and room (the job is not tried for either), the owner's processor (lag 0.3 ms).

Long calls that find their hosts busy now use hosts for short calls, beyond three times what short calls occupied lately and never the last four. Small cells are unchanged.

--- a/include/dotterelbarrow/core/advice/advice_cache.h
+++ b/include/dotterelbarrow/core/advice/advice_cache.h
@@ -29,7 +29,10 @@
 // assigned one by one as hosts become free, so that the most urgent step is
 // always next. Long and short calls use separate hosts: a short call never
 // waits behind a long one, and a stream of short calls can't occupy all hosts
-// and so delay a long one.
+// and so delay a long one. While long calls occupy all of their hosts, they
+// also use those hosts for short calls that the recent short calls don't need:
+// gangs whose calls take more than a second otherwise wait for the advisor
+// while a third of the fleet is idle.
 class AdviceClientChooser {
  public:
   // A call expected to take at least this long is a long one: it would use up
@@ -46,6 +49,16 @@
   static constexpr base::Duration kLongCallHostsRelease =
       std::chrono::seconds(5);
 
+  // Hosts that are always left for short calls, which are enough for the
+  // backlog of urgent steps of a small cell after a take-over.
+  static constexpr std::size_t kMinShortHosts = 4;
+  // Hosts that are left for short calls, in units of the mean number of hosts
+  // that such calls occupied lately. Bursts of urgent work are up to twice the
+  // usual load, and a host lent to a long call is missing for over a second.
+  static constexpr double kShortHostsFactor = 3.0;
+  // Time constant of that mean.
+  static constexpr base::Duration kShortLoadTime = std::chrono::seconds(3);
+
   // Replaces the list of hosts. Hosts that were listed before keep their state.
   void SetHosts(const std::vector<base::EntryId>& hosts);
   // Returns a host that is free for a call expected to take `cost` and records
@@ -63,18 +76,29 @@
   struct Host {
     base::EntryId id;
     int calls = 0;
+    // Whether it is one of the hosts for short calls and serves a long one.
+    bool is_lent = false;
     // When the calls in flight are expected to be answered.
     base::TimePoint busy_until;
     base::TimePoint failed_until;
   };
   // Returns a free host, or null.
   Host* FindFree(base::Duration cost, base::TimePoint now);
+  // Returns a free host for short calls that can be lent to a long call, or
+  // null.
+  Host* FindLent(std::size_t short_hosts, base::TimePoint now);
+  // Returns the mean number of hosts that short calls occupied lately.
+  double ShortLoad(base::TimePoint now) const;
   // Returns null for a host that is not listed.
   Host* Find(const base::EntryId& id);
 
   // Sorted by id.
   std::vector<Host> hosts_;
   std::optional<base::TimePoint> last_long_call_;
+  // The mean number of hosts that short calls occupied, as of the time beside
+  // it.
+  double short_load_ = 0;
+  base::TimePoint short_load_at_;
 };
 
 struct Ticket {
--- a/src/core/advice/advice_cache.cc
+++ b/src/core/advice/advice_cache.cc
@@ -2,6 +2,7 @@
 #include "dotterelbarrow/core/advice/advice_cache.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace dotterelbarrow::core::advice {
@@ -59,9 +60,38 @@
       }
     }
   }
+  if (best == nullptr && is_long && are_hosts_separate) {
+    best = FindLent(short_hosts, now);
+  }
   return best;
 }
 
+AdviceClientChooser::Host* AdviceClientChooser::FindLent(
+    std::size_t short_hosts, base::TimePoint now) {
+  const auto needed = std::max(
+      kMinShortHosts, 1 + static_cast<std::size_t>(
+                              std::ceil(ShortLoad(now) * kShortHostsFactor)));
+  const auto is_lendable = [now](const Host& host) {
+    return host.calls == 0 && now >= host.failed_until;
+  };
+  const auto end = hosts_.begin() + static_cast<std::ptrdiff_t>(short_hosts);
+  // Those that are lent serve no short calls.
+  const auto left = std::count_if(hosts_.begin(), end, [&](const Host& host) {
+    return now >= host.failed_until && !host.is_lent;
+  });
+  if (static_cast<std::size_t>(left) <= needed) {
+    return nullptr;
+  }
+  const auto it = std::find_if(hosts_.begin(), end, is_lendable);
+  return it == end ? nullptr : &*it;
+}
+
+double AdviceClientChooser::ShortLoad(base::TimePoint now) const {
+  const std::chrono::duration<double> age = now - short_load_at_;
+  const std::chrono::duration<double> time_constant = kShortLoadTime;
+  return short_load_ * std::exp(-age / time_constant);
+}
+
 bool AdviceClientChooser::CanChoose(base::Duration cost, base::TimePoint now) {
   return FindFree(cost, now) != nullptr;
 }
@@ -72,6 +102,16 @@
   if (best == nullptr) {
     return std::nullopt;
   }
+  const bool is_long = cost >= kLongCall;
+  const std::size_t short_hosts = (hosts_.size() + 1) / 2;
+  best->is_lent = is_long && best - hosts_.data() <
+                                 static_cast<std::ptrdiff_t>(short_hosts);
+  if (!is_long) {
+    short_load_ =
+        ShortLoad(now) + std::chrono::duration<double>(cost) /
+                             std::chrono::duration<double>(kShortLoadTime);
+    short_load_at_ = now;
+  }
   ++best->calls;
   best->busy_until = std::max(best->busy_until, now) + cost;
   return best->id;
@@ -85,6 +125,7 @@
   }
   known->calls = std::max(0, known->calls - 1);
   if (known->calls == 0) {
+    known->is_lent = false;
     known->busy_until = now;
   }
 }
--- a/test/core/advice/advice_cache_test.cc
+++ b/test/core/advice/advice_cache_test.cc
@@ -75,6 +75,47 @@
   }
 }
 
+// Guards against gangs that wait for the advisor for ten seconds, while most of
+// the hosts for short calls are idle (30 hosts, gangs whose calls take 1.7 s).
+TEST_CASE("more long calls than half of thirty hosts can take") {
+  static constexpr base::Duration kShortInterval = milliseconds(20);
+  AdvisorLoad load;
+  load.chooser.SetHosts(Hosts(30));
+  // Short calls occupy about one host on average.
+  const auto run_short_calls = [&load](int count) {
+    int sent = 0;
+    for (int i = 0; i < count; ++i) {
+      if (const auto host = load.chooser.Choose(kShort * 2, load.now)) {
+        ++sent;
+        load.chooser.OnEnded(*host, load.now);
+      }
+      load.now += kShortInterval;
+    }
+    return sent;
+  };
+  run_short_calls(500);
+  SUBCASE("use most hosts that short calls don't need") {
+    CHECK(load.StartAll(kLong) >= 22);
+    SUBCASE("and leave enough for a burst of those") {
+      int at_once = 0;
+      while (load.chooser.Choose(kShort * 2, load.now)) {
+        ++at_once;
+      }
+      CHECK(at_once >= 3);
+    }
+  }
+  SUBCASE("use fewer hosts the more short calls there are") {
+    for (int i = 0; i < 4000; ++i) {
+      const auto host = load.chooser.Choose(kShort * 2, load.now);
+      if (host) {
+        load.chooser.OnEnded(*host, load.now);
+      }
+      load.now += milliseconds(5);
+    }
+    CHECK(load.StartAll(kLong) == 15);
+  }
+}
+
 TEST_CASE("a host that is gone") {
   AdvisorLoad load;
   load.chooser.SetHosts(Hosts(2));
