Evacuation of availability zones: nothing new is started in a zone that the operator evacuates

Cause: the platform lets operators request by a row op/evacuate/ZONE that nothing more is sent to the workers of a zone; the owner ignored it.

Change: DesiredWatch follows these rows beside the desired state: one read for both, then the feed. A new owner reads them on its own and doesn't schedule before. Workers in evacuated zones accept no work; reservations there whose start was not sent are released without counting an attempt. Jobs of services that have no other workers are refused as "evacuated". Log lines and gauges tell how far an evacuation has got. The time limit (bounds.evacuate_ms) also bounds the interval at which the store is asked.

--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -143,6 +143,13 @@
   // What is known about run times; the scheduler records completed runs in it.
   placement::RunTimeModel& run_times() { return run_times_; }
 
+  // The workers that accept work have changed: the next pass computes the
+  // utilisation of the fleet and chooses workers for waiting gangs anew.
+  void ForgetFleetState() {
+    next_usage_update_ = base::TimePoint();
+    next_gang_retry_ = base::TimePoint();
+  }
+
   // Runs one scheduling pass: tries to place all waiting steps, the most urgent
   // first, and the overdue steps if they are due. Appends the resulting
   // actions.
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -120,6 +120,23 @@
   // all applied before.
   void ApplyListingChanges(const ListingChanges& changes,
                            base::TimePoint requested_at, base::TimePoint now);
+  // Replaces the evacuated availability zones: nothing new is started on their
+  // workers, whose runs continue. A worker whose zone is unknown is in none of
+  // them.
+  void SetEvacuatedZones(std::set<base::AvailabilityZone> zones);
+  const std::set<base::AvailabilityZone>& evacuated_zones() const {
+    return evacuated_zones_;
+  }
+  // Returns the number of workers in evacuated zones.
+  std::size_t evacuated_workers() const { return evacuated_workers_; }
+  // Returns whether the service has listed workers, and all that aren't
+  // draining are in evacuated zones.
+  bool IsServiceEvacuated(const base::ServiceId& service) const {
+    return evacuated_services_.contains(service);
+  }
+  // Returns whether the platform's list of workers has been applied.
+  bool has_list() const { return list_requested_at_.has_value(); }
+
   // Adds a worker of a previous owner. That owner may send it commands until
   // its ownership lease ends, so the worker's leases may hold for that time and
   // one lease duration more. If the previous owner stored an end of the leases,
@@ -207,6 +224,12 @@
   base::TimePoint LatestExpiryOfLeasesGrantedAt(base::TimePoint now) const {
     return now + settings_.lease_duration + settings_.lease_duration / 20;
   }
+  bool IsInEvacuatedZone(const workers::Worker& worker) const {
+    return evacuated_zones_.contains(worker.listing().zone);
+  }
+  // Marks the workers in evacuated zones, and finds the services that have no
+  // others.
+  void UpdateEvacuation();
   // Adds the worker of a list entry, or applies the entry to the known worker.
   void AddOrApplyListing(const workers::Listing& listing, base::TimePoint now);
   // Handles that the worker is missing from the list.
@@ -277,6 +300,9 @@
   double poll_stretch_ = 1.0;
   // When the last successful list request was sent.
   std::optional<base::TimePoint> list_requested_at_;
+  std::set<base::AvailabilityZone> evacuated_zones_;
+  std::size_t evacuated_workers_ = 0;
+  std::set<base::ServiceId> evacuated_services_;
   workers::WorkerNumber last_number_;
   // Invariant: the workers in `workers_`, at their numbers; null elsewhere.
   std::vector<const workers::Worker*> by_number_;
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -21,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -31,6 +32,7 @@
 #include "dotterelbarrow/core/scheduler/actions.h"
 #include "dotterelbarrow/core/scheduler/decision_log.h"
 #include "dotterelbarrow/core/scheduler/dispatcher.h"
+#include "dotterelbarrow/core/scheduler/evacuation_monitor.h"
 #include "dotterelbarrow/core/scheduler/fleet.h"
 #include "dotterelbarrow/core/scheduler/job_registry.h"
 #include "dotterelbarrow/core/scheduler/run_index.h"
@@ -108,6 +110,12 @@
   const desired::DesiredState& desired() const { return *desired_; }
   // Sets the entry hosts, through which jobs come in and the advisor is called.
   void SetAdviceClients(const std::vector<base::EntryId>& entries);
+  // Replaces the evacuated availability zones. Nothing new is started on their
+  // workers, and what is reserved there is placed elsewhere; runs continue.
+  void SetEvacuatedZones(const std::set<base::AvailabilityZone>& zones,
+                         base::TimePoint now);
+  // The progress of the evacuations.
+  const EvacuationMonitor& evacuations() const { return evacuations_; }
   // Applies the platform's list of workers, which was requested at `asked_at`.
   // Ignores workers of services that the configuration doesn't name.
   void UpdateListings(std::vector<workers::Listing> listings,
@@ -231,6 +239,9 @@
   void BeginDueOccurrences(jobs::Job* job, std::int64_t unix_now_ms);
   // Records the end of a job, and stops its runs unless it completed.
   void EndJob(const jobs::Job& job);
+  // Releases the reserved runs on evacuated workers, whose starts were not
+  // sent, and of a gang that has no other runs the rest of its reserved ones.
+  void ReleaseEvacuatedRuns();
   void LogUnreadable(const std::string& record, const base::Failure& reason);
   void LogLoad();
   // Counts consecutive failures on a worker; quarantines it after too many.
@@ -245,6 +256,7 @@
   RunIndex runs_;
   WorkerRecords worker_records_;
   Dispatcher dispatcher_;
+  EvacuationMonitor evacuations_;
   placement::SubmissionRateLimiter submission_rates_;
   std::vector<Action> actions_;
   base::TimePoint now_;
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -144,6 +144,10 @@
   void Update(const Listing& listing) { listing_ = listing; }
   bool is_listed() const { return listed_; }
   void set_listed(bool listed) { listed_ = listed; }
+  // Whether its availability zone is evacuated, so that nothing new is started
+  // there.
+  bool is_evacuated() const { return evacuated_; }
+  void set_evacuated(bool evacuated) { evacuated_ = evacuated; }
 
   // Resources that are neither reserved nor in use.
   base::Resources FreeResources() const {
@@ -251,6 +255,7 @@
   Listing listing_;
   WorkerNumber number_;
   bool listed_ = true;
+  bool evacuated_ = false;
   std::map<std::pair<jobs::TaskRef, jobs::Attempt>, Run> runs_;
   // Invariant: the sums of the runs' reserved and needed resources.
   base::Resources total_reserved_;
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -147,7 +147,7 @@
 
 void Dispatcher::RunPass(base::TimePoint now, std::vector<Action>* actions) {
   pass_began_ = now;
-  gang_holds_.BeginPass(fleet_->workers().size());
+  gang_holds_.BeginPass(fleet_->workers().size() - fleet_->evacuated_workers());
   if (now >= next_gang_retry_) {
     next_gang_retry_ =
         now + settings_.gang_retry_interval_per_worker *
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -94,6 +94,7 @@
     }
   }
   list_requested_at_ = requested_at;
+  UpdateEvacuation();
 }
 
 void Fleet::ApplyListingChanges(const ListingChanges& changes,
@@ -108,6 +109,7 @@
     }
   }
   list_requested_at_ = requested_at;
+  UpdateEvacuation();
 }
 
 void Fleet::AddOrApplyListing(const Listing& listing, base::TimePoint now) {
@@ -227,6 +229,7 @@
   // worker shows whether it did.
   restarted.inherited_leases_end = worker->inherited_leases_end;
   restarted.leases_suspended = worker->leases_suspended;
+  restarted.set_evacuated(IsInEvacuatedZone(restarted));
   for (Run& run : unlisted_runs) {
     run.state = RunState::kStopping;
     run.start_confirmed_ms = 0;
@@ -294,6 +297,7 @@
     PollForSuspects(&worker, now, actions);
     ++it;
   }
+  UpdateEvacuation();
 }
 
 bool Fleet::ExpireIfDue(Worker* worker, base::TimePoint now) {
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -27,6 +27,9 @@
 constexpr base::Duration kOverShareRetryAfter = std::chrono::seconds(2);
 // A burst that the spare capacity of the fleet can take is over in one second.
 constexpr base::Duration kOverloadedRetryAfter = std::chrono::seconds(1);
+// When a caller may retry whose job was refused because all workers of its
+// service are evacuated. An evacuation lasts longer than a burst.
+constexpr base::Duration kEvacuatedRetryAfter = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -37,7 +40,8 @@
       jobs_(settings.jobs),
       fleet_(settings.fleet, telemetry),
       worker_records_(&jobs_, &fleet_),
-      dispatcher_(settings.dispatcher, telemetry, &jobs_, &fleet_, &runs_) {
+      dispatcher_(settings.dispatcher, telemetry, &jobs_, &fleet_, &runs_),
+      evacuations_(telemetry.log) {
   fleet_.run_ended.connect(sigc::mem_fun(*this, &Scheduler::OnRunEnded));
   fleet_.untracked_run_ended.connect(
       sigc::mem_fun(*this, &Scheduler::OnUntrackedRunEnded));
@@ -161,6 +165,10 @@
   if (jobs_.jobs().size() >= settings_.max_jobs) {
     return {SubmitOutcome::kRefused, "too_many_jobs", kFullRetryAfter};
   }
+  if (fleet_.IsServiceEvacuated(queue->service)) {
+    telemetry_.counters->Increment("jobs_refused", "evacuated");
+    return {SubmitOutcome::kRefused, "evacuated", kEvacuatedRetryAfter};
+  }
   const desired::Organisation* organisation =
       desired_->FindOrganisation(submission.organisation);
   const bool over_share = organisation != nullptr &&
@@ -308,6 +316,7 @@
     }
   }
   jobs_.Expire(now);
+  evacuations_.Update(fleet_, now);
   if (now - load_logged_at_ >= kLoadLogPeriod) {
     load_logged_at_ = now;
     LogLoad();
--- a/src/core/workers/worker.cc
+++ b/src/core/workers/worker.cc
@@ -138,9 +138,9 @@
 }
 
 bool Worker::CanAcceptWork(base::TimePoint now) const {
-  return is_claimed && !leases_suspended && listed_ && !listing_.draining &&
-         orphan_count_ == 0 && now >= quarantined_until && failed_polls == 0 &&
-         unanswered_commands < kMaxUnansweredCommands;
+  return is_claimed && !leases_suspended && listed_ && !evacuated_ &&
+         !listing_.draining && orphan_count_ == 0 && now >= quarantined_until &&
+         failed_polls == 0 && unanswered_commands < kMaxUnansweredCommands;
 }
 
 }  // namespace dotterelbarrow::core::workers
--- a/src/member/desired_watch.cc
+++ b/src/member/desired_watch.cc
@@ -1,8 +1,11 @@
-// Reads the row of the desired state, then polls the feed of its changes. Each
-// answer of the feed comes at once and is linearizable: one without a change of
-// the row confirms the state as of the time at which it was requested.
+// Reads the rows of the desired state and of evacuations in one read, then
+// polls the feed of their changes. Each answer of the feed comes at once and is
+// linearizable: one without a change of the row of the desired state confirms
+// it as of the time at which it was requested.
 #include "src/member/desired_watch.h"
 
+#include <functional>
+#include <memory>
 #include <utility>
 
 #include "platform/operator_records.h"
@@ -21,17 +24,47 @@
 // further byte for much longer is given up and sent again.
 constexpr base::Duration kReadTimeout = std::chrono::milliseconds(900);
 
+// Reads all rows of the range. Calls `done` with the rows of all pages and the
+// version of the first one: changes since that version may be in the rows of
+// later pages, and are applied once more when they are read from the feed.
+void ReadRows(platform::StoreClient* store, const platform::RowRange& range,
+              std::function<void(const platform::ReadResult&)> done,
+              std::shared_ptr<platform::ReadResult> earlier = nullptr) {
+  store->Read(range, kReadTimeout,
+              [store, range, done = std::move(done),
+               earlier](const platform::ReadResult& page) {
+                const auto rows = std::make_shared<platform::ReadResult>(page);
+                if (earlier != nullptr) {
+                  rows->version = earlier->version;
+                  rows->received_bytes += earlier->received_bytes;
+                  rows->rows.insert(rows->rows.begin(), earlier->rows.begin(),
+                                    earlier->rows.end());
+                }
+                if (page.outcome != platform::StoreOutcome::kDone ||
+                    !page.has_more || page.rows.empty()) {
+                  done(*rows);
+                  return;
+                }
+                platform::RowRange rest = range;
+                rest.from = platform::KeyAfter(page.rows.back().key.key);
+                ReadRows(store, rest, done, rows);
+              });
+}
+
 }  // namespace
 
 DesiredWatch::DesiredWatch(const wire::EventLoop& loop,
                            platform::StoreClient* store,
                            core::scheduler::Telemetry telemetry,
-                           base::Duration period, Changed changed)
+                           base::Duration period, Changed changed,
+                           ZonesChanged zones_changed)
     : store_(store),
       telemetry_(telemetry),
       period_(period),
       changed_(std::move(changed)),
-      timer_(loop, [this] { AskIfDue(); }) {
+      zones_changed_(std::move(zones_changed)),
+      timer_(loop, [this] { AskIfDue(); }),
+      evacuations_timer_(loop, [this] { SendEvacuationRead(); }) {
   Read();
 }
 
@@ -69,7 +102,7 @@
   const base::TimePoint now = Now();
   const auto age = confirmation_.Age(now);
   const auto since_read = confirmation_.TimeSinceRead(now);
-  if (age && *age < period_ && since_read &&
+  if (!always_asks_ && age && *age < period_ && since_read &&
       *since_read < period_ * kPeriodsPerOwnRead && !is_store_unavailable_) {
     timer_.StartOnce(period_ - *age);
     return;
@@ -91,11 +124,10 @@
     return;
   }
   is_reading_ = true;
-  store_->Read(platform::SingleRowRange(platform::DesiredStateRow()),
-               kReadTimeout,
-               [this, sent_at = Now()](const platform::ReadResult& result) {
-                 OnRead(result, sent_at);
-               });
+  ReadRows(store_, platform::OperatorRows(),
+           [this, sent_at = Now()](const platform::ReadResult& result) {
+             OnRead(result, sent_at);
+           });
 }
 
 void DesiredWatch::OnRead(const platform::ReadResult& result,
@@ -106,12 +138,74 @@
   }
   followed_version_ = result.version;
   stored_version_.reset();
-  if (!result.rows.empty()) {
-    OnStoredText(result.rows.front().value);
+  for (const platform::Row& row : result.rows) {
+    if (row.key == platform::DesiredStateRow()) {
+      OnStoredText(row.value);
+    }
   }
+  ApplyEvacuations(result);
   Confirm(sent_at);
 }
 
+void DesiredWatch::ReadEvacuations(const ZonesChanged& done) {
+  evacuation_readers_.push_back(done);
+  SendEvacuationRead();
+}
+
+void DesiredWatch::SendEvacuationRead() {
+  if (evacuation_readers_.empty()) {
+    return;
+  }
+  // Each reader is answered by a read that began after its call.
+  ReadRows(store_, platform::EvacuationRows(),
+           [this, readers = std::exchange(evacuation_readers_, {})](
+               const platform::ReadResult& result) {
+             if (result.outcome != platform::StoreOutcome::kDone) {
+               evacuation_readers_.insert(evacuation_readers_.end(),
+                                          readers.begin(), readers.end());
+               evacuations_timer_.StartOnce(kRetryDelay);
+               return;
+             }
+             ApplyEvacuations(result);
+             for (const ZonesChanged& done : readers) {
+               done(evacuations_.zones());
+             }
+           });
+}
+
+void DesiredWatch::ApplyEvacuations(const platform::ReadResult& result) {
+  Zones zones;
+  for (const platform::Row& row : result.rows) {
+    if (platform::IsEvacuationRow(row.key) && IsReadable(row)) {
+      zones.insert(platform::EvacuatedZoneOf(row.key));
+    }
+  }
+  if (evacuations_.OnRead(zones, result.version)) {
+    zones_changed_(evacuations_.zones());
+  }
+}
+
+bool DesiredWatch::ApplyEvacuationChange(
+    const platform::FeedResult::Change& change) {
+  const bool is_evacuated = !change.is_deleted && IsReadable(change.row);
+  return evacuations_.OnChange(platform::EvacuatedZoneOf(change.row.key),
+                               is_evacuated, change.row.version);
+}
+
+bool DesiredWatch::IsReadable(const platform::Row& row) {
+  base::Failure reason;
+  if (platform::CheckEvacuation(row.key, row.value, &reason)) {
+    return true;
+  }
+  const auto [logged, is_new] = unreadable_.try_emplace(row.key.key);
+  if (is_new || logged->second != row.version) {
+    logged->second = row.version;
+    telemetry_.log->Write("evacuation_unreadable",
+                          {{"row", row.key.key}, {"detail", reason.detail}});
+  }
+  return false;
+}
+
 void DesiredWatch::ReadChanges() {
   if (is_reading_) {
     return;
@@ -140,6 +234,16 @@
     return;
   }
   followed_version_ = result.version;
+  bool have_zones_changed = false;
+  for (const auto& change : result.changes) {
+    if (platform::IsEvacuationRow(change.row.key)) {
+      have_zones_changed |= ApplyEvacuationChange(change);
+    }
+  }
+  evacuations_.AdvanceTo(result.version);
+  if (have_zones_changed) {
+    zones_changed_(evacuations_.zones());
+  }
   int changes = 0;
   // Only the last change of the row counts.
   for (auto change = result.changes.rbegin(); change != result.changes.rend();
--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -121,13 +121,20 @@
       rpc_server_(&peers_server_, &counters_),
       leadership_(LeadershipOf(settings, incarnation_)),
       writer_(*loop, &store_, &leadership_, telemetry_),
-      desired_(*loop, &store_, telemetry_,
-               settings.desired_apply_limit / kPollsPerDeadline,
-               [this](const auto& desired) {
-                 if (term_ != nullptr) {
-                   term_->SetDesired(desired);
-                 }
-               }),
+      desired_(
+          *loop, &store_, telemetry_,
+          std::min(settings.desired_apply_limit, settings.evacuation_limit) /
+              kPollsPerDeadline,
+          [this](const auto& desired) {
+            if (term_ != nullptr) {
+              term_->SetDesired(desired);
+            }
+          },
+          [this](const auto& zones) {
+            if (term_ != nullptr) {
+              term_->SetEvacuatedZones(zones);
+            }
+          }),
       desired_fetcher_(&rpc_, &counters_,
                        [this](const std::string& text, base::TimePoint sent_at,
                               base::Duration age) {
@@ -152,7 +159,11 @@
           }),
       owner_poll_timer_(*loop, [this] { PollOwner(); }),
       heartbeat_timer_(*loop, [this] { SendHeartbeat(); }),
-      end_term_timer_(*loop, [this] { term_.reset(); }),
+      end_term_timer_(*loop,
+                      [this] {
+                        term_.reset();
+                        desired_.set_always_asks(false);
+                      }),
       stop_timer_(*loop, [this] { StopIfDrained(); }) {
   SetClaimDelay(kInitialBestCpuShare);
   BindRpc();
@@ -270,10 +281,16 @@
                      const platform::WorkerClient::AdviceDone& done) {
                 Advise(request, done);
               },
+          .read_evacuations =
+              [this](
+                  const std::function<void(const DesiredWatch::Zones&)>& done) {
+                desired_.ReadEvacuations(done);
+              },
           .ended = [this] { EndTerm(); },
           .on_store_failing = [this] { OfferCellOnStoreFailure(); }},
       SchedulerOf(settings_), store_now_ms);
   term_->SetDesired(desired_.current());
+  desired_.set_always_asks(true);
   UpdateAdviceClients();
   AnnounceOwnership();
 }
--- a/src/member/member_calls.cc
+++ b/src/member/member_calls.cc
@@ -138,6 +138,15 @@
     metrics_.Set("waiting_steps",
                  static_cast<double>(term_->scheduler().waiting_steps()));
   }
+  // Zero once this host is no longer the owner, which counts them.
+  const auto* evacuations =
+      term_ == nullptr ? nullptr : &term_->scheduler().evacuations();
+  metrics_.Set(
+      "evacuated_zones",
+      evacuations == nullptr ? 0 : static_cast<double>(evacuations->zones()));
+  metrics_.Set(
+      "runs_in_evacuated_zones",
+      evacuations == nullptr ? 0 : static_cast<double>(evacuations->runs()));
   return metrics_.Render();
 }
 
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -80,9 +80,15 @@
   parts_.telemetry.log->Write(
       "term_begun", {{"token", static_cast<std::int64_t>(token_.value())}});
   for (const RecordTable table : kTables) {
-    ++tables_loading_;
+    ++parts_loading_;
     Load(table, "");
   }
+  ++parts_loading_;
+  parts_.read_evacuations(
+      Guarded([this](const std::set<base::AvailabilityZone>& zones) {
+        SetEvacuatedZones(zones);
+        OnPartLoaded();
+      }));
 }
 
 OwnerTerm::~OwnerTerm() {
@@ -113,6 +119,12 @@
   SchedulePass();
 }
 
+void OwnerTerm::SetEvacuatedZones(
+    const std::set<base::AvailabilityZone>& zones) {
+  scheduler_.SetEvacuatedZones(zones, Now());
+  SchedulePass();
+}
+
 void OwnerTerm::SetAdviceClients(const std::vector<base::EntryId>& entries) {
   scheduler_.SetAdviceClients(entries);
 }
--- a/src/member/owner_term.h
+++ b/src/member/owner_term.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -41,6 +42,11 @@
     // How often the platform's list of workers is read.
     base::Duration listings_period{0};
     Advise advise;
+    // Reads the evacuated availability zones, as of this call or later, and
+    // calls `done` with them.
+    std::function<void(const std::function<void(
+                           const std::set<base::AvailabilityZone>&)>& done)>
+        read_evacuations;
     // Called when the term is over: another owner was seen, a worker rejected
     // its fencing token, or this owner resigned. Must destroy the term, but
     // only after returning.
@@ -57,6 +63,7 @@
   OwnerTerm& operator=(const OwnerTerm&) = delete;
 
   void SetDesired(std::shared_ptr<const core::desired::DesiredState> desired);
+  void SetEvacuatedZones(const std::set<base::AvailabilityZone>& zones);
   void SetAdviceClients(const std::vector<base::EntryId>& entries);
   // The previous owner is guaranteed to send no more commands to workers.
   void OnPreviousOwnerStopped();
@@ -81,6 +88,8 @@
   void Load(core::scheduler::RecordTable table, const std::string& from);
   void OnLoaded(core::scheduler::RecordTable table, const std::string& from,
                 const platform::ReadResult& result);
+  // Begins to schedule once all records and the evacuations are read.
+  void OnPartLoaded();
   void BeginScheduling();
 
   void Tick();
@@ -127,7 +136,8 @@
   bool is_previous_owner_stopped_ = false;
   bool is_resigning_ = false;
   bool is_over_ = false;
-  int tables_loading_ = 0;
+  // Tables whose records are being read, and one for the evacuations.
+  int parts_loading_ = 0;
   Loading loading_;
   // The store's clock minus the clock of this host, at the store's last answer.
   std::int64_t store_clock_offset_ms_ = 0;
--- a/src/member/owner_term_load.cc
+++ b/src/member/owner_term_load.cc
@@ -1,4 +1,5 @@
-// Loads the stored records before a new owner starts to schedule.
+// Loads the stored records and the evacuations before a new owner starts to
+// schedule.
 #include <map>
 #include <string>
 #include <utility>
@@ -41,7 +42,11 @@
     Load(table, platform::KeyAfter(result.rows.back().key.key));
     return;
   }
-  if (--tables_loading_ == 0) {
+  OnPartLoaded();
+}
+
+void OwnerTerm::OnPartLoaded() {
+  if (!is_over_ && --parts_loading_ == 0) {
     BeginScheduling();
   }
 }
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -46,6 +46,7 @@
   scheduler_ = std::make_unique<Scheduler>(SchedulerSettings(),
                                            Telemetry{&log_, &counters_});
   scheduler_->BeginTerm(FencingToken(++token_), now_);
+  scheduler_->SetEvacuatedZones(evacuated_, now_);
   for (const RecordTable table :
        {RecordTable::kLivePages, RecordTable::kEndedPages}) {
     for (const auto& [key, text] : rows_[table]) {
@@ -79,6 +80,30 @@
   Store();
 }
 
+void SchedulerScenario::SetZone(const std::string& name,
+                                const std::string& zone) {
+  workers::Listing& listing = workers_.at(base::BackendId(name)).listing;
+  listing.zone = base::AvailabilityZone(zone);
+  ++listing.revision;
+}
+
+void SchedulerScenario::Evacuate(const std::set<std::string>& zones) {
+  evacuated_.clear();
+  for (const std::string& zone : zones) {
+    evacuated_.insert(base::AvailabilityZone(zone));
+  }
+  scheduler_->SetEvacuatedZones(evacuated_, now_);
+}
+
+std::string SchedulerScenario::WorkerOf(const jobs::TaskRef& task) const {
+  for (const auto& [id, worker] : workers_) {
+    if (worker.running.contains(task)) {
+      return id.value();
+    }
+  }
+  return {};
+}
+
 void SchedulerScenario::ResizeWorker(const std::string& name, int cores) {
   workers::Listing& listing = workers_.at(base::BackendId(name)).listing;
   listing.capacity.cpu = base::Millicores(cores * kMillicores);
@@ -188,6 +213,8 @@
                    CommandOutcome outcome = CommandOutcome::kBadTicket;
                    if (IsUnresponsive(command.worker)) {
                      outcome = CommandOutcome::kUnanswered;
+                   } else if (command.worker.id.value() == refused_on) {
+                     outcome = CommandOutcome::kRefused;
                    } else if (!refuses_tickets) {
                      outcome = CommandOutcome::kDone;
                      workers_.at(command.worker.id).running[command.task] =
--- a/test/core/scheduler/scheduler_scenario.h
+++ b/test/core/scheduler/scheduler_scenario.h
@@ -20,6 +20,16 @@
              std::initializer_list<LogField> /*fields*/) override {}
 };
 
+// Keeps the names of the events.
+class EventLog : public DecisionLog {
+ public:
+  void Write(std::string_view event,
+             std::initializer_list<LogField> /*fields*/) override {
+    events.emplace_back(event);
+  }
+  std::vector<std::string> events;
+};
+
 // Has the queues "plain", without placement advice, "advised", and "urgent",
 // whose jobs have half a second of slack, and one organisation, "school".
 class SchedulerScenario {
@@ -33,6 +43,10 @@
 
   // Adds workers of four cores each, runs a pass and stores its changes.
   void AddWorkers(int count);
+  // Sets the availability zone that a worker lists from now on.
+  void SetZone(const std::string& name, const std::string& zone);
+  // Sets the evacuated zones, now and for owners that take over later.
+  void Evacuate(const std::set<std::string>& zones);
   // Sets the capacity that a worker lists from now on.
   void ResizeWorker(const std::string& name, int cores);
   // Sets the cap of the organisation, in cores.
@@ -68,8 +82,12 @@
   // Crashes the worker on which the task runs; its next incarnation is there at
   // once. Returns false if the task runs nowhere.
   bool CrashWorkerOf(const jobs::TaskRef& task);
+  // Returns the worker on which the task runs; empty if it runs nowhere.
+  std::string WorkerOf(const jobs::TaskRef& task) const;
   // Whether workers refuse the ticket of each start.
   bool refuses_tickets = false;
+  // A worker that refuses each start.
+  std::string refused_on;
   // Workers that receive no command and answer nothing.
   std::set<std::string> unresponsive_workers;
 
@@ -77,6 +95,11 @@
   void TakeOver();
 
   Scheduler& scheduler() { return *scheduler_; }
+  const Counters& counters() const { return counters_; }
+  // Returns the events that were logged since the last call.
+  std::vector<std::string> TakeLoggedEvents() {
+    return std::exchange(log_.events, {});
+  }
   base::TimePoint now() const { return now_; }
   // Return the actions of this kind since the last call.
   std::vector<StartTask> TakeStarts() { return std::exchange(starts_, {}); }
@@ -106,10 +129,11 @@
     return now_.time_since_epoch() / std::chrono::milliseconds(1);
   }
 
-  NullLog log_;
+  EventLog log_;
   Counters counters_;
   base::TimePoint now_ = base::TimePoint(std::chrono::seconds(100));
   std::uint64_t token_ = 0;
+  std::set<base::AvailabilityZone> evacuated_;
   std::uint64_t last_waiter_ = 0;
   std::vector<desired::Queue> queues_;
   desired::Organisation organisation_;
--- a/test/member/desired_stores.h
+++ b/test/member/desired_stores.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -152,7 +153,8 @@
   wire::PeriodicTimer timer_;
 };
 
-// A store that answers at once. Its feed lists every change.
+// A store that answers at once, and that takes writes of other tables without
+// keeping them. Its feed lists every change.
 class FastStore {
  public:
   explicit FastStore(const wire::EventLoop& loop)
@@ -161,26 +163,39 @@
                 [this](const wire::HttpRequest& request) { OnRead(request); });
     http_.Route(wire::HttpMethod::kGet, "/rows-feed",
                 [this](const wire::HttpRequest& request) { OnFeed(request); });
+    http_.Route(wire::HttpMethod::kPost, "/rows-tx",
+                [this](const wire::HttpRequest& request) {
+                  Reply(request, Json::Value(Json::arrayValue), ++version_,
+                        false);
+                });
     base::Failure reason;
     address_ = "127.0.0.1:" +
                std::to_string(http_.Listen("127.0.0.1:0", &reason).value_or(0));
   }
 
   const std::string& address() const { return address_; }
-  void Put(const std::string& text) { changes_.push_back({++version_, text}); }
-  void Delete() { changes_.push_back({++version_, std::nullopt}); }
+  void Put(const std::string& text) { PutRow("config", text); }
+  void Delete() { DeleteRow("config"); }
+  void PutRow(const std::string& key, const std::string& text) {
+    changes_.push_back({++version_, key, text});
+  }
+  void DeleteRow(const std::string& key) {
+    changes_.push_back({++version_, key, std::nullopt});
+  }
   void DropHistory() { history_begin_ = version_; }
   void set_refusing(bool refusing) { is_refusing_ = refusing; }
   // How many changes the feed has listed.
   int listed() const { return listed_; }
-  // Lets the feed return one change an answer.
+  // Lets the feed return one change an answer, and a read one row.
   void set_pages(bool pages) { pages_ = pages; }
+  // How many reads of the desired state there were.
   int reads() const { return reads_; }
   int feeds() const { return feeds_; }
 
  private:
   struct Change {
     std::uint64_t version;
+    std::string key;
     std::optional<std::string> text;
   };
 
@@ -188,7 +203,7 @@
     Json::Value row(Json::objectValue);
     row["table"] = "op";
     row["part"] = "";
-    row["key"] = "config";
+    row["key"] = change.key;
     row["schema_version"] = static_cast<Json::UInt64>(change.version);
     if (change.text) {
       row["value"] = platform::EncodeBase64(*change.text);
@@ -211,12 +226,27 @@
                 {.status = 200, .body = core::WriteJson(answer)});
   }
   void OnRead(const wire::HttpRequest& request) {
-    ++reads_;
+    const auto parameter = [&request](const char* name) {
+      const auto it = request.query.find(name);
+      return it == request.query.end() ? std::string() : it->second;
+    };
+    reads_ += parameter("from") == "config" ? 1 : 0;
+    std::map<std::string, Change> rows_by_key;
+    for (const Change& change : changes_) {
+      rows_by_key.insert_or_assign(change.key, change);
+    }
     Json::Value rows(Json::arrayValue);
-    if (!changes_.empty() && changes_.back().text) {
-      rows.append(RowOf(changes_.back()));
+    bool has_more = false;
+    for (const auto& [key, change] : rows_by_key) {
+      const bool is_asked = parameter("table") == "op" && change.text &&
+                            key >= parameter("from") &&
+                            key < parameter("target");
+      has_more = has_more || (is_asked && pages_ && !rows.empty());
+      if (is_asked && !has_more) {
+        rows.append(RowOf(change));
+      }
     }
-    Reply(request, std::move(rows), version_, false);
+    Reply(request, std::move(rows), version_, has_more);
   }
   void OnFeed(const wire::HttpRequest& request) {
     ++feeds_;
@@ -227,7 +257,7 @@
     }
     Json::Value rows(Json::arrayValue);
     for (const Change& change : changes_) {
-      if (change.version <= after) {
+      if (change.version <= after || request.query.at("table") != "op") {
         continue;
       }
       rows.append(RowOf(change));
--- a/test/member/desired_watch_test.cc
+++ b/test/member/desired_watch_test.cc
@@ -32,8 +32,9 @@
       : loop(event_loop),
         client(*event_loop, {}),
         store(&client, address, &counters),
-        watch(*event_loop, &store, {&log, &counters, nullptr}, milliseconds(50),
-              [](const auto&) {}) {}
+        watch(
+            *event_loop, &store, {&log, &counters, nullptr}, milliseconds(50),
+            [](const auto&) {}, [](const auto&) {}) {}
 
   // Returns whether `done` became true in time.
   bool RunUntil(const std::function<bool()>& done) {
--- a/test/platform/decoders_test.cc
+++ b/test/platform/decoders_test.cc
@@ -76,6 +76,7 @@
     CHECK(settings->heartbeat == std::chrono::milliseconds(1500));
     CHECK(settings->gang_timeout == std::chrono::seconds(3));
     CHECK(settings->worker_drain_limit == std::chrono::seconds(2));
+    CHECK(settings->evacuation_limit == std::chrono::seconds(5));
     CHECK(settings->desired_apply_limit == std::chrono::seconds(2));
   }
   SUBCASE("without a required field is refused") {
@@ -123,6 +124,34 @@
   }
 }
 
+TEST_CASE("the row of an evacuation") {
+  const RowKey row{"op", "", "evacuate/z0"};
+  base::Failure reason;
+
+  SUBCASE("names its zone, and may have fields of later versions") {
+    CHECK(IsEvacuationRow(row));
+    CHECK(EvacuatedZoneOf(row).value() == "z0");
+    CHECK(CheckEvacuation(row, "{}", &reason));
+    CHECK(CheckEvacuation(row, R"({"by": "operator"})", &reason));
+  }
+  SUBCASE("lies in the range that is read, unlike rows of other kinds") {
+    for (const RowRange& range : {EvacuationRows(), OperatorRows()}) {
+      CHECK(range.from <= row.key);
+      CHECK(row.key < range.end);
+    }
+    CHECK(OperatorRows().from <= DesiredStateRow().key);
+    CHECK_FALSE(IsEvacuationRow(DesiredStateRow()));
+    CHECK_FALSE(IsEvacuationRow({"op", "", "evacuated"}));
+    CHECK_FALSE(IsEvacuationRow({"op", "part", row.key}));
+  }
+  SUBCASE("can't be read without a zone or an object") {
+    CHECK_FALSE(CheckEvacuation({"op", "", "evacuate/"}, "{}", &reason));
+    for (const char* text : {"", "[]", "true", "{"}) {
+      CHECK_FALSE(CheckEvacuation(row, text, &reason));
+    }
+  }
+}
+
 TEST_CASE("a registration") {
   base::Failure reason;
   SUBCASE("gives a worker with its rack and incarnation") {
