Evacuations in the fuzzer and the soak, and their documentation

Start commands that were not handed to the network yet are withdrawn when their zone is evacuated: the fuzzer's check that nothing is sent to a zone known to be evacuated needs it. The soak sets and removes rows among its faults, and checks the bound of 5 s in a phase without other faults in which two zones are evacuated one after the other and the owner is killed twice.

--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -239,6 +239,9 @@
   void BeginDueOccurrences(jobs::Job* job, std::int64_t unix_now_ms);
   // Records the end of a job, and stops its runs unless it completed.
   void EndJob(const jobs::Job& job);
+  // Removes the start commands to evacuated workers that TakeActions has not
+  // returned yet. Their runs are reserved again.
+  void WithdrawEvacuatedStarts();
   // Releases the reserved runs on evacuated workers, whose starts were not
   // sent, and of a gang that has no other runs the rest of its reserved ones.
   void ReleaseEvacuatedRuns();
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -30,6 +30,9 @@
 # Processors of the stand-in's workers, and how long they have fewer. A smaller capacity counts after 4.5 s.
 WORKER_CORES = 4
 RESIZED_S = 7.0
+# The stand-in's zones, and the time after which nothing may be started in a zone that the operator evacuates.
+ZONES = 3
+EVACUATION_BOUND_S = 5.0
 MIN_QUEUES_CHANGED = 1000
 # At most half of MAX_UNUSED_QUEUES, so that they can always be either added or removed.
 MAX_QUEUES_CHANGED = 2000
@@ -68,7 +71,7 @@
         return [self._kill, self._kill, self._pause, self._terminate, self._kill_all, self._store, self._store,
                 self._link, self._link, self._reset_links, self._worker, self._worker, self._crash_worker,
                 self._leave, self._change_key, self._resize_desired, self._resize_desired, self._narrow_links,
-                self._narrow_links, self._grow_behind_narrow_links]
+                self._narrow_links, self._grow_behind_narrow_links, self._evacuate, self._evacuate]
 
     def _later(self, seconds, undo):
         def run():
@@ -208,6 +211,37 @@
         for thread in self._undo_threads:
             thread.join()
 
+    def _evacuate(self):
+        """The operator evacuates a zone for a while. The bound isn't checked: hosts may not reach the store."""
+        zone = f"zone-{self._rng.randrange(ZONES)}"
+        self._record(f"evacuate {zone}")
+        self._site.fault(evacuate=zone, active=True)
+        self._later(self._rng.uniform(0.3, 8.0), lambda: self._site.fault(evacuate=zone, active=False))
+
+    def evacuate_zones(self):
+        """The operator evacuates two zones one after the other, and the owner is killed. Without other faults, so that
+        all hosts reach the store and the bound holds. Returns a violation if no work returns to a zone.
+        """
+        first, second = self._rng.sample(range(ZONES), 2)
+        for zone in (first, second):
+            self._record(f"evacuate zone-{zone}, checked")
+            self._site.fault(evacuate=f"zone-{zone}", active=True, bound_ms=round(EVACUATION_BOUND_S * 1000))
+            time.sleep(self._rng.uniform(0.0, 2.0))
+            self._kill_owner(self._rng.uniform(0.1, 1.5))
+        time.sleep(EVACUATION_BOUND_S + 2.0)
+        broken = []
+        for zone in (f"zone-{first}", f"zone-{second}"):
+            before = self._site.truth()["starts_by_zone"].get(zone, 0)
+            self._site.fault(evacuate=zone, active=False)
+            end = time.monotonic() + RECOVERY_BOUND_S
+            while self._site.truth()["starts_by_zone"].get(zone, 0) == before and time.monotonic() < end:
+                time.sleep(0.1)
+            if time.monotonic() >= end:
+                broken.append(f"nothing started in {zone} {RECOVERY_BOUND_S} s after its evacuation")
+        for thread in self._undo_threads:
+            thread.join()
+        return broken
+
     def _change_key(self):
         """Revokes the key of an organisation, and assigns another one."""
         name = self._rng.choice(sorted(self._site.keys))
@@ -288,6 +322,7 @@
         for worker in range(site.workers):
             site.fault(worker=f"worker-{worker}", fault="none")
         faults.resize_workers()
+        broken += faults.evacuate_zones()
         broken += callers.finish(RECOVERY_BOUND_S)
         broken += site.truth()["broken"] + [f"ended by itself: {what}" for what in site.ended_by_itself]
         line = f"{callers.summary()}, {site.truth()['starts']} starts, {len(faults.done)} faults"
--- a/scripts/soak_site.py
+++ b/scripts/soak_site.py
@@ -121,7 +121,7 @@
             "limits": {"cpu_share": 1.0}, "advisor": f"{HOST}:{self.base_port + 1}", "heartbeat_ms": 1500,
             "platform": {"address": f"{HOST}:{self.base_port + STORE_RELAY_PORTS + host}"},
             "bounds": {"revoke_ms": 5000, "grace_s": GRACE_S, "max_hold_ms": 10000, "status_s": 120,
-                       "gang_timeout_ms": 3000, "drain_ms": 2000, "config_apply_ms": 2000},
+                       "gang_timeout_ms": 3000, "drain_ms": 2000, "config_apply_ms": 2000, "evacuate_ms": 5000},
         }))
         self._spawn(f"host-{host}", BUILD / "dotterelbarrowd", "--platform",
                     environment=dict(os.environ, DOTTERELBARROW_CONFIG=str(path)))
--- a/src/core/scheduler/scheduler_evacuation.cc
+++ b/src/core/scheduler/scheduler_evacuation.cc
@@ -1,6 +1,7 @@
 // Begins and ends evacuations of availability zones.
 #include <algorithm>
 #include <map>
+#include <variant>
 #include <vector>
 
 #include "dotterelbarrow/core/scheduler/scheduler.h"
@@ -12,10 +13,27 @@
   now_ = now;
   fleet_.SetEvacuatedZones(zones);
   dispatcher_.ForgetFleetState();
+  WithdrawEvacuatedStarts();
   ReleaseEvacuatedRuns();
   evacuations_.UpdateNow(fleet_, now);
 }
 
+void Scheduler::WithdrawEvacuatedStarts() {
+  std::erase_if(actions_, [this](const Action& action) {
+    const auto* start = std::get_if<StartTask>(&action);
+    workers::Worker* worker =
+        start == nullptr ? nullptr : fleet_.Find(start->worker.id);
+    if (worker == nullptr || !worker->is_evacuated()) {
+      return false;
+    }
+    workers::Run* run = worker->FindRun(start->task, start->attempt);
+    if (run != nullptr && run->state == workers::RunState::kStarting) {
+      run->state = workers::RunState::kReserved;
+    }
+    return true;
+  });
+}
+
 void Scheduler::ReleaseEvacuatedRuns() {
   const auto is_reserved = [this](const PlacedRun& run) {
     workers::Worker* worker = fleet_.Find(run.worker);
--- a/src/standins/site/site_service.cc
+++ b/src/standins/site/site_service.cc
@@ -1,10 +1,12 @@
 // Combines the services of a site and handles control requests.
 #include "src/standins/site/site_service.h"
 
+#include <optional>
 #include <utility>
 #include <vector>
 
 #include "dotterelbarrow/core/codec.h"
+#include "src/standins/site/clock.h"
 #include "src/standins/site/gang_model.h"
 
 namespace dotterelbarrow::standins::site {
@@ -16,6 +18,7 @@
 constexpr std::int64_t kMillicores = 1000;
 constexpr std::int64_t kMemoryMb = 65536;
 constexpr int kRackSize = 4;
+constexpr int kZones = 3;
 // Most that a worker's clock loses, in thousandths. The platform allows a clock
 // error of 2%.
 constexpr int kMaxClockLossPermille = 20;
@@ -29,7 +32,8 @@
   listing.address = options.worker_ip + ":" +
                     std::to_string(options.first_worker_port + number);
   listing.service = base::ServiceId("tasks");
-  listing.zone = base::AvailabilityZone("zone");
+  listing.zone =
+      base::AvailabilityZone("zone-" + std::to_string(number % kZones));
   listing.rack = std::to_string(number / kRackSize);
   listing.capacity = {base::Millicores(options.cores * kMillicores),
                       base::Mebibytes(kMemoryMb), base::Accelerators(0),
@@ -102,6 +106,20 @@
   }
 }
 
+void SiteService::Evacuate(const std::string& zone, const Json::Value& body) {
+  const std::string key = "evacuate/" + zone;
+  if (!body["active"].asBool()) {
+    ledger_.OnEvacuationEnded(zone);
+    store_.Remove("op", key);
+    return;
+  }
+  store_.PutText("op", key, "{}");
+  ledger_.OnEvacuated(zone, NowMillis(),
+                      body["bound_ms"].isInt64()
+                          ? std::optional(body["bound_ms"].asInt64())
+                          : std::nullopt);
+}
+
 void SiteService::OnFault(const wire::HttpRequest& request) {
   base::Failure reason;
   const auto body = core::ReadJson(request.body, &reason);
@@ -113,6 +131,8 @@
     store_.SetFault(ParseStoreFault((*body)["store"].asString()), permille);
   } else if (body && (*body)["desired"].isObject()) {
     store_.PutText("op", "config", core::WriteJson((*body)["desired"]));
+  } else if (body && (*body)["evacuate"].isString()) {
+    Evacuate((*body)["evacuate"].asString(), *body);
   } else if (workers_.contains(id) && (*body)["fault"].isString()) {
     workers_.at(id)->SetFault(ParseWorkerFault((*body)["fault"].asString()),
                               permille);
@@ -134,6 +154,9 @@
   for (const std::string& violation : ledger_.broken()) {
     answer["broken"].append(violation);
   }
+  for (const auto& [zone, starts] : ledger_.starts_by_zone()) {
+    answer["starts_by_zone"][zone] = static_cast<Json::UInt64>(starts);
+  }
   const auto job = request.query.find("job");
   if (job != request.query.end()) {
     if (const auto key = core::jobs::ParseJobKey(job->second)) {
--- a/src/standins/site/site_service.h
+++ b/src/standins/site/site_service.h
@@ -47,6 +47,10 @@
   // Performs the control request {"worker", "do"}, where "do" is "crash",
   // "leave", "drain" or "restart".
   void ControlWorker(const std::string& id, const std::string& operation);
+  // Performs the control request {"evacuate", "active", "bound_ms"}: writes or
+  // removes the row that requests the evacuation of the zone. If there is a
+  // bound, the ledger checks that nothing is started later than that.
+  void Evacuate(const std::string& zone, const Json::Value& body);
 
   wire::EventLoop* loop_;
   SiteOptions options_;
--- a/src/standins/site/task_ledger.cc
+++ b/src/standins/site/task_ledger.cc
@@ -38,6 +38,26 @@
   }
 }
 
+void TaskLedger::OnEvacuated(const std::string& zone, std::int64_t at_ms,
+                             std::optional<std::int64_t> bound_ms) {
+  no_starts_.erase(zone);
+  if (bound_ms) {
+    no_starts_[zone] = at_ms + *bound_ms;
+  }
+}
+
+void TaskLedger::OnStartedIn(const std::string& zone, const TaskRef& task,
+                             std::int64_t received_ms) {
+  ++starts_by_zone_[zone];
+  const auto it = no_starts_.find(zone);
+  if (it != no_starts_.end() && received_ms > it->second) {
+    violations_.push_back("started " +
+                          std::to_string(received_ms - it->second) +
+                          " ms too late in evacuated " + zone + ": " +
+                          core::jobs::ToString(task));
+  }
+}
+
 void TaskLedger::OnCrashedUnder(const TaskRef& task) { ++tasks_[task].crashes; }
 
 void TaskLedger::OnEnded(const std::string& worker, const TaskRef& task,
--- a/src/standins/site/task_ledger.h
+++ b/src/standins/site/task_ledger.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -15,6 +16,17 @@
 
 class TaskLedger {
  public:
+  // Records that the operator's request to evacuate the zone was stored at
+  // `at_ms`. From `bound_ms` later on, nothing may be started there; without a
+  // bound, any start is allowed.
+  void OnEvacuated(const std::string& zone, std::int64_t at_ms,
+                   std::optional<std::int64_t> bound_ms);
+  // Records that the request was removed.
+  void OnEvacuationEnded(const std::string& zone) { no_starts_.erase(zone); }
+  // Records that a worker of the zone received, at `received_ms`, the command
+  // by which it has now started a run of the task.
+  void OnStartedIn(const std::string& zone, const core::jobs::TaskRef& task,
+                   std::int64_t received_ms);
   // Records that `worker` started a run of the task on a command.
   void OnStarted(const std::string& worker, const core::jobs::TaskRef& task);
   // Records that the run on `worker` ended, with any outcome, or that the
@@ -32,6 +44,10 @@
   // Returns a description of each violation, in order of occurrence.
   const std::vector<std::string>& broken() const { return violations_; }
   std::uint64_t starts() const { return starts_; }
+  // Returns the number of starts in each zone.
+  const std::map<std::string, std::uint64_t>& starts_by_zone() const {
+    return starts_by_zone_;
+  }
   // Returns how many tasks of the job have succeeded.
   std::size_t DoneTasksOf(core::jobs::JobKey job) const;
   bool HasStarted(core::jobs::JobKey job) const {
@@ -51,6 +67,9 @@
   std::set<core::jobs::JobKey> started_jobs_;
   std::vector<std::string> violations_;
   std::uint64_t starts_ = 0;
+  std::map<std::string, std::uint64_t> starts_by_zone_;
+  // The time from which no start may be received in the zone.
+  std::map<std::string, std::int64_t> no_starts_;
 };
 
 }  // namespace dotterelbarrow::standins::site
--- a/src/standins/site/worker_service.cc
+++ b/src/standins/site/worker_service.cc
@@ -172,30 +172,33 @@
     server_.Reply(request.exchange, {.status = kUnavailable, .body = {}});
     return;
   }
-  HandleRunCommand(request, [this](const core::jobs::TaskRef& task,
-                                   const Json::Value& body) {
-    core::scheduler::StartTask command;
-    command.task = task;
-    command.attempt = Attempt(CountOf(body, "attempt"));
-    command.lease_until_ms =
-        static_cast<std::int64_t>(CountOf(body, "deadline_ms"));
-    RunPlan plan = PlanOf(task, body["spec"].asString());
-    plan.fails = fault_ == WorkerFault::kFailing;
-    const bool was_running = model_.runs().contains(task);
-    const CommandOutcome outcome = model_.Start(
-        command, FencingToken(CountOf(body, "fencing_token")), plan);
-    if (outcome == CommandOutcome::kDone && !was_running) {
-      site_.ledger->OnStarted(model_.listing().id.value(), task);
-      if (plan.crashes_after_ms > 0) {
-        CrashUnder(task, command.attempt, plan.crashes_after_ms);
-      }
-    }
-    if (model_.was_overloaded() && !was_overloaded_) {
-      was_overloaded_ = true;
-      site_.ledger->OnOverloaded(model_.listing().id.value());
-    }
-    return outcome;
-  });
+  HandleRunCommand(
+      request, [this, received_ms = NowMillis()](
+                   const core::jobs::TaskRef& task, const Json::Value& body) {
+        core::scheduler::StartTask command;
+        command.task = task;
+        command.attempt = Attempt(CountOf(body, "attempt"));
+        command.lease_until_ms =
+            static_cast<std::int64_t>(CountOf(body, "deadline_ms"));
+        RunPlan plan = PlanOf(task, body["spec"].asString());
+        plan.fails = fault_ == WorkerFault::kFailing;
+        const bool was_running = model_.runs().contains(task);
+        const CommandOutcome outcome = model_.Start(
+            command, FencingToken(CountOf(body, "fencing_token")), plan);
+        if (outcome == CommandOutcome::kDone && !was_running) {
+          site_.ledger->OnStarted(model_.listing().id.value(), task);
+          site_.ledger->OnStartedIn(model_.listing().zone.value(), task,
+                                    received_ms);
+          if (plan.crashes_after_ms > 0) {
+            CrashUnder(task, command.attempt, plan.crashes_after_ms);
+          }
+        }
+        if (model_.was_overloaded() && !was_overloaded_) {
+          was_overloaded_ = true;
+          site_.ledger->OnOverloaded(model_.listing().id.value());
+        }
+        return outcome;
+      });
 }
 
 void WorkerService::OnStop(const wire::HttpRequest& request) {
--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -68,6 +68,10 @@
       core::desired::CallLimits());
 }
 
+base::AvailabilityZone ZoneOf(int number) {
+  return base::AvailabilityZone("zone-" + std::to_string(number));
+}
+
 }  // namespace
 
 void PrintableLog::Write(
@@ -95,6 +99,7 @@
                         base::Mebibytes(kWorkerMemory), base::Accelerators(0),
                         base::Slots(0)};
     listing.born_ms = 1;
+    listing.zone = ZoneOf(i % kZones);
     workers_.push_back(std::make_unique<WorkerModel>(listing, Between(0, 20)));
   }
   BeginTerm();
@@ -119,6 +124,7 @@
       core::scheduler::Telemetry{&log_, &counters_});
   Scheduler& scheduler = *owner->scheduler;
   scheduler.BeginTerm(owner->token, Now());
+  ReadEvacuations(owner.get());
   using core::scheduler::RecordTable;
   for (const RecordTable table :
        {RecordTable::kLivePages, RecordTable::kEndedPages}) {
@@ -322,6 +328,7 @@
   std::visit(
       base::Overloaded{
           [&](const StartTask& start) {
+            CheckZone(*owner, start);
             Deliver(
                 owner, start.worker,
                 [this, owner, start](WorkerModel* worker) {
@@ -555,6 +562,45 @@
   });
 }
 
+void Cell::SetEvacuation(int number, bool is_evacuated) {
+  const base::AvailabilityZone zone = ZoneOf(number);
+  if (is_evacuated) {
+    evacuated_.insert(zone);
+  } else {
+    evacuated_.erase(zone);
+  }
+  for (const auto& owner : owners_) {
+    After(Between(0, kMaxEvacuationDelayMs), [this, owner] {
+      if (owner->is_alive) {
+        ReadEvacuations(owner.get());
+      }
+    });
+  }
+}
+
+void Cell::ToggleEvacuation(int number) {
+  SetEvacuation(number, !evacuated_.contains(ZoneOf(number)));
+}
+
+std::uint64_t Cell::starts_in_zone(int number) const {
+  const auto it = starts_by_zone_.find(ZoneOf(number));
+  return it == starts_by_zone_.end() ? 0 : it->second;
+}
+
+void Cell::ReadEvacuations(Owner* owner) {
+  owner->evacuated = evacuated_;
+  owner->scheduler->SetEvacuatedZones(evacuated_, Now());
+}
+
+void Cell::CheckZone(const Owner& owner, const StartTask& start) {
+  const base::AvailabilityZone& zone =
+      workers_[IndexOf(start.worker.address)]->listing().zone;
+  ++starts_by_zone_[zone];
+  if (owner.evacuated.contains(zone)) {
+    Break("sent to an evacuated zone: " + core::jobs::ToString(start.task));
+  }
+}
+
 void Cell::ResizeWorker(std::size_t index, std::int64_t cores) {
   WorkerModel& worker = *workers_[index];
   base::Resources capacity = worker.listing().capacity;
@@ -569,6 +615,9 @@
       ResizeWorker(i, kWorkerCores);
     }
   }
+  for (int zone = 0; zone < kZones; ++zone) {
+    SetEvacuation(zone, false);
+  }
   faults = Faults{.runs_failing = 0};
   cut_.clear();
   const std::int64_t end = now_ms_ + kMaxRecoveryMs;
--- a/test/fuzz/scheduler/cell.h
+++ b/test/fuzz/scheduler/cell.h
@@ -74,6 +74,15 @@
   // `deadly_after_ms` later. Only the first task of the first step does so if
   // `first_task_only`.
   void MakeDeadly(core::jobs::JobKey job, bool first_task_only);
+  // Writes or removes the row that requests the evacuation of zone `number`. An
+  // owner learns of it up to kMaxEvacuationDelayMs later, a new one at once.
+  void SetEvacuation(int number, bool is_evacuated);
+  // Removes the row if it exists, otherwise writes it.
+  void ToggleEvacuation(int number);
+  static constexpr int kZones = 3;
+  static constexpr std::int64_t kMaxEvacuationDelayMs = 1500;
+  // How many starts were sent to workers of the zone.
+  std::uint64_t starts_in_zone(int number) const;
   // Sets the worker's processors; it has `kWorkerCores` at first.
   void ResizeWorker(std::size_t index, std::int64_t cores);
   std::int64_t deadly_after_ms = 10;
@@ -110,6 +119,8 @@
     std::optional<core::scheduler::RecordBatch> writing;
     std::int64_t write_ends_ms = 0;
     std::map<core::scheduler::WaiterId, core::jobs::JobKey> waiters;
+    // The evacuated zones that it has read.
+    std::set<base::AvailabilityZone> evacuated;
   };
   using Event = std::function<void()>;
 
@@ -134,6 +145,11 @@
                std::int64_t wait_ms = 0);
   void WriteBatch(const std::shared_ptr<Owner>& owner);
   void Store(const core::scheduler::RecordBatch& batch);
+  // Hands the evacuations that the store holds to the owner.
+  void ReadEvacuations(Owner* owner);
+  // Checks that the owner knows of no evacuation of the zone to which it sends
+  // a start.
+  void CheckZone(const Owner& owner, const core::scheduler::StartTask& start);
   void CheckStart(const WorkerModel& worker, const TaskRef& task,
                   Attempt attempt);
   // Whether the advisor allows the step on the worker.
@@ -182,6 +198,10 @@
   std::size_t task_crashes_ = 0;
   std::size_t victims_ = 0;
   std::uint64_t last_rename_ = 0;
+  // The zones that rows in the store evacuate, and the starts sent to each
+  // zone.
+  std::set<base::AvailabilityZone> evacuated_;
+  std::map<base::AvailabilityZone, std::uint64_t> starts_by_zone_;
   // The contents of the store.
   std::map<core::scheduler::RecordTable, std::map<std::string, std::string>>
       rows_;
--- a/test/fuzz/scheduler/scheduler_fuzz_test.cc
+++ b/test/fuzz/scheduler/scheduler_fuzz_test.cc
@@ -1,7 +1,8 @@
 // Runs random work and faults in a whole cell, among them workers whose
 // capacity changes and tasks that crash each worker under them. Checks that no
 // worker is overloaded, no task runs on two workers at once or again after its
-// success, no cap is exceeded, deadly tasks are given up in time, and every
+// success, no cap is exceeded, deadly tasks are given up in time, nothing is
+// sent to a zone that the owner knows to be evacuated, and every
 // accepted job finishes once the faults have ended.
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -66,6 +67,9 @@
     case 12:
       cell->MakeDeadly(cell->SubmitAny(), argument % 2 == 0);
       break;
+    case 13:
+      cell->ToggleEvacuation(argument % Cell::kZones);
+      break;
     default:
       cell->faults = Faults();
       break;
@@ -78,7 +82,7 @@
         const auto seed = *rc::gen::arbitrary<std::uint32_t>();
         const auto things =
             *rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(
-                rc::gen::inRange(0, 14), rc::gen::inRange(0, 1000)));
+                rc::gen::inRange(0, 15), rc::gen::inRange(0, 1000)));
         Cell cell(seed, kWorkers);
         cell.renames_workers = seed % 2 == 0;
         cell.Run(1000);
