An owner reads the evacuations alone while the desired state takes long to arrive

Cause: on a link that carries the desired state in some seconds, a row of an evacuation written just after such a read began would be seen only after it, and after the next feed, which may hold the next state: more than 5 s.

Change: an owner that has had no answer with evacuations for two periods reads them alone. evacuation_watch_test shows it with a state that takes 4 s.

--- a/src/member/desired_watch.cc
+++ b/src/member/desired_watch.cc
@@ -4,6 +4,7 @@
 // it as of the time at which it was requested.
 #include "src/member/desired_watch.h"
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <utility>
@@ -18,6 +19,9 @@
 // While the owner confirms the state, this host reads the store only once in
 // this many periods.
 constexpr int kPeriodsPerOwnRead = 4;
+// An owner reads the evacuations alone if it has had no answer with them for
+// this many periods: a large desired state takes seconds on a slow link.
+constexpr int kPeriodsPerEvacuationRead = 2;
 // Many times the usual latency of an answer.
 constexpr base::Duration kSlowReadLatency = std::chrono::milliseconds(60);
 // A slow store begins to answer within a quarter of a second. A call without a
@@ -64,7 +68,7 @@
       changed_(std::move(changed)),
       zones_changed_(std::move(zones_changed)),
       timer_(loop, [this] { AskIfDue(); }),
-      evacuations_timer_(loop, [this] { SendEvacuationRead(); }) {
+      evacuations_timer_(loop, [this] { OnEvacuationsTimer(); }) {
   Read();
 }
 
@@ -143,37 +147,54 @@
       OnStoredText(row.value);
     }
   }
-  ApplyEvacuations(result);
+  ApplyEvacuations(result, sent_at);
   Confirm(sent_at);
 }
 
+void DesiredWatch::set_always_asks(bool always_asks) {
+  always_asks_ = always_asks;
+  evacuations_timer_.StartOnce(period_);
+}
+
+void DesiredWatch::OnEvacuationsTimer() {
+  const bool is_late = always_asks_ && Now() - evacuations_read_at_ >
+                                           period_ * kPeriodsPerEvacuationRead;
+  if (!evacuation_readers_.empty() || (is_late && !is_reading_evacuations_)) {
+    SendEvacuationRead();
+  }
+  if (always_asks_) {
+    evacuations_timer_.StartOnce(period_);
+  }
+}
+
 void DesiredWatch::ReadEvacuations(const ZonesChanged& done) {
   evacuation_readers_.push_back(done);
   SendEvacuationRead();
 }
 
 void DesiredWatch::SendEvacuationRead() {
-  if (evacuation_readers_.empty()) {
-    return;
-  }
+  is_reading_evacuations_ = true;
   // Each reader is answered by a read that began after its call.
   ReadRows(store_, platform::EvacuationRows(),
-           [this, readers = std::exchange(evacuation_readers_, {})](
-               const platform::ReadResult& result) {
+           [this, readers = std::exchange(evacuation_readers_, {}),
+            sent_at = Now()](const platform::ReadResult& result) {
+             is_reading_evacuations_ = false;
              if (result.outcome != platform::StoreOutcome::kDone) {
                evacuation_readers_.insert(evacuation_readers_.end(),
                                           readers.begin(), readers.end());
                evacuations_timer_.StartOnce(kRetryDelay);
                return;
              }
-             ApplyEvacuations(result);
+             ApplyEvacuations(result, sent_at);
              for (const ZonesChanged& done : readers) {
                done(evacuations_.zones());
              }
            });
 }
 
-void DesiredWatch::ApplyEvacuations(const platform::ReadResult& result) {
+void DesiredWatch::ApplyEvacuations(const platform::ReadResult& result,
+                                    base::TimePoint sent_at) {
+  evacuations_read_at_ = std::max(evacuations_read_at_, sent_at);
   Zones zones;
   for (const platform::Row& row : result.rows) {
     if (platform::IsEvacuationRow(row.key) && IsReadable(row)) {
@@ -241,6 +262,7 @@
     }
   }
   evacuations_.AdvanceTo(result.version);
+  evacuations_read_at_ = std::max(evacuations_read_at_, sent_at);
   if (have_zones_changed) {
     zones_changed_(evacuations_.zones());
   }
--- a/src/member/desired_watch.h
+++ b/src/member/desired_watch.h
@@ -59,8 +59,10 @@
   // calls `done` with them. They are as new as this call or newer.
   void ReadEvacuations(const ZonesChanged& done);
   // Sets whether to ask the store every period, even while another host
-  // confirms the desired state: such a host says nothing about evacuations.
-  void set_always_asks(bool always_asks) { always_asks_ = always_asks; }
+  // confirms the desired state, and to read the evacuations alone while the
+  // desired state takes long to arrive. Owners do so, since another host's
+  // answer says nothing about evacuations.
+  void set_always_asks(bool always_asks);
 
   // Handles another host's answer to a call sent at `sent_at`: its `version`
   // was confirmed to be the newest `age` before it answered. If that version is
@@ -89,10 +91,13 @@
   // Handles an answer or its absence, and schedules the next call.
   void OnOutcome(platform::StoreOutcome outcome, std::size_t received_bytes,
                  base::TimePoint sent_at);
-  // Reads the evacuations for all `evacuation_readers_`.
+  // Reads the evacuations alone if that is due.
+  void OnEvacuationsTimer();
+  // Reads the evacuations alone, for all `evacuation_readers_`.
   void SendEvacuationRead();
   // Applies a read of all rows of evacuations.
-  void ApplyEvacuations(const platform::ReadResult& result);
+  void ApplyEvacuations(const platform::ReadResult& result,
+                        base::TimePoint sent_at);
   // Applies a change of the row of an evacuation. Returns whether the evacuated
   // zones have changed.
   bool ApplyEvacuationChange(const platform::FeedResult::Change& change);
@@ -136,7 +141,11 @@
   bool is_reading_ = false;
   bool is_slow_ = false;
   wire::Timer timer_;
-  // Repeats a read of ReadEvacuations that failed.
+  // When the last answered read or feed was sent that included evacuations.
+  base::TimePoint evacuations_read_at_;
+  bool is_reading_evacuations_ = false;
+  // Repeats a read of the evacuations that failed; an owner's checks whether
+  // one is due.
   wire::Timer evacuations_timer_;
   // Those who wait for a read of the evacuations that hasn't been sent.
   std::vector<ZonesChanged> evacuation_readers_;
--- a/test/member/desired_stores.h
+++ b/test/member/desired_stores.h
@@ -56,8 +56,8 @@
   return answer;
 }
 
-// A store that holds one desired state, and sends its answers at most
-// `bytes_per_tick` at a time to each connection, one tick apart.
+// A store that holds one desired state and evacuations, and sends its answers
+// at most `bytes_per_tick` at a time to each connection, one tick apart.
 class SlowStore {
  public:
   SlowStore(const wire::EventLoop& loop, base::Duration tick,
@@ -71,6 +71,10 @@
     text_ = text;
     changed_at_ = ++version_;
   }
+  void Evacuate(const std::string& zone) {
+    evacuated_.push_back(zone);
+    ++version_;
+  }
   // Stops sending, in the middle of an answer if one is being sent.
   void Stall() { is_stalled_ = true; }
   int requests() const { return requests_; }
@@ -122,6 +126,16 @@
     ++requests_;
     last_request_ = request;
     Json::Value answer = RowsWith(text_, changed_at_, version_);
+    if (request.find("from=evacuate") != std::string::npos) {
+      answer["rows"] = Json::Value(Json::arrayValue);
+      for (const std::string& zone : evacuated_) {
+        Json::Value row = RowsWith("{}", version_, version_)["rows"][0];
+        row["key"] = "evacuate/" + zone;
+        answer["rows"].append(std::move(row));
+      }
+      Send(answer, connection);
+      return;
+    }
     const std::string after = "depends_on=";
     const std::size_t begin = request.find(after);
     const bool has_text =
@@ -131,6 +145,10 @@
       answer["rows"] = Json::Value(Json::arrayValue);
     }
     texts_begun_ += has_text ? 1 : 0;
+    Send(answer, connection);
+  }
+
+  static void Send(const Json::Value& answer, Connection* connection) {
     const std::string body = core::WriteJson(answer);
     connection->unsent +=
         "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
@@ -142,8 +160,9 @@
   wire::RawSocket listener_;
   std::uint16_t port_;
   std::string text_;
+  std::vector<std::string> evacuated_;
   std::uint64_t version_ = 0;
-  // The version of the only row.
+  // The version of the desired state.
   std::uint64_t changed_at_ = 0;
   bool is_stalled_ = false;
   int requests_ = 0;
--- a/test/member/evacuation_watch_test.cc
+++ b/test/member/evacuation_watch_test.cc
@@ -218,6 +218,41 @@
   }
 }
 
+// Guards against evacuations that wait behind a desired state on a slow link.
+TEST_CASE("DesiredWatch: evacuations while a desired state takes long") {
+  wire::EventLoop loop;
+  const std::string text = DesiredText(7, 4000);
+  constexpr int kTicks = 200;
+  SlowStore store(loop, milliseconds(20),
+                  platform::EncodeBase64(text).size() / kTicks);
+  store.Put(text);
+  core::Counters counters;
+  EventLog log;
+  wire::HttpClient client(loop, {});
+  platform::StoreClient store_client(&client, store.address(), &counters);
+  std::set<std::string> zones;
+  DesiredWatch watch(
+      loop, &store_client, {&log, &counters, nullptr}, kPeriod,
+      [](const auto&) {},
+      [&](const DesiredWatch::Zones& changed) { zones = NamesOf(changed); });
+  watch.set_always_asks(true);
+  const base::TimePoint begun = Now();
+  const auto run_until = [&](const std::function<bool()>& done) {
+    bool is_done = false;
+    loop.RunUntil([&] {
+      is_done = done();
+      return is_done || Now() - begun > kTestTimeout;
+    });
+    return is_done;
+  };
+  REQUIRE(run_until([&] { return store.texts_begun() == 1; }));
+  store.Evacuate("z0");
+  CHECK(run_until([&] { return zones.contains("z0"); }));
+  CHECK(watch.current() == nullptr);
+  CHECK(run_until([&] { return watch.current() != nullptr; }));
+  CHECK(zones == std::set<std::string>{"z0"});
+}
+
 // Guards against an owner that places work before it knows the evacuations.
 TEST_CASE("OwnerTerm: schedules only once it has read the evacuations") {
   Watched w;
