--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -318,25 +318,6 @@
   return OwnerRoute{owner->token, owner->address, true};
 }
 
-core::admission::Reachability Member::Impl::FindReach() const {
-  const base::TimePoint now = Now();
-  std::optional<base::Duration> store_contact_age = desired_.TimeSinceRead();
-  if (last_answered_poll_at_) {
-    const base::Duration since = now - *last_answered_poll_at_;
-    store_contact_age = std::min(store_contact_age.value_or(since), since);
-  }
-  core::admission::ReachabilityInput input{
-      .store_contact_age = store_contact_age,
-      .owner_contact_age = std::nullopt,
-      .confirmation_age = desired_.ConfirmationAge()};
-  if (term_ != nullptr && term_->is_ready()) {
-    input.owner_contact_age = base::Duration(0);
-  } else if (last_answered_heartbeat_at_) {
-    input.owner_contact_age = now - *last_answered_heartbeat_at_;
-  }
-  return core::admission::ReachabilityPolicy::Decide(input);
-}
-
 void Member::Impl::BeginShutdown() {
   if (is_stopping_) {
     return;
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -2,7 +2,6 @@
 #include "src/member/owner_term.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 #include "dotterelbarrow/base/overloaded.h"
@@ -12,8 +11,6 @@
 namespace dotterelbarrow::member {
 namespace {
 
-using core::scheduler::RecordTable;
-
 // How often lease renewals, stops and expiries are checked.
 constexpr base::Duration kTickPeriod = std::chrono::milliseconds(20);
 // After a pass the next one waits for at least this many times as long as the
@@ -39,9 +36,6 @@
 // Maximum age of the counts of waiting jobs.
 constexpr base::Duration kMaxPendingCountAge = std::chrono::milliseconds(300);
 
-constexpr std::array kTables = {
-    RecordTable::kLivePages, RecordTable::kEndedPages, RecordTable::kWorkers};
-
 }  // namespace
 
 OwnerTerm::OwnerTerm(Parts parts,
@@ -79,16 +73,7 @@
   last_tick_ = Now();
   parts_.telemetry.log->Write(
       "term_begun", {{"token", static_cast<std::int64_t>(token_.value())}});
-  for (const RecordTable table : kTables) {
-    ++parts_loading_;
-    Load(table, "");
-  }
-  ++parts_loading_;
-  parts_.read_evacuations(
-      Guarded([this](const std::set<base::AvailabilityZone>& zones) {
-        SetEvacuatedZones(zones);
-        OnPartLoaded();
-      }));
+  LoadAll();
 }
 
 OwnerTerm::~OwnerTerm() {
@@ -119,12 +104,6 @@
   SchedulePass();
 }
 
-void OwnerTerm::SetEvacuatedZones(
-    const std::set<base::AvailabilityZone>& zones) {
-  scheduler_.SetEvacuatedZones(zones, Now());
-  SchedulePass();
-}
-
 void OwnerTerm::SetAdviceClients(const std::vector<base::EntryId>& entries) {
   scheduler_.SetAdviceClients(entries);
 }
--- a/src/member/owner_term.h
+++ b/src/member/owner_term.h
@@ -85,6 +85,8 @@
   using Loading = std::map<core::scheduler::RecordTable,
                            std::map<std::string, std::string>>;
 
+  // Reads all records and the evacuations.
+  void LoadAll();
   void Load(core::scheduler::RecordTable table, const std::string& from);
   void OnLoaded(core::scheduler::RecordTable table, const std::string& from,
                 const platform::ReadResult& result);
--- a/src/member/owner_term_load.cc
+++ b/src/member/owner_term_load.cc
@@ -1,6 +1,8 @@
 // Loads the stored records and the evacuations before a new owner starts to
 // schedule.
+#include <array>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -15,8 +17,30 @@
 
 constexpr base::Duration kReadTimeout = std::chrono::milliseconds(1000);
 
+constexpr std::array kTables = {
+    RecordTable::kLivePages, RecordTable::kEndedPages, RecordTable::kWorkers};
+
 }  // namespace
 
+void OwnerTerm::LoadAll() {
+  for (const RecordTable table : kTables) {
+    ++parts_loading_;
+    Load(table, "");
+  }
+  ++parts_loading_;
+  parts_.read_evacuations(
+      Guarded([this](const std::set<base::AvailabilityZone>& zones) {
+        SetEvacuatedZones(zones);
+        OnPartLoaded();
+      }));
+}
+
+void OwnerTerm::SetEvacuatedZones(
+    const std::set<base::AvailabilityZone>& zones) {
+  scheduler_.SetEvacuatedZones(zones, Now());
+  SchedulePass();
+}
+
 void OwnerTerm::Load(RecordTable table, const std::string& from) {
   parts_.store->Read(
       RowsFrom(table, from), kReadTimeout,
