--- a/test/core/scheduler/evacuation_test.cc
+++ b/test/core/scheduler/evacuation_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -281,6 +282,63 @@
   }
 }
 
+// Guards against a gang that stays reserved in an evacuated zone until its
+// started members time out.
+TEST_CASE("a gang member that is reserved in a zone when it is evacuated") {
+  Scenario scenario;
+  AddZonedWorkers(&scenario, 8);
+  // Two workers are full at first, and then their zones are evacuated until the
+  // tickets for them have expired.
+  scenario.SubmitAndStore(kOtherJob, "plain", {Scenario::Gang(2)});
+  scenario.RunPass();
+  scenario.SetZone(scenario.WorkerOf(TaskOf(kOtherJob, 0)), "z2");
+  scenario.SetZone(scenario.WorkerOf(TaskOf(kOtherJob, 1)), "z3");
+  std::map<std::string, std::string> zones{
+      {scenario.WorkerOf(TaskOf(kOtherJob, 0)), "z2"},
+      {scenario.WorkerOf(TaskOf(kOtherJob, 1)), "z3"}};
+  scenario.TakeStarts();
+  std::set<std::string> all;
+  for (int i = 0; i < 8; ++i) {
+    all.insert("worker-" + std::to_string(i));
+    if (!zones.contains("worker-" + std::to_string(i))) {
+      scenario.refused_on = "worker-" + std::to_string(i);
+    }
+  }
+  // The worker that refuses a member has closed the attempt.
+  scenario.SetZone(scenario.refused_on, "closed");
+  scenario.SubmitAndStore(kJob, "advised", {Scenario::Gang(6)});
+  scenario.RunPass();
+  scenario.AnswerAdviceRequest(scenario.TakeAdviceRequests().at(0), all);
+  scenario.RunPass();
+  REQUIRE(scenario.TakeStarts().size() == 6);
+  scenario.Evacuate({"closed", "z2", "z3"});
+  scenario.EndRun(TaskOf(kOtherJob, 0), RunEnd::kDone);
+  scenario.EndRun(TaskOf(kOtherJob, 1), RunEnd::kDone);
+  scenario.RunPasses(15);
+  REQUIRE(scenario.TakeStarts().empty());
+
+  scenario.Evacuate({"closed"});
+  scenario.RunPass();
+  const auto first = scenario.TakeAdviceRequests();
+  REQUIRE(first.size() == 1);
+  REQUIRE(first[0].workers.size() == 1);
+  const std::string reserved_on = first[0].workers[0].value();
+  scenario.Evacuate({"closed", zones.at(reserved_on)});
+  scenario.AnswerAdviceRequest(first[0], all);
+  scenario.RunPass();
+  for (const RequestAdvice& request : scenario.TakeAdviceRequests()) {
+    scenario.AnswerAdviceRequest(request, all);
+  }
+  scenario.RunPass();
+  const auto starts = scenario.TakeStarts();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].worker.id.value() != reserved_on);
+  // The others were not stopped.
+  for (std::uint32_t i = 0; i < 6; ++i) {
+    CHECK_FALSE(scenario.WorkerOf(TaskOf(kJob, i)).empty());
+  }
+}
+
 TEST_CASE("an evacuation that is taken back while a start is on its way") {
   Scenario scenario;
   AddZonedWorkers(&scenario, 2);
