--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -245,6 +245,8 @@
   // Releases the reserved runs on evacuated workers, whose starts were not
   // sent, and of a gang that has no other runs the rest of its reserved ones.
   void ReleaseEvacuatedRuns();
+  // Returns null if the job has ended or the task doesn't exist.
+  jobs::Task* FindTask(const jobs::TaskRef& task);
   void LogUnreadable(const std::string& record, const base::Failure& reason);
   void LogLoad();
   // Counts consecutive failures on a worker; quarantines it after too many.
--- a/src/core/scheduler/scheduler_evacuation.cc
+++ b/src/core/scheduler/scheduler_evacuation.cc
@@ -64,16 +64,21 @@
                                    released.size());
     for (const PlacedRun& run : released) {
       // No start was sent, so the worker hasn't closed the attempt.
-      jobs::Task* task =
-          job == nullptr ? nullptr : jobs_.Find(step.job)->FindTask(run.task);
-      const base::BackendId closed_on =
-          task == nullptr ? base::BackendId() : task->stopped_before_start_on;
+      const jobs::Task* before = FindTask(run.task);
+      const base::BackendId closed_on = before == nullptr
+                                            ? base::BackendId()
+                                            : before->stopped_before_start_on;
       fleet_.Stop(run.worker, run.key(), now_, &actions_);
-      if (task != nullptr) {
-        task->stopped_before_start_on = closed_on;
+      if (jobs::Task* after = FindTask(run.task)) {
+        after->stopped_before_start_on = closed_on;
       }
     }
   }
 }
 
+jobs::Task* Scheduler::FindTask(const jobs::TaskRef& task) {
+  jobs::Job* job = jobs_.Find(task.step.job);
+  return job == nullptr ? nullptr : job->FindTask(task);
+}
+
 }  // namespace dotterelbarrow::core::scheduler
