--- a/src/member/desired_watch.cc
+++ b/src/member/desired_watch.cc
@@ -33,7 +33,7 @@
 // later pages, and are applied once more when they are read from the feed.
 void ReadRows(platform::StoreClient* store, const platform::RowRange& range,
               std::function<void(const platform::ReadResult&)> done,
-              std::shared_ptr<platform::ReadResult> earlier = nullptr) {
+              const std::shared_ptr<platform::ReadResult>& earlier = nullptr) {
   store->Read(range, kReadTimeout,
               [store, range, done = std::move(done),
                earlier](const platform::ReadResult& page) {
