--- a/src/member/owner_term_load.cc
+++ b/src/member/owner_term_load.cc
@@ -17,8 +17,9 @@
 
 constexpr base::Duration kReadTimeout = std::chrono::milliseconds(1000);
 
-constexpr std::array kTables = {
-    RecordTable::kLivePages, RecordTable::kEndedPages, RecordTable::kWorkers};
+constexpr std::array kTables = {RecordTable::kLivePages,
+                                RecordTable::kEndedPages, RecordTable::kWorkers,
+                                RecordTable::kRunTimes};
 
 }  // namespace
 
@@ -88,6 +89,9 @@
     scheduler_.AddInheritedWorker(base::BackendId(id), record, StoreNowMillis(),
                                   now);
   }
+  for (const auto& [key, text] : loading_[RecordTable::kRunTimes]) {
+    scheduler_.RestoreRunTimes(key, text, now);
+  }
   parts_.telemetry.log->Write(
       "term_loaded",
       {{"jobs", static_cast<std::int64_t>(scheduler_.live_jobs())},
