--- a/include/dotterelbarrow/core/placement/run_time_model.h
+++ b/include/dotterelbarrow/core/placement/run_time_model.h
@@ -52,6 +52,8 @@
   // Discards what is known about the worker, because it has a new incarnation.
   void Forget(workers::WorkerNumber worker);
 
+  // Returns the logarithm of SlownessOf.
+  double LogSlownessOf(workers::WorkerNumber worker) const;
   // Returns whether enough runs of the queue ended for ExpectedRunTime to
   // differ from the estimate.
   bool IsKnown(const desired::QueueId& queue) const;
@@ -112,7 +114,6 @@
     double slowest_member = 0;
   };
 
-  double LogSlownessOf(workers::WorkerNumber worker) const;
   WorkerSpeed& SpeedOf(workers::WorkerNumber worker);
   Step& FindOrAddStep(const RunSample& sample, double log_estimate,
                       base::TimePoint now);
--- a/include/dotterelbarrow/core/placement/speed_preference.h
+++ b/include/dotterelbarrow/core/placement/speed_preference.h
@@ -20,9 +20,13 @@
   SpeedPreference(base::Duration time_left, base::Duration expected,
                   double spread);
 
-  // Returns the cost of a worker of this slowness, compared with a worker of
-  // typical speed: 0 for one of typical speed, less for a better one.
-  double CostOn(double slowness) const;
+  // Slowness whose logarithm is not further from 0 is not told from noise, and
+  // treated as typical speed: a factor of 1.2.
+  static constexpr double kDeadZone = 0.18;
+
+  // Returns the cost of a worker of this logarithm of slowness, compared with a
+  // worker of typical speed: 0 for one of typical speed, less for a better one.
+  double CostOn(double log_slowness) const;
 
  private:
   double ProbabilityLate(double log_slowness) const;
--- a/src/core/placement/speed_preference.cc
+++ b/src/core/placement/speed_preference.cc
@@ -13,9 +13,6 @@
 // A worker that is 1.6 times slower costs 0.24 less than a typical one, which
 // is as much as half a worker's difference in packing.
 constexpr double kFastCost = 0.1;
-// Estimates of slowness within this factor are not told from noise; then all is
-// as without them.
-constexpr double kDeadZone = 0.12;
 // Approximates the normal distribution by the logistic one.
 constexpr double kLogisticScale = 1.702;
 constexpr double kMinSpread = 0.1;
@@ -44,8 +41,7 @@
              : 1;
 }
 
-double SpeedPreference::CostOn(double slowness) const {
-  const double log_slowness = std::log(slowness);
+double SpeedPreference::CostOn(double log_slowness) const {
   if (std::abs(log_slowness) < kDeadZone) {
     return 0;
   }
--- a/src/core/placement/worker_speed.cc
+++ b/src/core/placement/worker_speed.cc
@@ -31,7 +31,7 @@
 constexpr double kDriftThreshold = 4;
 // The threshold towards the typical speed: most workers that differ from it are
 // slow for a few seconds only.
-constexpr double kRecoveryThreshold = 3;
+constexpr double kRecoveryThreshold = 2.5;
 // Limits how much one long task counts.
 constexpr double kMaxDeviation = 2;
 constexpr double kMinChange = 0.25;
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -351,7 +351,7 @@
       candidates.push_back(
           {&worker, room, 0, gang_holds_.IsOrWasHeld(worker.number()),
            has_ticket,
-           speed ? speed->CostOn(run_times_.SlownessOf(worker.number()))
+           speed ? speed->CostOn(run_times_.LogSlownessOf(worker.number()))
                  : 0.0});
     }
   };
--- a/src/core/scheduler/dispatcher_speed.cc
+++ b/src/core/scheduler/dispatcher_speed.cc
@@ -35,7 +35,8 @@
   if (!run_times_.has_uneven_workers()) {
     return free;
   }
-  const double cost = preference.CostOn(run_times_.SlownessOf(worker.number()));
+  const double cost =
+      preference.CostOn(run_times_.LogSlownessOf(worker.number()));
   return static_cast<std::int64_t>(
       static_cast<double>(free) *
       (1 - kSpeedInRank * std::clamp(cost, -1.0, 1.0)));
