--- a/include/dotterelbarrow/core/placement/queue_run_times.h
+++ b/include/dotterelbarrow/core/placement/queue_run_times.h
@@ -48,6 +48,9 @@
   // Replaces what was added for a step, after another of its runs has ended.
   void Replace(const StepTimes& old_times, const StepTimes& new_times,
                base::TimePoint ended_at, base::TimePoint now);
+  // Adds `offset` to all run times, because the speed that counts as typical
+  // has changed.
+  void Shift(double offset);
   // Adds the squared deviation of a run from its step's mean.
   void AddNoise(double squared_deviation);
 
--- a/src/core/placement/queue_run_times.cc
+++ b/src/core/placement/queue_run_times.cc
@@ -79,6 +79,13 @@
   AddWeighted(new_times, weight);
 }
 
+void QueueRunTimes::Shift(double offset) {
+  sum_run_time_squared_ +=
+      2 * offset * sum_run_time_ + offset * offset * weight_;
+  sum_product_ += offset * sum_estimate_;
+  sum_run_time_ += offset * weight_;
+}
+
 void QueueRunTimes::AddNoise(double squared_deviation) {
   noise_ += kNoiseGain * (squared_deviation - noise_);
 }
--- a/src/core/placement/run_time_model.cc
+++ b/src/core/placement/run_time_model.cc
@@ -260,6 +260,17 @@
   for (WorkerSpeed& speed : speeds_) {
     speed.Shift(-mean);
   }
+  // What was derived from the speeds before changes by the same amount.
+  for (auto& [id, queue] : queues_) {
+    queue.Shift(mean);
+  }
+  for (auto& [ref, step] : steps_) {
+    step.times.log_run_time += mean;
+    step.prior.log_run_time += mean;
+    for (StepOnWorker& on_worker : step.on_workers) {
+      on_worker.sample.log_slowness -= mean;
+    }
+  }
 }
 
 double RunTimeModel::SlownessOf(workers::WorkerNumber worker) const {
--- a/test/core/placement/policies_test.cc
+++ b/test/core/placement/policies_test.cc
@@ -65,6 +65,28 @@
   }
 }
 
+// Guards against objectives that follow estimates which are known to be wrong.
+TEST_CASE("a queue whose estimates are half of the run times") {
+  const desired::Queue batch = QueueOf(2, 4.0);
+  RunTimeModel run_times;
+  for (std::uint64_t i = 1; i <= 100; ++i) {
+    run_times.RecordRun({.worker = workers::WorkerNumber(i % 10),
+                         .queue = batch.id,
+                         .task = {{jobs::JobKey(i), 0, 0}, 0},
+                         .estimate = seconds(2),
+                         .run_time = seconds(4)},
+                        kStart + milliseconds(50) * i);
+  }
+  jobs::Job job = JobOf(seconds(2), kStart);
+  const Urgency urgency = UrgencyOf(&job, 0, batch, run_times, false, kStart);
+  const base::Duration by_estimate =
+      UrgencyAt(JobOf(seconds(2), kStart), batch, kStart).latest_start - kStart;
+  CHECK(by_estimate == 3 * seconds(2) + seconds(1));
+  // The objective is four times the real work and a second.
+  CHECK(urgency.latest_start - kStart > 3 * milliseconds(3700) + seconds(1));
+  CHECK(urgency.latest_start - kStart < 3 * milliseconds(4300) + seconds(1));
+}
+
 TEST_CASE("a job of several steps") {
   const desired::Queue batch = QueueOf(2, 4.0);
   jobs::Job chain = JobOf(seconds(2), kStart);
