Copies of runs that take far longer than expected

Cause: 3% of runs take 7 times as long as the others of their step and make the whole step late, while other workers have free capacity.

Change: a task of a step with allows_copies may have two active runs. The straggler policy compares a run with its expected run time and with its siblings; the dispatcher looks at the runs in the order of the times at which that is worthwhile, and places a copy like any task. The first end done completes the task, and the other run is stopped, also when that completes the job. A new owner adopts both runs. The end of a task is acknowledged to its worker only when no other run of it can start any more, since an unanswered start may be executed seconds later.

--- a/include/dotterelbarrow/core/jobs/job.h
+++ b/include/dotterelbarrow/core/jobs/job.h
@@ -44,9 +44,14 @@
 struct Task {
   bool done = false;
   // Whether a run of the task may be active on some worker. Invariant: at most
-  // one run of a task is active at a time.
+  // one run of a task is active at a time, or two if its step may have copies.
   bool may_be_running = false;
   Attempt last_attempt;
+  // The attempts whose runs may be active. Used only if the step may have
+  // copies; then `may_be_running` is true unless this is empty.
+  std::vector<Attempt> active_attempts;
+  // How many copies of the task this owner has started.
+  std::uint32_t copies_started = 0;
   // Failed attempts, without duplicates: a run end may be reported more than
   // once, and several workers may report theirs in any order.
   std::vector<Attempt> failed_attempts;
@@ -72,6 +77,10 @@
   std::vector<Attempt> failed_gang_attempts;
   // The workers that crashed under members of the gang.
   CrashHistory gang_crashes;
+  // If the step may have copies: the run times of tasks that are done, as on a
+  // worker of typical speed, in ascending order. Runs that resumed from a
+  // checkpoint, or that a previous owner started, are not included.
+  std::vector<base::Duration> run_times;
 
   bool is_done() const { return done == tasks.size(); }
   // Returns the number of tasks that are neither done nor possibly running.
@@ -126,10 +135,14 @@
   // Records that a run of `attempt` may be active. Does nothing for an unknown
   // task.
   void RecordRun(const TaskRef& ref, Attempt attempt);
+  // Returns whether the task may have a run of this attempt beside those that
+  // may be active: it has none or, if its step may have copies, one of another
+  // attempt. Returns false for an unknown task.
+  bool MayHaveRun(const TaskRef& ref, Attempt attempt);
   // Records that `attempt` ended on `worker`. The job fails at the
   // `max_attempts`th failure of a task or gang. Returns whether the job's
   // progress record changed; a run end that was recorded before changes
-  // nothing.
+  // nothing, nor does the end of a copy after the task is done.
   bool RecordRunEnd(const TaskRef& ref, Attempt attempt, RunEnd end,
                     const std::string& checkpoint,
                     const base::BackendId& worker, std::uint32_t max_attempts);
@@ -149,6 +162,9 @@
   CrashHistory* CrashesOf(const TaskRef& ref);
 
  private:
+  // Removes the attempt from those that may be active. Returns whether it is
+  // the task's current one, or one of them if its step may have copies.
+  bool RemoveRun(const TaskRef& ref, Attempt attempt);
   // Fails the job if the task, or the gang of the member, is guilty of crashing
   // workers.
   void FailIfGuilty(const TaskRef& ref, bool has_precedent);
--- a/include/dotterelbarrow/core/jobs/job_spec.h
+++ b/include/dotterelbarrow/core/jobs/job_spec.h
@@ -92,6 +92,11 @@
   base::Duration response_target{0};
 
   bool is_serving() const { return response_target > base::Duration(0); }
+  // Whether a task may have a second run beside its first one. Members of a
+  // gang end together, and long-running tasks don't end.
+  bool may_have_copies() const {
+    return allows_copies && !gang && !long_running;
+  }
   // Returns the resources that a worker must reserve for one task.
   base::Resources Reservation() const {
     base::Resources reservation = needs;
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -21,9 +21,11 @@
 #include "dotterelbarrow/core/placement/gang_holds.h"
 #include "dotterelbarrow/core/placement/load_shedder.h"
 #include "dotterelbarrow/core/placement/run_time_model.h"
+#include "dotterelbarrow/core/placement/straggler_policy.h"
 #include "dotterelbarrow/core/placement/urgency.h"
 #include "dotterelbarrow/core/placement/worker_choice.h"
 #include "dotterelbarrow/core/scheduler/actions.h"
+#include "dotterelbarrow/core/scheduler/copy_tracker.h"
 #include "dotterelbarrow/core/scheduler/decision_log.h"
 #include "dotterelbarrow/core/scheduler/fleet.h"
 #include "dotterelbarrow/core/scheduler/job_registry.h"
@@ -61,6 +63,10 @@
   // Interval at which overdue steps are considered: steps of jobs that can no
   // longer complete in time.
   base::Duration overdue_pass_interval = std::chrono::milliseconds(50);
+  // How many runs a pass looks at, at most, to see whether they need copies. A
+  // run is looked at about five times, so that this suffices for all runs that
+  // can be placed, 1,800 a second.
+  int max_copy_looks = 36;
 };
 
 // Why a step whose dependencies are met is not started.
@@ -165,6 +171,15 @@
   // call.
   std::uint64_t TakeJobsBegun() { return std::exchange(jobs_begun_, 0); }
 
+  // Whether the job was accepted by a previous owner.
+  bool IsInherited(jobs::JobKey job) const { return inherited_.contains(job); }
+  // A run that a previous owner started was added to the worker.
+  void OnRunAdopted(const base::BackendId& worker, const workers::Run& run,
+                    base::TimePoint now);
+  // A run has ended on the worker. Call before the end is recorded in its job.
+  void OnRunEnded(const workers::Worker& worker, const workers::Run& run,
+                  jobs::RunEnd end, base::TimePoint now);
+
   std::size_t waiting_steps() const {
     return waiting_.size() + overdue_.size();
   }
@@ -387,6 +402,34 @@
   // under way.
   void StartOrReleaseReserved(const jobs::StepRef& step, base::TimePoint now,
                               std::vector<Action>* actions);
+  // Looks at the runs that are due, and starts copies of those that take far
+  // longer than expected.
+  void StartCopies(base::TimePoint now, std::vector<Action>* actions);
+  // Starts a copy of the run if it needs one. Returns when to look at it again;
+  // nullopt if it is gone.
+  std::optional<base::TimePoint> LookAtRun(CopyTracker::WatchedRun* watched,
+                                           base::TimePoint now,
+                                           std::vector<Action>* actions);
+  placement::RunInProgress DescribeRun(const WaitingStep& item,
+                                       const workers::Worker& worker,
+                                       const workers::Run& run,
+                                       base::TimePoint now) const;
+  placement::CopyRoom RoomForCopy(const WaitingStep& item) const;
+  // Places a copy of the run. Returns why it could not; kStraggler if it did.
+  placement::CopyReason PlaceCopy(WaitingStep* item, const PlacedRun& run,
+                                  const placement::RunInProgress& progress,
+                                  base::TimePoint now,
+                                  std::vector<Action>* actions);
+  // Returns null if no allowed worker has free resources for the copy and is
+  // expected to end it before the run.
+  const workers::Worker* ChooseForCopy(const WaitingStep& item,
+                                       const PlacedRun& run,
+                                       const placement::RunInProgress& progress,
+                                       base::TimePoint now) const;
+  // Logs and counts why a run has no copy, if the reason has changed.
+  void LogWithheld(CopyTracker::WatchedRun* watched,
+                   placement::CopyReason reason,
+                   const placement::RunInProgress& progress);
   // Returns the number for the task's next attempt.
   jobs::Attempt NextAttempt(const jobs::Step& step, std::uint32_t index) const;
 
@@ -435,8 +478,15 @@
   std::uint64_t jobs_begun_ = 0;
   std::vector<jobs::TaskRef> guilty_tasks_;
   base::TimePoint next_usage_update_;
-  // The fraction of the fleet in use.
+  // The fraction of the fleet in use, and the capacity of the workers that
+  // accept work.
   double fleet_usage_ = 0;
+  base::Resources fleet_capacity_;
+  CopyTracker copies_;
+  // Whether the last pass left steps that can be on time without free
+  // resources, and the organisations whose cap it found reached.
+  bool has_waiting_work_ = false;
+  std::set<base::OrganisationId> capped_;
   placement::LoadShedder load_shedder_;
   placement::CapHeadroom cap_headroom_;
   // When the current pass began.
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -46,6 +46,9 @@
   // the owner sends fewer than 10,000 polls a second.
   base::Duration poll_interval = std::chrono::milliseconds(60);
   base::Duration poll_interval_per_worker = std::chrono::microseconds(100);
+  // Interval of the polls of a worker whose run ends are stored, but not yet
+  // acknowledged. It answers them at once, with these ends.
+  base::Duration held_ends_poll_interval = std::chrono::milliseconds(250);
   // Consecutive unanswered polls after which a worker counts as unresponsive
   // and the store is told so. Answers lost by chance are seldom that many in a
   // row.
@@ -175,6 +178,12 @@
   // The store holds all run ends of the worker up to `number`.
   void OnEndsStored(const base::BackendId& worker, std::uint64_t number,
                     base::TimePoint now);
+  // Tells whether stored run ends of the worker are not acknowledged yet.
+  void SetHasHeldEnds(const base::BackendId& worker, bool has_held_ends) {
+    if (workers::Worker* found = Find(worker)) {
+      found->has_held_ends = has_held_ends;
+    }
+  }
 
   workers::Worker* Find(const base::BackendId& id);
   // Returns null if the worker was removed.
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -32,6 +32,7 @@
 #include "dotterelbarrow/core/scheduler/decision_log.h"
 #include "dotterelbarrow/core/scheduler/dispatcher.h"
 #include "dotterelbarrow/core/scheduler/fleet.h"
+#include "dotterelbarrow/core/scheduler/held_ends.h"
 #include "dotterelbarrow/core/scheduler/job_registry.h"
 #include "dotterelbarrow/core/scheduler/run_index.h"
 #include "dotterelbarrow/core/scheduler/worker_records.h"
@@ -189,8 +190,9 @@
   // A worker reports the end of a run that this owner does not track.
   void OnUntrackedRunEnded(const workers::Worker& worker, const ListedEnd& end);
   // A worker reports an active run that this owner does not track. Adopts it if
-  // its task is not done, has no other run and no later attempt; otherwise the
-  // fleet stops it.
+  // its task is not done, has no other run and no later attempt; if its step
+  // may have copies, the task may have one other run, of any attempt. Otherwise
+  // the fleet stops it.
   void OnUntrackedRunListed(workers::Worker* worker, const ListedRun& listed,
                             base::TimePoint now);
   void OnStartRefused(const workers::Worker& worker, const workers::Run& run,
@@ -220,6 +222,14 @@
   void ApplyRunEnd(const jobs::TaskRef& task, jobs::Attempt attempt,
                    jobs::RunEnd end, const std::string& checkpoint,
                    const base::BackendId& worker, bool never_started);
+  // The worker has reported that the task is done. If another run of the task
+  // may still start, holds back the acknowledgement of that end: what starts
+  // before it is acknowledged is the copy's known risk, later it is a fault.
+  void HoldEnd(const workers::Worker& worker, const jobs::TaskRef& task);
+  // Returns whether no other run of the task can start any more.
+  bool CanRelease(const HeldEnds::End& end);
+  // Acknowledges the run ends that don't need to be held any longer.
+  void ReleaseEnds();
   // Stops all runs of a step.
   void StopRuns(const jobs::StepRef& step);
   void StopRunsOfTask(const jobs::TaskRef& task);
@@ -251,6 +261,9 @@
   // Number of entry hosts that submit jobs.
   std::size_t entry_host_count_ = 1;
   base::TimePoint load_logged_at_;
+  HeldEnds held_ends_;
+  // Whether a job was restored of which some step may have copies.
+  bool has_inherited_copies_ = false;
   // Jobs whose occurrences begin at given times.
   std::unordered_set<jobs::JobKey> scheduled_jobs_;
   // Gangs of which not all members are known to run, with the time of their
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -195,6 +195,9 @@
   std::uint64_t ends_received = 0;
   // Run ends up to this number are stored; the worker may forget them.
   std::uint64_t ends_stored = 0;
+  // Whether stored run ends are not acknowledged yet, because another run of
+  // their task may still start.
+  bool has_held_ends = false;
   // Whether leases are suspended: the worker's record in the store names the
   // time at which its leases end, or a write of it is in flight. No lease is
   // granted and nothing is started until a record without that time is stored,
--- a/src/core/jobs/job.cc
+++ b/src/core/jobs/job.cc
@@ -6,6 +6,9 @@
 namespace dotterelbarrow::core::jobs {
 namespace {
 
+// A task and one copy of it.
+constexpr std::size_t kMaxActiveRuns = 2;
+
 // Appends `attempt` unless it is present; returns whether it was appended.
 bool AddOnce(Attempt attempt, std::vector<Attempt>* attempts) {
   if (std::find(attempts->begin(), attempts->end(), attempt) !=
@@ -101,12 +104,44 @@
       ++FindStep(ref.step)->possibly_running;
     }
   }
+  if (SpecOf(ref.step).may_have_copies()) {
+    AddOnce(attempt, &task->active_attempts);
+  }
   task->last_attempt = std::max(task->last_attempt, attempt);
   if (state == JobState::kQueued) {
     state = JobState::kInProgress;
   }
 }
 
+bool Job::MayHaveRun(const TaskRef& ref, Attempt attempt) {
+  const Task* task = FindTask(ref);
+  if (task == nullptr || task->done) {
+    return false;
+  }
+  if (!SpecOf(ref.step).may_have_copies()) {
+    return !task->may_be_running && attempt >= task->last_attempt;
+  }
+  // The attempt may be lower than that of a copy that was found first.
+  const std::vector<Attempt>& active = task->active_attempts;
+  return active.size() < kMaxActiveRuns &&
+         std::find(active.begin(), active.end(), attempt) == active.end();
+}
+
+bool Job::RemoveRun(const TaskRef& ref, Attempt attempt) {
+  Task* task = FindTask(ref);
+  bool is_current = attempt >= task->last_attempt;
+  bool is_last = is_current;
+  if (SpecOf(ref.step).may_have_copies()) {
+    is_current |= std::erase(task->active_attempts, attempt) > 0;
+    is_last = task->active_attempts.empty();
+  }
+  if (is_last && task->may_be_running) {
+    task->may_be_running = false;
+    --FindStep(ref.step)->possibly_running;
+  }
+  return is_current;
+}
+
 bool Job::RecordRunEnd(const TaskRef& ref, Attempt attempt, RunEnd end,
                        const std::string& checkpoint,
                        const base::BackendId& worker,
@@ -116,11 +151,7 @@
     return false;
   }
   Step* step = FindStep(ref.step);
-  const bool is_current = attempt >= task->last_attempt;
-  if (is_current && task->may_be_running) {
-    task->may_be_running = false;
-    --step->possibly_running;
-  }
+  const bool is_current = RemoveRun(ref, attempt);
   task->last_attempt = std::max(task->last_attempt, attempt);
   if (is_current && !checkpoint.empty()) {
     task->checkpoint = checkpoint;
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -142,6 +142,7 @@
         std::max(largest_free_.accelerators, room.accelerators);
   }
   fleet_usage_ = base::DominantFraction(reserved, capacity);
+  fleet_capacity_ = capacity;
   load_shedder_.BeginPass(fleet_usage_);
 }
 
@@ -158,12 +159,15 @@
   containment_.BeginPass(fleet_->workers().size(), fleet_usage_);
   UpdateInheritedUsage(now);
   reserved_caps_.clear();
+  has_waiting_work_ = false;
+  capped_.clear();
   PlaceAll(CollectByUrgency(&waiting_, now), nullptr, now, actions);
   if (now >= next_overdue_pass_) {
     next_overdue_pass_ = now + settings_.overdue_pass_interval;
     PlaceAll(CollectByUrgency(&overdue_, now), &overdue_rotation_, now,
              actions);
   }
+  StartCopies(now, actions);
 }
 
 std::set<jobs::StepRef> Dispatcher::ChooseOutOfTurn(
@@ -211,6 +215,12 @@
       LogWait(item, *reason, now);
     }
     unplaced_steps += *reason == WaitReason::kFreeResources ? 1 : 0;
+    if (*reason == WaitReason::kCap) {
+      capped_.insert(item.job->organisation);
+    }
+    has_waiting_work_ |=
+        item.urgency.deadline_status == placement::DeadlineStatus::kOnTime &&
+        *reason == WaitReason::kFreeResources;
   }
   for (const WaitingStep* item : std::exchange(needing_more_advice_, {})) {
     if (item->queue->advice && CanRequestAdvice(*item, now)) {
@@ -506,6 +516,13 @@
     runs_->Add(choice.worker, run);
     item.job->RecordRun(task, number);
     placed.push_back({choice.worker, task, number});
+    if (const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+        spec.may_have_copies()) {
+      copies_.Watch(
+          {placed.back(), step.tasks[choice.index].checkpoint.empty()},
+          now + placement::StragglerPolicy::FirstLookAfter(
+                    run_times_.ExpectedRunTime(item.queue->id, spec.estimate)));
+    }
   }
   return placed;
 }
--- a/src/core/scheduler/fleet_runs.cc
+++ b/src/core/scheduler/fleet_runs.cc
@@ -263,7 +263,9 @@
   if (was_regular_poll && target->ends_received > target->ends_stored) {
     // Until the store holds these run ends, the worker would only report them
     // again.
-    target->next_poll = now + settings_.long_poll_timeout;
+    target->next_poll =
+        now + (target->has_held_ends ? settings_.held_ends_poll_interval
+                                     : settings_.long_poll_timeout);
   }
 }
 
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -91,6 +91,9 @@
       scheduled_jobs_.insert(key);
     }
     dispatcher_.MarkInherited(key);
+    has_inherited_copies_ |= std::any_of(
+        job->spec.steps.begin(), job->spec.steps.end(),
+        [](const jobs::StepSpec& step) { return step.may_have_copies(); });
     dispatcher_.RememberQueue(job->rules);
     EnqueueReadySteps(*job);
   }
@@ -301,6 +304,7 @@
 void Scheduler::Tick(base::TimePoint now, std::int64_t unix_now_ms) {
   now_ = now;
   fleet_.Tick(now, &actions_);
+  ReleaseEnds();
   StopIncompleteGangs(now);
   for (const jobs::JobKey key : scheduled_jobs_) {
     if (jobs_.IsStored(key)) {
@@ -357,7 +361,7 @@
   jobs_.OnStored(batch);
   worker_records_.OnStored(batch, now);
   for (const auto& [worker, number] : batch.run_ends) {
-    fleet_.OnEndsStored(worker, number, now);
+    fleet_.OnEndsStored(worker, held_ends_.OnStored(worker, number), now);
   }
 }
 
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -66,6 +66,10 @@
                            const workers::Run& run, jobs::RunEnd end,
                            const std::string& checkpoint) {
   runs_.Remove(worker.id(), run);
+  dispatcher_.OnRunEnded(worker, run, end, now_);
+  if (end == jobs::RunEnd::kDone) {
+    HoldEnd(worker, run.task);
+  }
   UpdateQuarantine(worker, run, end);
   const bool never_started =
       end == jobs::RunEnd::kStopped && run.start_confirmed_ms == 0;
@@ -75,6 +79,9 @@
 
 void Scheduler::OnUntrackedRunEnded(const workers::Worker& worker,
                                     const ListedEnd& end) {
+  if (end.end == jobs::RunEnd::kDone) {
+    HoldEnd(worker, end.task);
+  }
   jobs::Job* job = jobs_.Find(end.task.step.job);
   jobs::Task* task = job == nullptr ? nullptr : job->FindTask(end.task);
   if (task == nullptr || task->done) {
@@ -117,6 +124,10 @@
   const bool is_gang = job->SpecOf(task.step).gang;
   const bool changed =
       job->RecordRunEnd(task, attempt, end, checkpoint, worker, max_attempts);
+  if (end == jobs::RunEnd::kDone && job->SpecOf(task.step).may_have_copies()) {
+    // Also if the job is completed by this: its copy would run to its end.
+    StopRunsOfTask(task);
+  }
   if (changed && jobs::IsFinal(job->state)) {
     EndJob(*job);
     return;
@@ -144,10 +155,8 @@
                                      const ListedRun& listed,
                                      base::TimePoint now) {
   jobs::Job* job = jobs_.Find(listed.task.step.job);
-  jobs::Task* task = job == nullptr ? nullptr : job->FindTask(listed.task);
-  const bool is_wanted = task != nullptr && !task->done &&
-                         !task->may_be_running &&
-                         listed.attempt >= task->last_attempt;
+  const bool is_wanted =
+      job != nullptr && job->MayHaveRun(listed.task, listed.attempt);
   telemetry_.log->Write(
       is_wanted ? "run_adopted" : "run_unwanted",
       {{"task", jobs::ToString(listed.task)},
@@ -164,12 +173,14 @@
   runs_.Add(worker->id(), run);
   job->RecordRun(listed.task, listed.attempt);
   job->state = jobs::JobState::kInProgress;
+  dispatcher_.OnRunAdopted(worker->id(), run, now);
 }
 
 void Scheduler::OnStartRefused(const workers::Worker& worker,
                                const workers::Run& run,
                                CommandOutcome outcome) {
   runs_.Remove(worker.id(), run);
+  dispatcher_.OnRunEnded(worker, run, jobs::RunEnd::kStopped, now_);
   if (outcome == CommandOutcome::kBadTicket) {
     dispatcher_.InvalidateTicket(run.task.step, worker.id());
   }
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -71,6 +71,7 @@
     worker.listing.service = kService;
     worker.listing.capacity.cpu = base::Millicores(kWorkerCores * kMillicores);
     worker.listing.capacity.memory = base::Mebibytes(1024);
+    worker.listing.rack = rack;
     worker.listing.born_ms = 1;
     worker.listing.revision = 1;
     workers_.emplace(worker.listing.id, std::move(worker));
@@ -182,60 +183,64 @@
 }
 
 void SchedulerScenario::CarryOut(const Action& action) {
-  std::visit(base::Overloaded{
-                 [this](const StartTask& command) {
-                   starts_.push_back(command);
-                   CommandOutcome outcome = CommandOutcome::kBadTicket;
-                   if (IsUnresponsive(command.worker)) {
-                     outcome = CommandOutcome::kUnanswered;
-                   } else if (!refuses_tickets) {
-                     outcome = CommandOutcome::kDone;
-                     workers_.at(command.worker.id).running[command.task] =
-                         command.attempt;
-                   }
-                   scheduler_->OnStarted(command, outcome, NowMillis(), now_);
-                 },
-                 [this](const StopTask& command) {
-                   if (IsUnresponsive(command.worker)) {
-                     return;
-                   }
-                   Worker& worker = workers_.at(command.worker.id);
-                   if (worker.running.erase(command.task) > 0) {
-                     worker.ended.push_back({++worker.last_end,
-                                             command.task,
-                                             command.attempt,
-                                             jobs::RunEnd::kStopped,
-                                             {}});
-                   }
-                   scheduler_->OnStopped(command, CommandOutcome::kDone,
-                                         NowMillis(), now_);
-                 },
-                 [this](const PollWorker& command) {
-                   if (command.lease_until_ms) {
-                     renewed_.insert(command.worker.id.value());
-                   }
-                   if (IsUnresponsive(command.worker)) {
-                     scheduler_->OnPolled(command, PollResult(), now_);
-                     return;
-                   }
-                   Worker& worker = workers_.at(command.worker.id);
-                   std::erase_if(worker.ended, [&](const ListedEnd& end) {
-                     return end.number <= command.ends_stored;
-                   });
-                   PollResult result;
-                   result.outcome = CommandOutcome::kDone;
-                   result.clock_ms = NowMillis();
-                   result.born_ms = worker.listing.born_ms;
-                   for (const auto& [task, attempt] : worker.running) {
-                     result.active.push_back({task, attempt, {}});
-                   }
-                   result.ended = worker.ended;
-                   scheduler_->OnPolled(command, result, now_);
-                 },
-                 [this](const RequestAdvice& request) {
-                   advice_requests_.push_back(request);
-                 }},
-             action);
+  std::visit(
+      base::Overloaded{
+          [this](const StartTask& command) {
+            starts_.push_back(command);
+            CommandOutcome outcome = CommandOutcome::kBadTicket;
+            if (IsUnresponsive(command.worker) || loses_starts) {
+              outcome = CommandOutcome::kUnanswered;
+            } else if (!refuses_tickets) {
+              outcome = loses_start_answers ? CommandOutcome::kUnanswered
+                                            : CommandOutcome::kDone;
+              workers_.at(command.worker.id).running[command.task] =
+                  command.attempt;
+            }
+            scheduler_->OnStarted(command, outcome, NowMillis(), now_);
+          },
+          [this](const StopTask& command) {
+            if (IsUnresponsive(command.worker) || loses_stops) {
+              return;
+            }
+            Worker& worker = workers_.at(command.worker.id);
+            if (worker.running.erase(command.task) > 0) {
+              worker.ended.push_back({++worker.last_end,
+                                      command.task,
+                                      command.attempt,
+                                      jobs::RunEnd::kStopped,
+                                      {}});
+            }
+            scheduler_->OnStopped(command, CommandOutcome::kDone, NowMillis(),
+                                  now_);
+          },
+          [this](const PollWorker& command) {
+            if (command.lease_until_ms) {
+              renewed_.insert(command.worker.id.value());
+            }
+            if (IsUnresponsive(command.worker)) {
+              scheduler_->OnPolled(command, PollResult(), now_);
+              return;
+            }
+            Worker& worker = workers_.at(command.worker.id);
+            std::erase_if(worker.ended, [&](const ListedEnd& end) {
+              return end.number <= command.ends_stored;
+            });
+            PollResult result;
+            result.outcome = CommandOutcome::kDone;
+            result.clock_ms = NowMillis();
+            result.born_ms = worker.listing.born_ms;
+            for (const auto& [task, attempt] : worker.running) {
+              const auto it = checkpoints.find(task);
+              result.active.push_back(
+                  {task, attempt, it == checkpoints.end() ? "" : it->second});
+            }
+            result.ended = worker.ended;
+            scheduler_->OnPolled(command, result, now_);
+          },
+          [this](const RequestAdvice& request) {
+            advice_requests_.push_back(request);
+          }},
+      action);
 }
 
 void SchedulerScenario::AnswerAdviceRequest(
@@ -261,6 +266,40 @@
   }
 }
 
+void SchedulerScenario::EndRunOn(const std::string& name,
+                                 const jobs::TaskRef& task, jobs::RunEnd end) {
+  Worker& worker = workers_.at(base::BackendId(name));
+  if (const auto it = worker.running.find(task); it != worker.running.end()) {
+    worker.ended.push_back({++worker.last_end, task, it->second, end, {}});
+    worker.running.erase(it);
+  }
+}
+
+std::set<std::string> SchedulerScenario::WorkersOf(
+    const jobs::TaskRef& task) const {
+  std::set<std::string> names;
+  for (const auto& [id, worker] : workers_) {
+    if (worker.running.contains(task)) {
+      names.insert(id.value());
+    }
+  }
+  return names;
+}
+
+int SchedulerScenario::UsedCores(const std::string& worker) const {
+  return static_cast<int>(scheduler_->fleet()
+                              .workers()
+                              .at(base::BackendId(worker))
+                              .reserved()
+                              .cpu.value() /
+                          kMillicores);
+}
+
+std::size_t SchedulerScenario::UnacknowledgedEnds(
+    const std::string& worker) const {
+  return workers_.at(base::BackendId(worker)).ended.size();
+}
+
 bool SchedulerScenario::CrashWorkerOf(const jobs::TaskRef& task) {
   for (auto& [id, worker] : workers_) {
     if (worker.running.contains(task)) {
--- a/test/core/scheduler/scheduler_scenario.h
+++ b/test/core/scheduler/scheduler_scenario.h
@@ -65,11 +65,29 @@
                            const std::set<std::string>& allowed);
   // Ends the active run of the task, wherever it is, with this result.
   void EndRun(const jobs::TaskRef& task, jobs::RunEnd end);
+  // Ends the active run of the task on this worker with this result.
+  void EndRunOn(const std::string& worker, const jobs::TaskRef& task,
+                jobs::RunEnd end);
+  // Returns the workers on which the task runs.
+  std::set<std::string> WorkersOf(const jobs::TaskRef& task) const;
+  // Returns the cores that runs use on the worker.
+  int UsedCores(const std::string& worker) const;
+  // Returns the number of run ends that the worker lists.
+  std::size_t UnacknowledgedEnds(const std::string& worker) const;
   // Crashes the worker on which the task runs; its next incarnation is there at
   // once. Returns false if the task runs nowhere.
   bool CrashWorkerOf(const jobs::TaskRef& task);
   // Whether workers refuse the ticket of each start.
   bool refuses_tickets = false;
+  // Whether start commands are executed without an answer, and whether they and
+  // stop commands are lost.
+  bool loses_start_answers = false;
+  bool loses_starts = false;
+  bool loses_stops = false;
+  // The checkpoints that workers list for active runs.
+  std::map<jobs::TaskRef, std::string> checkpoints;
+  // The rack of each worker that is added from now on.
+  std::string rack;
   // Workers that receive no command and answer nothing.
   std::set<std::string> unresponsive_workers;
 
@@ -77,6 +95,7 @@
   void TakeOver();
 
   Scheduler& scheduler() { return *scheduler_; }
+  const Counters& counters() const { return counters_; }
   base::TimePoint now() const { return now_; }
   // Return the actions of this kind since the last call.
   std::vector<StartTask> TakeStarts() { return std::exchange(starts_, {}); }
