--- a/include/dotterelbarrow/core/placement/straggler_policy.h
+++ b/include/dotterelbarrow/core/placement/straggler_policy.h
@@ -93,6 +93,10 @@
  public:
   // A task has at most this many copies.
   static constexpr std::uint32_t kMaxCopiesOfTask = 2;
+  // Copies use at most this fraction of the fleet, or there is only one. Slow
+  // runs are 3% of all runs and need one usual run time each for a copy, so
+  // this suffices if all steps allow copies.
+  static constexpr double kMaxShareOfCopies = 0.05;
   // The longest interval at which a run is looked at for which a copy is due.
   static constexpr base::Duration kRetryInterval =
       std::chrono::milliseconds(100);
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -380,6 +380,10 @@
   // workers of previous owners that are not claimed yet: for each organisation
   // no more than its inherited tasks that wait.
   void UpdateInheritedUsage(base::TimePoint now);
+  // Does the same for untracked second runs of the tasks of inherited jobs.
+  void UpdateInheritedCopies(base::TimePoint now);
+  base::Resources InheritedCopiesOf(
+      const base::OrganisationId& organisation) const;
   // Return upper bounds of the resources that the organisation's runs use: the
   // first for all runs, the second for untracked ones only.
   base::Resources UsageOf(const base::OrganisationId& organisation) const;
@@ -498,6 +502,14 @@
   base::Resources unreconciled_capacity_;
   // What each organisation's inherited waiting tasks need.
   std::unordered_map<base::OrganisationId, base::Resources> inherited_demand_;
+  // The same for one more run of each task that may have a copy, and the needs
+  // of the largest of these.
+  struct InheritedCopies {
+    base::Resources needs;
+    base::Resources largest;
+  };
+  std::unordered_map<base::OrganisationId, InheritedCopies> inherited_copies_;
+  base::TimePoint next_inherited_copies_update_;
   // In each dimension, the largest amount that any worker has free: no worker
   // has more.
   base::Resources largest_free_;
--- a/src/core/placement/straggler_policy.cc
+++ b/src/core/placement/straggler_policy.cc
@@ -20,10 +20,6 @@
 // Siblings tell more than estimates once this fraction of them is done: the
 // median can't be that of slow runs then.
 constexpr double kMinFractionMeasured = 0.5;
-// Copies use at most this fraction of the fleet. Slow runs are 3% of all runs
-// and need one usual run time each for a copy, so this suffices if all steps
-// allow copies.
-constexpr double kMaxShareOfCopies = 0.05;
 // Above this usage the free workers are those on which little fits, and a burst
 // would find nothing free.
 constexpr double kMaxUsage = 0.9;
@@ -153,7 +149,8 @@
     return NotYet(CopyReason::kFleetBusy, kRetryInterval);
   }
   // A small fleet may have one copy, however large.
-  if (room.copies > 0 && room.copies_usage > kMaxShareOfCopies) {
+  if (room.copies > 0 &&
+      room.copies_usage > StragglerPolicy::kMaxShareOfCopies) {
     return NotYet(CopyReason::kShareUsed, kRetryInterval);
   }
   if (run.is_on_alert) {
--- a/src/core/scheduler/dispatcher_caps.cc
+++ b/src/core/scheduler/dispatcher_caps.cc
@@ -17,6 +17,7 @@
   unreconciled_capacity_ = base::Resources();
   inherited_demand_.clear();
   if (fleet_->unreconciled().empty()) {
+    inherited_copies_.clear();
     return;
   }
   for (const base::BackendId& id : fleet_->unreconciled()) {
@@ -34,11 +35,12 @@
           item->job->SpecOf(ref).needs * item->job->FindStep(ref)->waiting();
     }
   }
+  UpdateInheritedCopies(now);
 }
 
 base::Resources Dispatcher::UntrackedUsageOf(
     const base::OrganisationId& organisation) const {
-  base::Resources usage = orphan_usage_;
+  base::Resources usage = orphan_usage_ + InheritedCopiesOf(organisation);
   if (const auto it = inherited_demand_.find(organisation);
       it != inherited_demand_.end()) {
     usage.cpu += std::min(it->second.cpu, unreconciled_capacity_.cpu);
--- a/test/core/scheduler/copies_test.cc
+++ b/test/core/scheduler/copies_test.cc
@@ -242,6 +242,23 @@
   }
 }
 
+// Guards against more than the cap while a copy is not known to the new owner.
+TEST_CASE("an organisation's cap after an owner change covers unknown copies") {
+  SlowRun cell;
+  cell.SetCap(3);
+  cell.unresponsive_workers = {cell.copy_worker()};
+  cell.TakeOver();
+  cell.RunPasses(3);
+  REQUIRE(cell.WorkersOf(cell.task).contains(cell.copy_worker()));
+  cell.SubmitAndStore(kOtherJob, "plain", {Scenario::Step(2)});
+  cell.RunPasses(5);
+  CHECK(cell.TakeStarts().size() == 1);
+  cell.unresponsive_workers.clear();
+  cell.EndRun(cell.task, RunEnd::kDone);
+  cell.RunPasses(kPassesToEnd);
+  CHECK(cell.TakeStarts().size() == 1);
+}
+
 TEST_CASE("a copy whose start got no answer") {
   Scenario cell;
   cell.AddWorkers(4);
