--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -215,7 +215,7 @@
       LogWait(item, *reason, now);
     }
     unplaced_steps += *reason == WaitReason::kFreeResources ? 1 : 0;
-    if (*reason == WaitReason::kCap) {
+    if (*reason == WaitReason::kCap && copies_.watched() > 0) {
       capped_.insert(item.job->organisation);
     }
     has_waiting_work_ |=
--- a/src/core/scheduler/dispatcher_copies.cc
+++ b/src/core/scheduler/dispatcher_copies.cc
@@ -58,7 +58,7 @@
 
 void Dispatcher::OnRunAdopted(const base::BackendId& worker,
                               const workers::Run& run, base::TimePoint now) {
-  const jobs::Job* job = jobs_->Find(run.task.step.job);
+  jobs::Job* job = jobs_->Find(run.task.step.job);
   if (!job->SpecOf(run.task.step).may_have_copies()) {
     return;
   }
@@ -66,9 +66,7 @@
       {{worker, run.task, run.attempt}, false},
       now + StragglerPolicy::FirstLookAfter(
                 run_times_.ExpectedRunTime(job->queue, run.estimate)));
-  if (jobs_->Find(run.task.step.job)
-          ->FindTask(run.task)
-          ->active_attempts.size() > 1) {
+  if (job->FindTask(run.task)->active_attempts.size() > 1) {
     // Which of the two is the copy makes no difference from here on.
     copies_.AddCopy(run.task, run.attempt, run.needs);
     telemetry_.counters->Increment("copies", "adopted");
