--- a/test/member/evacuation_watch_test.cc
+++ b/test/member/evacuation_watch_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <functional>
 #include <set>
 #include <string>
@@ -29,7 +30,7 @@
              std::initializer_list<core::scheduler::LogField>) override {
     events.emplace_back(event);
   }
-  long CountOf(const char* event) const {
+  std::ptrdiff_t CountOf(const char* event) const {
     return std::count(events.begin(), events.end(), event);
   }
   std::vector<std::string> events;
