Preemption of running work with checkpoints for waiting work of a higher priority

Bursts of lookups are late while batch work with many seconds of slack fills the fleet. A planner chooses runs to stop for a step that is about to be late, if that is worth more than it costs; the dispatcher stops them and keeps their room for the step. Off unless the settings file states how long a stop takes.

--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -19,7 +19,10 @@
 #include "dotterelbarrow/core/placement/cap_headroom.h"
 #include "dotterelbarrow/core/placement/crash_containment.h"
 #include "dotterelbarrow/core/placement/gang_holds.h"
+#include "dotterelbarrow/core/placement/kept_rooms.h"
 #include "dotterelbarrow/core/placement/load_shedder.h"
+#include "dotterelbarrow/core/placement/preemption_limits.h"
+#include "dotterelbarrow/core/placement/preemption_planner.h"
 #include "dotterelbarrow/core/placement/run_time_model.h"
 #include "dotterelbarrow/core/placement/urgency.h"
 #include "dotterelbarrow/core/placement/worker_choice.h"
@@ -61,6 +64,8 @@
   // Interval at which overdue steps are considered: steps of jobs that can no
   // longer complete in time.
   base::Duration overdue_pass_interval = std::chrono::milliseconds(50);
+  // Nothing is preempted with the default values.
+  placement::PreemptionSettings preemption;
 };
 
 // Why a step whose dependencies are met is not started.
@@ -370,6 +375,47 @@
   base::Resources UsageOf(const base::OrganisationId& organisation) const;
   base::Resources UntrackedUsageOf(
       const base::OrganisationId& organisation) const;
+  // What is known about the preemption for one waiting step.
+  struct PreemptionTry {
+    base::TimePoint next_try;
+    // Why it was refused last; null if it wasn't.
+    const char* refusal = nullptr;
+  };
+  // Releases the rooms that are not needed any more, and begins to count the
+  // preemptions considered in this pass.
+  void BeginPreemptionPass(base::TimePoint now);
+  // Stops runs of a lower priority, if they may be, to make room for a step
+  // that waits for `reason` and would be late otherwise.
+  void ConsiderPreemption(const WaitingStep& item, WaitReason reason,
+                          base::TimePoint now, std::vector<Action>* actions);
+  // Whether runs may be stopped at all for this step, now or later.
+  bool MayPreemptFor(const WaitingStep& item, base::TimePoint now) const;
+  // Requests the advice that a step would otherwise request only once there is
+  // room for it.
+  void RequestAdviceToPreempt(const WaitingStep& item, base::TimePoint now,
+                              std::vector<Action>* actions);
+  // Returns why nothing is stopped for the step; null if runs were stopped.
+  const char* TryToPreempt(const WaitingStep& item, base::TimePoint now,
+                           std::vector<Action>* actions);
+  void Preempt(const WaitingStep& item, const placement::PreemptionPlan& plan,
+               base::TimePoint now, std::vector<Action>* actions);
+  std::vector<placement::PreemptionCandidate> PreemptionCandidatesFor(
+      const WaitingStep& item, base::TimePoint now);
+  std::vector<placement::PreemptibleRun> PreemptibleRunsOf(
+      const workers::Worker& worker, base::TimePoint now);
+  // Returns the processor time of a whole job, in core-seconds.
+  double CoreSecondsOf(const jobs::Job& job) const;
+  // Counts and logs a refused preemption if the reason has changed.
+  void RecordPreemptionRefusal(const WaitingStep& item, const char* refusal,
+                               PreemptionTry* last);
+  // Returns what the step may use on the worker: the free resources without
+  // those that are kept for other steps.
+  base::Resources RoomFor(const jobs::StepRef& step,
+                          const workers::Worker& worker) const;
+  // Whether the worker is held free for a gang, and no room is kept there for
+  // the step.
+  bool IsHeldForOthers(const jobs::StepRef& step,
+                       workers::WorkerNumber worker) const;
   // Returns null if the step has no ticket for the worker, not even an expired
   // one.
   advice::Ticket* FindTicket(const jobs::StepRef& step,
@@ -424,6 +470,13 @@
   placement::GangHolds gang_holds_;
   placement::CrashContainment containment_;
   placement::RunTimeModel run_times_;
+  placement::KeptRooms kept_rooms_;
+  placement::PreemptionLimits preemption_limits_;
+  std::unordered_map<jobs::StepRef, PreemptionTry> preemption_tries_;
+  // How many more preemptions may be considered in this pass, and when the next
+  // ones may be.
+  int preemption_tries_left_ = 0;
+  base::TimePoint next_preemption_pass_;
   // The workers on which nothing else is started until a suspect can be, and
   // when that ends in any case.
   std::map<workers::WorkerNumber, base::TimePoint> kept_for_suspects_;
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -54,6 +54,7 @@
 void Dispatcher::RemoveJob(jobs::JobKey job) {
   inherited_.erase(job);
   over_share_.erase(job);
+  preemption_limits_.RemoveJob(job);
 }
 
 std::optional<Dispatcher::WaitingStep> Dispatcher::MakeWaitingStep(
@@ -158,6 +159,7 @@
   containment_.BeginPass(fleet_->workers().size(), fleet_usage_);
   UpdateInheritedUsage(now);
   reserved_caps_.clear();
+  BeginPreemptionPass(now);
   PlaceAll(CollectByUrgency(&waiting_, now), nullptr, now, actions);
   if (now >= next_overdue_pass_) {
     next_overdue_pass_ = now + settings_.overdue_pass_interval;
@@ -209,6 +211,7 @@
     RecordUsedSlack(item, *reason, now);
     if (is_tried) {
       LogWait(item, *reason, now);
+      ConsiderPreemption(item, *reason, now, actions);
     }
     unplaced_steps += *reason == WaitReason::kFreeResources ? 1 : 0;
   }
@@ -336,7 +339,7 @@
   bool any_accepts_work = false;
   const auto add = [&](const workers::Worker& worker, bool has_ticket) {
     // A cheap check first, because most workers are full when many steps wait.
-    const base::Resources room = worker.FreeResources();
+    const base::Resources room = RoomFor(item->step, worker);
     const bool is_full = !spec.gang && !reservation.FitsIn(room);
     if ((is_full && any_accepts_work) || !MayRunOn(worker, *item, now)) {
       return;
@@ -382,7 +385,7 @@
   // can wait, all workers that such a gang could use.
   std::erase_if(candidates, [&](const Candidate& candidate) {
     const workers::WorkerNumber number = candidate.worker->number();
-    return gang_holds_.IsHeld(number) ||
+    return IsHeldForOthers(item.step, number) ||
            (item.yields && gang_holds_.IsWanted(number));
   });
   std::vector<Candidate> suspects_candidates = candidates;
@@ -504,6 +507,7 @@
     run.was_lost_before = crashes.was_lost_before();
     fleet_->Reserve(choice.worker, run);
     runs_->Add(choice.worker, run);
+    kept_rooms_.OnPlaced(item.step, fleet_->Find(choice.worker)->number());
     item.job->RecordRun(task, number);
     placed.push_back({choice.worker, task, number});
   }
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -80,8 +80,8 @@
     const WaitingStep& item, const std::vector<std::uint32_t>& members) const {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   std::vector<Candidate> candidates = item.candidates;
-  std::erase_if(candidates, [this](const Candidate& candidate) {
-    return gang_holds_.IsHeld(candidate.worker->number()) ||
+  std::erase_if(candidates, [&](const Candidate& candidate) {
+    return IsHeldForOthers(item.step, candidate.worker->number()) ||
            IsKeptForSuspect(*candidate.worker, pass_began_);
   });
   std::vector<const workers::Worker*> chosen;
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -29,22 +29,27 @@
 
 const base::OrganisationId SchedulerScenario::kSchool("school");
 
-SchedulerScenario::SchedulerScenario() {
+SchedulerScenario::SchedulerScenario(const SchedulerSettings& settings)
+    : settings_(settings) {
   desired::Queue advised = MakeQueue("advised");
   advised.advice = desired::AdvicePolicy{
       milliseconds(20), std::chrono::microseconds(100), kTicketValidity};
   desired::Queue urgent = MakeQueue("urgent");
   urgent.slack_factor = 1.5;
   urgent.completion_target = milliseconds(250);
-  queues_ = {MakeQueue("plain"), advised, urgent};
+  desired::Queue gangs = MakeQueue("gangs");
+  gangs.priority = 1;
+  desired::Queue batch = MakeQueue("batch");
+  batch.priority = 2;
+  queues_ = {MakeQueue("plain"), advised, urgent, gangs, batch};
   organisation_.id = kSchool;
   organisation_.weight = 1000;
   BeginTerm();
 }
 
 void SchedulerScenario::BeginTerm() {
-  scheduler_ = std::make_unique<Scheduler>(SchedulerSettings(),
-                                           Telemetry{&log_, &counters_});
+  scheduler_ =
+      std::make_unique<Scheduler>(settings_, Telemetry{&log_, &counters_});
   scheduler_->BeginTerm(FencingToken(++token_), now_);
   for (const RecordTable table :
        {RecordTable::kLivePages, RecordTable::kEndedPages}) {
@@ -155,6 +160,7 @@
 }
 
 void SchedulerScenario::RunPass() {
+  EndStoppedRuns();
   std::vector<workers::Listing> listings;
   for (const auto& [id, worker] : workers_) {
     listings.push_back(worker.listing);
@@ -182,60 +188,104 @@
 }
 
 void SchedulerScenario::CarryOut(const Action& action) {
-  std::visit(base::Overloaded{
-                 [this](const StartTask& command) {
-                   starts_.push_back(command);
-                   CommandOutcome outcome = CommandOutcome::kBadTicket;
-                   if (IsUnresponsive(command.worker)) {
-                     outcome = CommandOutcome::kUnanswered;
-                   } else if (!refuses_tickets) {
-                     outcome = CommandOutcome::kDone;
-                     workers_.at(command.worker.id).running[command.task] =
-                         command.attempt;
-                   }
-                   scheduler_->OnStarted(command, outcome, NowMillis(), now_);
-                 },
-                 [this](const StopTask& command) {
-                   if (IsUnresponsive(command.worker)) {
-                     return;
-                   }
-                   Worker& worker = workers_.at(command.worker.id);
-                   if (worker.running.erase(command.task) > 0) {
-                     worker.ended.push_back({++worker.last_end,
-                                             command.task,
-                                             command.attempt,
-                                             jobs::RunEnd::kStopped,
-                                             {}});
-                   }
-                   scheduler_->OnStopped(command, CommandOutcome::kDone,
-                                         NowMillis(), now_);
-                 },
-                 [this](const PollWorker& command) {
-                   if (command.lease_until_ms) {
-                     renewed_.insert(command.worker.id.value());
-                   }
-                   if (IsUnresponsive(command.worker)) {
-                     scheduler_->OnPolled(command, PollResult(), now_);
-                     return;
-                   }
-                   Worker& worker = workers_.at(command.worker.id);
-                   std::erase_if(worker.ended, [&](const ListedEnd& end) {
-                     return end.number <= command.ends_stored;
-                   });
-                   PollResult result;
-                   result.outcome = CommandOutcome::kDone;
-                   result.clock_ms = NowMillis();
-                   result.born_ms = worker.listing.born_ms;
-                   for (const auto& [task, attempt] : worker.running) {
-                     result.active.push_back({task, attempt, {}});
-                   }
-                   result.ended = worker.ended;
-                   scheduler_->OnPolled(command, result, now_);
-                 },
-                 [this](const RequestAdvice& request) {
-                   advice_requests_.push_back(request);
-                 }},
-             action);
+  std::visit(
+      base::Overloaded{
+          [this](const StartTask& command) {
+            starts_.push_back(command);
+            CommandOutcome outcome = CommandOutcome::kBadTicket;
+            if (IsUnresponsive(command.worker)) {
+              outcome = CommandOutcome::kUnanswered;
+            } else if (!refuses_tickets) {
+              outcome = CommandOutcome::kDone;
+              workers_.at(command.worker.id).running[command.task] =
+                  command.attempt;
+            }
+            scheduler_->OnStarted(command, outcome, NowMillis(), now_);
+          },
+          [this](const StopTask& command) { CarryOut(command); },
+          [this](const PollWorker& command) {
+            if (command.lease_until_ms) {
+              renewed_.insert(command.worker.id.value());
+            }
+            if (IsUnresponsive(command.worker)) {
+              scheduler_->OnPolled(command, PollResult(), now_);
+              return;
+            }
+            Worker& worker = workers_.at(command.worker.id);
+            std::erase_if(worker.ended, [&](const ListedEnd& end) {
+              return end.number <= command.ends_stored;
+            });
+            PollResult result;
+            result.outcome = CommandOutcome::kDone;
+            result.clock_ms = NowMillis();
+            result.born_ms = worker.listing.born_ms;
+            for (const auto& [task, attempt] : worker.running) {
+              result.active.push_back({task, attempt, CheckpointOf(attempt)});
+            }
+            result.ended = worker.ended;
+            scheduler_->OnPolled(command, result, now_);
+          },
+          [this](const RequestAdvice& request) {
+            advice_requests_.push_back(request);
+          }},
+      action);
+}
+
+void SchedulerScenario::CarryOut(const StopTask& command) {
+  stops_.push_back(command);
+  if (IsUnresponsive(command.worker)) {
+    return;
+  }
+  if (loses_stops) {
+    scheduler_->OnStopped(command, CommandOutcome::kUnanswered, 0, now_);
+    return;
+  }
+  Worker& worker = workers_.at(command.worker.id);
+  if (worker.running.contains(command.task)) {
+    worker.stopping.try_emplace(command.task, now_ + stop_duration);
+    EndStoppedRuns();
+  }
+  scheduler_->OnStopped(
+      command,
+      loses_stop_answers ? CommandOutcome::kUnanswered : CommandOutcome::kDone,
+      NowMillis(), now_);
+}
+
+void SchedulerScenario::EndStoppedRuns() {
+  for (auto& [id, worker] : workers_) {
+    std::erase_if(worker.stopping, [&, this](const auto& entry) {
+      const auto it = worker.running.find(entry.first);
+      if (now_ < entry.second && it != worker.running.end()) {
+        return false;
+      }
+      if (it != worker.running.end()) {
+        worker.ended.push_back({++worker.last_end, entry.first, it->second,
+                                jobs::RunEnd::kStopped,
+                                CheckpointOf(it->second)});
+        worker.running.erase(it);
+      }
+      return true;
+    });
+  }
+}
+
+std::set<jobs::TaskRef> SchedulerScenario::RunningOn(
+    const std::string& worker) const {
+  std::set<jobs::TaskRef> tasks;
+  for (const auto& [task, attempt] :
+       workers_.at(base::BackendId(worker)).running) {
+    tasks.insert(task);
+  }
+  return tasks;
+}
+
+std::string SchedulerScenario::WorkerOf(const jobs::TaskRef& task) const {
+  for (const auto& [id, worker] : workers_) {
+    if (worker.running.contains(task)) {
+      return id.value();
+    }
+  }
+  return "";
 }
 
 void SchedulerScenario::AnswerAdviceRequest(
@@ -267,7 +317,7 @@
       workers::Listing next = worker.listing;
       ++next.born_ms;
       ++next.revision;
-      worker = Worker{next, {}, {}, 0};
+      worker = Worker{next, {}, {}, {}, 0};
       return true;
     }
   }
--- a/test/core/scheduler/scheduler_scenario.h
+++ b/test/core/scheduler/scheduler_scenario.h
@@ -21,7 +21,8 @@
 };
 
 // Has the queues "plain", without placement advice, "advised", and "urgent",
-// whose jobs have half a second of slack, and one organisation, "school".
+// whose jobs have half a second of slack, all of priority 0, "gangs" of
+// priority 1 and "batch" of priority 2, and one organisation, "school".
 class SchedulerScenario {
  public:
   static constexpr base::Duration kTicketValidity =
@@ -29,7 +30,7 @@
   static constexpr std::uint32_t kMaxAttempts = 3;
   static const base::OrganisationId kSchool;
 
-  SchedulerScenario();
+  explicit SchedulerScenario(const SchedulerSettings& settings = {});
 
   // Adds workers of four cores each, runs a pass and stores its changes.
   void AddWorkers(int count);
@@ -73,13 +74,28 @@
   // Workers that receive no command and answer nothing.
   std::set<std::string> unresponsive_workers;
 
+  // How long a run continues after a stop command.
+  base::Duration stop_duration{0};
+  // Whether stop commands are lost, and whether only their answers are.
+  bool loses_stops = false;
+  bool loses_stop_answers = false;
+  // Whether workers report a checkpoint of each run that they list, and save
+  // one when they stop it.
+  bool writes_checkpoints = false;
+
   // Replaces the owner: a new scheduler begins its term with what is stored.
   void TakeOver();
 
   Scheduler& scheduler() { return *scheduler_; }
   base::TimePoint now() const { return now_; }
+  const Counters& counters() const { return counters_; }
+  // Returns the tasks that run on the worker, those being stopped included.
+  std::set<jobs::TaskRef> RunningOn(const std::string& worker) const;
+  // Returns the worker on which the task runs, empty if it doesn't.
+  std::string WorkerOf(const jobs::TaskRef& task) const;
   // Return the actions of this kind since the last call.
   std::vector<StartTask> TakeStarts() { return std::exchange(starts_, {}); }
+  std::vector<StopTask> TakeStops() { return std::exchange(stops_, {}); }
   std::vector<RequestAdvice> TakeAdviceRequests() {
     return std::exchange(advice_requests_, {});
   }
@@ -92,6 +108,8 @@
   struct Worker {
     workers::Listing listing;
     std::map<jobs::TaskRef, jobs::Attempt> running;
+    // When the runs end that are being stopped.
+    std::map<jobs::TaskRef, base::TimePoint> stopping;
     std::vector<ListedEnd> ended;
     std::uint64_t last_end = 0;
   };
@@ -99,6 +117,13 @@
   void BeginTerm();
   void CarryOut();
   void CarryOut(const Action& action);
+  void CarryOut(const StopTask& command);
+  void EndStoppedRuns();
+  std::string CheckpointOf(jobs::Attempt attempt) const {
+    return writes_checkpoints
+               ? "checkpoint of attempt " + std::to_string(attempt.value())
+               : "";
+  }
   bool IsUnresponsive(const WorkerAddress& worker) const {
     return unresponsive_workers.contains(worker.id.value());
   }
@@ -106,6 +131,7 @@
     return now_.time_since_epoch() / std::chrono::milliseconds(1);
   }
 
+  SchedulerSettings settings_;
   NullLog log_;
   Counters counters_;
   base::TimePoint now_ = base::TimePoint(std::chrono::seconds(100));
@@ -117,6 +143,7 @@
   std::unique_ptr<Scheduler> scheduler_;
   std::map<RecordTable, std::map<std::string, std::string>> rows_;
   std::vector<StartTask> starts_;
+  std::vector<StopTask> stops_;
   std::vector<RequestAdvice> advice_requests_;
   std::set<std::string> renewed_;
 };
--- a/test/platform/decoders_test.cc
+++ b/test/platform/decoders_test.cc
@@ -21,7 +21,8 @@
   frontend: "10.1.0.17:8183"
   readiness: "10.1.0.17:8184"
 internal_ports: [7420, 7435]
-bounds: {revoke_ms: 5000, grace_s: 6, max_hold_ms: 10000}
+bounds: {revoke_ms: 5000, grace_s: 6, max_hold_ms: 10000, stop_timeout_ms: 400,
+         restore_ms: 250}
 advisor: "10.200.1.9:8182"
 platform: {address: "10.200.1.7:8182"}
 )";
@@ -75,9 +76,18 @@
     CHECK(settings->shutdown_grace == std::chrono::seconds(6));
     CHECK(settings->heartbeat == std::chrono::milliseconds(1500));
     CHECK(settings->gang_timeout == std::chrono::seconds(3));
+    CHECK(settings->stop_timeout == std::chrono::milliseconds(400));
+    CHECK(settings->restore_time == std::chrono::milliseconds(250));
     CHECK(settings->worker_drain_limit == std::chrono::seconds(2));
     CHECK(settings->desired_apply_limit == std::chrono::seconds(2));
   }
+  SUBCASE("without times of stops turns preemption off") {
+    std::string without = kSettings;
+    without.replace(without.find("stop_timeout_ms"), 4, "xxxx");
+    const auto settings = ParsePlatformSettings(without, &reason);
+    REQUIRE_MESSAGE(settings, reason.detail);
+    CHECK(settings->stop_timeout == base::Duration(0));
+  }
   SUBCASE("without a required field is refused") {
     const std::string text(kSettings);
     for (const char* name : {"node_name", "frontend", "readiness", "ip:"}) {
