--- a/bench/experiment/experiment.cc
+++ b/bench/experiment/experiment.cc
@@ -56,6 +56,16 @@
   return queue;
 }
 
+core::scheduler::SchedulerSettings SettingsOf(const Pattern& pattern) {
+  core::scheduler::SchedulerSettings settings;
+  settings.dispatcher.preemption = {
+      .stop_timeout =
+          std::chrono::milliseconds(std::llround(pattern.stop_timeout_ms)),
+      .restore_time =
+          std::chrono::milliseconds(std::llround(pattern.restore_ms))};
+  return settings;
+}
+
 // Returns a pseudorandom number from 0 to 1 that depends only on the inputs.
 double HashToFraction(std::uint64_t a, std::uint64_t b) {
   return static_cast<double>(base::MixBits(base::MixBits(a) ^ b) >> 11) *
@@ -95,9 +105,10 @@
           &timeline_,
           [this](const core::jobs::TaskRef& task, core::jobs::Attempt attempt) {
             return PlanOf(task, attempt);
-          }),
+          },
+          std::llround(pattern.stop_ms * kMillisecond)),
       log_(std::make_unique<Log>(this, options.is_log_shown)),
-      scheduler_(core::scheduler::SchedulerSettings(),
+      scheduler_(SettingsOf(pattern),
                  core::scheduler::Telemetry{log_.get(), &counters_}),
       random_(options.seed) {
   outcome_.kinds.resize(pattern_.kinds.size());
@@ -153,6 +164,8 @@
   const double extra = kind.steps - 1;
   const int steps = 1 + (Uniform(0, 1) < extra ? 1 : 0);
   const bool is_gang = Uniform(0, 1) < kind.gang;
+  const bool has_checkpoints =
+      kind.checkpoints > 0 && Uniform(0, 1) < kind.checkpoints;
   double chain_us = 0;
   std::vector<std::int64_t> work;
   for (int i = 0; i < steps; ++i) {
@@ -162,6 +175,7 @@
             std::exponential_distribution<double>(1 / kind.tasks)(random_)),
         1, 6 * kind.tasks));
     step.gang = is_gang && step.tasks > 1;
+    step.checkpoints = has_checkpoints;
     if (step.gang) {
       gang_sizes_[{JobKey(last_job_), 0, static_cast<std::uint32_t>(i)}] =
           step.tasks;
@@ -237,6 +251,8 @@
     tasks = it->second;
   }
   plan.gang_size = tasks;
+  plan.writes_checkpoints = kind.checkpoints > 0;
+  plan.restore_us = std::llround(pattern_.restore_ms * kMillisecond);
   plan.fails =
       HashToFraction(base + std::uint64_t{task.index} * 7, run) < kind.failing;
   return plan;
@@ -464,6 +480,11 @@
   }
   outcome_.starts = fleet_.starts();
   outcome_.looks = fleet_.looks();
+  for (const auto& [key, count] : counters_.values()) {
+    if (key.first == "runs_preempted" || key.first == "preemptions_refused") {
+      outcome_.preemptions[key.first + " " + key.second] = count;
+    }
+  }
   outcome_.packing =
       used_core_s_ / (pattern_.seconds * pattern_.workers * pattern_.cores);
   return outcome_;
--- a/bench/experiment/experiment.h
+++ b/bench/experiment/experiment.h
@@ -50,6 +50,8 @@
   std::uint64_t looks = 0;
   std::uint64_t advice_calls = 0;
   std::uint64_t batches = 0;
+  // The scheduler's counters of preemptions, by reason.
+  std::map<std::string, std::uint64_t> preemptions;
   // Seconds of real time that the owner's calls took, by kind of call.
   std::map<std::string, double> cpu_s;
 };
--- a/bench/experiment/fleet_model.cc
+++ b/bench/experiment/fleet_model.cc
@@ -2,6 +2,7 @@
 #include "bench/experiment/fleet_model.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace dotterelbarrow::bench {
 namespace {
@@ -34,9 +35,17 @@
   const RunKey key(command.task, command.attempt);
   const RunPlan plan = plan_of_(command.task, command.attempt);
   ++starts_;
-  workers_[id].runs.insert(key);
+  std::int64_t done_us = 0;
+  std::from_chars(command.checkpoint.data(),
+                  command.checkpoint.data() + command.checkpoint.size(),
+                  done_us);
+  const std::int64_t restore_us = done_us > 0 ? plan.restore_us : 0;
+  workers_[id].runs[key] = {plan.writes_checkpoints,
+                            timeline_->now_us() + restore_us - done_us};
   if (plan.gang_size == 0) {
-    timeline_->After(plan.duration_us, [this, id, key, plan] {
+    const std::int64_t left_us =
+        std::max<std::int64_t>(0, plan.duration_us - done_us) + restore_us;
+    timeline_->After(left_us, [this, id, key, plan] {
       FinishRun(id, key, plan.fails ? RunEnd::kFailed : RunEnd::kDone);
     });
     return;
@@ -73,17 +82,28 @@
       return member.second.first == command.task;
     });
   }
-  FinishRun(command.worker.id.value(), {command.task, command.attempt},
-            RunEnd::kStopped);
+  timeline_->After(stop_us_, [this, id = command.worker.id.value(),
+                              key = RunKey(command.task, command.attempt)] {
+    FinishRun(id, key, RunEnd::kStopped);
+  });
+}
+
+std::string FleetModel::CheckpointOf(const Run& run) const {
+  const std::int64_t done_us = timeline_->now_us() - run.began_us;
+  return run.writes_checkpoints && done_us > 0 ? std::to_string(done_us) : "";
 }
 
 void FleetModel::FinishRun(const std::string& worker, const RunKey& key,
                            RunEnd end) {
   Worker& target = workers_[worker];
-  if (target.runs.erase(key) == 0) {
+  const auto run = target.runs.find(key);
+  if (run == target.runs.end()) {
     return;
   }
-  target.ends.push_back({++target.last_end, key.first, key.second, end, {}});
+  target.ends.push_back(
+      {++target.last_end, key.first, key.second, end,
+       end == RunEnd::kStopped ? CheckpointOf(run->second) : ""});
+  target.runs.erase(run);
   AnswerPendingPoll(&target);
 }
 
@@ -93,8 +113,8 @@
                     .born_ms = 1,
                     .active = {},
                     .ended = worker.ends};
-  for (const RunKey& key : worker.runs) {
-    result.active.push_back({key.first, key.second, {}});
+  for (const auto& [key, run] : worker.runs) {
+    result.active.push_back({key.first, key.second, CheckpointOf(run)});
   }
   return result;
 }
--- a/bench/experiment/fleet_model.h
+++ b/bench/experiment/fleet_model.h
@@ -6,7 +6,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -44,6 +43,10 @@
   std::int64_t duration_us = 0;
   bool fails = false;
   std::uint32_t gang_size = 0;  // 0 if the run is in no gang.
+  // Whether it writes checkpoints, and how much longer it takes if it resumes
+  // from one.
+  bool writes_checkpoints = false;
+  std::int64_t restore_us = 0;
 };
 
 // The workers: they start and stop runs, report the run ends and answer polls.
@@ -53,8 +56,9 @@
       std::function<RunPlan(const core::jobs::TaskRef&, core::jobs::Attempt)>;
   using PollCallback = std::function<void(const core::scheduler::PollResult&)>;
 
-  FleetModel(Timeline* timeline, PlanOf plan_of)
-      : timeline_(timeline), plan_of_(std::move(plan_of)) {}
+  // A run ends `stop_us` after a stop command, with a checkpoint.
+  FleetModel(Timeline* timeline, PlanOf plan_of, std::int64_t stop_us = 0)
+      : timeline_(timeline), plan_of_(std::move(plan_of)), stop_us_(stop_us) {}
 
   // Starts a run. The runs of a gang end together, after the plan's duration
   // from the start of the last one.
@@ -75,8 +79,13 @@
     std::uint64_t number = 0;
     PollCallback callback;
   };
+  struct Run {
+    bool writes_checkpoints = false;
+    // When it would have started if it had run without an interruption.
+    std::int64_t began_us = 0;
+  };
   struct Worker {
-    std::set<RunKey> runs;
+    std::map<RunKey, Run> runs;
     std::vector<core::scheduler::ListedEnd> ends;
     std::uint64_t last_end = 0;
     std::optional<PendingPoll> pending_poll;
@@ -86,11 +95,14 @@
                  core::jobs::RunEnd end);
   void FinishGang(const core::jobs::StepRef& step, core::jobs::Attempt attempt,
                   const RunPlan& plan);
+  // Returns the text of the run's checkpoint, empty if it writes none.
+  std::string CheckpointOf(const Run& run) const;
   core::scheduler::PollResult MakePollResult(const Worker& worker) const;
   void AnswerPendingPoll(Worker* worker);
 
   Timeline* timeline_;
   PlanOf plan_of_;
+  std::int64_t stop_us_;
   std::unordered_map<std::string, Worker> workers_;
   // The runs of each gang that have started, with their workers.
   std::map<std::pair<core::jobs::StepRef, core::jobs::Attempt>,
--- a/bench/experiment/main.cc
+++ b/bench/experiment/main.cc
@@ -33,6 +33,10 @@
       static_cast<unsigned long long>(outcome.looks),
       static_cast<unsigned long long>(outcome.advice_calls),
       static_cast<unsigned long long>(outcome.batches));
+  for (const auto& [what, count] : outcome.preemptions) {
+    std::printf("%s %llu\n", what.c_str(),
+                static_cast<unsigned long long>(count));
+  }
   std::printf("time in scheduler calls, s:");
   for (const auto& [what, seconds] : outcome.cpu_s) {
     std::printf(" %s %.2f", what.c_str(), seconds);
@@ -44,6 +48,7 @@
   namespace po = boost::program_options;
   std::string path;
   ExperimentOptions options;
+  bool preempts = true;
   po::options_description description("dotterel-experiment");
   description.add_options()("help", "show this text")(
       "pattern", po::value(&path)->required(), "load pattern, a JSON file")(
@@ -52,7 +57,9 @@
       "cpu-share", po::value(&options.cpu_share)->default_value(0),
       "fraction of a processor that the owner has; with 0, decisions take "
       "no virtual time")("log", po::bool_switch(&options.is_log_shown),
-                         "print the scheduler's decisions");
+                         "print the scheduler's decisions")(
+      "preempt", po::value(&preempts)->default_value(true),
+      "whether the scheduler may preempt, if the pattern says so");
   po::variables_map values;
   try {
     po::store(po::parse_command_line(argc, argv, description), values);
@@ -66,11 +73,14 @@
     return 2;
   }
   base::Failure reason;
-  const auto pattern = ReadPattern(path, &reason);
+  auto pattern = ReadPattern(path, &reason);
   if (!pattern) {
     std::cerr << reason.detail << '\n';
     return 2;
   }
+  if (!preempts) {
+    pattern->stop_timeout_ms = 0;
+  }
   Experiment experiment(*pattern, options);
   Print(*pattern, experiment.Run());
   return 0;
--- a/bench/experiment/pattern.cc
+++ b/bench/experiment/pattern.cc
@@ -37,6 +37,7 @@
   ReadNumber(value, "gang", &kind.gang);
   ReadNumber(value, "estimate_off", &kind.estimate_off);
   ReadNumber(value, "failing", &kind.failing);
+  ReadNumber(value, "checkpoints", &kind.checkpoints);
   ReadNumber(value, "allowed", &kind.allowed);
   ReadNumber(value, "decision_ms", &kind.decision_ms);
   ReadNumber(value, "per_worker_ms", &kind.per_worker_ms);
@@ -77,6 +78,9 @@
   ReadNumber(*value, "memory_mb", &pattern.memory_mb);
   ReadNumber(*value, "askers", &pattern.askers);
   ReadNumber(*value, "seconds", &pattern.seconds);
+  ReadNumber(*value, "stop_timeout_ms", &pattern.stop_timeout_ms);
+  ReadNumber(*value, "stop_ms", &pattern.stop_ms);
+  ReadNumber(*value, "restore_ms", &pattern.restore_ms);
   for (const Json::Value& kind : (*value)["kinds"]) {
     pattern.kinds.push_back(ReadKind(kind));
   }
--- a/bench/experiment/pattern.h
+++ b/bench/experiment/pattern.h
@@ -4,8 +4,9 @@
 //   {"workers": 350, "cores": 32, "memory_mb": 131072, "askers": 42,
 //    "seconds": 40, "kinds": [{"name", "rate", "priority", "slack",
 //    "target_ms", "tasks", "task_ms", "cores", "memory_mb", "steps", "gang",
-//    "estimate_off", "failing", "allowed", "decision_ms", "per_worker_ms",
-//    "valid_ms", "bursts": [{"at", "for", "times"}]}]}
+//    "estimate_off", "failing", "checkpoints", "allowed", "decision_ms",
+//    "per_worker_ms", "valid_ms", "bursts": [{"at", "for", "times"}]}],
+//    "stop_timeout_ms", "stop_ms", "restore_ms"}
 //
 // `rate` is in jobs per second, and sizes are means. `allowed` is the fraction
 // of the workers on which the advisor allows a step to run. A missing name
@@ -46,6 +47,8 @@
   double estimate_off = 0;
   // Fraction of the runs that fail.
   double failing = 0;
+  // Fraction of the jobs whose tasks write checkpoints.
+  double checkpoints = 0;
   double allowed = 1;
   double decision_ms = 0;
   double per_worker_ms = 0;
@@ -59,6 +62,12 @@
   double memory_mb = 65536;
   int askers = 7;
   double seconds = 30;
+  // How long a stop takes at most, which the scheduler is told (0: it doesn't
+  // preempt), and how long it does take.
+  double stop_timeout_ms = 0;
+  double stop_ms = 0;
+  // How much longer a run takes that resumes from a checkpoint.
+  double restore_ms = 0;
   std::vector<Kind> kinds;
 };
 
--- a/include/dotterelbarrow/core/placement/preemption_planner.h
+++ b/include/dotterelbarrow/core/placement/preemption_planner.h
@@ -54,6 +54,9 @@
   // The latest time at which it must be running again, after a stop, for its
   // job to be on time.
   base::TimePoint resume_by{};
+  // The least slack of the work of its priority that waits for room. In the
+  // order of the latest starts, a stopped task waits until it has no more.
+  base::Duration least_waiting_slack = base::Duration::max();
   // How often its task was preempted, and when last.
   int preemptions = 0;
   std::optional<base::TimePoint> last_preempted_at{};
@@ -82,6 +85,8 @@
   std::uint32_t tasks = 1;
   base::Resources needs{};
   bool is_gang = false;
+  // How long the tasks are expected to run.
+  base::Duration run_time{0};
   // The number of tasks that wait for room and come before this step.
   std::uint32_t tasks_ahead = 0;
   // The processor time of the whole job, in core-seconds.
@@ -127,10 +132,12 @@
   // and each of three does so in one case of eight. A late lookup costs about
   // four times as much as the stops that prevent it.
   static constexpr std::size_t kOpeningsPerTask = 3;
-  // A victim's job must have at least this much slack after the stop.
+  // A victim's job must have at least this much slack left when the room that
+  // its run leaves is free again, after the stop and the waiting step's run.
   static constexpr base::Duration kMinVictimSlack =
       std::chrono::milliseconds(1000);
-  // The mean time that a stopped task waits for room again. At customer K, 5%
+  // The mean time that a stopped task waits for room again, if no work of its
+  // priority is about to be late. At customer K, 5%
   // of the jobs waited 2.9 to 7.9 s, which is three times the mean of an
   // exponential distribution.
   static constexpr base::Duration kMeanResumeWait =
@@ -156,9 +163,8 @@
   // otherwise why not.
   std::optional<PreemptionRefusal> CheckTime(base::TimePoint latest_start,
                                              base::TimePoint now) const;
-  // Returns whether a run may be stopped for work of the priority
-  // `for_priority` at all.
-  bool IsVictim(const PreemptibleRun& run, int for_priority,
+  // Returns whether a run may be stopped for the waiting step at all.
+  bool IsVictim(const PreemptibleRun& run, const PreemptionRequest& request,
                 base::TimePoint now) const;
   // Returns the runs to stop so that all tasks of the step get room. They cost
   // the least among the alternatives on each worker, and the workers are those
@@ -176,8 +182,14 @@
   static double WeightOf(int priority);
   // Returns whether enough runs are expected to end in time.
   static bool IsRoomExpected(const PreemptionRequest& request);
+  // Returns how much slack will be left to the run, or to the work that waits
+  // in its place, when the waiting step has run.
+  base::Duration SlackAfter(const PreemptibleRun& run,
+                            const PreemptionRequest& request,
+                            base::TimePoint now) const;
   // Returns what stopping the run costs.
-  double CostOf(const PreemptibleRun& run, base::TimePoint now) const;
+  double CostOf(const PreemptibleRun& run, const PreemptionRequest& request,
+                base::TimePoint now) const;
   // Returns the cheapest runs found that make room for one more task; nullopt
   // if there are none. `is_taken` marks the runs that are stopped already.
   std::optional<Option> FindOption(const PreemptionCandidate& candidate,
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -384,6 +384,9 @@
   // Releases the rooms that are not needed any more, and begins to count the
   // preemptions considered in this pass.
   void BeginPreemptionPass(base::TimePoint now);
+  // Records the slack of a step that waits for `reason`.
+  void RecordWaitingSlack(const WaitingStep& item, WaitReason reason,
+                          base::TimePoint now);
   // Stops runs of a lower priority, if they may be, to make room for a step
   // that waits for `reason` and would be late otherwise.
   void ConsiderPreemption(const WaitingStep& item, WaitReason reason,
@@ -399,8 +402,11 @@
                            base::TimePoint now, std::vector<Action>* actions);
   void Preempt(const WaitingStep& item, const placement::PreemptionPlan& plan,
                base::TimePoint now, std::vector<Action>* actions);
+  // Returns the workers that may run the step and on which there may be room,
+  // with the runs that may be stopped for `request`.
   std::vector<placement::PreemptionCandidate> PreemptionCandidatesFor(
-      const WaitingStep& item, base::TimePoint now);
+      const WaitingStep& item, const placement::PreemptionRequest& request,
+      base::TimePoint now);
   std::vector<placement::PreemptibleRun> PreemptibleRunsOf(
       const workers::Worker& worker, base::TimePoint now);
   // Returns when a task that reserves `needs` is expected to fit on the worker
@@ -496,6 +502,10 @@
   // The number of tasks that this pass has found without room so far, and for
   // which none is kept.
   std::uint32_t tasks_without_room_ = 0;
+  // For each priority, the least slack of the steps that the current and the
+  // previous pass found waiting for room and that can be in time.
+  std::map<int, base::Duration> least_waiting_slack_;
+  std::map<int, base::Duration> previous_least_waiting_slack_;
   // The workers on which runs were stopped, for which priority, and until when
   // work of a lower priority with much slack avoids them. Otherwise it would
   // take the room whenever a lookup ends, and have to be stopped again for the
--- a/src/core/placement/preemption_planner.cc
+++ b/src/core/placement/preemption_planner.cc
@@ -64,9 +64,18 @@
          kOpeningsPerTask * (request.tasks + request.tasks_ahead);
 }
 
-bool PreemptionPlanner::IsVictim(const PreemptibleRun& run, int for_priority,
+base::Duration PreemptionPlanner::SlackAfter(const PreemptibleRun& run,
+                                             const PreemptionRequest& request,
+                                             base::TimePoint now) const {
+  return std::min(run.resume_by - now - settings_.stop_timeout,
+                  run.least_waiting_slack) -
+         request.run_time;
+}
+
+bool PreemptionPlanner::IsVictim(const PreemptibleRun& run,
+                                 const PreemptionRequest& request,
                                  base::TimePoint now) const {
-  if (run.priority <= for_priority || !run.is_running || run.is_exempt ||
+  if (run.priority <= request.priority || !run.is_running || run.is_exempt ||
       run.is_gang_member || !run.writes_checkpoints) {
     return false;
   }
@@ -78,18 +87,19 @@
   // A run that ends about as soon as a stop takes effect is left to end. The
   // end of one that exceeds its expected run time can't be predicted.
   return run.remaining >= settings_.stop_timeout + settings_.restore_time &&
-         run.resume_by >= now + settings_.stop_timeout + kMinVictimSlack;
+         SlackAfter(run, request, now) >= kMinVictimSlack;
 }
 
 double PreemptionPlanner::CostOf(const PreemptibleRun& run,
+                                 const PreemptionRequest& request,
                                  base::TimePoint now) const {
   // While it is being stopped it makes no progress that is sure to be saved.
   // If no checkpoint was reported, all its progress may be lost.
   const base::Duration lost =
       settings_.stop_timeout + settings_.restore_time +
       (run.has_checkpoint ? base::Duration(0) : run.age);
-  const base::Duration slack = run.resume_by - now - settings_.stop_timeout;
-  const double risk = std::exp(-Seconds(slack) / Seconds(kMeanResumeWait));
+  const double risk = std::exp(-Seconds(SlackAfter(run, request, now)) /
+                               Seconds(kMeanResumeWait));
   return WeightOf(run.priority) * (Cores(run.reserved) * Seconds(lost) +
                                    risk * kLostWhenLate * run.job_core_seconds);
 }
@@ -108,8 +118,8 @@
   std::vector<Victim> victims;
   for (std::size_t i = 0; i < candidate.runs.size(); ++i) {
     const PreemptibleRun& run = candidate.runs[i];
-    if (!is_taken[i] && IsVictim(run, request.priority, now)) {
-      const double cost = CostOf(run, now);
+    if (!is_taken[i] && IsVictim(run, request, now)) {
+      const double cost = CostOf(run, request, now);
       victims.push_back({cost, cost / std::max(Cores(run.reserved), 0.001), i});
     }
   }
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -209,6 +209,7 @@
       continue;
     }
     RecordUsedSlack(item, *reason, now);
+    RecordWaitingSlack(item, *reason, now);
     if (is_tried) {
       LogWait(item, *reason, now);
       ConsiderPreemption(item, *reason, now, actions);
--- a/src/core/scheduler/dispatcher_preemption.cc
+++ b/src/core/scheduler/dispatcher_preemption.cc
@@ -2,6 +2,7 @@
 // in time, and keeps the room for it.
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 #include "dotterelbarrow/core/scheduler/dispatcher.h"
 
@@ -70,6 +71,7 @@
   }
   preemption_tries_left_ = now >= next_preemption_pass_ ? kMaxStepsPerPass : 0;
   tasks_without_room_ = 0;
+  previous_least_waiting_slack_ = std::exchange(least_waiting_slack_, {});
   std::erase_if(preempted_workers_,
                 [now](const auto& entry) { return now >= entry.second.until; });
 }
@@ -129,6 +131,19 @@
                      });
 }
 
+void Dispatcher::RecordWaitingSlack(const WaitingStep& item, WaitReason reason,
+                                    base::TimePoint now) {
+  if (!settings_.preemption.is_enabled() || item.urgency.over_share ||
+      reason != WaitReason::kFreeResources ||
+      item.urgency.deadline_status != placement::DeadlineStatus::kOnTime) {
+    return;
+  }
+  const base::Duration slack = item.urgency.latest_start - now;
+  const auto [least, is_first] =
+      least_waiting_slack_.try_emplace(item.queue->priority, slack);
+  least->second = std::min(least->second, slack);
+}
+
 void Dispatcher::ConsiderPreemption(const WaitingStep& item, WaitReason reason,
                                     base::TimePoint now,
                                     std::vector<Action>* actions) {
@@ -202,16 +217,17 @@
   if (!preemption_limits_.HasBudget()) {
     return "too_many";
   }
-  const PreemptionPlan plan =
-      planner.Plan({.priority = item.queue->priority,
-                    .latest_start = item.urgency.latest_start,
-                    .tasks = tasks,
-                    .needs = spec.Reservation(),
-                    .is_gang = spec.gang,
-                    .tasks_ahead = tasks_ahead,
-                    .job_core_seconds = CoreSecondsOf(*item.job),
-                    .candidates = PreemptionCandidatesFor(item, now)},
-                   now);
+  placement::PreemptionRequest request{
+      .priority = item.queue->priority,
+      .latest_start = item.urgency.latest_start,
+      .tasks = tasks,
+      .needs = spec.Reservation(),
+      .is_gang = spec.gang,
+      .run_time = run_times_.ExpectedRunTime(item.queue->id, spec.estimate),
+      .tasks_ahead = tasks_ahead,
+      .job_core_seconds = CoreSecondsOf(*item.job)};
+  request.candidates = PreemptionCandidatesFor(item, request, now);
+  const PreemptionPlan plan = planner.Plan(request, now);
   if (plan.refusal) {
     return ToString(*plan.refusal);
   }
@@ -261,7 +277,8 @@
 }
 
 std::vector<PreemptionCandidate> Dispatcher::PreemptionCandidatesFor(
-    const WaitingStep& item, base::TimePoint now) {
+    const WaitingStep& item, const placement::PreemptionRequest& request,
+    base::TimePoint now) {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   const PreemptionPlanner planner(settings_.preemption);
   const auto unplaced = unplaced_gangs_.find(item.step);
@@ -295,7 +312,7 @@
         ExpectedToFitAt(worker, spec.Reservation(), candidate.free, now);
     candidate.runs = PreemptibleRunsOf(worker, now);
     std::erase_if(candidate.runs, [&](const PreemptibleRun& run) {
-      return !planner.IsVictim(run, item.queue->priority, now);
+      return !planner.IsVictim(run, request, now);
     });
     if (!candidate.runs.empty() || candidate.fits_at) {
       candidates.push_back(std::move(candidate));
@@ -351,6 +368,10 @@
         placement::UrgencyOf(job, run.task.step.step, *queue, false, now)
             .latest_start +
         run.estimate - victim.remaining - settings_.preemption.restore_time;
+    if (const auto least = previous_least_waiting_slack_.find(queue->priority);
+        least != previous_least_waiting_slack_.end()) {
+      victim.least_waiting_slack = least->second;
+    }
     const placement::PreemptionLimits::Preemptions before =
         preemption_limits_.Of(run.task);
     victim.preemptions = before.count;
--- a/test/core/placement/preemption_planner_test.cc
+++ b/test/core/placement/preemption_planner_test.cc
@@ -50,6 +50,7 @@
   PreemptionRequest request;
   request.latest_start = kNow + milliseconds(500);
   request.needs = CoresOf(5);
+  request.run_time = seconds(1);
   request.job_core_seconds = 15;
   request.candidates = std::move(candidates);
   return request;
@@ -118,6 +119,25 @@
     request.latest_start = kNow + milliseconds(399);
     CHECK(PlanFor(request).refusal == PreemptionRefusal::kTooLate);
   }
+  SUBCASE("stops nothing if enough runs are expected to end in time") {
+    std::vector<PreemptionCandidate> candidates;
+    for (int i = 0; i < 6; ++i) {
+      candidates.push_back(FullWorker(i, {Batch(0), Batch(1)}));
+    }
+    auto request = Lookup(std::move(candidates));
+    for (std::size_t i = 0; i < 3; ++i) {
+      CHECK_FALSE(PlanFor(request).refusal);
+      request.candidates[i].fits_at = request.latest_start;
+    }
+    CHECK(PlanFor(request).refusal == PreemptionRefusal::kEndsInTime);
+    // Others that come before it take that room.
+    request.tasks_ahead = 1;
+    CHECK_FALSE(PlanFor(request).refusal);
+    // An end after the latest start is of no use.
+    request.tasks_ahead = 0;
+    request.candidates[0].fits_at = request.latest_start + milliseconds(1);
+    CHECK_FALSE(PlanFor(request).refusal);
+  }
   SUBCASE("stops nothing if that costs more than it saves") {
     auto request = Lookup({FullWorker(1, {Batch(0), Batch(1)})});
     request.job_core_seconds = 0.5;
@@ -134,7 +154,13 @@
   SUBCASE("doesn't make large jobs that are nearly late miss their time") {
     PreemptibleRun run = Batch(0, 5);
     run.job_core_seconds = 1000;
-    run.resume_by = kNow + milliseconds(1500);
+    run.resume_by = kNow + milliseconds(2500);
+    CHECK(PlanFor(Lookup({FullWorker(1, {run})})).refusal ==
+          PreemptionRefusal::kNotWorthwhile);
+    // Nor those that will wait until they are nearly late.
+    run.resume_by = kNow + seconds(30);
+    CHECK_FALSE(PlanFor(Lookup({FullWorker(1, {run})})).refusal);
+    run.least_waiting_slack = milliseconds(2000);
     CHECK(PlanFor(Lookup({FullWorker(1, {run})})).refusal ==
           PreemptionRefusal::kNotWorthwhile);
   }
@@ -169,7 +195,10 @@
     run.remaining = milliseconds(999);
   }
   SUBCASE("those of jobs without slack") {
-    run.resume_by = kNow + milliseconds(1399);
+    run.resume_by = kNow + milliseconds(2399);
+  }
+  SUBCASE("those that would keep nearly late work waiting") {
+    run.least_waiting_slack = milliseconds(1999);
   }
   SUBCASE("those that were preempted twice") { run.preemptions = 2; }
   SUBCASE("those that were preempted just now") {
