--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -150,6 +150,8 @@
     return listing_.capacity - total_reserved_;
   }
   const base::Resources& reserved() const { return total_reserved_; }
+  // Returns the resources of the runs that are being stopped.
+  base::Resources BeingFreed() const;
   // Whether more is reserved than the worker holds, because its capacity has
   // shrunk.
   bool is_over_capacity() const {
--- a/src/core/workers/worker.cc
+++ b/src/core/workers/worker.cc
@@ -137,6 +137,16 @@
       clock.WhenLowerBoundExceeds(granted_until_ms + kLeaseExpiryMarginMs));
 }
 
+base::Resources Worker::BeingFreed() const {
+  base::Resources freed;
+  for (const auto& [key, run] : runs_) {
+    if (run.state == RunState::kStopping) {
+      freed += run.reserved;
+    }
+  }
+  return freed;
+}
+
 bool Worker::CanAcceptWork(base::TimePoint now) const {
   return is_claimed && !leases_suspended && listed_ && !listing_.draining &&
          orphan_count_ == 0 && now >= quarantined_until && failed_polls == 0 &&
--- a/test/core/scheduler/preemption_test.cc
+++ b/test/core/scheduler/preemption_test.cc
@@ -232,6 +232,18 @@
   CHECK(starts[0].task == TaskOf(kLookup));
 }
 
+// Guards against further stops for a step before the first ones have ended. The
+// fleet is large enough for several within the limit per second.
+TEST_CASE("a lookup whose stop is under way") {
+  Scenario scenario(WithPreemption());
+  FillWithBatch(&scenario, 10);
+  scenario.stop_duration = milliseconds(350);
+  scenario.SubmitAndStore(kLookup, "urgent", {Scenario::Step(1)});
+  Run(&scenario, kLookupSlack);
+  CHECK(StartsOf(&scenario, kLookup).size() == 1);
+  CHECK(scenario.TakeStops().size() == 1);
+}
+
 // Guards against batch work that makes no progress in a burst of lookups.
 TEST_CASE("a stream of lookups") {
   Scenario scenario(WithPreemption());
--- a/test/fuzz/scheduler/preemption_test.cc
+++ b/test/fuzz/scheduler/preemption_test.cc
@@ -119,5 +119,30 @@
   CHECK(with.batch_on_time == with.batch);
 }
 
+// Guards against batch work that is stopped all the time in a burst of several
+// times the size of the fleet.
+TEST_CASE("a burst far beyond the capacity of the fleet") {
+  Cell cell(5, kWorkers, kCapCores);
+  cell.faults.runs_failing = 0;
+  cell.runs_as_estimated = true;
+  cell.Run(1000);
+  for (int i = 0; i < kFirstBatchJobs; ++i) {
+    cell.Submit(SpecOf(8, 4, kBatchMs, true), "batch");
+  }
+  cell.Run(kFillMs);
+  for (std::int64_t ms = 0; ms < kBurstMs; ms += kPassMs) {
+    cell.Submit(SpecOf(2, 5, 600, false), "lookups");
+    cell.Run(kPassMs);
+  }
+  // 80 runs: a tenth of them per second, a second's worth at the beginning, and
+  // the rest of the last plan.
+  constexpr std::int64_t kRunsPerSecond = 8;
+  constexpr std::int64_t kRunsPerPlan = 4;
+  CHECK(cell.preemptions() > 0);
+  CHECK(cell.preemptions() <=
+        kRunsPerSecond * (1 + kBurstMs / 1000) + kRunsPerPlan);
+  CHECK(cell.broken().empty());
+}
+
 }  // namespace
 }  // namespace dotterelbarrow::test
