A gang is cleared of crashes only when all its members have survived

The fuzzer, with larger sizes, found a gang that was started for ever (30 times in 120 s): its first member crashed each worker under it, and a member on another worker, which outlived kSuspectAge, cleared the whole gang each time.

--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -211,6 +211,9 @@
   // long the task's last run had lived; not positive if that is not known.
   void GiveUp(const jobs::Job& job, base::Duration lived);
   void OnSuspectSurvived(const workers::Run& run);
+  // Whether all members of the gang run and their workers have lived for a
+  // while since they started them.
+  bool HasGangSurvived(const jobs::Job& job, const jobs::StepRef& step);
   // The worker is reconciled: it can't have untracked runs any more.
   void OnWorkerReconciled(const base::BackendId& worker);
 
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -267,8 +267,26 @@
   EndJob(job);
 }
 
+bool Scheduler::HasGangSurvived(const jobs::Job& job,
+                                const jobs::StepRef& step) {
+  const std::set<PlacedRun>& runs = runs_.RunsOfStep(step);
+  return runs.size() == job.SpecOf(step).tasks &&
+         std::all_of(runs.begin(), runs.end(), [this](const PlacedRun& placed) {
+           workers::Worker* worker = fleet_.Find(placed.worker);
+           const workers::Run* run =
+               worker == nullptr ? nullptr
+                                 : worker->FindRun(placed.task, placed.attempt);
+           return run != nullptr && run->state == workers::RunState::kRunning &&
+                  !workers::IsYoungAt(*run, worker->alive_at);
+         });
+}
+
 void Scheduler::OnSuspectSurvived(const workers::Run& run) {
-  if (jobs::Job* job = jobs_.Find(run.task.step.job)) {
+  jobs::Job* job = jobs_.Find(run.task.step.job);
+  // One member proves nothing about the others, which may have crashed their
+  // workers meanwhile. The last member that survives clears the gang.
+  if (job != nullptr &&
+      (!run.is_gang_member || HasGangSurvived(*job, run.task.step))) {
     job->RecordSurvival(run.task);
     telemetry_.log->Write(
         "suspect_cleared",
--- a/test/fuzz/scheduler/deadly_tasks_test.cc
+++ b/test/fuzz/scheduler/deadly_tasks_test.cc
@@ -93,5 +93,27 @@
   }
 }
 
+// Guards against a gang that is started for ever, because a member on another
+// worker lives on for a moment after each crash and so clears the gang.
+TEST_CASE("a gang of which one member crashes each worker under it") {
+  for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    Cell cell(seed, kWorkers);
+    cell.faults.runs_failing = 0;
+    cell.Run(1000);
+    JobSpec spec = SmallJob(4);
+    spec.steps[0].gang = true;
+    spec.steps[0].needs.cpu = base::Millicores(6000);
+    const JobKey deadly = cell.Submit(spec);
+    cell.MakeDeadly(deadly, true);
+    const JobKey harmless = cell.Submit(spec);
+    cell.Run(kLongMs);
+    CHECK(cell.StateOf(deadly) == JobState::kFailed);
+    CHECK(cell.StateOf(harmless) == JobState::kCompleted);
+    CHECK(cell.task_crashes() <= kMaxCrashesPerTask);
+    CHECK_MESSAGE(cell.broken().empty(), Violations(cell));
+  }
+}
+
 }  // namespace
 }  // namespace dotterelbarrow::test
