--- a/bench/experiment/main.cc
+++ b/bench/experiment/main.cc
@@ -49,6 +49,10 @@
       static_cast<unsigned long long>(outcome.looks),
       static_cast<unsigned long long>(outcome.advice_calls),
       static_cast<unsigned long long>(outcome.batches));
+  for (const auto& [what, count] : outcome.preemptions) {
+    std::printf("%s %llu\n", what.c_str(),
+                static_cast<unsigned long long>(count));
+  }
   std::printf("time in scheduler calls, s:");
   for (const auto& [what, seconds] : outcome.cpu_s) {
     std::printf(" %s %.2f", what.c_str(), seconds);
@@ -61,6 +65,7 @@
   std::string path;
   ExperimentOptions options;
   bool without_run_times = false;
+  bool preempts = true;
   po::options_description description("dotterel-experiment");
   description.add_options()("help", "show this text")(
       "pattern", po::value(&path)->required(), "load pattern, a JSON file")(
@@ -73,7 +78,9 @@
       "known-speeds", po::bool_switch(&options.knows_speeds),
       "the steady speeds of workers are known from the beginning")(
       "without-run-times", po::bool_switch(&without_run_times),
-      "do not learn run times and workers' speeds");
+      "do not learn run times and workers' speeds")(
+      "preempt", po::value(&preempts)->default_value(true),
+      "whether the scheduler may preempt, if the pattern says so");
   po::variables_map values;
   try {
     po::store(po::parse_command_line(argc, argv, description), values);
@@ -87,12 +94,15 @@
     return 2;
   }
   base::Failure reason;
-  const auto pattern = ReadPattern(path, &reason);
+  auto pattern = ReadPattern(path, &reason);
   if (!pattern) {
     std::cerr << reason.detail << '\n';
     return 2;
   }
   options.uses_run_times = !without_run_times;
+  if (!preempts) {
+    pattern->stop_timeout_ms = 0;
+  }
   Experiment experiment(*pattern, options);
   Print(*pattern, experiment.Run());
   return 0;
--- a/bench/experiment/pattern.h
+++ b/bench/experiment/pattern.h
@@ -5,9 +5,10 @@
 //    "seconds": 40, "call_ms": 0, "kinds": [{"name", "rate", "priority",
 //    "slack", "target_ms", "tasks", "task_ms", "cores", "memory_mb", "steps",
 //    "gang", "estimate_off", "failing", "allowed", "decision_ms",
-//    "per_worker_ms", "valid_ms", "noise", "value", "bursts": [{"at", "for",
-//    "times"}]}], "speeds": [{"share", "factor"}], "tail": {"share", "factor"},
-//    "spells": {"per_s", "for", "factor"}}
+//    "per_worker_ms", "valid_ms", "checkpoints", "noise", "value", "bursts":
+//    [{"at", "for", "times"}]}], "speeds": [{"share", "factor"}], "tail":
+//    {"share", "factor"}, "spells": {"per_s", "for", "factor"},
+//    "stop_timeout_ms", "stop_ms", "restore_ms"}
 //
 // `rate` is in jobs per second, and sizes are means. `allowed` is the fraction
 // of the workers on which the advisor allows a step to run. A missing name
@@ -54,6 +55,8 @@
   double estimate_off = 0;
   // Fraction of the runs that fail.
   double failing = 0;
+  // Fraction of the jobs whose tasks write checkpoints.
+  double checkpoints = 0;
   double allowed = 1;
   double decision_ms = 0;
   double per_worker_ms = 0;
@@ -88,6 +91,12 @@
   std::vector<SlowShare> speeds;
   SlowShare tail;
   SlowSpells spells;
+  // How long a stop takes at most, which the scheduler is told (0: it doesn't
+  // preempt), and how long it does take.
+  double stop_timeout_ms = 0;
+  double stop_ms = 0;
+  // How much longer a run takes that resumes from a checkpoint.
+  double restore_ms = 0;
   std::vector<Kind> kinds;
 };
 
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -232,6 +232,9 @@
   void OnSuspectSurvived(const workers::Run& run);
   void OnInheritedWorkerLost(const base::BackendId& worker,
                              workers::LossKind kind);
+  // Whether all members of the gang run and their workers have lived for a
+  // while since they started them.
+  bool HasGangSurvived(const jobs::Job& job, const jobs::StepRef& step);
   // The worker is reconciled: it can't have untracked runs any more.
   void OnWorkerReconciled(const base::BackendId& worker);
 
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -54,6 +54,7 @@
 void Dispatcher::RemoveJob(jobs::JobKey job) {
   inherited_.erase(job);
   over_share_.erase(job);
+  preemption_limits_.RemoveJob(job);
 }
 
 std::optional<Dispatcher::WaitingStep> Dispatcher::MakeWaitingStep(
@@ -162,6 +163,7 @@
   reserved_caps_.clear();
   has_waiting_work_ = false;
   capped_.clear();
+  BeginPreemptionPass(now);
   PlaceAll(CollectByUrgency(&waiting_, now), nullptr, now, actions);
   if (now >= next_overdue_pass_) {
     next_overdue_pass_ = now + settings_.overdue_pass_interval;
@@ -212,8 +214,10 @@
       continue;
     }
     RecordUsedSlack(item, *reason, now);
+    RecordWaitingSlack(item, *reason, now);
     if (is_tried) {
       LogWait(item, *reason, now);
+      ConsiderPreemption(item, *reason, now, actions);
     }
     unplaced_steps += *reason == WaitReason::kFreeResources ? 1 : 0;
     if (*reason == WaitReason::kCap && copies_.watched() > 0) {
@@ -351,7 +355,7 @@
           : std::nullopt;
   const auto add = [&](const workers::Worker& worker, bool has_ticket) {
     // A cheap check first, because most workers are full when many steps wait.
-    const base::Resources room = worker.FreeResources();
+    const base::Resources room = RoomFor(item->step, worker);
     const bool is_full = !spec.gang && !reservation.FitsIn(room);
     if ((is_full && any_accepts_work) || !MayRunOn(worker, *item, now)) {
       return;
@@ -399,8 +403,9 @@
   // can wait, all workers that such a gang could use.
   std::erase_if(candidates, [&](const Candidate& candidate) {
     const workers::WorkerNumber number = candidate.worker->number();
-    return gang_holds_.IsHeld(number) ||
-           (item.yields && gang_holds_.IsWanted(number));
+    return IsHeldForOthers(item.step, number) ||
+           (item.yields && gang_holds_.IsWanted(number)) ||
+           MustAvoidPreempted(item, number);
   });
   std::vector<Candidate> suspects_candidates = candidates;
   std::erase_if(candidates, [&](const Candidate& candidate) {
@@ -522,6 +527,7 @@
     run.was_lost_before = crashes.was_lost_before();
     fleet_->Reserve(choice.worker, run);
     runs_->Add(choice.worker, run);
+    kept_rooms_.OnPlaced(item.step, fleet_->Find(choice.worker)->number());
     item.job->RecordRun(task, number);
     placed.push_back({choice.worker, task, number});
     if (const jobs::StepSpec& spec = item.job->SpecOf(item.step);
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -116,8 +116,8 @@
     const WaitingStep& item, const std::vector<std::uint32_t>& members) const {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   std::vector<Candidate> candidates = item.candidates;
-  std::erase_if(candidates, [this](const Candidate& candidate) {
-    return gang_holds_.IsHeld(candidate.worker->number()) ||
+  std::erase_if(candidates, [&](const Candidate& candidate) {
+    return IsHeldForOthers(item.step, candidate.worker->number()) ||
            IsKeptForSuspect(*candidate.worker, pass_began_);
   });
   std::vector<const workers::Worker*> chosen;
@@ -254,7 +254,8 @@
     gang_holds_.MarkWanted(candidate.worker->number());
     unplaced.wanted.push_back(candidate.worker->number());
   }
-  if (!gang_holds_.CanHold()) {
+  // Room that is kept for the gang needs no worker as a whole.
+  if (!gang_holds_.CanHold() || kept_rooms_.IsKeptFor(item.step)) {
     return;
   }
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
--- a/test/core/scheduler/scheduler_scenario.h
+++ b/test/core/scheduler/scheduler_scenario.h
@@ -31,7 +31,8 @@
 };
 
 // Has the queues "plain", without placement advice, "advised", and "urgent",
-// whose jobs have half a second of slack, and one organisation, "school".
+// whose jobs have half a second of slack, all of priority 0, "gangs" of
+// priority 1 and "batch" of priority 2, and one organisation, "school".
 class SchedulerScenario {
  public:
   static constexpr base::Duration kTicketValidity =
@@ -39,7 +40,7 @@
   static constexpr std::uint32_t kMaxAttempts = 3;
   static const base::OrganisationId kSchool;
 
-  SchedulerScenario();
+  explicit SchedulerScenario(const SchedulerSettings& settings = {});
 
   // Adds workers of four cores each, runs a pass and stores its changes.
   void AddWorkers(int count);
@@ -97,11 +98,10 @@
   bool refuses_tickets = false;
   // A worker that refuses each start.
   std::string refused_on;
-  // Whether start commands are executed without an answer, and whether they and
-  // stop commands are lost.
+  // Whether start commands are executed without an answer, and whether they are
+  // lost.
   bool loses_start_answers = false;
   bool loses_starts = false;
-  bool loses_stops = false;
   // The checkpoints that workers list for active runs.
   std::map<jobs::TaskRef, std::string> checkpoints;
   // The rack of each worker that is added from now on.
@@ -109,6 +109,15 @@
   // Workers that receive no command and answer nothing.
   std::set<std::string> unresponsive_workers;
 
+  // How long a run continues after a stop command.
+  base::Duration stop_duration{0};
+  // Whether stop commands are lost, and whether only their answers are.
+  bool loses_stops = false;
+  bool loses_stop_answers = false;
+  // Whether workers report a checkpoint of each run that they list, and save
+  // one when they stop it.
+  bool writes_checkpoints = false;
+
   // Replaces the owner: a new scheduler begins its term with what is stored.
   void TakeOver();
 
@@ -119,8 +128,11 @@
     return std::exchange(log_.events, {});
   }
   base::TimePoint now() const { return now_; }
+  // Returns the tasks that run on the worker, those being stopped included.
+  std::set<jobs::TaskRef> RunningOn(const std::string& worker) const;
   // Return the actions of this kind since the last call.
   std::vector<StartTask> TakeStarts() { return std::exchange(starts_, {}); }
+  std::vector<StopTask> TakeStops() { return std::exchange(stops_, {}); }
   std::vector<RequestAdvice> TakeAdviceRequests() {
     return std::exchange(advice_requests_, {});
   }
@@ -133,6 +145,8 @@
   struct Worker {
     workers::Listing listing;
     std::map<jobs::TaskRef, jobs::Attempt> running;
+    // When the runs end that are being stopped.
+    std::map<jobs::TaskRef, base::TimePoint> stopping;
     std::vector<ListedEnd> ended;
     std::uint64_t last_end = 0;
   };
@@ -140,6 +154,13 @@
   void BeginTerm();
   void CarryOut();
   void CarryOut(const Action& action);
+  void CarryOut(const StopTask& command);
+  void EndStoppedRuns();
+  std::string CheckpointOf(jobs::Attempt attempt) const {
+    return writes_checkpoints
+               ? "checkpoint of attempt " + std::to_string(attempt.value())
+               : "";
+  }
   bool IsUnresponsive(const WorkerAddress& worker) const {
     return unresponsive_workers.contains(worker.id.value());
   }
@@ -147,6 +168,7 @@
     return now_.time_since_epoch() / std::chrono::milliseconds(1);
   }
 
+  SchedulerSettings settings_;
   EventLog log_;
   Counters counters_;
   base::TimePoint now_ = base::TimePoint(std::chrono::seconds(100));
@@ -159,6 +181,7 @@
   std::unique_ptr<Scheduler> scheduler_;
   std::map<RecordTable, std::map<std::string, std::string>> rows_;
   std::vector<StartTask> starts_;
+  std::vector<StopTask> stops_;
   std::vector<RequestAdvice> advice_requests_;
   std::set<std::string> renewed_;
 };
