Steps wait for a local worker while that pays

Cause: a remote rack only added a cost to a candidate, so that a task whose rack was full went to another one at once and took remote_factor times as long there; a gang with same_rack was placed on one rack only by chance.

Change: with bounds.remote_factor in the settings file, placement::DecideLocality compares the expected wait with the cost of the remote run. Gangs hold the workers of the rack that has room for all of them first. The advisor is asked about the data rack first, and about whole racks for gangs.

--- a/bench/experiment/experiment.cc
+++ b/bench/experiment/experiment.cc
@@ -56,6 +56,24 @@
   return queue;
 }
 
+core::scheduler::SchedulerSettings SettingsOf(
+    const Pattern& pattern, const ExperimentOptions& options) {
+  // A run that takes this many times as long is never worth it.
+  constexpr double kUselessFactor = 100;
+  core::scheduler::SchedulerSettings settings;
+  switch (options.wait) {
+    case WaitMode::kNever:
+      break;
+    case WaitMode::kPolicy:
+      settings.dispatcher.remote_factor = pattern.remote_factor;
+      break;
+    case WaitMode::kAlways:
+      settings.dispatcher.remote_factor = kUselessFactor;
+      break;
+  }
+  return settings;
+}
+
 // Returns a pseudorandom number from 0 to 1 that depends only on the inputs.
 double HashToFraction(std::uint64_t a, std::uint64_t b) {
   return static_cast<double>(base::MixBits(base::MixBits(a) ^ b) >> 11) *
@@ -97,7 +115,7 @@
             return PlanOf(task, attempt);
           }),
       log_(std::make_unique<Log>(this, options.is_log_shown)),
-      scheduler_(core::scheduler::SchedulerSettings(),
+      scheduler_(SettingsOf(pattern, options),
                  core::scheduler::Telemetry{log_.get(), &counters_}),
       random_(options.seed) {
   outcome_.kinds.resize(pattern_.kinds.size());
@@ -121,6 +139,10 @@
         base::Mebibytes(std::llround(pattern_.memory_mb)),
         base::Accelerators(0), base::Slots(0)};
     listing.born_ms = 1;
+    if (pattern_.rack_size > 0) {
+      listing.rack = "rack-" + std::to_string(i / pattern_.rack_size);
+      fleet_.SetRack(listing.id.value(), listing.rack);
+    }
     listings.push_back(std::move(listing));
   }
   scheduler_.UpdateListings(std::move(listings), timeline_.Now(),
@@ -148,6 +170,26 @@
   }
 }
 
+void Experiment::ChooseRack(const Kind& kind, std::uint32_t index,
+                            core::jobs::StepSpec* step) {
+  // Without racks nothing is drawn, so that patterns without them keep their
+  // jobs.
+  if (pattern_.rack_size == 0) {
+    return;
+  }
+  const int racks = pattern_.workers / pattern_.rack_size;
+  if (Uniform(0, 1) < kind.data_rack) {
+    const bool is_hot = Uniform(0, 1) < kind.hot_rack;
+    const int rack = is_hot ? 0 : static_cast<int>(Uniform(0, racks));
+    step->data_rack = "rack-" + std::to_string(rack);
+  } else if (step->gang && Uniform(0, 1) < kind.same_rack) {
+    step->prefers_one_rack = true;
+  }
+  if (!step->data_rack.empty() || step->prefers_one_rack) {
+    rack_steps_[{JobKey(last_job_), 0, index}] = step->data_rack;
+  }
+}
+
 core::jobs::JobSpec Experiment::MakeSpec(const Kind& kind, SubmittedJob* job) {
   core::jobs::JobSpec spec;
   const double extra = kind.steps - 1;
@@ -181,6 +223,7 @@
     chain_us += task_us;
     job->work += static_cast<double>(step.tasks) * task_us / kSecond *
                  static_cast<double>(step.needs.cpu.value()) / kMillicores;
+    ChooseRack(kind, static_cast<std::uint32_t>(i), &step);
     work.push_back(std::llround(task_us));
     spec.steps.push_back(std::move(step));
   }
@@ -237,6 +280,10 @@
     tasks = it->second;
   }
   plan.gang_size = tasks;
+  if (const auto it = rack_steps_.find(task.step); it != rack_steps_.end()) {
+    plan.remote_factor = pattern_.remote_factor;
+    plan.data_rack = it->second;
+  }
   plan.fails =
       HashToFraction(base + std::uint64_t{task.index} * 7, run) < kind.failing;
   return plan;
@@ -295,6 +342,9 @@
     CarryOut();
     WriteIfDue();
   });
+  if (scheduler_.IsPassDue(timeline_.Now())) {
+    SchedulePass();
+  }
   double used = 0;
   for (const auto& [id, worker] : scheduler_.fleet().workers()) {
     used += static_cast<double>(worker.reserved().cpu.value()) / kMillicores;
@@ -462,6 +512,11 @@
   for (const auto& [key, job] : open_jobs_) {
     ++outcome_.kinds[job.kind].unfinished;
   }
+  for (const auto& [key, value] : counters_.values()) {
+    if (key.first.starts_with("locality")) {
+      outcome_.locality[key.first + "/" + key.second] = value;
+    }
+  }
   outcome_.starts = fleet_.starts();
   outcome_.looks = fleet_.looks();
   outcome_.packing =
--- a/bench/experiment/experiment.h
+++ b/bench/experiment/experiment.h
@@ -17,6 +17,12 @@
 
 namespace dotterelbarrow::bench {
 
+enum class WaitMode {
+  kNever,   // The scheduler isn't told the remote factor.
+  kPolicy,  // The scheduler's policy decides.
+  kAlways,  // The scheduler is told such a large factor that it always waits.
+};
+
 struct ExperimentOptions {
   std::uint32_t seed = 1;
   // Fraction of one of this machine's processors that the owner has. The
@@ -24,6 +30,8 @@
   // virtual time. With 0, decisions take no virtual time.
   double cpu_share = 0;
   bool is_log_shown = false;
+  // How long steps wait for a local worker.
+  WaitMode wait = WaitMode::kPolicy;
 };
 
 // Results of the jobs of one kind.
@@ -52,6 +60,8 @@
   std::uint64_t batches = 0;
   // Seconds of real time that the owner's calls took, by kind of call.
   std::map<std::string, double> cpu_s;
+  // The scheduler's counters of local and remote placements.
+  std::map<std::string, std::uint64_t> locality;
 };
 
 class Experiment {
@@ -79,6 +89,9 @@
   void ScheduleSubmissions();
   void Submit(std::size_t kind);
   core::jobs::JobSpec MakeSpec(const Kind& kind, SubmittedJob* job);
+  // Chooses whether the run time of the job's step depends on the rack.
+  void ChooseRack(const Kind& kind, std::uint32_t index,
+                  core::jobs::StepSpec* step);
   RunPlan PlanOf(const core::jobs::TaskRef& task, core::jobs::Attempt attempt);
 
   // Calls `work` once the modelled owner's processor is free, and adds the time
@@ -115,6 +128,8 @@
   std::unordered_map<core::jobs::JobKey, std::vector<std::int64_t>>
       task_duration_us_;
   std::map<core::jobs::StepRef, std::uint32_t> gang_sizes_;
+  // The steps whose run time depends on the rack, with their `data_rack`.
+  std::map<core::jobs::StepRef, std::string> rack_steps_;
   std::map<std::string, std::int64_t> advisor_free_us_;
   std::uint64_t last_job_ = 0;
   std::int64_t owner_busy_until_us_ = 0;
--- a/bench/experiment/fleet_model.cc
+++ b/bench/experiment/fleet_model.cc
@@ -2,6 +2,7 @@
 #include "bench/experiment/fleet_model.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dotterelbarrow::bench {
 namespace {
@@ -36,7 +37,7 @@
   ++starts_;
   workers_[id].runs.insert(key);
   if (plan.gang_size == 0) {
-    timeline_->After(plan.duration_us, [this, id, key, plan] {
+    timeline_->After(DurationOn(plan, {{id, key}}), [this, id, key, plan] {
       FinishRun(id, key, plan.fails ? RunEnd::kFailed : RunEnd::kDone);
     });
     return;
@@ -44,12 +45,25 @@
   auto& members = gangs_[{command.task.step, command.attempt}];
   members.emplace_back(id, key);
   if (members.size() == plan.gang_size) {
-    timeline_->After(plan.duration_us,
+    timeline_->After(DurationOn(plan, members),
                      [this, step = command.task.step, attempt = command.attempt,
                       plan] { FinishGang(step, attempt, plan); });
   }
 }
 
+std::int64_t FleetModel::DurationOn(
+    const RunPlan& plan,
+    const std::vector<std::pair<std::string, RunKey>>& members) {
+  const std::string rack =
+      plan.data_rack.empty() ? racks_[members.front().first] : plan.data_rack;
+  const bool is_local = std::all_of(
+      members.begin(), members.end(),
+      [&](const auto& member) { return racks_[member.first] == rack; });
+  return is_local ? plan.duration_us
+                  : std::llround(static_cast<double>(plan.duration_us) *
+                                 plan.remote_factor);
+}
+
 void FleetModel::FinishGang(const core::jobs::StepRef& step,
                             core::jobs::Attempt attempt, const RunPlan& plan) {
   const auto it = gangs_.find({step, attempt});
--- a/bench/experiment/fleet_model.h
+++ b/bench/experiment/fleet_model.h
@@ -44,6 +44,10 @@
   std::int64_t duration_us = 0;
   bool fails = false;
   std::uint32_t gang_size = 0;  // 0 if the run is in no gang.
+  // How many times as long the run takes away from `data_rack` or, if that is
+  // empty, as a gang on several racks.
+  double remote_factor = 1;
+  std::string data_rack{};
 };
 
 // The workers: they start and stop runs, report the run ends and answer polls.
@@ -60,6 +64,10 @@
   // from the start of the last one.
   void Start(const core::scheduler::StartTask& command);
   void Stop(const core::scheduler::StopTask& command);
+  // Records the rack of a worker.
+  void SetRack(const std::string& worker, const std::string& rack) {
+    racks_[worker] = rack;
+  }
   // Polls a worker. An immediate poll, or a poll of a worker with run ends to
   // report, is answered at once; a long poll when a run ends or its wait is
   // over.
@@ -86,12 +94,17 @@
                  core::jobs::RunEnd end);
   void FinishGang(const core::jobs::StepRef& step, core::jobs::Attempt attempt,
                   const RunPlan& plan);
+  // Returns how long a run takes on these workers.
+  std::int64_t DurationOn(
+      const RunPlan& plan,
+      const std::vector<std::pair<std::string, RunKey>>& members);
   core::scheduler::PollResult MakePollResult(const Worker& worker) const;
   void AnswerPendingPoll(Worker* worker);
 
   Timeline* timeline_;
   PlanOf plan_of_;
   std::unordered_map<std::string, Worker> workers_;
+  std::unordered_map<std::string, std::string> racks_;
   // The runs of each gang that have started, with their workers.
   std::map<std::pair<core::jobs::StepRef, core::jobs::Attempt>,
            std::vector<std::pair<std::string, RunKey>>>
--- a/bench/experiment/main.cc
+++ b/bench/experiment/main.cc
@@ -3,6 +3,7 @@
 #include <boost/program_options.hpp>
 #include <cstdio>
 #include <iostream>
+#include <optional>
 #include <string>
 
 #include "bench/experiment/experiment.h"
@@ -33,6 +34,14 @@
       static_cast<unsigned long long>(outcome.looks),
       static_cast<unsigned long long>(outcome.advice_calls),
       static_cast<unsigned long long>(outcome.batches));
+  if (!outcome.locality.empty()) {
+    std::printf("placements:");
+    for (const auto& [what, tasks] : outcome.locality) {
+      std::printf(" %s %llu", what.c_str(),
+                  static_cast<unsigned long long>(tasks));
+    }
+    std::printf("\n");
+  }
   std::printf("time in scheduler calls, s:");
   for (const auto& [what, seconds] : outcome.cpu_s) {
     std::printf(" %s %.2f", what.c_str(), seconds);
@@ -40,9 +49,22 @@
   std::printf("\n");
 }
 
+std::optional<WaitMode> ParseWaitMode(const std::string& text) {
+  if (text == "never") {
+    return WaitMode::kNever;
+  }
+  if (text == "policy") {
+    return WaitMode::kPolicy;
+  }
+  return text == "always" ? std::optional(WaitMode::kAlways) : std::nullopt;
+}
+
 int Main(int argc, char** argv) {
   namespace po = boost::program_options;
   std::string path;
+  std::string wait;
+  double remote_factor = 0;
+  double load = 1;
   ExperimentOptions options;
   po::options_description description("dotterel-experiment");
   description.add_options()("help", "show this text")(
@@ -52,7 +74,13 @@
       "cpu-share", po::value(&options.cpu_share)->default_value(0),
       "fraction of a processor that the owner has; with 0, decisions take "
       "no virtual time")("log", po::bool_switch(&options.is_log_shown),
-                         "print the scheduler's decisions");
+                         "print the scheduler's decisions")(
+      "wait", po::value(&wait)->default_value("policy"),
+      "how long steps wait for a local worker: never, policy or always")(
+      "remote-factor", po::value(&remote_factor),
+      "replaces the pattern's remote_factor")(
+      "load", po::value(&load)->default_value(1),
+      "multiplies the arrival rates");
   po::variables_map values;
   try {
     po::store(po::parse_command_line(argc, argv, description), values);
@@ -66,11 +94,23 @@
     return 2;
   }
   base::Failure reason;
-  const auto pattern = ReadPattern(path, &reason);
+  const std::optional<WaitMode> mode = ParseWaitMode(wait);
+  if (!mode) {
+    std::cerr << "unknown wait mode " << wait << '\n';
+    return 2;
+  }
+  options.wait = *mode;
+  auto pattern = ReadPattern(path, &reason);
   if (!pattern) {
     std::cerr << reason.detail << '\n';
     return 2;
   }
+  if (remote_factor > 0) {
+    pattern->remote_factor = remote_factor;
+  }
+  for (Kind& kind : pattern->kinds) {
+    kind.jobs_per_s *= load;
+  }
   Experiment experiment(*pattern, options);
   Print(*pattern, experiment.Run());
   return 0;
--- a/bench/experiment/pattern.cc
+++ b/bench/experiment/pattern.cc
@@ -41,6 +41,9 @@
   ReadNumber(value, "decision_ms", &kind.decision_ms);
   ReadNumber(value, "per_worker_ms", &kind.per_worker_ms);
   ReadNumber(value, "valid_ms", &kind.valid_ms);
+  ReadNumber(value, "data_rack", &kind.data_rack);
+  ReadNumber(value, "same_rack", &kind.same_rack);
+  ReadNumber(value, "hot_rack", &kind.hot_rack);
   for (const Json::Value& burst : value["bursts"]) {
     Burst read;
     ReadNumber(burst, "at", &read.at_s);
@@ -77,6 +80,8 @@
   ReadNumber(*value, "memory_mb", &pattern.memory_mb);
   ReadNumber(*value, "askers", &pattern.askers);
   ReadNumber(*value, "seconds", &pattern.seconds);
+  ReadNumber(*value, "rack_size", &pattern.rack_size);
+  ReadNumber(*value, "remote_factor", &pattern.remote_factor);
   for (const Json::Value& kind : (*value)["kinds"]) {
     pattern.kinds.push_back(ReadKind(kind));
   }
--- a/bench/experiment/pattern.h
+++ b/bench/experiment/pattern.h
@@ -2,15 +2,19 @@
 // runs them. Read from a small JSON file:
 //
 //   {"workers": 350, "cores": 32, "memory_mb": 131072, "askers": 42,
-//    "seconds": 40, "kinds": [{"name", "rate", "priority", "slack",
-//    "target_ms", "tasks", "task_ms", "cores", "memory_mb", "steps", "gang",
-//    "estimate_off", "failing", "allowed", "decision_ms", "per_worker_ms",
-//    "valid_ms", "bursts": [{"at", "for", "times"}]}]}
+//    "seconds": 40, "rack_size": 10, "remote_factor": 2, "kinds": [{"name",
+//    "rate", "priority", "slack", "target_ms", "tasks", "task_ms", "cores",
+//    "memory_mb", "steps", "gang", "estimate_off", "failing", "allowed",
+//    "decision_ms", "per_worker_ms", "valid_ms", "data_rack", "same_rack",
+//    "hot_rack", "bursts": [{"at", "for", "times"}]}]}
 //
 // `rate` is in jobs per second, and sizes are means. `allowed` is the fraction
 // of the workers on which the advisor allows a step to run. A missing name
 // keeps the default. `askers` is the number of entries that request placement
-// advice.
+// advice. `data_rack` is the fraction of the steps whose tasks take
+// `remote_factor` times as long away from one rack, `hot_rack` the fraction of
+// these whose rack is the first one. `same_rack` is the fraction of the gangs
+// that take as long on several racks.
 #ifndef DOTTERELBARROW_BENCH_EXPERIMENT_PATTERN_H_
 #define DOTTERELBARROW_BENCH_EXPERIMENT_PATTERN_H_
 
@@ -50,6 +54,9 @@
   double decision_ms = 0;
   double per_worker_ms = 0;
   double valid_ms = 2000;
+  double data_rack = 0;
+  double same_rack = 0;
+  double hot_rack = 0;
   std::vector<Burst> bursts;
 };
 
@@ -59,6 +66,9 @@
   double memory_mb = 65536;
   int askers = 7;
   double seconds = 30;
+  // Number of workers in one rack; 0 if there are no racks.
+  int rack_size = 0;
+  double remote_factor = 1;
   std::vector<Kind> kinds;
 };
 
--- a/include/dotterelbarrow/core/advice/advice_cache.h
+++ b/include/dotterelbarrow/core/advice/advice_cache.h
@@ -92,6 +92,8 @@
   void Put(workers::WorkerNumber worker, Ticket ticket);
   // Returns null if there is none, not even an expired one.
   Ticket* Find(workers::WorkerNumber worker);
+  // Returns whether there is one, valid or expired.
+  bool contains(workers::WorkerNumber worker) const;
   std::size_t size() const { return entries_.size(); }
   auto begin() const { return entries_.begin(); }
   auto end() const { return entries_.end(); }
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -20,6 +20,7 @@
 #include "dotterelbarrow/core/placement/crash_containment.h"
 #include "dotterelbarrow/core/placement/gang_holds.h"
 #include "dotterelbarrow/core/placement/load_shedder.h"
+#include "dotterelbarrow/core/placement/locality_wait.h"
 #include "dotterelbarrow/core/placement/run_time_model.h"
 #include "dotterelbarrow/core/placement/urgency.h"
 #include "dotterelbarrow/core/placement/worker_choice.h"
@@ -61,6 +62,9 @@
   // Interval at which overdue steps are considered: steps of jobs that can no
   // longer complete in time.
   base::Duration overdue_pass_interval = std::chrono::milliseconds(50);
+  // How many times as long a task runs away from its `data_rack`, and a gang
+  // that prefers one rack on several. With 1, nothing waits for a local worker.
+  double remote_factor = 1;
 };
 
 // Why a step whose dependencies are met is not started.
@@ -74,6 +78,7 @@
   kOrphanedMembers,  // Members of its last attempt may still be running.
   kIsolation,        // Its tasks may crash workers, and no worker is apart from
                      // others.
+  kLocalWorker,  // A place near its data, or on one rack, is worth the wait.
 };
 
 const char* ToString(WaitReason reason);
@@ -168,6 +173,11 @@
   std::size_t waiting_steps() const {
     return waiting_.size() + overdue_.size();
   }
+  // Returns whether a pass should decide now whether a task that waits for a
+  // local worker waits on.
+  bool IsPassDue(base::TimePoint now) const {
+    return locality_.IsDecisionDue(now);
+  }
   // Returns how many workers the last pass kept free for gangs.
   std::size_t held_workers() const { return gang_holds_.held_count(); }
 
@@ -189,6 +199,11 @@
     std::vector<placement::Candidate> candidates{};
     // Whether a task waits for a worker on which it can be told apart.
     bool waits_for_isolation = false;
+    // How many more tasks are placed away from their data in this pass; not set
+    // before a task fits on no local worker.
+    std::optional<std::uint32_t> remote_tasks{};
+    // Whether a task waits for a local worker.
+    bool waits_for_local = false;
   };
   // What the last try to place a gang found.
   struct UnplacedGang {
@@ -387,6 +402,91 @@
   // under way.
   void StartOrReleaseReserved(const jobs::StepRef& step, base::TimePoint now,
                               std::vector<Action>* actions);
+  // Locality: the steps whose run time depends on the rack.
+  // When a task of a step is expected to fit on a worker.
+  struct ExpectedPlace {
+    base::TimePoint at;
+    workers::WorkerNumber worker;
+    // When its run there would end; not set for members of a gang.
+    base::TimePoint until{};
+
+    static bool IsEarlier(const ExpectedPlace& a, const ExpectedPlace& b) {
+      return a.at < b.at;
+    }
+  };
+  // Whether it matters on which rack the step's tasks run.
+  bool HasLocality(const jobs::StepSpec& spec) const;
+  // Whether a task of the step, or the whole gang, runs fast on these workers.
+  bool IsLocal(const jobs::StepSpec& spec,
+               const std::vector<Choice>& choices) const;
+  // Notes which workers are on which rack, some times a second.
+  void UpdateRacks(base::TimePoint now);
+  // Returns the run time of the step's tasks on a worker with this slowness.
+  base::Duration RunTimeOf(const WaitingStep& item, double slowness,
+                           bool is_local) const;
+  // Appends when up to `most` tasks are expected to fit on the candidate, none
+  // after `horizon`. Each of them leaves again after `run_time`; with 0, none
+  // does, because they must run at the same time.
+  void AppendExpectedPlaces(placement::Candidate candidate,
+                            const jobs::StepSpec& spec, std::size_t most,
+                            base::Duration run_time, base::TimePoint horizon,
+                            base::TimePoint now,
+                            std::vector<ExpectedPlace>* places) const;
+  // Whether all waiting tasks of the step wait for local workers, and none of
+  // these has free resources. A cheap check for passes between two decisions.
+  bool KeepsWaitingForLocal(const WaitingStep& item);
+  // Returns whether a task that fits on `worker` is placed there. It isn't if
+  // the worker is remote and the task waits for a local one. `left` tasks of
+  // the step are to be placed; `candidates` tells what is left where.
+  bool MayPlaceOn(const workers::Worker& worker, std::uint32_t left,
+                  const std::vector<placement::Candidate>& candidates,
+                  const jobs::Task& task, WaitingStep* item,
+                  base::TimePoint now);
+  // Returns how many of `tasks` tasks are placed remotely; the others wait.
+  std::uint32_t CountRemoteTasks(
+      const WaitingStep& item, std::uint32_t tasks,
+      const workers::Worker& remote, const base::BackendId& failed_on,
+      const std::vector<placement::Candidate>& candidates, base::TimePoint now);
+  // Returns the usable workers of the step's data rack, with and without free
+  // resources.
+  std::vector<placement::Candidate> LocalCandidates(
+      const WaitingStep& item, const base::BackendId& failed_on,
+      const std::vector<placement::Candidate>& candidates,
+      base::TimePoint now) const;
+  // Returns whether a gang for which only these choices, on several racks, are
+  // free waits for one rack. Holds the workers of that rack for it.
+  bool WaitsForRack(const WaitingStep& item, const std::vector<Choice>& choices,
+                    base::TimePoint now);
+  // Whether the last decision about the gang was to wait for one rack.
+  bool IsWaitingForRack(const jobs::StepRef& step) const;
+  // Notes that the gang fits nowhere now, so that it waits for free resources.
+  void StopWaitingForRack(const jobs::StepRef& step);
+  // Returns the places on the rack on which the whole gang is expected to fit
+  // first, the last one at the end; nothing if there is no such rack.
+  std::vector<ExpectedPlace> FindRackForGang(const WaitingStep& item,
+                                             base::TimePoint horizon,
+                                             base::TimePoint now) const;
+  // Returns the workers of one rack to hold for a gang that fits nowhere now,
+  // or nothing if waiting for one rack doesn't pay.
+  std::vector<workers::WorkerNumber> RackWorkersToHold(const WaitingStep& item,
+                                                       base::TimePoint now);
+  // Updates the step's wait after a decision: `places` are what its waiting
+  // tasks expect, and `decided` is the decision about the first task that
+  // doesn't wait or, if all do, about the last one.
+  void RecordLocalityDecision(const WaitingStep& item,
+                              const std::vector<ExpectedPlace>& places,
+                              const placement::LocalityDecision& decided,
+                              std::uint32_t tasks, base::Duration extra,
+                              base::TimePoint now);
+  // Counts tasks that were placed, and ends the step's wait if none waits.
+  void RecordLocality(const WaitingStep& item,
+                      const std::vector<Choice>& choices, base::TimePoint now);
+  placement::LocalityRecord& LocalityRecordOf(const jobs::StepSpec& spec);
+  // Returns the order in which the advisor is asked about the racks, lower
+  // first; nothing if the rack doesn't matter.
+  std::map<std::string, std::int64_t> RackOrder(const WaitingStep& item,
+                                                base::TimePoint now) const;
+
   // Returns the number for the task's next attempt.
   jobs::Attempt NextAttempt(const jobs::Step& step, std::uint32_t index) const;
 
@@ -424,6 +524,10 @@
   placement::GangHolds gang_holds_;
   placement::CrashContainment containment_;
   placement::RunTimeModel run_times_;
+  placement::LocalityWaits locality_;
+  // The workers of each rack; empty if no run time depends on the rack.
+  std::map<std::string, std::vector<workers::WorkerNumber>> racks_;
+  base::TimePoint next_racks_update_;
   // The workers on which nothing else is started until a suspect can be, and
   // when that ends in any case.
   std::map<workers::WorkerNumber, base::TimePoint> kept_for_suspects_;
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -151,6 +151,11 @@
   void set_poll_stretch(double factor) { fleet_.set_poll_stretch(factor); }
   // Runs one scheduling pass.
   void RunPass(base::TimePoint now);
+  // Returns whether a pass is due even if nothing has happened, because a wait
+  // for a local worker may end now.
+  bool IsPassDue(base::TimePoint now) const {
+    return dispatcher_.IsPassDue(now);
+  }
 
   // These report the result of an action. `clock_ms` is the worker's clock when
   // it answered.
--- a/src/core/advice/advice_cache.cc
+++ b/src/core/advice/advice_cache.cc
@@ -119,6 +119,12 @@
   return it == entries_.end() || it->first != worker ? nullptr : &it->second;
 }
 
+bool TicketTable::contains(workers::WorkerNumber worker) const {
+  return std::binary_search(
+      entries_.begin(), entries_.end(), Entry(worker, Ticket()),
+      [](const Entry& a, const Entry& b) { return a.first < b.first; });
+}
+
 StepAdvice* AdviceCache::Find(const jobs::StepRef& step) {
   const auto it = steps_.find(step);
   return it == steps_.end() ? nullptr : &it->second;
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -27,6 +27,8 @@
       return "straying_members";
     case WaitReason::kIsolation:
       return "isolation";
+    case WaitReason::kLocalWorker:
+      return "local_worker";
   }
   return "unknown";
 }
@@ -49,6 +51,7 @@
   overdue_.erase(step);
   last_logged_.erase(step);
   advice_.Remove(step);
+  locality_.Remove(step);
 }
 
 void Dispatcher::RemoveJob(jobs::JobKey job) {
@@ -88,6 +91,7 @@
       if (jobs_->Find(it->job) == nullptr) {
         last_logged_.erase(*it);
         advice_.Remove(*it);
+        locality_.Remove(*it);
       }
       it = steps->erase(it);
       continue;
@@ -155,6 +159,8 @@
     unplaced_gangs_.clear();
   }
   UpdateFleetUsage(now);
+  locality_.BeginPass();
+  UpdateRacks(now);
   containment_.BeginPass(fleet_->workers().size(), fleet_usage_);
   UpdateInheritedUsage(now);
   reserved_caps_.clear();
@@ -244,8 +250,11 @@
       return WaitReason::kCap;
     }
     if (KeepHoldingFor(*item)) {
-      return WaitReason::kFreeResources;
+      return IsWaitingForRack(item->step) ? WaitReason::kLocalWorker
+                                          : WaitReason::kFreeResources;
     }
+  } else if (KeepsWaitingForLocal(*item)) {
+    return WaitReason::kLocalWorker;
   }
   if (!FindCandidates(item, now, actions)) {
     return WaitReason::kAdvice;
@@ -266,6 +275,9 @@
   if (item.waits_for_isolation) {
     return WaitReason::kIsolation;
   }
+  if (item.waits_for_local || (spec.gang && IsWaitingForRack(item.step))) {
+    return WaitReason::kLocalWorker;
+  }
   return spec.gang && !runs_->RunsOfStep(item.step).empty()
              ? WaitReason::kOrphanedMembers
              : WaitReason::kFreeResources;
@@ -411,12 +423,16 @@
     if (best == nullptr && task.crashes.is_suspect()) {
       continue;
     }
-    if (best == nullptr) {
+    if (best == nullptr ||
+        !MayPlaceOn(*best,
+                    step.waiting() - static_cast<std::uint32_t>(choices.size()),
+                    candidates, task, waiting, now)) {
       break;
     }
     choices.push_back({index, best->id()});
   }
-  if (choices.empty() && item.waits_for_isolation && !item.candidates.empty()) {
+  if (choices.empty() && (item.waits_for_isolation || item.waits_for_local) &&
+      !item.candidates.empty()) {
     // It doesn't lack allowed workers.
     return false;
   }
@@ -492,6 +508,7 @@
     const WaitingStep& item, const std::vector<Choice>& choices,
     jobs::Attempt attempt, base::TimePoint now) {
   const jobs::Step& step = *item.job->FindStep(item.step);
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   std::vector<PlacedRun> placed;
   for (const Choice& choice : choices) {
     const jobs::TaskRef task{item.step, choice.index};
@@ -499,6 +516,11 @@
         attempt.value() > 0 ? attempt : NextAttempt(step, choice.index);
     workers::Run run = workers::MakeReservedRun(*item.job, task, number, now);
     run.has_slack = item.yields;
+    if (HasLocality(spec) &&
+        !IsLocal(spec, spec.gang ? choices : std::vector<Choice>{choice})) {
+      run.estimate =
+          placement::ScaleDuration(run.estimate, settings_.remote_factor);
+    }
     const jobs::CrashHistory& crashes = *item.job->CrashesOf(task);
     run.is_suspect = crashes.is_suspect();
     run.was_lost_before = crashes.was_lost_before();
@@ -507,6 +529,9 @@
     item.job->RecordRun(task, number);
     placed.push_back({choice.worker, task, number});
   }
+  if (HasLocality(spec)) {
+    RecordLocality(item, choices, now);
+  }
   return placed;
 }
 
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -127,22 +127,27 @@
   // Compared in this order; the position keeps the order of equals.
   struct Ranked {
     bool was_asked = false;
+    std::int64_t rack_order = 0;
     std::int64_t negated_free_cpu = 0;
     std::size_t position = 0;
     const workers::Worker* worker = nullptr;
 
     bool operator<(const Ranked& other) const {
-      return std::tie(was_asked, negated_free_cpu, position) <
-             std::tie(other.was_asked, other.negated_free_cpu, other.position);
+      return std::tie(was_asked, rack_order, negated_free_cpu, position) <
+             std::tie(other.was_asked, other.rack_order, other.negated_free_cpu,
+                      other.position);
     }
   };
   const workers::WorkerSet& asked =
       advice_.FindOrAdd(item.step).queried_workers;
+  const std::map<std::string, std::int64_t> rack_order = RackOrder(item, now);
   std::vector<Ranked> ranked;
   ranked.reserve(fleet_->workers().size());
   for (const auto& [id, worker] : fleet_->workers()) {
     if (MayRunOn(worker, item, now)) {
+      const auto order = rack_order.find(worker.listing().rack);
       ranked.push_back({asked.contains(worker.number()),
+                        order == rack_order.end() ? 0 : order->second,
                         -worker.FreeResources().cpu.value(), ranked.size(),
                         &worker});
     }
@@ -158,7 +163,16 @@
 
 std::vector<base::BackendId> Dispatcher::WorkersToRequestFirst(
     const WaitingStep& item, base::TimePoint now) {
-  const std::size_t max_workers = FirstRequestSize(item.job->SpecOf(item.step));
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  std::size_t max_workers = FirstRequestSize(spec);
+  if (HasLocality(spec) && !spec.gang) {
+    // The rack's workers come first. If none of them is allowed or free, others
+    // must be known at once, so the request is larger by its usual size.
+    const auto rack = racks_.find(spec.data_rack);
+    max_workers = std::min(
+        settings_.max_workers_per_request,
+        max_workers + (rack == racks_.end() ? 0 : rack->second.size()));
+  }
   std::vector<base::BackendId> ids;
   for (const workers::Worker* worker :
        SuitableWorkers(item, max_workers, now)) {
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -90,11 +90,15 @@
     for (const Candidate& candidate : candidates) {
       racks[candidate.worker->listing().rack].push_back(candidate);
     }
+    if (const auto near_data = racks.find(spec.data_rack);
+        near_data != racks.end()) {
+      chosen = ChooseWorkers(near_data->second, spec, members.size());
+    }
     for (const auto& [rack, of_rack] : racks) {
-      chosen = ChooseWorkers(of_rack, spec, members.size());
       if (!chosen.empty()) {
         break;
       }
+      chosen = ChooseWorkers(of_rack, spec, members.size());
     }
   }
   if (chosen.empty()) {
@@ -158,6 +162,9 @@
     needing_more_advice_.push_back(&item);
     return false;
   }
+  if (WaitsForRack(item, choices, now)) {
+    return false;
+  }
   jobs::Attempt attempt = first_attempt_;
   for (const std::uint32_t index : members) {
     attempt = std::max(attempt, NextAttempt(step, index));
@@ -212,6 +219,7 @@
 }
 
 void Dispatcher::HoldWorkersFor(const WaitingStep& item, base::TimePoint now) {
+  StopWaitingForRack(item.step);
   UnplacedGang& unplaced = unplaced_gangs_[item.step];
   unplaced = UnplacedGang();
   for (const Candidate& candidate : item.candidates) {
@@ -222,6 +230,10 @@
     return;
   }
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  unplaced.held = RackWorkersToHold(item, now);
+  if (!unplaced.held.empty()) {
+    return;
+  }
   std::vector<Opening> openings;
   for (const Candidate& candidate : item.candidates) {
     if (!gang_holds_.IsHeld(candidate.worker->number())) {
--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -93,6 +93,7 @@
   // Tasks of a gang time out by themselves after `gang_timeout`. Stopping them
   // before is safer and quicker.
   result.gang_start_timeout = settings.gang_timeout * 2 / 3;
+  result.dispatcher.remote_factor = settings.remote_factor;
   // One minute longer than callers may query a completed job.
   result.jobs.retention = settings.job_retention + std::chrono::minutes(1);
   return result;
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -232,6 +232,9 @@
   if (is_loaded_ && parts_.leadership->HoldsOwnershipLease(Now())) {
     scheduler_.Tick(Now(), UnixMillis());
     Execute();
+    if (scheduler_.IsPassDue(Now())) {
+      SchedulePass();
+    }
     times_.LogIfDue(saturation_gate_, Now());
   }
   if (is_loaded_ && IsStoreUnavailable()) {
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -29,7 +29,8 @@
 
 const base::OrganisationId SchedulerScenario::kSchool("school");
 
-SchedulerScenario::SchedulerScenario() {
+SchedulerScenario::SchedulerScenario(SchedulerSettings settings)
+    : settings_(settings) {
   desired::Queue advised = MakeQueue("advised");
   advised.advice = desired::AdvicePolicy{
       milliseconds(20), std::chrono::microseconds(100), kTicketValidity};
@@ -43,8 +44,8 @@
 }
 
 void SchedulerScenario::BeginTerm() {
-  scheduler_ = std::make_unique<Scheduler>(SchedulerSettings(),
-                                           Telemetry{&log_, &counters_});
+  scheduler_ =
+      std::make_unique<Scheduler>(settings_, Telemetry{&log_, &counters_});
   scheduler_->BeginTerm(FencingToken(++token_), now_);
   for (const RecordTable table :
        {RecordTable::kLivePages, RecordTable::kEndedPages}) {
@@ -62,7 +63,7 @@
       {base::EntryId("host-0"), base::EntryId("host-1")});
 }
 
-void SchedulerScenario::AddWorkers(int count) {
+void SchedulerScenario::AddWorkers(int count, const std::string& rack) {
   for (int i = 0; i < count; ++i) {
     Worker worker;
     worker.listing.id =
@@ -73,6 +74,7 @@
     worker.listing.capacity.memory = base::Mebibytes(1024);
     worker.listing.born_ms = 1;
     worker.listing.revision = 1;
+    worker.listing.rack = rack;
     workers_.emplace(worker.listing.id, std::move(worker));
   }
   RunPass();
@@ -85,6 +87,12 @@
   ++listing.revision;
 }
 
+void SchedulerScenario::DrainWorker(const std::string& name) {
+  workers::Listing& listing = workers_.at(base::BackendId(name)).listing;
+  listing.draining = true;
+  ++listing.revision;
+}
+
 void SchedulerScenario::SetCap(int cores) {
   organisation_.cap.cpu = base::Millicores(cores * kMillicores);
   DropQueue("");
--- a/test/core/scheduler/scheduler_scenario.h
+++ b/test/core/scheduler/scheduler_scenario.h
@@ -29,10 +29,13 @@
   static constexpr std::uint32_t kMaxAttempts = 3;
   static const base::OrganisationId kSchool;
 
-  SchedulerScenario();
+  explicit SchedulerScenario(SchedulerSettings settings = {});
 
-  // Adds workers of four cores each, runs a pass and stores its changes.
-  void AddWorkers(int count);
+  // Adds workers of four cores each on a rack, runs a pass and stores its
+  // changes.
+  void AddWorkers(int count, const std::string& rack = "");
+  // The worker is listed as draining from now on.
+  void DrainWorker(const std::string& name);
   // Sets the capacity that a worker lists from now on.
   void ResizeWorker(const std::string& name, int cores);
   // Sets the cap of the organisation, in cores.
@@ -78,6 +81,10 @@
 
   Scheduler& scheduler() { return *scheduler_; }
   base::TimePoint now() const { return now_; }
+  const Counters& counters() const { return counters_; }
+  const std::string& RackOf(const base::BackendId& worker) const {
+    return workers_.at(worker).listing.rack;
+  }
   // Return the actions of this kind since the last call.
   std::vector<StartTask> TakeStarts() { return std::exchange(starts_, {}); }
   std::vector<RequestAdvice> TakeAdviceRequests() {
@@ -106,6 +113,7 @@
     return now_.time_since_epoch() / std::chrono::milliseconds(1);
   }
 
+  SchedulerSettings settings_;
   NullLog log_;
   Counters counters_;
   base::TimePoint now_ = base::TimePoint(std::chrono::seconds(100));
--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -39,6 +39,9 @@
 constexpr std::uint64_t kCrashesBeforeBudget = 3;
 constexpr std::uint64_t kStartsOverBudget = 3;
 constexpr double kAmpleSlack = 100;
+// Workers are on this many racks, and half of the steps want one of them.
+constexpr int kRacks = 3;
+constexpr double kRemoteFactor = 2;
 constexpr double kAmpleWeight = 1000;
 
 const char* const kService = "service";
@@ -95,6 +98,7 @@
                         base::Mebibytes(kWorkerMemory), base::Accelerators(0),
                         base::Slots(0)};
     listing.born_ms = 1;
+    listing.rack = "rack-" + std::to_string(i % kRacks);
     workers_.push_back(std::make_unique<WorkerModel>(listing, Between(0, 20)));
   }
   BeginTerm();
@@ -114,9 +118,10 @@
 void Cell::BeginTerm() {
   auto owner = std::make_shared<Owner>();
   owner->token = FencingToken(++last_token_);
+  core::scheduler::SchedulerSettings settings;
+  settings.dispatcher.remote_factor = kRemoteFactor;
   owner->scheduler = std::make_unique<Scheduler>(
-      core::scheduler::SchedulerSettings(),
-      core::scheduler::Telemetry{&log_, &counters_});
+      settings, core::scheduler::Telemetry{&log_, &counters_});
   Scheduler& scheduler = *owner->scheduler;
   scheduler.BeginTerm(owner->token, Now());
   using core::scheduler::RecordTable;
@@ -453,6 +458,11 @@
     step.needs.memory = base::Mebibytes(Between(1, 24));
     step.estimate = std::chrono::milliseconds(Between(50, 3000));
     step.gang = Chance(300);
+    step.prefers_one_rack = step.gang && Chance(500);
+    if (Chance(300)) {
+      // One rack more than there are: the data may be where no worker is.
+      step.data_rack = "rack-" + std::to_string(Between(0, kRacks));
+    }
     if (i > 0) {
       step.depends_on = {static_cast<std::uint32_t>(i - 1)};
     }
