--- a/src/core/placement/locality_wait.cc
+++ b/src/core/placement/locality_wait.cc
@@ -14,7 +14,7 @@
 // Below this usage of the fleet the extra capacity of a remote run is free;
 // from there on it counts more and more, and fully when the fleet is full. In
 // the experiment with racks at 80% usage, 0.7 let the slowest twentieth of the
-// batch jobs take 5 to 10% longer.
+// batch jobs take up to 8% longer.
 constexpr double kFreeUsage = 0.4;
 
 // Returns how much other work lacks the capacity that a remote run takes, from
@@ -147,9 +147,9 @@
 
 const std::vector<LocalityWaits::Claim>& LocalityWaits::ClaimsOn(
     workers::WorkerNumber worker) const {
-  static const std::vector<Claim> kNone;
+  static const std::vector<Claim> none;
   const auto it = claims_.find(worker);
-  return it == claims_.end() ? kNone : it->second;
+  return it == claims_.end() ? none : it->second;
 }
 
 bool LocalityWaits::IsDecisionDue(base::TimePoint now) const {
--- a/src/core/scheduler/dispatcher_locality.cc
+++ b/src/core/scheduler/dispatcher_locality.cc
@@ -132,7 +132,8 @@
       const bool is_allowed =
           !item.queue->advice ||
           (advice != nullptr && advice->allowed.contains(number));
-      if (worker != nullptr && is_allowed &&
+      if (worker != nullptr && is_allowed && !gang_holds_.IsHeld(number) &&
+          worker->CanAcceptWork(pass_began_) &&
           needs.FitsIn(worker->FreeResources())) {
         return false;
       }
@@ -389,6 +390,7 @@
     }
   }
   std::vector<std::pair<std::int64_t, std::string>> ranked;
+  ranked.reserve(free_cpu.size());
   for (const auto& [rack, free] : free_cpu) {
     ranked.emplace_back(-free, rack);
   }
--- a/test/core/scheduler/locality_test.cc
+++ b/test/core/scheduler/locality_test.cc
@@ -228,9 +228,8 @@
     scenario.SubmitAndStore(kSecond + 1, "plain", {gang});
     scenario.RunPasses(2);
     CHECK(TakeRacks(&scenario).empty());
-    // Less urgent work that could take the place of the gang.
-    jobs::StepSpec small = Scenario::Step(4);
-    small.estimate = milliseconds(9000);
+    // Guards against less urgent work that takes the place of the gang.
+    const jobs::StepSpec small = StepOn("a", 4, 9000);
     scenario.SubmitAndStore(kSecond + 2, "plain", {small});
     scenario.RunPasses(1);
     CHECK(TakeRacks(&scenario) == Racks(4, "b"));
--- a/test/platform/decoders_test.cc
+++ b/test/platform/decoders_test.cc
@@ -77,6 +77,21 @@
     CHECK(settings->gang_timeout == std::chrono::seconds(3));
     CHECK(settings->worker_drain_limit == std::chrono::seconds(2));
     CHECK(settings->desired_apply_limit == std::chrono::seconds(2));
+    CHECK(settings->remote_factor == 1);
+  }
+  SUBCASE("gives the factor for remote runs, which is never below 1") {
+    const auto factor_of = [&reason](const std::string& factor) {
+      std::string text(kSettings);
+      text.replace(text.find("grace_s"), 0, "remote_factor: " + factor + ", ");
+      const auto settings = ParsePlatformSettings(text, &reason);
+      REQUIRE_MESSAGE(settings, reason.detail);
+      return settings->remote_factor;
+    };
+    CHECK(factor_of("2.5") == doctest::Approx(2.5));
+    for (const char* factor : {"0.5", "-2", "many", ".nan"}) {
+      CAPTURE(factor);
+      CHECK(factor_of(factor) == 1);
+    }
   }
   SUBCASE("without a required field is refused") {
     const std::string text(kSettings);
