dotterelctl explain: where a job would be placed now, and why

Operators could only see from the logs why a job waits. The owner answers at /explain on its metrics address about a submitted job or one that is only described; Scheduler::Explain and ExplainSubmission are const and work on a copy of the job.

--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -26,6 +26,7 @@
 #include "dotterelbarrow/core/placement/worker_choice.h"
 #include "dotterelbarrow/core/scheduler/actions.h"
 #include "dotterelbarrow/core/scheduler/decision_log.h"
+#include "dotterelbarrow/core/scheduler/explanation.h"
 #include "dotterelbarrow/core/scheduler/fleet.h"
 #include "dotterelbarrow/core/scheduler/job_registry.h"
 #include "dotterelbarrow/core/scheduler/run_index.h"
@@ -178,6 +179,10 @@
   bool IsPassDue(base::TimePoint now) const {
     return locality_.IsDecisionDue(now);
   }
+  // Returns where the job's waiting steps would be placed now, and why. A job
+  // that is not submitted must have a begun occurrence.
+  std::vector<StepExplanation> Explain(jobs::Job job, bool is_submitted,
+                                       base::TimePoint now) const;
   // Returns how many workers the last pass kept free for gangs.
   std::size_t held_workers() const { return gang_holds_.held_count(); }
 
@@ -402,6 +407,18 @@
   // under way.
   void StartOrReleaseReserved(const jobs::StepRef& step, base::TimePoint now,
                               std::vector<Action>* actions);
+  // These fill in parts of an explanation.
+  void ExplainWait(const WaitingStep& item, bool is_submitted,
+                   base::TimePoint now, StepExplanation* explained) const;
+  void ExplainWorkers(WaitingStep* item, base::TimePoint now,
+                      StepExplanation* explained) const;
+  void ExplainChoices(const WaitingStep& item,
+                      StepExplanation* explained) const;
+  // Returns the first rule that keeps tasks of the step from the worker now, or
+  // null.
+  const char* RuleOut(const workers::Worker& worker, const WaitingStep& item,
+                      base::TimePoint now) const;
+
   // Locality: the steps whose run time depends on the rack.
   // When a task of a step is expected to fit on a worker.
   struct ExpectedPlace {
@@ -516,8 +533,13 @@
   jobs::StepRef overdue_rotation_;
   // When overdue steps are next considered.
   base::TimePoint next_overdue_pass_;
-  // The reason last logged for each waiting step.
-  std::unordered_map<jobs::StepRef, WaitReason> last_logged_;
+  // The reason last logged for each waiting step, and since when it waits for
+  // that.
+  struct LoggedWait {
+    WaitReason reason;
+    base::TimePoint since;
+  };
+  std::unordered_map<jobs::StepRef, LoggedWait> last_logged_;
   // All queues known so far, with their latest rules. Jobs of a queue that was
   // dropped continue under its last rules.
   std::unordered_map<desired::QueueId, desired::Queue> known_queues_;
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -136,6 +136,14 @@
   std::optional<jobs::JobState> StateOf(jobs::JobKey key) const {
     return jobs_.StoredState(key);
   }
+  // Returns where the steps of a job would be placed now and why; nullopt if
+  // the job is not known. Of a job that has ended only the state is known.
+  std::optional<Explanation> Explain(jobs::JobKey key,
+                                     base::TimePoint now) const;
+  // Returns the same for a job as if it were submitted now, and whether it
+  // would be refused. Submits nothing.
+  Explanation ExplainSubmission(const Submission& submission,
+                                base::TimePoint now) const;
   // Returns, for each queue, how many accepted and stored jobs have not begun.
   std::map<desired::QueueId, std::uint64_t> PendingJobs() const;
 
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -288,11 +288,12 @@
   if (reason == WaitReason::kStoring) {
     return;
   }
-  const auto [logged, is_new] = last_logged_.try_emplace(item.step, reason);
-  if (!is_new && logged->second == reason) {
+  const auto [logged, is_new] =
+      last_logged_.try_emplace(item.step, LoggedWait{reason, now});
+  if (!is_new && logged->second.reason == reason) {
     return;
   }
-  logged->second = reason;
+  logged->second = {reason, now};
   const advice::StepAdvice* advice = advice_.Find(item.step);
   telemetry_.log->Write(
       "step_waits",
--- a/src/ctl/command_line.cc
+++ b/src/ctl/command_line.cc
@@ -45,7 +45,10 @@
     {"submit", "[FILE|-] [flags]", "submit a request or a job"},
     {"status", "JOB [--follow]", "show the status of a job"},
     {"cancel", "JOB", "cancel a job"},
-    {"explain", "JOB FILE...", "show a job's timeline from entry hosts' logs"},
+    {"explain", "JOB [LOG...] | FILE|- --queue QUEUE --organisation NAME",
+     "show a job's timeline from entry hosts' logs; without logs, ask the "
+     "owner's metrics address (--entry) where the job, or one described in "
+     "FILE, would be placed now"},
     {"members", "", "show the entry hosts and which of them are alive"},
     {"teams", "", "show teams, shares and limits"},
     {"services", "", "show services and who may use them"},
@@ -119,6 +122,16 @@
   return description;
 }
 
+options::options_description ExplainDescription() {
+  options::options_description description("explain");
+  auto add = description.add_options();
+  add("queue", options::value<std::string>()->default_value(""),
+      "the queue of a job described in FILE");
+  add("organisation", options::value<std::string>()->default_value(""),
+      "its organisation");
+  return description;
+}
+
 // Returns the value of the option `name`. Sets `*failure` if it is out of
 // range.
 std::int64_t IntegerOption(const options::variables_map& values,
@@ -155,6 +168,8 @@
     text << SubmitDescription() << "\n";
   } else if (name == "status") {
     text << StatusDescription() << "\n";
+  } else if (name == "explain") {
+    text << ExplainDescription() << "\n";
   }
   text << CommonDescription() << kExitCodes;
   return text.str();
@@ -299,6 +314,8 @@
     command_options.add(SubmitDescription());
   } else if (name == "status") {
     command_options.add(StatusDescription());
+  } else if (name == "explain") {
+    command_options.add(ExplainDescription());
   }
   options::variables_map values;
   std::vector<std::string> positional;
@@ -317,8 +334,7 @@
   if (name == "submit") {
     return ParseSubmitFile(positional.front(), values);
   }
-  if ((takes_argument && positional.empty()) ||
-      (takes_files && positional.size() < 2)) {
+  if (takes_argument && positional.empty()) {
     return Failure{FailureCode::kMissingField,
                    name + " needs " + command.arguments};
   }
@@ -331,6 +347,17 @@
   if (name == "cancel") {
     return CancelJob{positional.front()};
   }
+  if (takes_files && positional.size() == 1) {
+    ExplainPlacement explain{positional.front(),
+                             values["queue"].as<std::string>(),
+                             values["organisation"].as<std::string>()};
+    if (explain.queue.empty() != explain.organisation.empty()) {
+      return Failure{FailureCode::kMissingField,
+                     "explain needs both --queue and --organisation for a "
+                     "FILE, and neither for a JOB"};
+    }
+    return explain;
+  }
   if (takes_files) {
     return ExplainJob{positional.front(),
                       {positional.begin() + 1, positional.end()}};
--- a/src/ctl/command_line.h
+++ b/src/ctl/command_line.h
@@ -50,6 +50,14 @@
   // Names of log files of entry hosts.
   std::vector<std::string> files;
 };
+// Asks the owner where a job would be placed now.
+struct ExplainPlacement {
+  // The id of a submitted job or, if `queue` is set, the name of a file with a
+  // submission.
+  std::string job_or_file;
+  std::string queue;
+  std::string organisation;
+};
 enum class Page {
   kTicketHistory,
   kMembers,
@@ -63,9 +71,9 @@
 };
 
 // A Failure if the command line is invalid.
-using Command =
-    std::variant<base::Failure, ShowHelp, ApplyTicket, SubmitFile,
-                 SubmitRequest, JobStatus, CancelJob, ExplainJob, ShowPage>;
+using Command = std::variant<base::Failure, ShowHelp, ApplyTicket, SubmitFile,
+                             SubmitRequest, JobStatus, CancelJob, ExplainJob,
+                             ExplainPlacement, ShowPage>;
 
 struct CommandLine {
   CommonOptions common;
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -191,6 +191,29 @@
   return ExitCode::kOk;
 }
 
+ExitCode CommandRunner::operator()(const ExplainPlacement& command) {
+  EntryCall call;
+  if (command.queue.empty()) {
+    call.uri = "/explain/" + wire::EncodeUriComponent(command.job_or_file);
+  } else {
+    auto text = ReadFile(command.job_or_file);
+    if (!text) {
+      return ExitCode::kUsage;
+    }
+    call.method = HttpMethod::kPost;
+    call.uri =
+        "/explain?queue=" + wire::EncodeUriComponent(command.queue) +
+        "&organisation=" + wire::EncodeUriComponent(command.organisation);
+    call.body = std::move(*text);
+  }
+  const wire::HttpResult result = client_->Call(call);
+  if (result.outcome != HttpOutcome::kAnswered) {
+    return ReportFailure(result);
+  }
+  Print(result.body);
+  return result.status == kHttpOk ? ExitCode::kOk : ExitCode::kRefused;
+}
+
 ExitCode CommandRunner::operator()(const ShowPage& command) {
   const wire::HttpResult result =
       client_->Call({.uri = PathOf(command.page), .body = ""});
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -32,6 +32,7 @@
   ExitCode operator()(const JobStatus& command);
   ExitCode operator()(const CancelJob& command);
   ExitCode operator()(const ExplainJob& command);
+  ExitCode operator()(const ExplainPlacement& command);
   ExitCode operator()(const ShowPage& command);
 
  private:
--- a/src/member/member_calls.cc
+++ b/src/member/member_calls.cc
@@ -4,7 +4,9 @@
 #include <utility>
 #include <vector>
 
+#include "dotterelbarrow/core/codec.h"
 #include "src/member/clock.h"
+#include "src/member/explain_page.h"
 #include "src/member/member_impl.h"
 
 namespace dotterelbarrow::member {
@@ -125,6 +127,23 @@
                                                  .body = RenderMetrics(),
                                                  .content_type = "text/plain"});
                         });
+  const auto explain = [this](const wire::HttpRequest& request) {
+    metrics_server_.Reply(request.exchange, Explain(request));
+  };
+  metrics_server_.Route(wire::HttpMethod::kGet, "/explain/", explain);
+  metrics_server_.Route(wire::HttpMethod::kPost, "/explain", explain);
+}
+
+wire::HttpReply Member::Impl::Explain(const wire::HttpRequest& request) const {
+  if (term_ != nullptr && term_->is_ready()) {
+    return ExplainReply(term_->scheduler(), request, Now());
+  }
+  Json::Value body(Json::objectValue);
+  body["error"] = "not_owner";
+  if (const core::leadership::OwnershipRecord* owner = leadership_.owner()) {
+    body["owner"] = owner->holder.value();
+  }
+  return {.status = kUnavailable, .body = core::WriteJson(body)};
 }
 
 std::string Member::Impl::RenderMetrics() {
--- a/src/member/member_impl.h
+++ b/src/member/member_impl.h
@@ -128,6 +128,8 @@
                            const RpcServer::Reply& reply);
 
   std::string RenderMetrics();
+  // Answers where a job would be placed; only the owner knows.
+  wire::HttpReply Explain(const wire::HttpRequest& request) const;
   void StopIfDrained();
 
   wire::EventLoop* loop_;
--- a/test/ctl/commands_test.cc
+++ b/test/ctl/commands_test.cc
@@ -31,6 +31,8 @@
     server_->Route(wire::HttpMethod::kGet, "/v1/jobs/", answer);
     server_->Route(wire::HttpMethod::kDelete, "/v1/jobs/", answer);
     server_->Route(wire::HttpMethod::kGet, "/v1/teams", answer);
+    server_->Route(wire::HttpMethod::kGet, "/explain/", answer);
+    server_->Route(wire::HttpMethod::kPost, "/explain", answer);
     base::Failure reason;
     address_ = "127.0.0.1:" +
                std::to_string(server_->Listen("127.0.0.1:0", &reason).value());
@@ -216,6 +218,35 @@
   }
 }
 
+TEST_CASE("where a job would be placed") {
+  wire::EventLoop loop;
+  FakeEntry entry(loop, {{.status = 200, .body = R"({"steps":[]})"}});
+  SUBCASE("is asked about a submitted job by its id") {
+    CHECK(RunTool(&loop, {"explain", "7f5226155a3adc71"}, {entry.address()})
+              .code == ExitCode::kOk);
+    REQUIRE(entry.requests().size() == 1);
+    CHECK(entry.requests()[0].path == "/explain/7f5226155a3adc71");
+  }
+  // Guards against a question that submits the job.
+  SUBCASE("is asked about a described job, which is not submitted") {
+    const Run run = RunTool(
+        &loop, {"explain", "-", "--queue", "a b", "--organisation", "o&1"},
+        {entry.address()}, R"({"job_steps":[]})");
+    CHECK(run.code == ExitCode::kOk);
+    REQUIRE(entry.requests().size() == 1);
+    const wire::HttpRequest& request = entry.requests()[0];
+    CHECK(request.path == "/explain");
+    CHECK(request.query.at("queue") == "a b");
+    CHECK(request.query.at("organisation") == "o&1");
+    CHECK(request.body == R"({"job_steps":[]})");
+  }
+  SUBCASE("needs the organisation with the queue") {
+    CHECK(RunTool(&loop, {"explain", "-", "--queue", "a"}, {entry.address()})
+              .code == ExitCode::kUsage);
+    CHECK(entry.requests().empty());
+  }
+}
+
 TEST_CASE("pages are printed as tables or as JSON") {
   wire::EventLoop loop;
   const wire::HttpReply page = {
