--- a/test/e2e/member_test.py
+++ b/test/e2e/member_test.py
@@ -4,14 +4,16 @@
 """
 import json
 import pathlib
+import re
 import signal
+import subprocess
 import sys
 import time
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
 from cell import NoAnswer, call  # noqa: E402  (needs the path above)
-from soak_site import CALLERS_HOST, Site  # noqa: E402
+from soak_site import BUILD, CALLERS_HOST, Site  # noqa: E402
 
 TIMEOUT_S = 60.0
 KEY_REVOCATION_S = 5.0
@@ -131,6 +133,31 @@
         for host in range(self.site.hosts):
             self.assertEqual(200, self.ask(host, "GET", job)[0], f"expected host {host} to confirm its desired state")
 
+    def explain(self, host, *arguments, text=""):
+        """Runs dotterelctl against the host's metrics address. Returns (exit code, answer)."""
+        command = [BUILD / "dotterelctl", "--output", "json", "--entry", f"127.0.0.1:{self.site.port(host, 3)}", "explain"]
+        ran = subprocess.run([*command, *arguments], input=text, capture_output=True, text=True, check=False,
+                             timeout=TIMEOUT_S)
+        return ran.returncode, json.loads(ran.stdout or "{}")
+
+    def test_the_owner_explains_jobs_without_taking_them(self):
+        job = self.submit(0, tasks=2, estimate_ms=100)
+        owner = self.known_owner()
+        self.wait(lambda: self.explain(owner, job)[1].get("state") == "done", "the job's end is explained")
+        described = json.dumps({"job_steps": [{"count": 3, "cpu": 250, "mem_mb": 16, "estimate_ms": 50}]})
+        queue = re.search(rf"event=job_taken job={job} queue=(\S+) organisation=(\S+)", self.log(owner))
+        self.assertIsNotNone(queue, "expected a log line of the submitted job")
+        code, answer = self.explain(owner, "-", "--queue", queue[1], "--organisation", queue[2], text=described)
+        self.assertEqual(0, code, answer)
+        self.assertNotIn("refused", answer)
+        self.assertEqual(3, sum(choice["tasks"] for choice in answer["steps"][0]["would_run_on"]), answer)
+        self.assertEqual(1, self.log(owner).count("event=job_taken"), "expected that nothing was submitted")
+        other = next(host for host in range(self.site.hosts) if host != owner)
+        self.assertEqual("not_owner", self.explain(other, job)[1].get("error"))
+
+    def log(self, host):
+        return (self.site.folder / f"host-{host}.log").read_text(encoding="utf-8")
+
 
 if __name__ == "__main__":
     unittest.main()
