--- a/bench/experiment/experiment.cc
+++ b/bench/experiment/experiment.cc
@@ -35,6 +35,9 @@
 constexpr double kMillicores = 1000;
 constexpr double kUnitIntervalScale = 1.0 / 9007199254740992.0;  // 2^-53
 
+// A run that takes this many times as long is never worth it.
+constexpr double kUselessFactor = 100;
+
 const char* const kService = "service";
 const char* const kOrganisation = "organisation";
 
@@ -58,8 +61,6 @@
 
 core::scheduler::SchedulerSettings SettingsOf(
     const Pattern& pattern, const ExperimentOptions& options) {
-  // A run that takes this many times as long is never worth it.
-  constexpr double kUselessFactor = 100;
   core::scheduler::SchedulerSettings settings;
   switch (options.wait) {
     case WaitMode::kNever:
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -474,6 +474,9 @@
   // free waits for one rack. Holds the workers of that rack for it.
   bool WaitsForRack(const WaitingStep& item, const std::vector<Choice>& choices,
                     base::TimePoint now);
+  // Returns the rack that is tried first for members of a gang: that of its
+  // data or, if members run already, theirs; empty if there is none.
+  std::string PreferredRackOf(const WaitingStep& item) const;
   // Whether the last decision about the gang was to wait for one rack.
   bool IsWaitingForRack(const jobs::StepRef& step) const;
   // Notes that the gang fits nowhere now, so that it waits for free resources.
--- a/src/core/scheduler/dispatcher_gang_racks.cc
+++ b/src/core/scheduler/dispatcher_gang_racks.cc
@@ -13,6 +13,14 @@
 
 }  // namespace
 
+std::string Dispatcher::PreferredRackOf(const WaitingStep& item) const {
+  const std::string& rack = item.job->SpecOf(item.step).data_rack;
+  const std::set<PlacedRun>& runs = runs_->RunsOfStep(item.step);
+  return rack.empty() && !runs.empty()
+             ? fleet_->Find(runs.begin()->worker)->listing().rack
+             : rack;
+}
+
 bool Dispatcher::IsWaitingForRack(const jobs::StepRef& step) const {
   const LocalityWaits::Wait* wait = locality_.Find(step);
   return wait != nullptr && wait->tasks > 0;
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -90,9 +90,9 @@
     for (const Candidate& candidate : candidates) {
       racks[candidate.worker->listing().rack].push_back(candidate);
     }
-    if (const auto near_data = racks.find(spec.data_rack);
-        near_data != racks.end()) {
-      chosen = ChooseWorkers(near_data->second, spec, members.size());
+    if (const auto preferred = racks.find(PreferredRackOf(item));
+        HasLocality(spec) && preferred != racks.end()) {
+      chosen = ChooseWorkers(preferred->second, spec, members.size());
     }
     for (const auto& [rack, of_rack] : racks) {
       if (!chosen.empty()) {
--- a/test/fuzz/scheduler/cell.h
+++ b/test/fuzz/scheduler/cell.h
@@ -100,6 +100,7 @@
   const std::vector<std::string>& broken() const { return broken_; }
   const std::set<core::jobs::JobKey>& accepted() const { return accepted_; }
   std::uint64_t starts() const { return starts_; }
+  const core::Counters& counters() const { return counters_; }
 
  private:
   // An owner during one term of ownership.
--- a/test/fuzz/scheduler/scheduler_fuzz_test.cc
+++ b/test/fuzz/scheduler/scheduler_fuzz_test.cc
@@ -107,6 +107,8 @@
   SUBCASE("finishes all jobs") {
     CHECK_MESSAGE(cell.Mend(), cell.Unfinished());
     CHECK(cell.accepted().size() == 40);
+    // Guards against a fuzzer that never has a step wait for a local worker.
+    CHECK(cell.counters().value("locality", "waited_then_local") > 0);
     CHECK_MESSAGE(cell.broken().empty(), DescribeViolations(cell));
   }
   SUBCASE("starts nothing again when its owner changes") {
