A gang member whose start was lost is placed on another worker

Cause: ChooseForGang could choose the worker on which the start was lost, which has closed the attempt. PlaceMissingMembers then placed nothing, in each pass again, until the whole gang was stopped for being incomplete, although other workers had room.

Change: such workers are no candidates for missing members. This also takes effect without racks.

--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -79,10 +79,20 @@
 std::vector<Dispatcher::Choice> Dispatcher::ChooseForGang(
     const WaitingStep& item, const std::vector<std::uint32_t>& members) const {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  const jobs::Step& step = *item.job->FindStep(item.step);
+  // The worker on which a member's start was lost has closed this attempt and
+  // would refuse it, also from another member.
+  const auto has_closed_attempt = [&](const workers::Worker& worker) {
+    return members.size() < step.tasks.size() &&
+           std::any_of(members.begin(), members.end(), [&](std::uint32_t i) {
+             return step.tasks[i].stopped_before_start_on == worker.id();
+           });
+  };
   std::vector<Candidate> candidates = item.candidates;
-  std::erase_if(candidates, [this](const Candidate& candidate) {
+  std::erase_if(candidates, [&](const Candidate& candidate) {
     return gang_holds_.IsHeld(candidate.worker->number()) ||
-           IsKeptForSuspect(*candidate.worker, pass_began_);
+           IsKeptForSuspect(*candidate.worker, pass_began_) ||
+           has_closed_attempt(*candidate.worker);
   });
   std::vector<const workers::Worker*> chosen;
   if (spec.prefers_one_rack) {
--- a/test/core/scheduler/locality_test.cc
+++ b/test/core/scheduler/locality_test.cc
@@ -238,6 +238,23 @@
     CHECK(TakeRacks(&scenario) == Racks(2, "a"));
     CHECK(scenario.counters().value("locality", "waited_then_local") == 2);
   }
+  // Guards against a gang that is spread over two racks because one start was
+  // lost.
+  SUBCASE("stays on its rack when one start is not sent") {
+    scenario.AddWorkers(2, "b");
+    scenario.RunPasses(3);
+    block(kFirst, "a", 9000);
+    scenario.RunPasses(1);
+    REQUIRE(TakeRacks(&scenario) == Racks{"a"});
+    scenario.unsent_starts = 1;
+    scenario.SubmitAndStore(kSecond, "plain", {gang});
+    scenario.RunPasses(1);
+    REQUIRE(TakeRacks(&scenario) == Racks(2, "b"));
+    scenario.RunPasses(10);
+    const Racks racks = TakeRacks(&scenario);
+    CHECK_FALSE(racks.empty());
+    CHECK(std::count(racks.begin(), racks.end(), "a") == 0);
+  }
   SUBCASE("starts on two racks if both have no room for long") {
     block(kFirst, "a", 9000);
     block(kSecond, "b", 9000);
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -196,6 +196,9 @@
                    CommandOutcome outcome = CommandOutcome::kBadTicket;
                    if (IsUnresponsive(command.worker)) {
                      outcome = CommandOutcome::kUnanswered;
+                   } else if (unsent_starts > 0) {
+                     --unsent_starts;
+                     outcome = CommandOutcome::kNotSent;
                    } else if (!refuses_tickets) {
                      outcome = CommandOutcome::kDone;
                      workers_.at(command.worker.id).running[command.task] =
--- a/test/core/scheduler/scheduler_scenario.h
+++ b/test/core/scheduler/scheduler_scenario.h
@@ -73,6 +73,8 @@
   bool CrashWorkerOf(const jobs::TaskRef& task);
   // Whether workers refuse the ticket of each start.
   bool refuses_tickets = false;
+  // How many of the next starts can't be sent to their workers.
+  int unsent_starts = 0;
   // Workers that receive no command and answer nothing.
   std::set<std::string> unresponsive_workers;
 
