--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -1,6 +1,8 @@
 // Placement advice and tickets for waiting steps.
 #include <algorithm>
 #include <iterator>
+#include <map>
+#include <string>
 #include <tuple>
 #include <utility>
 
@@ -122,6 +124,37 @@
                      });
 }
 
+std::map<std::string, std::int64_t> Dispatcher::RackOrder(
+    const WaitingStep& item, base::TimePoint now) const {
+  std::map<std::string, std::int64_t> order;
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  if (!HasLocality(spec)) {
+    return order;
+  }
+  if (!spec.data_rack.empty()) {
+    order[spec.data_rack] = -1;
+    return order;
+  }
+  // A gang that wants one rack: the racks with the most free processor time
+  // first, each as a whole.
+  std::map<std::string, std::int64_t> free_cpu;
+  for (const auto& [id, worker] : fleet_->workers()) {
+    if (MayRunOn(worker, item, now)) {
+      free_cpu[worker.listing().rack] += worker.FreeResources().cpu.value();
+    }
+  }
+  std::vector<std::pair<std::int64_t, std::string>> ranked;
+  ranked.reserve(free_cpu.size());
+  for (const auto& [rack, free] : free_cpu) {
+    ranked.emplace_back(-free, rack);
+  }
+  std::sort(ranked.begin(), ranked.end());
+  for (std::size_t i = 0; i < ranked.size(); ++i) {
+    order[ranked[i].second] = static_cast<std::int64_t>(i);
+  }
+  return order;
+}
+
 std::vector<const workers::Worker*> Dispatcher::SuitableWorkers(
     const WaitingStep& item, std::size_t most, base::TimePoint now) {
   // Compared in this order; the position keeps the order of equals.
--- a/src/core/scheduler/dispatcher_locality.cc
+++ b/src/core/scheduler/dispatcher_locality.cc
@@ -370,35 +370,4 @@
   return locality_.RecordOf(spec.data_rack);
 }
 
-std::map<std::string, std::int64_t> Dispatcher::RackOrder(
-    const WaitingStep& item, base::TimePoint now) const {
-  std::map<std::string, std::int64_t> order;
-  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
-  if (!HasLocality(spec)) {
-    return order;
-  }
-  if (!spec.data_rack.empty()) {
-    order[spec.data_rack] = -1;
-    return order;
-  }
-  // A gang that wants one rack: the racks with the most free processor time
-  // first, each as a whole.
-  std::map<std::string, std::int64_t> free_cpu;
-  for (const auto& [id, worker] : fleet_->workers()) {
-    if (MayRunOn(worker, item, now)) {
-      free_cpu[worker.listing().rack] += worker.FreeResources().cpu.value();
-    }
-  }
-  std::vector<std::pair<std::int64_t, std::string>> ranked;
-  ranked.reserve(free_cpu.size());
-  for (const auto& [rack, free] : free_cpu) {
-    ranked.emplace_back(-free, rack);
-  }
-  std::sort(ranked.begin(), ranked.end());
-  for (std::size_t i = 0; i < ranked.size(); ++i) {
-    order[ranked[i].second] = static_cast<std::int64_t>(i);
-  }
-  return order;
-}
-
 }  // namespace dotterelbarrow::core::scheduler
