--- a/bench/experiment/experiment.cc
+++ b/bench/experiment/experiment.cc
@@ -46,6 +46,9 @@
 constexpr double kExpiryFactor = 3;
 constexpr double kUnitIntervalScale = 1.0 / 9007199254740992.0;  // 2^-53
 
+// A run that takes this many times as long is never worth it.
+constexpr double kUselessFactor = 100;
+
 const char* const kService = "service";
 const char* const kOrganisation = "organisation";
 
@@ -76,6 +79,16 @@
           std::chrono::milliseconds(std::llround(pattern.stop_timeout_ms)),
       .restore_time =
           std::chrono::milliseconds(std::llround(pattern.restore_ms))};
+  switch (options.wait) {
+    case WaitMode::kNever:
+      break;
+    case WaitMode::kPolicy:
+      settings.dispatcher.remote_factor = pattern.remote_factor;
+      break;
+    case WaitMode::kAlways:
+      settings.dispatcher.remote_factor = kUselessFactor;
+      break;
+  }
   return settings;
 }
 
@@ -154,6 +167,10 @@
       }
       from += speed.share;
     }
+    if (pattern_.rack_size > 0) {
+      listing.rack = "rack-" + std::to_string(i / pattern_.rack_size);
+      fleet_.SetRack(listing.id.value(), listing.rack);
+    }
     listings.push_back(std::move(listing));
   }
   scheduler_.UpdateListings(std::move(listings), timeline_.Now(),
@@ -236,6 +253,26 @@
   }
 }
 
+void Experiment::ChooseRack(const Kind& kind, std::uint32_t index,
+                            core::jobs::StepSpec* step) {
+  // Without racks nothing is drawn, so that patterns without them keep their
+  // jobs.
+  if (pattern_.rack_size == 0) {
+    return;
+  }
+  const int racks = pattern_.workers / pattern_.rack_size;
+  if (Uniform(0, 1) < kind.data_rack) {
+    const bool is_hot = Uniform(0, 1) < kind.hot_rack;
+    const int rack = is_hot ? 0 : static_cast<int>(Uniform(0, racks));
+    step->data_rack = "rack-" + std::to_string(rack);
+  } else if (step->gang && Uniform(0, 1) < kind.same_rack) {
+    step->prefers_one_rack = true;
+  }
+  if (!step->data_rack.empty() || step->prefers_one_rack) {
+    rack_steps_[{JobKey(last_job_), 0, index}] = step->data_rack;
+  }
+}
+
 core::jobs::JobSpec Experiment::MakeSpec(const Kind& kind, SubmittedJob* job) {
   core::jobs::JobSpec spec;
   const double extra = kind.steps - 1;
@@ -272,6 +309,7 @@
     chain_us += task_us;
     job->work += static_cast<double>(step.tasks) * task_us / kSecond *
                  static_cast<double>(step.needs.cpu.value()) / kMillicores;
+    ChooseRack(kind, static_cast<std::uint32_t>(i), &step);
     work.push_back(std::llround(task_us));
     spec.steps.push_back(std::move(step));
   }
@@ -349,6 +387,10 @@
       std::llround(static_cast<double>(plan.duration_us) * factor);
   plan.writes_checkpoints = kind.checkpoints > 0;
   plan.restore_us = std::llround(pattern_.restore_ms * kMillisecond);
+  if (const auto it = rack_steps_.find(task.step); it != rack_steps_.end()) {
+    plan.remote_factor = pattern_.remote_factor;
+    plan.data_rack = it->second;
+  }
   plan.fails =
       HashToFraction(base + std::uint64_t{task.index} * 7, run) < kind.failing;
   return plan;
@@ -407,6 +449,9 @@
     CarryOut();
     WriteIfDue();
   });
+  if (scheduler_.IsPassDue(timeline_.Now())) {
+    SchedulePass();
+  }
   double used = 0;
   for (const auto& [id, worker] : scheduler_.fleet().workers()) {
     used += static_cast<double>(worker.reserved().cpu.value()) / kMillicores;
@@ -588,6 +633,11 @@
   for (const auto& [key, job] : open_jobs_) {
     ++outcome_.kinds[job.kind].unfinished;
   }
+  for (const auto& [key, value] : counters_.values()) {
+    if (key.first.starts_with("locality")) {
+      outcome_.locality[key.first + "/" + key.second] = value;
+    }
+  }
   outcome_.starts = fleet_.starts();
   outcome_.looks = fleet_.looks();
   for (const auto& [key, count] : counters_.values()) {
--- a/bench/experiment/fleet_model.cc
+++ b/bench/experiment/fleet_model.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace dotterelbarrow::bench {
 namespace {
@@ -44,7 +45,9 @@
                             timeline_->now_us() + restore_us - done_us};
   if (plan.gang_size == 0) {
     const std::int64_t left_us =
-        std::max<std::int64_t>(0, plan.duration_us - done_us) + restore_us;
+        std::max<std::int64_t>(
+            0, DurationOn(plan, plan.duration_us, {{id, key}}) - done_us) +
+        restore_us;
     timeline_->After(left_us, [this, id, key, plan] {
       FinishRun(id, key, plan.fails ? RunEnd::kFailed : RunEnd::kDone);
     });
@@ -56,12 +59,25 @@
   auto& members = gangs_[{command.task.step, command.attempt}];
   members.emplace_back(id, key);
   if (members.size() == plan.gang_size) {
-    timeline_->After(duration_us,
+    timeline_->After(DurationOn(plan, duration_us, members),
                      [this, step = command.task.step, attempt = command.attempt,
                       plan] { FinishGang(step, attempt, plan); });
   }
 }
 
+std::int64_t FleetModel::DurationOn(
+    const RunPlan& plan, std::int64_t duration_us,
+    const std::vector<std::pair<std::string, RunKey>>& members) {
+  const std::string rack =
+      plan.data_rack.empty() ? racks_[members.front().first] : plan.data_rack;
+  const bool is_local = std::all_of(
+      members.begin(), members.end(),
+      [&](const auto& member) { return racks_[member.first] == rack; });
+  return is_local ? duration_us
+                  : std::llround(static_cast<double>(duration_us) *
+                                 plan.remote_factor);
+}
+
 void FleetModel::FinishGang(const core::jobs::StepRef& step,
                             core::jobs::Attempt attempt, const RunPlan& plan) {
   const auto it = gangs_.find({step, attempt});
--- a/bench/experiment/fleet_model.h
+++ b/bench/experiment/fleet_model.h
@@ -47,6 +47,10 @@
   // from one.
   bool writes_checkpoints = false;
   std::int64_t restore_us = 0;
+  // How many times as long the run takes away from `data_rack` or, if that is
+  // empty, as a gang on several racks.
+  double remote_factor = 1;
+  std::string data_rack{};
 };
 
 // The workers: they start and stop runs, report the run ends and answer polls.
@@ -63,6 +67,10 @@
   // plans' durations from the start of the last one.
   void Start(const core::scheduler::StartTask& command);
   void Stop(const core::scheduler::StopTask& command);
+  // Records the rack of a worker.
+  void SetRack(const std::string& worker, const std::string& rack) {
+    racks_[worker] = rack;
+  }
   // Polls a worker. An immediate poll, or a poll of a worker with run ends to
   // report, is answered at once; a long poll when a run ends or its wait is
   // over.
@@ -96,6 +104,10 @@
                   const RunPlan& plan);
   // Returns the text of the run's checkpoint, empty if it writes none.
   std::string CheckpointOf(const Run& run) const;
+  // Returns how long a run of this local duration takes on these workers.
+  std::int64_t DurationOn(
+      const RunPlan& plan, std::int64_t duration_us,
+      const std::vector<std::pair<std::string, RunKey>>& members);
   core::scheduler::PollResult MakePollResult(const Worker& worker) const;
   void AnswerPendingPoll(Worker* worker);
 
@@ -103,6 +115,7 @@
   PlanOf plan_of_;
   std::int64_t stop_us_;
   std::unordered_map<std::string, Worker> workers_;
+  std::unordered_map<std::string, std::string> racks_;
   // The runs of each gang that have started, with their workers.
   std::map<std::pair<core::jobs::StepRef, core::jobs::Attempt>,
            std::vector<std::pair<std::string, RunKey>>>
--- a/bench/experiment/main.cc
+++ b/bench/experiment/main.cc
@@ -3,6 +3,7 @@
 #include <boost/program_options.hpp>
 #include <cstdio>
 #include <iostream>
+#include <optional>
 #include <string>
 
 #include "bench/experiment/experiment.h"
@@ -53,6 +54,14 @@
     std::printf("%s %llu\n", what.c_str(),
                 static_cast<unsigned long long>(count));
   }
+  if (!outcome.locality.empty()) {
+    std::printf("placements:");
+    for (const auto& [what, tasks] : outcome.locality) {
+      std::printf(" %s %llu", what.c_str(),
+                  static_cast<unsigned long long>(tasks));
+    }
+    std::printf("\n");
+  }
   std::printf("time in scheduler calls, s:");
   for (const auto& [what, seconds] : outcome.cpu_s) {
     std::printf(" %s %.2f", what.c_str(), seconds);
@@ -60,9 +69,22 @@
   std::printf("\n");
 }
 
+std::optional<WaitMode> ParseWaitMode(const std::string& text) {
+  if (text == "never") {
+    return WaitMode::kNever;
+  }
+  if (text == "policy") {
+    return WaitMode::kPolicy;
+  }
+  return text == "always" ? std::optional(WaitMode::kAlways) : std::nullopt;
+}
+
 int Main(int argc, char** argv) {
   namespace po = boost::program_options;
   std::string path;
+  std::string wait;
+  double remote_factor = 0;
+  double load = 1;
   ExperimentOptions options;
   bool without_run_times = false;
   bool preempts = true;
@@ -80,7 +102,13 @@
       "without-run-times", po::bool_switch(&without_run_times),
       "do not learn run times and workers' speeds")(
       "preempt", po::value(&preempts)->default_value(true),
-      "whether the scheduler may preempt, if the pattern says so");
+      "whether the scheduler may preempt, if the pattern says so")(
+      "wait", po::value(&wait)->default_value("policy"),
+      "how long steps wait for a local worker: never, policy or always")(
+      "remote-factor", po::value(&remote_factor),
+      "replaces the pattern's remote_factor")(
+      "load", po::value(&load)->default_value(1),
+      "multiplies the arrival rates");
   po::variables_map values;
   try {
     po::store(po::parse_command_line(argc, argv, description), values);
@@ -94,6 +122,12 @@
     return 2;
   }
   base::Failure reason;
+  const std::optional<WaitMode> mode = ParseWaitMode(wait);
+  if (!mode) {
+    std::cerr << "unknown wait mode " << wait << '\n';
+    return 2;
+  }
+  options.wait = *mode;
   auto pattern = ReadPattern(path, &reason);
   if (!pattern) {
     std::cerr << reason.detail << '\n';
@@ -103,6 +137,12 @@
   if (!preempts) {
     pattern->stop_timeout_ms = 0;
   }
+  if (remote_factor > 0) {
+    pattern->remote_factor = remote_factor;
+  }
+  for (Kind& kind : pattern->kinds) {
+    kind.jobs_per_s *= load;
+  }
   Experiment experiment(*pattern, options);
   Print(*pattern, experiment.Run());
   return 0;
--- a/bench/experiment/pattern.cc
+++ b/bench/experiment/pattern.cc
@@ -44,6 +44,9 @@
   ReadNumber(value, "valid_ms", &kind.valid_ms);
   ReadNumber(value, "noise", &kind.noise);
   ReadNumber(value, "value", &kind.value);
+  ReadNumber(value, "data_rack", &kind.data_rack);
+  ReadNumber(value, "same_rack", &kind.same_rack);
+  ReadNumber(value, "hot_rack", &kind.hot_rack);
   for (const Json::Value& burst : value["bursts"]) {
     Burst read;
     ReadNumber(burst, "at", &read.at_s);
@@ -99,6 +102,8 @@
   ReadNumber(*value, "stop_timeout_ms", &pattern.stop_timeout_ms);
   ReadNumber(*value, "stop_ms", &pattern.stop_ms);
   ReadNumber(*value, "restore_ms", &pattern.restore_ms);
+  ReadNumber(*value, "rack_size", &pattern.rack_size);
+  ReadNumber(*value, "remote_factor", &pattern.remote_factor);
   for (const Json::Value& kind : (*value)["kinds"]) {
     pattern.kinds.push_back(ReadKind(kind));
   }
--- a/bench/experiment/pattern.h
+++ b/bench/experiment/pattern.h
@@ -2,10 +2,11 @@
 // runs them. Read from a small JSON file:
 //
 //   {"workers": 350, "cores": 32, "memory_mb": 131072, "askers": 42,
-//    "seconds": 40, "call_ms": 0, "kinds": [{"name", "rate", "priority",
-//    "slack", "target_ms", "tasks", "task_ms", "cores", "memory_mb", "steps",
-//    "gang", "estimate_off", "failing", "allowed", "decision_ms",
-//    "per_worker_ms", "valid_ms", "checkpoints", "noise", "value", "bursts":
+//    "seconds": 40, "call_ms": 0, "rack_size": 10, "remote_factor": 2, "kinds":
+//    [{"name", "rate", "priority", "slack", "target_ms", "tasks", "task_ms",
+//    "cores", "memory_mb", "steps", "gang", "estimate_off", "failing",
+//    "allowed", "decision_ms", "per_worker_ms", "valid_ms", "checkpoints",
+//    "data_rack", "same_rack", "hot_rack", "noise", "value", "bursts":
 //    [{"at", "for", "times"}]}], "speeds": [{"share", "factor"}], "tail":
 //    {"share", "factor"}, "spells": {"per_s", "for", "factor"},
 //    "stop_timeout_ms", "stop_ms", "restore_ms"}
@@ -20,6 +21,10 @@
 // `noise` is the standard deviation of the logarithm of run times within a
 // step. `value` is what a job on time earns; a late one earns a fifth of that
 // up to three times its objective.
+// advice. `data_rack` is the fraction of the steps whose tasks take
+// `remote_factor` times as long away from one rack, `hot_rack` the fraction of
+// these whose rack is the first one. `same_rack` is the fraction of the gangs
+// that take as long on several racks.
 #ifndef DOTTERELBARROW_BENCH_EXPERIMENT_PATTERN_H_
 #define DOTTERELBARROW_BENCH_EXPERIMENT_PATTERN_H_
 
@@ -63,6 +68,9 @@
   double valid_ms = 2000;
   double noise = 0;
   double value = 1;
+  double data_rack = 0;
+  double same_rack = 0;
+  double hot_rack = 0;
   std::vector<Burst> bursts;
 };
 
@@ -97,6 +105,9 @@
   double stop_ms = 0;
   // How much longer a run takes that resumes from a checkpoint.
   double restore_ms = 0;
+  // Number of workers in one rack; 0 if there are no racks.
+  int rack_size = 0;
+  double remote_factor = 1;
   std::vector<Kind> kinds;
 };
 
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -27,6 +27,8 @@
       return "straying_members";
     case WaitReason::kIsolation:
       return "isolation";
+    case WaitReason::kLocalWorker:
+      return "local_worker";
   }
   return "unknown";
 }
@@ -49,6 +51,7 @@
   overdue_.erase(step);
   last_logged_.erase(step);
   advice_.Remove(step);
+  locality_.Remove(step);
 }
 
 void Dispatcher::RemoveJob(jobs::JobKey job) {
@@ -90,6 +93,7 @@
       if (jobs_->Find(it->job) == nullptr) {
         last_logged_.erase(*it);
         advice_.Remove(*it);
+        locality_.Remove(*it);
       }
       it = steps->erase(it);
       continue;
@@ -158,6 +162,8 @@
     unplaced_gangs_.clear();
   }
   UpdateFleetUsage(now);
+  locality_.BeginPass();
+  UpdateRacks(now);
   containment_.BeginPass(fleet_->workers().size(), fleet_usage_);
   UpdateInheritedUsage(now);
   reserved_caps_.clear();
@@ -259,8 +265,11 @@
       return WaitReason::kCap;
     }
     if (KeepHoldingFor(*item)) {
-      return WaitReason::kFreeResources;
+      return IsWaitingForRack(item->step) ? WaitReason::kLocalWorker
+                                          : WaitReason::kFreeResources;
     }
+  } else if (KeepsWaitingForLocal(*item)) {
+    return WaitReason::kLocalWorker;
   }
   if (!FindCandidates(item, now, actions)) {
     return WaitReason::kAdvice;
@@ -281,6 +290,9 @@
   if (item.waits_for_isolation) {
     return WaitReason::kIsolation;
   }
+  if (item.waits_for_local || (spec.gang && IsWaitingForRack(item.step))) {
+    return WaitReason::kLocalWorker;
+  }
   return spec.gang && !runs_->RunsOfStep(item.step).empty()
              ? WaitReason::kOrphanedMembers
              : WaitReason::kFreeResources;
@@ -291,11 +303,12 @@
   if (reason == WaitReason::kStoring) {
     return;
   }
-  const auto [logged, is_new] = last_logged_.try_emplace(item.step, reason);
-  if (!is_new && logged->second == reason) {
+  const auto [logged, is_new] =
+      last_logged_.try_emplace(item.step, LoggedWait{reason, now});
+  if (!is_new && logged->second.reason == reason) {
     return;
   }
-  logged->second = reason;
+  logged->second = {reason, now};
   const advice::StepAdvice* advice = advice_.Find(item.step);
   telemetry_.log->Write(
       "step_waits",
@@ -433,12 +446,16 @@
     if (best == nullptr && NeedsAnnouncement(item, task, task.crashes)) {
       continue;
     }
-    if (best == nullptr) {
+    if (best == nullptr ||
+        !MayPlaceOn(*best,
+                    step.waiting() - static_cast<std::uint32_t>(choices.size()),
+                    candidates, task, waiting, now)) {
       break;
     }
     choices.push_back({index, best->id()});
   }
-  if (choices.empty() && item.waits_for_isolation && !item.candidates.empty()) {
+  if (choices.empty() && (item.waits_for_isolation || item.waits_for_local) &&
+      !item.candidates.empty()) {
     // It doesn't lack allowed workers.
     return false;
   }
@@ -514,6 +531,7 @@
     const WaitingStep& item, const std::vector<Choice>& choices,
     jobs::Attempt attempt, base::TimePoint now) {
   const jobs::Step& step = *item.job->FindStep(item.step);
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   std::vector<PlacedRun> placed;
   for (const Choice& choice : choices) {
     const jobs::TaskRef task{item.step, choice.index};
@@ -522,6 +540,13 @@
     workers::Run run = workers::MakeReservedRun(*item.job, task, number, now);
     run.has_slack = item.yields;
     run.expected_run_time = ExpectedRunTimeOn(item, choice.worker);
+    if (HasLocality(spec) &&
+        !IsLocal(spec, spec.gang ? choices : std::vector<Choice>{choice})) {
+      run.estimate =
+          placement::ScaleDuration(run.estimate, settings_.remote_factor);
+      run.expected_run_time = placement::ScaleDuration(run.expected_run_time,
+                                                       settings_.remote_factor);
+    }
     const jobs::CrashHistory& crashes = *item.job->CrashesOf(task);
     run.is_suspect = crashes.is_suspect();
     run.was_lost_before = crashes.was_lost_before();
@@ -530,14 +555,16 @@
     kept_rooms_.OnPlaced(item.step, fleet_->Find(choice.worker)->number());
     item.job->RecordRun(task, number);
     placed.push_back({choice.worker, task, number});
-    if (const jobs::StepSpec& spec = item.job->SpecOf(item.step);
-        spec.may_have_copies()) {
+    if (spec.may_have_copies()) {
       copies_.Watch(
           {placed.back(), step.tasks[choice.index].checkpoint.empty()},
           now + placement::StragglerPolicy::FirstLookAfter(
                     run_times_.ExpectedRunTime(item.queue->id, spec.estimate)));
     }
   }
+  if (HasLocality(spec)) {
+    RecordLocality(item, choices, now);
+  }
   return placed;
 }
 
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -1,6 +1,8 @@
 // Placement advice and tickets for waiting steps.
 #include <algorithm>
 #include <iterator>
+#include <map>
+#include <string>
 #include <tuple>
 #include <utility>
 
@@ -122,28 +124,64 @@
                      });
 }
 
+std::map<std::string, std::int64_t> Dispatcher::RackOrder(
+    const WaitingStep& item, base::TimePoint now) const {
+  std::map<std::string, std::int64_t> order;
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  if (!HasLocality(spec)) {
+    return order;
+  }
+  if (!spec.data_rack.empty()) {
+    order[spec.data_rack] = -1;
+    return order;
+  }
+  // A gang that wants one rack: the racks with the most free processor time
+  // first, each as a whole.
+  std::map<std::string, std::int64_t> free_cpu;
+  for (const auto& [id, worker] : fleet_->workers()) {
+    if (MayRunOn(worker, item, now)) {
+      free_cpu[worker.listing().rack] += worker.FreeResources().cpu.value();
+    }
+  }
+  std::vector<std::pair<std::int64_t, std::string>> ranked;
+  ranked.reserve(free_cpu.size());
+  for (const auto& [rack, free] : free_cpu) {
+    ranked.emplace_back(-free, rack);
+  }
+  std::sort(ranked.begin(), ranked.end());
+  for (std::size_t i = 0; i < ranked.size(); ++i) {
+    order[ranked[i].second] = static_cast<std::int64_t>(i);
+  }
+  return order;
+}
+
 std::vector<const workers::Worker*> Dispatcher::SuitableWorkers(
     const WaitingStep& item, std::size_t most, base::TimePoint now) {
   // Compared in this order; the position keeps the order of equals.
   struct Ranked {
     bool was_asked = false;
+    std::int64_t rack_order = 0;
     std::int64_t negated_rank = 0;
     std::size_t position = 0;
     const workers::Worker* worker = nullptr;
 
     bool operator<(const Ranked& other) const {
-      return std::tie(was_asked, negated_rank, position) <
-             std::tie(other.was_asked, other.negated_rank, other.position);
+      return std::tie(was_asked, rack_order, negated_rank, position) <
+             std::tie(other.was_asked, other.rack_order, other.negated_rank,
+                      other.position);
     }
   };
   const workers::WorkerSet& asked =
       advice_.FindOrAdd(item.step).queried_workers;
   const placement::SpeedPreference preference = SpeedPreferenceOf(item, now);
+  const std::map<std::string, std::int64_t> rack_order = RackOrder(item, now);
   std::vector<Ranked> ranked;
   ranked.reserve(fleet_->workers().size());
   for (const auto& [id, worker] : fleet_->workers()) {
     if (MayRunOn(worker, item, now)) {
+      const auto order = rack_order.find(worker.listing().rack);
       ranked.push_back({asked.contains(worker.number()),
+                        order == rack_order.end() ? 0 : order->second,
                         -AdviceRank(worker, preference), ranked.size(),
                         &worker});
     }
@@ -159,7 +197,16 @@
 
 std::vector<base::BackendId> Dispatcher::WorkersToRequestFirst(
     const WaitingStep& item, base::TimePoint now) {
-  const std::size_t max_workers = FirstRequestSize(item.job->SpecOf(item.step));
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  std::size_t max_workers = FirstRequestSize(spec);
+  if (HasLocality(spec) && !spec.gang) {
+    // The rack's workers come first. If none of them is allowed or free, others
+    // must be known at once, so the request is larger by its usual size.
+    const auto rack = racks_.find(spec.data_rack);
+    max_workers = std::min(
+        settings_.max_workers_per_request,
+        max_workers + (rack == racks_.end() ? 0 : rack->second.size()));
+  }
   std::vector<base::BackendId> ids;
   for (const workers::Worker* worker :
        SuitableWorkers(item, max_workers, now)) {
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -45,12 +45,20 @@
 // The same, on one rack if the tasks prefer that and fit there.
 std::vector<const workers::Worker*> ChooseOnRacks(
     const std::vector<Candidate>& candidates, const jobs::StepSpec& spec,
-    std::size_t tasks) {
+    std::size_t tasks, const std::string& preferred_rack) {
   if (spec.prefers_one_rack) {
     std::map<std::string, std::vector<Candidate>> racks;
     for (const Candidate& candidate : candidates) {
       racks[candidate.worker->listing().rack].push_back(candidate);
     }
+    if (const auto preferred = racks.find(preferred_rack);
+        preferred != racks.end()) {
+      std::vector<const workers::Worker*> chosen =
+          ChooseWorkers(preferred->second, spec, tasks);
+      if (!chosen.empty()) {
+        return chosen;
+      }
+    }
     for (const auto& [rack, of_rack] : racks) {
       std::vector<const workers::Worker*> chosen =
           ChooseWorkers(of_rack, spec, tasks);
@@ -115,11 +123,23 @@
 std::vector<Dispatcher::Choice> Dispatcher::ChooseForGang(
     const WaitingStep& item, const std::vector<std::uint32_t>& members) const {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  const jobs::Step& step = *item.job->FindStep(item.step);
+  // The worker on which a member's start was lost has closed this attempt and
+  // would refuse it, also from another member.
+  const auto has_closed_attempt = [&](const workers::Worker& worker) {
+    return members.size() < step.tasks.size() &&
+           std::any_of(members.begin(), members.end(), [&](std::uint32_t i) {
+             return step.tasks[i].stopped_before_start_on == worker.id();
+           });
+  };
   std::vector<Candidate> candidates = item.candidates;
   std::erase_if(candidates, [&](const Candidate& candidate) {
     return IsHeldForOthers(item.step, candidate.worker->number()) ||
-           IsKeptForSuspect(*candidate.worker, pass_began_);
+           IsKeptForSuspect(*candidate.worker, pass_began_) ||
+           has_closed_attempt(*candidate.worker);
   });
+  const std::string preferred_rack =
+      HasLocality(spec) ? PreferredRackOf(item) : std::string();
   std::vector<const workers::Worker*> chosen;
   if (run_times_.has_uneven_workers()) {
     std::vector<Candidate> without_slow = candidates;
@@ -130,11 +150,12 @@
     // If they don't all fit without slow workers, being on one rack matters
     // more than speed.
     if (without_slow.size() < candidates.size()) {
-      chosen = ChooseOnRacks(without_slow, spec, members.size());
+      chosen =
+          ChooseOnRacks(without_slow, spec, members.size(), preferred_rack);
     }
   }
   if (chosen.empty()) {
-    chosen = ChooseOnRacks(candidates, spec, members.size());
+    chosen = ChooseOnRacks(candidates, spec, members.size(), preferred_rack);
   }
   std::vector<Choice> choices;
   for (std::size_t i = 0; i < chosen.size(); ++i) {
@@ -194,6 +215,9 @@
     needing_more_advice_.push_back(&item);
     return false;
   }
+  if (WaitsForRack(item, choices, now)) {
+    return false;
+  }
   jobs::Attempt attempt = first_attempt_;
   for (const std::uint32_t index : members) {
     attempt = std::max(attempt, NextAttempt(step, index));
@@ -248,6 +272,7 @@
 }
 
 void Dispatcher::HoldWorkersFor(const WaitingStep& item, base::TimePoint now) {
+  StopWaitingForRack(item.step);
   UnplacedGang& unplaced = unplaced_gangs_[item.step];
   unplaced = UnplacedGang();
   for (const Candidate& candidate : item.candidates) {
@@ -259,6 +284,10 @@
     return;
   }
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  unplaced.held = RackWorkersToHold(item, now);
+  if (!unplaced.held.empty()) {
+    return;
+  }
   std::vector<Opening> openings;
   for (const Candidate& candidate : item.candidates) {
     if (!gang_holds_.IsHeld(candidate.worker->number())) {
--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -95,6 +95,7 @@
   result.gang_start_timeout = settings.gang_timeout * 2 / 3;
   result.dispatcher.preemption = {.stop_timeout = settings.stop_timeout,
                                   .restore_time = settings.restore_time};
+  result.dispatcher.remote_factor = settings.remote_factor;
   // One minute longer than callers may query a completed job.
   result.jobs.retention = settings.job_retention + std::chrono::minutes(1);
   return result;
--- a/test/core/scheduler/copies_test.cc
+++ b/test/core/scheduler/copies_test.cc
@@ -345,12 +345,10 @@
 
 TEST_CASE("the worker of a copy") {
   Scenario cell;
-  cell.rack = "rack-0";
-  cell.AddWorkers(2);
+  cell.AddWorkers(2, "rack-0");
 
   SUBCASE("is on another rack if possible") {
-    cell.rack = "rack-1";
-    cell.AddWorkers(1);
+    cell.AddWorkers(1, "rack-1");
     cell.SubmitAndStore(kJob, "plain", {StepWithCopies(1)});
     cell.RunPasses(1);
     const std::string first = cell.TakeStarts().at(0).worker.id.value();
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -72,7 +72,7 @@
       {base::EntryId("host-0"), base::EntryId("host-1")});
 }
 
-void SchedulerScenario::AddWorkers(int count) {
+void SchedulerScenario::AddWorkers(int count, const std::string& rack) {
   for (int i = 0; i < count; ++i) {
     Worker worker;
     worker.listing.id =
@@ -81,9 +81,9 @@
     worker.listing.service = kService;
     worker.listing.capacity.cpu = base::Millicores(kWorkerCores * kMillicores);
     worker.listing.capacity.memory = base::Mebibytes(1024);
-    worker.listing.rack = rack;
     worker.listing.born_ms = 1;
     worker.listing.revision = 1;
+    worker.listing.rack = rack;
     workers_.emplace(worker.listing.id, std::move(worker));
   }
   RunPass();
@@ -120,6 +120,12 @@
   ++listing.revision;
 }
 
+void SchedulerScenario::DrainWorker(const std::string& name) {
+  workers::Listing& listing = workers_.at(base::BackendId(name)).listing;
+  listing.draining = true;
+  ++listing.revision;
+}
+
 void SchedulerScenario::SetCap(int cores) {
   organisation_.cap.cpu = base::Millicores(cores * kMillicores);
   DropQueue("");
@@ -226,6 +232,9 @@
                      outcome = CommandOutcome::kUnanswered;
                    } else if (command.worker.id.value() == refused_on) {
                      outcome = CommandOutcome::kRefused;
+                   } else if (unsent_starts > 0) {
+                     --unsent_starts;
+                     outcome = CommandOutcome::kNotSent;
                    } else if (!refuses_tickets) {
                      outcome = loses_start_answers ? CommandOutcome::kUnanswered
                                                    : CommandOutcome::kDone;
--- a/test/core/scheduler/scheduler_scenario.h
+++ b/test/core/scheduler/scheduler_scenario.h
@@ -42,8 +42,11 @@
 
   explicit SchedulerScenario(const SchedulerSettings& settings = {});
 
-  // Adds workers of four cores each, runs a pass and stores its changes.
-  void AddWorkers(int count);
+  // Adds workers of four cores each on a rack, runs a pass and stores its
+  // changes.
+  void AddWorkers(int count, const std::string& rack = "");
+  // The worker is listed as draining from now on.
+  void DrainWorker(const std::string& name);
   // Sets the availability zone that a worker lists from now on.
   void SetZone(const std::string& name, const std::string& zone);
   // Sets the evacuated zones, now and for owners that take over later.
@@ -104,8 +107,8 @@
   bool loses_starts = false;
   // The checkpoints that workers list for active runs.
   std::map<jobs::TaskRef, std::string> checkpoints;
-  // The rack of each worker that is added from now on.
-  std::string rack;
+  // How many of the next starts can't be sent to their workers.
+  int unsent_starts = 0;
   // Workers that receive no command and answer nothing.
   std::set<std::string> unresponsive_workers;
 
@@ -130,6 +133,9 @@
   base::TimePoint now() const { return now_; }
   // Returns the tasks that run on the worker, those being stopped included.
   std::set<jobs::TaskRef> RunningOn(const std::string& worker) const;
+  const std::string& RackOf(const base::BackendId& worker) const {
+    return workers_.at(worker).listing.rack;
+  }
   // Return the actions of this kind since the last call.
   std::vector<StartTask> TakeStarts() { return std::exchange(starts_, {}); }
   std::vector<StopTask> TakeStops() { return std::exchange(stops_, {}); }
--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -45,6 +45,9 @@
 // Half of the steps other than gangs.
 constexpr int kStepsWithCopies = 500;
 constexpr double kAmpleSlack = 100;
+// Workers are on this many racks, and half of the steps want one of them.
+constexpr int kRacks = 3;
+constexpr double kRemoteFactor = 2;
 constexpr double kAmpleWeight = 1000;
 constexpr std::int64_t kCheckpointIntervalMs = 500;
 
@@ -146,6 +149,7 @@
                         base::Slots(0)};
     listing.born_ms = 1;
     listing.zone = ZoneOf(i % kZones);
+    listing.rack = "rack-" + std::to_string(i % kRacks);
     workers_.push_back(std::make_unique<WorkerModel>(listing, Between(0, 20)));
   }
   log_.now_ms = &now_ms_;
@@ -173,6 +177,7 @@
   owner->token = FencingToken(++last_token_);
   core::scheduler::SchedulerSettings settings;
   settings.dispatcher.preemption = preemption_;
+  settings.dispatcher.remote_factor = kRemoteFactor;
   owner->scheduler = std::make_unique<Scheduler>(
       settings, core::scheduler::Telemetry{&log_, &counters_});
   Scheduler& scheduler = *owner->scheduler;
@@ -576,6 +581,11 @@
     step.estimate = std::chrono::milliseconds(Between(50, 3000));
     step.gang = Chance(300);
     step.allows_copies = ChanceOfCopies(kStepsWithCopies);
+    step.prefers_one_rack = step.gang && Chance(500);
+    if (Chance(300)) {
+      // One rack more than there are: the data may be where no worker is.
+      step.data_rack = "rack-" + std::to_string(Between(0, kRacks));
+    }
     if (i > 0) {
       step.depends_on = {static_cast<std::uint32_t>(i - 1)};
     }
--- a/test/fuzz/scheduler/cell.h
+++ b/test/fuzz/scheduler/cell.h
@@ -138,6 +138,7 @@
   std::uint64_t copies() const { return copies_; }
   // The number of runs that were stopped for waiting steps.
   std::size_t preemptions() const { return preemptions_; }
+  const core::Counters& counters() const { return counters_; }
 
  private:
   // An owner during one term of ownership.
--- a/test/fuzz/scheduler/scheduler_fuzz_test.cc
+++ b/test/fuzz/scheduler/scheduler_fuzz_test.cc
@@ -13,6 +13,7 @@
 #include <rapidcheck.h>
 
 #include <array>
+#include <memory>
 #include <string>
 
 #include "test/fuzz/scheduler/cell.h"
@@ -153,20 +154,35 @@
   CHECK(preemptions > 0);
 }
 
-TEST_CASE("a cell without faults") {
-  Cell cell(7, kWorkers);
-  cell.faults.runs_failing = 0;
-  cell.Run(1000);
+// Runs forty jobs in a cell without faults, and returns it.
+std::unique_ptr<Cell> RunWithoutFaults(std::uint32_t seed) {
+  auto cell = std::make_unique<Cell>(seed, kWorkers);
+  cell->faults.runs_failing = 0;
+  cell->Run(1000);
   for (int i = 0; i < 40; ++i) {
-    cell.SubmitAny();
-    cell.Run(100);
+    cell->SubmitAny();
+    cell->Run(100);
   }
-  SUBCASE("finishes all jobs") {
-    CHECK_MESSAGE(cell.Mend(), cell.Unfinished());
-    CHECK(cell.accepted().size() == 40);
-    CHECK_MESSAGE(cell.broken().empty(), DescribeViolations(cell));
+  return cell;
+}
+
+TEST_CASE("a cell without faults") {
+  SUBCASE("finishes all jobs, some after a wait for a local worker") {
+    std::uint64_t waits = 0;
+    for (std::uint32_t seed = 7; seed < 12; ++seed) {
+      CAPTURE(seed);
+      const std::unique_ptr<Cell> cell = RunWithoutFaults(seed);
+      CHECK_MESSAGE(cell->Mend(), cell->Unfinished());
+      CHECK(cell->accepted().size() == 40);
+      CHECK_MESSAGE(cell->broken().empty(), DescribeViolations(*cell));
+      waits += cell->counters().value("locality", "waited_then_local");
+    }
+    // Guards against a fuzzer that never has a step wait for a local worker.
+    CHECK(waits > 0);
   }
   SUBCASE("starts nothing again when its owner changes") {
+    const std::unique_ptr<Cell> ran = RunWithoutFaults(7);
+    Cell& cell = *ran;
     const std::uint64_t before = cell.starts();
     cell.ChangeOwner();
     cell.Run(50);
