--- a/test/core/scheduler/run_times_test.cc
+++ b/test/core/scheduler/run_times_test.cc
@@ -112,6 +112,82 @@
   CHECK(starts[0].worker.id == kSlow);
 }
 
+// Starts a task of three cores; returns its worker.
+base::BackendId PlaceLarge(Scenario* scenario, std::uint64_t key,
+                           const std::string& queue, int estimate_ms) {
+  jobs::StepSpec large = Scenario::Step(1);
+  large.needs.cpu = base::Millicores(3000);
+  large.estimate = std::chrono::milliseconds(estimate_ms);
+  scenario->TakeStarts();
+  scenario->SubmitAndStore(key, queue, {large});
+  scenario->RunPasses(1);
+  const std::vector<StartTask> starts = scenario->TakeStarts();
+  REQUIRE(starts.size() == 1);
+  return starts[0].worker.id;
+}
+
+// Guards against workers that are kept free for a gang although others are
+// free sooner, because a queue's estimates are far too low.
+TEST_CASE("workers are kept for a gang where runs are expected to end") {
+  Scenario scenario;
+  scenario.AddWorkers(2);
+  bool is_known = false;
+  SUBCASE("by the estimates") {}
+  SUBCASE("by the queue's run times") {
+    is_known = true;
+    for (std::uint64_t key = 1; key <= 20; ++key) {
+      scenario.SubmitAndStore(key, "plain", {Scenario::Step(1)});
+      scenario.RunPasses(20);
+      for (const StartTask& start : scenario.TakeStarts()) {
+        scenario.EndRun(start.task, jobs::RunEnd::kDone);
+      }
+      scenario.RunPasses(2);
+      scenario.Store();
+    }
+  }
+  // The first is estimated to end sooner, but its queue's tasks take four times
+  // as long as estimated.
+  const base::BackendId first = PlaceLarge(&scenario, 50, "plain", 500);
+  const base::BackendId second = PlaceLarge(&scenario, 51, "urgent", 1000);
+  REQUIRE(first != second);
+  scenario.SubmitAndStore(60, "plain", {Scenario::Gang(1)});
+  scenario.RunPasses(1);
+  REQUIRE(scenario.TakeStarts().empty());
+  scenario.SubmitAndStore(61, "urgent", {Scenario::Step(1)});
+  scenario.RunPasses(1);
+  const std::vector<StartTask> starts = scenario.TakeStarts();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].worker.id == (is_known ? first : second));
+}
+
+// Guards against a row that the store refuses: it holds 64 KB, and the summary
+// should take some kilobytes.
+TEST_CASE("the largest summary") {
+  RunTimeSummary summary;
+  for (int i = 0; i < 150; ++i) {
+    summary.workers[base::BackendId("i-94e29849" + std::to_string(100 + i))] = {
+        1'765'000'000'000, -0.4321, 213.4};
+  }
+  for (int i = 0; i < 100; ++i) {
+    summary.queues[desired::QueueId("organisation-lookups" +
+                                    std::to_string(i))] = {
+        .weight = 52.123,
+        .estimate = -0.4321,
+        .run_time = -0.4321,
+        .estimate_squared = 0.4321,
+        .run_time_squared = 0.4321,
+        .product = 0.4321,
+        .noise = 0.0625};
+  }
+  const std::string text = EncodeRunTimeSummary(summary);
+  CHECK(text.size() < std::size_t{20} * 1024);
+  base::Failure reason;
+  const auto read = DecodeRunTimeSummary(text, &reason);
+  REQUIRE(read);
+  CHECK(read->workers.size() == 150);
+  CHECK(read->queues.size() == 100);
+}
+
 // Guards against samples that say nothing about one worker's speed.
 TEST_CASE("runs that are not used") {
   Scenario scenario;
