--- a/test/core/placement/run_time_model_test.cc
+++ b/test/core/placement/run_time_model_test.cc
@@ -156,22 +156,25 @@
   }
 }
 
-// Guards against a slow worker for which the typical ones are taken because it
-// has many runs of one step: packing puts them there together.
-TEST_CASE("all tasks of a step on one worker say little about it") {
-  SimulatedFleet fleet(50, 10, 0, 1);
+// Guards against a slow worker that seems typical because packing puts all
+// tasks of a step there, so that they are compared with each other. Ten such
+// steps are as much as the ten runs that a worker ends in five seconds.
+TEST_CASE("all tasks of a step on one worker") {
+  constexpr std::uint64_t kPacked = 60;
+  SimulatedFleet fleet(50, 0, 0, 1);
   fleet.Run(seconds(15));
-  REQUIRE(fleet.IsSlow(0));
-  for (std::uint32_t i = 0; i < 100; ++i) {
+  const base::Duration run_time =
+      fleet.model.ExpectedRunTime(kQueue, milliseconds(700)) * 8 / 5;
+  for (std::uint32_t i = 0; i < 50; ++i) {
     fleet.model.RecordRun(
-        {.worker = workers::WorkerNumber(0),
+        {.worker = workers::WorkerNumber(kPacked),
          .queue = kQueue,
          .task = {{jobs::JobKey(1'000'000 + i / 5), 0, 0}, i % 5},
          .estimate = milliseconds(700),
-         .run_time = milliseconds(1120)},
+         .run_time = run_time},
         fleet.now());
   }
-  CHECK(fleet.IsSlow(0));
+  CHECK(fleet.IsSlow(kPacked));
 }
 
 // Guards against a task that takes 7 times as long making its worker slow.
@@ -189,6 +192,21 @@
   }
 }
 
+// Guards against two long tasks among the first five runs of a worker making it
+// slow.
+TEST_CASE("long tasks among few runs") {
+  WorkerSpeed speed;
+  const base::TimePoint start(seconds(100));
+  // The precision of a run whose step has several others.
+  constexpr double kWeight = 12;
+  constexpr double kLong = 1.95;
+  for (const double log_slowness : {0.0, kLong, 0.0, kLong, 0.0}) {
+    speed.Replace({}, speed.Clip({log_slowness, kWeight}), {start, start},
+                  start);
+  }
+  CHECK_FALSE(WastesGang(std::exp(speed.log_slowness())));
+}
+
 // Guards against estimates that take as long as their memory to follow a worker
 // that is slow for some seconds: a few runs, here six, must show a change.
 constexpr int kFewRuns = 6;
