--- a/test/fuzz/scheduler/scheduler_fuzz_test.cc
+++ b/test/fuzz/scheduler/scheduler_fuzz_test.cc
@@ -123,7 +123,7 @@
 // lost or late, owners that change and jobs that are cancelled in between.
 TEST_CASE("a cell full of batch work under lookups and faults") {
   // The events of ApplyRandomEvent that matter here.
-  constexpr std::array kChoices{13, 14, 13, 14, 14, 4, 5, 6, 7, 8, 9, 10, 15};
+  constexpr std::array kChoices{14, 15, 14, 15, 15, 4, 5, 6, 7, 8, 9, 10, 16};
   std::size_t preemptions = 0;
   const bool held = rc::check(
       "no guarantee is violated, and all accepted jobs finish",
