--- a/src/core/scheduler/worker_records.cc
+++ b/src/core/scheduler/worker_records.cc
@@ -48,12 +48,12 @@
       // does not know that the stored record suspends the leases.
       fleet_->SuspendLeases(listing.id);
     }
-    if (it == worker_states_.end() || it->second.is_removal) {
-      EnqueueRecord(listing.id, workers::WorkerRecord{listing, std::nullopt});
-    } else if (!it->second.names_leases_end &&
-               listing.born_ms > it->second.recorded_born_ms) {
-      // Otherwise the next owner would take this incarnation for a crash that
-      // nobody has noticed.
+    const bool is_new = it == worker_states_.end() || it->second.is_removal;
+    // The next owner would take an incarnation that isn't recorded for a crash
+    // that nobody has noticed.
+    const bool is_restarted = !is_new && !it->second.names_leases_end &&
+                              listing.born_ms > it->second.recorded_born_ms;
+    if (is_new || is_restarted) {
       EnqueueRecord(listing.id, workers::WorkerRecord{listing, std::nullopt});
     }
   }
