Workers of a failed advice call are asked about again

Cause: workers count as asked when the call is sent; the call about 11 of them failed at 25.1 s, and they were never named again. Ruled out: caps, holds and preemption (refused as too late), and the first answers.

A failed or busy call takes its workers out of the set. The new case of scheduler_test fails before (no further call) and passes now.

--- a/include/dotterelbarrow/core/workers/worker_set.h
+++ b/include/dotterelbarrow/core/workers/worker_set.h
@@ -30,6 +30,12 @@
     ++size_;
     return true;
   }
+  void erase(WorkerNumber worker) {
+    if (contains(worker)) {
+      members_[static_cast<std::size_t>(worker.value())] = false;
+      --size_;
+    }
+  }
   bool contains(WorkerNumber worker) const {
     const auto index = static_cast<std::size_t>(worker.value());
     return index < members_.size() && members_[index];
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -293,6 +293,12 @@
       }
     }
   } else {
+    // Otherwise the advisor would never be asked about these workers again.
+    for (const base::BackendId& id : request.workers) {
+      if (const workers::Worker* worker = fleet_->Find(id)) {
+        advice->queried_workers.erase(worker->number());
+      }
+    }
     ++advice->failed_calls;
     advice->retry_at = now + settings_.advice_retry_delay;
     telemetry_.counters->Increment(
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -338,6 +338,11 @@
   CarryOut();
 }
 
+void SchedulerScenario::FailAdviceRequest(const RequestAdvice& request) {
+  scheduler_->OnAdvice(request, AdviceResult(), now_);
+  CarryOut();
+}
+
 void SchedulerScenario::EndRun(const jobs::TaskRef& task, jobs::RunEnd end) {
   for (auto& [id, worker] : workers_) {
     if (const auto it = worker.running.find(task); it != worker.running.end()) {
--- a/test/core/scheduler/scheduler_scenario.h
+++ b/test/core/scheduler/scheduler_scenario.h
@@ -81,6 +81,8 @@
   // are allowed.
   void AnswerAdviceRequest(const RequestAdvice& request,
                            const std::set<std::string>& allowed);
+  // Fails an advice request: the advisor doesn't answer.
+  void FailAdviceRequest(const RequestAdvice& request);
   // Ends the active run of the task, wherever it is, with this result.
   void EndRun(const jobs::TaskRef& task, jobs::RunEnd end);
   // Ends the active run of the task on this worker with this result.
--- a/test/core/scheduler/scheduler_test.cc
+++ b/test/core/scheduler/scheduler_test.cc
@@ -224,6 +224,33 @@
   }
 }
 
+// Guards against a job that never starts because the only call about the
+// workers that it may use has failed (fak-sched, hunted day with crashes,
+// LOST).
+TEST_CASE("a step whose call about further workers fails") {
+  Scenario scenario;
+  scenario.AddWorkers(2);
+  scenario.SubmitAndStore(kJob, "advised", {Scenario::Step(1)});
+  scenario.RunPasses(1);
+  const auto first = scenario.TakeAdviceRequests();
+  REQUIRE(first.size() == 1);
+  scenario.AnswerAdviceRequest(first[0], {});
+  scenario.AddWorkers(1);
+  std::vector<RequestAdvice> further;
+  for (int i = 0; i < 30 && further.empty(); ++i) {
+    scenario.RunPasses(1);
+    further = scenario.TakeAdviceRequests();
+  }
+  REQUIRE(further.size() == 1);
+  scenario.FailAdviceRequest(further[0]);
+  scenario.RunPasses(40);
+  const auto again = scenario.TakeAdviceRequests();
+  REQUIRE_FALSE(again.empty());
+  scenario.AnswerAdviceRequest(again[0], {"worker-2"});
+  scenario.RunPasses(2);
+  CHECK(scenario.TakeStarts().size() == 1);
+}
+
 TEST_CASE("a step for which the advisor allowed none of the workers") {
   Scenario scenario;
   scenario.AddWorkers(2);
