One rule for refusals, for submissions and for explanations

Cause: dotterelctl explain repeated the conditions of Submit, and the two had drifted apart already: for a service whose zones are all evacuated explain said that a job would be accepted. Ruled out: a third place (the saturation gate and the store's state are checked by the host, not by the scheduler, and explain doesn't claim them).

Scheduler::DecideAdmission is the only place with these conditions; Submit passes the real rate limiter, explain a copy. Refusals of submissions, their order, times to come back and counters are unchanged.

--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -215,6 +215,16 @@
   }
 
  private:
+  // Whether a new job is refused before it is encoded, and whether it is beyond
+  // its organisation's share.
+  struct AdmissionDecision {
+    std::optional<SubmitResult> refusal;
+    bool is_over_share = false;
+  };
+  // Counts the job in `rates` unless it is refused for another reason first.
+  AdmissionDecision DecideAdmission(const Submission& submission,
+                                    placement::SubmissionRateLimiter* rates,
+                                    base::TimePoint now) const;
   void OnRunEnded(const workers::Worker& worker, const workers::Run& run,
                   jobs::RunEnd end, const std::string& checkpoint);
   // A worker reports the end of a run that this owner does not track.
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "dotterelbarrow/core/admission/refusal_pauses.h"
 #include "dotterelbarrow/core/jobs/job_records.h"
 #include "dotterelbarrow/core/workers/worker_record.h"
 
@@ -19,17 +18,6 @@
 constexpr std::int64_t kDueMarginMs = 150;
 constexpr base::Duration kLoadLogPeriod = std::chrono::seconds(1);
 constexpr std::int64_t kMillicoresPerCore = 1000;
-// When a caller may retry that was refused to limit the memory for jobs, or
-// because its queue is not known.
-constexpr base::Duration kFullRetryAfter = std::chrono::seconds(2);
-// When a caller may retry that was refused for its organisation's share: the
-// share is counted over two seconds.
-constexpr base::Duration kOverShareRetryAfter = std::chrono::seconds(2);
-// A burst that the spare capacity of the fleet can take is over in one second.
-constexpr base::Duration kOverloadedRetryAfter = std::chrono::seconds(1);
-// When a caller may retry whose job was refused because all workers of its
-// service are evacuated. An evacuation lasts longer than a burst.
-constexpr base::Duration kEvacuatedRetryAfter = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -176,38 +164,18 @@
                 ? SubmitOutcome::kAccepted
                 : SubmitOutcome::kStoring};
   }
-  const desired::Queue* queue = dispatcher_.FindQueue(submission.queue);
-  if (queue == nullptr) {
-    return {SubmitOutcome::kRefused, "unknown_queue", kFullRetryAfter};
-  }
-  if (jobs_.jobs().size() >= settings_.max_jobs) {
-    return {SubmitOutcome::kRefused, "too_many_jobs", kFullRetryAfter};
-  }
-  if (fleet_.IsServiceEvacuated(queue->service)) {
-    telemetry_.counters->Increment("jobs_refused", "evacuated");
-    return {SubmitOutcome::kRefused, "evacuated", kEvacuatedRetryAfter};
-  }
-  const desired::Organisation* organisation =
-      desired_->FindOrganisation(submission.organisation);
-  const bool over_share = organisation != nullptr &&
-                          !submission_rates_.TryAcquire(
-                              organisation->id, organisation->weight, now);
-  switch (dispatcher_.ShouldRefuseNewWork(
-      submission.queue, submission.organisation, over_share)) {
-    case placement::Refusal::kOverShare:
-      return {SubmitOutcome::kRefused, "over_share", kOverShareRetryAfter,
-              admission::PauseAfterRefusal(entry_host_count_,
-                                           organisation->weight)};
-    case placement::Refusal::kOverloaded:
-      return {SubmitOutcome::kRefused, "overloaded", kOverloadedRetryAfter};
-    case placement::Refusal::kAtCap:
-      return {SubmitOutcome::kRefused, "at_cap", kOverloadedRetryAfter};
-    case placement::Refusal::kNone:
-      break;
+  const AdmissionDecision decision =
+      DecideAdmission(submission, &submission_rates_, now);
+  if (decision.refusal) {
+    if (decision.refusal->reason == "evacuated") {
+      telemetry_.counters->Increment("jobs_refused", "evacuated");
+    }
+    return *decision.refusal;
   }
-  if (over_share) {
+  if (decision.is_over_share) {
     dispatcher_.MarkOverShare(submission.key);
   }
+  const desired::Queue* queue = dispatcher_.FindQueue(submission.queue);
   jobs::Job job;
   job.key = submission.key;
   job.queue = submission.queue;
--- a/src/core/scheduler/scheduler_explanation.cc
+++ b/src/core/scheduler/scheduler_explanation.cc
@@ -24,34 +24,14 @@
 
 Explanation Scheduler::ExplainSubmission(const Submission& submission,
                                          base::TimePoint now) const {
-  const desired::Queue* queue = dispatcher_.FindQueue(submission.queue);
-  if (queue == nullptr) {
-    return {.state = {}, .refused = "unknown_queue", .steps = {}};
-  }
-  Explanation explanation;
-  const desired::Organisation* organisation =
-      desired_->FindOrganisation(submission.organisation);
   // A copy, so that the question doesn't count as a submission.
   placement::SubmissionRateLimiter rates = submission_rates_;
-  const bool over_share =
-      organisation != nullptr &&
-      !rates.TryAcquire(organisation->id, organisation->weight, now);
-  switch (dispatcher_.ShouldRefuseNewWork(
-      submission.queue, submission.organisation, over_share)) {
-    case placement::Refusal::kOverShare:
-      explanation.refused = "over_share";
-      break;
-    case placement::Refusal::kOverloaded:
-      explanation.refused = "overloaded";
-      break;
-    case placement::Refusal::kAtCap:
-      explanation.refused = "at_cap";
-      break;
-    case placement::Refusal::kNone:
-      break;
-  }
-  if (jobs_.jobs().size() >= settings_.max_jobs) {
-    explanation.refused = "too_many_jobs";
+  const AdmissionDecision decision = DecideAdmission(submission, &rates, now);
+  Explanation explanation;
+  explanation.refused = decision.refusal ? decision.refusal->reason : "";
+  const desired::Queue* queue = dispatcher_.FindQueue(submission.queue);
+  if (queue == nullptr) {
+    return explanation;
   }
   jobs::Job job;
   job.key = submission.key;
@@ -60,7 +40,8 @@
   job.rules = *queue;
   job.spec = submission.spec;
   job.accepted_at = now;
-  if (jobs::AcceptanceRecord(job).size() > JobPages::kMaxRecordBytes) {
+  if (!decision.refusal &&
+      jobs::AcceptanceRecord(job).size() > JobPages::kMaxRecordBytes) {
     explanation.refused = "job_too_large";
   }
   job.BeginOccurrence();
--- a/test/core/scheduler/explanation_test.cc
+++ b/test/core/scheduler/explanation_test.cc
@@ -94,6 +94,20 @@
     CHECK(scenario.Submit(kWaiting, "unknown", {Scenario::Step(1)}).reason ==
           found.refused);
   }
+  // Guards against an explanation that knows fewer reasons for a refusal than
+  // the submission does.
+  SUBCASE("a job whose service is evacuated would be refused, as it is") {
+    for (const char* worker : {"worker-0", "worker-1", "worker-2"}) {
+      scenario.SetZone(worker, "z0");
+    }
+    scenario.RunPasses(1);
+    scenario.Evacuate({"z0"});
+    const Explanation found = scenario.scheduler().ExplainSubmission(
+        MakeSubmission("plain", Scenario::Step(1)), scenario.now());
+    CHECK(found.refused == "evacuated");
+    CHECK(scenario.Submit(kWaiting, "plain", {Scenario::Step(1)}).reason ==
+          found.refused);
+  }
   SUBCASE("an unknown job is not explained") {
     CHECK_FALSE(scenario.scheduler().Explain(jobs::JobKey(7), scenario.now()));
   }
