Remove a check and a function that nothing can reach, and a repeated test loop

PlaceMissingMembers checked that no chosen worker has closed the attempt; since ChooseForGang leaves such workers out, that can't be. CrashHistory::WithdrawAnnouncement was never called. Two cases of crashing_tasks_test shared a loop and its checks, which are one function now, with the same assertions.

--- a/include/dotterelbarrow/core/jobs/crash_history.h
+++ b/include/dotterelbarrow/core/jobs/crash_history.h
@@ -66,8 +66,6 @@
   // The announced attempt was made by a previous owner and is nowhere to be
   // found, and its worker is lost, so that it counts as a crash.
   void CountMissingStart();
-  // The announced attempt did not take place.
-  void WithdrawAnnouncement() { announced_start_.reset(); }
   std::optional<Attempt> announced_start() const { return announced_start_; }
   // The worker that was last announced; 0 if it is not known.
   std::uint32_t announced_worker() const { return announced_worker_; }
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -256,14 +256,7 @@
     return false;
   }
   std::vector<Choice> choices = ChooseForGang(item, missing);
-  // The worker on which a member's start was lost has closed this attempt and
-  // would refuse it.
-  const bool is_attempt_refused = std::any_of(
-      choices.begin(), choices.end(), [&step](const Choice& choice) {
-        return step.tasks[choice.index].stopped_before_start_on ==
-               choice.worker;
-      });
-  if (!choices.empty() && !is_attempt_refused) {
+  if (!choices.empty()) {
     telemetry_.counters->Increment("gang_members", "placed_again");
     Commit(item, std::move(choices), attempt, now, actions);
     return true;
--- a/test/core/scheduler/crashing_tasks_test.cc
+++ b/test/core/scheduler/crashing_tasks_test.cc
@@ -30,6 +30,19 @@
   return false;
 }
 
+// Crashes the task's workers, each time with a new owner, and checks that its
+// job is given up in time. `starts` is how often the task was started before.
+void CheckGivenUp(Scenario* scenario, int starts) {
+  while (starts <= kMaxStarts && StartAndCrash(scenario)) {
+    ++starts;
+    scenario->TakeOver();
+  }
+  CHECK(starts <= kMaxStarts);
+  scenario->Store();
+  CHECK(scenario->scheduler().StateOf(jobs::JobKey(kJob)) ==
+        jobs::JobState::kFailed);
+}
+
 // Guards against starts without end: no owner lives long enough to see a
 // crash, each only finds that an announced start is missing (soak, seed 12).
 TEST_CASE("a task that crashes its workers under owners that change") {
@@ -43,15 +56,7 @@
   // The first crash is noticed, so that the next start is announced.
   scenario.RunPasses(5);
   scenario.Store();
-  int starts = 1;
-  while (starts <= kMaxStarts && StartAndCrash(&scenario)) {
-    ++starts;
-    scenario.TakeOver();
-  }
-  CHECK(starts <= kMaxStarts);
-  scenario.Store();
-  CHECK(scenario.scheduler().StateOf(jobs::JobKey(kJob)) ==
-        jobs::JobState::kFailed);
+  CheckGivenUp(&scenario, 1);
 }
 
 // Guards against crashes that leave no trace because the owner is lost before
@@ -63,15 +68,7 @@
   SUBCASE("is started twice at most after the third crash") {}
   SUBCASE("as a member of a gang: too") { step.gang = true; }
   scenario.SubmitAndStore(kJob, "plain", {step});
-  int starts = 0;
-  while (starts <= kMaxStarts && StartAndCrash(&scenario)) {
-    ++starts;
-    scenario.TakeOver();
-  }
-  CHECK(starts <= kMaxStarts);
-  scenario.Store();
-  CHECK(scenario.scheduler().StateOf(jobs::JobKey(kJob)) ==
-        jobs::JobState::kFailed);
+  CheckGivenUp(&scenario, 0);
 }
 
 TEST_CASE("a gang of which one member crashes its workers") {
