Record limits in force before the simulated cell checks them

Cause (fuzzer seed 916, 300 cases of 150 commands): the cell checked the runs of a limited team at the start of a tick, and recorded the entries' configurations at its end. The trace shows that the manager had a raised limit in force between two ticks, granted a slot by it, and the run started before the next tick; it was checked against the limit before. The run is allowed.

Change: the configurations are also recorded before each check. The bounds are unchanged.

--- a/test/fuzz/cell.cc
+++ b/test/fuzz/cell.cc
@@ -106,6 +106,7 @@
 }
 
 void Cell::TickAll() {
+  RecordConfigs();
   CheckLimits();
   for (int i = 0; i < backends(); ++i) {
     backends_[i]->Advance(now_);
@@ -127,7 +128,15 @@
       broken_ = "the configuration reverted at " + EntryName(i).value();
     }
     entry.config_version = version;
-    config_watch_.OnInForce(entry.node->catalogue(), now_);
+  }
+  RecordConfigs();
+}
+
+void Cell::RecordConfigs() {
+  for (const Entry& entry : entries_) {
+    if (entry.node != nullptr && !entry.frozen) {
+      config_watch_.OnInForce(entry.node->catalogue(), now_);
+    }
   }
 }
 
--- a/test/fuzz/cell.h
+++ b/test/fuzz/cell.h
@@ -177,6 +177,8 @@
   bool Chance(int percent);
   void StepTo(base::TimePoint at);
   void TickAll();
+  // Records the configuration that each running entry has in force.
+  void RecordConfigs();
   void CheckLimits();
   void Give(int entry, base::Incarnation incarnation, const core::Input& input);
   void CarryOut(int entry);
--- a/test/fuzz/limit_story_test.cc
+++ b/test/fuzz/limit_story_test.cc
@@ -185,5 +185,40 @@
   }
 }
 
+// Guards against a false alarm of the simulated cell (fuzzer seed 916, 300
+// cases of 150 commands): a run that the manager allowed under a raised limit
+// was checked before the limit was recorded as in force at the manager.
+TEST_CASE("requests that start as soon as a limit is raised are within it") {
+  for (std::uint64_t seed = 0; seed < 16; ++seed) {
+    CAPTURE(seed);
+    Cell cell(CellSize(), seed);
+    cell.Run(seconds(4));
+    cell.SubmitTicket(0, SetupTicket(1));
+    cell.Run(seconds(3));
+    cell.SubmitTicket(0, LimitTicket(2, 1));
+    cell.Run(milliseconds(7500));
+    int requests = 0;
+    for (int limit = 2; limit <= 4; ++limit) {
+      for (int burst = 0; burst < 20; ++burst) {
+        for (int i = 0; i < cell.entries(); ++i) {
+          core::WorkRequest request;
+          request.id = base::RequestId("b" + std::to_string(requests++));
+          request.key = base::ApiKey("key-parts");
+          request.service = base::ServiceId("seats");
+          request.demand.slots = base::Slots(1);
+          request.deadline = seconds(6);
+          request.payload = R"({"run_ms":248})";
+          cell.Ask(i, request);
+        }
+        if (burst == 5) {
+          cell.SubmitTicket(0, LimitTicket(limit + 1, limit));
+        }
+        cell.Run(milliseconds(50));
+      }
+    }
+    CHECK(cell.FirstViolation().value_or("") == "");
+  }
+}
+
 }  // namespace
 }  // namespace dotterelbarrow::fuzz
