Fence off late polls to a worker's previous incarnation

Cause: the owner sends a poll before it knows that the worker has restarted. The next incarnation under the same id executes it seconds later and discards the ends up to the number that the poll acknowledges, which nobody has seen, so their tasks start again after their success. Fleet::OnEndsStored had the same effect without a late command: a number that was being stored during the restart acknowledged ends of the new incarnation that were not stored.

Change: an owner holds 256 consecutive fencing tokens, of which the ownership record names the highest. Commands to each further incarnation of a worker carry the next one, so that the worker rejects older commands once it has executed a newer one. Stored run ends are matched by incarnation.

Test values: the leadership test expects the new token ranges.

--- a/include/dotterelbarrow/core/leadership/leadership.h
+++ b/include/dotterelbarrow/core/leadership/leadership.h
@@ -27,6 +27,7 @@
 
 // The contents of the ownership record.
 struct OwnershipRecord {
+  // The highest of the owner's tokens (see scheduler::kTokensPerTerm).
   FencingToken token{};
   base::EntryId holder{};
   base::Incarnation incarnation{};
@@ -95,7 +96,8 @@
       : settings_(std::move(settings)) {}
 
   Role role() const { return role_; }
-  // This host's fencing token. Meaningful only while it is the owner.
+  // The highest of this host's fencing tokens. Meaningful only while it is the
+  // owner.
   FencingToken token() const { return own_record_.token; }
   // Whether this host's last term ended by its resignation.
   bool has_resigned() const { return own_record_.is_resigned; }
--- a/include/dotterelbarrow/core/scheduler/actions.h
+++ b/include/dotterelbarrow/core/scheduler/actions.h
@@ -21,6 +21,13 @@
 // of owner.
 using FencingToken = base::NumberId<struct FencingTokenTag>;
 
+// An owner holds this many consecutive tokens, of which the ownership record
+// names the highest. Within a term, commands to later incarnations of a worker
+// carry higher tokens. A worker that restarts more often during one term keeps
+// the last token, so that late commands to its previous incarnation are
+// accepted.
+inline constexpr std::uint64_t kTokensPerTerm = 256;
+
 // How long an owner may command workers without a confirmed write to the store.
 // While the store is unavailable, no other process can take over ownership, so
 // this outlasts the usual store outage of four to six seconds. If an owner
@@ -35,8 +42,19 @@
   std::string address;
   // Start time of the worker process; identifies its incarnation.
   std::int64_t born_ms = 0;
+  // How many earlier incarnations under this id the owner knows to have ended
+  // during its term.
+  std::uint64_t earlier_incarnations = 0;
 };
 
+// Returns the token of a command to this worker from the owner whose ownership
+// record names `highest`. Once an incarnation has executed one command that is
+// meant for it, it rejects commands that were sent to earlier ones. A poll, for
+// example, acknowledges run ends of the incarnation to which it was sent; the
+// next one would discard ends with the same numbers that nobody has seen.
+// Precondition: `highest` is at least kTokensPerTerm.
+FencingToken TokenFor(const WorkerAddress& worker, FencingToken highest);
+
 struct StartTask {
   WorkerAddress worker;
   jobs::TaskRef task;
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -108,9 +108,10 @@
   sigc::signal<void(const workers::Run&)> suspect_survived;
   // A worker is reconciled: either it was claimed, or its lease expired.
   sigc::signal<void(const base::BackendId&)> worker_reconciled;
-  // Run ends of this worker up to this number were received and must be stored
-  // before they are acknowledged.
-  sigc::signal<void(const base::BackendId&, std::uint64_t)> run_ends_received;
+  // Run ends of this incarnation of the worker up to this number were received
+  // and must be stored before they are acknowledged.
+  sigc::signal<void(const base::BackendId&, std::int64_t, std::uint64_t)>
+      run_ends_received;
 
   // A claimed worker did not answer several consecutive polls. All its leases
   // end at the given time if no further lease is granted.
@@ -200,9 +201,10 @@
   void OnPolled(const base::BackendId& worker, std::int64_t born_ms,
                 bool was_regular_poll, const PollResult& result,
                 base::TimePoint now, std::vector<Action>* actions);
-  // The store holds all run ends of the worker up to `number`.
-  void OnEndsStored(const base::BackendId& worker, std::uint64_t number,
-                    base::TimePoint now);
+  // The store holds all run ends up to `number` of the worker's incarnation
+  // that began at `born_ms`.
+  void OnEndsStored(const base::BackendId& worker, std::int64_t born_ms,
+                    std::uint64_t number, base::TimePoint now);
   // Tells whether stored run ends of the worker are not acknowledged yet.
   void SetHasHeldEnds(const base::BackendId& worker, bool has_held_ends) {
     if (workers::Worker* found = Find(worker)) {
@@ -312,6 +314,9 @@
   Telemetry telemetry_;
   // The address of a worker stays valid until the worker is removed.
   std::unordered_map<base::BackendId, workers::Worker> workers_;
+  // For workers that were removed: the number of their earlier incarnations if
+  // they are listed again, so that their tokens never decrease.
+  std::unordered_map<base::BackendId, std::uint64_t> removed_incarnations_;
   std::set<base::BackendId> unreconciled_;
   bool is_fenced_ = false;
   double poll_stretch_ = 1.0;
--- a/include/dotterelbarrow/core/scheduler/held_ends.h
+++ b/include/dotterelbarrow/core/scheduler/held_ends.h
@@ -30,9 +30,10 @@
   bool IsHolding(const base::BackendId& worker) const {
     return workers_.contains(worker);
   }
-  // The store holds the worker's ends up to `number`. Returns up to which
-  // number they may be acknowledged.
-  std::uint64_t OnStored(const base::BackendId& worker, std::uint64_t number);
+  // The store holds the ends up to `number` of this incarnation of the worker.
+  // Returns up to which number they may be acknowledged.
+  std::uint64_t OnStored(const base::BackendId& worker, std::int64_t born_ms,
+                         std::uint64_t number);
   // Releases the ends for which `can_release` returns true. Calls `acknowledge`
   // for each worker with its incarnation and the number up to which its ends
   // may be acknowledged.
--- a/include/dotterelbarrow/core/scheduler/job_registry.h
+++ b/include/dotterelbarrow/core/scheduler/job_registry.h
@@ -38,9 +38,9 @@
   std::vector<jobs::JobKey> ended_jobs;
   std::vector<WaiterId> accept_waiters;
   std::vector<WaiterId> change_waiters;
-  // Run ends of these workers up to these numbers may be acknowledged once the
-  // batch is stored.
-  std::map<base::BackendId, std::uint64_t> run_ends;
+  // Run ends of these incarnations of workers, named by their ids and times of
+  // birth, up to these numbers may be acknowledged once the batch is stored.
+  std::map<std::pair<base::BackendId, std::int64_t>, std::uint64_t> run_ends;
   // Workers whose records are in this batch. A worker appears once for each
   // EnqueueWorkerRecord.
   std::vector<base::BackendId> recorded_workers;
@@ -100,7 +100,8 @@
   void EnqueueJob(jobs::JobKey key, base::TimePoint now);
   // Run ends up to `number` may be acknowledged once all changes enqueued so
   // far are stored.
-  void EnqueueRunEnds(const base::BackendId& worker, std::uint64_t number);
+  void EnqueueRunEnds(const base::BackendId& worker, std::int64_t born_ms,
+                      std::uint64_t number);
   // Enqueues the worker's record, or its removal if `record` is not set.
   void EnqueueWorkerRecord(const base::BackendId& worker,
                            std::optional<std::string> record);
@@ -146,6 +147,7 @@
   };
   struct ReportedEnds {
     base::BackendId worker;
+    std::int64_t born_ms = 0;
     std::uint64_t number = 0;
   };
   struct WorkerRecord {
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -197,6 +197,9 @@
   WorkerClock clock;
   // The latest lease deadline sent with any command, by the worker's clock.
   std::int64_t granted_until_ms = 0;
+  // How many earlier incarnations under this id the owner knows to have ended
+  // during its term.
+  std::uint64_t earlier_incarnations = 0;
   // Whether this owner has claimed the worker: acquired its fencing token and
   // read its lists of runs. Nothing is started before that.
   bool is_claimed = false;
--- a/src/core/leadership/leadership.cc
+++ b/src/core/leadership/leadership.cc
@@ -8,6 +8,16 @@
 #include "dotterelbarrow/core/codec.h"
 
 namespace dotterelbarrow::core::leadership {
+namespace {
+
+// An earlier version of this program holds one token per term, the successor of
+// the recorded one, so the record must name the highest token of the term.
+FencingToken HighestTokenAfter(const std::optional<OwnershipRecord>& previous) {
+  const std::uint64_t last = previous ? previous->token.value() : 0;
+  return FencingToken(last + scheduler::kTokensPerTerm);
+}
+
+}  // namespace
 
 std::string EncodeOwnershipRecord(const OwnershipRecord& head) {
   Json::Value value(Json::objectValue);
@@ -113,11 +123,10 @@
   }
   previous_owner_ = seen_;
   was_previous_owner_gone_ = is_gone;
-  own_record_ =
-      OwnershipRecord{.token = seen_ ? seen_->token.next() : FencingToken(1),
-                      .holder = settings_.self,
-                      .incarnation = settings_.incarnation,
-                      .address = settings_.address};
+  own_record_ = OwnershipRecord{.token = HighestTokenAfter(seen_),
+                                .holder = settings_.self,
+                                .incarnation = settings_.incarnation,
+                                .address = settings_.address};
   role_ = Role::kClaiming;
   write_ = OwnershipWrite{seen_version_, own_record_};
   write_sent_at_ = now;
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -24,6 +24,12 @@
 
 }  // namespace
 
+FencingToken TokenFor(const WorkerAddress& worker, FencingToken highest) {
+  constexpr std::uint64_t kLastOffset = kTokensPerTerm - 1;
+  return FencingToken(highest.value() - kLastOffset +
+                      std::min(worker.earlier_incarnations, kLastOffset));
+}
+
 const char* ToString(CommandOutcome outcome) {
   switch (outcome) {
     case CommandOutcome::kDone:
@@ -118,6 +124,10 @@
     return;
   }
   Worker* added = Add(Worker(listing, NextNumber()));
+  if (const auto removed = removed_incarnations_.find(listing.id);
+      removed != removed_incarnations_.end()) {
+    added->earlier_incarnations = removed->second;
+  }
   added->last_answer = now;
   added->next_poll = now;
 }
@@ -191,7 +201,8 @@
 }
 
 WorkerAddress Fleet::AddressOf(const Worker& worker) {
-  return {worker.id(), worker.listing().address, worker.listing().born_ms};
+  return {worker.id(), worker.listing().address, worker.listing().born_ms,
+          worker.earlier_incarnations};
 }
 
 std::int64_t Fleet::GrantLease(Worker* worker, base::TimePoint now) const {
@@ -227,6 +238,7 @@
   Worker restarted(listing, worker->number());
   restarted.last_answer = now;
   restarted.next_poll = now;
+  restarted.earlier_incarnations = worker->earlier_incarnations + 1;
   // A previous owner may have used this incarnation as well; claiming the
   // worker shows whether it did.
   restarted.inherited_leases_end = worker->inherited_leases_end;
@@ -294,6 +306,7 @@
     Worker& worker = it->second;
     if (ExpireIfDue(&worker, now)) {
       by_number_[static_cast<std::size_t>(worker.number().value())] = nullptr;
+      removed_incarnations_[it->first] = worker.earlier_incarnations + 1;
       it = workers_.erase(it);
       continue;
     }
--- a/src/core/scheduler/fleet_runs.cc
+++ b/src/core/scheduler/fleet_runs.cc
@@ -175,8 +175,12 @@
                      bool was_regular_poll, const PollResult& result,
                      base::TimePoint now, std::vector<Action>* actions) {
   Worker* target = Find(worker);
-  if (target == nullptr || (born_ms != kUnknownIncarnation &&
-                            target->listing().born_ms != born_ms)) {
+  // A poll to an unknown incarnation was sent before any restart was known.
+  const bool is_outdated =
+      born_ms == kUnknownIncarnation
+          ? target != nullptr && target->earlier_incarnations > 0
+          : target != nullptr && target->listing().born_ms != born_ms;
+  if (target == nullptr || is_outdated) {
     return;
   }
   if (was_regular_poll) {
@@ -290,7 +294,8 @@
     }
   }
   if (worker->ends_received > previous_ends_taken) {
-    run_ends_received.emit(worker->id(), worker->ends_received);
+    run_ends_received.emit(worker->id(), worker->listing().born_ms,
+                           worker->ends_received);
   }
 }
 
@@ -361,10 +366,12 @@
   }
 }
 
-void Fleet::OnEndsStored(const base::BackendId& worker, std::uint64_t number,
-                         base::TimePoint now) {
+void Fleet::OnEndsStored(const base::BackendId& worker, std::int64_t born_ms,
+                         std::uint64_t number, base::TimePoint now) {
   Worker* target = Find(worker);
-  if (target == nullptr || number <= target->ends_stored) {
+  // The numbers of an earlier incarnation's ends say nothing about this one.
+  if (target == nullptr || target->listing().born_ms != born_ms ||
+      number <= target->ends_stored) {
     return;
   }
   target->ends_stored = std::min(number, target->ends_received);
--- a/src/core/scheduler/held_ends.cc
+++ b/src/core/scheduler/held_ends.cc
@@ -17,9 +17,9 @@
 }
 
 std::uint64_t HeldEnds::OnStored(const base::BackendId& worker,
-                                 std::uint64_t number) {
+                                 std::int64_t born_ms, std::uint64_t number) {
   const auto it = workers_.find(worker);
-  if (it == workers_.end()) {
+  if (it == workers_.end() || it->second.born_ms != born_ms) {
     return number;
   }
   Held& held = it->second;
--- a/src/core/scheduler/job_registry.cc
+++ b/src/core/scheduler/job_registry.cc
@@ -69,8 +69,8 @@
 }
 
 void JobRegistry::EnqueueRunEnds(const base::BackendId& worker,
-                                 std::uint64_t number) {
-  pending_changes_.emplace_back(ReportedEnds{worker, number});
+                                 std::int64_t born_ms, std::uint64_t number) {
+  pending_changes_.emplace_back(ReportedEnds{worker, born_ms, number});
 }
 
 void JobRegistry::EnqueueWorkerRecord(const base::BackendId& worker,
@@ -177,7 +177,7 @@
         base::Overloaded{
             [&](jobs::JobKey key) { AddToBatch(key, now, &batch); },
             [&](const ReportedEnds& ends) {
-              batch.run_ends[ends.worker] = ends.number;
+              batch.run_ends[{ends.worker, ends.born_ms}] = ends.number;
             },
             [&](const WorkerRecord& record) { AddToBatch(record, &batch); }},
         pending_changes_.front());
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -364,8 +364,10 @@
   now_ = now;
   jobs_.OnStored(batch);
   worker_records_.OnStored(batch, now);
-  for (const auto& [worker, number] : batch.run_ends) {
-    fleet_.OnEndsStored(worker, held_ends_.OnStored(worker, number), now);
+  for (const auto& [incarnation, number] : batch.run_ends) {
+    const auto& [worker, born_ms] = incarnation;
+    fleet_.OnEndsStored(worker, born_ms,
+                        held_ends_.OnStored(worker, born_ms, number), now);
   }
 }
 
--- a/src/core/scheduler/scheduler_copies.cc
+++ b/src/core/scheduler/scheduler_copies.cc
@@ -59,7 +59,7 @@
           return;
         }
         fleet_.SetHasHeldEnds(id, held_ends_.IsHolding(id));
-        fleet_.OnEndsStored(id, number, now_);
+        fleet_.OnEndsStored(id, born_ms, number, now_);
       });
 }
 
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -286,7 +286,7 @@
       base::Overloaded{
           [this](const core::scheduler::StartTask& command) {
             parts_.workers->Start(
-                command, token_,
+                command, TokenFor(command.worker, token_),
                 Guarded([this, command](const CommandResponse& a) {
                   scheduler_.OnStarted(command, a.outcome, a.clock_ms, Now());
                   SchedulePass();
@@ -294,7 +294,7 @@
           },
           [this](const core::scheduler::StopTask& command) {
             parts_.workers->Stop(
-                command, token_,
+                command, TokenFor(command.worker, token_),
                 Guarded([this, command](const CommandResponse& a) {
                   scheduler_.OnStopped(command, a.outcome, a.clock_ms, Now());
                   SchedulePass();
@@ -302,7 +302,7 @@
           },
           [this](const core::scheduler::PollWorker& poll) {
             parts_.workers->Poll(
-                poll, token_,
+                poll, TokenFor(poll.worker, token_),
                 Guarded([this, poll](const core::scheduler::PollResult& r) {
                   scheduler_.OnPolled(poll, r, Now());
                   SchedulePass();
--- a/test/core/leadership/leadership_test.cc
+++ b/test/core/leadership/leadership_test.cc
@@ -78,7 +78,7 @@
   cell.Read(&second);
   const auto late_claim = second.BeginClaim(cell.now);
   REQUIRE(cell.Claim(&first));
-  CHECK(first.token() == FencingToken(1));
+  CHECK(first.token() == FencingToken(scheduler::kTokensPerTerm));
   cell.Apply(&second, *late_claim);
   CHECK(second.role() == Role::kFollower);
   CHECK(second.owner()->holder == base::EntryId("first"));
@@ -102,7 +102,7 @@
   SUBCASE("an owner that stops writing is replaced, under a higher token") {
     cell.Watch(&other, milliseconds(1500));
     REQUIRE(cell.Claim(&other));
-    CHECK(other.token() == FencingToken(2));
+    CHECK(other.token() == FencingToken(2 * scheduler::kTokensPerTerm));
 
     SUBCASE(
         "and its later writes fail although it believes that it is the owner") {
@@ -138,8 +138,9 @@
     }
   }
   SUBCASE("a host that the store rejects learns the next owner from others") {
-    const OwnershipRecord next{FencingToken(2), base::EntryId("next"),
-                               base::Incarnation(1), "10.0.0.9:1"};
+    const OwnershipRecord next{FencingToken(2 * scheduler::kTokensPerTerm),
+                               base::EntryId("next"), base::Incarnation(1),
+                               "10.0.0.9:1"};
     other.OnPeerRecord(next);
     CHECK(other.owner()->holder == base::EntryId("next"));
     SUBCASE("and doesn't claim the cell because of that") {
@@ -213,6 +214,33 @@
   CHECK(host.role() == Role::kOwner);
 }
 
+// Guards against workers that reject a new owner: tokens of a term stay below
+// those of later terms, also across versions that hold one token per term, the
+// successor of the recorded one.
+TEST_CASE("the tokens of a term are between those of the terms around it") {
+  Cell cell;
+  const OwnershipRecord earlier{FencingToken(7),
+                                base::EntryId("earlier"),
+                                base::Incarnation(1),
+                                "10.0.0.1:1",
+                                3,
+                                true};
+  REQUIRE(cell.row.Write({cell.row.version(), earlier}));
+  Leadership host = MakeHost("host");
+  cell.Read(&host);
+  REQUIRE(cell.Claim(&host));
+  const auto token_at = [&host](std::uint64_t earlier_incarnations) {
+    return scheduler::TokenFor(
+        {.id = {}, .address = {}, .earlier_incarnations = earlier_incarnations},
+        host.token());
+  };
+  CHECK(token_at(0) == FencingToken(8));
+  CHECK(token_at(1) == FencingToken(9));
+  // A worker that restarts without end.
+  CHECK(token_at(1'000'000) == host.token());
+  CHECK(cell.row.head()->token == host.token());
+}
+
 TEST_CASE("encoding and decoding of ownership records") {
   base::Failure reason;
   const OwnershipRecord head{FencingToken(7),
--- a/test/core/scheduler/fleet_test.cc
+++ b/test/core/scheduler/fleet_test.cc
@@ -339,7 +339,7 @@
     scenario.AnswerPoll({}, {run_end});
     scenario.actions.clear();
     scenario.Advance(milliseconds(50));
-    scenario.fleet.OnEndsStored(kWorker, 7, scenario.now);
+    scenario.fleet.OnEndsStored(kWorker, scenario.born_ms, 7, scenario.now);
     scenario.Tick();
     CHECK(scenario.CountActions<PollWorker>() == 0);
     // The minimum interval of a small fleet, counted from the poll's answer.
@@ -350,7 +350,7 @@
   SUBCASE("are polled later, but all at once, by a saturated owner") {
     scenario.fleet.set_poll_stretch(4.0);
     scenario.AnswerPoll({}, {run_end});
-    scenario.fleet.OnEndsStored(kWorker, 7, scenario.now);
+    scenario.fleet.OnEndsStored(kWorker, scenario.born_ms, 7, scenario.now);
     scenario.actions.clear();
     scenario.Advance(milliseconds(230));
     scenario.Tick();
@@ -362,7 +362,7 @@
   SUBCASE("are acknowledged only once they are stored") {
     CHECK(scenario.EndsAcknowledgedByNextPoll() == 0);
     scenario.AnswerPoll({}, {run_end});
-    scenario.fleet.OnEndsStored(kWorker, 7, scenario.now);
+    scenario.fleet.OnEndsStored(kWorker, scenario.born_ms, 7, scenario.now);
     CHECK(scenario.EndsAcknowledgedByNextPoll() == 7);
   }
 }
--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -174,7 +174,8 @@
 
 void Cell::BeginTerm() {
   auto owner = std::make_shared<Owner>();
-  owner->token = FencingToken(++last_token_);
+  last_token_ += core::scheduler::kTokensPerTerm;
+  owner->token = FencingToken(last_token_);
   core::scheduler::SchedulerSettings settings;
   settings.dispatcher.preemption = preemption_;
   settings.dispatcher.remote_factor = kRemoteFactor;
@@ -403,7 +404,7 @@
                 [this, owner, start](WorkerModel* worker) {
                   const bool was_there = worker->runs().contains(start.task);
                   const CommandOutcome outcome = worker->Start(
-                      start, owner->token,
+                      start, TokenFor(start.worker, owner->token),
                       PlanOf(start.task, IndexOf(start.worker.address)));
                   if (outcome == CommandOutcome::kDone && !was_there) {
                     CheckStart(*worker, start.task, start.attempt);
@@ -423,7 +424,8 @@
             Deliver(
                 owner, stop.worker,
                 [owner, stop](WorkerModel* worker) {
-                  return worker->Stop(stop, owner->token);
+                  return worker->Stop(stop,
+                                      TokenFor(stop.worker, owner->token));
                 },
                 [this, owner, stop](CommandOutcome outcome,
                                     std::int64_t clock) {
@@ -440,7 +442,8 @@
                       OnAcknowledged(end);
                     }
                   }
-                  *result = worker->Look(look, owner->token);
+                  *result =
+                      worker->Look(look, TokenFor(look.worker, owner->token));
                   return result->outcome;
                 },
                 [this, owner, look, result](CommandOutcome outcome,
