Test crashes that an owner has listed without acting on them

Cause: a restarted worker shows as a crash only to the first owner that lists it, and only if it has restarted by then. The new cases of crashing_tasks_test replace owners in between. Change: SchedulerScenario gives a restarted worker the time of its start as its incarnation, as workers do.

--- a/test/core/scheduler/crashing_tasks_test.cc
+++ b/test/core/scheduler/crashing_tasks_test.cc
@@ -71,6 +71,77 @@
   CheckGivenUp(&scenario, 0);
 }
 
+// Replaces the owner by one that lists the restarted workers and stores that,
+// and replaces it too, before it can start anything: the last worker doesn't
+// answer it.
+void TakeOverTwice(Scenario* scenario) {
+  scenario->unresponsive_workers = {"worker-5"};
+  scenario->TakeOver();
+  scenario->RunPasses(1);
+  scenario->Store();
+  scenario->unresponsive_workers.clear();
+  scenario->TakeOver();
+}
+
+// Guards against a restart that no longer shows as a crash, because an owner
+// has stored it that was replaced before it started anything (soak, seeds 101
+// and 103).
+TEST_CASE("a task that crashes its workers while two owners in a row are lost") {
+  Scenario scenario;
+  scenario.AddWorkers(6);
+  jobs::StepSpec step = Scenario::Step(1);
+  SUBCASE("is started twice at most after the third crash") {}
+  SUBCASE("as a member of a gang: too") { step = Scenario::Gang(1); }
+  // The other member survives each crash and is found by the next owner.
+  SUBCASE("as one of two members of a gang: too") { step = Scenario::Gang(2); }
+  scenario.SubmitAndStore(kJob, "plain", {step});
+  int starts = 0;
+  while (starts <= kMaxStarts && StartAndCrash(&scenario)) {
+    ++starts;
+    TakeOverTwice(&scenario);
+  }
+  CHECK(starts <= kMaxStarts);
+  scenario.Store();
+  CHECK(scenario.scheduler().StateOf(jobs::JobKey(kJob)) ==
+        jobs::JobState::kFailed);
+}
+
+// Guards against a second start that leaves no trace, because the crash before
+// it looks like a worker that was cut off: it restarts only after that start.
+TEST_CASE("a task whose workers restart after its next start") {
+  Scenario scenario;
+  scenario.AddWorkers(6);
+  jobs::StepSpec step = Scenario::Step(1);
+  SUBCASE("is started twice at most after the third crash") {}
+  SUBCASE("as a member of a gang: too") { step = Scenario::Gang(1); }
+  scenario.SubmitAndStore(kJob, "plain", {step});
+  const jobs::TaskRef task{{jobs::JobKey(kJob), 0, 0}, 0};
+  int starts = 0;
+  while (starts <= kMaxStarts) {
+    std::string worker;
+    for (int pass = 0; pass < 120 && worker.empty(); ++pass) {
+      scenario.RunPasses(1);
+      scenario.Store();
+      worker = scenario.WorkerOf(task);
+    }
+    if (worker.empty()) {
+      break;
+    }
+    ++starts;
+    scenario.CrashWorkerOf(task);
+    scenario.unresponsive_workers = {worker};
+    scenario.TakeOver();
+  }
+  CHECK(starts <= kMaxStarts);
+  scenario.unresponsive_workers.clear();
+  for (int pass = 0; pass < 120; ++pass) {
+    scenario.RunPasses(1);
+    scenario.Store();
+  }
+  CHECK(scenario.scheduler().StateOf(jobs::JobKey(kJob)) ==
+        jobs::JobState::kFailed);
+}
+
 TEST_CASE("a gang of which one member crashes its workers") {
   // Guards against a member that is placed again and again in one attempt, as
   // if the start that crashed the worker had never reached it (scheduler
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -393,7 +393,7 @@
   }
   Worker& worker = workers_.at(base::BackendId(id));
   workers::Listing next = worker.listing;
-  ++next.born_ms;
+  next.born_ms = std::max(next.born_ms + 1, NowMillis());
   ++next.revision;
   worker = Worker{next, {}, {}, {}, 0};
   return true;
