Let the stand-in's and the fuzzer's workers report when they were born

The stand-in counted incarnations from 1, and the fuzzer's workers were born 1,000 s in the future. Change: both use the clock that also gives the store's time.

--- a/src/standins/site/worker_service.cc
+++ b/src/standins/site/worker_service.cc
@@ -368,7 +368,7 @@
   if (model_.is_up()) {
     return;
   }
-  model_.Restart(model_.listing().born_ms + 1);
+  model_.Restart(NowMillis());
   is_draining_ = false;
   last_recorded_end_ = 0;
   next_heartbeat_ms_ = 0;
--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -668,7 +668,7 @@
   }
   After(Between(500, 4000), [this, index, worker] {
     dark_.erase(index);
-    worker->Restart(now_ms_ + 1'000'000);
+    worker->Restart(now_ms_);
     if (renames_workers) {
       worker->Rename(
           base::BackendId("renamed-" + std::to_string(++last_rename_)));
