Remember crashes across owners that only listed the restarted worker

Cause: a restart counted as a crash only for the first owner that listed the worker after it: that owner stored the new incarnation, and the next one took the worker for unharmed. A worker that was only silent did not count. A member of a gang was placed again beside the survivors, without a trace. Change: the start of an inherited job's task is announced if any worker was born after the job was accepted, or an inherited one was lost. An announcement names the incarnation of its worker, so that every later owner sees whether it is lost; that of a gang names the newest incarnation of all. Inherited gangs with a missing member are stopped when a worker may have crashed.

--- a/include/dotterelbarrow/core/jobs/crash_history.h
+++ b/include/dotterelbarrow/core/jobs/crash_history.h
@@ -56,10 +56,12 @@
   // Records that a worker was lost with this attempt. Returns whether there is
   // something new to store. Faint blame is not stored.
   bool Add(Attempt attempt, CrashBlame blame);
-  // Announces the next start, on the worker with this hash; 0 if the start is
-  // on several workers. It must be stored before the start: the worker may
-  // crash, and then the owner change, before anyone has noticed.
-  void AnnounceStart(Attempt attempt, std::uint32_t worker_hash = 0);
+  // Announces the next start. `incarnations` identifies where it happens: for a
+  // task, the hash of its worker's incarnation; for a gang, when the newest
+  // incarnation of any worker was born; 0 if unknown. It must be stored before
+  // the start: the worker may crash, and then the owner change, before anyone
+  // has noticed.
+  void AnnounceStart(Attempt attempt, std::uint64_t incarnations = 0);
   // The announced attempt has ended in a known way. Returns whether there is
   // something new to store.
   bool OnEnded(Attempt attempt);
@@ -67,8 +69,10 @@
   // found, and its worker is lost, so that it counts as a crash.
   void CountMissingStart();
   std::optional<Attempt> announced_start() const { return announced_start_; }
-  // The worker that was last announced; 0 if it is not known.
-  std::uint32_t announced_worker() const { return announced_worker_; }
+  // What AnnounceStart was last called with; 0 if that is unknown.
+  std::uint64_t announced_incarnations() const {
+    return announced_incarnations_;
+  }
 
   // A run of the task has lived long enough to be no suspect any more. With
   // `forget` its crashes don't count any longer.
@@ -99,7 +103,7 @@
   std::vector<Crash> crashes_;
   std::size_t faint_crashes_ = 0;
   std::optional<Attempt> announced_start_;
-  std::uint32_t announced_worker_ = 0;
+  std::uint64_t announced_incarnations_ = 0;
   // Whether a run has survived since the last crash.
   bool has_survived_ = false;
 };
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -122,13 +122,20 @@
   // run of this job.
   void MarkInherited(jobs::JobKey job) { inherited_.insert(job); }
 
-  // Records that a worker of a previous owner is lost. If it has crashed, it
-  // may have done so under runs that nobody remembers; the next start of each
-  // task that may have been one of them is then announced in the store, so that
-  // a further crash is remembered even if no owner lives long enough to see
-  // one.
-  void RecordInheritedLoss(const base::BackendId& worker,
-                           workers::LossKind kind);
+  // Records that a worker of a previous owner is lost. It may have crashed
+  // under runs that nobody remembers.
+  void RecordInheritedLoss() { has_lost_inherited_workers_ = true; }
+  // Reads from the fleet which worker was born last. Call it before each pass.
+  void UpdateNewestIncarnation();
+  // Whether tasks of the job may have crashed workers under previous owners: a
+  // worker was lost, or was born after the job was accepted. The next start of
+  // each of its tasks is then announced in the store, so that a further crash
+  // is remembered even if no owner lives long enough to see one.
+  bool MayHaveCrashedWorkers(const jobs::Job& job) const;
+  // Returns whether a previous owner's announced start is missing because its
+  // worker is lost.
+  bool IsAnnouncedWorkerLost(const jobs::CrashHistory& crashes,
+                             bool is_gang) const;
 
   // Adds the rules of a queue that may have been dropped from the configuration
   // since. Does nothing if the queue is known.
@@ -382,9 +389,6 @@
   bool IsStartAnnounced(jobs::Job* job, const jobs::TaskRef& task,
                         jobs::Attempt attempt, const workers::Worker* worker,
                         base::TimePoint now);
-  // Returns whether a previous owner's announced start is missing because its
-  // worker is lost.
-  bool IsAnnouncedWorkerLost(const jobs::CrashHistory& crashes) const;
   // If the next start of the task was announced on one of the candidates and
   // still fits there, moves all other candidates to `others`.
   void KeepAnnouncedOnly(const jobs::CrashHistory& crashes,
@@ -684,9 +688,11 @@
   jobs::Attempt first_attempt_ = jobs::Attempt(1);
   // Jobs accepted by previous owners.
   std::unordered_set<jobs::JobKey> inherited_;
-  bool announces_inherited_starts_ = false;
-  // Hashes of the lost workers of previous owners.
-  std::set<std::uint32_t> lost_inherited_workers_;
+  bool has_lost_inherited_workers_ = false;
+  // When the newest incarnation of any worker was born, by its own clock, and
+  // whether that of some worker is unknown.
+  std::int64_t newest_born_ms_ = workers::kUnknownIncarnation;
+  bool has_unknown_incarnation_ = false;
   // Jobs accepted beyond their organisation's share.
   std::unordered_set<jobs::JobKey> over_share_;
   std::set<jobs::StepRef> waiting_;
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -280,6 +280,13 @@
   void StopRunsOfTask(const jobs::TaskRef& task);
   void StopRunsOfJob(const jobs::Job& job);
   void StopIncompleteGangs(base::TimePoint now);
+  // Once all inherited workers are reconciled: stops inherited gangs of which a
+  // member is missing, if a worker may have crashed under it. Placing it again
+  // beside the others would leave no trace of that crash.
+  void StopInheritedIncompleteGangs();
+  // Ends the job of a task that was found guilty because an announced start is
+  // missing.
+  void GiveUpForMissingStart(const jobs::TaskRef& task);
   // Hands all steps of the job that are not done, and whose dependencies are,
   // to the dispatcher.
   void EnqueueReadySteps(const jobs::Job& job);
@@ -324,6 +331,7 @@
   // Gangs of which not all members are known to run, with the time of their
   // first start.
   std::map<jobs::StepRef, base::TimePoint> starting_gangs_;
+  bool has_checked_inherited_gangs_ = false;
 };
 
 }  // namespace dotterelbarrow::core::scheduler
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -75,6 +75,8 @@
   // Whether its task was lost with workers before that were lost for no known
   // cause.
   bool was_lost_before = false;
+  // Whether its start was announced in the store.
+  bool was_announced = false;
   // Whether the worker crashed after the start command was sent: the run may
   // have been active there, although the next incarnation doesn't know it.
   bool was_lost_in_crash = false;
--- a/src/core/jobs/crash_history.cc
+++ b/src/core/jobs/crash_history.cc
@@ -34,9 +34,9 @@
   return true;
 }
 
-void CrashHistory::AnnounceStart(Attempt attempt, std::uint32_t worker_hash) {
+void CrashHistory::AnnounceStart(Attempt attempt, std::uint64_t incarnations) {
   announced_start_ = attempt;
-  announced_worker_ = worker_hash;
+  announced_incarnations_ = incarnations;
 }
 
 bool CrashHistory::OnEnded(Attempt attempt) {
--- a/src/core/jobs/job_records.cc
+++ b/src/core/jobs/job_records.cc
@@ -217,8 +217,9 @@
 constexpr unsigned kSharedCrash = 0;
 constexpr unsigned kSoleCrash = 1;
 constexpr unsigned kAnnouncedStart = 2;
-// The hash of the announced worker is added to the kind in units of this.
-constexpr std::uint64_t kWorkerHashUnit = 4;
+// What identifies the announced incarnations is added to the kind in units of
+// this.
+constexpr std::uint64_t kIncarnationsUnit = 4;
 
 void AppendCrashes(const CrashHistory& history, Json::Value* row) {
   const auto append = [row](Attempt attempt, std::uint64_t kind) {
@@ -230,8 +231,9 @@
            crash.blame == CrashBlame::kSole ? kSoleCrash : kSharedCrash);
   }
   if (history.announced_start()) {
-    append(*history.announced_start(),
-           kAnnouncedStart + history.announced_worker() * kWorkerHashUnit);
+    append(
+        *history.announced_start(),
+        kAnnouncedStart + history.announced_incarnations() * kIncarnationsUnit);
   }
 }
 
@@ -242,9 +244,8 @@
   for (Json::ArrayIndex i = from; i + 1 < row.size(); i += 2) {
     const Attempt attempt(row[i].asUInt64());
     const Json::UInt64 kind = row[i + 1].asUInt64();
-    if (kind % kWorkerHashUnit == kAnnouncedStart) {
-      history->AnnounceStart(
-          attempt, static_cast<std::uint32_t>(kind / kWorkerHashUnit));
+    if (kind % kIncarnationsUnit == kAnnouncedStart) {
+      history->AnnounceStart(attempt, kind / kIncarnationsUnit);
     } else {
       history->Add(attempt, kind == kSoleCrash ? CrashBlame::kSole
                                                : CrashBlame::kShared);
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -550,6 +550,7 @@
     const jobs::CrashHistory& crashes = *item.job->CrashesOf(task);
     run.is_suspect = crashes.is_suspect();
     run.was_lost_before = crashes.was_lost_before();
+    run.was_announced = crashes.announced_start() == number;
     fleet_->Reserve(choice.worker, run);
     runs_->Add(choice.worker, run);
     kept_rooms_.OnPlaced(item.step, fleet_->Find(choice.worker)->number());
--- a/src/core/scheduler/dispatcher_suspects.cc
+++ b/src/core/scheduler/dispatcher_suspects.cc
@@ -26,34 +26,61 @@
                       });
 }
 
-// Identifies a worker in the record of an announced start. Never 0.
-std::uint32_t HashOf(const base::BackendId& worker) {
-  return static_cast<std::uint32_t>(base::StableHash(worker.value(), 0)) | 1U;
+// Identifies an incarnation of a worker in the record of an announced start.
+// Never 0.
+std::uint32_t HashOf(const workers::Listing& listing) {
+  return static_cast<std::uint32_t>(base::StableHash(
+             listing.id.value(), static_cast<std::uint64_t>(listing.born_ms))) |
+         1U;
 }
 
+// Covers the difference between a worker's clock and the store's.
+constexpr std::int64_t kClockMarginMs = 1000;
+
 }  // namespace
 
+void Dispatcher::UpdateNewestIncarnation() {
+  newest_born_ms_ = workers::kUnknownIncarnation;
+  has_unknown_incarnation_ = false;
+  for (const auto& [id, worker] : fleet_->workers()) {
+    const std::int64_t born_ms = worker.listing().born_ms;
+    has_unknown_incarnation_ |= born_ms == workers::kUnknownIncarnation;
+    newest_born_ms_ = std::max(newest_born_ms_, born_ms);
+  }
+}
+
+bool Dispatcher::MayHaveCrashedWorkers(const jobs::Job& job) const {
+  return inherited_.contains(job.key) &&
+         (has_lost_inherited_workers_ || has_unknown_incarnation_ ||
+          newest_born_ms_ >= job.accepted_ms - kClockMarginMs);
+}
+
 bool Dispatcher::NeedsAnnouncement(const WaitingStep& item,
                                    const jobs::Task& task,
                                    const jobs::CrashHistory& crashes) const {
-  return crashes.is_suspect() ||
-         (announces_inherited_starts_ && inherited_.contains(item.step.job) &&
-          task.last_attempt < first_attempt_);
+  return crashes.is_suspect() || crashes.announced_start() ||
+         (task.last_attempt < first_attempt_ &&
+          MayHaveCrashedWorkers(*item.job));
 }
 
-void Dispatcher::RecordInheritedLoss(const base::BackendId& worker,
-                                     workers::LossKind kind) {
-  lost_inherited_workers_.insert(HashOf(worker));
-  announces_inherited_starts_ |= kind == workers::LossKind::kCrashed;
-}
-
-bool Dispatcher::IsAnnouncedWorkerLost(
-    const jobs::CrashHistory& crashes) const {
-  return crashes.announced_start() &&
-         *crashes.announced_start() < first_attempt_ &&
-         (crashes.announced_worker() == 0
-              ? !lost_inherited_workers_.empty()
-              : lost_inherited_workers_.contains(crashes.announced_worker()));
+bool Dispatcher::IsAnnouncedWorkerLost(const jobs::CrashHistory& crashes,
+                                       bool is_gang) const {
+  if (!crashes.announced_start() ||
+      *crashes.announced_start() >= first_attempt_) {
+    return false;
+  }
+  const std::uint64_t announced = crashes.announced_incarnations();
+  if (announced == 0 || is_gang) {
+    return has_lost_inherited_workers_ ||
+           (announced != 0 &&
+            static_cast<std::uint64_t>(newest_born_ms_) > announced);
+  }
+  return std::none_of(fleet_->workers().begin(), fleet_->workers().end(),
+                      [announced](const auto& entry) {
+                        const workers::Worker& worker = entry.second;
+                        return worker.is_claimed &&
+                               HashOf(worker.listing()) == announced;
+                      });
 }
 
 bool Dispatcher::IsStartAnnounced(jobs::Job* job, const jobs::TaskRef& task,
@@ -64,19 +91,22 @@
     return false;
   }
   jobs::CrashHistory* crashes = job->CrashesOf(task);
-  const std::uint32_t hash = worker == nullptr ? 0 : HashOf(worker->id());
+  const bool is_gang = worker == nullptr;
   if (crashes->announced_start() == attempt &&
-      crashes->announced_worker() == hash) {
+      (is_gang ||
+       crashes->announced_incarnations() == HashOf(worker->listing()))) {
     return jobs_->IsUpToDate(job->key);
   }
   // The verdict must come before the next start: owners may change so often
   // that none of them sees a crash.
-  if (IsAnnouncedWorkerLost(*crashes) &&
+  if (IsAnnouncedWorkerLost(*crashes, is_gang) &&
       job->RecordMissingStart(task, containment_.HasProof(job->queue, now))) {
     guilty_tasks_.push_back(task);
     return false;
   }
-  crashes->AnnounceStart(attempt, hash);
+  crashes->AnnounceStart(attempt,
+                         is_gang ? static_cast<std::uint64_t>(newest_born_ms_)
+                                 : HashOf(worker->listing()));
   jobs_->EnqueueJob(job->key, now);
   return false;
 }
@@ -90,7 +120,8 @@
     return;
   }
   const auto is_announced = [&](const Candidate& candidate) {
-    return HashOf(candidate.worker->id()) == crashes.announced_worker() &&
+    return HashOf(candidate.worker->listing()) ==
+               crashes.announced_incarnations() &&
            placement::HasCapacityFor(candidate, spec);
   };
   if (std::any_of(candidates->begin(), candidates->end(), is_announced)) {
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -313,17 +313,11 @@
 
 void Scheduler::RunPass(base::TimePoint now) {
   now_ = now;
+  dispatcher_.UpdateNewestIncarnation();
+  StopInheritedIncompleteGangs();
   dispatcher_.RunPass(now, &actions_);
   for (const jobs::TaskRef& task : dispatcher_.TakeGuiltyTasks()) {
-    const jobs::Job* job = jobs_.Find(task.step.job);
-    if (job == nullptr) {
-      // Another task of the job was found guilty too.
-      continue;
-    }
-    telemetry_.log->Write(
-        "task_crashes_workers",
-        {{"task", jobs::ToString(task)}, {"blame", "missing"}});
-    GiveUp(*job, base::Duration(0));
+    GiveUpForMissingStart(task);
   }
 }
 
