Start a suspect only where no other run is young

Cause: a suspect was started 50 ms after other runs, and got the sole blame when one of these crashed the worker after 150 ms. Change: the other runs on its worker are older than 250 ms, the age up to which runs are suspected; a worker is kept for that up to 400 ms. Figures: core_test and deadly_tasks pass.

--- a/src/core/scheduler/dispatcher_suspects.cc
+++ b/src/core/scheduler/dispatcher_suspects.cc
@@ -11,18 +11,19 @@
 using placement::Candidate;
 
 // How long nothing else is started on a worker that a suspect is to use: until
-// the tasks that were just started there are confirmed.
-constexpr base::Duration kMaxKeptForSuspect = std::chrono::milliseconds(300);
+// the tasks that were just started there are confirmed and no longer young.
+constexpr base::Duration kMaxKeptForSuspect = std::chrono::milliseconds(400);
 
-// Whether a task that is started on the worker now will be the last one by more
-// than workers::kMinSuspectGap.
+// Whether all runs of the worker are older than any run that is suspected when
+// a worker crashes. Otherwise a suspect that is started now would get the sole
+// blame for a crash that another run causes 150 ms after its own start.
 bool IsQuiet(const workers::Worker& worker, base::TimePoint now) {
   return std::none_of(worker.runs().begin(), worker.runs().end(),
                       [now](const auto& entry) {
                         const workers::Run& run = entry.second;
                         return run.state == workers::RunState::kReserved ||
                                run.state == workers::RunState::kStarting ||
-                               now - run.started_at <= workers::kMinSuspectGap;
+                               now - run.started_at <= workers::kSuspectAge;
                       });
 }
 
