Withdraw the announcement of a start whose run has lived for 5 s

Cause: a job that can be completed was given up when its workers crashed by themselves together with the owner, long after the starts that had been announced. Change: the owner withdraws the announcement when the run has lived for 5 s (tasks are known to crash workers up to 1.5 s after their start); that of a gang when all members live.

--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -284,6 +284,10 @@
   // member is missing, if a worker may have crashed under it. Placing it again
   // beside the others would leave no trace of that crash.
   void StopInheritedIncompleteGangs();
+  // Withdraws the announcements of starts whose runs have lived for long, so
+  // that the next owner doesn't take a later loss of their workers for crashes
+  // that they caused.
+  void WithdrawSurvivedAnnouncements();
   // Ends the job of a task that was found guilty because an announced start is
   // missing.
   void GiveUpForMissingStart(const jobs::TaskRef& task);
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -308,6 +308,7 @@
   if (now - load_logged_at_ >= kLoadLogPeriod) {
     load_logged_at_ = now;
     LogLoad();
+    WithdrawSurvivedAnnouncements();
   }
 }
 
--- a/src/core/scheduler/scheduler_crashes.cc
+++ b/src/core/scheduler/scheduler_crashes.cc
@@ -1,10 +1,18 @@
 // What the loss of workers says about the jobs whose runs were lost with them.
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 #include "dotterelbarrow/core/scheduler/scheduler.h"
 
 namespace dotterelbarrow::core::scheduler {
+namespace {
+
+// A run that has lived this long is not the cause of a later loss of its
+// worker. Tasks are known to crash their workers up to 1.5 s after their start.
+constexpr base::Duration kSurvivalAge = std::chrono::seconds(5);
+
+}  // namespace
 
 void Scheduler::OnWorkerUnresponsive(const workers::Worker& worker,
                                      base::TimePoint /*leases_end*/) {
@@ -143,6 +151,26 @@
   dispatcher_.RecordInheritedLoss();
 }
 
+void Scheduler::WithdrawSurvivedAnnouncements() {
+  std::vector<std::pair<jobs::TaskRef, jobs::Attempt>> survived;
+  for (const auto& [id, worker] : fleet_.workers()) {
+    for (const auto& [key, run] : worker.runs()) {
+      if (run.was_announced && run.state == workers::RunState::kRunning &&
+          worker.alive_at - run.started_at >= kSurvivalAge) {
+        survived.emplace_back(run.task, run.attempt);
+      }
+    }
+  }
+  for (const auto& [task, attempt] : survived) {
+    jobs::Job* job = jobs_.Find(task.step.job);
+    if (job != nullptr && job->FindTask(task) != nullptr &&
+        (!job->SpecOf(task.step).gang || HasGangSurvived(*job, task.step)) &&
+        job->CrashesOf(task)->OnEnded(attempt)) {
+      jobs_.EnqueueJob(job->key, now_);
+    }
+  }
+}
+
 void Scheduler::GiveUpForMissingStart(const jobs::TaskRef& task) {
   const jobs::Job* job = jobs_.Find(task.step.job);
   if (job == nullptr) {
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -174,6 +174,8 @@
       workers::MakeReservedRun(*job, listed.task, listed.attempt, now);
   run.state = workers::RunState::kRunning;
   run.started_at = now;
+  run.was_announced =
+      job->CrashesOf(listed.task)->announced_start() == listed.attempt;
   worker->AddRun(run);
   runs_.Add(worker->id(), run);
   job->RecordRun(listed.task, listed.attempt);
--- a/test/core/scheduler/crashing_tasks_test.cc
+++ b/test/core/scheduler/crashing_tasks_test.cc
@@ -86,7 +86,8 @@
 // Guards against a restart that no longer shows as a crash, because an owner
 // has stored it that was replaced before it started anything (soak, seeds 101
 // and 103).
-TEST_CASE("a task that crashes its workers while two owners in a row are lost") {
+TEST_CASE(
+    "a task that crashes its workers while two owners in a row are lost") {
   Scenario scenario;
   scenario.AddWorkers(6);
   jobs::StepSpec step = Scenario::Step(1);
@@ -211,6 +212,33 @@
         jobs::JobState::kCompleted);
 }
 
+// Guards against a job that is given up although it can be completed: each of
+// its workers crashes by itself when the task has run for some time, together
+// with the owner.
+TEST_CASE("announced starts whose workers crash by themselves much later") {
+  Scenario scenario;
+  scenario.AddWorkers(6);
+  jobs::StepSpec step = Scenario::Step(1);
+  SUBCASE("as a single task") {}
+  SUBCASE("as a gang of two") { step = Scenario::Gang(2); }
+  scenario.SubmitAndStore(kJob, "plain", {step});
+  const jobs::TaskRef task{{jobs::JobKey(kJob), 0, 0}, 0};
+  for (int owner = 0; owner < 8; ++owner) {
+    for (int pass = 0; pass < 120 && scenario.WorkerOf(task).empty(); ++pass) {
+      scenario.RunPasses(1);
+      scenario.Store();
+    }
+    for (int pass = 0; pass < 80; ++pass) {
+      scenario.RunPasses(1);
+      scenario.Store();
+    }
+    REQUIRE(scenario.CrashWorkerOf(task));
+    scenario.TakeOver();
+  }
+  CHECK(scenario.scheduler().StateOf(jobs::JobKey(kJob)) ==
+        jobs::JobState::kInProgress);
+}
+
 // Guards against announcements that keep work from its start when owners
 // change without a crash.
 TEST_CASE("waiting tasks under an owner that finds all workers as they were") {
