--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -174,6 +174,8 @@
       workers::MakeReservedRun(*job, listed.task, listed.attempt, now);
   run.state = workers::RunState::kRunning;
   run.started_at = now;
+  run.was_announced =
+      job->CrashesOf(listed.task)->announced_start() == listed.attempt;
   worker->AddRun(run);
   runs_.Add(worker->id(), run);
   job->RecordRun(listed.task, listed.attempt);
@@ -193,134 +195,6 @@
               outcome != CommandOutcome::kOutdated);
 }
 
-void Scheduler::OnWorkerUnresponsive(const workers::Worker& worker,
-                                     base::TimePoint /*leases_end*/) {
-  std::vector<desired::QueueId> queues;
-  const workers::WorkerLoss loss =
-      workers::DescribeLoss(worker, workers::LossKind::kUnexplained);
-  for (const workers::Run* run :
-       workers::FindSuspects(loss, dispatcher_.containment().suspect_gap())) {
-    if (const jobs::Job* job = jobs_.Find(run->task.step.job)) {
-      queues.push_back(job->queue);
-    }
-  }
-  dispatcher_.containment().RecordLoss(queues, now_);
-}
-
-void Scheduler::OnWorkerLost(const workers::WorkerLoss& loss) {
-  const std::vector<const workers::Run*> suspects =
-      workers::FindSuspects(loss, dispatcher_.containment().suspect_gap());
-  // The members of a gang are one suspect.
-  const bool is_one_suspect =
-      !suspects.empty() &&
-      std::all_of(suspects.begin(), suspects.end(),
-                  [&](const workers::Run* run) {
-                    return run == suspects.front() ||
-                           (run->is_gang_member &&
-                            run->task.step == suspects.front()->task.step);
-                  });
-  const bool is_crash = loss.kind == workers::LossKind::kCrashed;
-  // A start without an answer may have been sent to a dead worker.
-  const bool is_sole =
-      is_crash && is_one_suspect && suspects.front()->start_confirmed_ms != 0;
-  const bool is_explained = is_sole && IsKnownCause(*suspects.front());
-  for (const workers::Run* run : suspects) {
-    RecordCrash(loss, *run,
-                is_sole ? jobs::CrashBlame::kSole : jobs::CrashBlame::kShared);
-  }
-  if (!is_crash || is_explained) {
-    return;
-  }
-  // The others are suspects only if they are lost like this again.
-  for (const workers::Run& run : loss.runs) {
-    const bool is_suspect =
-        std::find(suspects.begin(), suspects.end(), &run) != suspects.end();
-    if (!is_suspect && workers::MayHaveStarted(run)) {
-      RecordCrash(loss, run, jobs::CrashBlame::kFaint);
-    }
-  }
-}
-
-bool Scheduler::IsKnownCause(const workers::Run& run) {
-  jobs::Job* job = jobs_.Find(run.task.step.job);
-  const jobs::CrashHistory* crashes =
-      job == nullptr ? nullptr : job->CrashesOf(run.task);
-  return crashes != nullptr &&
-         (!crashes->empty() ||
-          dispatcher_.containment().HasProof(job->queue, now_));
-}
-
-void Scheduler::RecordCrash(const workers::WorkerLoss& loss,
-                            const workers::Run& run, jobs::CrashBlame blame) {
-  jobs::Job* job = jobs_.Find(run.task.step.job);
-  if (job == nullptr ||
-      !job->RecordCrash(run.task, run.attempt, blame,
-                        dispatcher_.containment().HasProof(job->queue, now_))) {
-    return;
-  }
-  const bool is_guilty = jobs::IsFinal(job->state);
-  telemetry_.counters->Increment("crash_suspects", jobs::ToString(blame));
-  telemetry_.log->Write(
-      is_guilty ? "task_crashes_workers" : "task_suspected",
-      {{"task", jobs::ToString(run.task)},
-       {"attempt", static_cast<std::int64_t>(run.attempt.value())},
-       {"worker", loss.worker.value()},
-       {"blame", jobs::ToString(blame)},
-       {"lived_ms",
-        (loss.alive_at - run.started_at) / std::chrono::milliseconds(1)},
-       {"crashes", static_cast<std::int64_t>(
-                       job->CrashesOf(run.task)->crashes().size())}});
-  if (is_guilty) {
-    GiveUp(*job, loss.alive_at - run.started_at);
-  } else {
-    jobs_.EnqueueJob(job->key, now_);
-  }
-}
-
-void Scheduler::GiveUp(const jobs::Job& job, base::Duration lived) {
-  telemetry_.counters->Increment("jobs_given_up", "crashes_workers");
-  dispatcher_.containment().RecordProof(job.queue, lived, now_);
-  EndJob(job);
-}
-
-bool Scheduler::HasGangSurvived(const jobs::Job& job,
-                                const jobs::StepRef& step) {
-  const std::set<PlacedRun>& runs = runs_.RunsOfStep(step);
-  return runs.size() == job.SpecOf(step).tasks &&
-         std::all_of(runs.begin(), runs.end(), [this](const PlacedRun& placed) {
-           workers::Worker* worker = fleet_.Find(placed.worker);
-           const workers::Run* run =
-               worker == nullptr ? nullptr
-                                 : worker->FindRun(placed.task, placed.attempt);
-           return run != nullptr && run->state == workers::RunState::kRunning &&
-                  !workers::IsYoungAt(*run, worker->alive_at);
-         });
-}
-
-void Scheduler::OnSuspectSurvived(const workers::Run& run) {
-  jobs::Job* job = jobs_.Find(run.task.step.job);
-  // One member proves nothing about the others, which may have crashed their
-  // workers meanwhile. The last member that survives clears the gang.
-  if (job != nullptr &&
-      (!run.is_gang_member || HasGangSurvived(*job, run.task.step))) {
-    job->RecordSurvival(run.task);
-    telemetry_.log->Write(
-        "suspect_cleared",
-        {{"task", jobs::ToString(run.task)},
-         {"attempt", static_cast<std::int64_t>(run.attempt.value())}});
-  }
-}
-
-void Scheduler::OnInheritedWorkerLost(const base::BackendId& worker,
-                                      workers::LossKind kind) {
-  telemetry_.counters->Increment("inherited_workers_lost",
-                                 workers::ToString(kind));
-  telemetry_.log->Write(
-      "inherited_worker_lost",
-      {{"worker", worker.value()}, {"how", workers::ToString(kind)}});
-  dispatcher_.RecordInheritedLoss(worker, kind);
-}
-
 void Scheduler::OnWorkerReconciled(const base::BackendId& worker) {
   if (fleet_.unreconciled().empty()) {
     telemetry_.log->Write("workers_settled", {{"last", worker.value()}});
