Experiment: organisations of unequal load, and callers that retry

The experiment tool had one organisation without a share, and dropped a refused job. It could not show what shares and retry times do to callers.

A pattern may now name a number of organisations with unequal parts of the load, their shares, and seconds in which one of them submits more; callers retry a refused job after the time that the answer states, in whole seconds as over HTTP. The tool prints the earnings of the worst tenth of the organisations and the refused submissions by reason.

--- a/bench/experiment/experiment.cc
+++ b/bench/experiment/experiment.cc
@@ -50,7 +50,6 @@
 constexpr double kUselessFactor = 100;
 
 const char* const kService = "service";
-const char* const kOrganisation = "organisation";
 
 core::desired::Queue QueueOf(const Kind& kind) {
   core::desired::Queue queue;
@@ -127,6 +126,7 @@
 Experiment::Experiment(const Pattern& pattern, const ExperimentOptions& options)
     : pattern_(pattern),
       options_(options),
+      organisations_(pattern),
       fleet_(
           &timeline_,
           [this](const core::scheduler::StartTask& command) {
@@ -237,7 +237,7 @@
     const Kind& kind = pattern_.kinds[i];
     double at_s = 0;
     while (true) {
-      double rate = kind.jobs_per_s;
+      double rate = kind.jobs_per_s * organisations_.LoadAt(at_s);
       for (const Burst& burst : kind.bursts) {
         const bool is_on =
             at_s >= burst.at_s && at_s < burst.at_s + burst.for_s;
@@ -324,25 +324,51 @@
 void Experiment::Submit(std::size_t index) {
   const Kind& kind = pattern_.kinds[index];
   const JobKey key(++last_job_);
-  SubmittedJob job{.kind = index, .at_us = timeline_.now_us()};
-  core::jobs::JobSpec spec = MakeSpec(kind, &job);
+  const double at_s =
+      static_cast<double>(timeline_.now_us() - kWarmUp) / kSecond;
+  SubmittedJob job{.kind = index,
+                   .organisation = organisations_.OrganisationOf(
+                       key.value(), options_.seed, at_s),
+                   .at_us = timeline_.now_us()};
+  auto spec = std::make_shared<const core::jobs::JobSpec>(MakeSpec(kind, &job));
   KindOutcome& outcome = outcome_.kinds[index];
   ++outcome.jobs;
   outcome.work += job.work;
   outcome.value += kind.value;
+  organisations_.AddJob(job.organisation, kind.value);
   kind_of_job_[key] = index;
   open_jobs_.emplace(key, job);
-  RunAsOwner("submit", [this, key, index, spec = std::move(spec)]() mutable {
+  Send(key, std::move(spec), pattern_.retries);
+}
+
+void Experiment::Send(JobKey key,
+                      std::shared_ptr<const core::jobs::JobSpec> spec,
+                      int retries) {
+  RunAsOwner("submit", [this, key, spec, retries] {
+    const SubmittedJob& job = open_jobs_.at(key);
     const auto answer = scheduler_.Submit(
-        {key, core::desired::QueueId(pattern_.kinds[index].name),
-         base::OrganisationId(kOrganisation), std::move(spec)},
+        {key, core::desired::QueueId(pattern_.kinds[job.kind].name),
+         organisations_.IdOf(job.organisation), *spec},
         core::scheduler::WaiterId(key.value()),
         timeline_.now_us() / kMillisecond, timeline_.Now());
-    if (answer.outcome == core::scheduler::SubmitOutcome::kRefused) {
-      ++outcome_.kinds[index].refused;
+    SchedulePass();
+    if (answer.outcome != core::scheduler::SubmitOutcome::kRefused) {
+      return;
+    }
+    KindOutcome& outcome = outcome_.kinds[job.kind];
+    ++outcome.refusals;
+    ++outcome_.refusals[answer.reason];
+    if (retries == 0) {
+      ++outcome.refused;
       open_jobs_.erase(key);
+      return;
     }
-    SchedulePass();
+    // The answer to the caller has whole seconds.
+    const auto wait =
+        std::chrono::ceil<std::chrono::seconds>(answer.retry_after);
+    timeline_.After(wait.count() * kSecond, [this, key, spec, retries] {
+      Send(key, spec, retries - 1);
+    });
   });
 }
 
@@ -577,20 +603,23 @@
     }
     const SubmittedJob& job = it->second;
     KindOutcome& outcome = outcome_.kinds[job.kind];
+    double earned = 0;
     const auto taken = static_cast<double>(timeline_.now_us() - job.at_us);
     outcome.completion_ms.push_back(taken / kMillisecond);
     if (*state == core::jobs::JobState::kCompleted &&
         taken <= job.objective_us) {
       ++outcome.on_time;
-      outcome.earned += pattern_.kinds[job.kind].value;
+      earned = pattern_.kinds[job.kind].value;
       outcome.work_on_time += job.work;
     } else {
       ++outcome.late;
       if (*state == core::jobs::JobState::kCompleted &&
           taken <= kExpiryFactor * job.objective_us) {
-        outcome.earned += kLateFraction * pattern_.kinds[job.kind].value;
+        earned = kLateFraction * pattern_.kinds[job.kind].value;
       }
     }
+    outcome.earned += earned;
+    organisations_.AddEarned(job.organisation, earned);
     it = open_jobs_.erase(it);
   }
 }
@@ -600,12 +629,8 @@
   for (const Kind& kind : pattern_.kinds) {
     queues.push_back(QueueOf(kind));
   }
-  core::desired::Organisation organisation;
-  organisation.id = base::OrganisationId(kOrganisation);
-  organisation.weight = 1e6;
   scheduler_.SetDesired(std::make_shared<core::desired::DesiredState>(
-      base::ConfigVersion(1), std::move(queues),
-      std::vector<core::desired::Organisation>{organisation},
+      base::ConfigVersion(1), std::move(queues), organisations_.Configured(),
       std::vector<core::desired::Service>{
           {base::ServiceId(kService), false, false}},
       core::desired::CallLimits()));
@@ -638,6 +663,7 @@
       outcome_.locality[key.first + "/" + key.second] = value;
     }
   }
+  outcome_.earned_fractions = organisations_.EarnedFractions();
   outcome_.starts = fleet_.starts();
   outcome_.looks = fleet_.looks();
   for (const auto& [key, count] : counters_.values()) {
--- a/bench/experiment/experiment.h
+++ b/bench/experiment/experiment.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "bench/experiment/fleet_model.h"
+#include "bench/experiment/organisations.h"
 #include "bench/experiment/pattern.h"
 #include "dotterelbarrow/core/scheduler/scheduler.h"
 
@@ -41,7 +42,9 @@
 // Results of the jobs of one kind.
 struct KindOutcome {
   int jobs = 0;
+  // Jobs whose last submission was refused, and refused submissions.
   int refused = 0;
+  int refusals = 0;
   int on_time = 0;
   int late = 0;
   int unfinished = 0;
@@ -79,6 +82,10 @@
   std::map<std::string, std::uint64_t> preemptions;
   // Seconds of real time that the owner's calls took, by kind of call.
   std::map<std::string, double> cpu_s;
+  // The fraction of its value that each organisation earned, ascending.
+  std::vector<double> earned_fractions;
+  // Refused submissions, by reason.
+  std::map<std::string, std::uint64_t> refusals;
   // The scheduler's counters of local and remote placements.
   std::map<std::string, std::uint64_t> locality;
 };
@@ -97,6 +104,7 @@
   // A job that has not ended yet.
   struct SubmittedJob {
     std::size_t kind = 0;
+    std::size_t organisation = 0;
     std::int64_t at_us = 0;
     double objective_us = 0;
     double work = 0;
@@ -108,6 +116,9 @@
   void RestoreSpeeds();
   void ScheduleSubmissions();
   void Submit(std::size_t kind);
+  // Sends the submission of a job, `retries` times more if it is refused.
+  void Send(core::jobs::JobKey key,
+            std::shared_ptr<const core::jobs::JobSpec> spec, int retries);
   core::jobs::JobSpec MakeSpec(const Kind& kind, SubmittedJob* job);
   RunPlan PlanOf(const core::scheduler::StartTask& command);
   // Returns by which factor a run that starts on the worker now takes longer.
@@ -141,6 +152,7 @@
 
   Pattern pattern_;
   ExperimentOptions options_;
+  Organisations organisations_;
   Timeline timeline_;
   FleetModel fleet_;
   std::unique_ptr<Log> log_;
--- a/bench/experiment/main.cc
+++ b/bench/experiment/main.cc
@@ -1,5 +1,6 @@
 // dotterel-experiment: replays a load pattern, and prints the delays that
 // callers would have seen and the time that the scheduler's decisions took.
+#include <algorithm>
 #include <boost/program_options.hpp>
 #include <cstdio>
 #include <iostream>
@@ -43,6 +44,19 @@
   }
   std::printf("\n");
   std::printf("earned %.3f of the value\n", value > 0 ? earned / value : 0);
+  // A tenth of the organisations, at least one.
+  const std::vector<double>& fractions = outcome.earned_fractions;
+  const std::size_t worst = std::max<std::size_t>(fractions.size() / 10, 1);
+  if (fractions.size() > 1) {
+    std::printf("worst tenth of the organisations %.3f, median %.3f\n",
+                Mean({fractions.begin(),
+                      fractions.begin() + static_cast<std::ptrdiff_t>(worst)}),
+                Percentile(fractions, 0.5));
+  }
+  for (const auto& [reason, count] : outcome.refusals) {
+    std::printf("refused submissions %s %llu\n", reason.c_str(),
+                static_cast<unsigned long long>(count));
+  }
   std::printf(
       "packing %.1f%%, %llu starts, %llu polls, %llu advice requests, "
       "%llu batches written\n",
--- a/bench/experiment/pattern.cc
+++ b/bench/experiment/pattern.cc
@@ -22,6 +22,27 @@
   }
 }
 
+Burst ReadBurst(const Json::Value& value) {
+  Burst burst;
+  ReadNumber(value, "at", &burst.at_s);
+  ReadNumber(value, "for", &burst.for_s);
+  ReadNumber(value, "times", &burst.times);
+  return burst;
+}
+
+OrganisationSettings ReadOrganisations(const Json::Value& value) {
+  OrganisationSettings organisations;
+  ReadNumber(value, "count", &organisations.count);
+  ReadNumber(value, "skew", &organisations.skew);
+  ReadNumber(value, "weight_factor", &organisations.weight_factor);
+  for (const Json::Value& burst : value["bursts"]) {
+    OrganisationBurst read{.organisation = 0, .burst = ReadBurst(burst)};
+    ReadNumber(burst, "organisation", &read.organisation);
+    organisations.bursts.push_back(read);
+  }
+  return organisations;
+}
+
 Kind ReadKind(const Json::Value& value) {
   Kind kind;
   kind.name = value["name"].isString() ? value["name"].asString() : "";
@@ -48,11 +69,7 @@
   ReadNumber(value, "same_rack", &kind.same_rack);
   ReadNumber(value, "hot_rack", &kind.hot_rack);
   for (const Json::Value& burst : value["bursts"]) {
-    Burst read;
-    ReadNumber(burst, "at", &read.at_s);
-    ReadNumber(burst, "for", &read.for_s);
-    ReadNumber(burst, "times", &read.times);
-    kind.bursts.push_back(read);
+    kind.bursts.push_back(ReadBurst(burst));
   }
   return kind;
 }
@@ -104,6 +121,8 @@
   ReadNumber(*value, "restore_ms", &pattern.restore_ms);
   ReadNumber(*value, "rack_size", &pattern.rack_size);
   ReadNumber(*value, "remote_factor", &pattern.remote_factor);
+  ReadNumber(*value, "retries", &pattern.retries);
+  pattern.organisations = ReadOrganisations((*value)["organisations"]);
   for (const Json::Value& kind : (*value)["kinds"]) {
     pattern.kinds.push_back(ReadKind(kind));
   }
--- a/bench/experiment/pattern.h
+++ b/bench/experiment/pattern.h
@@ -9,7 +9,9 @@
 //    "data_rack", "same_rack", "hot_rack", "noise", "value", "bursts":
 //    [{"at", "for", "times"}]}], "speeds": [{"share", "factor"}], "tail":
 //    {"share", "factor"}, "spells": {"per_s", "for", "factor"},
-//    "stop_timeout_ms", "stop_ms", "restore_ms"}
+//    "stop_timeout_ms", "stop_ms", "restore_ms", "retries", "organisations":
+//    {"count", "skew", "weight_factor", "bursts": [{"organisation", "at",
+//    "for", "times"}]}}
 //
 // `rate` is in jobs per second, and sizes are means. `allowed` is the fraction
 // of the workers on which the advisor allows a step to run. A missing name
@@ -20,11 +22,13 @@
 // becomes slow by the factor of `spells` so often each second, for so long.
 // `noise` is the standard deviation of the logarithm of run times within a
 // step. `value` is what a job on time earns; a late one earns a fifth of that
-// up to three times its objective.
-// advice. `data_rack` is the fraction of the steps whose tasks take
-// `remote_factor` times as long away from one rack, `hot_rack` the fraction of
-// these whose rack is the first one. `same_rack` is the fraction of the gangs
-// that take as long on several racks.
+// up to three times its objective. `data_rack` is the fraction of the steps
+// whose tasks take `remote_factor` times as long away from one rack, `hot_rack`
+// the fraction of these whose rack is the first one. `same_rack` is the
+// fraction of the gangs that take as long on several racks. Callers retry a
+// refused job up to `retries` times, when the answer tells them to. The load of
+// the n-th organisation is proportional to n to the power of -`skew`; its share
+// is `weight_factor` times its usual load (0: unlimited).
 #ifndef DOTTERELBARROW_BENCH_EXPERIMENT_PATTERN_H_
 #define DOTTERELBARROW_BENCH_EXPERIMENT_PATTERN_H_
 
@@ -87,6 +91,19 @@
   double factor = 1;
 };
 
+// From `burst.at_s`, an organisation submits `burst.times` its usual load.
+struct OrganisationBurst {
+  int organisation = 0;
+  Burst burst;
+};
+
+struct OrganisationSettings {
+  int count = 1;
+  double skew = 0;
+  double weight_factor = 0;
+  std::vector<OrganisationBurst> bursts;
+};
+
 struct Pattern {
   int workers = 48;
   double cores = 16;
@@ -108,6 +125,9 @@
   // Number of workers in one rack; 0 if there are no racks.
   int rack_size = 0;
   double remote_factor = 1;
+  // How often callers submit a refused job again.
+  int retries = 0;
+  OrganisationSettings organisations;
   std::vector<Kind> kinds;
 };
 
