Refuse jobs beyond a share only while jobs of their priority wait

A job beyond its organisation's share was refused as soon as any other job had waited for 0.3 of its slack and 0.75 of the fleet was in use. Lookups of 3 x 5 cores were refused because gangs of 20 x 9 waited for capacity that only gangs lacked, and came back after 2 s, when they were late.

Such a job is now refused only while jobs of its own priority have waited that long, or while the owner's processor is saturated, which all jobs compete for. The owner counts refused jobs by reason (jobs_refused).

--- a/bench/experiment/experiment.cc
+++ b/bench/experiment/experiment.cc
@@ -663,7 +663,8 @@
       outcome_.locality[key.first + "/" + key.second] = value;
     }
   }
-  outcome_.earned_fractions = organisations_.EarnedFractions();
+  outcome_.earned_fractions = organisations_.EarnedFractions(false);
+  outcome_.steady_fractions = organisations_.EarnedFractions(true);
   outcome_.starts = fleet_.starts();
   outcome_.looks = fleet_.looks();
   for (const auto& [key, count] : counters_.values()) {
--- a/bench/experiment/experiment.h
+++ b/bench/experiment/experiment.h
@@ -82,8 +82,10 @@
   std::map<std::string, std::uint64_t> preemptions;
   // Seconds of real time that the owner's calls took, by kind of call.
   std::map<std::string, double> cpu_s;
-  // The fraction of its value that each organisation earned, ascending.
+  // The fraction of its value that each organisation earned, ascending, and
+  // only of those without bursts of their own.
   std::vector<double> earned_fractions;
+  std::vector<double> steady_fractions;
   // Refused submissions, by reason.
   std::map<std::string, std::uint64_t> refusals;
   // The scheduler's counters of local and remote placements.
--- a/bench/experiment/organisations.h
+++ b/bench/experiment/organisations.h
@@ -36,8 +36,8 @@
     earned_[organisation] += earned;
   }
   // Returns the fraction of its value that each organisation has earned, the
-  // lowest first.
-  std::vector<double> EarnedFractions() const;
+  // lowest first; with `only_steady`, of those without bursts of their own.
+  std::vector<double> EarnedFractions(bool only_steady) const;
 
  private:
   double PartAt(std::size_t organisation, double at_s) const;
--- a/include/dotterelbarrow/core/placement/load_shedder.h
+++ b/include/dotterelbarrow/core/placement/load_shedder.h
@@ -5,15 +5,18 @@
 // share, brings more work than the fleet can do for seconds. Waiting jobs are
 // placed by their latest start, so a new job will wait about as long as the job
 // of its queue that has used up most of its slack. Jobs beyond an
-// organisation's share are refused as soon as other jobs have waited for a
-// noticeable part of their slack; other jobs are refused only when the jobs
-// before them are about to be late. Nothing is refused while both the fleet and
+// organisation's share are refused as soon as other jobs of their priority have
+// waited for a noticeable part of their slack: capacity that waiting gangs
+// can't use may be free for lookups, which are placed before them anyway. Other
+// jobs are refused only when the jobs before them are about to be late. Nothing
+// is refused while both the fleet and
 // the owner have free capacity. For an organisation at its cap, its own waiting
 // jobs decide, however free the fleet is. Accepted jobs are never dropped.
 #ifndef DOTTERELBARROW_CORE_PLACEMENT_LOAD_SHEDDER_H_
 #define DOTTERELBARROW_CORE_PLACEMENT_LOAD_SHEDDER_H_
 
 #include <algorithm>
+#include <map>
 #include <unordered_map>
 
 #include "dotterelbarrow/base/ids.h"
@@ -23,7 +26,7 @@
 
 enum class Refusal {
   kNone,
-  kOverShare,   // The organisation is beyond its share, and other jobs wait.
+  kOverShare,   // The organisation is beyond its share, and such jobs wait.
   kOverloaded,  // The jobs before it in its queue are about to be late.
   kAtCap,  // Jobs waiting under the organisation's cap are about to be late.
 };
@@ -46,6 +49,7 @@
   // the fraction of the fleet in use, from 0 to 1.
   void BeginPass(double fleet_usage) {
     used_slack_by_queue_.clear();
+    used_slack_by_priority_.clear();
     used_slack_at_cap_.clear();
     max_used_slack_ = 0;
     fleet_usage_ = fleet_usage;
@@ -53,9 +57,12 @@
   // Records that a job of `queue`, within its organisation's share, waits for
   // capacity on workers. `used_slack` is the fraction of its slack that it has
   // used up, from 0 to 1.
-  void RecordWaiting(const desired::QueueId& queue, double used_slack) {
-    double& max_used = used_slack_by_queue_[queue];
-    max_used = std::max(max_used, used_slack);
+  void RecordWaiting(const desired::QueueId& queue, int priority,
+                     double used_slack) {
+    for (double* max_used :
+         {&used_slack_by_queue_[queue], &used_slack_by_priority_[priority]}) {
+      *max_used = std::max(*max_used, used_slack);
+    }
     max_used_slack_ = std::max(max_used_slack_, used_slack);
   }
 
@@ -71,7 +78,7 @@
 
   // Returns whether and why to refuse a new job. `over_share` tells whether the
   // job is beyond its organisation's share.
-  Refusal Decide(const desired::QueueId& queue,
+  Refusal Decide(const desired::QueueId& queue, int priority,
                  const base::OrganisationId& organisation,
                  bool over_share) const {
     if (const auto it = used_slack_at_cap_.find(organisation);
@@ -83,8 +90,7 @@
         return Refusal::kAtCap;
       }
     }
-    const bool is_busy = fleet_usage_ >= kBusyFleetUsage || is_saturated_;
-    if (over_share && is_busy && max_used_slack_ > kWaitingSlackFraction) {
+    if (over_share && IsCompetedFor(priority)) {
       return Refusal::kOverShare;
     }
     if (fleet_usage_ < kFullFleetUsage && !is_saturated_) {
@@ -97,7 +103,20 @@
   }
 
  private:
+  // Returns whether a new job of this priority would take what other jobs wait
+  // for: capacity, or the owner's processor time, which all jobs need.
+  bool IsCompetedFor(int priority) const {
+    if (is_saturated_) {
+      return max_used_slack_ > kWaitingSlackFraction;
+    }
+    const auto it = used_slack_by_priority_.find(priority);
+    return fleet_usage_ >= kBusyFleetUsage &&
+           it != used_slack_by_priority_.end() &&
+           it->second > kWaitingSlackFraction;
+  }
+
   std::unordered_map<desired::QueueId, double> used_slack_by_queue_;
+  std::map<int, double> used_slack_by_priority_;
   std::unordered_map<base::OrganisationId, double> used_slack_at_cap_;
   double max_used_slack_ = 0;
   double fleet_usage_ = 0;
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -150,9 +150,10 @@
   // Returns whether and why a new job should be refused, judged by the last
   // pass.
   placement::Refusal ShouldRefuseNewWork(
-      const desired::QueueId& queue, const base::OrganisationId& organisation,
+      const desired::Queue& queue, const base::OrganisationId& organisation,
       bool over_share) const {
-    return load_shedder_.Decide(queue, organisation, over_share);
+    return load_shedder_.Decide(queue.id, queue.priority, organisation,
+                                over_share);
   }
   // Records that the job has arrived, so that room under its organisation's cap
   // is kept for urgent jobs like it.
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -339,7 +339,7 @@
   if (reason == WaitReason::kCap) {
     load_shedder_.RecordCapped(item.job->organisation, used);
   } else if (reason == WaitReason::kFreeResources && !item.urgency.over_share) {
-    load_shedder_.RecordWaiting(item.queue->id, used);
+    load_shedder_.RecordWaiting(item.queue->id, item.queue->priority, used);
   }
 }
 
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -167,9 +167,8 @@
   const AdmissionDecision decision =
       DecideAdmission(submission, &submission_rates_, now);
   if (decision.refusal) {
-    if (decision.refusal->reason == "evacuated") {
-      telemetry_.counters->Increment("jobs_refused", "evacuated");
-    }
+    telemetry_.counters->Increment("jobs_refused",
+                                   decision.refusal->reason.c_str());
     return *decision.refusal;
   }
   if (decision.is_over_share) {
--- a/src/core/scheduler/scheduler_admission.cc
+++ b/src/core/scheduler/scheduler_admission.cc
@@ -47,8 +47,8 @@
   decision.is_over_share =
       organisation != nullptr &&
       !rates->TryAcquire(organisation->id, organisation->weight, now);
-  switch (dispatcher_.ShouldRefuseNewWork(
-      submission.queue, submission.organisation, decision.is_over_share)) {
+  switch (dispatcher_.ShouldRefuseNewWork(*queue, submission.organisation,
+                                          decision.is_over_share)) {
     case placement::Refusal::kOverShare:
       return refuse("over_share", kOverShareRetryAfter,
                     admission::PauseAfterRefusal(entry_host_count_,
