--- a/test/core/scheduler/crashing_tasks_test.cc
+++ b/test/core/scheduler/crashing_tasks_test.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "test/core/scheduler/scheduler_scenario.h"
 
@@ -212,6 +213,28 @@
         jobs::JobState::kCompleted);
 }
 
+// Guards against the sole blame for a suspect that was started shortly after
+// the run that then crashed their worker (soak, seeds 101 and 103).
+TEST_CASE("two suspects that can use only one worker") {
+  Scenario scenario;
+  scenario.AddWorkers(1);
+  scenario.SubmitAndStore(1, "plain", {Scenario::Step(1)});
+  scenario.SubmitAndStore(2, "plain", {Scenario::Step(1)});
+  scenario.RunPasses(1);
+  REQUIRE(scenario.TakeStarts().size() == 2);
+  REQUIRE(scenario.CrashWorkerOf({{jobs::JobKey(1), 0, 0}, 0}));
+  std::vector<base::TimePoint> starts;
+  for (int pass = 0; pass < 60; ++pass) {
+    scenario.RunPasses(1);
+    scenario.Store();
+    if (!scenario.TakeStarts().empty()) {
+      starts.push_back(scenario.now());
+    }
+  }
+  REQUIRE(starts.size() == 2);
+  CHECK(starts[1] - starts[0] > workers::kSuspectAge);
+}
+
 // Guards against a job that is given up although it can be completed: each of
 // its workers crashes by itself when the task has run for some time, together
 // with the owner.
