Headers of their own for a waiting step, the settings and the context of a pass

Change: WaitingStep, WaitReason, TaskChoice and MayRunOn are in waiting_step.h, DispatcherSettings in dispatcher_settings.h, and the state that more than one decision reads in dispatcher_context.h. Dispatcher owns the context. It can't be copied any more, since the decisions will point to its context.

--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -32,82 +32,34 @@
 #include "dotterelbarrow/core/scheduler/actions.h"
 #include "dotterelbarrow/core/scheduler/copy_tracker.h"
 #include "dotterelbarrow/core/scheduler/decision_log.h"
+#include "dotterelbarrow/core/scheduler/dispatcher_context.h"
+#include "dotterelbarrow/core/scheduler/dispatcher_settings.h"
 #include "dotterelbarrow/core/scheduler/explanation.h"
 #include "dotterelbarrow/core/scheduler/fleet.h"
 #include "dotterelbarrow/core/scheduler/job_registry.h"
 #include "dotterelbarrow/core/scheduler/run_index.h"
+#include "dotterelbarrow/core/scheduler/waiting_step.h"
 
 namespace dotterelbarrow::core::scheduler {
 
-struct DispatcherSettings {
-  // Maximum number of workers named in one advice request; the platform's
-  // limit.
-  std::size_t max_workers_per_request = 100;
-  // A ticket is not used for this long before it expires, so that the start
-  // command arrives while it is valid.
-  base::Duration ticket_margin = std::chrono::milliseconds(150);
-  // Delay before a failed advice request is repeated.
-  base::Duration advice_retry_delay = std::chrono::milliseconds(150);
-  // A scheduling pass places nothing more once it has found no free resources
-  // for this many steps, taken in the order of their urgency. With a long
-  // backlog, trying the remaining steps would only cost processor time.
-  int max_unplaced_steps = 48;
-  // After that, a pass over overdue steps still tries this many of the
-  // remaining ones, each time those after the last ones tried. Otherwise steps
-  // that fit nowhere for a long time, such as suspects of crashes, would keep
-  // all steps behind them from capacity that is free.
-  std::size_t rotating_steps = 16;
-  // Interval at which gangs are tried again for which there was no capacity,
-  // for each worker of the fleet. Passes in between only keep the same workers
-  // free for them. A hundredth of a second for 500 workers is small against the
-  // time that a gang waits for its workers.
-  base::Duration gang_retry_interval_per_worker = std::chrono::microseconds(20);
-  // Interval at which the utilisation of the fleet is computed, for each worker
-  // of the fleet: half a millisecond for 50 workers, so that going through a
-  // large fleet does not take most of the time of a pass.
-  base::Duration usage_interval_per_worker = std::chrono::microseconds(10);
-  // Interval at which overdue steps are considered: steps of jobs that can no
-  // longer complete in time.
-  base::Duration overdue_pass_interval = std::chrono::milliseconds(50);
-  // Whether run times are learnt, for experiments without that.
-  bool uses_run_times = true;
-  // How many runs a pass looks at, at most, to see whether they need copies. A
-  // run is looked at about five times, so that this suffices for all runs that
-  // can be placed, 1,800 a second.
-  int max_copy_looks = 36;
-  // Nothing is preempted with the default values.
-  placement::PreemptionSettings preemption;
-  // How many times as long a task runs away from its `data_rack`, and a gang
-  // that prefers one rack on several. With 1, nothing waits for a local worker.
-  double remote_factor = 1;
-};
-
-// Why a step whose dependencies are met is not started.
-enum class WaitReason {
-  kStoring,        // The acceptance of its job is not stored yet.
-  kUntrackedRuns,  // A worker of a previous owner may have an untracked run of
-                   // it.
-  kAdvice,         // The advisor has not said which workers may run it.
-  kFreeResources,  // The allowed workers lack free resources.
-  kCap,            // Its organisation has reached its cap.
-  kOrphanedMembers,  // Members of its last attempt may still be running.
-  kIsolation,        // Its tasks may crash workers, and no worker is apart from
-                     // others.
-  kLocalWorker,  // A place near its data, or on one rack, is worth the wait.
-};
-
-const char* ToString(WaitReason reason);
-
 class Dispatcher {
  public:
   Dispatcher(DispatcherSettings settings, Telemetry telemetry,
              JobRegistry* jobs, Fleet* fleet, RunIndex* runs)
-      : settings_(settings),
+      : context_{.settings = settings,
+                 .telemetry = telemetry,
+                 .jobs = jobs,
+                 .fleet = fleet,
+                 .runs = runs},
         telemetry_(telemetry),
         jobs_(jobs),
         fleet_(fleet),
         runs_(runs) {}
 
+  // The decisions point to the context.
+  Dispatcher(const Dispatcher&) = delete;
+  Dispatcher& operator=(const Dispatcher&) = delete;
+
   // Replaces the configuration in use.
   void SetDesired(std::shared_ptr<const desired::DesiredState> desired);
   // Sets the entry hosts through which the advisor can be called.
@@ -116,11 +68,13 @@
   }
   // Sets the lowest attempt number of this owner, which is above those of all
   // previous owners.
-  void set_first_attempt(jobs::Attempt first) { first_attempt_ = first; }
+  void set_first_attempt(jobs::Attempt first) {
+    context_.first_attempt = first;
+  }
   // Marks a job as accepted by a previous owner. Its steps are not started as
   // long as some worker may have untracked runs, because one of them may be a
   // run of this job.
-  void MarkInherited(jobs::JobKey job) { inherited_.insert(job); }
+  void MarkInherited(jobs::JobKey job) { context_.inherited.insert(job); }
 
   // Records that a worker of a previous owner is lost. If it has crashed, it
   // may have done so under runs that nobody remembers; the next start of each
@@ -133,11 +87,13 @@
   // Adds the rules of a queue that may have been dropped from the configuration
   // since. Does nothing if the queue is known.
   void RememberQueue(const desired::Queue& queue) {
-    known_queues_.try_emplace(queue.id, queue);
+    context_.known_queues.try_emplace(queue.id, queue);
   }
   // Returns the current rules of the queue or, if it was dropped, its last
   // ones; null if the queue was never known.
-  const desired::Queue* FindQueue(const desired::QueueId& id) const;
+  const desired::Queue* FindQueue(const desired::QueueId& id) const {
+    return context_.FindQueue(id);
+  }
 
   // Adds the step to those that the next pass tries to place.
   void Enqueue(const jobs::StepRef& step) {
@@ -159,7 +115,7 @@
   void RecordArrival(jobs::Job* job, const desired::Queue& queue,
                      base::TimePoint now);
   // Marks an accepted job as beyond its organisation's share.
-  void MarkOverShare(jobs::JobKey job) { over_share_.insert(job); }
+  void MarkOverShare(jobs::JobKey job) { context_.over_share.insert(job); }
   // Drops the marks of a job.
   void RemoveJob(jobs::JobKey job);
 
@@ -167,10 +123,12 @@
   void set_saturated(bool saturated) { load_shedder_.set_saturated(saturated); }
 
   // What is known about crashes; the scheduler reports proofs to it.
-  placement::CrashContainment& containment() { return containment_; }
+  placement::CrashContainment& containment() { return context_.containment; }
   // What is known about run times; the scheduler records completed runs in it.
-  placement::RunTimeModel& run_times() { return run_times_; }
-  const placement::RunTimeModel& run_times() const { return run_times_; }
+  placement::RunTimeModel& run_times() { return context_.run_times; }
+  const placement::RunTimeModel& run_times() const {
+    return context_.run_times;
+  }
 
   // The workers that accept work have changed: the next pass computes the
   // utilisation of the fleet and chooses workers for waiting gangs anew.
@@ -202,7 +160,9 @@
   std::uint64_t TakeJobsBegun() { return std::exchange(jobs_begun_, 0); }
 
   // Whether the job was accepted by a previous owner.
-  bool IsInherited(jobs::JobKey job) const { return inherited_.contains(job); }
+  bool IsInherited(jobs::JobKey job) const {
+    return context_.inherited.contains(job);
+  }
   // A run that a previous owner started was added to the worker.
   void OnRunAdopted(const base::BackendId& worker, const workers::Run& run,
                     base::TimePoint now);
@@ -226,41 +186,14 @@
   std::size_t held_workers() const { return gang_holds_.held_count(); }
 
  private:
-  // A waiting step, as one pass sees it.
-  struct WaitingStep {
-    placement::Urgency urgency;
-    jobs::StepRef step;
-    jobs::Job* job = nullptr;
-    const desired::Queue* queue = nullptr;
-    // Whether the step has so much slack left that it yields capacity to gangs
-    // and to urgent work.
-    bool yields = false;
-    // Why no task of the step may start yet, even if resources are free.
-    std::optional<WaitReason> blocked_by{};
-    // Allowed workers that accept new work; filled in once the advice is known.
-    // Steps other than gangs list only workers with free resources for a task.
-    // Gangs list the others too, since resources may be freed there later.
-    std::vector<placement::Candidate> candidates{};
-    // Whether a task waits for a worker on which it can be told apart.
-    bool waits_for_isolation = false;
-    // How many more tasks are placed away from their data in this pass; not set
-    // before a task fits on no local worker.
-    std::optional<std::uint32_t> remote_tasks{};
-    // Whether a task waits for a local worker.
-    bool waits_for_local = false;
-  };
+  using Choice = TaskChoice;
+
   // What the last try to place a gang found.
   struct UnplacedGang {
     // Workers that may run it, and those kept free for it.
     std::vector<workers::WorkerNumber> wanted;
     std::vector<workers::WorkerNumber> held;
   };
-  // A worker chosen for one task.
-  struct Choice {
-    std::uint32_t index = 0;
-    base::BackendId worker;
-  };
-
   // Returns those of `steps` that have tasks to place, the most urgent first,
   // and removes the others. Moves steps that can no longer be in time from
   // `waiting_` to `overdue_`.
@@ -292,9 +225,6 @@
                        base::TimePoint now);
   // Logs why a step waits if the reason has changed.
   void LogWait(const WaitingStep& item, WaitReason reason, base::TimePoint now);
-  // Returns nullopt if the step has nothing to place.
-  std::optional<WaitingStep> MakeWaitingStep(const jobs::StepRef& ref,
-                                             base::TimePoint now);
   // Returns false if no worker of the fleet has the free resources for a task
   // of the step. A cheap check, which may return true although none has.
   bool MayFit(const WaitingStep& item) const;
@@ -348,10 +278,6 @@
   // worker; 0 if that is not known better than by its estimate.
   base::Duration ExpectedRunTimeOn(const WaitingStep& item,
                                    const base::BackendId& worker) const;
-  // Returns whether the worker accepts new work and is suitable for the step's
-  // tasks.
-  static bool MayRunOn(const workers::Worker& worker, const WaitingStep& item,
-                       base::TimePoint now);
   // Returns whether all tasks of a gang wait for a part of its organisation's
   // cap, and reserves that part.
   bool WaitsForCap(const WaitingStep& item);
@@ -667,28 +593,30 @@
                                                 base::TimePoint now) const;
 
   // Returns the number for the task's next attempt.
-  jobs::Attempt NextAttempt(const jobs::Step& step, std::uint32_t index) const;
+  jobs::Attempt NextAttempt(const jobs::Step& step, std::uint32_t index) const {
+    return context_.NextAttempt(step, index);
+  }
 
-  DispatcherSettings settings_;
+  DispatcherContext context_;
+  // Parts of the context under shorter names.
   Telemetry telemetry_;
   JobRegistry* jobs_;
   Fleet* fleet_;
   RunIndex* runs_;
-  std::shared_ptr<const desired::DesiredState> desired_;
+  placement::RunTimeModel& run_times_ = context_.run_times;
+  placement::GangHolds& gang_holds_ = context_.gang_holds;
+  const jobs::Attempt& first_attempt_ = context_.first_attempt;
+  const base::TimePoint& pass_began_ = context_.pass_began;
+  const double& fleet_usage_ = context_.fleet_usage;
   advice::AdviceCache advice_;
   advice::AdviceClientChooser advice_clients_;
   // Items of the current pass that need advice about more workers. Such
   // requests are sent only after all other items had the chance to send their
   // first ones.
   std::vector<const WaitingStep*> needing_more_advice_;
-  jobs::Attempt first_attempt_ = jobs::Attempt(1);
-  // Jobs accepted by previous owners.
-  std::unordered_set<jobs::JobKey> inherited_;
   bool announces_inherited_starts_ = false;
   // Hashes of the lost workers of previous owners.
   std::set<std::uint32_t> lost_inherited_workers_;
-  // Jobs accepted beyond their organisation's share.
-  std::unordered_set<jobs::JobKey> over_share_;
   std::set<jobs::StepRef> waiting_;
   // Steps of jobs that can no longer complete in time. After a burst there may
   // be thousands of them, so they are considered less often than the others,
@@ -705,12 +633,6 @@
     base::TimePoint since;
   };
   std::unordered_map<jobs::StepRef, LoggedWait> last_logged_;
-  // All queues known so far, with their latest rules. Jobs of a queue that was
-  // dropped continue under its last rules.
-  std::unordered_map<desired::QueueId, desired::Queue> known_queues_;
-  placement::GangHolds gang_holds_;
-  placement::CrashContainment containment_;
-  placement::RunTimeModel run_times_;
   placement::KeptRooms kept_rooms_;
   placement::PreemptionLimits preemption_limits_;
   std::unordered_map<jobs::StepRef, PreemptionTry> preemption_tries_;
@@ -749,10 +671,6 @@
   std::uint64_t jobs_begun_ = 0;
   std::vector<jobs::TaskRef> guilty_tasks_;
   base::TimePoint next_usage_update_;
-  // The fraction of the fleet in use, and the capacity of the workers that
-  // accept work.
-  double fleet_usage_ = 0;
-  base::Resources fleet_capacity_;
   CopyTracker copies_;
   // Whether the last pass left steps that can be on time without free
   // resources, and the organisations whose cap it found reached.
@@ -760,8 +678,6 @@
   std::set<base::OrganisationId> capped_;
   placement::LoadShedder load_shedder_;
   placement::CapHeadroom cap_headroom_;
-  // When the current pass began.
-  base::TimePoint pass_began_;
   // Capacity of reconciled workers that have orphaned runs. Such runs, whose
   // job is unknown, may belong to any organisation.
   base::Resources orphan_usage_;
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -11,41 +11,14 @@
 
 }  // namespace
 
-const char* ToString(WaitReason reason) {
-  switch (reason) {
-    case WaitReason::kStoring:
-      return "storing";
-    case WaitReason::kUntrackedRuns:
-      return "unseen_workers";
-    case WaitReason::kAdvice:
-      return "advice";
-    case WaitReason::kFreeResources:
-      return "room";
-    case WaitReason::kCap:
-      return "cap";
-    case WaitReason::kOrphanedMembers:
-      return "straying_members";
-    case WaitReason::kIsolation:
-      return "isolation";
-    case WaitReason::kLocalWorker:
-      return "local_worker";
-  }
-  return "unknown";
-}
-
 void Dispatcher::SetDesired(
     std::shared_ptr<const desired::DesiredState> desired) {
-  desired_ = std::move(desired);
-  for (const desired::Queue& queue : desired_->queues()) {
-    known_queues_.insert_or_assign(queue.id, queue);
+  context_.desired = std::move(desired);
+  for (const desired::Queue& queue : context_.desired->queues()) {
+    context_.known_queues.insert_or_assign(queue.id, queue);
   }
 }
 
-const desired::Queue* Dispatcher::FindQueue(const desired::QueueId& id) const {
-  const auto it = known_queues_.find(id);
-  return it == known_queues_.end() ? nullptr : &it->second;
-}
-
 void Dispatcher::Remove(const jobs::StepRef& step) {
   waiting_.erase(step);
   overdue_.erase(step);
@@ -55,40 +28,17 @@
 }
 
 void Dispatcher::RemoveJob(jobs::JobKey job) {
-  inherited_.erase(job);
-  over_share_.erase(job);
+  context_.inherited.erase(job);
+  context_.over_share.erase(job);
   preemption_limits_.RemoveJob(job);
 }
 
-std::optional<Dispatcher::WaitingStep> Dispatcher::MakeWaitingStep(
-    const jobs::StepRef& ref, base::TimePoint now) {
-  WaitingStep item;
-  item.step = ref;
-  item.job = jobs_->Find(ref.job);
-  jobs::Step* step = item.job == nullptr ? nullptr : item.job->FindStep(ref);
-  if (step == nullptr || step->waiting() == 0 ||
-      !item.job->IsUnblocked(item.job->occurrences.at(ref.occurrence),
-                             ref.step)) {
-    return std::nullopt;
-  }
-  item.queue = FindQueue(item.job->queue);
-  if (item.queue == nullptr) {
-    return std::nullopt;
-  }
-  item.urgency =
-      placement::UrgencyOf(item.job, ref.step, *item.queue, run_times_,
-                           over_share_.contains(ref.job), now);
-  item.yields =
-      placement::GangHolds::MustYield(item.urgency, item.job->accepted_at, now);
-  return item;
-}
-
-std::vector<Dispatcher::WaitingStep> Dispatcher::CollectByUrgency(
+std::vector<WaitingStep> Dispatcher::CollectByUrgency(
     std::set<jobs::StepRef>* steps, base::TimePoint now) {
   std::vector<WaitingStep> items;
   const bool may_have_untracked = !fleet_->unreconciled().empty();
   for (auto it = steps->begin(); it != steps->end();) {
-    std::optional<WaitingStep> item = MakeWaitingStep(*it, now);
+    std::optional<WaitingStep> item = context_.MakeWaitingStep(*it, now);
     if (!item) {
       if (jobs_->Find(it->job) == nullptr) {
         last_logged_.erase(*it);
@@ -106,7 +56,7 @@
     }
     if (!jobs_->IsStored(it->job)) {
       item->blocked_by = WaitReason::kStoring;
-    } else if (may_have_untracked && inherited_.contains(it->job)) {
+    } else if (may_have_untracked && context_.inherited.contains(it->job)) {
       item->blocked_by = WaitReason::kUntrackedRuns;
     }
     items.push_back(std::move(*item));
@@ -126,7 +76,7 @@
     return;
   }
   next_usage_update_ =
-      now + settings_.usage_interval_per_worker *
+      now + context_.settings.usage_interval_per_worker *
                 static_cast<base::Duration::rep>(fleet_->workers().size());
   largest_free_ = base::Resources();
   base::Resources reserved;
@@ -147,24 +97,24 @@
     largest_free_.accelerators =
         std::max(largest_free_.accelerators, room.accelerators);
   }
-  fleet_usage_ = base::DominantFraction(reserved, capacity);
-  fleet_capacity_ = capacity;
+  context_.fleet_usage = base::DominantFraction(reserved, capacity);
+  context_.fleet_capacity = capacity;
   load_shedder_.BeginPass(fleet_usage_);
 }
 
 void Dispatcher::RunPass(base::TimePoint now, std::vector<Action>* actions) {
-  pass_began_ = now;
+  context_.pass_began = now;
   gang_holds_.BeginPass(fleet_->workers().size() - fleet_->evacuated_workers());
   if (now >= next_gang_retry_) {
     next_gang_retry_ =
-        now + settings_.gang_retry_interval_per_worker *
+        now + context_.settings.gang_retry_interval_per_worker *
                   static_cast<base::Duration::rep>(fleet_->workers().size());
     unplaced_gangs_.clear();
   }
   UpdateFleetUsage(now);
   locality_.BeginPass();
   UpdateRacks(now);
-  containment_.BeginPass(fleet_->workers().size(), fleet_usage_);
+  context_.containment.BeginPass(fleet_->workers().size(), fleet_usage_);
   UpdateInheritedUsage(now);
   reserved_caps_.clear();
   has_waiting_work_ = false;
@@ -172,7 +122,7 @@
   BeginPreemptionPass(now);
   PlaceAll(CollectByUrgency(&waiting_, now), nullptr, now, actions);
   if (now >= next_overdue_pass_) {
-    next_overdue_pass_ = now + settings_.overdue_pass_interval;
+    next_overdue_pass_ = now + context_.settings.overdue_pass_interval;
     PlaceAll(CollectByUrgency(&overdue_, now), &overdue_rotation_, now,
              actions);
   }
@@ -188,7 +138,8 @@
   }
   std::set<jobs::StepRef> chosen;
   auto next = remaining.upper_bound(*rotation);
-  while (chosen.size() < std::min(settings_.rotating_steps, remaining.size())) {
+  while (chosen.size() <
+         std::min(context_.settings.rotating_steps, remaining.size())) {
     if (next == remaining.end()) {
       next = remaining.begin();
     }
@@ -205,7 +156,8 @@
   std::optional<std::set<jobs::StepRef>> out_of_turn;
   for (std::size_t i = 0; i < items.size(); ++i) {
     WaitingStep& item = items[i];
-    const bool is_budget_used = unplaced_steps >= settings_.max_unplaced_steps;
+    const bool is_budget_used =
+        unplaced_steps >= context_.settings.max_unplaced_steps;
     if (is_budget_used && !out_of_turn) {
       out_of_turn = rotation == nullptr ? std::set<jobs::StepRef>()
                                         : ChooseOutOfTurn(items, i, rotation);
@@ -349,13 +301,6 @@
          spec.Reservation().FitsIn(largest_free_);
 }
 
-bool Dispatcher::MayRunOn(const workers::Worker& worker,
-                          const WaitingStep& item, base::TimePoint now) {
-  return worker.CanAcceptWork(now) && !worker.has_suspects() &&
-         worker.listing().service == item.queue->service &&
-         placement::IsSuitable(worker, item.job->SpecOf(item.step));
-}
-
 bool Dispatcher::FillCandidates(WaitingStep* item, base::TimePoint now) const {
   const jobs::StepSpec& spec = item->job->SpecOf(item->step);
   const base::Resources reservation = spec.Reservation();
@@ -467,11 +412,6 @@
   return true;
 }
 
-jobs::Attempt Dispatcher::NextAttempt(const jobs::Step& step,
-                                      std::uint32_t index) const {
-  return std::max(first_attempt_, step.tasks[index].last_attempt.next());
-}
-
 void Dispatcher::Commit(const WaitingStep& item, std::vector<Choice> choices,
                         jobs::Attempt attempt, base::TimePoint now,
                         std::vector<Action>* actions) {
@@ -486,7 +426,7 @@
     const base::TimePoint answered_at =
         now +
         advice::ExpectedCallDuration(*item.queue->advice, choices.size()) +
-        settings_.ticket_margin;
+        context_.settings.ticket_margin;
     for (const Choice& choice : choices) {
       if (!TicketFor(item, choice.worker, answered_at)) {
         without_ticket.push_back(choice.worker);
@@ -542,10 +482,10 @@
     run.expected_run_time = ExpectedRunTimeOn(item, choice.worker);
     if (HasLocality(spec) &&
         !IsLocal(spec, spec.gang ? choices : std::vector<Choice>{choice})) {
-      run.estimate =
-          placement::ScaleDuration(run.estimate, settings_.remote_factor);
-      run.expected_run_time = placement::ScaleDuration(run.expected_run_time,
-                                                       settings_.remote_factor);
+      run.estimate = placement::ScaleDuration(run.estimate,
+                                              context_.settings.remote_factor);
+      run.expected_run_time = placement::ScaleDuration(
+          run.expected_run_time, context_.settings.remote_factor);
     }
     const jobs::CrashHistory& crashes = *item.job->CrashesOf(task);
     run.is_suspect = crashes.is_suspect();
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -46,8 +46,8 @@
 }
 
 std::size_t Dispatcher::FirstRequestSize(const jobs::StepSpec& spec) const {
-  return spec.gang ? settings_.max_workers_per_request
-                   : std::min(settings_.max_workers_per_request,
+  return spec.gang ? context_.settings.max_workers_per_request
+                   : std::min(context_.settings.max_workers_per_request,
                               std::max(kMinAdvisedWorkers,
                                        kAdvisedWorkersPerTask * spec.tasks));
 }
@@ -77,8 +77,9 @@
   // nearly full, requests about all workers for each of hundreds of waiting
   // steps would take most of the owner's time. A gang needs many workers at
   // once.
-  const std::size_t most =
-      spec.gang ? fleet_->workers().size() : settings_.max_workers_per_request;
+  const std::size_t most = spec.gang
+                               ? fleet_->workers().size()
+                               : context_.settings.max_workers_per_request;
   std::vector<base::BackendId> not_asked;
   for (const workers::Worker* worker : SuitableWorkers(item, most, now)) {
     if (!advice.queried_workers.contains(worker->number()) &&
@@ -95,8 +96,9 @@
                                     std::vector<Action>* actions) {
   for (auto from = workers.begin(); from != workers.end();) {
     const auto rest = static_cast<std::size_t>(workers.end() - from);
-    const auto to = from + static_cast<std::ptrdiff_t>(std::min(
-                               rest, settings_.max_workers_per_request));
+    const auto to =
+        from + static_cast<std::ptrdiff_t>(
+                   std::min(rest, context_.settings.max_workers_per_request));
     if (!SendAdviceRequest(item, {from, to}, now, actions)) {
       return;
     }
@@ -204,7 +206,7 @@
     // must be known at once, so the request is larger by its usual size.
     const auto rack = racks_.find(spec.data_rack);
     max_workers = std::min(
-        settings_.max_workers_per_request,
+        context_.settings.max_workers_per_request,
         max_workers + (rack == racks_.end() ? 0 : rack->second.size()));
   }
   std::vector<base::BackendId> ids;
@@ -287,9 +289,10 @@
     advice->failed_calls = 0;
     for (const AllowedWorker& allowed : result.allowed) {
       if (const workers::Worker* worker = fleet_->Find(allowed.worker)) {
-        advice->allowed.Put(worker->number(),
-                            {allowed.ticket, now + result.ticket_validity -
-                                                 settings_.ticket_margin});
+        advice->allowed.Put(
+            worker->number(),
+            {allowed.ticket,
+             now + result.ticket_validity - context_.settings.ticket_margin});
       }
     }
   } else {
@@ -300,7 +303,7 @@
       }
     }
     ++advice->failed_calls;
-    advice->retry_at = now + settings_.advice_retry_delay;
+    advice->retry_at = now + context_.settings.advice_retry_delay;
     telemetry_.counters->Increment(
         "advice_calls",
         result.outcome == AdviceResult::Outcome::kBusy ? "busy" : "failed");
--- a/src/core/scheduler/dispatcher_caps.cc
+++ b/src/core/scheduler/dispatcher_caps.cc
@@ -25,9 +25,10 @@
   }
   for (const std::set<jobs::StepRef>* steps : {&waiting_, &overdue_}) {
     for (const jobs::StepRef& ref : *steps) {
-      const std::optional<WaitingStep> item = inherited_.contains(ref.job)
-                                                  ? MakeWaitingStep(ref, now)
-                                                  : std::nullopt;
+      const std::optional<WaitingStep> item =
+          context_.inherited.contains(ref.job)
+              ? context_.MakeWaitingStep(ref, now)
+              : std::nullopt;
       if (!item) {
         continue;
       }
@@ -59,7 +60,7 @@
 bool Dispatcher::FitsCap(const WaitingStep& item, const base::Resources& used,
                          std::uint32_t tasks) const {
   const desired::Organisation* organisation =
-      desired_->FindOrganisation(item.job->organisation);
+      context_.desired->FindOrganisation(item.job->organisation);
   if (organisation == nullptr) {
     return true;
   }
@@ -85,7 +86,7 @@
 bool Dispatcher::LeavesHeadroom(const WaitingStep& item,
                                 std::uint32_t tasks) const {
   const desired::Organisation* organisation =
-      desired_->FindOrganisation(item.job->organisation);
+      context_.desired->FindOrganisation(item.job->organisation);
   return organisation == nullptr ||
          FitsCap(item,
                  runs_->UsageWithSlackOf(organisation->id) +
--- a/src/core/scheduler/dispatcher_copies.cc
+++ b/src/core/scheduler/dispatcher_copies.cc
@@ -103,7 +103,7 @@
 
 void Dispatcher::StartCopies(base::TimePoint now,
                              std::vector<Action>* actions) {
-  for (int i = 0; i < settings_.max_copy_looks; ++i) {
+  for (int i = 0; i < context_.settings.max_copy_looks; ++i) {
     std::optional<CopyTracker::WatchedRun> watched = copies_.TakeDue(now);
     if (!watched) {
       return;
@@ -139,7 +139,7 @@
   }
   item.urgency =
       placement::UrgencyOf(item.job, item.step.step, *item.queue, run_times_,
-                           over_share_.contains(item.job->key), now);
+                           context_.over_share.contains(item.job->key), now);
   // Copies leave capacity and caps to gangs and to urgent work.
   item.yields = true;
   const placement::RunInProgress progress =
@@ -181,16 +181,16 @@
   progress.deadline_status = item.urgency.deadline_status;
   // An inherited task may have another run on a worker that was not heard of
   // yet.
-  progress.has_copy =
-      task.active_attempts.size() > 1 ||
-      (inherited_.contains(item.job->key) && !fleet_->unreconciled().empty());
+  progress.has_copy = task.active_attempts.size() > 1 ||
+                      (context_.inherited.contains(item.job->key) &&
+                       !fleet_->unreconciled().empty());
   progress.copies_started = task.copies_started;
   progress.failed_attempts =
       static_cast<std::uint32_t>(task.failed_attempts.size());
   progress.max_attempts = item.queue->max_attempts;
   progress.is_crash_suspect =
       task.crashes.is_suspect() || !task.crashes.empty();
-  progress.is_on_alert = containment_.IsOnAlert(item.queue->id, now);
+  progress.is_on_alert = context_.containment.IsOnAlert(item.queue->id, now);
   return progress;
 }
 
@@ -199,8 +199,8 @@
   return {.has_waiting_work =
               has_waiting_work_ || capped_.contains(item.job->organisation),
           .fleet_usage = fleet_usage_,
-          .copies_usage =
-              base::DominantFraction(copies_.usage() + needs, fleet_capacity_),
+          .copies_usage = base::DominantFraction(copies_.usage() + needs,
+                                                 context_.fleet_capacity),
           .copies = copies_.copies()};
 }
 
@@ -210,7 +210,7 @@
   }
   next_inherited_copies_update_ = now + kInheritedCopiesInterval;
   inherited_copies_.clear();
-  for (const jobs::JobKey key : inherited_) {
+  for (const jobs::JobKey key : context_.inherited) {
     const jobs::Job* job = jobs_->Find(key);
     if (job == nullptr) {
       continue;
@@ -239,7 +239,8 @@
     return {};
   }
   // The previous owner kept to the share of the fleet that copies may use.
-  const base::Resources fleet = fleet_capacity_ + unreconciled_capacity_;
+  const base::Resources fleet =
+      context_.fleet_capacity + unreconciled_capacity_;
   const auto share = [](std::int64_t whole) {
     return static_cast<std::int64_t>(static_cast<double>(whole) *
                                      StragglerPolicy::kMaxShareOfCopies);
--- a/src/core/scheduler/dispatcher_explanation.cc
+++ b/src/core/scheduler/dispatcher_explanation.cc
@@ -26,8 +26,9 @@
       item.step = {job.key, number, i};
       item.job = &job;
       item.queue = queue;
-      item.urgency = placement::UrgencyOf(&job, i, *queue, run_times_,
-                                          over_share_.contains(job.key), now);
+      item.urgency =
+          placement::UrgencyOf(&job, i, *queue, run_times_,
+                               context_.over_share.contains(job.key), now);
       item.yields =
           placement::GangHolds::MustYield(item.urgency, job.accepted_at, now);
       const jobs::Step& step = occurrence.steps[i];
--- a/src/core/scheduler/dispatcher_locality.cc
+++ b/src/core/scheduler/dispatcher_locality.cc
@@ -20,7 +20,7 @@
 }  // namespace
 
 bool Dispatcher::HasLocality(const jobs::StepSpec& spec) const {
-  return settings_.remote_factor > 1 && !spec.long_running &&
+  return context_.settings.remote_factor > 1 && !spec.long_running &&
          (!spec.data_rack.empty() || (spec.gang && spec.prefers_one_rack));
 }
 
@@ -46,7 +46,7 @@
 }
 
 void Dispatcher::UpdateRacks(base::TimePoint now) {
-  if (settings_.remote_factor <= 1 || now < next_racks_update_) {
+  if (context_.settings.remote_factor <= 1 || now < next_racks_update_) {
     return;
   }
   next_racks_update_ = now + kRacksInterval;
@@ -61,7 +61,8 @@
   const base::Duration typical = run_times_.ExpectedRunTime(
       item.queue->id, item.job->SpecOf(item.step).estimate);
   return placement::ScaleDuration(
-      typical, is_local ? slowness : slowness * settings_.remote_factor);
+      typical,
+      is_local ? slowness : slowness * context_.settings.remote_factor);
 }
 
 void Dispatcher::AppendExpectedPlaces(
--- a/src/core/scheduler/dispatcher_preemption.cc
+++ b/src/core/scheduler/dispatcher_preemption.cc
@@ -45,7 +45,8 @@
   if (!kept_rooms_.empty()) {
     kept_rooms_.ReleaseIf(
         [&](const jobs::StepRef& step) {
-          const std::optional<WaitingStep> item = MakeWaitingStep(step, now);
+          const std::optional<WaitingStep> item =
+              context_.MakeWaitingStep(step, now);
           return !item || item->urgency.deadline_status !=
                               placement::DeadlineStatus::kOnTime;
         },
@@ -112,7 +113,7 @@
       (spec.gang && step.waiting() < step.tasks.size())) {
     return false;
   }
-  return std::any_of(known_queues_.begin(), known_queues_.end(),
+  return std::any_of(context_.known_queues.begin(), context_.known_queues.end(),
                      [&item](const auto& entry) {
                        return entry.second.priority > item.queue->priority;
                      });
@@ -120,7 +121,7 @@
 
 void Dispatcher::RecordWaitingSlack(const WaitingStep& item, WaitReason reason,
                                     base::TimePoint now) {
-  if (!settings_.preemption.is_enabled() || item.urgency.over_share ||
+  if (!context_.settings.preemption.is_enabled() || item.urgency.over_share ||
       reason != WaitReason::kFreeResources ||
       item.urgency.deadline_status != placement::DeadlineStatus::kOnTime) {
     return;
@@ -134,7 +135,8 @@
 void Dispatcher::ConsiderPreemption(const WaitingStep& item, WaitReason reason,
                                     base::TimePoint now,
                                     std::vector<Action>* actions) {
-  if (!settings_.preemption.is_enabled() || preemption_tries_left_ == 0 ||
+  if (!context_.settings.preemption.is_enabled() ||
+      preemption_tries_left_ == 0 ||
       (reason != WaitReason::kFreeResources && reason != WaitReason::kAdvice) ||
       kept_rooms_.IsKeptFor(item.step)) {
     return;
@@ -148,7 +150,7 @@
       item.queue->advice && (advice == nullptr || !advice->has_answer);
   const base::Duration lead =
       needs_advice ? 2 * placement::AdviceTime(*item.queue) : base::Duration(0);
-  if (PreemptionPlanner(settings_.preemption)
+  if (PreemptionPlanner(context_.settings.preemption)
           .CheckTime(item.urgency.latest_start - lead, now) ==
       placement::PreemptionRefusal::kNotDue) {
     return;
@@ -182,7 +184,7 @@
                                      std::uint32_t tasks_ahead,
                                      base::TimePoint now,
                                      std::vector<Action>* actions) {
-  const PreemptionPlanner planner(settings_.preemption);
+  const PreemptionPlanner planner(context_.settings.preemption);
   if (const auto refusal = planner.CheckTime(item.urgency.latest_start, now)) {
     return ToString(*refusal);
   }
@@ -256,7 +258,8 @@
   const base::Duration run_time =
       run_times_.ExpectedRunTime(item.queue->id, spec.estimate);
   const base::TimePoint until =
-      now + std::min(settings_.preemption.stop_timeout + run_time + kYieldTime,
+      now + std::min(context_.settings.preemption.stop_timeout + run_time +
+                         kYieldTime,
                      kMaxYieldTime);
   for (const PreemptionPlan::Stop& stop : plan.stops) {
     preempted_workers_[stop.worker] = {item.queue->priority, until};
--- a/src/core/scheduler/dispatcher_suspects.cc
+++ b/src/core/scheduler/dispatcher_suspects.cc
@@ -36,9 +36,9 @@
 bool Dispatcher::NeedsAnnouncement(const WaitingStep& item,
                                    const jobs::Task& task,
                                    const jobs::CrashHistory& crashes) const {
-  return crashes.is_suspect() ||
-         (announces_inherited_starts_ && inherited_.contains(item.step.job) &&
-          task.last_attempt < first_attempt_);
+  return crashes.is_suspect() || (announces_inherited_starts_ &&
+                                  context_.inherited.contains(item.step.job) &&
+                                  task.last_attempt < first_attempt_);
 }
 
 void Dispatcher::RecordInheritedLoss(const base::BackendId& worker,
@@ -72,7 +72,8 @@
   // The verdict must come before the next start: owners may change so often
   // that none of them sees a crash.
   if (IsAnnouncedWorkerLost(*crashes) &&
-      job->RecordMissingStart(task, containment_.HasProof(job->queue, now))) {
+      job->RecordMissingStart(task,
+                              context_.containment.HasProof(job->queue, now))) {
     guilty_tasks_.push_back(task);
     return false;
   }
@@ -103,7 +104,7 @@
 
 bool Dispatcher::IsUnproven(const WaitingStep& item,
                             base::TimePoint now) const {
-  if (!containment_.IsOnAlert(item.queue->id, now) ||
+  if (!context_.containment.IsOnAlert(item.queue->id, now) ||
       item.job->FindStep(item.step)->done > 0) {
     return false;
   }
@@ -125,7 +126,7 @@
   const bool is_suspect = task.crashes.is_suspect();
   const bool is_first = !is_suspect && IsUnproven(*item, now);
   const bool is_sole_suspect = is_suspect && task.crashes.is_sole_suspect();
-  if (is_sole_suspect && !containment_.MayExposeToSuspect(now)) {
+  if (is_sole_suspect && !context_.containment.MayExposeToSuspect(now)) {
     item->waits_for_isolation = true;
     return nullptr;
   }
@@ -154,7 +155,7 @@
     return nullptr;
   }
   if (is_sole_suspect) {
-    containment_.RecordSuspectStart(now);
+    context_.containment.RecordSuspectStart(now);
   }
   // Neither kind joins the other.
   std::erase_if(
@@ -181,7 +182,7 @@
   }
   std::erase_if(kept_for_suspects_,
                 [now](const auto& entry) { return now >= entry.second; });
-  if (kept_for_suspects_.size() < containment_.MaxKeptWorkers()) {
+  if (kept_for_suspects_.size() < context_.containment.MaxKeptWorkers()) {
     std::vector<Candidate> busy = *candidates;
     std::erase_if(busy, [&](const Candidate& candidate) {
       return IsKeptForSuspect(*candidate.worker, now);
--- a/src/core/scheduler/dispatcher_victims.cc
+++ b/src/core/scheduler/dispatcher_victims.cc
@@ -22,7 +22,7 @@
     const WaitingStep& item, const placement::PreemptionRequest& request,
     base::TimePoint now) {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
-  const PreemptionPlanner planner(settings_.preemption);
+  const PreemptionPlanner planner(context_.settings.preemption);
   const auto unplaced = unplaced_gangs_.find(item.step);
   std::map<base::BackendId, std::uint32_t> tasks_of_step;
   if (spec.max_per_worker > 0) {
@@ -112,7 +112,8 @@
                                             run_times_, false, now)
                            .latest_start +
                        run_times_.ExpectedRunTime(queue->id, spec.estimate) -
-                       victim.remaining - settings_.preemption.restore_time;
+                       victim.remaining -
+                       context_.settings.preemption.restore_time;
     if (const auto least = previous_least_waiting_slack_.find(queue->priority);
         least != previous_least_waiting_slack_.end()) {
       victim.least_waiting_slack = least->second;
