A class of its own for caps of organisations

Cause: what the dispatcher knows of caps was spread over its private state and three files, and could only be tested with a fleet and a scheduler.

--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -16,7 +16,6 @@
 
 #include "dotterelbarrow/core/advice/advice_cache.h"
 #include "dotterelbarrow/core/desired/desired_state.h"
-#include "dotterelbarrow/core/placement/cap_headroom.h"
 #include "dotterelbarrow/core/placement/crash_containment.h"
 #include "dotterelbarrow/core/placement/gang_holds.h"
 #include "dotterelbarrow/core/placement/kept_rooms.h"
@@ -32,6 +31,7 @@
 #include "dotterelbarrow/core/scheduler/actions.h"
 #include "dotterelbarrow/core/scheduler/copy_tracker.h"
 #include "dotterelbarrow/core/scheduler/decision_log.h"
+#include "dotterelbarrow/core/scheduler/dispatcher_caps.h"
 #include "dotterelbarrow/core/scheduler/dispatcher_context.h"
 #include "dotterelbarrow/core/scheduler/dispatcher_settings.h"
 #include "dotterelbarrow/core/scheduler/explanation.h"
@@ -113,7 +113,9 @@
   // Records that the job has arrived, so that room under its organisation's cap
   // is kept for urgent jobs like it.
   void RecordArrival(jobs::Job* job, const desired::Queue& queue,
-                     base::TimePoint now);
+                     base::TimePoint now) {
+    caps_.RecordArrival(job, queue, now);
+  }
   // Marks an accepted job as beyond its organisation's share.
   void MarkOverShare(jobs::JobKey job) { context_.over_share.insert(job); }
   // Drops the marks of a job.
@@ -355,35 +357,6 @@
                                      const std::vector<Choice>& choices,
                                      jobs::Attempt attempt,
                                      base::TimePoint now);
-  // Returns whether `tasks` more tasks of the step fit under the organisation's
-  // cap, next to what is reserved there for a gang and, if the step yields, for
-  // urgent work.
-  bool IsWithinCap(const WaitingStep& item, std::uint32_t tasks) const;
-  // Returns whether `tasks` more tasks of a step that yields leave enough of
-  // the organisation's cap to its urgent work.
-  bool LeavesHeadroom(const WaitingStep& item, std::uint32_t tasks) const;
-  // Reserves a part of the organisation's cap for a waiting gang, unless a more
-  // urgent gang has such a reservation in this pass.
-  void ReserveCap(const WaitingStep& item, std::uint32_t tasks);
-  // Returns whether these tasks fit under the cap if nothing else runs.
-  bool CanEverFitCap(const WaitingStep& item, std::uint32_t tasks) const;
-  // Returns whether `tasks` tasks of the step fit under the cap on top of
-  // `used`.
-  bool FitsCap(const WaitingStep& item, const base::Resources& used,
-               std::uint32_t tasks) const;
-  // Computes upper bounds of the resources that untracked runs may use on
-  // workers of previous owners that are not claimed yet: for each organisation
-  // no more than its inherited tasks that wait.
-  void UpdateInheritedUsage(base::TimePoint now);
-  // Does the same for untracked second runs of the tasks of inherited jobs.
-  void UpdateInheritedCopies(base::TimePoint now);
-  base::Resources InheritedCopiesOf(
-      const base::OrganisationId& organisation) const;
-  // Return upper bounds of the resources that the organisation's runs use: the
-  // first for all runs, the second for untracked ones only.
-  base::Resources UsageOf(const base::OrganisationId& organisation) const;
-  base::Resources UntrackedUsageOf(
-      const base::OrganisationId& organisation) const;
   // What is known about the preemption for one waiting step.
   struct PreemptionTry {
     base::TimePoint next_try;
@@ -592,12 +565,20 @@
   std::map<std::string, std::int64_t> RackOrder(const WaitingStep& item,
                                                 base::TimePoint now) const;
 
+  // These stand for functions of the decisions.
+  bool IsWithinCap(const WaitingStep& item, std::uint32_t tasks) const {
+    return caps_.IsWithinCap(item, tasks);
+  }
+  void ReserveCap(const WaitingStep& item, std::uint32_t tasks) {
+    caps_.ReserveCap(item, tasks);
+  }
   // Returns the number for the task's next attempt.
   jobs::Attempt NextAttempt(const jobs::Step& step, std::uint32_t index) const {
     return context_.NextAttempt(step, index);
   }
 
   DispatcherContext context_;
+  DispatcherCaps caps_{&context_};
   // Parts of the context under shorter names.
   Telemetry telemetry_;
   JobRegistry* jobs_;
@@ -677,29 +658,9 @@
   bool has_waiting_work_ = false;
   std::set<base::OrganisationId> capped_;
   placement::LoadShedder load_shedder_;
-  placement::CapHeadroom cap_headroom_;
-  // Capacity of reconciled workers that have orphaned runs. Such runs, whose
-  // job is unknown, may belong to any organisation.
-  base::Resources orphan_usage_;
-  // Capacity of workers that are not reconciled yet.
-  base::Resources unreconciled_capacity_;
-  // What each organisation's inherited waiting tasks need.
-  std::unordered_map<base::OrganisationId, base::Resources> inherited_demand_;
-  // The same for one more run of each task that may have a copy, and the needs
-  // of the largest of these.
-  struct InheritedCopies {
-    base::Resources needs;
-    base::Resources largest;
-  };
-  std::unordered_map<base::OrganisationId, InheritedCopies> inherited_copies_;
-  base::TimePoint next_inherited_copies_update_;
   // In each dimension, the largest amount that any worker has free: no worker
   // has more.
   base::Resources largest_free_;
-  // What the most urgent waiting gang of an organisation needs. Less urgent
-  // work of the organisation leaves this part of the cap free; otherwise small
-  // tasks would take up each part of it that becomes free.
-  std::unordered_map<base::OrganisationId, base::Resources> reserved_caps_;
 };
 
 }  // namespace dotterelbarrow::core::scheduler
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -81,10 +81,10 @@
   largest_free_ = base::Resources();
   base::Resources reserved;
   base::Resources capacity;
-  orphan_usage_ = base::Resources();
+  base::Resources orphan_usage;
   for (const auto& [id, worker] : fleet_->workers()) {
     if (worker.has_orphans() && !fleet_->unreconciled().contains(id)) {
-      orphan_usage_ += worker.listing().capacity;
+      orphan_usage += worker.listing().capacity;
     }
     if (!worker.CanAcceptWork(now)) {
       continue;
@@ -99,6 +99,7 @@
   }
   context_.fleet_usage = base::DominantFraction(reserved, capacity);
   context_.fleet_capacity = capacity;
+  caps_.set_orphan_usage(orphan_usage);
   load_shedder_.BeginPass(fleet_usage_);
 }
 
@@ -115,8 +116,7 @@
   locality_.BeginPass();
   UpdateRacks(now);
   context_.containment.BeginPass(fleet_->workers().size(), fleet_usage_);
-  UpdateInheritedUsage(now);
-  reserved_caps_.clear();
+  caps_.BeginPass(waiting_, overdue_, now);
   has_waiting_work_ = false;
   capped_.clear();
   BeginPreemptionPass(now);
@@ -206,7 +206,7 @@
   }
   // Gangs are not stopped here by the cap: they request advice while they wait
   // for it, and reserve it before less urgent work.
-  if (!spec.gang && !IsWithinCap(*item, 1)) {
+  if (!spec.gang && !caps_.IsWithinCap(*item, 1)) {
     return WaitReason::kCap;
   }
   if (!MayFit(*item)) {
@@ -234,8 +234,9 @@
 WaitReason Dispatcher::WaitReasonOf(const WaitingStep& item) const {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   const bool fits_cap =
-      spec.gang ? FitsCap(item, UsageOf(item.job->organisation), spec.tasks)
-                : IsWithinCap(item, 1);
+      spec.gang ? caps_.FitsCap(item, caps_.UsageOf(item.job->organisation),
+                                spec.tasks)
+                : caps_.IsWithinCap(item, 1);
   if (!fits_cap) {
     return WaitReason::kCap;
   }
@@ -379,7 +380,8 @@
     if (task.done || task.may_be_running) {
       continue;
     }
-    if (!IsWithinCap(item, static_cast<std::uint32_t>(choices.size()) + 1)) {
+    if (!caps_.IsWithinCap(item,
+                           static_cast<std::uint32_t>(choices.size()) + 1)) {
       break;
     }
     if (waits_for_first && (step.possibly_running > 0 || !choices.empty())) {
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -113,11 +113,11 @@
   // Workers and a part of the cap can be reserved for a gang only once it is
   // known which workers are allowed.
   if (spec.gang) {
-    return CanEverFitCap(item, spec.tasks);
+    return caps_.CanEverFitCap(item, spec.tasks);
   }
   // Tickets expire, so advice for a step without free resources would be
   // wasted.
-  return IsWithinCap(item, 1) &&
+  return caps_.IsWithinCap(item, 1) &&
          std::any_of(fleet_->workers().begin(), fleet_->workers().end(),
                      [&](const auto& entry) {
                        const workers::Worker& worker = entry.second;
--- a/src/core/scheduler/dispatcher_caps.cc
+++ b/src/core/scheduler/dispatcher_caps.cc
@@ -1,33 +1,64 @@
 // Caps of organisations: limits on the resources that their runs may use,
 // untracked runs included.
+#include "dotterelbarrow/core/scheduler/dispatcher_caps.h"
+
 #include <algorithm>
+#include <optional>
 
-#include "dotterelbarrow/core/scheduler/dispatcher.h"
+#include "dotterelbarrow/core/placement/straggler_policy.h"
+#include "dotterelbarrow/core/placement/urgency.h"
 
 namespace dotterelbarrow::core::scheduler {
 namespace {
 
+using placement::StragglerPolicy;
+
+// Interval at which the possible copies of inherited jobs are summed up, while
+// some workers are not reconciled. Goes through all inherited jobs; the sum
+// only decreases.
+constexpr base::Duration kInheritedCopiesInterval =
+    std::chrono::milliseconds(50);
+
+base::Resources Largest(const base::Resources& a, const base::Resources& b) {
+  return {std::max(a.cpu, b.cpu), std::max(a.memory, b.memory),
+          std::max(a.accelerators, b.accelerators), std::max(a.slots, b.slots)};
+}
+
+base::Resources Smallest(const base::Resources& a, const base::Resources& b) {
+  return {std::min(a.cpu, b.cpu), std::min(a.memory, b.memory),
+          std::min(a.accelerators, b.accelerators), std::min(a.slots, b.slots)};
+}
+
 bool FitsUnderCap(std::int64_t used, std::int64_t cap) {
   return cap == 0 || used <= cap;
 }
 
 }  // namespace
 
-void Dispatcher::UpdateInheritedUsage(base::TimePoint now) {
+void DispatcherCaps::BeginPass(const std::set<jobs::StepRef>& waiting,
+                               const std::set<jobs::StepRef>& overdue,
+                               base::TimePoint now) {
+  reserved_caps_.clear();
+  UpdateInheritedUsage(waiting, overdue, now);
+}
+
+void DispatcherCaps::UpdateInheritedUsage(
+    const std::set<jobs::StepRef>& waiting,
+    const std::set<jobs::StepRef>& overdue, base::TimePoint now) {
   unreconciled_capacity_ = base::Resources();
   inherited_demand_.clear();
-  if (fleet_->unreconciled().empty()) {
+  if (context_->fleet->unreconciled().empty()) {
     inherited_copies_.clear();
     return;
   }
-  for (const base::BackendId& id : fleet_->unreconciled()) {
-    unreconciled_capacity_ += fleet_->Find(id)->listing().capacity;
+  for (const base::BackendId& id : context_->fleet->unreconciled()) {
+    unreconciled_capacity_ += context_->fleet->Find(id)->listing().capacity;
   }
-  for (const std::set<jobs::StepRef>* steps : {&waiting_, &overdue_}) {
+  for (const std::set<jobs::StepRef>* steps : {&waiting, &overdue}) {
     for (const jobs::StepRef& ref : *steps) {
       const std::optional<WaitingStep> item =
-          context_.inherited.contains(ref.job)
-              ? context_.MakeWaitingStep(ref, now)
+          context_->inherited.contains(ref.job)
+              ? context_->MakeWaitingStep(ref, now)
               : std::nullopt;
       if (!item) {
         continue;
@@ -39,7 +70,7 @@
   UpdateInheritedCopies(now);
 }
 
-base::Resources Dispatcher::UntrackedUsageOf(
+base::Resources DispatcherCaps::UntrackedUsageOf(
     const base::OrganisationId& organisation) const {
   base::Resources usage = orphan_usage_ + InheritedCopiesOf(organisation);
   if (const auto it = inherited_demand_.find(organisation);
@@ -52,15 +83,16 @@
   return usage;
 }
 
-base::Resources Dispatcher::UsageOf(
+base::Resources DispatcherCaps::UsageOf(
     const base::OrganisationId& organisation) const {
-  return runs_->UsageOf(organisation) + UntrackedUsageOf(organisation);
+  return context_->runs->UsageOf(organisation) + UntrackedUsageOf(organisation);
 }
 
-bool Dispatcher::FitsCap(const WaitingStep& item, const base::Resources& used,
-                         std::uint32_t tasks) const {
+bool DispatcherCaps::FitsCap(const WaitingStep& item,
+                             const base::Resources& used,
+                             std::uint32_t tasks) const {
   const desired::Organisation* organisation =
-      context_.desired->FindOrganisation(item.job->organisation);
+      context_->desired->FindOrganisation(item.job->organisation);
   if (organisation == nullptr) {
     return true;
   }
@@ -72,8 +104,8 @@
          FitsUnderCap(total.accelerators.value(), cap.accelerators.value());
 }
 
-bool Dispatcher::IsWithinCap(const WaitingStep& item,
-                             std::uint32_t tasks) const {
+bool DispatcherCaps::IsWithinCap(const WaitingStep& item,
+                                 std::uint32_t tasks) const {
   base::Resources used = UsageOf(item.job->organisation);
   if (const auto it = reserved_caps_.find(item.job->organisation);
       it != reserved_caps_.end()) {
@@ -83,22 +115,23 @@
          (!item.yields || LeavesHeadroom(item, tasks));
 }
 
-bool Dispatcher::LeavesHeadroom(const WaitingStep& item,
-                                std::uint32_t tasks) const {
+bool DispatcherCaps::LeavesHeadroom(const WaitingStep& item,
+                                    std::uint32_t tasks) const {
   const desired::Organisation* organisation =
-      context_.desired->FindOrganisation(item.job->organisation);
+      context_->desired->FindOrganisation(item.job->organisation);
   return organisation == nullptr ||
-         FitsCap(item,
-                 runs_->UsageWithSlackOf(organisation->id) +
-                     cap_headroom_.HeadroomOf(organisation->id,
-                                              organisation->cap, pass_began_),
-                 tasks);
+         FitsCap(
+             item,
+             context_->runs->UsageWithSlackOf(organisation->id) +
+                 cap_headroom_.HeadroomOf(organisation->id, organisation->cap,
+                                          context_->pass_began),
+             tasks);
 }
 
-void Dispatcher::RecordArrival(jobs::Job* job, const desired::Queue& queue,
-                               base::TimePoint now) {
+void DispatcherCaps::RecordArrival(jobs::Job* job, const desired::Queue& queue,
+                                   base::TimePoint now) {
   const placement::Urgency urgency =
-      placement::UrgencyOf(job, 0, queue, run_times_, false, now);
+      placement::UrgencyOf(job, 0, queue, context_->run_times, false, now);
   if (placement::GangHolds::MustYield(urgency, job->accepted_at, now)) {
     return;
   }
@@ -108,7 +141,7 @@
   }
 }
 
-void Dispatcher::ReserveCap(const WaitingStep& item, std::uint32_t tasks) {
+void DispatcherCaps::ReserveCap(const WaitingStep& item, std::uint32_t tasks) {
   if (!CanEverFitCap(item, tasks)) {
     return;
   }
@@ -116,9 +149,59 @@
                              item.job->SpecOf(item.step).needs * tasks);
 }
 
-bool Dispatcher::CanEverFitCap(const WaitingStep& item,
-                               std::uint32_t tasks) const {
+bool DispatcherCaps::CanEverFitCap(const WaitingStep& item,
+                                   std::uint32_t tasks) const {
   return FitsCap(item, base::Resources(), tasks);
 }
 
+void DispatcherCaps::UpdateInheritedCopies(base::TimePoint now) {
+  if (now < next_inherited_copies_update_ && !inherited_copies_.empty()) {
+    return;
+  }
+  next_inherited_copies_update_ = now + kInheritedCopiesInterval;
+  inherited_copies_.clear();
+  for (const jobs::JobKey key : context_->inherited) {
+    const jobs::Job* job = context_->jobs->Find(key);
+    if (job == nullptr) {
+      continue;
+    }
+    for (const auto& [number, occurrence] : job->occurrences) {
+      for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
+        const jobs::StepSpec& spec = job->spec.steps[i];
+        const jobs::Step& step = occurrence.steps[i];
+        if (!spec.may_have_copies() || step.is_done()) {
+          continue;
+        }
+        InheritedCopies& copies = inherited_copies_[job->organisation];
+        copies.needs +=
+            spec.needs * (static_cast<std::int64_t>(step.tasks.size()) -
+                          static_cast<std::int64_t>(step.done));
+        copies.largest = Largest(copies.largest, spec.needs);
+      }
+    }
+  }
+}
+
+base::Resources DispatcherCaps::InheritedCopiesOf(
+    const base::OrganisationId& organisation) const {
+  const auto it = inherited_copies_.find(organisation);
+  if (it == inherited_copies_.end()) {
+    return {};
+  }
+  // The previous owner kept to the share of the fleet that copies may use.
+  const base::Resources fleet =
+      context_->fleet_capacity + unreconciled_capacity_;
+  const auto share = [](std::int64_t whole) {
+    return static_cast<std::int64_t>(static_cast<double>(whole) *
+                                     StragglerPolicy::kMaxShareOfCopies);
+  };
+  const base::Resources most =
+      Largest(it->second.largest,
+              {base::Millicores(share(fleet.cpu.value())),
+               base::Mebibytes(share(fleet.memory.value())),
+               base::Accelerators(share(fleet.accelerators.value())),
+               base::Slots(share(fleet.slots.value()))});
+  return Smallest(Smallest(it->second.needs, most), unreconciled_capacity_);
+}
+
 }  // namespace dotterelbarrow::core::scheduler
--- a/src/core/scheduler/dispatcher_copies.cc
+++ b/src/core/scheduler/dispatcher_copies.cc
@@ -18,11 +18,6 @@
 constexpr double kSlownessPenalty = 4;
 // The time from the start command to the start, beside that of the advice.
 constexpr base::Duration kStartTime = std::chrono::milliseconds(50);
-// Interval at which the possible copies of inherited jobs are summed up, while
-// some workers are not reconciled. Goes through all inherited jobs; the sum
-// only decreases.
-constexpr base::Duration kInheritedCopiesInterval =
-    std::chrono::milliseconds(50);
 // How much longer a run takes that resumes from a checkpoint (250 to 600 ms).
 constexpr base::Duration kRestoreTime = std::chrono::milliseconds(600);
 
@@ -40,16 +35,6 @@
   return "unknown";
 }
 
-base::Resources Largest(const base::Resources& a, const base::Resources& b) {
-  return {std::max(a.cpu, b.cpu), std::max(a.memory, b.memory),
-          std::max(a.accelerators, b.accelerators), std::max(a.slots, b.slots)};
-}
-
-base::Resources Smallest(const base::Resources& a, const base::Resources& b) {
-  return {std::min(a.cpu, b.cpu), std::min(a.memory, b.memory),
-          std::min(a.accelerators, b.accelerators), std::min(a.slots, b.slots)};
-}
-
 std::int64_t Milliseconds(base::Duration duration) {
   return duration / std::chrono::milliseconds(1);
 }
@@ -204,61 +189,11 @@
           .copies = copies_.copies()};
 }
 
-void Dispatcher::UpdateInheritedCopies(base::TimePoint now) {
-  if (now < next_inherited_copies_update_ && !inherited_copies_.empty()) {
-    return;
-  }
-  next_inherited_copies_update_ = now + kInheritedCopiesInterval;
-  inherited_copies_.clear();
-  for (const jobs::JobKey key : context_.inherited) {
-    const jobs::Job* job = jobs_->Find(key);
-    if (job == nullptr) {
-      continue;
-    }
-    for (const auto& [number, occurrence] : job->occurrences) {
-      for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
-        const jobs::StepSpec& spec = job->spec.steps[i];
-        const jobs::Step& step = occurrence.steps[i];
-        if (!spec.may_have_copies() || step.is_done()) {
-          continue;
-        }
-        InheritedCopies& copies = inherited_copies_[job->organisation];
-        copies.needs +=
-            spec.needs * (static_cast<std::int64_t>(step.tasks.size()) -
-                          static_cast<std::int64_t>(step.done));
-        copies.largest = Largest(copies.largest, spec.needs);
-      }
-    }
-  }
-}
-
-base::Resources Dispatcher::InheritedCopiesOf(
-    const base::OrganisationId& organisation) const {
-  const auto it = inherited_copies_.find(organisation);
-  if (it == inherited_copies_.end()) {
-    return {};
-  }
-  // The previous owner kept to the share of the fleet that copies may use.
-  const base::Resources fleet =
-      context_.fleet_capacity + unreconciled_capacity_;
-  const auto share = [](std::int64_t whole) {
-    return static_cast<std::int64_t>(static_cast<double>(whole) *
-                                     StragglerPolicy::kMaxShareOfCopies);
-  };
-  const base::Resources most =
-      Largest(it->second.largest,
-              {base::Millicores(share(fleet.cpu.value())),
-               base::Mebibytes(share(fleet.memory.value())),
-               base::Accelerators(share(fleet.accelerators.value())),
-               base::Slots(share(fleet.slots.value()))});
-  return Smallest(Smallest(it->second.needs, most), unreconciled_capacity_);
-}
-
 placement::CopyReason Dispatcher::PlaceCopy(
     WaitingStep* item, const PlacedRun& run,
     const placement::RunInProgress& progress, base::TimePoint now,
     std::vector<Action>* actions) {
-  if (!IsWithinCap(*item, 1)) {
+  if (!caps_.IsWithinCap(*item, 1)) {
     return CopyReason::kCap;
   }
   if (item->queue->advice && !advice_.FindOrAdd(item->step).has_answer) {
--- a/src/core/scheduler/dispatcher_explanation.cc
+++ b/src/core/scheduler/dispatcher_explanation.cc
@@ -59,7 +59,7 @@
     explained->waits_since = now - logged->second.since;
   } else if (is_submitted && !jobs_->IsStored(item.step.job)) {
     explained->waits_for = ToString(WaitReason::kStoring);
-  } else if (!IsWithinCap(item, 1)) {
+  } else if (!caps_.IsWithinCap(item, 1)) {
     explained->waits_for = ToString(WaitReason::kCap);
   }
 }
@@ -166,7 +166,7 @@
         continue;
       }
       const workers::Worker* best =
-          IsWithinCap(item, placed + 1)
+          caps_.IsWithinCap(item, placed + 1)
               ? placement::AllocateOnBest(&candidates, spec, task.failed_on)
               : nullptr;
       if (best == nullptr) {
--- a/src/core/scheduler/dispatcher_locality.cc
+++ b/src/core/scheduler/dispatcher_locality.cc
@@ -160,7 +160,8 @@
     const std::uint32_t chosen =
         item->job->FindStep(item->step)->waiting() - left;
     std::uint32_t within_cap = 1;
-    while (within_cap < left && IsWithinCap(*item, chosen + within_cap + 1)) {
+    while (within_cap < left &&
+           caps_.IsWithinCap(*item, chosen + within_cap + 1)) {
       ++within_cap;
     }
     item->remote_tasks = CountRemoteTasks(*item, within_cap, worker,
--- a/src/core/scheduler/dispatcher_preemption.cc
+++ b/src/core/scheduler/dispatcher_preemption.cc
@@ -175,7 +175,7 @@
                                         std::vector<Action>* actions) {
   const advice::StepAdvice& advice = advice_.FindOrAdd(item.step);
   if (advice.calls_in_flight == 0 && now >= advice.retry_at &&
-      IsWithinCap(item, 1) && CanRequestAdvice(item, now)) {
+      caps_.IsWithinCap(item, 1) && CanRequestAdvice(item, now)) {
     SendAdviceRequests(item, WorkersToRequestFirst(item, now), now, actions);
   }
 }
@@ -191,8 +191,9 @@
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   const std::uint32_t tasks = item.job->FindStep(item.step)->waiting();
   const bool fits_cap =
-      spec.gang ? FitsCap(item, UsageOf(item.job->organisation), tasks)
-                : IsWithinCap(item, tasks);
+      spec.gang
+          ? caps_.FitsCap(item, caps_.UsageOf(item.job->organisation), tasks)
+          : caps_.IsWithinCap(item, tasks);
   if (!fits_cap) {
     return "cap";
   }
