A class of its own for tasks that may crash their workers

Cause: the state behind the placement of suspects and the announcement of their starts was part of the dispatcher, readable by all other decisions.

Change: DispatcherSuspects has that state and these functions. It comes before preemption, which asks it which workers are kept for suspects. It has no test without a scheduler yet.

--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -34,6 +34,7 @@
 #include "dotterelbarrow/core/scheduler/dispatcher_caps.h"
 #include "dotterelbarrow/core/scheduler/dispatcher_context.h"
 #include "dotterelbarrow/core/scheduler/dispatcher_settings.h"
+#include "dotterelbarrow/core/scheduler/dispatcher_suspects.h"
 #include "dotterelbarrow/core/scheduler/explanation.h"
 #include "dotterelbarrow/core/scheduler/fleet.h"
 #include "dotterelbarrow/core/scheduler/job_registry.h"
@@ -76,13 +77,11 @@
   // run of this job.
   void MarkInherited(jobs::JobKey job) { context_.inherited.insert(job); }
 
-  // Records that a worker of a previous owner is lost. If it has crashed, it
-  // may have done so under runs that nobody remembers; the next start of each
-  // task that may have been one of them is then announced in the store, so that
-  // a further crash is remembered even if no owner lives long enough to see
-  // one.
+  // Records that a worker of a previous owner is lost.
   void RecordInheritedLoss(const base::BackendId& worker,
-                           workers::LossKind kind);
+                           workers::LossKind kind) {
+    suspects_.RecordInheritedLoss(worker, kind);
+  }
 
   // Adds the rules of a queue that may have been dropped from the configuration
   // since. Does nothing if the queue is known.
@@ -155,7 +154,7 @@
   // call, because of starts that are missing after a change of owner. Their
   // jobs have failed.
   std::vector<jobs::TaskRef> TakeGuiltyTasks() {
-    return std::exchange(guilty_tasks_, {});
+    return suspects_.TakeGuiltyTasks();
   }
   // Returns how many jobs have had their first task started since the last
   // call.
@@ -291,49 +290,6 @@
                   std::vector<Action>* actions);
   bool PlaceGang(const WaitingStep& item, base::TimePoint now,
                  std::vector<Action>* actions);
-  // Chooses a worker for a task of the step, according to what it may endanger.
-  // Returns null if there is none, or if the task has to wait; then notes that
-  // in the step.
-  const workers::Worker* ChooseForTask(
-      WaitingStep* item, std::uint32_t index,
-      std::vector<placement::Candidate>* candidates,
-      std::vector<placement::Candidate>* suspects_candidates,
-      base::TimePoint now);
-  // Whether the next start of the task must be announced in the store.
-  bool NeedsAnnouncement(const WaitingStep& item, const jobs::Task& task,
-                         const jobs::CrashHistory& crashes) const;
-  // Announces the next start of such a task on `worker`, null for a gang, and
-  // returns whether that is stored, so that it can be started. A start that a
-  // previous owner had announced, that no worker reported and whose worker is
-  // lost counts as a crash; if that proves the task guilty, its job is given up
-  // instead.
-  bool IsStartAnnounced(jobs::Job* job, const jobs::TaskRef& task,
-                        jobs::Attempt attempt, const workers::Worker* worker,
-                        base::TimePoint now);
-  // Returns whether a previous owner's announced start is missing because its
-  // worker is lost.
-  bool IsAnnouncedWorkerLost(const jobs::CrashHistory& crashes) const;
-  // If the next start of the task was announced on one of the candidates and
-  // still fits there, moves all other candidates to `others`.
-  void KeepAnnouncedOnly(const jobs::CrashHistory& crashes,
-                         jobs::Attempt attempt, const jobs::StepSpec& spec,
-                         std::vector<placement::Candidate>* candidates,
-                         std::vector<placement::Candidate>* others) const;
-  // Whether the step's queue is on alert and none of its tasks has shown yet
-  // that it doesn't crash its worker.
-  bool IsUnproven(const WaitingStep& item, base::TimePoint now) const;
-  // Chooses a worker for a task that is suspected of crashing workers: one on
-  // which nothing was started just now, so that another crash proves which task
-  // caused it. If there is none, lets no other task start on a worker until it
-  // will do. Removes the worker from `candidates`. Returns null if the task has
-  // to wait.
-  const workers::Worker* ChooseForSuspect(
-      std::vector<placement::Candidate>* candidates, const jobs::StepSpec& spec,
-      const base::BackendId& failed_on, base::TimePoint now);
-  // Whether the worker takes no new tasks because one that is suspected of
-  // crashing workers runs there or is about to.
-  bool IsKeptForSuspect(const workers::Worker& worker,
-                        base::TimePoint now) const;
   // Places gang members whose start did not reach a worker on other workers,
   // while the members that started wait for them.
   bool PlaceMissingMembers(const WaitingStep& item, base::TimePoint now,
@@ -572,6 +528,19 @@
   void ReserveCap(const WaitingStep& item, std::uint32_t tasks) {
     caps_.ReserveCap(item, tasks);
   }
+  bool NeedsAnnouncement(const WaitingStep& item, const jobs::Task& task,
+                         const jobs::CrashHistory& crashes) const {
+    return suspects_.NeedsAnnouncement(item, task, crashes);
+  }
+  bool IsStartAnnounced(jobs::Job* job, const jobs::TaskRef& task,
+                        jobs::Attempt attempt, const workers::Worker* worker,
+                        base::TimePoint now) {
+    return suspects_.IsStartAnnounced(job, task, attempt, worker, now);
+  }
+  bool IsKeptForSuspect(const workers::Worker& worker,
+                        base::TimePoint now) const {
+    return suspects_.IsKeptForSuspect(worker, now);
+  }
   // Returns the number for the task's next attempt.
   jobs::Attempt NextAttempt(const jobs::Step& step, std::uint32_t index) const {
     return context_.NextAttempt(step, index);
@@ -579,6 +548,7 @@
 
   DispatcherContext context_;
   DispatcherCaps caps_{&context_};
+  DispatcherSuspects suspects_{&context_};
   // Parts of the context under shorter names.
   Telemetry telemetry_;
   JobRegistry* jobs_;
@@ -595,9 +565,6 @@
   // requests are sent only after all other items had the chance to send their
   // first ones.
   std::vector<const WaitingStep*> needing_more_advice_;
-  bool announces_inherited_starts_ = false;
-  // Hashes of the lost workers of previous owners.
-  std::set<std::uint32_t> lost_inherited_workers_;
   std::set<jobs::StepRef> waiting_;
   // Steps of jobs that can no longer complete in time. After a burst there may
   // be thousands of them, so they are considered less often than the others,
@@ -641,16 +608,12 @@
   // The workers of each rack; empty if no run time depends on the rack.
   std::map<std::string, std::vector<workers::WorkerNumber>> racks_;
   base::TimePoint next_racks_update_;
-  // The workers on which nothing else is started until a suspect can be, and
-  // when that ends in any case.
-  std::map<workers::WorkerNumber, base::TimePoint> kept_for_suspects_;
   // Gangs for which there was no capacity. Emptied at `next_gang_retry_`, so
   // that all of them are tried again in one pass, in the order of their
   // urgency.
   std::unordered_map<jobs::StepRef, UnplacedGang> unplaced_gangs_;
   base::TimePoint next_gang_retry_;
   std::uint64_t jobs_begun_ = 0;
-  std::vector<jobs::TaskRef> guilty_tasks_;
   base::TimePoint next_usage_update_;
   CopyTracker copies_;
   // Whether the last pass left steps that can be on time without free
--- /dev/null
+++ b/include/dotterelbarrow/core/scheduler/dispatcher_suspects.h
@@ -0,0 +1,103 @@
+// Placement of tasks that may crash their workers.
+#ifndef DOTTERELBARROW_CORE_SCHEDULER_DISPATCHER_SUSPECTS_H_
+#define DOTTERELBARROW_CORE_SCHEDULER_DISPATCHER_SUSPECTS_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "dotterelbarrow/base/ids.h"
+#include "dotterelbarrow/base/units.h"
+#include "dotterelbarrow/core/jobs/job.h"
+#include "dotterelbarrow/core/placement/worker_choice.h"
+#include "dotterelbarrow/core/scheduler/dispatcher_context.h"
+#include "dotterelbarrow/core/scheduler/waiting_step.h"
+#include "dotterelbarrow/core/workers/worker.h"
+
+namespace dotterelbarrow::core::scheduler {
+
+// Chooses workers so that a crash tells which task caused it, and announces the
+// starts of suspects in the store.
+class DispatcherSuspects {
+ public:
+  // `context` must outlive this object.
+  explicit DispatcherSuspects(DispatcherContext* context) : context_(context) {}
+
+  // Records that a worker of a previous owner is lost. If it has crashed, it
+  // may have done so under runs that nobody remembers; the next start of each
+  // task that may have been one of them is then announced in the store, so that
+  // a further crash is remembered even if no owner lives long enough to see
+  // one.
+  void RecordInheritedLoss(const base::BackendId& worker,
+                           workers::LossKind kind);
+  // Returns the tasks that were found guilty of crashing workers since the last
+  // call, because of starts that are missing after a change of owner. Their
+  // jobs have failed.
+  std::vector<jobs::TaskRef> TakeGuiltyTasks() {
+    return std::exchange(guilty_tasks_, {});
+  }
+
+  // Chooses a worker for a task of the step, according to what it may endanger.
+  // Returns null if there is none, or if the task has to wait; then notes that
+  // in the step.
+  const workers::Worker* ChooseForTask(
+      WaitingStep* item, std::uint32_t index,
+      std::vector<placement::Candidate>* candidates,
+      std::vector<placement::Candidate>* suspects_candidates,
+      base::TimePoint now);
+  // Whether the next start of the task must be announced in the store.
+  bool NeedsAnnouncement(const WaitingStep& item, const jobs::Task& task,
+                         const jobs::CrashHistory& crashes) const;
+  // Announces the next start of such a task on `worker`, null for a gang, and
+  // returns whether that is stored, so that it can be started. A start that a
+  // previous owner had announced, that no worker reported and whose worker is
+  // lost counts as a crash; if that proves the task guilty, its job is given up
+  // instead.
+  bool IsStartAnnounced(jobs::Job* job, const jobs::TaskRef& task,
+                        jobs::Attempt attempt, const workers::Worker* worker,
+                        base::TimePoint now);
+  // Whether the step's queue is on alert and none of its tasks has shown yet
+  // that it doesn't crash its worker.
+  bool IsUnproven(const WaitingStep& item, base::TimePoint now) const;
+  // Whether the worker takes no new tasks because one that is suspected of
+  // crashing workers runs there or is about to.
+  bool IsKeptForSuspect(const workers::Worker& worker,
+                        base::TimePoint now) const;
+
+ private:
+  // Returns whether a previous owner's announced start is missing because its
+  // worker is lost.
+  bool IsAnnouncedWorkerLost(const jobs::CrashHistory& crashes) const;
+  // If the next start of the task was announced on one of the candidates and
+  // still fits there, moves all other candidates to `others`.
+  void KeepAnnouncedOnly(const jobs::CrashHistory& crashes,
+                         jobs::Attempt attempt, const jobs::StepSpec& spec,
+                         std::vector<placement::Candidate>* candidates,
+                         std::vector<placement::Candidate>* others) const;
+  // Chooses a worker for a task that is suspected of crashing workers: one on
+  // which nothing was started just now, so that another crash proves which task
+  // caused it. If there is none, lets no other task start on a worker until it
+  // will do. Removes the worker from `candidates`. Returns null if the task has
+  // to wait.
+  const workers::Worker* ChooseForSuspect(
+      std::vector<placement::Candidate>* candidates, const jobs::StepSpec& spec,
+      const base::BackendId& failed_on, base::TimePoint now);
+
+  DispatcherContext* context_;
+  // Whether some worker of a previous owner has crashed. Never becomes false
+  // again.
+  bool announces_inherited_starts_ = false;
+  // Hashes of the lost workers of previous owners.
+  std::set<std::uint32_t> lost_inherited_workers_;
+  // The workers on which nothing else is started until a suspect can be, and
+  // when that ends in any case.
+  std::map<workers::WorkerNumber, base::TimePoint> kept_for_suspects_;
+  // Not empty only until the next call of TakeGuiltyTasks.
+  std::vector<jobs::TaskRef> guilty_tasks_;
+};
+
+}  // namespace dotterelbarrow::core::scheduler
+
+#endif  // DOTTERELBARROW_CORE_SCHEDULER_DISPATCHER_SUSPECTS_H_
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -368,12 +368,12 @@
   });
   std::vector<Candidate> suspects_candidates = candidates;
   std::erase_if(candidates, [&](const Candidate& candidate) {
-    return IsKeptForSuspect(*candidate.worker, now);
+    return suspects_.IsKeptForSuspect(*candidate.worker, now);
   });
   const bool waits_for_first =
       item.urgency.latest_start - now >
           placement::CrashContainment::kMinSlackToWait &&
-      IsUnproven(item, now);
+      suspects_.IsUnproven(item, now);
   std::vector<Choice> choices;
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
     const jobs::Task& task = step.tasks[index];
@@ -388,9 +388,10 @@
       waiting->waits_for_isolation = true;
       break;
     }
-    const workers::Worker* best =
-        ChooseForTask(waiting, index, &candidates, &suspects_candidates, now);
-    if (best == nullptr && NeedsAnnouncement(item, task, task.crashes)) {
+    const workers::Worker* best = suspects_.ChooseForTask(
+        waiting, index, &candidates, &suspects_candidates, now);
+    if (best == nullptr &&
+        suspects_.NeedsAnnouncement(item, task, task.crashes)) {
       continue;
     }
     if (best == nullptr ||
--- a/src/core/scheduler/dispatcher_copies.cc
+++ b/src/core/scheduler/dispatcher_copies.cc
@@ -254,7 +254,7 @@
     const double slowness = run_times_.SlownessOf(worker.number());
     if (worker.id() == run.worker || gang_holds_.IsHeld(worker.number()) ||
         gang_holds_.IsWanted(worker.number()) ||
-        IsKeptForSuspect(worker, now) ||
+        suspects_.IsKeptForSuspect(worker, now) ||
         !placement::HasCapacityFor(candidate, spec) ||
         !StragglerPolicy::EndsBefore(progress, slowness)) {
       continue;
--- a/src/core/scheduler/dispatcher_explanation.cc
+++ b/src/core/scheduler/dispatcher_explanation.cc
@@ -104,7 +104,7 @@
   if (!spec.gang && item.yields && gang_holds_.IsWanted(worker.number())) {
     return "wanted_by_gang";
   }
-  if (IsKeptForSuspect(worker, now)) {
+  if (suspects_.IsKeptForSuspect(worker, now)) {
     return "kept_for_suspect";
   }
   if (!spec.Reservation().FitsIn(worker.FreeResources())) {
--- a/src/core/scheduler/dispatcher_locality.cc
+++ b/src/core/scheduler/dispatcher_locality.cc
@@ -193,7 +193,7 @@
     if (worker == nullptr || worker->id() == failed_on ||
         worker->listing().rack != spec.data_rack ||
         !MayRunOn(*worker, item, now) || gang_holds_.IsHeld(number) ||
-        IsKeptForSuspect(*worker, now)) {
+        suspects_.IsKeptForSuspect(*worker, now)) {
       continue;
     }
     if (item.queue->advice &&
--- a/src/core/scheduler/dispatcher_preemption.cc
+++ b/src/core/scheduler/dispatcher_preemption.cc
@@ -109,7 +109,7 @@
                   [](const jobs::Task& task) {
                     return !task.done && task.crashes.is_suspect();
                   });
-  if (has_suspects || IsUnproven(item, now) ||
+  if (has_suspects || suspects_.IsUnproven(item, now) ||
       (spec.gang && step.waiting() < step.tasks.size())) {
     return false;
   }
--- a/src/core/scheduler/dispatcher_suspects.cc
+++ b/src/core/scheduler/dispatcher_suspects.cc
@@ -1,9 +1,10 @@
 // Placement of tasks that may crash their workers.
+#include "dotterelbarrow/core/scheduler/dispatcher_suspects.h"
+
 #include <algorithm>
 #include <iterator>
 
 #include "dotterelbarrow/base/hash.h"
-#include "dotterelbarrow/core/scheduler/dispatcher.h"
 
 namespace dotterelbarrow::core::scheduler {
 namespace {
@@ -33,33 +34,34 @@
 
 }  // namespace
 
-bool Dispatcher::NeedsAnnouncement(const WaitingStep& item,
-                                   const jobs::Task& task,
-                                   const jobs::CrashHistory& crashes) const {
+bool DispatcherSuspects::NeedsAnnouncement(
+    const WaitingStep& item, const jobs::Task& task,
+    const jobs::CrashHistory& crashes) const {
   return crashes.is_suspect() || (announces_inherited_starts_ &&
-                                  context_.inherited.contains(item.step.job) &&
-                                  task.last_attempt < first_attempt_);
+                                  context_->inherited.contains(item.step.job) &&
+                                  task.last_attempt < context_->first_attempt);
 }
 
-void Dispatcher::RecordInheritedLoss(const base::BackendId& worker,
-                                     workers::LossKind kind) {
+void DispatcherSuspects::RecordInheritedLoss(const base::BackendId& worker,
+                                             workers::LossKind kind) {
   lost_inherited_workers_.insert(HashOf(worker));
   announces_inherited_starts_ |= kind == workers::LossKind::kCrashed;
 }
 
-bool Dispatcher::IsAnnouncedWorkerLost(
+bool DispatcherSuspects::IsAnnouncedWorkerLost(
     const jobs::CrashHistory& crashes) const {
   return crashes.announced_start() &&
-         *crashes.announced_start() < first_attempt_ &&
+         *crashes.announced_start() < context_->first_attempt &&
          (crashes.announced_worker() == 0
               ? !lost_inherited_workers_.empty()
               : lost_inherited_workers_.contains(crashes.announced_worker()));
 }
 
-bool Dispatcher::IsStartAnnounced(jobs::Job* job, const jobs::TaskRef& task,
-                                  jobs::Attempt attempt,
-                                  const workers::Worker* worker,
-                                  base::TimePoint now) {
+bool DispatcherSuspects::IsStartAnnounced(jobs::Job* job,
+                                          const jobs::TaskRef& task,
+                                          jobs::Attempt attempt,
+                                          const workers::Worker* worker,
+                                          base::TimePoint now) {
   if (jobs::IsFinal(job->state)) {
     return false;
   }
@@ -67,26 +69,25 @@
   const std::uint32_t hash = worker == nullptr ? 0 : HashOf(worker->id());
   if (crashes->announced_start() == attempt &&
       crashes->announced_worker() == hash) {
-    return jobs_->IsUpToDate(job->key);
+    return context_->jobs->IsUpToDate(job->key);
   }
   // The verdict must come before the next start: owners may change so often
   // that none of them sees a crash.
   if (IsAnnouncedWorkerLost(*crashes) &&
-      job->RecordMissingStart(task,
-                              context_.containment.HasProof(job->queue, now))) {
+      job->RecordMissingStart(
+          task, context_->containment.HasProof(job->queue, now))) {
     guilty_tasks_.push_back(task);
     return false;
   }
   crashes->AnnounceStart(attempt, hash);
-  jobs_->EnqueueJob(job->key, now);
+  context_->jobs->EnqueueJob(job->key, now);
   return false;
 }
 
-void Dispatcher::KeepAnnouncedOnly(const jobs::CrashHistory& crashes,
-                                   jobs::Attempt attempt,
-                                   const jobs::StepSpec& spec,
-                                   std::vector<Candidate>* candidates,
-                                   std::vector<Candidate>* others) const {
+void DispatcherSuspects::KeepAnnouncedOnly(
+    const jobs::CrashHistory& crashes, jobs::Attempt attempt,
+    const jobs::StepSpec& spec, std::vector<Candidate>* candidates,
+    std::vector<Candidate>* others) const {
   if (crashes.announced_start() != attempt) {
     return;
   }
@@ -102,22 +103,22 @@
   }
 }
 
-bool Dispatcher::IsUnproven(const WaitingStep& item,
-                            base::TimePoint now) const {
-  if (!context_.containment.IsOnAlert(item.queue->id, now) ||
+bool DispatcherSuspects::IsUnproven(const WaitingStep& item,
+                                    base::TimePoint now) const {
+  if (!context_->containment.IsOnAlert(item.queue->id, now) ||
       item.job->FindStep(item.step)->done > 0) {
     return false;
   }
-  const std::set<PlacedRun>& runs = runs_->RunsOfStep(item.step);
+  const std::set<PlacedRun>& runs = context_->runs->RunsOfStep(item.step);
   return std::none_of(runs.begin(), runs.end(), [&](const PlacedRun& placed) {
-    workers::Worker* worker = fleet_->Find(placed.worker);
+    workers::Worker* worker = context_->fleet->Find(placed.worker);
     const workers::Run* run = worker->FindRun(placed.task, placed.attempt);
     return run->state == workers::RunState::kRunning &&
            worker->failed_polls == 0 && !workers::IsYoungAt(*run, now);
   });
 }
 
-const workers::Worker* Dispatcher::ChooseForTask(
+const workers::Worker* DispatcherSuspects::ChooseForTask(
     WaitingStep* item, std::uint32_t index, std::vector<Candidate>* candidates,
     std::vector<Candidate>* suspects_candidates, base::TimePoint now) {
   const jobs::StepSpec& spec = item->job->SpecOf(item->step);
@@ -126,12 +127,12 @@
   const bool is_suspect = task.crashes.is_suspect();
   const bool is_first = !is_suspect && IsUnproven(*item, now);
   const bool is_sole_suspect = is_suspect && task.crashes.is_sole_suspect();
-  if (is_sole_suspect && !context_.containment.MayExposeToSuspect(now)) {
+  if (is_sole_suspect && !context_->containment.MayExposeToSuspect(now)) {
     item->waits_for_isolation = true;
     return nullptr;
   }
   const bool needs_announcement = NeedsAnnouncement(*item, task, task.crashes);
-  const jobs::Attempt attempt = NextAttempt(*step, index);
+  const jobs::Attempt attempt = context_->NextAttempt(*step, index);
   std::vector<Candidate>* choices =
       is_suspect ? suspects_candidates : candidates;
   std::vector<Candidate> others;
@@ -155,7 +156,7 @@
     return nullptr;
   }
   if (is_sole_suspect) {
-    context_.containment.RecordSuspectStart(now);
+    context_->containment.RecordSuspectStart(now);
   }
   // Neither kind joins the other.
   std::erase_if(
@@ -164,7 +165,7 @@
   return best;
 }
 
-const workers::Worker* Dispatcher::ChooseForSuspect(
+const workers::Worker* DispatcherSuspects::ChooseForSuspect(
     std::vector<Candidate>* candidates, const jobs::StepSpec& spec,
     const base::BackendId& failed_on, base::TimePoint now) {
   std::vector<Candidate> quiet;
@@ -182,7 +183,7 @@
   }
   std::erase_if(kept_for_suspects_,
                 [now](const auto& entry) { return now >= entry.second; });
-  if (kept_for_suspects_.size() < context_.containment.MaxKeptWorkers()) {
+  if (kept_for_suspects_.size() < context_->containment.MaxKeptWorkers()) {
     std::vector<Candidate> busy = *candidates;
     std::erase_if(busy, [&](const Candidate& candidate) {
       return IsKeptForSuspect(*candidate.worker, now);
@@ -195,8 +196,8 @@
   return nullptr;
 }
 
-bool Dispatcher::IsKeptForSuspect(const workers::Worker& worker,
-                                  base::TimePoint now) const {
+bool DispatcherSuspects::IsKeptForSuspect(const workers::Worker& worker,
+                                          base::TimePoint now) const {
   const auto it = kept_for_suspects_.find(worker.number());
   return it != kept_for_suspects_.end() && now < it->second;
 }
--- a/src/core/scheduler/dispatcher_victims.cc
+++ b/src/core/scheduler/dispatcher_victims.cc
@@ -37,7 +37,7 @@
         std::find(unplaced->second.held.begin(), unplaced->second.held.end(),
                   worker.number()) != unplaced->second.held.end();
     if (candidates.size() >= kMaxCandidates || !MayRunOn(worker, item, now) ||
-        IsKeptForSuspect(worker, now) ||
+        suspects_.IsKeptForSuspect(worker, now) ||
         (gang_holds_.IsHeld(worker.number()) && !is_own_hold)) {
       return;
     }
