--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -16,7 +16,6 @@
 
 #include "dotterelbarrow/core/advice/advice_cache.h"
 #include "dotterelbarrow/core/desired/desired_state.h"
-#include "dotterelbarrow/core/placement/cap_headroom.h"
 #include "dotterelbarrow/core/placement/crash_containment.h"
 #include "dotterelbarrow/core/placement/gang_holds.h"
 #include "dotterelbarrow/core/placement/kept_rooms.h"
@@ -32,82 +31,36 @@
 #include "dotterelbarrow/core/scheduler/actions.h"
 #include "dotterelbarrow/core/scheduler/copy_tracker.h"
 #include "dotterelbarrow/core/scheduler/decision_log.h"
+#include "dotterelbarrow/core/scheduler/dispatcher_caps.h"
+#include "dotterelbarrow/core/scheduler/dispatcher_context.h"
+#include "dotterelbarrow/core/scheduler/dispatcher_settings.h"
+#include "dotterelbarrow/core/scheduler/dispatcher_suspects.h"
 #include "dotterelbarrow/core/scheduler/explanation.h"
 #include "dotterelbarrow/core/scheduler/fleet.h"
 #include "dotterelbarrow/core/scheduler/job_registry.h"
 #include "dotterelbarrow/core/scheduler/run_index.h"
+#include "dotterelbarrow/core/scheduler/waiting_step.h"
 
 namespace dotterelbarrow::core::scheduler {
 
-struct DispatcherSettings {
-  // Maximum number of workers named in one advice request; the platform's
-  // limit.
-  std::size_t max_workers_per_request = 100;
-  // A ticket is not used for this long before it expires, so that the start
-  // command arrives while it is valid.
-  base::Duration ticket_margin = std::chrono::milliseconds(150);
-  // Delay before a failed advice request is repeated.
-  base::Duration advice_retry_delay = std::chrono::milliseconds(150);
-  // A scheduling pass places nothing more once it has found no free resources
-  // for this many steps, taken in the order of their urgency. With a long
-  // backlog, trying the remaining steps would only cost processor time.
-  int max_unplaced_steps = 48;
-  // After that, a pass over overdue steps still tries this many of the
-  // remaining ones, each time those after the last ones tried. Otherwise steps
-  // that fit nowhere for a long time, such as suspects of crashes, would keep
-  // all steps behind them from capacity that is free.
-  std::size_t rotating_steps = 16;
-  // Interval at which gangs are tried again for which there was no capacity,
-  // for each worker of the fleet. Passes in between only keep the same workers
-  // free for them. A hundredth of a second for 500 workers is small against the
-  // time that a gang waits for its workers.
-  base::Duration gang_retry_interval_per_worker = std::chrono::microseconds(20);
-  // Interval at which the utilisation of the fleet is computed, for each worker
-  // of the fleet: half a millisecond for 50 workers, so that going through a
-  // large fleet does not take most of the time of a pass.
-  base::Duration usage_interval_per_worker = std::chrono::microseconds(10);
-  // Interval at which overdue steps are considered: steps of jobs that can no
-  // longer complete in time.
-  base::Duration overdue_pass_interval = std::chrono::milliseconds(50);
-  // Whether run times are learnt, for experiments without that.
-  bool uses_run_times = true;
-  // How many runs a pass looks at, at most, to see whether they need copies. A
-  // run is looked at about five times, so that this suffices for all runs that
-  // can be placed, 1,800 a second.
-  int max_copy_looks = 36;
-  // Nothing is preempted with the default values.
-  placement::PreemptionSettings preemption;
-  // How many times as long a task runs away from its `data_rack`, and a gang
-  // that prefers one rack on several. With 1, nothing waits for a local worker.
-  double remote_factor = 1;
-};
-
-// Why a step whose dependencies are met is not started.
-enum class WaitReason {
-  kStoring,        // The acceptance of its job is not stored yet.
-  kUntrackedRuns,  // A worker of a previous owner may have an untracked run of
-                   // it.
-  kAdvice,         // The advisor has not said which workers may run it.
-  kFreeResources,  // The allowed workers lack free resources.
-  kCap,            // Its organisation has reached its cap.
-  kOrphanedMembers,  // Members of its last attempt may still be running.
-  kIsolation,        // Its tasks may crash workers, and no worker is apart from
-                     // others.
-  kLocalWorker,  // A place near its data, or on one rack, is worth the wait.
-};
-
-const char* ToString(WaitReason reason);
-
 class Dispatcher {
  public:
   Dispatcher(DispatcherSettings settings, Telemetry telemetry,
              JobRegistry* jobs, Fleet* fleet, RunIndex* runs)
-      : settings_(settings),
+      : context_{.settings = settings,
+                 .telemetry = telemetry,
+                 .jobs = jobs,
+                 .fleet = fleet,
+                 .runs = runs},
         telemetry_(telemetry),
         jobs_(jobs),
         fleet_(fleet),
         runs_(runs) {}
 
+  // The decisions point to the context.
+  Dispatcher(const Dispatcher&) = delete;
+  Dispatcher& operator=(const Dispatcher&) = delete;
+
   // Replaces the configuration in use.
   void SetDesired(std::shared_ptr<const desired::DesiredState> desired);
   // Sets the entry hosts through which the advisor can be called.
@@ -116,35 +69,28 @@
   }
   // Sets the lowest attempt number of this owner, which is above those of all
   // previous owners.
-  void set_first_attempt(jobs::Attempt first) { first_attempt_ = first; }
+  void set_first_attempt(jobs::Attempt first) {
+    context_.first_attempt = first;
+  }
   // Marks a job as accepted by a previous owner. Its steps are not started as
   // long as some worker may have untracked runs, because one of them may be a
   // run of this job.
-  void MarkInherited(jobs::JobKey job) { inherited_.insert(job); }
+  void MarkInherited(jobs::JobKey job) { context_.inherited.insert(job); }
 
-  // Records that a worker of a previous owner is lost. It may have crashed
-  // under runs that nobody remembers.
-  void RecordInheritedLoss() { has_lost_inherited_workers_ = true; }
-  // Reads from the fleet which worker was born last. Call it before each pass.
-  void UpdateNewestIncarnation();
-  // Whether tasks of the job may have crashed workers under previous owners: a
-  // worker was lost, or was born after the job was accepted. The next start of
-  // each of its tasks is then announced in the store, so that a further crash
-  // is remembered even if no owner lives long enough to see one.
-  bool MayHaveCrashedWorkers(const jobs::Job& job) const;
-  // Returns whether a previous owner's announced start is missing because its
-  // worker is lost.
-  bool IsAnnouncedWorkerLost(const jobs::CrashHistory& crashes,
-                             bool is_gang) const;
+  // What is known about tasks that may crash their workers.
+  DispatcherSuspects& suspects() { return suspects_; }
+  const DispatcherSuspects& suspects() const { return suspects_; }
 
   // Adds the rules of a queue that may have been dropped from the configuration
   // since. Does nothing if the queue is known.
   void RememberQueue(const desired::Queue& queue) {
-    known_queues_.try_emplace(queue.id, queue);
+    context_.known_queues.try_emplace(queue.id, queue);
   }
   // Returns the current rules of the queue or, if it was dropped, its last
   // ones; null if the queue was never known.
-  const desired::Queue* FindQueue(const desired::QueueId& id) const;
+  const desired::Queue* FindQueue(const desired::QueueId& id) const {
+    return context_.FindQueue(id);
+  }
 
   // Adds the step to those that the next pass tries to place.
   void Enqueue(const jobs::StepRef& step) {
@@ -165,9 +111,11 @@
   // Records that the job has arrived, so that room under its organisation's cap
   // is kept for urgent jobs like it.
   void RecordArrival(jobs::Job* job, const desired::Queue& queue,
-                     base::TimePoint now);
+                     base::TimePoint now) {
+    caps_.RecordArrival(job, queue, now);
+  }
   // Marks an accepted job as beyond its organisation's share.
-  void MarkOverShare(jobs::JobKey job) { over_share_.insert(job); }
+  void MarkOverShare(jobs::JobKey job) { context_.over_share.insert(job); }
   // Drops the marks of a job.
   void RemoveJob(jobs::JobKey job);
 
@@ -175,10 +123,12 @@
   void set_saturated(bool saturated) { load_shedder_.set_saturated(saturated); }
 
   // What is known about crashes; the scheduler reports proofs to it.
-  placement::CrashContainment& containment() { return containment_; }
+  placement::CrashContainment& containment() { return context_.containment; }
   // What is known about run times; the scheduler records completed runs in it.
-  placement::RunTimeModel& run_times() { return run_times_; }
-  const placement::RunTimeModel& run_times() const { return run_times_; }
+  placement::RunTimeModel& run_times() { return context_.run_times; }
+  const placement::RunTimeModel& run_times() const {
+    return context_.run_times;
+  }
 
   // The workers that accept work have changed: the next pass computes the
   // utilisation of the fleet and chooses workers for waiting gangs anew.
@@ -199,18 +149,14 @@
   void InvalidateTicket(const jobs::StepRef& step,
                         const base::BackendId& worker);
 
-  // Returns the tasks that were found guilty of crashing workers since the last
-  // call, because of starts that are missing after a change of owner. Their
-  // jobs have failed.
-  std::vector<jobs::TaskRef> TakeGuiltyTasks() {
-    return std::exchange(guilty_tasks_, {});
-  }
   // Returns how many jobs have had their first task started since the last
   // call.
   std::uint64_t TakeJobsBegun() { return std::exchange(jobs_begun_, 0); }
 
   // Whether the job was accepted by a previous owner.
-  bool IsInherited(jobs::JobKey job) const { return inherited_.contains(job); }
+  bool IsInherited(jobs::JobKey job) const {
+    return context_.inherited.contains(job);
+  }
   // A run that a previous owner started was added to the worker.
   void OnRunAdopted(const base::BackendId& worker, const workers::Run& run,
                     base::TimePoint now);
@@ -234,29 +180,8 @@
   std::size_t held_workers() const { return gang_holds_.held_count(); }
 
  private:
-  // A waiting step, as one pass sees it.
-  struct WaitingStep {
-    placement::Urgency urgency;
-    jobs::StepRef step;
-    jobs::Job* job = nullptr;
-    const desired::Queue* queue = nullptr;
-    // Whether the step has so much slack left that it yields capacity to gangs
-    // and to urgent work.
-    bool yields = false;
-    // Why no task of the step may start yet, even if resources are free.
-    std::optional<WaitReason> blocked_by{};
-    // Allowed workers that accept new work; filled in once the advice is known.
-    // Steps other than gangs list only workers with free resources for a task.
-    // Gangs list the others too, since resources may be freed there later.
-    std::vector<placement::Candidate> candidates{};
-    // Whether a task waits for a worker on which it can be told apart.
-    bool waits_for_isolation = false;
-    // How many more tasks are placed away from their data in this pass; not set
-    // before a task fits on no local worker.
-    std::optional<std::uint32_t> remote_tasks{};
-    // Whether a task waits for a local worker.
-    bool waits_for_local = false;
-  };
+  using Choice = TaskChoice;
+
   // What the last try to place a gang found.
   struct UnplacedGang {
     // Workers that may run it, and those kept free for it, with what it leaves
@@ -264,12 +189,6 @@
     std::vector<workers::WorkerNumber> wanted;
     std::map<workers::WorkerNumber, placement::GangHolds::Remainder> held;
   };
-  // A worker chosen for one task.
-  struct Choice {
-    std::uint32_t index = 0;
-    base::BackendId worker;
-  };
-
   // Returns those of `steps` that have tasks to place, the most urgent first,
   // and removes the others. Moves steps that can no longer be in time from
   // `waiting_` to `overdue_`.
@@ -301,9 +220,6 @@
                        base::TimePoint now);
   // Logs why a step waits if the reason has changed.
   void LogWait(const WaitingStep& item, WaitReason reason, base::TimePoint now);
-  // Returns nullopt if the step has nothing to place.
-  std::optional<WaitingStep> MakeWaitingStep(const jobs::StepRef& ref,
-                                             base::TimePoint now);
   // Returns false if no worker of the fleet has the free resources for a task
   // of the step. A cheap check, which may return true although none has.
   bool MayFit(const WaitingStep& item) const;
@@ -357,10 +273,6 @@
   // worker; 0 if that is not known better than by its estimate.
   base::Duration ExpectedRunTimeOn(const WaitingStep& item,
                                    const base::BackendId& worker) const;
-  // Returns whether the worker accepts new work and is suitable for the step's
-  // tasks.
-  static bool MayRunOn(const workers::Worker& worker, const WaitingStep& item,
-                       base::TimePoint now);
   // Returns whether all tasks of a gang wait for a part of its organisation's
   // cap, and reserves that part.
   bool WaitsForCap(const WaitingStep& item);
@@ -372,46 +284,6 @@
                   std::vector<Action>* actions);
   bool PlaceGang(const WaitingStep& item, base::TimePoint now,
                  std::vector<Action>* actions);
-  // Chooses a worker for a task of the step, according to what it may endanger.
-  // Returns null if there is none, or if the task has to wait; then notes that
-  // in the step.
-  const workers::Worker* ChooseForTask(
-      WaitingStep* item, std::uint32_t index,
-      std::vector<placement::Candidate>* candidates,
-      std::vector<placement::Candidate>* suspects_candidates,
-      base::TimePoint now);
-  // Whether the next start of the task must be announced in the store.
-  bool NeedsAnnouncement(const WaitingStep& item, const jobs::Task& task,
-                         const jobs::CrashHistory& crashes) const;
-  // Announces the next start of such a task on `worker`, null for a gang, and
-  // returns whether that is stored, so that it can be started. A start that a
-  // previous owner had announced, that no worker reported and whose worker is
-  // lost counts as a crash; if that proves the task guilty, its job is given up
-  // instead.
-  bool IsStartAnnounced(jobs::Job* job, const jobs::TaskRef& task,
-                        jobs::Attempt attempt, const workers::Worker* worker,
-                        base::TimePoint now);
-  // If the next start of the task was announced on one of the candidates and
-  // still fits there, moves all other candidates to `others`.
-  void KeepAnnouncedOnly(const jobs::CrashHistory& crashes,
-                         jobs::Attempt attempt, const jobs::StepSpec& spec,
-                         std::vector<placement::Candidate>* candidates,
-                         std::vector<placement::Candidate>* others) const;
-  // Whether the step's queue is on alert and none of its tasks has shown yet
-  // that it doesn't crash its worker.
-  bool IsUnproven(const WaitingStep& item, base::TimePoint now) const;
-  // Chooses a worker for a task that is suspected of crashing workers: one on
-  // which nothing was started just now, so that another crash proves which task
-  // caused it. If there is none, lets no other task start on a worker until it
-  // will do. Removes the worker from `candidates`. Returns null if the task has
-  // to wait.
-  const workers::Worker* ChooseForSuspect(
-      std::vector<placement::Candidate>* candidates, const jobs::StepSpec& spec,
-      const base::BackendId& failed_on, base::TimePoint now);
-  // Whether the worker takes no new tasks because one that is suspected of
-  // crashing workers runs there or is about to.
-  bool IsKeptForSuspect(const workers::Worker& worker,
-                        base::TimePoint now) const;
   // Places gang members whose start did not reach a worker on other workers,
   // while the members that started wait for them.
   bool PlaceMissingMembers(const WaitingStep& item, base::TimePoint now,
@@ -435,35 +307,6 @@
                                      const std::vector<Choice>& choices,
                                      jobs::Attempt attempt,
                                      base::TimePoint now);
-  // Returns whether `tasks` more tasks of the step fit under the organisation's
-  // cap, next to what is reserved there for a gang and, if the step yields, for
-  // urgent work.
-  bool IsWithinCap(const WaitingStep& item, std::uint32_t tasks) const;
-  // Returns whether `tasks` more tasks of a step that yields leave enough of
-  // the organisation's cap to its urgent work.
-  bool LeavesHeadroom(const WaitingStep& item, std::uint32_t tasks) const;
-  // Reserves a part of the organisation's cap for a waiting gang, unless a more
-  // urgent gang has such a reservation in this pass.
-  void ReserveCap(const WaitingStep& item, std::uint32_t tasks);
-  // Returns whether these tasks fit under the cap if nothing else runs.
-  bool CanEverFitCap(const WaitingStep& item, std::uint32_t tasks) const;
-  // Returns whether `tasks` tasks of the step fit under the cap on top of
-  // `used`.
-  bool FitsCap(const WaitingStep& item, const base::Resources& used,
-               std::uint32_t tasks) const;
-  // Computes upper bounds of the resources that untracked runs may use on
-  // workers of previous owners that are not claimed yet: for each organisation
-  // no more than its inherited tasks that wait.
-  void UpdateInheritedUsage(base::TimePoint now);
-  // Does the same for untracked second runs of the tasks of inherited jobs.
-  void UpdateInheritedCopies(base::TimePoint now);
-  base::Resources InheritedCopiesOf(
-      const base::OrganisationId& organisation) const;
-  // Return upper bounds of the resources that the organisation's runs use: the
-  // first for all runs, the second for untracked ones only.
-  base::Resources UsageOf(const base::OrganisationId& organisation) const;
-  base::Resources UntrackedUsageOf(
-      const base::OrganisationId& organisation) const;
   // What is known about the preemption for one waiting step.
   struct PreemptionTry {
     base::TimePoint next_try;
@@ -681,31 +524,50 @@
   std::map<std::string, std::int64_t> RackOrder(const WaitingStep& item,
                                                 base::TimePoint now) const;
 
+  // These stand for functions of the decisions.
+  bool IsWithinCap(const WaitingStep& item, std::uint32_t tasks) const {
+    return caps_.IsWithinCap(item, tasks);
+  }
+  void ReserveCap(const WaitingStep& item, std::uint32_t tasks) {
+    caps_.ReserveCap(item, tasks);
+  }
+  bool NeedsAnnouncement(const WaitingStep& item, const jobs::Task& task,
+                         const jobs::CrashHistory& crashes) const {
+    return suspects_.NeedsAnnouncement(item, task, crashes);
+  }
+  bool IsStartAnnounced(jobs::Job* job, const jobs::TaskRef& task,
+                        jobs::Attempt attempt, const workers::Worker* worker,
+                        base::TimePoint now) {
+    return suspects_.IsStartAnnounced(job, task, attempt, worker, now);
+  }
+  bool IsKeptForSuspect(const workers::Worker& worker,
+                        base::TimePoint now) const {
+    return suspects_.IsKeptForSuspect(worker, now);
+  }
   // Returns the number for the task's next attempt.
-  jobs::Attempt NextAttempt(const jobs::Step& step, std::uint32_t index) const;
+  jobs::Attempt NextAttempt(const jobs::Step& step, std::uint32_t index) const {
+    return context_.NextAttempt(step, index);
+  }
 
-  DispatcherSettings settings_;
+  DispatcherContext context_;
+  DispatcherCaps caps_{&context_};
+  DispatcherSuspects suspects_{&context_};
+  // Parts of the context under shorter names.
   Telemetry telemetry_;
   JobRegistry* jobs_;
   Fleet* fleet_;
   RunIndex* runs_;
-  std::shared_ptr<const desired::DesiredState> desired_;
+  placement::RunTimeModel& run_times_ = context_.run_times;
+  placement::GangHolds& gang_holds_ = context_.gang_holds;
+  const jobs::Attempt& first_attempt_ = context_.first_attempt;
+  const base::TimePoint& pass_began_ = context_.pass_began;
+  const double& fleet_usage_ = context_.fleet_usage;
   advice::AdviceCache advice_;
   advice::AdviceClientChooser advice_clients_;
   // Items of the current pass that need advice about more workers. Such
   // requests are sent only after all other items had the chance to send their
   // first ones.
   std::vector<const WaitingStep*> needing_more_advice_;
-  jobs::Attempt first_attempt_ = jobs::Attempt(1);
-  // Jobs accepted by previous owners.
-  std::unordered_set<jobs::JobKey> inherited_;
-  bool has_lost_inherited_workers_ = false;
-  // When the newest incarnation of any worker was born, by its own clock, and
-  // whether that of some worker is unknown.
-  std::int64_t newest_born_ms_ = workers::kUnknownIncarnation;
-  bool has_unknown_incarnation_ = false;
-  // Jobs accepted beyond their organisation's share.
-  std::unordered_set<jobs::JobKey> over_share_;
   std::set<jobs::StepRef> waiting_;
   // Steps of jobs that can no longer complete in time. After a burst there may
   // be thousands of them, so they are considered less often than the others,
@@ -722,12 +584,6 @@
     base::TimePoint since;
   };
   std::unordered_map<jobs::StepRef, LoggedWait> last_logged_;
-  // All queues known so far, with their latest rules. Jobs of a queue that was
-  // dropped continue under its last rules.
-  std::unordered_map<desired::QueueId, desired::Queue> known_queues_;
-  placement::GangHolds gang_holds_;
-  placement::CrashContainment containment_;
-  placement::RunTimeModel run_times_;
   placement::KeptRooms kept_rooms_;
   placement::PreemptionLimits preemption_limits_;
   std::unordered_map<jobs::StepRef, PreemptionTry> preemption_tries_;
@@ -755,52 +611,22 @@
   // The workers of each rack; empty if no run time depends on the rack.
   std::map<std::string, std::vector<workers::WorkerNumber>> racks_;
   base::TimePoint next_racks_update_;
-  // The workers on which nothing else is started until a suspect can be, and
-  // when that ends in any case.
-  std::map<workers::WorkerNumber, base::TimePoint> kept_for_suspects_;
   // Gangs for which there was no capacity. Emptied at `next_gang_retry_`, so
   // that all of them are tried again in one pass, in the order of their
   // urgency.
   std::unordered_map<jobs::StepRef, UnplacedGang> unplaced_gangs_;
   base::TimePoint next_gang_retry_;
   std::uint64_t jobs_begun_ = 0;
-  std::vector<jobs::TaskRef> guilty_tasks_;
   base::TimePoint next_usage_update_;
-  // The fraction of the fleet in use, and the capacity of the workers that
-  // accept work.
-  double fleet_usage_ = 0;
-  base::Resources fleet_capacity_;
   CopyTracker copies_;
   // Whether the last pass left steps that can be on time without free
   // resources, and the organisations whose cap it found reached.
   bool has_waiting_work_ = false;
   std::set<base::OrganisationId> capped_;
   placement::LoadShedder load_shedder_;
-  placement::CapHeadroom cap_headroom_;
-  // When the current pass began.
-  base::TimePoint pass_began_;
-  // Capacity of reconciled workers that have orphaned runs. Such runs, whose
-  // job is unknown, may belong to any organisation.
-  base::Resources orphan_usage_;
-  // Capacity of workers that are not reconciled yet.
-  base::Resources unreconciled_capacity_;
-  // What each organisation's inherited waiting tasks need.
-  std::unordered_map<base::OrganisationId, base::Resources> inherited_demand_;
-  // The same for one more run of each task that may have a copy, and the needs
-  // of the largest of these.
-  struct InheritedCopies {
-    base::Resources needs;
-    base::Resources largest;
-  };
-  std::unordered_map<base::OrganisationId, InheritedCopies> inherited_copies_;
-  base::TimePoint next_inherited_copies_update_;
   // In each dimension, the largest amount that any worker has free: no worker
   // has more.
   base::Resources largest_free_;
-  // What the most urgent waiting gang of an organisation needs. Less urgent
-  // work of the organisation leaves this part of the cap free; otherwise small
-  // tasks would take up each part of it that becomes free.
-  std::unordered_map<base::OrganisationId, base::Resources> reserved_caps_;
 };
 
 }  // namespace dotterelbarrow::core::scheduler
--- a/src/core/scheduler/dispatcher_locality.cc
+++ b/src/core/scheduler/dispatcher_locality.cc
@@ -20,7 +20,7 @@
 }  // namespace
 
 bool Dispatcher::HasLocality(const jobs::StepSpec& spec) const {
-  return settings_.remote_factor > 1 && !spec.long_running &&
+  return context_.settings.remote_factor > 1 && !spec.long_running &&
          (!spec.data_rack.empty() || (spec.gang && spec.prefers_one_rack));
 }
 
@@ -46,7 +46,7 @@
 }
 
 void Dispatcher::UpdateRacks(base::TimePoint now) {
-  if (settings_.remote_factor <= 1 || now < next_racks_update_) {
+  if (context_.settings.remote_factor <= 1 || now < next_racks_update_) {
     return;
   }
   next_racks_update_ = now + kRacksInterval;
@@ -61,7 +61,8 @@
   const base::Duration typical = run_times_.ExpectedRunTime(
       item.queue->id, item.job->SpecOf(item.step).estimate);
   return placement::ScaleDuration(
-      typical, is_local ? slowness : slowness * settings_.remote_factor);
+      typical,
+      is_local ? slowness : slowness * context_.settings.remote_factor);
 }
 
 void Dispatcher::AppendExpectedPlaces(
@@ -159,7 +160,8 @@
     const std::uint32_t chosen =
         item->job->FindStep(item->step)->waiting() - left;
     std::uint32_t within_cap = 1;
-    while (within_cap < left && IsWithinCap(*item, chosen + within_cap + 1)) {
+    while (within_cap < left &&
+           caps_.IsWithinCap(*item, chosen + within_cap + 1)) {
       ++within_cap;
     }
     item->remote_tasks = CountRemoteTasks(*item, within_cap, worker,
@@ -191,7 +193,7 @@
     if (worker == nullptr || worker->id() == failed_on ||
         worker->listing().rack != spec.data_rack ||
         !MayRunOn(*worker, item, now) || gang_holds_.IsHeld(number) ||
-        IsKeptForSuspect(*worker, now)) {
+        suspects_.IsKeptForSuspect(*worker, now)) {
       continue;
     }
     if (item.queue->advice &&
--- a/src/core/scheduler/dispatcher_suspects.cc
+++ b/src/core/scheduler/dispatcher_suspects.cc
@@ -1,9 +1,10 @@
 // Placement of tasks that may crash their workers.
+#include "dotterelbarrow/core/scheduler/dispatcher_suspects.h"
+
 #include <algorithm>
 #include <iterator>
 
 #include "dotterelbarrow/base/hash.h"
-#include "dotterelbarrow/core/scheduler/dispatcher.h"
 
 namespace dotterelbarrow::core::scheduler {
 namespace {
@@ -40,34 +41,34 @@
 
 }  // namespace
 
-void Dispatcher::UpdateNewestIncarnation() {
+void DispatcherSuspects::UpdateNewestIncarnation() {
   newest_born_ms_ = workers::kUnknownIncarnation;
   has_unknown_incarnation_ = false;
-  for (const auto& [id, worker] : fleet_->workers()) {
+  for (const auto& [id, worker] : context_->fleet->workers()) {
     const std::int64_t born_ms = worker.listing().born_ms;
     has_unknown_incarnation_ |= born_ms == workers::kUnknownIncarnation;
     newest_born_ms_ = std::max(newest_born_ms_, born_ms);
   }
 }
 
-bool Dispatcher::MayHaveCrashedWorkers(const jobs::Job& job) const {
-  return inherited_.contains(job.key) &&
+bool DispatcherSuspects::MayHaveCrashedWorkers(const jobs::Job& job) const {
+  return context_->inherited.contains(job.key) &&
          (has_lost_inherited_workers_ || has_unknown_incarnation_ ||
           newest_born_ms_ >= job.accepted_ms - kClockMarginMs);
 }
 
-bool Dispatcher::NeedsAnnouncement(const WaitingStep& item,
-                                   const jobs::Task& task,
-                                   const jobs::CrashHistory& crashes) const {
+bool DispatcherSuspects::NeedsAnnouncement(
+    const WaitingStep& item, const jobs::Task& task,
+    const jobs::CrashHistory& crashes) const {
   return crashes.is_suspect() || crashes.announced_start() ||
-         (task.last_attempt < first_attempt_ &&
+         (task.last_attempt < context_->first_attempt &&
           MayHaveCrashedWorkers(*item.job));
 }
 
-bool Dispatcher::IsAnnouncedWorkerLost(const jobs::CrashHistory& crashes,
-                                       bool is_gang) const {
+bool DispatcherSuspects::IsAnnouncedWorkerLost(
+    const jobs::CrashHistory& crashes, bool is_gang) const {
   if (!crashes.announced_start() ||
-      *crashes.announced_start() >= first_attempt_) {
+      *crashes.announced_start() >= context_->first_attempt) {
     return false;
   }
   const std::uint64_t announced = crashes.announced_incarnations();
@@ -76,18 +77,19 @@
            (announced != 0 &&
             static_cast<std::uint64_t>(newest_born_ms_) > announced);
   }
-  return std::none_of(fleet_->workers().begin(), fleet_->workers().end(),
-                      [announced](const auto& entry) {
-                        const workers::Worker& worker = entry.second;
-                        return worker.is_claimed &&
-                               HashOf(worker.listing()) == announced;
-                      });
+  return std::none_of(
+      context_->fleet->workers().begin(), context_->fleet->workers().end(),
+      [announced](const auto& entry) {
+        const workers::Worker& worker = entry.second;
+        return worker.is_claimed && HashOf(worker.listing()) == announced;
+      });
 }
 
-bool Dispatcher::IsStartAnnounced(jobs::Job* job, const jobs::TaskRef& task,
-                                  jobs::Attempt attempt,
-                                  const workers::Worker* worker,
-                                  base::TimePoint now) {
+bool DispatcherSuspects::IsStartAnnounced(jobs::Job* job,
+                                          const jobs::TaskRef& task,
+                                          jobs::Attempt attempt,
+                                          const workers::Worker* worker,
+                                          base::TimePoint now) {
   if (jobs::IsFinal(job->state)) {
     return false;
   }
@@ -96,27 +98,27 @@
   if (crashes->announced_start() == attempt &&
       (is_gang ||
        crashes->announced_incarnations() == HashOf(worker->listing()))) {
-    return jobs_->IsUpToDate(job->key);
+    return context_->jobs->IsUpToDate(job->key);
   }
   // The verdict must come before the next start: owners may change so often
   // that none of them sees a crash.
   if (IsAnnouncedWorkerLost(*crashes, is_gang) &&
-      job->RecordMissingStart(task, containment_.HasProof(job->queue, now))) {
+      job->RecordMissingStart(
+          task, context_->containment.HasProof(job->queue, now))) {
     guilty_tasks_.push_back(task);
     return false;
   }
   crashes->AnnounceStart(attempt,
                          is_gang ? static_cast<std::uint64_t>(newest_born_ms_)
                                  : HashOf(worker->listing()));
-  jobs_->EnqueueJob(job->key, now);
+  context_->jobs->EnqueueJob(job->key, now);
   return false;
 }
 
-void Dispatcher::KeepAnnouncedOnly(const jobs::CrashHistory& crashes,
-                                   jobs::Attempt attempt,
-                                   const jobs::StepSpec& spec,
-                                   std::vector<Candidate>* candidates,
-                                   std::vector<Candidate>* others) const {
+void DispatcherSuspects::KeepAnnouncedOnly(
+    const jobs::CrashHistory& crashes, jobs::Attempt attempt,
+    const jobs::StepSpec& spec, std::vector<Candidate>* candidates,
+    std::vector<Candidate>* others) const {
   if (crashes.announced_start() != attempt) {
     return;
   }
@@ -133,22 +135,22 @@
   }
 }
 
-bool Dispatcher::IsUnproven(const WaitingStep& item,
-                            base::TimePoint now) const {
-  if (!containment_.IsOnAlert(item.queue->id, now) ||
+bool DispatcherSuspects::IsUnproven(const WaitingStep& item,
+                                    base::TimePoint now) const {
+  if (!context_->containment.IsOnAlert(item.queue->id, now) ||
       item.job->FindStep(item.step)->done > 0) {
     return false;
   }
-  const std::set<PlacedRun>& runs = runs_->RunsOfStep(item.step);
+  const std::set<PlacedRun>& runs = context_->runs->RunsOfStep(item.step);
   return std::none_of(runs.begin(), runs.end(), [&](const PlacedRun& placed) {
-    workers::Worker* worker = fleet_->Find(placed.worker);
+    workers::Worker* worker = context_->fleet->Find(placed.worker);
     const workers::Run* run = worker->FindRun(placed.task, placed.attempt);
     return run->state == workers::RunState::kRunning &&
            worker->failed_polls == 0 && !workers::IsYoungAt(*run, now);
   });
 }
 
-const workers::Worker* Dispatcher::ChooseForTask(
+const workers::Worker* DispatcherSuspects::ChooseForTask(
     WaitingStep* item, std::uint32_t index, std::vector<Candidate>* candidates,
     std::vector<Candidate>* suspects_candidates, base::TimePoint now) {
   const jobs::StepSpec& spec = item->job->SpecOf(item->step);
@@ -157,12 +159,12 @@
   const bool is_suspect = task.crashes.is_suspect();
   const bool is_first = !is_suspect && IsUnproven(*item, now);
   const bool is_sole_suspect = is_suspect && task.crashes.is_sole_suspect();
-  if (is_sole_suspect && !containment_.MayExposeToSuspect(now)) {
+  if (is_sole_suspect && !context_->containment.MayExposeToSuspect(now)) {
     item->waits_for_isolation = true;
     return nullptr;
   }
   const bool needs_announcement = NeedsAnnouncement(*item, task, task.crashes);
-  const jobs::Attempt attempt = NextAttempt(*step, index);
+  const jobs::Attempt attempt = context_->NextAttempt(*step, index);
   std::vector<Candidate>* choices =
       is_suspect ? suspects_candidates : candidates;
   std::vector<Candidate> others;
@@ -186,7 +188,7 @@
     return nullptr;
   }
   if (is_sole_suspect) {
-    containment_.RecordSuspectStart(now);
+    context_->containment.RecordSuspectStart(now);
   }
   // Neither kind joins the other.
   std::erase_if(
@@ -195,7 +197,7 @@
   return best;
 }
 
-const workers::Worker* Dispatcher::ChooseForSuspect(
+const workers::Worker* DispatcherSuspects::ChooseForSuspect(
     std::vector<Candidate>* candidates, const jobs::StepSpec& spec,
     const base::BackendId& failed_on, base::TimePoint now) {
   std::vector<Candidate> quiet;
@@ -213,7 +215,7 @@
   }
   std::erase_if(kept_for_suspects_,
                 [now](const auto& entry) { return now >= entry.second; });
-  if (kept_for_suspects_.size() < containment_.MaxKeptWorkers()) {
+  if (kept_for_suspects_.size() < context_->containment.MaxKeptWorkers()) {
     std::vector<Candidate> busy = *candidates;
     std::erase_if(busy, [&](const Candidate& candidate) {
       return IsKeptForSuspect(*candidate.worker, now);
@@ -226,8 +228,8 @@
   return nullptr;
 }
 
-bool Dispatcher::IsKeptForSuspect(const workers::Worker& worker,
-                                  base::TimePoint now) const {
+bool DispatcherSuspects::IsKeptForSuspect(const workers::Worker& worker,
+                                          base::TimePoint now) const {
   const auto it = kept_for_suspects_.find(worker.number());
   return it != kept_for_suspects_.end() && now < it->second;
 }
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -313,10 +313,10 @@
 
 void Scheduler::RunPass(base::TimePoint now) {
   now_ = now;
-  dispatcher_.UpdateNewestIncarnation();
+  dispatcher_.suspects().UpdateNewestIncarnation();
   StopInheritedIncompleteGangs();
   dispatcher_.RunPass(now, &actions_);
-  for (const jobs::TaskRef& task : dispatcher_.TakeGuiltyTasks()) {
+  for (const jobs::TaskRef& task : dispatcher_.suspects().TakeGuiltyTasks()) {
     GiveUpForMissingStart(task);
   }
 }
--- a/src/core/scheduler/scheduler_crashes.cc
+++ b/src/core/scheduler/scheduler_crashes.cc
@@ -148,7 +148,7 @@
   telemetry_.log->Write(
       "inherited_worker_lost",
       {{"worker", worker.value()}, {"how", workers::ToString(kind)}});
-  dispatcher_.RecordInheritedLoss();
+  dispatcher_.suspects().RecordInheritedLoss();
 }
 
 void Scheduler::WithdrawSurvivedAnnouncements() {
@@ -189,7 +189,7 @@
   has_checked_inherited_gangs_ = true;
   std::vector<jobs::StepRef> incomplete;
   for (const auto& [key, job] : jobs_.jobs()) {
-    if (!dispatcher_.MayHaveCrashedWorkers(job)) {
+    if (!dispatcher_.suspects().MayHaveCrashedWorkers(job)) {
       continue;
     }
     for (const auto& [number, occurrence] : job.occurrences) {
@@ -214,7 +214,8 @@
         {{"step", jobs::ToString(step)},
          {"running", static_cast<std::int64_t>(runs_.RunsOfStep(step).size())},
          {"members", static_cast<std::int64_t>(job->SpecOf(step).tasks)}});
-    if (dispatcher_.IsAnnouncedWorkerLost(*job->CrashesOf(member), true) &&
+    if (dispatcher_.suspects().IsAnnouncedWorkerLost(*job->CrashesOf(member),
+                                                     true) &&
         job->RecordMissingStart(
             member, dispatcher_.containment().HasProof(job->queue, now_))) {
       GiveUpForMissingStart(member);
