--- a/test/fuzz/handover_story_test.cc
+++ b/test/fuzz/handover_story_test.cc
@@ -91,15 +91,16 @@
   }
 }
 
+constexpr std::uint64_t kSeeds = 12;
+constexpr int kManager = 3;
+constexpr int kUnheard = 0;
+
 // Guards against a manager without a complete inventory that grants slots for
 // requests of an entry that it doesn't hear. The manager (entry 3) restarts and
 // takes over a runner on which a request of entry 0 is running; the messages of
 // entry 0 to it are lost. That request counts as held by entry 3, but entry 0
 // uses its slot for another request once it has ended.
 TEST_CASE("a restarted manager lends no slot of an entry that it can't hear") {
-  constexpr std::uint64_t kSeeds = 12;
-  constexpr int kManager = 3;
-  constexpr int kUnheard = 0;
   for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
     CAPTURE(seed);
     LoadedCell loaded(1, seed, 4, 3000);
--- a/test/fuzz/limit_story_test.cc
+++ b/test/fuzz/limit_story_test.cc
@@ -132,14 +132,15 @@
   }
 }
 
+constexpr std::uint64_t kSeeds = 24;
+constexpr int kBursts = 10;
+
 // Guards against a team above a lowered limit (fuzzer seed 777000777, 300 cases
 // of 150 commands): when a message took up to 1.5 s, each grant arrived after
 // the entry had repeated its request, and was ignored, so that entries kept
 // their quota slices of the earlier limit. The team must also be served once
 // the network has recovered.
 TEST_CASE("a lowered limit takes effect although grants arrive late") {
-  constexpr std::uint64_t kSeeds = 24;
-  constexpr int kBursts = 10;
   for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
     CAPTURE(seed);
     Cell cell(CellSize(), seed);
