Count what may run on an inherited worker that has shrunk

Cause: a new owner that doesn't know the runs of a worker bounds them by the worker's capacity.

Change: a worker keeps the largest capacity of its incarnation. Records of workers name it, and are written again when it grows. It bounds what may run on workers that are not reconciled, and on those with orphaned runs.

--- a/include/dotterelbarrow/core/scheduler/worker_records.h
+++ b/include/dotterelbarrow/core/scheduler/worker_records.h
@@ -34,7 +34,8 @@
   // bound of the time on the store's clock.
   void Inherit(const workers::WorkerRecord& record, std::int64_t store_now_ms,
                base::TimePoint now);
-  // Enqueues records of new workers, and removals of the records of workers
+  // Enqueues records of new workers and of those whose capacity exceeds the
+  // recorded one, and removals of the records of workers
   // that the fleet no longer holds. Call it after the fleet has applied
   // `listings`, which holds at least the list entries that have changed.
   void Update(const std::vector<workers::Listing>& listings);
@@ -60,6 +61,9 @@
     bool is_removal = false;
     // The incarnation that the last enqueued record names.
     std::int64_t recorded_born_ms = workers::kUnknownIncarnation;
+    // The capacity that the last enqueued record without an end of the leases
+    // names.
+    base::Resources recorded_capacity{};
     // The number of enqueued records that are not stored yet.
     int unstored_records = 0;
   };
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -141,13 +141,15 @@
 class Worker {
  public:
   explicit Worker(Listing listing, WorkerNumber number = WorkerNumber())
-      : listing_(std::move(listing)), number_(number) {}
+      : listing_(std::move(listing)),
+        number_(number),
+        largest_capacity_(listing_.capacity) {}
 
   const Listing& listing() const { return listing_; }
   // The same for all incarnations of the worker.
   WorkerNumber number() const { return number_; }
   const base::BackendId& id() const { return listing_.id; }
-  void Update(const Listing& listing) { listing_ = listing; }
+  void Update(const Listing& listing);
   bool is_listed() const { return listed_; }
   void set_listed(bool listed) { listed_ = listed; }
   // Whether its availability zone is evacuated, so that nothing new is started
@@ -159,6 +161,9 @@
   base::Resources FreeResources() const {
     return listing_.capacity - total_reserved_;
   }
+  // Returns the largest capacity that is known of this incarnation. Runs that
+  // were started before the capacity shrank may still use as much.
+  const base::Resources& largest_capacity() const { return largest_capacity_; }
   const base::Resources& reserved() const { return total_reserved_; }
   // Returns the resources of the runs that are being stopped.
   base::Resources BeingFreed() const;
@@ -271,6 +276,7 @@
 
   Listing listing_;
   WorkerNumber number_;
+  base::Resources largest_capacity_;
   bool listed_ = true;
   bool evacuated_ = false;
   std::map<std::pair<jobs::TaskRef, jobs::Attempt>, Run> runs_;
--- a/include/dotterelbarrow/core/workers/worker_record.h
+++ b/include/dotterelbarrow/core/workers/worker_record.h
@@ -1,8 +1,9 @@
 // The record that the store holds of a worker as long as any run may exist on
 // it, so that the next owner can claim the worker even if the platform doesn't
 // list it any more. Its JSON fields are "address", "cpu" in millicores,
-// "memory" in mebibytes, "accelerators", "born_ms" and, for an unresponsive
-// worker, "leases_end_ms".
+// "memory" in mebibytes and "accelerators" of the largest capacity that is
+// known of the incarnation, "born_ms" and, for an unresponsive worker,
+// "leases_end_ms".
 #ifndef DOTTERELBARROW_CORE_WORKERS_WORKER_RECORD_H_
 #define DOTTERELBARROW_CORE_WORKERS_WORKER_RECORD_H_
 
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -134,7 +134,7 @@
   orphan_usage_ = base::Resources();
   for (const auto& [id, worker] : fleet_->workers()) {
     if (worker.has_orphans() && !fleet_->unreconciled().contains(id)) {
-      orphan_usage_ += worker.listing().capacity;
+      orphan_usage_ += worker.largest_capacity();
     }
     if (!worker.CanAcceptWork(now)) {
       continue;
--- a/src/core/scheduler/dispatcher_caps.cc
+++ b/src/core/scheduler/dispatcher_caps.cc
@@ -21,7 +21,7 @@
     return;
   }
   for (const base::BackendId& id : fleet_->unreconciled()) {
-    unreconciled_capacity_ += fleet_->Find(id)->listing().capacity;
+    unreconciled_capacity_ += fleet_->Find(id)->largest_capacity();
   }
   for (const std::set<jobs::StepRef>* steps : {&waiting_, &overdue_}) {
     for (const jobs::StepRef& ref : *steps) {
--- a/src/core/scheduler/worker_records.cc
+++ b/src/core/scheduler/worker_records.cc
@@ -11,6 +11,12 @@
 // between them over the few seconds of a lease.
 constexpr std::int64_t kClockMarginMs = 100;
 
+// Ignores slots, which a record doesn't name.
+bool Exceeds(const base::Resources& capacity, const base::Resources& recorded) {
+  return capacity.cpu > recorded.cpu || capacity.memory > recorded.memory ||
+         capacity.accelerators > recorded.accelerators;
+}
+
 std::int64_t CeilMilliseconds(base::Duration duration) {
   return duration / std::chrono::milliseconds(1) + 1;
 }
@@ -29,7 +35,8 @@
                             std::int64_t store_now_ms, base::TimePoint now) {
   worker_states_[record.listing.id] = {
       .names_leases_end = record.leases_end_ms.has_value(),
-      .recorded_born_ms = record.recorded_born_ms};
+      .recorded_born_ms = record.recorded_born_ms,
+      .recorded_capacity = record.listing.capacity};
   std::optional<base::TimePoint> leases_end;
   if (record.leases_end_ms) {
     leases_end =
@@ -53,7 +60,11 @@
     // that nobody has noticed.
     const bool is_restarted = !is_new && !it->second.names_leases_end &&
                               listing.born_ms > it->second.recorded_born_ms;
-    if (is_new || is_restarted) {
+    const workers::Worker* worker = fleet_->Find(listing.id);
+    const bool has_grown =
+        !is_new && !it->second.names_leases_end && worker != nullptr &&
+        Exceeds(worker->largest_capacity(), it->second.recorded_capacity);
+    if (is_new || is_restarted || has_grown) {
       EnqueueRecord(listing.id, workers::WorkerRecord{listing, std::nullopt});
     }
   }
@@ -67,6 +78,15 @@
 void WorkerRecords::EnqueueRecord(const base::BackendId& worker,
                                   std::optional<workers::WorkerRecord> record) {
   WorkerState& state = worker_states_[worker];
+  if (record) {
+    if (const workers::Worker* found = fleet_->Find(worker)) {
+      // The next owner takes it for the most that may run on the worker.
+      record->listing.capacity = found->largest_capacity();
+    }
+    if (!record->leases_end_ms) {
+      state.recorded_capacity = record->listing.capacity;
+    }
+  }
   state.names_leases_end = record && record->leases_end_ms.has_value();
   state.is_removal = !record.has_value();
   state.recorded_born_ms = record ? record->listing.born_ms : 0;
--- a/test/core/scheduler/capacity_test.cc
+++ b/test/core/scheduler/capacity_test.cc
@@ -11,6 +11,9 @@
 
 constexpr std::uint64_t kJob = 1;
 constexpr std::uint64_t kOtherJob = 2;
+// The cap of the organisation in cores, and how many of them are in use.
+constexpr int kCap = 8;
+constexpr std::uint32_t kRunning = 6;
 
 jobs::TaskRef TaskOf(std::uint64_t job, std::uint32_t index) {
   return {{jobs::JobKey(job), 0, 0}, index};
@@ -90,5 +93,50 @@
   }
 }
 
+// Guards against an organisation that exceeds its cap: a new owner that doesn't
+// know the runs of a worker counted only what fits into its capacity now.
+TEST_CASE("a worker shrinks below what runs there, and the owner changes") {
+  Scenario scenario;
+  scenario.AddWorkers(1);
+  scenario.SetCap(kCap);
+  const auto start_job = [&scenario] {
+    scenario.SubmitAndStore(kJob, "plain", {Scenario::Step(kRunning)});
+    scenario.RunPasses(1);
+    REQUIRE(scenario.TakeStarts().size() == kRunning);
+  };
+  // Lets the owner change while the first worker doesn't answer.
+  const auto count_starts_of_next_owner = [&scenario] {
+    scenario.unresponsive_workers = {"worker-0"};
+    scenario.TakeOver();
+    scenario.SubmitAndStore(kOtherJob, "plain", {Scenario::Step(kCap)});
+    scenario.RunPasses(10);
+    return scenario.TakeStarts().size();
+  };
+  scenario.ResizeWorker("worker-0", kRunning);
+  scenario.RunPasses(1);
+  scenario.Store();
+
+  SUBCASE("the runs count as before, although they exceed the capacity") {
+    start_job();
+    scenario.ResizeWorker("worker-0", 1);
+    scenario.RunPasses(1);
+    scenario.Store();
+    scenario.AddWorkers(3);
+    CHECK(count_starts_of_next_owner() == kCap - kRunning);
+  }
+  SUBCASE("also if its record was written after it had shrunk") {
+    start_job();
+    scenario.ResizeWorker("worker-0", 1);
+    scenario.RunPasses(1);
+    scenario.unresponsive_workers = {"worker-0"};
+    for (int i = 0; i < 12; ++i) {
+      scenario.RunPasses(1);
+      scenario.Store();
+    }
+    scenario.AddWorkers(3);
+    CHECK(count_starts_of_next_owner() == kCap - kRunning);
+  }
+}
+
 }  // namespace
 }  // namespace dotterelbarrow::core::scheduler
