--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -84,7 +84,7 @@
   base::Resources orphan_usage;
   for (const auto& [id, worker] : fleet_->workers()) {
     if (worker.has_orphans() && !fleet_->unreconciled().contains(id)) {
-      orphan_usage += worker.listing().capacity;
+      orphan_usage += worker.largest_capacity();
     }
     if (!worker.CanAcceptWork(now)) {
       continue;
--- a/src/core/scheduler/dispatcher_caps.cc
+++ b/src/core/scheduler/dispatcher_caps.cc
@@ -52,7 +52,7 @@
     return;
   }
   for (const base::BackendId& id : context_->fleet->unreconciled()) {
-    unreconciled_capacity_ += context_->fleet->Find(id)->listing().capacity;
+    unreconciled_capacity_ += context_->fleet->Find(id)->largest_capacity();
   }
   for (const std::set<jobs::StepRef>* steps : {&waiting, &overdue}) {
     for (const jobs::StepRef& ref : *steps) {
