Pause only the queue of a refused job at an entry host

After the owner refused a job beyond its organisation's share, the entry host refused all jobs of that organisation for up to 250 ms: lookups, for which there was free capacity, after the refusal of a gang.

A pause now applies to the organisation's jobs for the queue of the refused job. The owner may get twice the share for each of the organisation's queues instead of for all of them together; the simulated load of refusal_pauses_test is that of one queue and keeps its bounds.

--- a/include/dotterelbarrow/core/admission/refusal_pauses.h
+++ b/include/dotterelbarrow/core/admission/refusal_pauses.h
@@ -1,11 +1,12 @@
-// Tracks the organisations whose jobs an entry host refuses without asking the
-// owner.
+// Tracks the organisations whose jobs for a queue an entry host refuses without
+// asking the owner.
 //
 // Load pattern: one organisation submits several times its share, and callers
 // retry each refused job at other hosts, up to a thousand times per second in
 // all. Forwarding each of these jobs would cost the owner more processor time
 // than the work of all other organisations. After a refusal an entry host
-// therefore forwards none of the organisation's jobs for a pause. The owner
+// therefore forwards none of the organisation's jobs for that queue for a
+// pause; for its other queues the owner may have free capacity. The owner
 // chooses the pause so that all hosts together still forward about twice as
 // many jobs as the share allows, so that no part of the share stays unused.
 #ifndef DOTTERELBARROW_CORE_ADMISSION_REFUSAL_PAUSES_H_
@@ -13,12 +14,13 @@
 
 #include <chrono>
 #include <cstddef>
+#include <map>
 #include <string>
-#include <unordered_map>
 #include <utility>
 
 #include "dotterelbarrow/base/ids.h"
 #include "dotterelbarrow/base/units.h"
+#include "dotterelbarrow/core/desired/desired_state.h"
 
 namespace dotterelbarrow::core::admission {
 
@@ -48,21 +50,23 @@
   };
 
   // Begins a pause: the owner has just refused a job of `organisation`.
-  void Begin(const base::OrganisationId& organisation, Pause pause) {
-    pauses_[organisation] = std::move(pause);
+  void Begin(const base::OrganisationId& organisation,
+             const desired::QueueId& queue, Pause pause) {
+    pauses_[{organisation, queue}] = std::move(pause);
   }
-  // Returns the organisation's current pause, or null if it has none.
+  // Returns the organisation's current pause for the queue, or null if it has
+  // none.
   const Pause* Find(const base::OrganisationId& organisation,
-                    base::TimePoint now) const {
-    const auto it = pauses_.find(organisation);
+                    const desired::QueueId& queue, base::TimePoint now) const {
+    const auto it = pauses_.find({organisation, queue});
     return it == pauses_.end() || now >= it->second.until ? nullptr
                                                           : &it->second;
   }
 
  private:
-  // The last pause of each organisation that was ever refused. Its size is
-  // bounded by the number of organisations in the desired state.
-  std::unordered_map<base::OrganisationId, Pause> pauses_;
+  // The last pause of each organisation and queue that was ever refused. Its
+  // size is bounded by the organisations and queues in the desired state.
+  std::map<std::pair<base::OrganisationId, desired::QueueId>, Pause> pauses_;
 };
 
 }  // namespace dotterelbarrow::core::admission
--- a/src/member/job_api.cc
+++ b/src/member/job_api.cc
@@ -132,7 +132,8 @@
                                                 ? base::OrganisationId()
                                                 : admitted.organisation->id;
   const Submission submission{key, admitted.queue->id, organisation};
-  if (const auto* pause = pauses_.Find(organisation, Now())) {
+  if (const auto* pause =
+          pauses_.Find(organisation, admitted.queue->id, Now())) {
     LogAnswer(submission, Refused{pause->reason, pause->retry_after}, "host");
     telemetry_.counters->Increment("calls_refused", "in_pause");
     Refuse(request.exchange, pause->reason.c_str(), pause->retry_after);
@@ -155,7 +156,7 @@
   } else if (const auto* refused = std::get_if<Refused>(&answer)) {
     if (refused->pause > base::Duration(0)) {
       pauses_.Begin(
-          submission.organisation,
+          submission.organisation, submission.queue,
           {refused->reason, refused->retry_after, Now() + refused->pause});
     }
     Refuse(exchange, refused->reason.c_str(), refused->retry_after);
