--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -75,6 +75,8 @@
   // Whether its task was lost with workers before that were lost for no known
   // cause.
   bool was_lost_before = false;
+  // Whether its start was announced in the store.
+  bool was_announced = false;
   // Whether the worker crashed after the start command was sent: the run may
   // have been active there, although the next incarnation doesn't know it.
   bool was_lost_in_crash = false;
@@ -141,13 +143,15 @@
 class Worker {
  public:
   explicit Worker(Listing listing, WorkerNumber number = WorkerNumber())
-      : listing_(std::move(listing)), number_(number) {}
+      : listing_(std::move(listing)),
+        number_(number),
+        largest_capacity_(listing_.capacity) {}
 
   const Listing& listing() const { return listing_; }
   // The same for all incarnations of the worker.
   WorkerNumber number() const { return number_; }
   const base::BackendId& id() const { return listing_.id; }
-  void Update(const Listing& listing) { listing_ = listing; }
+  void Update(const Listing& listing);
   bool is_listed() const { return listed_; }
   void set_listed(bool listed) { listed_ = listed; }
   // Whether its availability zone is evacuated, so that nothing new is started
@@ -159,6 +163,9 @@
   base::Resources FreeResources() const {
     return listing_.capacity - total_reserved_;
   }
+  // Returns the largest capacity that is known of this incarnation. Runs that
+  // were started before the capacity shrank may still use as much.
+  const base::Resources& largest_capacity() const { return largest_capacity_; }
   const base::Resources& reserved() const { return total_reserved_; }
   // Returns the resources of the runs that are being stopped.
   base::Resources BeingFreed() const;
@@ -197,6 +204,9 @@
   WorkerClock clock;
   // The latest lease deadline sent with any command, by the worker's clock.
   std::int64_t granted_until_ms = 0;
+  // How many earlier incarnations under this id the owner knows to have ended
+  // during its term.
+  std::uint64_t earlier_incarnations = 0;
   // Whether this owner has claimed the worker: acquired its fencing token and
   // read its lists of runs. Nothing is started before that.
   bool is_claimed = false;
@@ -268,6 +278,7 @@
 
   Listing listing_;
   WorkerNumber number_;
+  base::Resources largest_capacity_;
   bool listed_ = true;
   bool evacuated_ = false;
   std::map<std::pair<jobs::TaskRef, jobs::Attempt>, Run> runs_;
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -11,41 +11,14 @@
 
 }  // namespace
 
-const char* ToString(WaitReason reason) {
-  switch (reason) {
-    case WaitReason::kStoring:
-      return "storing";
-    case WaitReason::kUntrackedRuns:
-      return "unseen_workers";
-    case WaitReason::kAdvice:
-      return "advice";
-    case WaitReason::kFreeResources:
-      return "room";
-    case WaitReason::kCap:
-      return "cap";
-    case WaitReason::kOrphanedMembers:
-      return "straying_members";
-    case WaitReason::kIsolation:
-      return "isolation";
-    case WaitReason::kLocalWorker:
-      return "local_worker";
-  }
-  return "unknown";
-}
-
 void Dispatcher::SetDesired(
     std::shared_ptr<const desired::DesiredState> desired) {
-  desired_ = std::move(desired);
-  for (const desired::Queue& queue : desired_->queues()) {
-    known_queues_.insert_or_assign(queue.id, queue);
+  context_.desired = std::move(desired);
+  for (const desired::Queue& queue : context_.desired->queues()) {
+    context_.known_queues.insert_or_assign(queue.id, queue);
   }
 }
 
-const desired::Queue* Dispatcher::FindQueue(const desired::QueueId& id) const {
-  const auto it = known_queues_.find(id);
-  return it == known_queues_.end() ? nullptr : &it->second;
-}
-
 void Dispatcher::Remove(const jobs::StepRef& step) {
   waiting_.erase(step);
   overdue_.erase(step);
@@ -55,40 +28,17 @@
 }
 
 void Dispatcher::RemoveJob(jobs::JobKey job) {
-  inherited_.erase(job);
-  over_share_.erase(job);
+  context_.inherited.erase(job);
+  context_.over_share.erase(job);
   preemption_limits_.RemoveJob(job);
 }
 
-std::optional<Dispatcher::WaitingStep> Dispatcher::MakeWaitingStep(
-    const jobs::StepRef& ref, base::TimePoint now) {
-  WaitingStep item;
-  item.step = ref;
-  item.job = jobs_->Find(ref.job);
-  jobs::Step* step = item.job == nullptr ? nullptr : item.job->FindStep(ref);
-  if (step == nullptr || step->waiting() == 0 ||
-      !item.job->IsUnblocked(item.job->occurrences.at(ref.occurrence),
-                             ref.step)) {
-    return std::nullopt;
-  }
-  item.queue = FindQueue(item.job->queue);
-  if (item.queue == nullptr) {
-    return std::nullopt;
-  }
-  item.urgency =
-      placement::UrgencyOf(item.job, ref.step, *item.queue, run_times_,
-                           over_share_.contains(ref.job), now);
-  item.yields =
-      placement::GangHolds::MustYield(item.urgency, item.job->accepted_at, now);
-  return item;
-}
-
-std::vector<Dispatcher::WaitingStep> Dispatcher::CollectByUrgency(
+std::vector<WaitingStep> Dispatcher::CollectByUrgency(
     std::set<jobs::StepRef>* steps, base::TimePoint now) {
   std::vector<WaitingStep> items;
   const bool may_have_untracked = !fleet_->unreconciled().empty();
   for (auto it = steps->begin(); it != steps->end();) {
-    std::optional<WaitingStep> item = MakeWaitingStep(*it, now);
+    std::optional<WaitingStep> item = context_.MakeWaitingStep(*it, now);
     if (!item) {
       if (jobs_->Find(it->job) == nullptr) {
         last_logged_.erase(*it);
@@ -106,7 +56,7 @@
     }
     if (!jobs_->IsStored(it->job)) {
       item->blocked_by = WaitReason::kStoring;
-    } else if (may_have_untracked && inherited_.contains(it->job)) {
+    } else if (may_have_untracked && context_.inherited.contains(it->job)) {
       item->blocked_by = WaitReason::kUntrackedRuns;
     }
     items.push_back(std::move(*item));
@@ -126,15 +76,15 @@
     return;
   }
   next_usage_update_ =
-      now + settings_.usage_interval_per_worker *
+      now + context_.settings.usage_interval_per_worker *
                 static_cast<base::Duration::rep>(fleet_->workers().size());
   largest_free_ = base::Resources();
   base::Resources reserved;
   base::Resources capacity;
-  orphan_usage_ = base::Resources();
+  base::Resources orphan_usage;
   for (const auto& [id, worker] : fleet_->workers()) {
     if (worker.has_orphans() && !fleet_->unreconciled().contains(id)) {
-      orphan_usage_ += worker.listing().capacity;
+      orphan_usage += worker.largest_capacity();
     }
     if (!worker.CanAcceptWork(now)) {
       continue;
@@ -147,17 +97,18 @@
     largest_free_.accelerators =
         std::max(largest_free_.accelerators, room.accelerators);
   }
-  fleet_usage_ = base::DominantFraction(reserved, capacity);
-  fleet_capacity_ = capacity;
+  context_.fleet_usage = base::DominantFraction(reserved, capacity);
+  context_.fleet_capacity = capacity;
+  caps_.set_orphan_usage(orphan_usage);
   load_shedder_.BeginPass(fleet_usage_);
 }
 
 void Dispatcher::RunPass(base::TimePoint now, std::vector<Action>* actions) {
-  pass_began_ = now;
+  context_.pass_began = now;
   gang_holds_.BeginPass(fleet_->workers().size() - fleet_->evacuated_workers());
   if (now >= next_gang_retry_) {
     next_gang_retry_ =
-        now + settings_.gang_retry_interval_per_worker *
+        now + context_.settings.gang_retry_interval_per_worker *
                   static_cast<base::Duration::rep>(fleet_->workers().size());
     unplaced_gangs_.clear();
     gang_holds_.ForgetBackfill();
@@ -165,15 +116,14 @@
   UpdateFleetUsage(now);
   locality_.BeginPass();
   UpdateRacks(now);
-  containment_.BeginPass(fleet_->workers().size(), fleet_usage_);
-  UpdateInheritedUsage(now);
-  reserved_caps_.clear();
+  context_.containment.BeginPass(fleet_->workers().size(), fleet_usage_);
+  caps_.BeginPass(waiting_, overdue_, now);
   has_waiting_work_ = false;
   capped_.clear();
   BeginPreemptionPass(now);
   PlaceAll(CollectByUrgency(&waiting_, now), nullptr, now, actions);
   if (now >= next_overdue_pass_) {
-    next_overdue_pass_ = now + settings_.overdue_pass_interval;
+    next_overdue_pass_ = now + context_.settings.overdue_pass_interval;
     PlaceAll(CollectByUrgency(&overdue_, now), &overdue_rotation_, now,
              actions);
   }
@@ -189,7 +139,8 @@
   }
   std::set<jobs::StepRef> chosen;
   auto next = remaining.upper_bound(*rotation);
-  while (chosen.size() < std::min(settings_.rotating_steps, remaining.size())) {
+  while (chosen.size() <
+         std::min(context_.settings.rotating_steps, remaining.size())) {
     if (next == remaining.end()) {
       next = remaining.begin();
     }
@@ -206,7 +157,8 @@
   std::optional<std::set<jobs::StepRef>> out_of_turn;
   for (std::size_t i = 0; i < items.size(); ++i) {
     WaitingStep& item = items[i];
-    const bool is_budget_used = unplaced_steps >= settings_.max_unplaced_steps;
+    const bool is_budget_used =
+        unplaced_steps >= context_.settings.max_unplaced_steps;
     if (is_budget_used && !out_of_turn) {
       out_of_turn = rotation == nullptr ? std::set<jobs::StepRef>()
                                         : ChooseOutOfTurn(items, i, rotation);
@@ -255,7 +207,7 @@
   }
   // Gangs are not stopped here by the cap: they request advice while they wait
   // for it, and reserve it before less urgent work.
-  if (!spec.gang && !IsWithinCap(*item, 1)) {
+  if (!spec.gang && !caps_.IsWithinCap(*item, 1)) {
     return WaitReason::kCap;
   }
   if (!MayFit(*item)) {
@@ -283,8 +235,9 @@
 WaitReason Dispatcher::WaitReasonOf(const WaitingStep& item) const {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   const bool fits_cap =
-      spec.gang ? FitsCap(item, UsageOf(item.job->organisation), spec.tasks)
-                : IsWithinCap(item, 1);
+      spec.gang ? caps_.FitsCap(item, caps_.UsageOf(item.job->organisation),
+                                spec.tasks)
+                : caps_.IsWithinCap(item, 1);
   if (!fits_cap) {
     return WaitReason::kCap;
   }
@@ -340,7 +293,7 @@
   if (reason == WaitReason::kCap) {
     load_shedder_.RecordCapped(item.job->organisation, used);
   } else if (reason == WaitReason::kFreeResources && !item.urgency.over_share) {
-    load_shedder_.RecordWaiting(item.queue->id, used);
+    load_shedder_.RecordWaiting(item.queue->id, item.queue->priority, used);
   }
 }
 
@@ -350,13 +303,6 @@
          spec.Reservation().FitsIn(largest_free_);
 }
 
-bool Dispatcher::MayRunOn(const workers::Worker& worker,
-                          const WaitingStep& item, base::TimePoint now) {
-  return worker.CanAcceptWork(now) && !worker.has_suspects() &&
-         worker.listing().service == item.queue->service &&
-         placement::IsSuitable(worker, item.job->SpecOf(item.step));
-}
-
 bool Dispatcher::FillCandidates(WaitingStep* item, base::TimePoint now) const {
   const jobs::StepSpec& spec = item->job->SpecOf(item->step);
   const base::Resources reservation = spec.Reservation();
@@ -423,28 +369,30 @@
   KeepRoomForGangs(item, &candidates);
   std::vector<Candidate> suspects_candidates = candidates;
   std::erase_if(candidates, [&](const Candidate& candidate) {
-    return IsKeptForSuspect(*candidate.worker, now);
+    return suspects_.IsKeptForSuspect(*candidate.worker, now);
   });
   const bool waits_for_first =
       item.urgency.latest_start - now >
           placement::CrashContainment::kMinSlackToWait &&
-      IsUnproven(item, now);
+      suspects_.IsUnproven(item, now);
   std::vector<Choice> choices;
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
     const jobs::Task& task = step.tasks[index];
     if (task.done || task.may_be_running) {
       continue;
     }
-    if (!IsWithinCap(item, static_cast<std::uint32_t>(choices.size()) + 1)) {
+    if (!caps_.IsWithinCap(item,
+                           static_cast<std::uint32_t>(choices.size()) + 1)) {
       break;
     }
     if (waits_for_first && (step.possibly_running > 0 || !choices.empty())) {
       waiting->waits_for_isolation = true;
       break;
     }
-    const workers::Worker* best =
-        ChooseForTask(waiting, index, &candidates, &suspects_candidates, now);
-    if (best == nullptr && NeedsAnnouncement(item, task, task.crashes)) {
+    const workers::Worker* best = suspects_.ChooseForTask(
+        waiting, index, &candidates, &suspects_candidates, now);
+    if (best == nullptr &&
+        suspects_.NeedsAnnouncement(item, task, task.crashes)) {
       continue;
     }
     if (best == nullptr ||
@@ -468,11 +416,6 @@
   return true;
 }
 
-jobs::Attempt Dispatcher::NextAttempt(const jobs::Step& step,
-                                      std::uint32_t index) const {
-  return std::max(first_attempt_, step.tasks[index].last_attempt.next());
-}
-
 void Dispatcher::Commit(const WaitingStep& item, std::vector<Choice> choices,
                         jobs::Attempt attempt, base::TimePoint now,
                         std::vector<Action>* actions) {
@@ -487,7 +430,7 @@
     const base::TimePoint answered_at =
         now +
         advice::ExpectedCallDuration(*item.queue->advice, choices.size()) +
-        settings_.ticket_margin;
+        context_.settings.ticket_margin;
     for (const Choice& choice : choices) {
       if (!TicketFor(item, choice.worker, answered_at)) {
         without_ticket.push_back(choice.worker);
@@ -543,14 +486,15 @@
     run.expected_run_time = ExpectedRunTimeOn(item, choice.worker);
     if (HasLocality(spec) &&
         !IsLocal(spec, spec.gang ? choices : std::vector<Choice>{choice})) {
-      run.estimate =
-          placement::ScaleDuration(run.estimate, settings_.remote_factor);
-      run.expected_run_time = placement::ScaleDuration(run.expected_run_time,
-                                                       settings_.remote_factor);
+      run.estimate = placement::ScaleDuration(run.estimate,
+                                              context_.settings.remote_factor);
+      run.expected_run_time = placement::ScaleDuration(
+          run.expected_run_time, context_.settings.remote_factor);
     }
     const jobs::CrashHistory& crashes = *item.job->CrashesOf(task);
     run.is_suspect = crashes.is_suspect();
     run.was_lost_before = crashes.was_lost_before();
+    run.was_announced = crashes.announced_start() == number;
     fleet_->Reserve(choice.worker, run);
     runs_->Add(choice.worker, run);
     const workers::WorkerNumber worker = fleet_->Find(choice.worker)->number();
--- a/src/core/scheduler/dispatcher_copies.cc
+++ b/src/core/scheduler/dispatcher_copies.cc
@@ -18,11 +18,6 @@
 constexpr double kSlownessPenalty = 4;
 // The time from the start command to the start, beside that of the advice.
 constexpr base::Duration kStartTime = std::chrono::milliseconds(50);
-// Interval at which the possible copies of inherited jobs are summed up, while
-// some workers are not reconciled. Goes through all inherited jobs; the sum
-// only decreases.
-constexpr base::Duration kInheritedCopiesInterval =
-    std::chrono::milliseconds(50);
 // How much longer a run takes that resumes from a checkpoint (250 to 600 ms).
 constexpr base::Duration kRestoreTime = std::chrono::milliseconds(600);
 
@@ -40,16 +35,6 @@
   return "unknown";
 }
 
-base::Resources Largest(const base::Resources& a, const base::Resources& b) {
-  return {std::max(a.cpu, b.cpu), std::max(a.memory, b.memory),
-          std::max(a.accelerators, b.accelerators), std::max(a.slots, b.slots)};
-}
-
-base::Resources Smallest(const base::Resources& a, const base::Resources& b) {
-  return {std::min(a.cpu, b.cpu), std::min(a.memory, b.memory),
-          std::min(a.accelerators, b.accelerators), std::min(a.slots, b.slots)};
-}
-
 std::int64_t Milliseconds(base::Duration duration) {
   return duration / std::chrono::milliseconds(1);
 }
@@ -103,7 +88,7 @@
 
 void Dispatcher::StartCopies(base::TimePoint now,
                              std::vector<Action>* actions) {
-  for (int i = 0; i < settings_.max_copy_looks; ++i) {
+  for (int i = 0; i < context_.settings.max_copy_looks; ++i) {
     std::optional<CopyTracker::WatchedRun> watched = copies_.TakeDue(now);
     if (!watched) {
       return;
@@ -139,7 +124,7 @@
   }
   item.urgency =
       placement::UrgencyOf(item.job, item.step.step, *item.queue, run_times_,
-                           over_share_.contains(item.job->key), now);
+                           context_.over_share.contains(item.job->key), now);
   // Copies leave capacity and caps to gangs and to urgent work.
   item.yields = true;
   const placement::RunInProgress progress =
@@ -181,16 +166,16 @@
   progress.deadline_status = item.urgency.deadline_status;
   // An inherited task may have another run on a worker that was not heard of
   // yet.
-  progress.has_copy =
-      task.active_attempts.size() > 1 ||
-      (inherited_.contains(item.job->key) && !fleet_->unreconciled().empty());
+  progress.has_copy = task.active_attempts.size() > 1 ||
+                      (context_.inherited.contains(item.job->key) &&
+                       !fleet_->unreconciled().empty());
   progress.copies_started = task.copies_started;
   progress.failed_attempts =
       static_cast<std::uint32_t>(task.failed_attempts.size());
   progress.max_attempts = item.queue->max_attempts;
   progress.is_crash_suspect =
       task.crashes.is_suspect() || !task.crashes.empty();
-  progress.is_on_alert = containment_.IsOnAlert(item.queue->id, now);
+  progress.is_on_alert = context_.containment.IsOnAlert(item.queue->id, now);
   return progress;
 }
 
@@ -199,65 +184,16 @@
   return {.has_waiting_work =
               has_waiting_work_ || capped_.contains(item.job->organisation),
           .fleet_usage = fleet_usage_,
-          .copies_usage =
-              base::DominantFraction(copies_.usage() + needs, fleet_capacity_),
+          .copies_usage = base::DominantFraction(copies_.usage() + needs,
+                                                 context_.fleet_capacity),
           .copies = copies_.copies()};
 }
 
-void Dispatcher::UpdateInheritedCopies(base::TimePoint now) {
-  if (now < next_inherited_copies_update_ && !inherited_copies_.empty()) {
-    return;
-  }
-  next_inherited_copies_update_ = now + kInheritedCopiesInterval;
-  inherited_copies_.clear();
-  for (const jobs::JobKey key : inherited_) {
-    const jobs::Job* job = jobs_->Find(key);
-    if (job == nullptr) {
-      continue;
-    }
-    for (const auto& [number, occurrence] : job->occurrences) {
-      for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
-        const jobs::StepSpec& spec = job->spec.steps[i];
-        const jobs::Step& step = occurrence.steps[i];
-        if (!spec.may_have_copies() || step.is_done()) {
-          continue;
-        }
-        InheritedCopies& copies = inherited_copies_[job->organisation];
-        copies.needs +=
-            spec.needs * (static_cast<std::int64_t>(step.tasks.size()) -
-                          static_cast<std::int64_t>(step.done));
-        copies.largest = Largest(copies.largest, spec.needs);
-      }
-    }
-  }
-}
-
-base::Resources Dispatcher::InheritedCopiesOf(
-    const base::OrganisationId& organisation) const {
-  const auto it = inherited_copies_.find(organisation);
-  if (it == inherited_copies_.end()) {
-    return {};
-  }
-  // The previous owner kept to the share of the fleet that copies may use.
-  const base::Resources fleet = fleet_capacity_ + unreconciled_capacity_;
-  const auto share = [](std::int64_t whole) {
-    return static_cast<std::int64_t>(static_cast<double>(whole) *
-                                     StragglerPolicy::kMaxShareOfCopies);
-  };
-  const base::Resources most =
-      Largest(it->second.largest,
-              {base::Millicores(share(fleet.cpu.value())),
-               base::Mebibytes(share(fleet.memory.value())),
-               base::Accelerators(share(fleet.accelerators.value())),
-               base::Slots(share(fleet.slots.value()))});
-  return Smallest(Smallest(it->second.needs, most), unreconciled_capacity_);
-}
-
 placement::CopyReason Dispatcher::PlaceCopy(
     WaitingStep* item, const PlacedRun& run,
     const placement::RunInProgress& progress, base::TimePoint now,
     std::vector<Action>* actions) {
-  if (!IsWithinCap(*item, 1)) {
+  if (!caps_.IsWithinCap(*item, 1)) {
     return CopyReason::kCap;
   }
   if (item->queue->advice && !advice_.FindOrAdd(item->step).has_answer) {
@@ -318,7 +254,7 @@
     const double slowness = run_times_.SlownessOf(worker.number());
     if (worker.id() == run.worker || gang_holds_.IsHeld(worker.number()) ||
         gang_holds_.IsWanted(worker.number()) ||
-        IsKeptForSuspect(worker, now) ||
+        suspects_.IsKeptForSuspect(worker, now) ||
         !placement::HasCapacityFor(candidate, spec) ||
         !StragglerPolicy::EndsBefore(progress, slowness)) {
       continue;
--- a/src/core/scheduler/dispatcher_explanation.cc
+++ b/src/core/scheduler/dispatcher_explanation.cc
@@ -26,8 +26,9 @@
       item.step = {job.key, number, i};
       item.job = &job;
       item.queue = queue;
-      item.urgency = placement::UrgencyOf(&job, i, *queue, run_times_,
-                                          over_share_.contains(job.key), now);
+      item.urgency =
+          placement::UrgencyOf(&job, i, *queue, run_times_,
+                               context_.over_share.contains(job.key), now);
       item.yields =
           placement::GangHolds::MustYield(item.urgency, job.accepted_at, now);
       const jobs::Step& step = occurrence.steps[i];
@@ -58,7 +59,7 @@
     explained->waits_since = now - logged->second.since;
   } else if (is_submitted && !jobs_->IsStored(item.step.job)) {
     explained->waits_for = ToString(WaitReason::kStoring);
-  } else if (!IsWithinCap(item, 1)) {
+  } else if (!caps_.IsWithinCap(item, 1)) {
     explained->waits_for = ToString(WaitReason::kCap);
   }
 }
@@ -106,7 +107,7 @@
       gang_holds_.IsWanted(worker.number())) {
     return "wanted_by_gang";
   }
-  if (IsKeptForSuspect(worker, now)) {
+  if (suspects_.IsKeptForSuspect(worker, now)) {
     return "kept_for_suspect";
   }
   if (!spec.Reservation().FitsIn(worker.FreeResources())) {
@@ -168,7 +169,7 @@
         continue;
       }
       const workers::Worker* best =
-          IsWithinCap(item, placed + 1)
+          caps_.IsWithinCap(item, placed + 1)
               ? placement::AllocateOnBest(&candidates, spec, task.failed_on)
               : nullptr;
       if (best == nullptr) {
--- a/src/core/scheduler/dispatcher_preemption.cc
+++ b/src/core/scheduler/dispatcher_preemption.cc
@@ -40,7 +40,8 @@
   if (!kept_rooms_.empty()) {
     kept_rooms_.ReleaseIf(
         [&](const jobs::StepRef& step) {
-          const std::optional<WaitingStep> item = MakeWaitingStep(step, now);
+          const std::optional<WaitingStep> item =
+              context_.MakeWaitingStep(step, now);
           return !item || item->urgency.deadline_status !=
                               placement::DeadlineStatus::kOnTime;
         },
@@ -98,11 +99,11 @@
                   [](const jobs::Task& task) {
                     return !task.done && task.crashes.is_suspect();
                   });
-  if (has_suspects || IsUnproven(item, now) ||
+  if (has_suspects || suspects_.IsUnproven(item, now) ||
       (spec.gang && step.waiting() < step.tasks.size())) {
     return false;
   }
-  return std::any_of(known_queues_.begin(), known_queues_.end(),
+  return std::any_of(context_.known_queues.begin(), context_.known_queues.end(),
                      [&item](const auto& entry) {
                        return entry.second.priority > item.queue->priority;
                      });
@@ -110,7 +111,7 @@
 
 void Dispatcher::RecordWaitingSlack(const WaitingStep& item, WaitReason reason,
                                     base::TimePoint now) {
-  if (!settings_.preemption.is_enabled() || item.urgency.over_share ||
+  if (!context_.settings.preemption.is_enabled() || item.urgency.over_share ||
       reason != WaitReason::kFreeResources ||
       item.urgency.deadline_status != placement::DeadlineStatus::kOnTime) {
     return;
@@ -124,7 +125,8 @@
 void Dispatcher::ConsiderPreemption(const WaitingStep& item, WaitReason reason,
                                     base::TimePoint now,
                                     std::vector<Action>* actions) {
-  if (!settings_.preemption.is_enabled() || preemption_tries_left_ == 0 ||
+  if (!context_.settings.preemption.is_enabled() ||
+      preemption_tries_left_ == 0 ||
       (reason != WaitReason::kFreeResources && reason != WaitReason::kAdvice) ||
       kept_rooms_.IsKeptFor(item.step)) {
     return;
@@ -138,7 +140,7 @@
       item.queue->advice && (advice == nullptr || !advice->has_answer);
   const base::Duration lead =
       needs_advice ? 2 * placement::AdviceTime(*item.queue) : base::Duration(0);
-  if (PreemptionPlanner(settings_.preemption)
+  if (PreemptionPlanner(context_.settings.preemption)
           .CheckTime(item.urgency.latest_start - lead, now) ==
       placement::PreemptionRefusal::kNotDue) {
     return;
@@ -163,7 +165,7 @@
                                         std::vector<Action>* actions) {
   const advice::StepAdvice& advice = advice_.FindOrAdd(item.step);
   if (advice.calls_in_flight == 0 && now >= advice.retry_at &&
-      IsWithinCap(item, 1) && CanRequestAdvice(item, now)) {
+      caps_.IsWithinCap(item, 1) && CanRequestAdvice(item, now)) {
     SendAdviceRequests(item, WorkersToRequestFirst(item, now), now, actions);
   }
 }
@@ -172,15 +174,16 @@
                                      std::uint32_t tasks_ahead,
                                      base::TimePoint now,
                                      std::vector<Action>* actions) {
-  const PreemptionPlanner planner(settings_.preemption);
+  const PreemptionPlanner planner(context_.settings.preemption);
   if (const auto refusal = planner.CheckTime(item.urgency.latest_start, now)) {
     return ToString(*refusal);
   }
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   const std::uint32_t tasks = item.job->FindStep(item.step)->waiting();
   const bool fits_cap =
-      spec.gang ? FitsCap(item, UsageOf(item.job->organisation), tasks)
-                : IsWithinCap(item, tasks);
+      spec.gang
+          ? caps_.FitsCap(item, caps_.UsageOf(item.job->organisation), tasks)
+          : caps_.IsWithinCap(item, tasks);
   if (!fits_cap) {
     return "cap";
   }
@@ -246,7 +249,8 @@
   const base::Duration run_time =
       run_times_.ExpectedRunTime(item.queue->id, spec.estimate);
   const base::TimePoint until =
-      now + std::min(settings_.preemption.stop_timeout + run_time + kYieldTime,
+      now + std::min(context_.settings.preemption.stop_timeout + run_time +
+                         kYieldTime,
                      kMaxYieldTime);
   for (const PreemptionPlan::Stop& stop : plan.stops) {
     preempted_workers_[stop.worker] = {item.queue->priority, until};
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -167,9 +167,8 @@
   const AdmissionDecision decision =
       DecideAdmission(submission, &submission_rates_, now);
   if (decision.refusal) {
-    if (decision.refusal->reason == "evacuated") {
-      telemetry_.counters->Increment("jobs_refused", "evacuated");
-    }
+    telemetry_.counters->Increment("jobs_refused",
+                                   decision.refusal->reason.c_str());
     return *decision.refusal;
   }
   if (decision.is_over_share) {
@@ -308,22 +307,17 @@
   if (now - load_logged_at_ >= kLoadLogPeriod) {
     load_logged_at_ = now;
     LogLoad();
+    WithdrawSurvivedAnnouncements();
   }
 }
 
 void Scheduler::RunPass(base::TimePoint now) {
   now_ = now;
+  dispatcher_.suspects().UpdateNewestIncarnation();
+  StopInheritedIncompleteGangs();
   dispatcher_.RunPass(now, &actions_);
-  for (const jobs::TaskRef& task : dispatcher_.TakeGuiltyTasks()) {
-    const jobs::Job* job = jobs_.Find(task.step.job);
-    if (job == nullptr) {
-      // Another task of the job was found guilty too.
-      continue;
-    }
-    telemetry_.log->Write(
-        "task_crashes_workers",
-        {{"task", jobs::ToString(task)}, {"blame", "missing"}});
-    GiveUp(*job, base::Duration(0));
+  for (const jobs::TaskRef& task : dispatcher_.suspects().TakeGuiltyTasks()) {
+    GiveUpForMissingStart(task);
   }
 }
 
@@ -364,8 +358,10 @@
   now_ = now;
   jobs_.OnStored(batch);
   worker_records_.OnStored(batch, now);
-  for (const auto& [worker, number] : batch.run_ends) {
-    fleet_.OnEndsStored(worker, held_ends_.OnStored(worker, number), now);
+  for (const auto& [incarnation, number] : batch.run_ends) {
+    const auto& [worker, born_ms] = incarnation;
+    fleet_.OnEndsStored(worker, born_ms,
+                        held_ends_.OnStored(worker, born_ms, number), now);
   }
 }
 
