--- a/include/dotterelbarrow/core/placement/load_shedder.h
+++ b/include/dotterelbarrow/core/placement/load_shedder.h
@@ -9,9 +9,9 @@
 // waited for a noticeable part of their slack: capacity that waiting gangs
 // can't use may be free for lookups, which are placed before them anyway. Other
 // jobs are refused only when the jobs before them are about to be late. Nothing
-// is refused while both the fleet and
-// the owner have free capacity. For an organisation at its cap, its own waiting
-// jobs decide, however free the fleet is. Accepted jobs are never dropped.
+// is refused while both the fleet and the owner have free capacity. For an
+// organisation at its cap, its own waiting jobs decide, however free the fleet
+// is. Accepted jobs are never dropped.
 #ifndef DOTTERELBARROW_CORE_PLACEMENT_LOAD_SHEDDER_H_
 #define DOTTERELBARROW_CORE_PLACEMENT_LOAD_SHEDDER_H_
 
