Keep the token of a worker that is listed again in the same incarnation

Cause: a worker that was removed and listed again got the next token even in the same incarnation. A command sent before the removal that arrived after the first new poll was then answered as fenced, and the owner gave up its whole term as if another one had taken over.

Change: the token rises only with the incarnation. A late poll from before the removal is part of the test; it fails on the code before (is_fenced is true). Announcements are compared before a gang's members are looked up, which was repeated each second for the life of an announced gang.

--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -314,9 +314,15 @@
   Telemetry telemetry_;
   // The address of a worker stays valid until the worker is removed.
   std::unordered_map<base::BackendId, workers::Worker> workers_;
-  // For workers that were removed: the number of their earlier incarnations if
-  // they are listed again, so that their tokens never decrease.
-  std::unordered_map<base::BackendId, std::uint64_t> removed_incarnations_;
+  // The last incarnations of workers that were removed, so that the tokens of a
+  // worker that is listed again never decrease. They don't rise in the same
+  // incarnation: a late command from before the removal would be answered as if
+  // another owner had taken over.
+  struct RemovedWorker {
+    std::int64_t born_ms = workers::kUnknownIncarnation;
+    std::uint64_t earlier_incarnations = 0;
+  };
+  std::unordered_map<base::BackendId, RemovedWorker> removed_workers_;
   std::set<base::BackendId> unreconciled_;
   bool is_fenced_ = false;
   double poll_stretch_ = 1.0;
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -21,11 +21,12 @@
 // Covers the delay of the store itself in noticing that a worker is
 // unresponsive.
 constexpr base::Duration kListingMargin = std::chrono::milliseconds(500);
+// The last token of a term, counted from its first one.
+constexpr std::uint64_t kLastOffset = kTokensPerTerm - 1;
 
 }  // namespace
 
 FencingToken TokenFor(const WorkerAddress& worker, FencingToken highest) {
-  constexpr std::uint64_t kLastOffset = kTokensPerTerm - 1;
   return FencingToken(highest.value() - kLastOffset +
                       std::min(worker.earlier_incarnations, kLastOffset));
 }
@@ -124,9 +125,11 @@
     return;
   }
   Worker* added = Add(Worker(listing, NextNumber()));
-  if (const auto removed = removed_incarnations_.find(listing.id);
-      removed != removed_incarnations_.end()) {
-    added->earlier_incarnations = removed->second;
+  if (const auto removed = removed_workers_.find(listing.id);
+      removed != removed_workers_.end()) {
+    const RemovedWorker& before = removed->second;
+    added->earlier_incarnations = before.earlier_incarnations +
+                                  (before.born_ms == listing.born_ms ? 0 : 1);
   }
   added->last_answer = now;
   added->next_poll = now;
@@ -306,7 +309,8 @@
     Worker& worker = it->second;
     if (ExpireIfDue(&worker, now)) {
       by_number_[static_cast<std::size_t>(worker.number().value())] = nullptr;
-      removed_incarnations_[it->first] = worker.earlier_incarnations + 1;
+      removed_workers_[it->first] = {worker.listing().born_ms,
+                                     worker.earlier_incarnations};
       it = workers_.erase(it);
       continue;
     }
--- a/src/core/scheduler/scheduler_crashes.cc
+++ b/src/core/scheduler/scheduler_crashes.cc
@@ -164,6 +164,7 @@
   for (const auto& [task, attempt] : survived) {
     jobs::Job* job = jobs_.Find(task.step.job);
     if (job != nullptr && job->FindTask(task) != nullptr &&
+        job->CrashesOf(task)->announced_start() == attempt &&
         (!job->SpecOf(task.step).gang || HasGangSurvived(*job, task.step)) &&
         job->CrashesOf(task)->OnEnded(attempt)) {
       jobs_.EnqueueJob(job->key, now_);
--- a/test/fuzz/scheduler/late_polls_test.cc
+++ b/test/fuzz/scheduler/late_polls_test.cc
@@ -177,6 +177,7 @@
   }
   SUBCASE(
       "the worker is removed and listed again: the owner isn't fenced off") {
+    const PollWorker late_poll = scenario.TakePoll();
     scenario.fleet.UpdateListings({}, scenario.now(), scenario.now());
     for (int i = 0; i < 50 && scenario.fleet.Find(kWorker) != nullptr; ++i) {
       scenario.Advance(200);
@@ -187,6 +188,8 @@
     scenario.AnswerPoll(scenario.TakePoll());
     CHECK_FALSE(scenario.fleet.is_fenced());
     CHECK(scenario.fleet.Find(kWorker)->is_claimed);
+    scenario.AnswerPoll(late_poll);
+    CHECK_FALSE(scenario.fleet.is_fenced());
   }
 }
 
