--- a/bench/experiment/experiment.cc
+++ b/bench/experiment/experiment.cc
@@ -338,11 +338,11 @@
   organisations_.AddJob(job.organisation, kind.value);
   kind_of_job_[key] = index;
   open_jobs_.emplace(key, job);
-  Send(key, std::move(spec), pattern_.retries);
+  Send(key, spec, pattern_.retries);
 }
 
 void Experiment::Send(JobKey key,
-                      std::shared_ptr<const core::jobs::JobSpec> spec,
+                      const std::shared_ptr<const core::jobs::JobSpec>& spec,
                       int retries) {
   RunAsOwner("submit", [this, key, spec, retries] {
     const SubmittedJob& job = open_jobs_.at(key);
--- a/bench/experiment/experiment.h
+++ b/bench/experiment/experiment.h
@@ -120,7 +120,8 @@
   void Submit(std::size_t kind);
   // Sends the submission of a job, `retries` times more if it is refused.
   void Send(core::jobs::JobKey key,
-            std::shared_ptr<const core::jobs::JobSpec> spec, int retries);
+            const std::shared_ptr<const core::jobs::JobSpec>& spec,
+            int retries);
   core::jobs::JobSpec MakeSpec(const Kind& kind, SubmittedJob* job);
   RunPlan PlanOf(const core::scheduler::StartTask& command);
   // Returns by which factor a run that starts on the worker now takes longer.
