Caps: the lesser of two resources comes from base

Cause: backfilling moved LesserOf to base/units.h, where the caps of organisations kept a function of their own that did the same. Change: the caps call base::LesserOf; no behaviour changes.

--- a/src/core/scheduler/dispatcher_caps.cc
+++ b/src/core/scheduler/dispatcher_caps.cc
@@ -24,11 +24,6 @@
           std::max(a.accelerators, b.accelerators), std::max(a.slots, b.slots)};
 }
 
-base::Resources Smallest(const base::Resources& a, const base::Resources& b) {
-  return {std::min(a.cpu, b.cpu), std::min(a.memory, b.memory),
-          std::min(a.accelerators, b.accelerators), std::min(a.slots, b.slots)};
-}
-
 bool FitsUnderCap(std::int64_t used, std::int64_t cap) {
   return cap == 0 || used <= cap;
 }
@@ -201,7 +196,8 @@
                base::Mebibytes(share(fleet.memory.value())),
                base::Accelerators(share(fleet.accelerators.value())),
                base::Slots(share(fleet.slots.value()))});
-  return Smallest(Smallest(it->second.needs, most), unreconciled_capacity_);
+  return base::LesserOf(base::LesserOf(it->second.needs, most),
+                        unreconciled_capacity_);
 }
 
 }  // namespace dotterelbarrow::core::scheduler
