Owner times: what a pass waited for, what it judged, and the time by kind of input

The log couldn't tell a pass that waits for its pause from one that waits for the processor, steps that are judged again from new ones, nor what else the owner's time goes to; begun_per_s is what the saturation gate goes by.

--- a/include/dotterelbarrow/core/admission/saturation_gate.h
+++ b/include/dotterelbarrow/core/admission/saturation_gate.h
@@ -49,6 +49,8 @@
   bool TryAcquire();
 
   base::Duration mean_lag() const { return mean_lag_; }
+  // The mean rate at which jobs have been begun.
+  double begun_per_second() const { return begun_per_second_; }
   // The number of jobs accepted a second; nullopt if there is no limit.
   std::optional<double> limit() const { return limit_; }
   // By which factor to stretch the intervals of periodic work that may be done
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -43,6 +43,16 @@
 
 namespace dotterelbarrow::core::scheduler {
 
+// What scheduling passes have done.
+struct PassEffort {
+  // Waiting steps that were put into their order, once for each pass.
+  std::uint64_t steps_ranked = 0;
+  // Waiting steps for which a pass looked for workers.
+  std::uint64_t steps_tried = 0;
+  // Those of which tasks were placed.
+  std::uint64_t steps_placed = 0;
+};
+
 class Dispatcher {
  public:
   Dispatcher(DispatcherSettings settings, Telemetry telemetry,
@@ -153,6 +163,9 @@
   // call.
   std::uint64_t TakeJobsBegun() { return std::exchange(jobs_begun_, 0); }
 
+  // Returns what the passes since the last call have done.
+  PassEffort TakeEffort() { return std::exchange(effort_, {}); }
+
   // Whether the job was accepted by a previous owner.
   bool IsInherited(jobs::JobKey job) const {
     return context_.inherited.contains(job);
@@ -617,6 +630,7 @@
   std::unordered_map<jobs::StepRef, UnplacedGang> unplaced_gangs_;
   base::TimePoint next_gang_retry_;
   std::uint64_t jobs_begun_ = 0;
+  PassEffort effort_;
   base::TimePoint next_usage_update_;
   CopyTracker copies_;
   // Whether the last pass left steps that can be on time without free
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -170,6 +170,8 @@
   // Returns how many jobs have had their first task started since the last
   // call.
   std::uint64_t TakeJobsBegun() { return dispatcher_.TakeJobsBegun(); }
+  // Returns what the passes since the last call have done.
+  PassEffort TakePassEffort() { return dispatcher_.TakeEffort(); }
   // Sets by which factor workers are polled less often than usual.
   void set_poll_stretch(double factor) { fleet_.set_poll_stretch(factor); }
   // Runs one scheduling pass.
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -62,6 +62,7 @@
     items.push_back(std::move(*item));
     ++it;
   }
+  effort_.steps_ranked += items.size();
   std::sort(items.begin(), items.end(),
             [](const WaitingStep& a, const WaitingStep& b) {
               return a.urgency != b.urgency ? a.urgency < b.urgency
@@ -169,7 +170,9 @@
     const std::optional<WaitReason> reason =
         is_tried ? Place(&item, now, actions)
                  : std::optional(WaitReasonOf(item));
+    effort_.steps_tried += is_tried ? 1 : 0;
     if (!reason) {
+      ++effort_.steps_placed;
       continue;
     }
     RecordUsedSlack(item, *reason, now);
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -59,8 +59,10 @@
           [this](core::scheduler::ListingChanges changes,
                  base::TimePoint requested_at) {
             if (!is_over_) {
+              const base::TimePoint begun = Now();
               scheduler_.ApplyListingChanges(std::move(changes), requested_at,
-                                             Now());
+                                             begun);
+              times_.RecordInput(OwnerInput::kListings, Now() - begun);
               SchedulePass();
             }
           }),
@@ -140,6 +142,7 @@
     reply(NoOwner{});
     return;
   }
+  const base::TimePoint begun = Now();
   std::visit(
       base::Overloaded{
           [&](const SubmitCall& submit) {
@@ -194,6 +197,7 @@
             reply(PendingAnswer{pending_[pending.queue]});
           }},
       call);
+  times_.RecordInput(OwnerInput::kCall, Now() - begun);
   SchedulePass();
 }
 
@@ -226,7 +230,10 @@
     if (scheduler_.IsPassDue(Now())) {
       SchedulePass();
     }
-    times_.LogIfDue(saturation_gate_, Now());
+    times_.RecordInput(OwnerInput::kTick, Now() - begun);
+    if (times_.IsDue(begun)) {
+      times_.Log(saturation_gate_, scheduler_.TakePassEffort(), begun);
+    }
   }
   if (is_loaded_ && IsStoreUnavailable()) {
     RefuseUnwrittenJobs();
@@ -243,7 +250,8 @@
   if (!is_pass_scheduled_) {
     is_pass_scheduled_ = true;
     const base::TimePoint now = Now();
-    pass_due_ = std::max(now + delay, next_pass_);
+    pass_wanted_ = now + delay;
+    pass_due_ = std::max(pass_wanted_, next_pass_);
     pass_timer_.StartOnce(pass_due_ - now);
   }
 }
@@ -268,7 +276,10 @@
   }
   Execute();
   LogIfDue();
-  times_.RecordPass(begun - pass_due_, placed - begun, Now() - placed);
+  times_.RecordPass({.paused = pass_due_ - pass_wanted_,
+                     .lag = begun - pass_due_,
+                     .placing = placed - begun,
+                     .ordering = Now() - placed});
 }
 
 void OwnerTerm::Execute() {
@@ -287,7 +298,8 @@
           [this](const core::scheduler::StartTask& command) {
             parts_.workers->Start(
                 command, TokenFor(command.worker, token_),
-                Guarded([this, command](const CommandResponse& a) {
+                Guarded(OwnerInput::kStarted, [this, command](
+                                                  const CommandResponse& a) {
                   scheduler_.OnStarted(command, a.outcome, a.clock_ms, Now());
                   SchedulePass();
                 }));
@@ -295,7 +307,8 @@
           [this](const core::scheduler::StopTask& command) {
             parts_.workers->Stop(
                 command, TokenFor(command.worker, token_),
-                Guarded([this, command](const CommandResponse& a) {
+                Guarded(OwnerInput::kStopped, [this, command](
+                                                  const CommandResponse& a) {
                   scheduler_.OnStopped(command, a.outcome, a.clock_ms, Now());
                   SchedulePass();
                 }));
@@ -303,18 +316,20 @@
           [this](const core::scheduler::PollWorker& poll) {
             parts_.workers->Poll(
                 poll, TokenFor(poll.worker, token_),
-                Guarded([this, poll](const core::scheduler::PollResult& r) {
-                  scheduler_.OnPolled(poll, r, Now());
-                  SchedulePass();
-                }));
+                Guarded(OwnerInput::kPolled,
+                        [this, poll](const core::scheduler::PollResult& r) {
+                          scheduler_.OnPolled(poll, r, Now());
+                          SchedulePass();
+                        }));
           },
           [this](const core::scheduler::RequestAdvice& request) {
             parts_.advise(request,
-                          Guarded([this, request](
+                          Guarded(OwnerInput::kAdvice,
+                                  [this, request](
                                       const core::scheduler::AdviceResult& r) {
-                            scheduler_.OnAdvice(request, r, Now());
-                            SchedulePass();
-                          }));
+                                    scheduler_.OnAdvice(request, r, Now());
+                                    SchedulePass();
+                                  }));
           }},
       action);
 }
@@ -345,13 +360,14 @@
       is_resigning_ ? parts_.leadership->BeginResignation(now)
                     : parts_.leadership->BeginWrite(now),
       batch->changes,
-      Guarded([this, batch, unknown = std::exchange(unknown_waiters_, {})](
+      Guarded(OwnerInput::kStored,
+              [this, batch, unknown = std::exchange(unknown_waiters_, {})](
                   OwnershipWriteOutcome end, std::int64_t store_now_ms) {
-        OnWritten(end, store_now_ms, *batch);
-        if (end == OwnershipWriteOutcome::kStored) {
-          ReplyTo(unknown, UnknownJob{});
-        }
-      }));
+                OnWritten(end, store_now_ms, *batch);
+                if (end == OwnershipWriteOutcome::kStored) {
+                  ReplyTo(unknown, UnknownJob{});
+                }
+              }));
 }
 
 void OwnerTerm::OnWritten(OwnershipWriteOutcome end, std::int64_t store_now_ms,
--- a/src/member/owner_term.h
+++ b/src/member/owner_term.h
@@ -19,6 +19,7 @@
 #include "platform/store_client.h"
 #include "platform/worker_client.h"
 #include "src/member/calls.h"
+#include "src/member/clock.h"
 #include "src/member/listing_reader.h"
 #include "src/member/owner_times.h"
 #include "src/member/ownership_writer.h"
@@ -119,13 +120,19 @@
   void RefuseUnwrittenJobs();
   void EndTerm(const char* why);
 
-  // Wraps a callback so that it does nothing after the term's destruction.
+  // Wraps a callback that handles this kind of input so that its time is
+  // recorded, and so that it does nothing after the term's destruction.
   template <typename Function>
-  auto Guarded(Function function) {
-    return [alive = std::weak_ptr<int>(alive_),
+  auto Guarded(OwnerInput input, Function function) {
+    return [this, input, alive = std::weak_ptr<int>(alive_),
             function = std::move(function)](auto&&... arguments) {
+      if (alive.expired()) {
+        return;
+      }
+      const base::TimePoint begun = Now();
+      function(std::forward<decltype(arguments)>(arguments)...);
       if (!alive.expired()) {
-        function(std::forward<decltype(arguments)>(arguments)...);
+        times_.RecordInput(input, Now() - begun);
       }
     };
   }
@@ -157,6 +164,8 @@
   wire::Timer pass_timer_;
   bool is_pass_scheduled_ = false;
   base::TimePoint next_pass_;
+  // When the scheduled pass was wanted, and when it is due after the pause.
+  base::TimePoint pass_wanted_;
   base::TimePoint pass_due_;
   base::Duration usual_lag_{0};
   OwnerTimes times_;
--- a/src/member/owner_term_load.cc
+++ b/src/member/owner_term_load.cc
@@ -30,10 +30,11 @@
   }
   ++parts_loading_;
   parts_.read_evacuations(
-      Guarded([this](const std::set<base::AvailabilityZone>& zones) {
-        SetEvacuatedZones(zones);
-        OnPartLoaded();
-      }));
+      Guarded(OwnerInput::kLoading,
+              [this](const std::set<base::AvailabilityZone>& zones) {
+                SetEvacuatedZones(zones);
+                OnPartLoaded();
+              }));
 }
 
 void OwnerTerm::SetEvacuatedZones(
@@ -45,9 +46,10 @@
 void OwnerTerm::Load(RecordTable table, const std::string& from) {
   parts_.store->Read(
       RowsFrom(table, from), kReadTimeout,
-      Guarded([this, table, from](const platform::ReadResult& result) {
-        OnLoaded(table, from, result);
-      }));
+      Guarded(OwnerInput::kLoading,
+              [this, table, from](const platform::ReadResult& result) {
+                OnLoaded(table, from, result);
+              }));
 }
 
 void OwnerTerm::OnLoaded(RecordTable table, const std::string& from,
--- a/src/member/owner_times.cc
+++ b/src/member/owner_times.cc
@@ -17,12 +17,16 @@
 
 }  // namespace
 
-void OwnerTimes::RecordPass(base::Duration lag, base::Duration placing,
-                            base::Duration ordering) {
+void OwnerTimes::RecordPass(const PassTimes& pass) {
   ++passes_;
-  placing_ += placing;
-  ordering_ += ordering;
-  max_lag_ = std::max(max_lag_, lag);
+  paused_ += pass.paused;
+  placing_ += pass.placing;
+  ordering_ += pass.ordering;
+  max_lag_ = std::max(max_lag_, pass.lag);
+}
+
+void OwnerTimes::RecordInput(OwnerInput input, base::Duration elapsed) {
+  inputs_[static_cast<std::size_t>(input)] += elapsed;
 }
 
 void OwnerTimes::RecordWrite(base::Duration latency) {
@@ -30,21 +34,37 @@
   writing_ += latency;
 }
 
-void OwnerTimes::LogIfDue(const core::admission::SaturationGate& gate,
-                          base::TimePoint now) {
-  if (now - written_at_ < kPeriod) {
-    return;
-  }
+void OwnerTimes::Log(const core::admission::SaturationGate& gate,
+                     const core::scheduler::PassEffort& effort,
+                     base::TimePoint now) {
   written_at_ = now;
+  const auto inputs = std::exchange(inputs_, {});
+  const auto input_us = [&inputs](OwnerInput input) {
+    return Micros(inputs[static_cast<std::size_t>(input)]);
+  };
   log_->Write(
       "owner_times",
       {{"passes", std::exchange(passes_, 0)},
+       {"paused_us", Micros(std::exchange(paused_, {}))},
        {"placing_us", Micros(std::exchange(placing_, {}))},
        {"ordering_us", Micros(std::exchange(ordering_, {}))},
        {"most_lag_us", Micros(std::exchange(max_lag_, {}))},
+       {"steps_ranked", static_cast<std::int64_t>(effort.steps_ranked)},
+       {"steps_tried", static_cast<std::int64_t>(effort.steps_tried)},
+       {"steps_placed", static_cast<std::int64_t>(effort.steps_placed)},
        {"writes", std::exchange(writes_, 0)},
        {"writing_us", Micros(std::exchange(writing_, {}))},
+       {"calls_us", input_us(OwnerInput::kCall)},
+       {"started_us", input_us(OwnerInput::kStarted)},
+       {"stopped_us", input_us(OwnerInput::kStopped)},
+       {"polled_us", input_us(OwnerInput::kPolled)},
+       {"advice_us", input_us(OwnerInput::kAdvice)},
+       {"listings_us", input_us(OwnerInput::kListings)},
+       {"stored_us", input_us(OwnerInput::kStored)},
+       {"loading_us", input_us(OwnerInput::kLoading)},
+       {"ticks_us", input_us(OwnerInput::kTick)},
        {"mean_lag_us", Micros(gate.mean_lag())},
+       {"begun_per_s", std::llround(gate.begun_per_second())},
        {"accepting_per_s", std::llround(gate.limit().value_or(kNoLimit))}});
 }
 
