Experiment: costs of the owner that are the same everywhere, its gate and its pacing

So far an experiment charged the time that decisions take on this machine, without messages and without the saturation gate. Passes are paced by a class of their own now, which owner and experiment share; no behaviour changes.

--- a/bench/experiment/experiment.cc
+++ b/bench/experiment/experiment.cc
@@ -23,12 +23,11 @@
 // A message to a worker and its answer, and one transaction of the store.
 constexpr std::int64_t kRoundTrip = 2 * kMillisecond;
 constexpr std::int64_t kTransaction = 12 * kMillisecond;
-// The same values as member::OwnerTerm. After a pass, the owner waits
-// kPauseToPassRatio times as long as the pass took, at least kPassDelay.
+// The same values as member::OwnerTerm.
 constexpr std::int64_t kPassDelay = 3 * kMillisecond;
-constexpr std::int64_t kPauseToPassRatio = 3;
 constexpr std::int64_t kMinWriteInterval = 20 * kMillisecond;
-constexpr std::int64_t kTickPeriod = 50 * kMillisecond;
+constexpr std::int64_t kTickPeriod = 20 * kMillisecond;
+constexpr base::Duration kSaturatedRetryAfter = std::chrono::seconds(1);
 // Time to claim the workers before the first job arrives, and for the last jobs
 // to finish.
 constexpr std::int64_t kWarmUp = 2 * kSecond;
@@ -346,11 +345,16 @@
                       int retries) {
   RunAsOwner("submit", [this, key, spec, retries] {
     const SubmittedJob& job = open_jobs_.at(key);
-    const auto answer = scheduler_.Submit(
-        {key, core::desired::QueueId(pattern_.kinds[job.kind].name),
-         organisations_.IdOf(job.organisation), *spec},
-        core::scheduler::WaiterId(key.value()),
-        timeline_.now_us() / kMillisecond, timeline_.Now());
+    const core::scheduler::SubmitResult answer =
+        !scheduler_.IsKnown(key) && !gate_.TryAcquire()
+            ? core::scheduler::
+                  SubmitResult{core::scheduler::SubmitOutcome::kRefused,
+                               "owner_saturated", kSaturatedRetryAfter}
+            : scheduler_.Submit(
+                  {key, core::desired::QueueId(pattern_.kinds[job.kind].name),
+                   organisations_.IdOf(job.organisation), *spec},
+                  core::scheduler::WaiterId(key.value()),
+                  timeline_.now_us() / kMillisecond, timeline_.Now());
     SchedulePass();
     if (answer.outcome != core::scheduler::SubmitOutcome::kRefused) {
       return;
@@ -423,46 +427,63 @@
 }
 
 void Experiment::RunAsOwner(const char* what, std::function<void()> work) {
-  if (options_.cpu_share > 0 && owner_busy_until_us_ > timeline_.now_us()) {
+  if (has_owner_costs() && owner_busy_until_us_ > timeline_.now_us()) {
     timeline_.After(owner_busy_until_us_ - timeline_.now_us(),
                     [this, what, work = std::move(work)]() mutable {
                       RunAsOwner(what, std::move(work));
                     });
     return;
   }
+  modelled_us_ = options_.costs ? options_.costs->message_received_us : 0;
   const auto begun = std::chrono::steady_clock::now();
   work();
   const std::chrono::duration<double> spent =
       std::chrono::steady_clock::now() - begun;
   outcome_.cpu_s[what] += spent.count();
-  if (options_.cpu_share > 0) {
-    owner_busy_until_us_ =
-        timeline_.now_us() +
-        std::llround(spent.count() * kSecond / options_.cpu_share);
+  if (has_owner_costs()) {
+    owner_busy_until_us_ = timeline_.now_us() + CostOf(spent.count());
   }
 }
 
+std::int64_t Experiment::CostOf(double measured_s) {
+  const double at_s =
+      static_cast<double>(timeline_.now_us() - kWarmUp) / kSecond;
+  const SlowTime& slow = options_.slow_time;
+  const double factor =
+      at_s >= slow.at_s && at_s < slow.at_s + slow.for_s ? slow.factor : 1;
+  return std::llround(
+      factor * (options_.costs ? modelled_us_
+                               : measured_s * kSecond / options_.cpu_share));
+}
+
 void Experiment::SchedulePass() {
-  if (!is_pass_scheduled_) {
-    is_pass_scheduled_ = true;
-    const std::int64_t due =
-        std::max(timeline_.now_us() + kPassDelay, next_pass_us_);
-    timeline_.After(due - timeline_.now_us(), [this] { RunPass(); });
+  const auto wait = pass_pacer_.Request(timeline_.Now(),
+                                        std::chrono::microseconds(kPassDelay));
+  if (wait) {
+    timeline_.After(*wait / std::chrono::microseconds(1),
+                    [this] { RunPass(); });
   }
 }
 
 void Experiment::RunPass() {
   RunAsOwner("pass", [this] {
-    is_pass_scheduled_ = false;
+    pass_pacer_.OnBegun();
     const auto begun = std::chrono::steady_clock::now();
     scheduler_.RunPass(timeline_.Now());
     const std::chrono::duration<double> spent =
         std::chrono::steady_clock::now() - begun;
-    if (options_.cpu_share > 0) {
-      next_pass_us_ =
-          timeline_.now_us() +
-          std::llround(spent.count() * kSecond / options_.cpu_share) *
-              (1 + kPauseToPassRatio);
+    if (options_.costs) {
+      const core::scheduler::PassEffort effort = scheduler_.TakePassEffort();
+      modelled_us_ = options_.costs->pass_us +
+                     options_.costs->step_ranked_us *
+                         static_cast<double>(effort.steps_ranked) +
+                     options_.costs->step_tried_us *
+                         static_cast<double>(effort.steps_tried);
+    }
+    if (has_owner_costs()) {
+      pass_pacer_.OnEnded(
+          timeline_.Now(),
+          timeline_.Now() + std::chrono::microseconds(CostOf(spent.count())));
     }
     CarryOut();
     WriteIfDue();
@@ -471,6 +492,11 @@
 
 void Experiment::Tick() {
   RunAsOwner("tick", [this] {
+    gate_.Update(std::chrono::microseconds(timeline_.now_us() - last_tick_us_ -
+                                           kTickPeriod),
+                 scheduler_.TakeJobsBegun(), timeline_.Now());
+    last_tick_us_ = timeline_.now_us();
+    scheduler_.set_poll_stretch(gate_.stretch());
     scheduler_.Tick(timeline_.Now(), 0);
     CarryOut();
     WriteIfDue();
@@ -491,6 +517,7 @@
 
 void Experiment::CarryOut() {
   for (const core::scheduler::Action& action : scheduler_.TakeActions()) {
+    modelled_us_ += options_.costs ? options_.costs->message_sent_us : 0;
     CarryOut(action);
   }
 }
--- a/bench/experiment/experiment.h
+++ b/bench/experiment/experiment.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -14,6 +15,8 @@
 #include "bench/experiment/fleet_model.h"
 #include "bench/experiment/organisations.h"
 #include "bench/experiment/pattern.h"
+#include "dotterelbarrow/core/admission/saturation_gate.h"
+#include "dotterelbarrow/core/scheduler/pass_pacer.h"
 #include "dotterelbarrow/core/scheduler/scheduler.h"
 
 namespace dotterelbarrow::bench {
@@ -24,12 +27,34 @@
   kAlways,  // The scheduler is told such a large factor that it always waits.
 };
 
+// What the owner's work costs of its processor, in microseconds, beside a host
+// with half a core.
+struct OwnerCosts {
+  // One message that arrives, one that is sent, and a pass over nothing.
+  double message_received_us = 60;
+  double message_sent_us = 40;
+  double pass_us = 250;
+  double step_ranked_us = 3;
+  double step_tried_us = 45;
+};
+
+// A time in which the owner's work costs `factor` times as much.
+struct SlowTime {
+  double at_s = 0;
+  double for_s = 0;
+  double factor = 1;
+};
+
 struct ExperimentOptions {
   std::uint32_t seed = 1;
   // Fraction of one of this machine's processors that the owner has. The
   // time that a decision takes, divided by this fraction, also passes in
   // virtual time. With 0, decisions take no virtual time.
   double cpu_share = 0;
+  // If set, decisions take what these costs say instead of what they take on
+  // this machine, so that a replay has the same outcome everywhere.
+  std::optional<OwnerCosts> costs;
+  SlowTime slow_time;
   bool is_log_shown = false;
   // Whether the scheduler learns run times.
   bool uses_run_times = true;
@@ -137,6 +162,13 @@
   // Calls `work` once the modelled owner's processor is free, and adds the time
   // that it took to `cpu_s` under the name `what`.
   void RunAsOwner(const char* what, std::function<void()> work);
+  // Whether time passes in virtual time while the owner works.
+  bool has_owner_costs() const {
+    return options_.costs || options_.cpu_share > 0;
+  }
+  // Returns the virtual time that work took for which this machine took
+  // `measured_s`.
+  std::int64_t CostOf(double measured_s);
   // Schedules the next scheduling pass unless one is already scheduled.
   void SchedulePass();
   // Runs a scheduling pass.
@@ -174,8 +206,11 @@
   std::map<std::string, std::int64_t> advisor_free_us_;
   std::uint64_t last_job_ = 0;
   std::int64_t owner_busy_until_us_ = 0;
-  bool is_pass_scheduled_ = false;
-  std::int64_t next_pass_us_ = 0;
+  // The modelled costs of the work that runs now.
+  double modelled_us_ = 0;
+  core::scheduler::PassPacer pass_pacer_;
+  core::admission::SaturationGate gate_;
+  std::int64_t last_tick_us_ = 0;
   bool is_writing_ = false;
   std::int64_t last_write_us_ = 0;
   std::unordered_map<std::string, double> slowness_;
--- a/bench/experiment/main.cc
+++ b/bench/experiment/main.cc
@@ -108,6 +108,7 @@
   ExperimentOptions options;
   bool without_run_times = false;
   bool preempts = true;
+  bool has_costs = false;
   po::options_description description("dotterel-experiment");
   description.add_options()("help", "show this text")(
       "pattern", po::value(&path)->required(), "load pattern, a JSON file")(
@@ -117,6 +118,13 @@
       "fraction of a processor that the owner has; with 0, decisions take "
       "no virtual time")("log", po::bool_switch(&options.is_log_shown),
                          "print the scheduler's decisions")(
+      "owner-costs", po::bool_switch(&has_costs),
+      "decisions take typical times of an owner with half a core, the same on "
+      "all machines")("slow-at", po::value(&options.slow_time.at_s),
+                      "second from which the owner is slow")(
+      "slow-for", po::value(&options.slow_time.for_s), "for how many seconds")(
+      "slowness", po::value(&options.slow_time.factor),
+      "how many times as much its work costs then")(
       "known-speeds", po::bool_switch(&options.knows_speeds),
       "the steady speeds of workers are known from the beginning")(
       "without-run-times", po::bool_switch(&without_run_times),
@@ -148,6 +156,9 @@
     return 2;
   }
   options.wait = *mode;
+  if (has_costs) {
+    options.costs = OwnerCosts();
+  }
   auto pattern = ReadPattern(path, &reason);
   if (!pattern) {
     std::cerr << reason.detail << '\n';
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -13,9 +13,6 @@
 
 // How often lease renewals, stops and expiries are checked.
 constexpr base::Duration kTickPeriod = std::chrono::milliseconds(20);
-// After a pass the next one waits for at least this many times as long as the
-// pass took, so that a long backlog leaves time to answer calls.
-constexpr int kPassPauseFactor = 3;
 // A usual lag of passes this long means that work waits for the processor. It
 // is a tenth of the slack of work that is due within a second.
 constexpr base::Duration kSaturatedLag = std::chrono::milliseconds(40);
@@ -247,12 +244,8 @@
 }
 
 void OwnerTerm::SchedulePassIn(base::Duration delay) {
-  if (!is_pass_scheduled_) {
-    is_pass_scheduled_ = true;
-    const base::TimePoint now = Now();
-    pass_wanted_ = now + delay;
-    pass_due_ = std::max(pass_wanted_, next_pass_);
-    pass_timer_.StartOnce(pass_due_ - now);
+  if (const auto wait = pass_pacer_.Request(Now(), delay)) {
+    pass_timer_.StartOnce(*wait);
   }
 }
 
@@ -262,22 +255,24 @@
 }
 
 void OwnerTerm::Pass() {
-  is_pass_scheduled_ = false;
+  pass_pacer_.OnBegun();
   if (is_over_ || !is_loaded_) {
     return;
   }
   const base::TimePoint begun = Now();
-  UpdateUsualLag(begun - pass_due_);
+  const base::Duration lag = begun - pass_pacer_.due_at();
+  const base::Duration paused = pass_pacer_.paused();
+  UpdateUsualLag(lag);
   base::TimePoint placed = begun;
   if (!is_resigning_ && parts_.leadership->HoldsOwnershipLease(begun)) {
     scheduler_.RunPass(begun);
     placed = Now();
-    next_pass_ = placed + (placed - begun) * kPassPauseFactor;
+    pass_pacer_.OnEnded(begun, placed);
   }
   Execute();
   LogIfDue();
-  times_.RecordPass({.paused = pass_due_ - pass_wanted_,
-                     .lag = begun - pass_due_,
+  times_.RecordPass({.paused = paused,
+                     .lag = lag,
                      .placing = placed - begun,
                      .ordering = Now() - placed});
 }
--- a/src/member/owner_term.h
+++ b/src/member/owner_term.h
@@ -14,6 +14,7 @@
 
 #include "dotterelbarrow/core/admission/saturation_gate.h"
 #include "dotterelbarrow/core/leadership/leadership.h"
+#include "dotterelbarrow/core/scheduler/pass_pacer.h"
 #include "dotterelbarrow/core/scheduler/scheduler.h"
 #include "dotterelbarrow/wire/event_loop.h"
 #include "platform/store_client.h"
@@ -162,11 +163,7 @@
   base::TimePoint pending_counted_at_;
   ListingReader listings_;
   wire::Timer pass_timer_;
-  bool is_pass_scheduled_ = false;
-  base::TimePoint next_pass_;
-  // When the scheduled pass was wanted, and when it is due after the pause.
-  base::TimePoint pass_wanted_;
-  base::TimePoint pass_due_;
+  core::scheduler::PassPacer pass_pacer_;
   base::Duration usual_lag_{0};
   OwnerTimes times_;
   core::admission::SaturationGate saturation_gate_;
