Count the jobs that an owner begins where it begins them

Callers saw up to three quarters of their requests fail and none refused: the saturation gate never set a limit.

The gate's tests feed it from a model; none went through the scheduler. The new one does, and failed before (no limit after 2.4 s of a lag of 50 ms).

--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -508,6 +508,7 @@
       telemetry_.counters->Increment("tasks_backfilled",
                                      spec.gang ? "gang" : "single");
     }
+    jobs_begun_ += item.job->state == jobs::JobState::kQueued ? 1 : 0;
     item.job->RecordRun(task, number);
     placed.push_back({choice.worker, task, number});
     if (spec.may_have_copies()) {
@@ -527,10 +528,6 @@
                           const std::string& ticket, base::TimePoint now,
                           std::vector<Action>* actions) {
   const jobs::Task* task = item.job->FindTask(run.task);
-  if (item.job->state == jobs::JobState::kQueued) {
-    item.job->state = jobs::JobState::kInProgress;
-    ++jobs_begun_;
-  }
   fleet_->Start(run.worker, run.key(), item.job->spec.payload, task->checkpoint,
                 ticket, now, actions);
 }
--- a/test/core/scheduler/scheduler_test.cc
+++ b/test/core/scheduler/scheduler_test.cc
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <set>
 
+#include "dotterelbarrow/core/admission/saturation_gate.h"
 #include "test/core/scheduler/scheduler_scenario.h"
 
 namespace dotterelbarrow::core::scheduler {
@@ -486,5 +487,34 @@
   }
 }
 
+// Guards against a gate that never limits anything because it is never told of
+// a job that was begun.
+TEST_CASE("an owner that lags tells its gate which jobs it begins") {
+  constexpr base::Duration kTick = milliseconds(20);
+  constexpr int kJobs = 120;
+  SchedulerScenario scenario;
+  scenario.AddWorkers(kJobs);
+  admission::SaturationGate gate;
+  for (std::uint64_t key = 1; key <= kJobs; ++key) {
+    scenario.SubmitAndStore(key, "plain", {SchedulerScenario::Step(4)});
+    scenario.RunPass();
+    scenario.Advance(kTick);
+    gate.Update(milliseconds(50), scenario.scheduler().TakeJobsBegun(),
+                scenario.now());
+  }
+  SUBCASE("a job counts once, however many of its tasks start") {
+    REQUIRE(gate.limit());
+    CHECK(*gate.limit() > 40);
+    CHECK(*gate.limit() < 60);
+  }
+  SUBCASE("so that it refuses what is beyond that rate") {
+    int accepted = 0;
+    for (int i = 0; i < kJobs; ++i) {
+      accepted += gate.TryAcquire() ? 1 : 0;
+    }
+    CHECK(accepted < kJobs / 10);
+  }
+}
+
 }  // namespace
 }  // namespace dotterelbarrow::core::scheduler
