--- a/test/platform/decoders_test.cc
+++ b/test/platform/decoders_test.cc
@@ -199,6 +199,56 @@
   }
 }
 
+// Guards against one odd entry in the list that ends the process, or makes it
+// stop following the list.
+TEST_CASE("a registration by another writer") {
+  base::Failure reason;
+  const std::string usable = kRegistration;
+  const auto replaced = [&usable](const std::string& old_text,
+                                  const std::string& new_text) {
+    std::string text = usable;
+    const std::size_t at = text.find(old_text);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, old_text.size(), new_text);
+  };
+  const std::string address = ReadListing("i-1", usable, &reason)->address;
+  SUBCASE("that is nested very deeply is refused") {
+    constexpr std::size_t kLevels = 200'000;
+    for (const char* bracket : {"[", "{\"a\":"}) {
+      std::string nested;
+      for (std::size_t i = 0; i < kLevels; ++i) {
+        nested += bracket;
+      }
+      CHECK_FALSE(ReadListing("i-1", nested, &reason));
+      CHECK(reason.code == base::FailureCode::kMalformed);
+    }
+  }
+  SUBCASE("with a port out of range is refused") {
+    for (const char* port :
+         {":70000", ":0", ":-1", ":99999999999999999999", ":", ""}) {
+      const std::string other = address.substr(0, address.find(':')) + port;
+      CAPTURE(other);
+      CHECK_FALSE(ReadListing("i-1", replaced(address, other), &reason));
+      CHECK_FALSE(reason.detail.empty());
+    }
+  }
+  SUBCASE("with a number too large gives no capacity, or is refused") {
+    for (const char* number :
+         {"1e400", "-1e400", "1e308", "99999999999999999999999999"}) {
+      CAPTURE(number);
+      const auto listing = ReadListing(
+          "i-1", replaced("\"cpu\":16000", "\"cpu\":" + std::string(number)),
+          &reason);
+      CHECK((!listing || listing->capacity.cpu == base::Millicores(0)));
+      CHECK_FALSE(ReadListing(
+          "i-1",
+          replaced("\"born\":",
+                   "\"born\":" + std::string(number) + ",\"ignored\":"),
+          &reason));
+    }
+  }
+}
+
 TEST_CASE("the body of a job") {
   base::Failure reason;
   SUBCASE("gives steps, needs and how tasks run together") {
