--- a/include/dotterelbarrow/core/scheduler/pass_pacer.h
+++ b/include/dotterelbarrow/core/scheduler/pass_pacer.h
@@ -4,9 +4,8 @@
 // tens of milliseconds. A job needs several passes: for its advice, for its
 // place, for what has ended before it. Whatever keeps passes apart although the
 // processor is free makes every job wait longer, so that more of them wait and
-// the next pass takes longer still. Events that arrive during a pass are
-// handled before the next one, so a pause as long as the pass itself leaves
-// half of the time to them.
+// the next pass takes longer still. The pause must only leave enough time for
+// everything else that the owner does: two thirds of it.
 #ifndef DOTTERELBARROW_CORE_SCHEDULER_PASS_PACER_H_
 #define DOTTERELBARROW_CORE_SCHEDULER_PASS_PACER_H_
 
@@ -20,7 +19,7 @@
 class PassPacer {
  public:
   // After a pass the next one waits this many times as long as the pass took.
-  static constexpr int kPauseFactor = 3;
+  static constexpr int kPauseFactor = 2;
 
   // Requests a pass `delay` from `now`. Returns how long to wait before it
   // begins; nullopt if one was requested before and has not begun.
