A pass costs what has changed, not what waits or how large the fleet is

Change: - advice for a step that needs neither a rack nor many workers at once compares 128 workers or twice as many as it names, beginning after the last ones compared; - a step without room is tried again once resources are released on a worker that it may use, when its advice is answered, or after 50 ms (RoomWaits); - each gang is tried again after a sixteenth of its slack, from 20 to 240 us a worker; - the newest incarnation is looked for when incarnations have changed; the fleet's use is summed up every 40 us a worker instead of 10, and raised where runs end in between; preemption no longer sums up the fleet for each try. Tests, failing before: 20 small steps in a fleet of 1,000 compare at most a fifth of the workers each; 40 steps that wait on a full fleet are not searched for again while nothing changes, and one is placed as soon as a run ends.

--- a/include/dotterelbarrow/core/placement/gang_holds.h
+++ b/include/dotterelbarrow/core/placement/gang_holds.h
@@ -78,6 +78,8 @@
   void RecordBackfill(workers::WorkerNumber worker, base::TimePoint end);
   // The workers to hold are chosen anew, with what was placed there.
   void ForgetBackfill() { filled_.clear(); }
+  // The same for one worker.
+  void ForgetBackfill(workers::WorkerNumber worker) { filled_.erase(worker); }
   // Returns whether the worker is held in this pass or was held in the previous
   // one.
   bool IsOrWasHeld(workers::WorkerNumber worker) const {
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -38,6 +38,7 @@
 #include "dotterelbarrow/core/scheduler/explanation.h"
 #include "dotterelbarrow/core/scheduler/fleet.h"
 #include "dotterelbarrow/core/scheduler/job_registry.h"
+#include "dotterelbarrow/core/scheduler/room_waits.h"
 #include "dotterelbarrow/core/scheduler/run_index.h"
 #include "dotterelbarrow/core/scheduler/waiting_step.h"
 
@@ -47,10 +48,14 @@
 struct PassEffort {
   // Waiting steps that were put into their order, once for each pass.
   std::uint64_t steps_ranked = 0;
-  // Waiting steps for which a pass looked for workers.
+  // Waiting steps that a pass tried to place.
   std::uint64_t steps_tried = 0;
+  // Those for which it looked through the workers.
+  std::uint64_t steps_searched = 0;
   // Those of which tasks were placed.
   std::uint64_t steps_placed = 0;
+  // Workers that were compared to choose those that the advisor is asked about.
+  std::uint64_t workers_compared = 0;
 };
 
 class Dispatcher {
@@ -144,7 +149,9 @@
   // utilisation of the fleet and chooses workers for waiting gangs anew.
   void ForgetFleetState() {
     next_usage_update_ = base::TimePoint();
-    next_gang_retry_ = base::TimePoint();
+    unplaced_gangs_.clear();
+    gang_holds_.ForgetBackfill();
+    room_waits_ = RoomWaits();
   }
 
   // Runs one scheduling pass: tries to place all waiting steps, the most urgent
@@ -163,6 +170,9 @@
   // call.
   std::uint64_t TakeJobsBegun() { return std::exchange(jobs_begun_, 0); }
 
+  // Returns how many jobs that can be on time the last pass found waiting for
+  // the owner, not for the fleet, before their first task can be placed.
+  std::uint64_t jobs_in_preparation() const { return jobs_in_preparation_; }
   // Returns what the passes since the last call have done.
   PassEffort TakeEffort() { return std::exchange(effort_, {}); }
 
@@ -201,6 +211,8 @@
     // of them to other work.
     std::vector<workers::WorkerNumber> wanted;
     std::map<workers::WorkerNumber, placement::GangHolds::Remainder> held;
+    // Before this time the result of the last try stands.
+    base::TimePoint next_try{};
   };
   // Returns those of `steps` that have tasks to place, the most urgent first,
   // and removes the others. Moves steps that can no longer be in time from
@@ -221,10 +233,18 @@
   // utilisation. Goes through the whole fleet, so that large fleets are left as
   // they were computed for some milliseconds.
   void UpdateFleetUsage(base::TimePoint now);
+  // The worker may have more free resources than before.
+  void RecordFreeResources(const workers::Worker& worker);
   // Places tasks of one step. Returns nullopt if any were placed, otherwise why
   // the step waits.
   std::optional<WaitReason> Place(WaitingStep* item, base::TimePoint now,
                                   std::vector<Action>* actions);
+  // Whether the step is the first of a job that can be on time and has not
+  // begun, and waits for the owner rather than for the fleet.
+  static bool IsInPreparation(const WaitingStep& item, WaitReason reason);
+  // Whether a step other than a gang was found without free resources just
+  // before, and nothing has changed for it since.
+  bool KeepsWaitingForRoom(const WaitingStep& item, base::TimePoint now);
   // Returns why a step waits for which the advice is known.
   WaitReason WaitReasonOf(const WaitingStep& item) const;
   // Reports to the overload guard which part of its slack a job has used up
@@ -244,23 +264,34 @@
   std::size_t FirstRequestSize(const jobs::StepSpec& spec) const;
   // Returns whether an entry host is free for an advice request.
   bool CanRequestAdvice(const WaitingStep& item, base::TimePoint now);
-  // Returns whether an advice request is of use now: a gang must fit under the
-  // cap on its own; of other steps, one task must fit under the cap and into
-  // the free resources of some worker.
-  bool ShouldRequestAdvice(const WaitingStep& item, base::TimePoint now) const;
+  // Returns whether the cap leaves room for what the advice is requested for: a
+  // gang must fit under it on its own, of other steps one task.
+  bool CapAllowsAdvice(const WaitingStep& item) const;
   // Sends an advice request. Returns false if no entry host is free for it, or
   // `workers` is empty.
   bool SendAdviceRequest(const WaitingStep& item,
                          std::vector<base::BackendId> workers,
                          base::TimePoint now, std::vector<Action>* actions);
+  // Whether only workers count on which a task fits now.
+  enum class RoomNeeded { kNo, kYes };
+  // Calls `visit` for up to `most` workers that could run the step, each time
+  // beginning after the last one that was visited before.
+  template <typename Visitor>
+  void VisitSuitableWorkers(const WaitingStep& item, std::size_t most,
+                            RoomNeeded room_needed, base::TimePoint now,
+                            const Visitor& visit);
   // Returns up to `most` workers that could run the step: first those that the
   // advisor was not asked about; among equals, those with the most free
-  // processor time first.
+  // processor time first. In a large fleet, only a part of the workers is
+  // compared for a step that depends neither on its rack nor on many workers at
+  // once.
   std::vector<const workers::Worker*> SuitableWorkers(const WaitingStep& item,
                                                       std::size_t most,
+                                                      RoomNeeded room_needed,
                                                       base::TimePoint now);
   // Returns the workers to name in the first advice requests for the step.
   std::vector<base::BackendId> WorkersToRequestFirst(const WaitingStep& item,
+                                                     RoomNeeded room_needed,
                                                      base::TimePoint now);
   // Splits `workers` into advice requests and sends them at once, as long as
   // entry hosts are free.
@@ -291,7 +322,13 @@
   bool WaitsForCap(const WaitingStep& item);
   // Keeps the workers free that were chosen for a gang when it was last tried;
   // returns false if it is to be tried again.
-  bool KeepHoldingFor(const WaitingStep& item);
+  bool KeepHoldingFor(const WaitingStep& item, base::TimePoint now);
+  // Returns how long after a try without success the gang is tried again: the
+  // sooner the less slack it has left.
+  base::Duration GangRetryInterval(const WaitingStep& item,
+                                   base::TimePoint now) const;
+  // Forgets what is known about steps that wait no more, some times a minute.
+  void RemovePlacedSteps(base::TimePoint now);
   // These functions return whether any task was placed.
   bool PlaceTasks(WaitingStep* item, base::TimePoint now,
                   std::vector<Action>* actions);
@@ -624,13 +661,17 @@
   // The workers of each rack; empty if no run time depends on the rack.
   std::map<std::string, std::vector<workers::WorkerNumber>> racks_;
   base::TimePoint next_racks_update_;
-  // Gangs for which there was no capacity. Emptied at `next_gang_retry_`, so
-  // that all of them are tried again in one pass, in the order of their
-  // urgency.
+  // Gangs for which there was no capacity. May name steps that wait no more,
+  // which are removed at `next_removal_`.
   std::unordered_map<jobs::StepRef, UnplacedGang> unplaced_gangs_;
-  base::TimePoint next_gang_retry_;
+  RoomWaits room_waits_;
+  base::TimePoint next_removal_;
   std::uint64_t jobs_begun_ = 0;
-  PassEffort effort_;
+  std::uint64_t jobs_in_preparation_ = 0;
+  // Explanations search workers too.
+  mutable PassEffort effort_;
+  // The number of the last worker that was compared for a step.
+  std::size_t last_compared_worker_ = 0;
   base::TimePoint next_usage_update_;
   CopyTracker copies_;
   // Whether the last pass left steps that can be on time without free
@@ -641,6 +682,9 @@
   // In each dimension, the largest amount that any worker has free: no worker
   // has more.
   base::Resources largest_free_;
+  // What is reserved on the workers that accept work, as of the same time as
+  // the utilisation of the fleet.
+  base::Resources fleet_reserved_;
 };
 
 }  // namespace dotterelbarrow::core::scheduler
--- a/include/dotterelbarrow/core/scheduler/dispatcher_settings.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher_settings.h
@@ -28,15 +28,21 @@
   // that fit nowhere for a long time, such as suspects of crashes, would keep
   // all steps behind them from capacity that is free.
   std::size_t rotating_steps = 16;
-  // Interval at which gangs are tried again for which there was no capacity,
-  // for each worker of the fleet. Passes in between only keep the same workers
-  // free for them. A hundredth of a second for 500 workers is small against the
-  // time that a gang waits for its workers.
+  // Minimum interval at which a gang is tried again for which there was no
+  // capacity, for each worker of the fleet. Passes in between only keep the
+  // same workers free for it. A hundredth of a second for 500 workers is small
+  // against the time that a gang waits for its workers.
   base::Duration gang_retry_interval_per_worker = std::chrono::microseconds(20);
   // Interval at which the utilisation of the fleet is computed, for each worker
-  // of the fleet: half a millisecond for 50 workers, so that going through a
-  // large fleet does not take most of the time of a pass.
-  base::Duration usage_interval_per_worker = std::chrono::microseconds(10);
+  // of the fleet, so that going through a large fleet does not take most of the
+  // time of its passes. Between two computations it is taken as larger only
+  // where runs end.
+  base::Duration usage_interval_per_worker = std::chrono::microseconds(40);
+  // How many workers are compared to choose those that the advisor is asked
+  // about, as a multiple of their number; at least `min_compared_workers`. The
+  // others of a large fleet are compared for later steps.
+  std::size_t compared_per_advised_worker = 2;
+  std::size_t min_compared_workers = 128;
   // Interval at which overdue steps are considered: steps of jobs that can no
   // longer complete in time.
   base::Duration overdue_pass_interval = std::chrono::milliseconds(50);
--- a/include/dotterelbarrow/core/scheduler/dispatcher_suspects.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher_suspects.h
@@ -92,6 +92,8 @@
   bool has_lost_inherited_workers_ = false;
   // When the newest incarnation of any worker was born, by its own clock, and
   // whether that of some worker is unknown.
+  // The version of the fleet's incarnations from which the next two are.
+  std::optional<std::uint64_t> incarnations_version_;
   std::int64_t newest_born_ms_ = workers::kUnknownIncarnation;
   bool has_unknown_incarnation_ = false;
   // The workers on which nothing else is started until a suspect can be, and
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -221,6 +221,12 @@
   const std::unordered_map<base::BackendId, workers::Worker>& workers() const {
     return workers_;
   }
+  // Returns the workers by their numbers; null for numbers that are not in use.
+  const std::vector<const workers::Worker*>& by_number() const {
+    return by_number_;
+  }
+  // Changes whenever a worker is added or removed, or begins an incarnation.
+  std::uint64_t incarnations_version() const { return incarnations_version_; }
   // Workers of previous owners that may still have untracked runs.
   const std::set<base::BackendId>& unreconciled() const {
     return unreconciled_;
@@ -332,6 +338,7 @@
   std::size_t evacuated_workers_ = 0;
   std::set<base::ServiceId> evacuated_services_;
   workers::WorkerNumber last_number_;
+  std::uint64_t incarnations_version_ = 0;
   // Invariant: the workers in `workers_`, at their numbers; null elsewhere.
   std::vector<const workers::Worker*> by_number_;
 };
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -170,6 +170,11 @@
   // Returns how many jobs have had their first task started since the last
   // call.
   std::uint64_t TakeJobsBegun() { return dispatcher_.TakeJobsBegun(); }
+  // Returns how many jobs that can be on time the last pass found waiting for
+  // the owner, not for the fleet, before their first task can be placed.
+  std::uint64_t jobs_in_preparation() const {
+    return dispatcher_.jobs_in_preparation();
+  }
   // Returns what the passes since the last call have done.
   PassEffort TakePassEffort() { return dispatcher_.TakeEffort(); }
   // Sets by which factor workers are polled less often than usual.
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -9,6 +9,9 @@
 
 using placement::Candidate;
 
+// Steps that wait no more are forgotten at this interval.
+constexpr base::Duration kRemovalInterval = std::chrono::seconds(1);
+
 }  // namespace
 
 void Dispatcher::SetDesired(
@@ -25,6 +28,7 @@
   last_logged_.erase(step);
   advice_.Remove(step);
   locality_.Remove(step);
+  room_waits_.Remove(step);
 }
 
 void Dispatcher::RemoveJob(jobs::JobKey job) {
@@ -92,34 +96,34 @@
     }
     reserved += worker.reserved();
     capacity += worker.listing().capacity;
-    const base::Resources room = worker.FreeResources();
-    largest_free_.cpu = std::max(largest_free_.cpu, room.cpu);
-    largest_free_.memory = std::max(largest_free_.memory, room.memory);
-    largest_free_.accelerators =
-        std::max(largest_free_.accelerators, room.accelerators);
+    RecordFreeResources(worker);
   }
+  fleet_reserved_ = reserved;
   context_.fleet_usage = base::DominantFraction(reserved, capacity);
   context_.fleet_capacity = capacity;
   caps_.set_orphan_usage(orphan_usage);
   load_shedder_.BeginPass(fleet_usage_);
 }
 
+void Dispatcher::RecordFreeResources(const workers::Worker& worker) {
+  const base::Resources room = worker.FreeResources();
+  largest_free_.cpu = std::max(largest_free_.cpu, room.cpu);
+  largest_free_.memory = std::max(largest_free_.memory, room.memory);
+  largest_free_.accelerators =
+      std::max(largest_free_.accelerators, room.accelerators);
+}
+
 void Dispatcher::RunPass(base::TimePoint now, std::vector<Action>* actions) {
   context_.pass_began = now;
   gang_holds_.BeginPass(fleet_->workers().size() - fleet_->evacuated_workers());
-  if (now >= next_gang_retry_) {
-    next_gang_retry_ =
-        now + context_.settings.gang_retry_interval_per_worker *
-                  static_cast<base::Duration::rep>(fleet_->workers().size());
-    unplaced_gangs_.clear();
-    gang_holds_.ForgetBackfill();
-  }
+  RemovePlacedSteps(now);
   UpdateFleetUsage(now);
   locality_.BeginPass();
   UpdateRacks(now);
   context_.containment.BeginPass(fleet_->workers().size(), fleet_usage_);
   caps_.BeginPass(waiting_, overdue_, now);
   has_waiting_work_ = false;
+  jobs_in_preparation_ = 0;
   capped_.clear();
   BeginPreemptionPass(now);
   PlaceAll(CollectByUrgency(&waiting_, now), nullptr, now, actions);
@@ -175,6 +179,7 @@
       ++effort_.steps_placed;
       continue;
     }
+    jobs_in_preparation_ += IsInPreparation(item, *reason) ? 1 : 0;
     RecordUsedSlack(item, *reason, now);
     RecordWaitingSlack(item, *reason, now);
     if (is_tried) {
@@ -196,6 +201,38 @@
   }
 }
 
+void Dispatcher::RemovePlacedSteps(base::TimePoint now) {
+  if (now < next_removal_) {
+    return;
+  }
+  next_removal_ = now + kRemovalInterval;
+  const auto waits_no_more = [this](const jobs::StepRef& step) {
+    return !waiting_.contains(step) && !overdue_.contains(step);
+  };
+  room_waits_.RemoveIf(waits_no_more);
+  std::erase_if(unplaced_gangs_,
+                [&](const auto& entry) { return waits_no_more(entry.first); });
+}
+
+bool Dispatcher::KeepsWaitingForRoom(const WaitingStep& item,
+                                     base::TimePoint now) {
+  const base::Resources needs = item.job->SpecOf(item.step).Reservation();
+  const advice::StepAdvice* advice = advice_.Find(item.step);
+  return room_waits_.KeepsWaiting(
+      item.step, now, [&](workers::WorkerNumber number) {
+        const workers::Worker* worker = fleet_->FindByNumber(number);
+        return worker != nullptr && needs.FitsIn(worker->FreeResources()) &&
+               (!item.queue->advice ||
+                (advice != nullptr && advice->allowed.contains(number)));
+      });
+}
+
+bool Dispatcher::IsInPreparation(const WaitingStep& item, WaitReason reason) {
+  return item.urgency.deadline_status == placement::DeadlineStatus::kOnTime &&
+         item.job->state == jobs::JobState::kQueued && item.step.step == 0 &&
+         (reason == WaitReason::kStoring || reason == WaitReason::kAdvice);
+}
+
 std::optional<WaitReason> Dispatcher::Place(WaitingStep* item,
                                             base::TimePoint now,
                                             std::vector<Action>* actions) {
@@ -220,19 +257,28 @@
     if (WaitsForCap(*item)) {
       return WaitReason::kCap;
     }
-    if (KeepHoldingFor(*item)) {
+    if (KeepHoldingFor(*item, now)) {
       return IsWaitingForRack(item->step) ? WaitReason::kLocalWorker
                                           : WaitReason::kFreeResources;
     }
   } else if (KeepsWaitingForLocal(*item)) {
     return WaitReason::kLocalWorker;
+  } else if (KeepsWaitingForRoom(*item, now)) {
+    return WaitReason::kFreeResources;
   }
   if (!FindCandidates(item, now, actions)) {
     return WaitReason::kAdvice;
   }
   const bool is_placed = spec.gang ? PlaceGang(*item, now, actions)
                                    : PlaceTasks(item, now, actions);
-  return is_placed ? std::nullopt : std::optional(WaitReasonOf(*item));
+  if (is_placed) {
+    return std::nullopt;
+  }
+  const WaitReason reason = WaitReasonOf(*item);
+  if (!spec.gang && reason == WaitReason::kFreeResources) {
+    room_waits_.RecordUnplaced(item->step, now);
+  }
+  return reason;
 }
 
 WaitReason Dispatcher::WaitReasonOf(const WaitingStep& item) const {
@@ -311,6 +357,7 @@
   const base::Resources reservation = spec.Reservation();
   std::vector<Candidate>& candidates = item->candidates;
   candidates.clear();
+  ++effort_.steps_searched;
   bool any_accepts_work = false;
   const std::optional<placement::SpeedPreference> speed =
       run_times_.has_uneven_workers()
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -39,8 +39,14 @@
     return false;
   }
   if (advice.calls_in_flight == 0 && now >= advice.retry_at &&
-      CanRequestAdvice(*item, now) && ShouldRequestAdvice(*item, now)) {
-    SendAdviceRequests(*item, WorkersToRequestFirst(*item, now), now, actions);
+      CanRequestAdvice(*item, now) && CapAllowsAdvice(*item)) {
+    // Tickets expire, so advice about full workers would be wasted, unless they
+    // are kept free for a gang or worth the wait for their rack.
+    const jobs::StepSpec& spec = item->job->SpecOf(item->step);
+    const RoomNeeded room_needed =
+        spec.gang || HasLocality(spec) ? RoomNeeded::kNo : RoomNeeded::kYes;
+    SendAdviceRequests(*item, WorkersToRequestFirst(*item, room_needed, now),
+                       now, actions);
   }
   return false;
 }
@@ -81,9 +87,10 @@
                                ? fleet_->workers().size()
                                : context_.settings.max_workers_per_request;
   std::vector<base::BackendId> not_asked;
-  for (const workers::Worker* worker : SuitableWorkers(item, most, now)) {
-    if (!advice.queried_workers.contains(worker->number()) &&
-        (spec.gang || spec.Reservation().FitsIn(worker->FreeResources()))) {
+  const RoomNeeded room_needed = spec.gang ? RoomNeeded::kNo : RoomNeeded::kYes;
+  for (const workers::Worker* worker :
+       SuitableWorkers(item, most, room_needed, now)) {
+    if (!advice.queried_workers.contains(worker->number())) {
       not_asked.push_back(worker->id());
     }
   }
@@ -107,23 +114,14 @@
   }
 }
 
-bool Dispatcher::ShouldRequestAdvice(const WaitingStep& item,
-                                     base::TimePoint now) const {
+bool Dispatcher::CapAllowsAdvice(const WaitingStep& item) const {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   // Workers and a part of the cap can be reserved for a gang only once it is
   // known which workers are allowed.
   if (spec.gang) {
     return caps_.CanEverFitCap(item, spec.tasks);
   }
-  // Tickets expire, so advice for a step without free resources would be
-  // wasted.
-  return caps_.IsWithinCap(item, 1) &&
-         std::any_of(fleet_->workers().begin(), fleet_->workers().end(),
-                     [&](const auto& entry) {
-                       const workers::Worker& worker = entry.second;
-                       return worker.CanAcceptWork(now) &&
-                              spec.Reservation().FitsIn(worker.FreeResources());
-                     });
+  return caps_.IsWithinCap(item, 1);
 }
 
 std::map<std::string, std::int64_t> Dispatcher::RackOrder(
@@ -157,37 +155,68 @@
   return order;
 }
 
+template <typename Visitor>
+void Dispatcher::VisitSuitableWorkers(const WaitingStep& item, std::size_t most,
+                                      RoomNeeded room_needed,
+                                      base::TimePoint now,
+                                      const Visitor& visit) {
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  const base::Resources needs = spec.Reservation();
+  const std::vector<const workers::Worker*>& workers = fleet_->by_number();
+  std::size_t visited = 0;
+  for (std::size_t i = 0; i < workers.size() && visited < most; ++i) {
+    last_compared_worker_ = last_compared_worker_ + 1 < workers.size()
+                                ? last_compared_worker_ + 1
+                                : 0;
+    const workers::Worker* worker = workers[last_compared_worker_];
+    effort_.workers_compared += worker == nullptr ? 0 : 1;
+    if (worker != nullptr && MayRunOn(*worker, item, now) &&
+        (room_needed == RoomNeeded::kNo ||
+         needs.FitsIn(worker->FreeResources()))) {
+      visit(*worker);
+      ++visited;
+    }
+  }
+}
+
 std::vector<const workers::Worker*> Dispatcher::SuitableWorkers(
-    const WaitingStep& item, std::size_t most, base::TimePoint now) {
-  // Compared in this order; the position keeps the order of equals.
+    const WaitingStep& item, std::size_t most, RoomNeeded room_needed,
+    base::TimePoint now) {
+  // Compared in this order; the number keeps the order of equals.
   struct Ranked {
     bool was_asked = false;
     std::int64_t rack_order = 0;
     std::int64_t negated_rank = 0;
-    std::size_t position = 0;
     const workers::Worker* worker = nullptr;
 
     bool operator<(const Ranked& other) const {
-      return std::tie(was_asked, rack_order, negated_rank, position) <
-             std::tie(other.was_asked, other.rack_order, other.negated_rank,
-                      other.position);
+      return std::tuple(was_asked, rack_order, negated_rank, worker->number()) <
+             std::tuple(other.was_asked, other.rack_order, other.negated_rank,
+                        other.worker->number());
     }
   };
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   const workers::WorkerSet& asked =
       advice_.FindOrAdd(item.step).queried_workers;
   const placement::SpeedPreference preference = SpeedPreferenceOf(item, now);
   const std::map<std::string, std::int64_t> rack_order = RackOrder(item, now);
+  // A gang needs the best workers of all, and work for a rack those of the
+  // rack.
+  const bool compares_all = spec.gang || HasLocality(spec);
+  const std::size_t compared =
+      compares_all
+          ? fleet_->workers().size()
+          : std::max(context_.settings.min_compared_workers,
+                     most * context_.settings.compared_per_advised_worker);
   std::vector<Ranked> ranked;
-  ranked.reserve(fleet_->workers().size());
-  for (const auto& [id, worker] : fleet_->workers()) {
-    if (MayRunOn(worker, item, now)) {
-      const auto order = rack_order.find(worker.listing().rack);
-      ranked.push_back({asked.contains(worker.number()),
-                        order == rack_order.end() ? 0 : order->second,
-                        -AdviceRank(worker, preference), ranked.size(),
-                        &worker});
-    }
-  }
+  ranked.reserve(std::min(compared, fleet_->workers().size()));
+  VisitSuitableWorkers(
+      item, compared, room_needed, now, [&](const workers::Worker& worker) {
+        const auto order = rack_order.find(worker.listing().rack);
+        ranked.push_back({asked.contains(worker.number()),
+                          order == rack_order.end() ? 0 : order->second,
+                          -AdviceRank(worker, preference), &worker});
+      });
   const auto end = ranked.begin() +
                    static_cast<std::ptrdiff_t>(std::min(most, ranked.size()));
   std::partial_sort(ranked.begin(), end, ranked.end());
@@ -198,7 +227,7 @@
 }
 
 std::vector<base::BackendId> Dispatcher::WorkersToRequestFirst(
-    const WaitingStep& item, base::TimePoint now) {
+    const WaitingStep& item, RoomNeeded room_needed, base::TimePoint now) {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   std::size_t max_workers = FirstRequestSize(spec);
   if (HasLocality(spec) && !spec.gang) {
@@ -211,7 +240,7 @@
   }
   std::vector<base::BackendId> ids;
   for (const workers::Worker* worker :
-       SuitableWorkers(item, max_workers, now)) {
+       SuitableWorkers(item, max_workers, room_needed, now)) {
     ids.push_back(worker->id());
   }
   return ids;
@@ -285,6 +314,7 @@
   advice->calls_in_flight = std::max(0, advice->calls_in_flight - 1);
   if (result.outcome == AdviceResult::Outcome::kAnswered) {
     unplaced_gangs_.erase(step);
+    room_waits_.Remove(step);
     advice->has_answer = true;
     advice->failed_calls = 0;
     for (const AllowedWorker& allowed : result.allowed) {
--- a/src/core/scheduler/dispatcher_copies.cc
+++ b/src/core/scheduler/dispatcher_copies.cc
@@ -61,6 +61,8 @@
 void Dispatcher::OnRunEnded(const workers::Worker& worker,
                             const workers::Run& run, jobs::RunEnd end,
                             base::TimePoint now) {
+  RecordFreeResources(worker);
+  room_waits_.RecordRelease(worker.number());
   const auto [is_full_run, outcome] =
       copies_.OnRunEnded({worker.id(), run.task, run.attempt}, end);
   if (outcome != CopyOutcome::kNone) {
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -16,6 +16,11 @@
 // fraction of the time so far. The logarithm of run times has a spread of about
 // 0.4, and 3% of them take 7 times as long.
 constexpr int kOverdueFraction = 4;
+// A gang is tried this many times while it uses up its slack, or at this many
+// times the minimum interval: with a backlog of gangs, trying all of them takes
+// most of the time of the passes.
+constexpr int kTriesPerSlack = 16;
+constexpr int kMaxRetryFactor = 12;
 
 // Chooses a worker for each of `tasks` identical tasks, the best one in turn.
 // Returns nothing if they do not all fit.
@@ -203,11 +208,30 @@
   return true;
 }
 
-bool Dispatcher::KeepHoldingFor(const WaitingStep& item) {
+base::Duration Dispatcher::GangRetryInterval(const WaitingStep& item,
+                                             base::TimePoint now) const {
+  const base::Duration least =
+      context_.settings.gang_retry_interval_per_worker *
+      static_cast<base::Duration::rep>(fleet_->workers().size());
+  const base::Duration most = least * kMaxRetryFactor;
+  const base::Duration slack = item.urgency.latest_start - now;
+  return slack > base::Duration(0)
+             ? std::clamp(slack / kTriesPerSlack, least, most)
+             : most;
+}
+
+bool Dispatcher::KeepHoldingFor(const WaitingStep& item, base::TimePoint now) {
   const auto unplaced = unplaced_gangs_.find(item.step);
   if (unplaced == unplaced_gangs_.end()) {
     return false;
   }
+  if (now >= unplaced->second.next_try) {
+    for (const auto& [worker, remainder] : unplaced->second.held) {
+      gang_holds_.ForgetBackfill(worker);
+    }
+    unplaced_gangs_.erase(unplaced);
+    return false;
+  }
   for (const workers::WorkerNumber worker : unplaced->second.wanted) {
     gang_holds_.MarkWanted(worker);
   }
@@ -293,6 +317,7 @@
   StopWaitingForRack(item.step);
   UnplacedGang& unplaced = unplaced_gangs_[item.step];
   unplaced = UnplacedGang();
+  unplaced.next_try = now + GangRetryInterval(item, now);
   for (const Candidate& candidate : item.candidates) {
     gang_holds_.MarkWanted(candidate.worker->number());
     unplaced.wanted.push_back(candidate.worker->number());
--- a/src/core/scheduler/dispatcher_preemption.cc
+++ b/src/core/scheduler/dispatcher_preemption.cc
@@ -1,7 +1,6 @@
 // Preemption: stops runs of a lower priority so that a waiting step can start
 // in time, and keeps the room for it.
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
 #include "dotterelbarrow/core/scheduler/dispatcher.h"
@@ -166,7 +165,8 @@
   const advice::StepAdvice& advice = advice_.FindOrAdd(item.step);
   if (advice.calls_in_flight == 0 && now >= advice.retry_at &&
       caps_.IsWithinCap(item, 1) && CanRequestAdvice(item, now)) {
-    SendAdviceRequests(item, WorkersToRequestFirst(item, now), now, actions);
+    SendAdviceRequests(item, WorkersToRequestFirst(item, RoomNeeded::kNo, now),
+                       now, actions);
   }
 }
 
@@ -187,13 +187,9 @@
   if (!fits_cap) {
     return "cap";
   }
-  const base::Resources in_use = std::accumulate(
-      fleet_->workers().begin(), fleet_->workers().end(), base::Resources(),
-      [](const base::Resources& sum, const auto& entry) {
-        return sum + entry.second.reserved();
-      });
   preemption_limits_.Refill(
-      static_cast<double>(in_use.cpu.value()) / kMillicoresPerCore, now);
+      static_cast<double>(fleet_reserved_.cpu.value()) / kMillicoresPerCore,
+      now);
   if (!preemption_limits_.HasBudget()) {
     return "too_many";
   }
--- a/src/core/scheduler/dispatcher_suspects.cc
+++ b/src/core/scheduler/dispatcher_suspects.cc
@@ -42,6 +42,11 @@
 }  // namespace
 
 void DispatcherSuspects::UpdateNewestIncarnation() {
+  const std::uint64_t version = context_->fleet->incarnations_version();
+  if (incarnations_version_ == version) {
+    return;
+  }
+  incarnations_version_ = version;
   newest_born_ms_ = workers::kUnknownIncarnation;
   has_unknown_incarnation_ = false;
   for (const auto& [id, worker] : context_->fleet->workers()) {
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -74,6 +74,7 @@
   if (listing.revision != worker->listing().revision) {
     worker->reported_after = list_requested_at_;
   }
+  incarnations_version_ += listing.born_ms == worker->listing().born_ms ? 0 : 1;
   worker->Update(listing);
   worker->set_listed(true);
 }
@@ -258,6 +259,7 @@
     restarted.AddRun(std::move(run));
   }
   *worker = std::move(restarted);
+  ++incarnations_version_;
   incarnation_began.emit(*worker);
   ReportLoss(loss);
 }
@@ -291,6 +293,7 @@
       workers_.insert_or_assign(worker.id(), std::move(worker));
   by_number_.resize(index + 1);
   by_number_[index] = &it->second;
+  ++incarnations_version_;
   return &it->second;
 }
 
@@ -312,6 +315,7 @@
       removed_workers_[it->first] = {worker.listing().born_ms,
                                      worker.earlier_incarnations};
       it = workers_.erase(it);
+      ++incarnations_version_;
       continue;
     }
     PollIfDue(&worker, now, actions);
--- a/src/core/scheduler/fleet_runs.cc
+++ b/src/core/scheduler/fleet_runs.cc
@@ -224,6 +224,7 @@
     Listing identified = target->listing();
     identified.born_ms = result.born_ms;
     target->Update(identified);
+    ++incarnations_version_;
   }
   if (result.born_ms > target->listing().born_ms) {
     // The platform's next list will describe the new incarnation.
--- a/test/core/scheduler/scheduler_test.cc
+++ b/test/core/scheduler/scheduler_test.cc
@@ -487,6 +487,70 @@
   }
 }
 
+// Guards against passes that cost as much as there is waiting, although nothing
+// has changed for what waits.
+TEST_CASE("a backlog on a full fleet") {
+  constexpr std::uint64_t kBacklog = 40;
+  constexpr int kPasses = 4;
+  SchedulerSettings settings;
+  settings.fleet.poll_interval = milliseconds(5);
+  SchedulerScenario scenario(settings);
+  scenario.AddWorkers(2);
+  scenario.RunPasses(1);
+  scenario.SubmitAndStore(1, "plain", {SchedulerScenario::Step(8)});
+  scenario.RunPasses(1);
+  REQUIRE(scenario.TakeStarts().size() == 8);
+  for (std::uint64_t key = 2; key < 2 + kBacklog; ++key) {
+    scenario.SubmitAndStore(key, "plain", {SchedulerScenario::Step(1)});
+  }
+  scenario.RunPass();
+  scenario.scheduler().TakePassEffort();
+  SUBCASE("is not searched for again while nothing changes") {
+    for (int i = 0; i < kPasses; ++i) {
+      scenario.Advance(milliseconds(10));
+      scenario.RunPass();
+    }
+    CHECK(scenario.scheduler().TakePassEffort().steps_searched == 0);
+  }
+  SUBCASE("is placed as soon as a run ends") {
+    scenario.EndRun(TaskOf(1, 3), RunEnd::kDone);
+    std::size_t started = 0;
+    for (int i = 0; i < kPasses && started == 0; ++i) {
+      scenario.Advance(milliseconds(10));
+      scenario.RunPass();
+      started = scenario.TakeStarts().size();
+    }
+    CHECK(started == 1);
+  }
+}
+
+// Guards against steps whose placement costs as much as the fleet is large.
+TEST_CASE("advice for a small step in a large fleet") {
+  constexpr int kWorkers = 1000;
+  constexpr int kJobs = 20;
+  SchedulerScenario scenario;
+  scenario.AddWorkers(kWorkers);
+  scenario.RunPasses(1);
+  scenario.scheduler().TakePassEffort();
+  std::set<base::BackendId> asked;
+  for (std::uint64_t key = 1; key <= kJobs; ++key) {
+    scenario.SubmitAndStore(key, "advised", {SchedulerScenario::Step(2)});
+    scenario.RunPass();
+    for (const RequestAdvice& request : scenario.TakeAdviceRequests()) {
+      asked.insert(request.workers.begin(), request.workers.end());
+      scenario.AnswerAdviceRequest(request, {});
+    }
+  }
+  const PassEffort effort = scenario.scheduler().TakePassEffort();
+  SUBCASE("compares a part of the workers") {
+    CHECK(effort.workers_compared > 0);
+    CHECK(effort.workers_compared <= kJobs * kWorkers / 5);
+  }
+  SUBCASE("names other workers for each step") {
+    CHECK(asked.size() >= kWorkers / 5);
+  }
+}
+
 // Guards against a gate that never limits anything because it is never told of
 // a job that was begun.
 TEST_CASE("an owner that lags tells its gate which jobs it begins") {
