The saturation gate ends the backlog of a burst, and doesn't starve itself

Once the gate acted, it accepted as many jobs as it began. Change: a limit begins only when accepted jobs wait for the owner for longer than usual; it is lower by as much as ends that backlog in a second; it stays while timers are up to 24 ms late, follows what is begun beyond that, and rises fast while it is far below what was done on time lately. The model of the existing tests tells the gate its backlog now; its bounds are unchanged and kept.

--- a/bench/experiment/experiment.cc
+++ b/bench/experiment/experiment.cc
@@ -494,7 +494,8 @@
   RunAsOwner("tick", [this] {
     gate_.Update(std::chrono::microseconds(timeline_.now_us() - last_tick_us_ -
                                            kTickPeriod),
-                 scheduler_.TakeJobsBegun(), timeline_.Now());
+                 {scheduler_.TakeJobsBegun(), scheduler_.jobs_in_preparation()},
+                 timeline_.Now());
     last_tick_us_ = timeline_.now_us();
     scheduler_.set_poll_stretch(gate_.stretch());
     scheduler_.Tick(timeline_.Now(), 0);
--- a/src/core/admission/saturation_gate.cc
+++ b/src/core/admission/saturation_gate.cc
@@ -17,8 +17,13 @@
 constexpr base::Duration kMaxSampleInterval = std::chrono::milliseconds(200);
 // The lowest limit, in jobs a second.
 constexpr double kMinLimit = 20;
-// On time, the limit grows by this fraction a second.
+// On time, the limit grows by this fraction a second, or by the second one
+// while it is below kFarBelow of what the owner did on time lately.
 constexpr double kGrowth = 0.1;
+constexpr double kFastGrowth = 0.6;
+constexpr double kFarBelow = 0.8;
+// The fraction of that rate which is forgotten a second.
+constexpr double kForgetting = 0.02;
 // The limit ends after this time in which it refused nothing.
 constexpr base::Duration kMinEffectInterval = std::chrono::seconds(1);
 // A rate of begun jobs is a measure of the owner's capacity only after this
@@ -37,7 +42,34 @@
 
 }  // namespace
 
-void SaturationGate::Update(base::Duration lag, std::uint64_t jobs_begun,
+double SaturationGate::BacklogOf(std::uint64_t jobs_in_preparation) const {
+  return std::max(0.0, static_cast<double>(jobs_in_preparation) -
+                           begun_per_second_ * Seconds(kTypicalPreparation));
+}
+
+void SaturationGate::UpdateLimit(double backlog, base::Duration interval,
+                                 base::TimePoint now) {
+  const bool is_rate_known =
+      first_begun_at_ && now - *first_begun_at_ >= kMinRateHistory;
+  if (mean_lag_ > kTargetLag) {
+    if (is_rate_known && backlog > 0 && (!limit_ || mean_lag_ > kHighLag)) {
+      limit_ = std::max(begun_per_second_ - backlog / Seconds(kDrainTime),
+                        kMinLimit);
+      last_effect_at_ = now;
+    }
+    return;
+  }
+  on_time_per_second_ = std::max(on_time_per_second_, begun_per_second_);
+  if (limit_) {
+    const bool is_far_below = *limit_ < kFarBelow * on_time_per_second_;
+    *limit_ *= 1 + (is_far_below ? kFastGrowth : kGrowth) * Seconds(interval);
+    if (now - last_effect_at_ >= kMinEffectInterval) {
+      limit_.reset();
+    }
+  }
+}
+
+void SaturationGate::Update(base::Duration lag, const Progress& progress,
                             base::TimePoint now) {
   const base::Duration interval = std::clamp(
       now - updated_at_.value_or(now), base::Duration(0), kMaxSampleInterval);
@@ -48,25 +80,18 @@
   mean_lag_ += std::chrono::duration_cast<base::Duration>(
       (std::clamp(lag, base::Duration(0), kMaxCountedLag) - mean_lag_) *
       WeightOf(interval, kLagTimeConstant));
-  begun_per_second_ += (static_cast<double>(jobs_begun) / Seconds(interval) -
-                        begun_per_second_) *
-                       WeightOf(interval, kRateTimeConstant);
-  if (jobs_begun > 0 && !first_begun_at_) {
+  begun_per_second_ +=
+      (static_cast<double>(progress.jobs_begun) / Seconds(interval) -
+       begun_per_second_) *
+      WeightOf(interval, kRateTimeConstant);
+  if (progress.jobs_begun > 0 && !first_begun_at_) {
     first_begun_at_ = now;
   }
   if (std::exchange(has_refused_, false)) {
     last_effect_at_ = now;
   }
-  if (mean_lag_ > kTargetLag && first_begun_at_ &&
-      now - *first_begun_at_ >= kMinRateHistory) {
-    limit_ = std::max(begun_per_second_, kMinLimit);
-    last_effect_at_ = now;
-  } else if (limit_) {
-    *limit_ *= 1 + kGrowth * Seconds(interval);
-    if (now - last_effect_at_ >= kMinEffectInterval) {
-      limit_.reset();
-    }
-  }
+  on_time_per_second_ *= 1 - kForgetting * Seconds(interval);
+  UpdateLimit(BacklogOf(progress.jobs_in_preparation), interval, now);
   if (limit_) {
     tokens_ = std::min(tokens_ + *limit_ * Seconds(interval),
                        std::max(1.0, *limit_ * kBurstSeconds));
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -217,8 +217,9 @@
     return;
   }
   const base::TimePoint begun = Now();
-  saturation_gate_.Update(begun - last_tick_ - kTickPeriod,
-                          scheduler_.TakeJobsBegun(), begun);
+  saturation_gate_.Update(
+      begun - last_tick_ - kTickPeriod,
+      {scheduler_.TakeJobsBegun(), scheduler_.jobs_in_preparation()}, begun);
   last_tick_ = begun;
   scheduler_.set_poll_stretch(saturation_gate_.stretch());
   if (is_loaded_ && parts_.leadership->HoldsOwnershipLease(Now())) {
--- a/test/core/scheduler/scheduler_test.cc
+++ b/test/core/scheduler/scheduler_test.cc
@@ -556,6 +556,8 @@
 TEST_CASE("an owner that lags tells its gate which jobs it begins") {
   constexpr base::Duration kTick = milliseconds(20);
   constexpr int kJobs = 120;
+  // Just more than the owner begins in the time that a job takes to prepare.
+  constexpr std::uint64_t kWaiting = 8;
   SchedulerScenario scenario;
   scenario.AddWorkers(kJobs);
   admission::SaturationGate gate;
@@ -563,7 +565,8 @@
     scenario.SubmitAndStore(key, "plain", {SchedulerScenario::Step(4)});
     scenario.RunPass();
     scenario.Advance(kTick);
-    gate.Update(milliseconds(50), scenario.scheduler().TakeJobsBegun(),
+    gate.Update(milliseconds(50),
+                {scenario.scheduler().TakeJobsBegun(), kWaiting},
                 scenario.now());
   }
   SUBCASE("a job counts once, however many of its tasks start") {
