A tick looks at a part of a large fleet

Change: at most 400 workers a tick, in turn, so that each of 1,100 is looked at every 60 ms, half of the interval of its polls. Fleets of up to 400 workers are as before.

--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -57,6 +57,9 @@
   base::Duration poll_retry_delay = std::chrono::milliseconds(200);
   // An unanswered stop command is retried after this time.
   base::Duration stop_retry_delay = std::chrono::milliseconds(300);
+  // How many workers one tick looks at. With 20 ms between two ticks, each of
+  // 1,100 workers is looked at every 60 ms, half of the interval of its polls.
+  std::size_t max_workers_per_tick = 400;
   // Maximum time for which a previous owner may still send commands after it
   // was replaced.
   base::Duration previous_ownership_lease = kOwnershipLease;
@@ -171,7 +174,8 @@
   void ResumeLeases(const base::BackendId& worker, base::TimePoint now);
 
   // Expires the leases that are due, and appends the polls and repeated stop
-  // commands that are due.
+  // commands that are due. Of a large fleet, each call looks at a part of the
+  // workers, in turn.
   void Tick(base::TimePoint now, std::vector<Action>* actions);
 
   // Reserves resources for a run, which stays reserved until Start. The worker
@@ -252,6 +256,9 @@
   bool IsInEvacuatedZone(const workers::Worker& worker) const {
     return evacuated_zones_.contains(worker.listing().zone);
   }
+  // Does what is due for one worker, and removes it if it can be.
+  void Tick(const base::BackendId& id, base::TimePoint now,
+            std::vector<Action>* actions);
   // Marks the workers in evacuated zones, and finds the services that have no
   // others.
   void UpdateEvacuation();
@@ -339,6 +346,8 @@
   std::set<base::ServiceId> evacuated_services_;
   workers::WorkerNumber last_number_;
   std::uint64_t incarnations_version_ = 0;
+  // The number of the worker that was looked at last.
+  std::size_t last_ticked_ = 0;
   // Invariant: the workers in `workers_`, at their numbers; null elsewhere.
   std::vector<const workers::Worker*> by_number_;
 };
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -308,24 +308,34 @@
 }
 
 void Fleet::Tick(base::TimePoint now, std::vector<Action>* actions) {
-  for (auto it = workers_.begin(); it != workers_.end();) {
-    Worker& worker = it->second;
-    if (ExpireIfDue(&worker, now)) {
-      by_number_[static_cast<std::size_t>(worker.number().value())] = nullptr;
-      removed_workers_[it->first] = {worker.listing().born_ms,
-                                     worker.earlier_incarnations};
-      it = workers_.erase(it);
-      ++incarnations_version_;
-      continue;
+  const std::size_t most =
+      std::min(by_number_.size(), settings_.max_workers_per_tick);
+  for (std::size_t i = 0; i < most; ++i) {
+    last_ticked_ = last_ticked_ + 1 < by_number_.size() ? last_ticked_ + 1 : 0;
+    if (by_number_[last_ticked_] != nullptr) {
+      Tick(by_number_[last_ticked_]->id(), now, actions);
     }
-    PollIfDue(&worker, now, actions);
-    RetryStops(&worker, now, actions);
-    PollForSuspects(&worker, now, actions);
-    ++it;
   }
   UpdateEvacuation();
 }
 
+void Fleet::Tick(const base::BackendId& id, base::TimePoint now,
+                 std::vector<Action>* actions) {
+  const auto it = workers_.find(id);
+  Worker& worker = it->second;
+  if (ExpireIfDue(&worker, now)) {
+    by_number_[static_cast<std::size_t>(worker.number().value())] = nullptr;
+    removed_workers_[it->first] = {worker.listing().born_ms,
+                                   worker.earlier_incarnations};
+    workers_.erase(it);
+    ++incarnations_version_;
+    return;
+  }
+  PollIfDue(&worker, now, actions);
+  RetryStops(&worker, now, actions);
+  PollForSuspects(&worker, now, actions);
+}
+
 bool Fleet::ExpireIfDue(Worker* worker, base::TimePoint now) {
   const bool is_unresponsive =
       now - worker->last_answer >= settings_.lease_duration;
