--- a/bench/experiment/experiment.cc
+++ b/bench/experiment/experiment.cc
@@ -330,7 +330,7 @@
                        key.value(), options_.seed, at_s),
                    .at_us = timeline_.now_us()};
   auto spec = std::make_shared<const core::jobs::JobSpec>(MakeSpec(kind, &job));
-  KindOutcome& outcome = outcome_.kinds[index];
+  KindOutcome& outcome = OutcomeOf(job);
   ++outcome.jobs;
   outcome.work += job.work;
   outcome.value += kind.value;
@@ -359,7 +359,7 @@
     if (answer.outcome != core::scheduler::SubmitOutcome::kRefused) {
       return;
     }
-    KindOutcome& outcome = outcome_.kinds[job.kind];
+    KindOutcome& outcome = OutcomeOf(job);
     ++outcome.refusals;
     ++outcome_.refusals[answer.reason];
     if (retries == 0) {
@@ -390,9 +390,10 @@
   std::uint32_t tasks = 0;
   if (submitted != open_jobs_.end() && !submitted->second.has_started) {
     submitted->second.has_started = true;
-    outcome_.kinds[submitted->second.kind].first_start_ms.push_back(
-        static_cast<double>(timeline_.now_us() - submitted->second.at_us) /
-        kMillisecond);
+    OutcomeOf(submitted->second)
+        .first_start_ms.push_back(
+            static_cast<double>(timeline_.now_us() - submitted->second.at_us) /
+            kMillisecond);
   }
   if (const auto it = gang_sizes_.find(task.step); it != gang_sizes_.end()) {
     tasks = it->second;
@@ -426,6 +427,12 @@
   return plan;
 }
 
+KindOutcome& Experiment::OutcomeOf(const SubmittedJob& job) {
+  return job.at_us - kWarmUp >= std::llround(options_.counted_from_s * kSecond)
+             ? outcome_.kinds[job.kind]
+             : uncounted_;
+}
+
 void Experiment::RunAsOwner(const char* what, std::function<void()> work) {
   if (has_owner_costs() && owner_busy_until_us_ > timeline_.now_us()) {
     timeline_.After(owner_busy_until_us_ - timeline_.now_us(),
@@ -630,7 +637,7 @@
       continue;
     }
     const SubmittedJob& job = it->second;
-    KindOutcome& outcome = outcome_.kinds[job.kind];
+    KindOutcome& outcome = OutcomeOf(job);
     double earned = 0;
     const auto taken = static_cast<double>(timeline_.now_us() - job.at_us);
     outcome.completion_ms.push_back(taken / kMillisecond);
@@ -684,7 +691,7 @@
   timeline_.RunUntil(kWarmUp + std::llround(pattern_.seconds * kSecond) +
                      kDrain);
   for (const auto& [key, job] : open_jobs_) {
-    ++outcome_.kinds[job.kind].unfinished;
+    ++OutcomeOf(job).unfinished;
   }
   for (const auto& [key, value] : counters_.values()) {
     if (key.first.starts_with("locality")) {
--- a/bench/experiment/experiment.h
+++ b/bench/experiment/experiment.h
@@ -55,6 +55,8 @@
   // this machine, so that a replay has the same outcome everywhere.
   std::optional<OwnerCosts> costs;
   SlowTime slow_time;
+  // Only jobs that arrive from this second on are counted in the results.
+  double counted_from_s = 0;
   bool is_log_shown = false;
   // Whether the scheduler learns run times.
   bool uses_run_times = true;
@@ -166,6 +168,8 @@
   bool has_owner_costs() const {
     return options_.costs || options_.cpu_share > 0;
   }
+  // Returns the results to which the job is added.
+  KindOutcome& OutcomeOf(const SubmittedJob& job);
   // Returns the virtual time that work took for which this machine took
   // `measured_s`.
   std::int64_t CostOf(double measured_s);
@@ -196,6 +200,8 @@
   std::shared_ptr<core::desired::DesiredState> desired_;
   std::mt19937 random_;
   Outcome outcome_;
+  // The results of the jobs that aren't counted.
+  KindOutcome uncounted_;
   std::unordered_map<core::jobs::JobKey, SubmittedJob> open_jobs_;
   std::unordered_map<core::jobs::JobKey, std::size_t> kind_of_job_;
   std::unordered_map<core::jobs::JobKey, std::vector<std::int64_t>>
--- a/src/core/admission/saturation_gate.cc
+++ b/src/core/admission/saturation_gate.cc
@@ -20,7 +20,7 @@
 // On time, the limit grows by this fraction a second, or by the second one
 // while it is below kFarBelow of what the owner did on time lately.
 constexpr double kGrowth = 0.1;
-constexpr double kFastGrowth = 0.6;
+constexpr double kFastGrowth = 1.5;
 constexpr double kFarBelow = 0.8;
 // The fraction of that rate which is forgotten a second.
 constexpr double kForgetting = 0.02;
