--- a/include/dotterelbarrow/core/scheduler/room_waits.h
+++ b/include/dotterelbarrow/core/scheduler/room_waits.h
@@ -24,6 +24,9 @@
   // A step is tried again after this time in any case: workers may have been
   // released by a gang, or accept work again.
   static constexpr base::Duration kMaxWait = std::chrono::milliseconds(50);
+  // The same for a step of a job that can't be on time any more.
+  static constexpr base::Duration kMaxOverdueWait =
+      std::chrono::milliseconds(500);
   // How many of the last workers with released resources are remembered. After
   // more than that, all steps are tried again.
   static constexpr std::size_t kMaxReleases = 256;
@@ -37,14 +40,16 @@
     }
   }
   // A pass found no free resources for the step.
-  void RecordUnplaced(const jobs::StepRef& step, base::TimePoint now) {
-    waits_[step] = {now + kMaxWait, first_release_ + releases_.size()};
+  void RecordUnplaced(const jobs::StepRef& step, bool is_overdue,
+                      base::TimePoint now) {
+    waits_[step] = {now + (is_overdue ? kMaxOverdueWait : kMaxWait),
+                    first_release_ + releases_.size()};
   }
   // The step is to be tried in the next pass, or waits no more.
   void Remove(const jobs::StepRef& step) { waits_.erase(step); }
 
-  // Returns whether the step need not be tried: it was less than `kMaxWait`
-  // ago, and on none of the workers on which resources were released since does
+  // Returns whether the step need not be tried: it was tried just before, and
+  // on none of the workers on which resources were released since does
   // `may_use` return true.
   template <typename MayUse>
   bool KeepsWaiting(const jobs::StepRef& step, base::TimePoint now,
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -276,7 +276,10 @@
   }
   const WaitReason reason = WaitReasonOf(*item);
   if (!spec.gang && reason == WaitReason::kFreeResources) {
-    room_waits_.RecordUnplaced(item->step, now);
+    room_waits_.RecordUnplaced(
+        item->step,
+        item->urgency.deadline_status != placement::DeadlineStatus::kOnTime,
+        now);
   }
   return reason;
 }
--- a/test/core/scheduler/scheduler_test.cc
+++ b/test/core/scheduler/scheduler_test.cc
@@ -497,14 +497,29 @@
   SchedulerScenario scenario(settings);
   scenario.AddWorkers(2);
   scenario.RunPasses(1);
-  scenario.SubmitAndStore(1, "plain", {SchedulerScenario::Step(8)});
+  // One worker has cores left but no memory, the other one memory but no cores.
+  jobs::StepSpec all_memory = SchedulerScenario::Step(1);
+  all_memory.needs.memory = base::Mebibytes(1024);
+  scenario.SubmitAndStore(1, "plain", {all_memory});
+  scenario.RunPasses(1);
+  scenario.SubmitAndStore(2, "plain", {SchedulerScenario::Step(7)});
   scenario.RunPasses(1);
   REQUIRE(scenario.TakeStarts().size() == 8);
-  for (std::uint64_t key = 2; key < 2 + kBacklog; ++key) {
-    scenario.SubmitAndStore(key, "plain", {SchedulerScenario::Step(1)});
+  const std::string full = scenario.WorkerOf(TaskOf(1, 0));
+  std::uint32_t ended = 0;
+  while (scenario.WorkerOf(TaskOf(2, ended)) != full) {
+    ++ended;
+  }
+  scenario.EndRun(TaskOf(2, ended), RunEnd::kDone);
+  scenario.RunPasses(1);
+  jobs::StepSpec waiting = SchedulerScenario::Step(1);
+  waiting.needs.memory = base::Mebibytes(512);
+  for (std::uint64_t key = 3; key < 3 + kBacklog; ++key) {
+    scenario.SubmitAndStore(key, "plain", {waiting});
   }
   scenario.RunPass();
-  scenario.scheduler().TakePassEffort();
+  CHECK(scenario.TakeStarts().empty());
+  CHECK(scenario.scheduler().TakePassEffort().steps_searched >= kBacklog);
   SUBCASE("is not searched for again while nothing changes") {
     for (int i = 0; i < kPasses; ++i) {
       scenario.Advance(milliseconds(10));
@@ -512,8 +527,23 @@
     }
     CHECK(scenario.scheduler().TakePassEffort().steps_searched == 0);
   }
+  SUBCASE("is not searched for at each dear pass once it is overdue") {
+    scenario.Advance(seconds(60));
+    scenario.RunPass();
+    scenario.scheduler().TakePassEffort();
+    for (int i = 0; i < kPasses; ++i) {
+      scenario.Advance(milliseconds(100));
+      scenario.RunPass();
+    }
+    CHECK(scenario.scheduler().TakePassEffort().steps_searched <= kBacklog);
+  }
   SUBCASE("is placed as soon as a run ends") {
-    scenario.EndRun(TaskOf(1, 3), RunEnd::kDone);
+    std::uint32_t other = 0;
+    while (scenario.WorkerOf(TaskOf(2, other)) == full ||
+           scenario.WorkerOf(TaskOf(2, other)).empty()) {
+      ++other;
+    }
+    scenario.EndRun(TaskOf(2, other), RunEnd::kDone);
     std::size_t started = 0;
     for (int i = 0; i < kPasses && started == 0; ++i) {
       scenario.Advance(milliseconds(10));
