--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -327,7 +327,7 @@
   // sooner the less slack it has left.
   base::Duration GangRetryInterval(const WaitingStep& item,
                                    base::TimePoint now) const;
-  // Forgets what is known about steps that wait no more, some times a minute.
+  // Forgets, at intervals, what is known about steps that wait no more.
   void RemovePlacedSteps(base::TimePoint now);
   // These functions return whether any task was placed.
   bool PlaceTasks(WaitingStep* item, base::TimePoint now,
