A tick counts workers, not the numbers of those that have left

Change: the bound counts workers. A tick also takes the worker by its number, where it looked each one up by its name. Fleets from which nobody has left are ticked as before.

--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -671,7 +671,7 @@
   // Explanations search workers too.
   mutable PassEffort effort_;
   // The number of the last worker that was compared for a step.
-  std::size_t last_compared_worker_ = 0;
+  workers::WorkerNumber last_compared_worker_;
   base::TimePoint next_usage_update_;
   CopyTracker copies_;
   // Whether the last pass left steps that can be on time without free
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -225,10 +225,8 @@
   const std::unordered_map<base::BackendId, workers::Worker>& workers() const {
     return workers_;
   }
-  // Returns the workers by their numbers; null for numbers that are not in use.
-  const std::vector<const workers::Worker*>& by_number() const {
-    return by_number_;
-  }
+  // The numbers of all workers are below this one.
+  workers::WorkerNumber end_number() const { return last_number_.next(); }
   // Changes whenever a worker is added or removed, or begins an incarnation.
   std::uint64_t incarnations_version() const { return incarnations_version_; }
   // Workers of previous owners that may still have untracked runs.
@@ -257,8 +255,8 @@
     return evacuated_zones_.contains(worker.listing().zone);
   }
   // Does what is due for one worker, and removes it if it can be.
-  void Tick(const base::BackendId& id, base::TimePoint now,
-            std::vector<Action>* actions);
+  void TickWorker(workers::Worker* worker, base::TimePoint now,
+                  std::vector<Action>* actions);
   // Marks the workers in evacuated zones, and finds the services that have no
   // others.
   void UpdateEvacuation();
@@ -349,7 +347,7 @@
   // The number of the worker that was looked at last.
   std::size_t last_ticked_ = 0;
   // Invariant: the workers in `workers_`, at their numbers; null elsewhere.
-  std::vector<const workers::Worker*> by_number_;
+  std::vector<workers::Worker*> by_number_;
 };
 
 }  // namespace dotterelbarrow::core::scheduler
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -162,13 +162,13 @@
                                       const Visitor& visit) {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   const base::Resources needs = spec.Reservation();
-  const std::vector<const workers::Worker*>& workers = fleet_->by_number();
   std::size_t visited = 0;
-  for (std::size_t i = 0; i < workers.size() && visited < most; ++i) {
-    last_compared_worker_ = last_compared_worker_ + 1 < workers.size()
-                                ? last_compared_worker_ + 1
-                                : 0;
-    const workers::Worker* worker = workers[last_compared_worker_];
+  for (workers::WorkerNumber i; i < fleet_->end_number() && visited < most;
+       i = i.next()) {
+    last_compared_worker_ = last_compared_worker_.next() < fleet_->end_number()
+                                ? last_compared_worker_.next()
+                                : workers::WorkerNumber();
+    const workers::Worker* worker = fleet_->FindByNumber(last_compared_worker_);
     effort_.workers_compared += worker == nullptr ? 0 : 1;
     if (worker != nullptr && MayRunOn(*worker, item, now) &&
         (room_needed == RoomNeeded::kNo ||
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -308,32 +308,33 @@
 }
 
 void Fleet::Tick(base::TimePoint now, std::vector<Action>* actions) {
-  const std::size_t most =
-      std::min(by_number_.size(), settings_.max_workers_per_tick);
-  for (std::size_t i = 0; i < most; ++i) {
+  std::size_t looked_at = 0;
+  for (std::size_t i = 0;
+       i < by_number_.size() && looked_at < settings_.max_workers_per_tick;
+       ++i) {
     last_ticked_ = last_ticked_ + 1 < by_number_.size() ? last_ticked_ + 1 : 0;
-    if (by_number_[last_ticked_] != nullptr) {
-      Tick(by_number_[last_ticked_]->id(), now, actions);
+    if (Worker* worker = by_number_[last_ticked_]) {
+      ++looked_at;
+      TickWorker(worker, now, actions);
     }
   }
   UpdateEvacuation();
 }
 
-void Fleet::Tick(const base::BackendId& id, base::TimePoint now,
-                 std::vector<Action>* actions) {
-  const auto it = workers_.find(id);
-  Worker& worker = it->second;
-  if (ExpireIfDue(&worker, now)) {
-    by_number_[static_cast<std::size_t>(worker.number().value())] = nullptr;
-    removed_workers_[it->first] = {worker.listing().born_ms,
-                                   worker.earlier_incarnations};
-    workers_.erase(it);
+void Fleet::TickWorker(Worker* worker, base::TimePoint now,
+                       std::vector<Action>* actions) {
+  if (ExpireIfDue(worker, now)) {
+    const base::BackendId id = worker->id();
+    by_number_[static_cast<std::size_t>(worker->number().value())] = nullptr;
+    removed_workers_[id] = {worker->listing().born_ms,
+                            worker->earlier_incarnations};
+    workers_.erase(id);
     ++incarnations_version_;
     return;
   }
-  PollIfDue(&worker, now, actions);
-  RetryStops(&worker, now, actions);
-  PollForSuspects(&worker, now, actions);
+  PollIfDue(worker, now, actions);
+  RetryStops(worker, now, actions);
+  PollForSuspects(worker, now, actions);
 }
 
 bool Fleet::ExpireIfDue(Worker* worker, base::TimePoint now) {
--- a/test/core/scheduler/fleet_test.cc
+++ b/test/core/scheduler/fleet_test.cc
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -480,5 +481,53 @@
   }
 }
 
+// Guards against workers that are polled late because many others have left
+// since the owner's term began.
+TEST_CASE("a tick of a fleet of which most workers have left") {
+  constexpr std::size_t kMostPerTick = 3;
+  constexpr int kLeaving = 30;
+  NullLog log;
+  Counters counters;
+  FleetSettings settings;
+  settings.max_workers_per_tick = kMostPerTick;
+  Fleet fleet(settings, {&log, &counters});
+  base::TimePoint now{seconds(100)};
+  std::vector<workers::Listing> listings;
+  for (std::size_t i = 0; i < kLeaving + kMostPerTick; ++i) {
+    workers::Listing listing;
+    listing.id = base::BackendId("worker-" + std::to_string(i));
+    listing.address = "10.0.0.1:1";
+    listing.born_ms = 1;
+    listing.revision = 1;
+    listings.push_back(listing);
+  }
+  std::vector<Action> actions;
+  fleet.UpdateListings(listings, now, now);
+  SUBCASE("looks at no more than its part of the workers before") {
+    fleet.Tick(now, &actions);
+    CHECK(actions.size() == kMostPerTick);
+  }
+  SUBCASE("looks at all that are left") {
+    listings.erase(listings.begin(), listings.begin() + kLeaving);
+    fleet.UpdateListings(listings, now, now);
+    // None was claimed, so that those which left are removed.
+    now += seconds(60);
+    for (int i = 0; i < kLeaving; ++i) {
+      fleet.Tick(now, &actions);
+    }
+    REQUIRE(fleet.workers().size() == kMostPerTick);
+    for (const workers::Listing& listing : listings) {
+      PollResult unanswered;
+      unanswered.outcome = CommandOutcome::kUnanswered;
+      fleet.OnPolled(listing.id, listing.born_ms, true, unanswered, now,
+                     &actions);
+    }
+    now += seconds(1);
+    actions.clear();
+    fleet.Tick(now, &actions);
+    CHECK(actions.size() == kMostPerTick);
+  }
+}
+
 }  // namespace
 }  // namespace dotterelbarrow::core::scheduler
