--- a/include/dotterelbarrow/base/units.h
+++ b/include/dotterelbarrow/base/units.h
@@ -118,6 +118,12 @@
           std::min(a.accelerators, b.accelerators), std::min(a.slots, b.slots)};
 }
 
+// Returns the greater of both in each dimension.
+constexpr Resources GreaterOf(const Resources& a, const Resources& b) {
+  return {std::max(a.cpu, b.cpu), std::max(a.memory, b.memory),
+          std::max(a.accelerators, b.accelerators), std::max(a.slots, b.slots)};
+}
+
 // Returns the dominant share of `part`: the largest of its fractions of the
 // dimensions of `whole`. Dimensions in which `whole` is zero are skipped. The
 // result is at least 0, and above 1 where `part` exceeds `whole`.
--- a/src/core/scheduler/dispatcher_caps.cc
+++ b/src/core/scheduler/dispatcher_caps.cc
@@ -19,11 +19,6 @@
 constexpr base::Duration kInheritedCopiesInterval =
     std::chrono::milliseconds(50);
 
-base::Resources Largest(const base::Resources& a, const base::Resources& b) {
-  return {std::max(a.cpu, b.cpu), std::max(a.memory, b.memory),
-          std::max(a.accelerators, b.accelerators), std::max(a.slots, b.slots)};
-}
-
 bool FitsUnderCap(std::int64_t used, std::int64_t cap) {
   return cap == 0 || used <= cap;
 }
@@ -171,7 +166,7 @@
         copies.needs +=
             spec.needs * (static_cast<std::int64_t>(step.tasks.size()) -
                           static_cast<std::int64_t>(step.done));
-        copies.largest = Largest(copies.largest, spec.needs);
+        copies.largest = base::GreaterOf(copies.largest, spec.needs);
       }
     }
   }
@@ -191,11 +186,11 @@
                                      StragglerPolicy::kMaxShareOfCopies);
   };
   const base::Resources most =
-      Largest(it->second.largest,
-              {base::Millicores(share(fleet.cpu.value())),
-               base::Mebibytes(share(fleet.memory.value())),
-               base::Accelerators(share(fleet.accelerators.value())),
-               base::Slots(share(fleet.slots.value()))});
+      base::GreaterOf(it->second.largest,
+                      {base::Millicores(share(fleet.cpu.value())),
+                       base::Mebibytes(share(fleet.memory.value())),
+                       base::Accelerators(share(fleet.accelerators.value())),
+                       base::Slots(share(fleet.slots.value()))});
   return base::LesserOf(base::LesserOf(it->second.needs, most),
                         unreconciled_capacity_);
 }
--- a/src/core/workers/worker.cc
+++ b/src/core/workers/worker.cc
@@ -16,11 +16,6 @@
 // A worker that left this many commands in a row unanswered gets no new work.
 constexpr int kMaxUnansweredCommands = 2;
 
-base::Resources Largest(const base::Resources& a, const base::Resources& b) {
-  return {std::max(a.cpu, b.cpu), std::max(a.memory, b.memory),
-          std::max(a.accelerators, b.accelerators), std::max(a.slots, b.slots)};
-}
-
 std::int64_t Milliseconds(base::Duration duration) {
   return duration / std::chrono::milliseconds(1);
 }
@@ -89,7 +84,7 @@
 
 void Worker::Update(const Listing& listing) {
   listing_ = listing;
-  largest_capacity_ = Largest(largest_capacity_, listing.capacity);
+  largest_capacity_ = base::GreaterOf(largest_capacity_, listing.capacity);
 }
 
 Run* Worker::FindRun(const jobs::TaskRef& task, jobs::Attempt attempt) {
