Remove an orphaned comment, and a count that no test reads

The comment of a function that LivePeers replaced, a counter in a test of the saturation gate whose result nobody used, and the head of OwnerCosts in plain words. Assertions are unchanged.

--- a/bench/experiment/experiment.h
+++ b/bench/experiment/experiment.h
@@ -27,8 +27,7 @@
   kAlways,  // The scheduler is told such a large factor that it always waits.
 };
 
-// What the owner's work costs of its processor, in microseconds, beside a host
-// with half a core.
+// What the owner's work costs on a host with half a core, in microseconds.
 struct OwnerCosts {
   // One message that arrives, one that is sent, and a pass over nothing.
   double message_received_us = 60;
--- a/src/member/member_impl.h
+++ b/src/member/member_impl.h
@@ -98,8 +98,6 @@
   void QueryDeputies();
   // Adds the ownership record to `answer`, if this host knows an owner.
   void AddOwnerHint(Json::Value* answer) const;
-  // Returns the addresses of a few live hosts, those with the largest processor
-  // share first.
   void UpdateAdviceClients();
   // Returns the largest processor share, in processors, among the live hosts
   // and this one.
--- a/src/member/member_peers.cc
+++ b/src/member/member_peers.cc
@@ -25,6 +25,7 @@
 // A failing owner offers the cell again after this time if no host has claimed
 // it.
 constexpr base::Duration kOfferPeriod = std::chrono::milliseconds(300);
+
 // Additional delay before a host claims the cell, for each processor that it
 // has less than the best host. A host with half the best host's share waits for
 // longer than the time between two polls of the ownership record.
--- a/test/core/admission/saturation_gate_test.cc
+++ b/test/core/admission/saturation_gate_test.cc
@@ -175,20 +175,15 @@
   double arriving = 0;
   double begun = 0;
   const auto run = [&](int ticks, base::Duration lag) {
-    int accepted = 0;
     for (int i = 0; i < ticks; ++i) {
       now += milliseconds(20);
       for (arriving += kArrivalsPerTick; arriving >= 1; --arriving) {
-        if (gate.TryAcquire()) {
-          ++accepted;
-          begun += 0.9;
-        }
+        begun += gate.TryAcquire() ? 0.9 : 0;
       }
       const auto whole = static_cast<std::uint64_t>(begun);
       begun -= static_cast<double>(whole);
       gate.Update(lag, {whole, 100}, now);
     }
-    return accepted;
   };
   run(200, milliseconds(1));
   run(50, milliseconds(30));
