One way to forget the last try to place a step

What had been written for waits for room and for gangs forgot its entries in three ways: at once for some, each second for steps that wait no more, and without the backfill of the gang's workers where advice was answered. PassEffort has a header of its own, so that the owner's log doesn't include the whole dispatcher, and is no longer mutable: steps_searched counts the searches of passes, as its comment says, not those of explanations and copies. WorkersToCompare returns its workers instead of calling a template's visitor; largest_free_ uses GreaterOf.

--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -38,26 +38,13 @@
 #include "dotterelbarrow/core/scheduler/explanation.h"
 #include "dotterelbarrow/core/scheduler/fleet.h"
 #include "dotterelbarrow/core/scheduler/job_registry.h"
+#include "dotterelbarrow/core/scheduler/pass_effort.h"
 #include "dotterelbarrow/core/scheduler/room_waits.h"
 #include "dotterelbarrow/core/scheduler/run_index.h"
 #include "dotterelbarrow/core/scheduler/waiting_step.h"
 
 namespace dotterelbarrow::core::scheduler {
 
-// What scheduling passes have done.
-struct PassEffort {
-  // Waiting steps that were put into their order, once for each pass.
-  std::uint64_t steps_ranked = 0;
-  // Waiting steps that a pass tried to place.
-  std::uint64_t steps_tried = 0;
-  // Those for which it looked through the workers.
-  std::uint64_t steps_searched = 0;
-  // Those of which tasks were placed.
-  std::uint64_t steps_placed = 0;
-  // Workers that were compared to choose those that the advisor is asked about.
-  std::uint64_t workers_compared = 0;
-};
-
 class Dispatcher {
  public:
   Dispatcher(DispatcherSettings settings, Telemetry telemetry,
@@ -274,12 +261,12 @@
                          base::TimePoint now, std::vector<Action>* actions);
   // Whether only workers count on which a task fits now.
   enum class RoomNeeded { kNo, kYes };
-  // Calls `visit` for up to `most` workers that could run the step, each time
-  // beginning after the last one that was visited before.
-  template <typename Visitor>
-  void VisitSuitableWorkers(const WaitingStep& item, std::size_t most,
-                            RoomNeeded room_needed, base::TimePoint now,
-                            const Visitor& visit);
+  // Returns up to `most` workers that could run the step, each time beginning
+  // after the last one that was returned before.
+  std::vector<const workers::Worker*> WorkersToCompare(const WaitingStep& item,
+                                                       std::size_t most,
+                                                       RoomNeeded room_needed,
+                                                       base::TimePoint now);
   // Returns up to `most` workers that could run the step: first those that the
   // advisor was not asked about; among equals, those with the most free
   // processor time first. In a large fleet, only a part of the workers is
@@ -327,8 +314,11 @@
   // sooner the less slack it has left.
   base::Duration GangRetryInterval(const WaitingStep& item,
                                    base::TimePoint now) const;
-  // Forgets, at intervals, what is known about steps that wait no more.
-  void RemovePlacedSteps(base::TimePoint now);
+  // Replaces the result of the last try to place a gang by one without workers.
+  UnplacedGang& RecordUnplacedGang(const WaitingStep& item,
+                                   base::TimePoint now);
+  // The step is to be tried again in the next pass, or waits no more.
+  void ForgetLastTry(const jobs::StepRef& step);
   // These functions return whether any task was placed.
   bool PlaceTasks(WaitingStep* item, base::TimePoint now,
                   std::vector<Action>* actions);
@@ -661,15 +651,12 @@
   // The workers of each rack; empty if no run time depends on the rack.
   std::map<std::string, std::vector<workers::WorkerNumber>> racks_;
   base::TimePoint next_racks_update_;
-  // Gangs for which there was no capacity. May name steps that wait no more,
-  // which are removed at `next_removal_`.
+  // The last tries that found no capacity: of gangs, and of other steps.
   std::unordered_map<jobs::StepRef, UnplacedGang> unplaced_gangs_;
   RoomWaits room_waits_;
-  base::TimePoint next_removal_;
   std::uint64_t jobs_begun_ = 0;
   std::uint64_t jobs_in_preparation_ = 0;
-  // Explanations search workers too.
-  mutable PassEffort effort_;
+  PassEffort effort_;
   // The number of the last worker that was compared for a step.
   workers::WorkerNumber last_compared_worker_;
   base::TimePoint next_usage_update_;
--- a/include/dotterelbarrow/core/scheduler/room_waits.h
+++ b/include/dotterelbarrow/core/scheduler/room_waits.h
@@ -67,12 +67,6 @@
     }
     return true;
   }
-  // Forgets the steps for which `is_gone` returns true.
-  template <typename IsGone>
-  void RemoveIf(const IsGone& is_gone) {
-    std::erase_if(waits_,
-                  [&](const auto& entry) { return is_gone(entry.first); });
-  }
 
  private:
   struct Wait {
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -9,9 +9,6 @@
 
 using placement::Candidate;
 
-// Steps that wait no more are forgotten at this interval.
-constexpr base::Duration kRemovalInterval = std::chrono::seconds(1);
-
 }  // namespace
 
 void Dispatcher::SetDesired(
@@ -28,7 +25,7 @@
   last_logged_.erase(step);
   advice_.Remove(step);
   locality_.Remove(step);
-  room_waits_.Remove(step);
+  ForgetLastTry(step);
 }
 
 void Dispatcher::RemoveJob(jobs::JobKey job) {
@@ -49,6 +46,7 @@
         advice_.Remove(*it);
         locality_.Remove(*it);
       }
+      ForgetLastTry(*it);
       it = steps->erase(it);
       continue;
     }
@@ -106,17 +104,12 @@
 }
 
 void Dispatcher::RecordFreeResources(const workers::Worker& worker) {
-  const base::Resources room = worker.FreeResources();
-  largest_free_.cpu = std::max(largest_free_.cpu, room.cpu);
-  largest_free_.memory = std::max(largest_free_.memory, room.memory);
-  largest_free_.accelerators =
-      std::max(largest_free_.accelerators, room.accelerators);
+  largest_free_ = base::GreaterOf(largest_free_, worker.FreeResources());
 }
 
 void Dispatcher::RunPass(base::TimePoint now, std::vector<Action>* actions) {
   context_.pass_began = now;
   gang_holds_.BeginPass(fleet_->workers().size() - fleet_->evacuated_workers());
-  RemovePlacedSteps(now);
   UpdateFleetUsage(now);
   locality_.BeginPass();
   UpdateRacks(now);
@@ -201,17 +194,16 @@
   }
 }
 
-void Dispatcher::RemovePlacedSteps(base::TimePoint now) {
-  if (now < next_removal_) {
+void Dispatcher::ForgetLastTry(const jobs::StepRef& step) {
+  room_waits_.Remove(step);
+  const auto unplaced = unplaced_gangs_.find(step);
+  if (unplaced == unplaced_gangs_.end()) {
     return;
   }
-  next_removal_ = now + kRemovalInterval;
-  const auto waits_no_more = [this](const jobs::StepRef& step) {
-    return !waiting_.contains(step) && !overdue_.contains(step);
-  };
-  room_waits_.RemoveIf(waits_no_more);
-  std::erase_if(unplaced_gangs_,
-                [&](const auto& entry) { return waits_no_more(entry.first); });
+  for (const auto& [worker, remainder] : unplaced->second.held) {
+    gang_holds_.ForgetBackfill(worker);
+  }
+  unplaced_gangs_.erase(unplaced);
 }
 
 bool Dispatcher::KeepsWaitingForRoom(const WaitingStep& item,
@@ -360,7 +352,6 @@
   const base::Resources reservation = spec.Reservation();
   std::vector<Candidate>& candidates = item->candidates;
   candidates.clear();
-  ++effort_.steps_searched;
   bool any_accepts_work = false;
   const std::optional<placement::SpeedPreference> speed =
       run_times_.has_uneven_workers()
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -26,10 +26,12 @@
 bool Dispatcher::FindCandidates(WaitingStep* item, base::TimePoint now,
                                 std::vector<Action>* actions) {
   if (!item->queue->advice) {
+    ++effort_.steps_searched;
     return FillCandidates(item, now);
   }
   advice::StepAdvice& advice = advice_.FindOrAdd(item->step);
   if (advice.has_answer) {
+    ++effort_.steps_searched;
     if (FillCandidates(item, now)) {
       return true;
     }
@@ -155,16 +157,14 @@
   return order;
 }
 
-template <typename Visitor>
-void Dispatcher::VisitSuitableWorkers(const WaitingStep& item, std::size_t most,
-                                      RoomNeeded room_needed,
-                                      base::TimePoint now,
-                                      const Visitor& visit) {
-  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
-  const base::Resources needs = spec.Reservation();
-  std::size_t visited = 0;
-  for (workers::WorkerNumber i; i < fleet_->end_number() && visited < most;
-       i = i.next()) {
+std::vector<const workers::Worker*> Dispatcher::WorkersToCompare(
+    const WaitingStep& item, std::size_t most, RoomNeeded room_needed,
+    base::TimePoint now) {
+  const base::Resources needs = item.job->SpecOf(item.step).Reservation();
+  std::vector<const workers::Worker*> compared;
+  compared.reserve(std::min(most, fleet_->workers().size()));
+  for (workers::WorkerNumber i;
+       i < fleet_->end_number() && compared.size() < most; i = i.next()) {
     last_compared_worker_ = last_compared_worker_.next() < fleet_->end_number()
                                 ? last_compared_worker_.next()
                                 : workers::WorkerNumber();
@@ -173,10 +173,10 @@
     if (worker != nullptr && MayRunOn(*worker, item, now) &&
         (room_needed == RoomNeeded::kNo ||
          needs.FitsIn(worker->FreeResources()))) {
-      visit(*worker);
-      ++visited;
+      compared.push_back(worker);
     }
   }
+  return compared;
 }
 
 std::vector<const workers::Worker*> Dispatcher::SuitableWorkers(
@@ -203,20 +203,19 @@
   // A gang needs the best workers of all, and work for a rack those of the
   // rack.
   const bool compares_all = spec.gang || HasLocality(spec);
-  const std::size_t compared =
+  const std::size_t most_compared =
       compares_all
           ? fleet_->workers().size()
           : std::max(context_.settings.min_compared_workers,
                      most * context_.settings.compared_per_advised_worker);
   std::vector<Ranked> ranked;
-  ranked.reserve(std::min(compared, fleet_->workers().size()));
-  VisitSuitableWorkers(
-      item, compared, room_needed, now, [&](const workers::Worker& worker) {
-        const auto order = rack_order.find(worker.listing().rack);
-        ranked.push_back({asked.contains(worker.number()),
-                          order == rack_order.end() ? 0 : order->second,
-                          -AdviceRank(worker, preference), &worker});
-      });
+  for (const workers::Worker* worker :
+       WorkersToCompare(item, most_compared, room_needed, now)) {
+    const auto order = rack_order.find(worker->listing().rack);
+    ranked.push_back({asked.contains(worker->number()),
+                      order == rack_order.end() ? 0 : order->second,
+                      -AdviceRank(*worker, preference), worker});
+  }
   const auto end = ranked.begin() +
                    static_cast<std::ptrdiff_t>(std::min(most, ranked.size()));
   std::partial_sort(ranked.begin(), end, ranked.end());
@@ -313,8 +312,7 @@
   }
   advice->calls_in_flight = std::max(0, advice->calls_in_flight - 1);
   if (result.outcome == AdviceResult::Outcome::kAnswered) {
-    unplaced_gangs_.erase(step);
-    room_waits_.Remove(step);
+    ForgetLastTry(step);
     advice->has_answer = true;
     advice->failed_calls = 0;
     for (const AllowedWorker& allowed : result.allowed) {
--- a/src/core/scheduler/dispatcher_gang_racks.cc
+++ b/src/core/scheduler/dispatcher_gang_racks.cc
@@ -108,9 +108,7 @@
     return false;
   }
   ReserveCap(item, spec.tasks);
-  UnplacedGang& unplaced = unplaced_gangs_[item.step];
-  unplaced = UnplacedGang();
-  unplaced.next_try = now + GangRetryInterval(item, now);
+  UnplacedGang& unplaced = RecordUnplacedGang(item, now);
   for (const ExpectedPlace& place : places) {
     gang_holds_.Hold(place.worker);
     unplaced.held.try_emplace(place.worker);
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -220,16 +220,21 @@
              : most;
 }
 
+Dispatcher::UnplacedGang& Dispatcher::RecordUnplacedGang(
+    const WaitingStep& item, base::TimePoint now) {
+  UnplacedGang& unplaced = unplaced_gangs_[item.step];
+  unplaced = UnplacedGang();
+  unplaced.next_try = now + GangRetryInterval(item, now);
+  return unplaced;
+}
+
 bool Dispatcher::KeepHoldingFor(const WaitingStep& item, base::TimePoint now) {
   const auto unplaced = unplaced_gangs_.find(item.step);
   if (unplaced == unplaced_gangs_.end()) {
     return false;
   }
   if (now >= unplaced->second.next_try) {
-    for (const auto& [worker, remainder] : unplaced->second.held) {
-      gang_holds_.ForgetBackfill(worker);
-    }
-    unplaced_gangs_.erase(unplaced);
+    ForgetLastTry(item.step);
     return false;
   }
   for (const workers::WorkerNumber worker : unplaced->second.wanted) {
@@ -315,9 +320,7 @@
 
 void Dispatcher::HoldWorkersFor(const WaitingStep& item, base::TimePoint now) {
   StopWaitingForRack(item.step);
-  UnplacedGang& unplaced = unplaced_gangs_[item.step];
-  unplaced = UnplacedGang();
-  unplaced.next_try = now + GangRetryInterval(item, now);
+  UnplacedGang& unplaced = RecordUnplacedGang(item, now);
   for (const Candidate& candidate : item.candidates) {
     gang_holds_.MarkWanted(candidate.worker->number());
     unplaced.wanted.push_back(candidate.worker->number());
--- a/src/member/owner_times.h
+++ b/src/member/owner_times.h
@@ -10,7 +10,7 @@
 #include "dotterelbarrow/base/units.h"
 #include "dotterelbarrow/core/admission/saturation_gate.h"
 #include "dotterelbarrow/core/scheduler/decision_log.h"
-#include "dotterelbarrow/core/scheduler/dispatcher.h"
+#include "dotterelbarrow/core/scheduler/pass_effort.h"
 
 namespace dotterelbarrow::member {
 
