--- a/bench/experiment/experiment.cc
+++ b/bench/experiment/experiment.cc
@@ -675,7 +675,7 @@
   for (int i = 0; i < pattern_.askers; ++i) {
     advice_clients.emplace_back("entry-" + std::to_string(i));
   }
-  scheduler_.SetAdviceClients(advice_clients);
+  scheduler_.SetAdviceClients(advice_clients, advice_clients.size());
   AddWorkers();
   if (options_.knows_speeds) {
     RestoreSpeeds();
--- a/include/dotterelbarrow/core/leadership/leadership.h
+++ b/include/dotterelbarrow/core/leadership/leadership.h
@@ -1,5 +1,5 @@
-// Leader election: which entry host owns the cell is decided by one row of the
-// store.
+// Leader election: which entry host owns a shard of the cell is decided by one
+// row of the store.
 //
 // The row, the ownership record, names the owner and its fencing token. Each
 // write of the owner is a transaction that expects the record's current version
@@ -51,6 +51,8 @@
   base::EntryId self;
   base::Incarnation incarnation;
   std::string address;
+  // Owners hold higher tokens than this one, also the first.
+  FencingToken last_token{};
   // An owner that has nothing else to write renews the record this often.
   base::Duration renewal_period = std::chrono::milliseconds(200);
   // An owner whose record didn't change for this long is replaced: neither its
--- a/include/dotterelbarrow/core/scheduler/job_pages.h
+++ b/include/dotterelbarrow/core/scheduler/job_pages.h
@@ -40,9 +40,15 @@
 
 namespace dotterelbarrow::core::scheduler {
 
-// The store's tables of job records, worker records, and the summary of run
-// times.
-enum class RecordTable { kLivePages, kEndedPages, kWorkers, kRunTimes };
+// The store's tables of job records, worker records, the summary of run times,
+// and the plan of a cell's shards.
+enum class RecordTable {
+  kLivePages,
+  kEndedPages,
+  kWorkers,
+  kRunTimes,
+  kShardPlan,
+};
 
 struct RecordChange {
   RecordTable table = RecordTable::kLivePages;
--- a/include/dotterelbarrow/core/scheduler/job_registry.h
+++ b/include/dotterelbarrow/core/scheduler/job_registry.h
@@ -75,6 +75,8 @@
   // notified when they are.
   bool AwaitStored(jobs::JobKey key, WaiterId waiter);
 
+  // Returns whether no job is known, of those that have ended too.
+  bool is_empty() const { return jobs_.empty() && ended_jobs_.empty(); }
   bool IsKnown(jobs::JobKey key) const {
     return jobs_.contains(key) || ended_jobs_.contains(key);
   }
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -18,6 +18,7 @@
 
 #include <sigc++/trackable.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -96,8 +97,14 @@
   // Adds the restored jobs; call after the last page. `store_now_ms`, here and
   // below, is a lower bound of the time on the store's clock.
   void RestoreJobs(base::TimePoint now, std::int64_t store_now_ms);
+  // Limits this owner to the workers for which the function returns true; the
+  // others belong to owners of other shards. Call before AddInheritedWorker.
+  void SetWorkerFilter(
+      std::function<bool(const workers::Listing&)> is_own_worker) {
+    is_own_worker_ = std::move(is_own_worker);
+  }
   // Restores the record of a worker that a previous owner used. Logs a record
-  // that cannot be read.
+  // that cannot be read. Removes the record of a worker of another shard.
   void AddInheritedWorker(const base::BackendId& worker,
                           const std::string& record, std::int64_t store_now_ms,
                           base::TimePoint now);
@@ -115,8 +122,10 @@
   // Replaces the configuration in use.
   void SetDesired(std::shared_ptr<const desired::DesiredState> desired);
   const desired::DesiredState& desired() const { return *desired_; }
-  // Sets the entry hosts, through which jobs come in and the advisor is called.
-  void SetAdviceClients(const std::vector<base::EntryId>& entries);
+  // Sets the entry hosts through which the advisor is called, and through how
+  // many jobs come in.
+  void SetAdviceClients(const std::vector<base::EntryId>& entries,
+                        std::size_t entry_host_count);
   // Replaces the evacuated availability zones. Nothing new is started on their
   // workers, and what is reserved there is placed elsewhere; runs continue.
   void SetEvacuatedZones(const std::set<base::AvailabilityZone>& zones,
@@ -124,12 +133,13 @@
   // The progress of the evacuations.
   const EvacuationMonitor& evacuations() const { return evacuations_; }
   // Applies the platform's list of workers, which was requested at `asked_at`.
-  // Ignores workers of services that the configuration doesn't name.
+  // Ignores workers of services that the configuration doesn't name, and those
+  // of other shards.
   void UpdateListings(std::vector<workers::Listing> listings,
                       base::TimePoint asked_at, base::TimePoint now);
 
-  // Applies what has changed in that list. Entries of services that the
-  // configuration doesn't name count as removed.
+  // Applies what has changed in that list. Entries that are ignored count as
+  // removed.
   void ApplyListingChanges(ListingChanges changes, base::TimePoint asked_at,
                            base::TimePoint now);
 
@@ -137,6 +147,8 @@
   // again, whatever the submission holds.
   SubmitResult Submit(Submission submission, WaiterId waiter,
                       std::int64_t store_now_ms, base::TimePoint now);
+  // Returns whether no job is known, of those that have ended too.
+  bool has_no_jobs() const { return jobs_.is_empty(); }
   // Returns whether the job was accepted, in this term or before.
   bool IsKnown(jobs::JobKey key) const { return jobs_.IsKnown(key); }
   // Withdraws the accepted jobs that no batch contains yet; returns the waiters
@@ -310,6 +322,8 @@
   // Releases the reserved runs on evacuated workers, whose starts were not
   // sent, and of a gang that has no other runs the rest of its reserved ones.
   void ReleaseEvacuatedRuns();
+  // Whether this owner uses the worker.
+  bool IsUsed(const workers::Listing& listing) const;
   // Returns null if the job has ended or the task doesn't exist.
   jobs::Task* FindTask(const jobs::TaskRef& task);
   void LogUnreadable(const std::string& record, const base::Failure& reason);
@@ -321,6 +335,8 @@
   SchedulerSettings settings_;
   Telemetry telemetry_;
   std::shared_ptr<const desired::DesiredState> desired_;
+  // Not set if all workers are this owner's.
+  std::function<bool(const workers::Listing&)> is_own_worker_;
   JobRegistry jobs_;
   Fleet fleet_;
   RunIndex runs_;
--- a/include/dotterelbarrow/core/scheduler/worker_records.h
+++ b/include/dotterelbarrow/core/scheduler/worker_records.h
@@ -34,6 +34,13 @@
   // bound of the time on the store's clock.
   void Inherit(const workers::WorkerRecord& record, std::int64_t store_now_ms,
                base::TimePoint now);
+  // Removes the record of a worker that isn't this owner's with the next update
+  // of the list.
+  void Discard(const workers::WorkerRecord& record) {
+    worker_states_[record.listing.id] = {
+        .recorded_born_ms = record.recorded_born_ms,
+        .recorded_capacity = record.listing.capacity};
+  }
   // Enqueues records of new workers and of those whose capacity exceeds the
   // recorded one, and removals of the records of workers
   // that the fleet no longer holds. Call it after the fleet has applied
--- a/include/dotterelbarrow/core/workers/worker_record.h
+++ b/include/dotterelbarrow/core/workers/worker_record.h
@@ -2,7 +2,7 @@
 // it, so that the next owner can claim the worker even if the platform doesn't
 // list it any more. Its JSON fields are "address", "cpu" in millicores,
 // "memory" in mebibytes and "accelerators" of the largest capacity that is
-// known of the incarnation, "born_ms" and, for an unresponsive worker,
+// known of the incarnation, "born_ms", "rack" and, for an unresponsive worker,
 // "leases_end_ms".
 #ifndef DOTTERELBARROW_CORE_WORKERS_WORKER_RECORD_H_
 #define DOTTERELBARROW_CORE_WORKERS_WORKER_RECORD_H_
@@ -26,6 +26,8 @@
   // The incarnation that the record was written for, in milliseconds since
   // 1970; unknown in the records of earlier versions of this program.
   std::int64_t recorded_born_ms = kUnknownIncarnation;
+  // Whether a decoded record names the rack; those of earlier versions don't.
+  bool names_rack = false;
 };
 
 std::string EncodeWorkerRecord(const WorkerRecord& record);
--- a/include/dotterelbarrow/member/member.h
+++ b/include/dotterelbarrow/member/member.h
@@ -1,6 +1,6 @@
 // One entry host on the users' platform. It accepts jobs from callers, and
-// manages all workers and jobs for as long as the store names it as the owner
-// of the cell.
+// manages the workers and jobs of a shard of the cell for as long as the store
+// names it as its owner.
 //
 //   EventLoop loop;
 //   Member member(&loop, settings);
@@ -12,6 +12,7 @@
 #include <memory>
 
 #include "dotterelbarrow/base/failure.h"
+#include "dotterelbarrow/core/shards/shard_plan.h"
 #include "dotterelbarrow/wire/event_loop.h"
 #include "platform/settings_file.h"
 
@@ -20,15 +21,16 @@
 class Member {
  public:
   // `loop` must outlive this.
-  Member(wire::EventLoop* loop, const platform::PlatformSettings& settings);
+  Member(wire::EventLoop* loop, const platform::PlatformSettings& settings,
+         const core::shards::ShardPlannerSettings& planner = {});
   ~Member();
   Member(const Member&) = delete;
   Member& operator=(const Member&) = delete;
 
-  // Opens all listening sockets and starts to follow the cell's owner. Returns
+  // Opens all listening sockets and starts to follow the owners. Returns
   // false and sets `reason` if an address can't be listened on.
   bool Listen(base::Failure* reason);
-  // Starts a graceful shutdown: gives up ownership of the cell, stops accepting
+  // Starts a graceful shutdown: gives up ownership, stops accepting
   // connections once the platform has noticed that this host isn't ready,
   // answers the calls that it has accepted, and stops the loop. Returns at
   // once.
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -7,8 +7,8 @@
 overlap. The guarantees are checked by what callers and workers observe. A seed reproduces the choice of faults and
 jobs, but not their timing.
 
-Usage: scripts/soak.py [--seeds FIRST-LAST | --file SEEDS] [--seconds S] [--hosts N] [--workers N] [--keep]
-                       [--until-broken]
+Usage: scripts/soak.py [--seeds FIRST-LAST | --file SEEDS] [--seconds S] [--hosts N] [--workers N]
+                       [--workers-per-owner N] [--keep] [--until-broken]
 """
 import argparse
 import random
@@ -120,7 +120,8 @@
         self._later(seconds, lambda: self._restart(host))
 
     def _kill_owner(self, seconds):
-        owner = self._site.owner()
+        shards = self._site.shards()
+        owner = self._site.owner(self._rng.randrange(shards) if shards > 1 else 0)
         if owner in self._hosts():
             self._kill_host(owner, seconds)
 
@@ -308,7 +309,7 @@
 def soak(seed, arguments):
     """Runs one seed; returns the violations that were found, and a summary line."""
     rng = random.Random(seed)
-    site = Site(seed, arguments.hosts, arguments.workers)
+    site = Site(seed, arguments.hosts, arguments.workers, workers_per_owner=arguments.workers_per_owner)
     broken = []
     try:
         site.start()
@@ -348,6 +349,7 @@
     parser.add_argument("--seconds", type=float, default=20.0, help="how long faults are injected for each seed")
     parser.add_argument("--hosts", type=int, default=5)
     parser.add_argument("--workers", type=int, default=8)
+    parser.add_argument("--workers-per-owner", type=int, help="divide the cell into shards of about that many workers")
     parser.add_argument("--keep", action="store_true", help="keep the logs of seeds without violations too")
     parser.add_argument("--until-broken", action="store_true", help="stop after the first seed with a violation")
     arguments = parser.parse_args()
--- a/scripts/soak_site.py
+++ b/scripts/soak_site.py
@@ -58,12 +58,14 @@
 class Site:
     """A site with `hosts` daemons, and `workers` workers of `cores` cores each."""
 
-    def __init__(self, seed, hosts=5, workers=8, cores=4):
+    def __init__(self, seed, hosts=5, workers=8, cores=4, workers_per_owner=None):
+        """With `workers_per_owner`, the hosts divide the cell into shards of about that many workers."""
         self.base_port, self._ports_lock = reserve_ports()
         self.seed = seed
         self.hosts = hosts
         self.workers = workers
         self.cores = cores
+        self.workers_per_owner = workers_per_owner
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"dotterel-soak-{seed}-"))
         self.processes = {}
         self.links = {}
@@ -92,6 +94,10 @@
             self.links[host] = Relay({self.base_port + STORE_RELAY_PORTS + host: self.base_port})
             self.start_host(host)
         self._wait(lambda: all(self._is_ready(host) for host in range(self.hosts)), "all hosts ready")
+        if self.workers_per_owner:
+            # The cell is divided only while there are no jobs.
+            self._wait(lambda: self.shards() > 1 and None not in map(self.owner, range(self.shards())),
+                       "an owner of each shard")
 
     def _wait(self, condition, what, bound_s=30.0):
         end = time.monotonic() + bound_s
@@ -123,8 +129,9 @@
             "bounds": {"revoke_ms": 5000, "grace_s": GRACE_S, "max_hold_ms": 10000, "status_s": 120,
                        "gang_timeout_ms": 3000, "drain_ms": 2000, "config_apply_ms": 2000, "evacuate_ms": 5000},
         }))
+        division = ["--workers-per-owner", self.workers_per_owner, "--min-workers-of-kind", 1]
         self._spawn(f"host-{host}", BUILD / "dotterelbarrowd", "--platform",
-                    environment=dict(os.environ, DOTTERELBARROW_CONFIG=str(path)))
+                    *(division if self.workers_per_owner else []), environment=dict(os.environ, DOTTERELBARROW_CONFIG=str(path)))
 
     def _process(self, host):
         return self.processes[f"host-{host}"]
@@ -154,12 +161,23 @@
             self._process(host).kill()
             self._process(host).wait()
 
-    def owner(self):
-        """Returns the host whose term began last according to the logs, or None."""
-        begun = {}
+    def _terms(self):
+        """Returns the terms that have begun according to the logs, as (shards of the cell, token, shard, host)."""
+        pattern = r"event=term_begun token=(\d+) shard=(\d+) shards=(\d+)"
+        terms = []
         for host in range(self.hosts):
             log = (self.folder / f"host-{host}.log").read_text(encoding="utf-8")
-            begun.update((int(token), host) for token in re.findall(r"event=term_begun token=(\d+)", log))
+            terms += [(int(shards), int(token), int(shard), host) for token, shard, shards in re.findall(pattern, log)]
+        return terms
+
+    def shards(self):
+        """Returns into how many shards the cell is divided."""
+        return max((shards for shards, _, _, _ in self._terms()), default=1)
+
+    def owner(self, shard=0):
+        """Returns the host whose term as the owner of the shard began last, or None."""
+        shards = self.shards()
+        begun = {token: host for of, token, number, host in self._terms() if (of, number) == (shards, shard)}
         return begun[max(begun)] if begun else None
 
     def fault(self, **what):
--- a/src/core/leadership/leadership.cc
+++ b/src/core/leadership/leadership.cc
@@ -3,6 +3,7 @@
 
 #include <json/json.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "dotterelbarrow/core/codec.h"
@@ -12,9 +13,11 @@
 
 // An earlier version of this program holds one token per term, the successor of
 // the recorded one, so the record must name the highest token of the term.
-FencingToken HighestTokenAfter(const std::optional<OwnershipRecord>& previous) {
-  const std::uint64_t last = previous ? previous->token.value() : 0;
-  return FencingToken(last + scheduler::kTokensPerTerm);
+FencingToken HighestTokenAfter(const std::optional<OwnershipRecord>& previous,
+                               FencingToken last) {
+  const FencingToken highest =
+      previous ? std::max(previous->token, last) : last;
+  return FencingToken(highest.value() + scheduler::kTokensPerTerm);
 }
 
 }  // namespace
@@ -123,10 +126,11 @@
   }
   previous_owner_ = seen_;
   was_previous_owner_gone_ = is_gone;
-  own_record_ = OwnershipRecord{.token = HighestTokenAfter(seen_),
-                                .holder = settings_.self,
-                                .incarnation = settings_.incarnation,
-                                .address = settings_.address};
+  own_record_ =
+      OwnershipRecord{.token = HighestTokenAfter(seen_, settings_.last_token),
+                      .holder = settings_.self,
+                      .incarnation = settings_.incarnation,
+                      .address = settings_.address};
   role_ = Role::kClaiming;
   write_ = OwnershipWrite{seen_version_, own_record_};
   write_sent_at_ = now;
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -106,9 +106,21 @@
     LogUnreadable(worker.value(), reason);
     return;
   }
+  // A record without a rack is older than the division into shards, before
+  // which nothing ran any more.
+  if (is_own_worker_ &&
+      (!decoded->names_rack || !is_own_worker_(decoded->listing))) {
+    worker_records_.Discard(*decoded);
+    return;
+  }
   worker_records_.Inherit(*decoded, store_now_ms, now);
 }
 
+bool Scheduler::IsUsed(const workers::Listing& listing) const {
+  return desired_->FindService(listing.service) != nullptr &&
+         (!is_own_worker_ || is_own_worker_(listing));
+}
+
 void Scheduler::RestoreRunTimes(const std::string& key, const std::string& text,
                                 base::TimePoint now) {
   base::Failure reason;
@@ -123,17 +135,17 @@
   dispatcher_.SetDesired(std::move(desired));
 }
 
-void Scheduler::SetAdviceClients(const std::vector<base::EntryId>& entries) {
-  entry_host_count_ = entries.size();
+void Scheduler::SetAdviceClients(const std::vector<base::EntryId>& entries,
+                                 std::size_t entry_host_count) {
+  entry_host_count_ = entry_host_count;
   dispatcher_.set_advice_clients(entries);
 }
 
 void Scheduler::UpdateListings(std::vector<workers::Listing> listings,
                                base::TimePoint asked_at, base::TimePoint now) {
   now_ = now;
-  // Workers of services that the configuration does not name are not used.
   std::erase_if(listings, [this](const workers::Listing& listing) {
-    return desired_->FindService(listing.service) == nullptr;
+    return !IsUsed(listing);
   });
   fleet_.UpdateListings(listings, asked_at, now);
   worker_records_.Update(listings);
@@ -145,7 +157,7 @@
                                     base::TimePoint now) {
   now_ = now;
   std::erase_if(changes.listed, [this, &changes](const auto& listing) {
-    const bool is_unused = desired_->FindService(listing.service) == nullptr;
+    const bool is_unused = !IsUsed(listing);
     if (is_unused) {
       changes.unlisted.push_back(listing.id);
     }
--- a/src/core/workers/worker_record.cc
+++ b/src/core/workers/worker_record.cc
@@ -16,6 +16,7 @@
   value["accelerators"] =
       static_cast<Json::Int64>(listing.capacity.accelerators.value());
   value["born_ms"] = static_cast<Json::Int64>(listing.born_ms);
+  value["rack"] = listing.rack;
   if (record.leases_end_ms) {
     value["leases_end_ms"] = static_cast<Json::Int64>(*record.leases_end_ms);
   }
@@ -45,6 +46,10 @@
     record.recorded_born_ms = fields["born_ms"].asInt64();
   }
   Listing& listing = record.listing;
+  record.names_rack = fields["rack"].isString();
+  if (record.names_rack) {
+    listing.rack = fields["rack"].asString();
+  }
   listing.id = id;
   listing.address = fields["address"].asString();
   listing.capacity = {base::Millicores(fields["cpu"].asInt64()),
--- a/src/daemon/command_line.cc
+++ b/src/daemon/command_line.cc
@@ -2,6 +2,7 @@
 #include "src/daemon/command_line.h"
 
 #include <boost/program_options.hpp>
+#include <cstddef>
 #include <sstream>
 
 namespace dotterelbarrow::daemon {
@@ -17,6 +18,15 @@
   add("platform",
       "serve on the users' platform, with the settings file that the "
       "environment variable DOTTERELBARROW_CONFIG names");
+  add("workers-per-owner",
+      options::value<std::size_t>()->value_name("N")->default_value(0),
+      "with --platform: a fleet of at least twice as many workers is divided "
+      "into shards of about N workers, each with its own owner; 0 for never");
+  add("min-workers-of-kind",
+      options::value<std::size_t>()->value_name("N")->default_value(
+          core::shards::ShardPlannerSettings().min_workers_of_kind),
+      "with --platform: how many workers of each service and label a shard has "
+      "at least");
   add("check-settings", options::value<std::string>()->value_name("FILE"),
       "check this settings file and exit: 0 if it is valid, 2 if not");
   add("print-sample-settings",
@@ -46,7 +56,10 @@
     return CheckSettings{values["check-settings"].as<std::string>()};
   }
   if (values.contains("platform")) {
-    return RunOnPlatform();
+    return RunOnPlatform{
+        {.workers_per_shard = values["workers-per-owner"].as<std::size_t>(),
+         .min_workers_of_kind =
+             values["min-workers-of-kind"].as<std::size_t>()}};
   }
   if (values.contains("settings")) {
     return RunDaemon{values["settings"].as<std::string>()};
--- a/src/daemon/command_line.h
+++ b/src/daemon/command_line.h
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "dotterelbarrow/base/failure.h"
+#include "dotterelbarrow/core/shards/shard_plan.h"
 
 namespace dotterelbarrow::daemon {
 
@@ -23,7 +24,9 @@
 };
 // Serves on the users' platform. The environment variable
 // DOTTERELBARROW_CONFIG names the settings file.
-struct RunOnPlatform {};
+struct RunOnPlatform {
+  core::shards::ShardPlannerSettings planner;
+};
 using Command =
     std::variant<base::Failure, ShowHelp, ShowVersion, PrintSampleSettings,
                  CheckSettings, RunDaemon, RunOnPlatform>;
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "dotterelbarrow/base/overloaded.h"
+#include "dotterelbarrow/core/shards/shard_plan.h"
 #include "dotterelbarrow/member/member.h"
 #include "dotterelbarrow/settings/settings_file.h"
 #include "platform/settings_file.h"
@@ -87,7 +88,7 @@
 // Runs as a member of the cell on the users' platform until the event loop
 // stops. SIGHUP reloads the settings file; if it is invalid, the member keeps
 // its settings and the reason is printed.
-int ServeOnPlatform() {
+int ServeOnPlatform(const core::shards::ShardPlannerSettings& planner) {
   const char* path = std::getenv(kPlatformSettingsVariable);
   base::Failure reason;
   const auto load = [path, &reason] {
@@ -99,7 +100,7 @@
     return kExitBadInput;
   }
   wire::EventLoop loop;
-  member::Member member(&loop, *settings);
+  member::Member member(&loop, *settings, planner);
   if (!member.Listen(&reason)) {
     std::cerr << reason.detail << "\n";
     return kExitFailed;
@@ -139,7 +140,7 @@
           [](const CheckSettings& check) {
             return LoadOrPrintErrors(check.path) ? kExitOk : kExitBadInput;
           },
-          [](const RunOnPlatform&) { return ServeOnPlatform(); },
+          [](const RunOnPlatform& run) { return ServeOnPlatform(run.planner); },
           [argv](const RunDaemon& run) { return Serve(argv[0], run.path); }},
       ParseCommandLine(argc, argv));
 }
--- a/src/member/calls.h
+++ b/src/member/calls.h
@@ -1,4 +1,4 @@
-// Calls that only the owner of the cell can answer, and their JSON form between
+// Calls that only the owner of a shard can answer, and their JSON form between
 // entry hosts.
 #ifndef DOTTERELBARROW_SRC_MEMBER_CALLS_H_
 #define DOTTERELBARROW_SRC_MEMBER_CALLS_H_
@@ -68,6 +68,12 @@
 inline constexpr std::array kOwnerMethods = {kSubmit, kCancel, kState,
                                              kPending};
 
+// Parameters of calls between entry hosts about one shard of several: its
+// number, and how many there are. Without them shard 0 of a cell with one shard
+// is meant.
+inline constexpr const char* kShardField = "shard";
+inline constexpr const char* kShardCountField = "shards";
+
 // Conversions between a call and its JSON-RPC method name and parameters.
 // OwnerCallFromJson returns nullopt and sets `reason` if they are malformed.
 const char* MethodOf(const OwnerCall& call);
--- a/src/member/job_api.cc
+++ b/src/member/job_api.cc
@@ -27,6 +27,13 @@
 // Another host may be able to serve the call now.
 constexpr base::Duration kRetryElsewhereNow{0};
 
+// Returns the organisation whose key the call carries; empty for a call without
+// a key.
+base::OrganisationId OrganisationOf(const core::admission::Admitted& admitted) {
+  return admitted.organisation == nullptr ? base::OrganisationId()
+                                          : admitted.organisation->id;
+}
+
 }  // namespace
 
 JobApi::JobApi(wire::HttpServer* server, const DesiredWatch* desired,
@@ -101,15 +108,16 @@
           platform::ErrorBody("not_a_job_id"));
     return;
   }
+  const base::OrganisationId organisation = OrganisationOf(admitted);
   switch (request.method) {
     case wire::HttpMethod::kPost:
       Submit(request, admitted, *key);
       break;
     case wire::HttpMethod::kGet:
-      QueryState(request, *key);
+      QueryState(request, organisation, *key);
       break;
     case wire::HttpMethod::kDelete:
-      Cancel(request, *key);
+      Cancel(request, organisation, *key);
       break;
     case wire::HttpMethod::kPut:
       Reply(request.exchange, kMethodNotAllowed,
@@ -128,9 +136,7 @@
     Reply(request.exchange, kBadRequest, platform::ErrorBody(reason.detail));
     return;
   }
-  const base::OrganisationId organisation = admitted.organisation == nullptr
-                                                ? base::OrganisationId()
-                                                : admitted.organisation->id;
+  const base::OrganisationId organisation = OrganisationOf(admitted);
   const Submission submission{key, admitted.queue->id, organisation};
   if (const auto* pause =
           pauses_.Find(organisation, admitted.queue->id, Now())) {
@@ -140,6 +146,7 @@
     return;
   }
   forward_to_owner_(
+      organisation,
       SubmitCall{{key, admitted.queue->id, organisation, std::move(*spec)}},
       [this, exchange = request.exchange,
        submission](const OwnerAnswer& answer) {
@@ -180,48 +187,55 @@
 }
 
 void JobApi::QueryState(const wire::HttpRequest& request,
+                        const base::OrganisationId& organisation,
                         core::jobs::JobKey key) {
-  forward_to_owner_(StateCall{key}, [this, exchange = request.exchange](
-                                        const OwnerAnswer& answer) {
-    if (const auto* state = std::get_if<JobStateAnswer>(&answer)) {
-      Reply(exchange, kOk, platform::StateBody(state->state));
-    } else if (std::holds_alternative<UnknownJob>(answer)) {
-      telemetry_.counters->Increment("calls_refused", "unknown_job");
-      Reply(exchange, kGone, platform::ErrorBody("unknown_job"));
-    } else {
-      Refuse(exchange, "no_owner", kRetryAfter);
-    }
-  });
+  forward_to_owner_(
+      organisation, StateCall{key},
+      [this, exchange = request.exchange](const OwnerAnswer& answer) {
+        if (const auto* state = std::get_if<JobStateAnswer>(&answer)) {
+          Reply(exchange, kOk, platform::StateBody(state->state));
+        } else if (std::holds_alternative<UnknownJob>(answer)) {
+          telemetry_.counters->Increment("calls_refused", "unknown_job");
+          Reply(exchange, kGone, platform::ErrorBody("unknown_job"));
+        } else {
+          Refuse(exchange, "no_owner", kRetryAfter);
+        }
+      });
 }
 
-void JobApi::Cancel(const wire::HttpRequest& request, core::jobs::JobKey key) {
-  forward_to_owner_(CancelCall{key}, [this, exchange = request.exchange,
-                                      key](const OwnerAnswer& answer) {
-    telemetry_.log->Write(
-        "cancel_answered",
-        {{"job", core::jobs::ToString(key)}, {"answer", NameOf(answer)}});
-    if (std::holds_alternative<Cancelled>(answer)) {
-      Reply(exchange, kOk, "{}");
-    } else if (std::holds_alternative<UnknownJob>(answer)) {
-      Reply(exchange, kGone, platform::ErrorBody("unknown_job"));
-    } else if (std::holds_alternative<NoOwner>(answer)) {
-      Refuse(exchange, "no_owner", kRetryAfter);
-    } else {
-      Reply(exchange, kGatewayTimeout, platform::ErrorBody("outcome_unknown"));
-    }
-  });
+void JobApi::Cancel(const wire::HttpRequest& request,
+                    const base::OrganisationId& organisation,
+                    core::jobs::JobKey key) {
+  forward_to_owner_(
+      organisation, CancelCall{key},
+      [this, exchange = request.exchange, key](const OwnerAnswer& answer) {
+        telemetry_.log->Write(
+            "cancel_answered",
+            {{"job", core::jobs::ToString(key)}, {"answer", NameOf(answer)}});
+        if (std::holds_alternative<Cancelled>(answer)) {
+          Reply(exchange, kOk, "{}");
+        } else if (std::holds_alternative<UnknownJob>(answer)) {
+          Reply(exchange, kGone, platform::ErrorBody("unknown_job"));
+        } else if (std::holds_alternative<NoOwner>(answer)) {
+          Refuse(exchange, "no_owner", kRetryAfter);
+        } else {
+          Reply(exchange, kGatewayTimeout,
+                platform::ErrorBody("outcome_unknown"));
+        }
+      });
 }
 
 void JobApi::CountPending(const wire::HttpRequest& request,
                           const core::desired::QueueId& queue) {
-  forward_to_owner_(PendingCall{queue}, [this, exchange = request.exchange](
-                                            const OwnerAnswer& answer) {
-    if (const auto* pending = std::get_if<PendingAnswer>(&answer)) {
-      Reply(exchange, kOk, platform::PendingBody(pending->jobs));
-    } else {
-      Refuse(exchange, "no_owner", kRetryAfter);
-    }
-  });
+  forward_to_owner_(
+      base::OrganisationId(), PendingCall{queue},
+      [this, exchange = request.exchange](const OwnerAnswer& answer) {
+        if (const auto* pending = std::get_if<PendingAnswer>(&answer)) {
+          Reply(exchange, kOk, platform::PendingBody(pending->jobs));
+        } else {
+          Refuse(exchange, "no_owner", kRetryAfter);
+        }
+      });
 }
 
 void JobApi::LogRefusedCall(const wire::HttpRequest& request,
--- a/src/member/job_api.h
+++ b/src/member/job_api.h
@@ -18,8 +18,10 @@
 
 class JobApi {
  public:
-  // Forwards a call to the owner, which may be this host. Calls the reply once.
-  using ForwardToOwner = std::function<void(const OwnerCall&, OwnerReply)>;
+  // Forwards a call to the owner of the organisation's jobs, which may be this
+  // host. Calls the reply once.
+  using ForwardToOwner = std::function<void(
+      const base::OrganisationId&, const OwnerCall&, const OwnerReply&)>;
   // Returns which of the store and the owner this host can reach now.
   using FindReach = std::function<core::admission::Reachability()>;
 
@@ -48,8 +50,11 @@
   // organisation's jobs itself after a refusal by the owner.
   void LogAnswer(const Submission& submission, const OwnerAnswer& answer,
                  const char* decided_by);
-  void QueryState(const wire::HttpRequest& request, core::jobs::JobKey key);
-  void Cancel(const wire::HttpRequest& request, core::jobs::JobKey key);
+  void QueryState(const wire::HttpRequest& request,
+                  const base::OrganisationId& organisation,
+                  core::jobs::JobKey key);
+  void Cancel(const wire::HttpRequest& request,
+              const base::OrganisationId& organisation, core::jobs::JobKey key);
   void CountPending(const wire::HttpRequest& request,
                     const core::desired::QueueId& queue);
 
--- a/src/member/live_peers.cc
+++ b/src/member/live_peers.cc
@@ -10,16 +10,23 @@
   return it == peers_.end() ? nullptr : &it->second;
 }
 
-std::vector<base::EntryId> LivePeers::LiveHosts(base::TimePoint now) const {
+std::vector<base::EntryId> LivePeers::LiveHostsAtHome(
+    base::TimePoint now) const {
   std::vector<base::EntryId> hosts;
   for (const auto& [host, peer] : peers_) {
-    if (IsLive(peer, now)) {
+    if (IsLive(peer, now) && peer.is_at_home) {
       hosts.push_back(host);
     }
   }
   return hosts;
 }
 
+bool LivePeers::AllFollowShards(base::TimePoint now) const {
+  return std::all_of(peers_.begin(), peers_.end(), [now](const auto& entry) {
+    return !IsLive(entry.second, now) || entry.second.follows_shards;
+  });
+}
+
 const LivePeers::Summary& LivePeers::SummaryAt(base::TimePoint now) {
   if (now < next_summary_) {
     return summary_;
--- a/src/member/live_peers.h
+++ b/src/member/live_peers.h
@@ -37,8 +37,13 @@
     // For calls from other hosts: "ip:port".
     std::string address;
     base::TimePoint last_heartbeat_at;
-    // Its share of a processor.
+    // Its share of a processor that other shards leave it.
     double cpu_share = 0;
+    // Whether the shard that it sent the heartbeat for is its home.
+    bool is_at_home = true;
+    // Whether it can follow the owners of several shards; hosts of earlier
+    // versions can't.
+    bool follows_shards = false;
   };
   // What is told to all hosts.
   struct Summary {
@@ -56,8 +61,10 @@
   const Peer* Find(const base::EntryId& host) const;
   // All hosts that ever sent a heartbeat.
   const std::map<base::EntryId, Peer>& peers() const { return peers_; }
-  // Returns the hosts that live at `now`.
-  std::vector<base::EntryId> LiveHosts(base::TimePoint now) const;
+  // Returns the hosts that live at `now` and are at home.
+  std::vector<base::EntryId> LiveHostsAtHome(base::TimePoint now) const;
+  // Returns whether all hosts that live at `now` follow shards.
+  bool AllFollowShards(base::TimePoint now) const;
   // Returns a summary that is at most `kMaxSummaryAge` old.
   const Summary& SummaryAt(base::TimePoint now);
   // How many times the hosts were summed up.
--- a/src/member/member_calls.cc
+++ b/src/member/member_calls.cc
@@ -1,6 +1,7 @@
-// Handles calls from other entry hosts and the platform's HTTP probes, and
-// requests placement advice.
+// Handles calls from other entry hosts and the platform's HTTP probes.
 #include <algorithm>
+#include <chrono>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -12,7 +13,6 @@
 namespace dotterelbarrow::member {
 namespace {
 
-constexpr base::Duration kAdviseTimeout = std::chrono::milliseconds(3000);
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
@@ -37,32 +37,33 @@
 }  // namespace
 
 void Member::Impl::BindRpc() {
-  rpc_server_.Bind("greet", [this](const Json::Value& params,
-                                   const RpcServer::Reply& reply) {
-    HandleHeartbeat(params, reply);
-  });
-  rpc_server_.Bind("take_over", [this](const Json::Value& params,
-                                       const RpcServer::Reply& reply) {
-    HandleTakeOverOffer(params, reply);
+  BindForShard("greet", [](ShardController* shard, const Json::Value& params,
+                           const RpcServer::Reply& reply) {
+    shard->HandleHeartbeat(params, reply);
   });
+  BindForShard("take_over",
+               [](ShardController* shard, const Json::Value& params,
+                  const RpcServer::Reply& reply) {
+                 shard->HandleTakeOverOffer(params, reply);
+               });
   // For owners of the earlier version; see BindAdvice.
   rpc_server_.Bind("advise", [this](const Json::Value& params,
                                     const RpcServer::Reply& reply) {
     HandleAdviceRequest(params, reply);
   });
-  rpc_server_.Bind("owner_is", [this](const Json::Value& params,
-                                      const RpcServer::Reply& reply) {
+  BindForShard("owner_is", [](ShardController* shard, const Json::Value& params,
+                              const RpcServer::Reply& reply) {
     if (params["owner"].isString()) {
-      OnOwnerHint(params["owner"].asString());
+      shard->OnOwnerHint(params["owner"].asString());
     }
     reply(Json::Value(Json::objectValue));
   });
-  rpc_server_.Bind("who_owns",
-                   [this](const Json::Value&, const RpcServer::Reply& reply) {
-                     Json::Value result(Json::objectValue);
-                     AddOwnerHint(&result);
-                     reply(std::move(result));
-                   });
+  BindForShard("who_owns", [](ShardController* shard, const Json::Value&,
+                              const RpcServer::Reply& reply) {
+    Json::Value result(Json::objectValue);
+    shard->AddOwnerHint(&result);
+    reply(std::move(result));
+  });
   rpc_server_.Bind("desired",
                    [this](const Json::Value&, const RpcServer::Reply& reply) {
                      HandleDesiredRequest(reply);
@@ -76,22 +77,34 @@
         reply(member::ToJson(OwnerAnswer(Refused{"malformed_call", {}})));
         return;
       }
-      const auto send_answer = [this, reply](const OwnerAnswer& answer) {
-        Json::Value result = member::ToJson(answer);
-        if (std::holds_alternative<NoOwner>(answer)) {
-          AddOwnerHint(&result);
-        }
-        reply(std::move(result));
-      };
-      if (term_ == nullptr) {
-        send_answer(NoOwner{});
-      } else {
-        term_->Handle(*call, send_answer);
+      ShardController* shard = shards_.Find(params);
+      if (shard == nullptr) {
+        reply(member::ToJson(OwnerAnswer(NoOwner{})));
+        return;
       }
+      const Json::Value& shards = params[kShardCountField];
+      shard->HandleOwnerCall(*call, shards.isUInt64() ? shards.asUInt64() : 1,
+                             reply);
     });
   }
 }
 
+void Member::Impl::BindForShard(
+    const std::string& method,
+    std::function<void(ShardController*, const Json::Value&,
+                       const RpcServer::Reply&)>
+        handle) {
+  rpc_server_.Bind(
+      method, [this, handle = std::move(handle)](
+                  const Json::Value& params, const RpcServer::Reply& reply) {
+        if (ShardController* shard = shards_.Find(params)) {
+          handle(shard, params, reply);
+        } else {
+          reply(Json::Value(Json::objectValue));
+        }
+      });
+}
+
 void Member::Impl::BindAdvice() {
   peers_server_.Route(
       wire::HttpMethod::kPost, platform::kAdvicePath,
@@ -135,12 +148,19 @@
 }
 
 wire::HttpReply Member::Impl::Explain(const wire::HttpRequest& request) const {
-  if (term_ != nullptr && term_->is_ready()) {
-    return ExplainReply(term_->scheduler(), request, Now());
+  std::optional<wire::HttpReply> reply;
+  shards_.ForEachTerm([&](const OwnerTerm& term) {
+    // Of several shards, the one that knows the job answers.
+    if (term.is_ready() && (!reply || reply->status != kOk)) {
+      reply = ExplainReply(term.scheduler(), request, Now());
+    }
+  });
+  if (reply) {
+    return *reply;
   }
   Json::Value body(Json::objectValue);
   body["error"] = "not_owner";
-  if (const core::leadership::OwnershipRecord* owner = leadership_.owner()) {
+  if (const core::leadership::OwnershipRecord* owner = shards_.home_owner()) {
     body["owner"] = owner->holder.value();
   }
   return {.status = kUnavailable, .body = core::WriteJson(body)};
@@ -149,62 +169,62 @@
 core::admission::Reachability Member::Impl::FindReach() const {
   const base::TimePoint now = Now();
   std::optional<base::Duration> store_contact_age = desired_.TimeSinceRead();
-  if (last_answered_poll_at_) {
-    const base::Duration since = now - *last_answered_poll_at_;
-    store_contact_age = std::min(store_contact_age.value_or(since), since);
-  }
-  core::admission::ReachabilityInput input{
-      .store_contact_age = store_contact_age,
-      .owner_contact_age = std::nullopt,
-      .confirmation_age = desired_.ConfirmationAge()};
-  if (term_ != nullptr && term_->is_ready()) {
-    input.owner_contact_age = base::Duration(0);
-  } else if (last_answered_heartbeat_at_) {
-    input.owner_contact_age = now - *last_answered_heartbeat_at_;
+  if (const auto age = shards_.StoreContactAge(now)) {
+    store_contact_age = std::min(store_contact_age.value_or(*age), *age);
   }
-  return core::admission::ReachabilityPolicy::Decide(input);
+  return core::admission::ReachabilityPolicy::Decide(
+      {.store_contact_age = store_contact_age,
+       .owner_contact_age = shards_.OwnerContactAge(now),
+       .confirmation_age = desired_.ConfirmationAge()});
 }
 
 std::string Member::Impl::RenderMetrics() {
   metrics_.Set(counters_);
   metrics_.SetProcessMetrics();
-  metrics_.Set("is_owner", term_ == nullptr ? 0 : 1);
   metrics_.Set("log_lines_dropped", static_cast<double>(log_.dropped_lines()));
-  if (term_ != nullptr) {
-    metrics_.Set("live_jobs",
-                 static_cast<double>(term_->scheduler().live_jobs()));
-    metrics_.Set("waiting_steps",
-                 static_cast<double>(term_->scheduler().waiting_steps()));
+  double terms = 0;
+  double live_jobs = 0;
+  double waiting_steps = 0;
+  double evacuated_zones = 0;
+  double runs_in_evacuated_zones = 0;
+  shards_.ForEachTerm([&](const OwnerTerm& term) {
+    const core::scheduler::Scheduler& scheduler = term.scheduler();
+    ++terms;
+    live_jobs += static_cast<double>(scheduler.live_jobs());
+    waiting_steps += static_cast<double>(scheduler.waiting_steps());
+    const auto zones = static_cast<double>(scheduler.evacuations().zones());
+    evacuated_zones = std::max(evacuated_zones, zones);
+    runs_in_evacuated_zones +=
+        static_cast<double>(scheduler.evacuations().runs());
+  });
+  metrics_.Set("is_owner", terms > 0 ? 1 : 0);
+  metrics_.Set("owned_shards", terms);
+  if (terms > 0) {
+    metrics_.Set("live_jobs", live_jobs);
+    metrics_.Set("waiting_steps", waiting_steps);
   }
-  // Zero once this host is no longer the owner, which counts them.
-  const auto* evacuations =
-      term_ == nullptr ? nullptr : &term_->scheduler().evacuations();
-  metrics_.Set(
-      "evacuated_zones",
-      evacuations == nullptr ? 0 : static_cast<double>(evacuations->zones()));
-  metrics_.Set(
-      "runs_in_evacuated_zones",
-      evacuations == nullptr ? 0 : static_cast<double>(evacuations->runs()));
+  // Zero once this host is no longer an owner, which counts them.
+  metrics_.Set("evacuated_zones", evacuated_zones);
+  metrics_.Set("runs_in_evacuated_zones", runs_in_evacuated_zones);
   return metrics_.Render();
 }
 
-void Member::Impl::Advise(const core::scheduler::RequestAdvice& request,
-                          const platform::WorkerClient::AdviceDone& done) {
-  if (request.client == settings_.host) {
-    workers_.Advise(settings_.advisor_address, request.step, request.workers,
-                    done);
-    return;
-  }
-  const LivePeers::Peer* peer = peers_.Find(request.client);
-  if (peer == nullptr) {
-    done(AdviceResult{});
-    return;
+void Member::Impl::HandleDesiredRequest(const RpcServer::Reply& reply) {
+  Json::Value result(Json::objectValue);
+  const auto age = desired_.ConfirmationAge();
+  const base::Bytes size(static_cast<std::int64_t>(desired_.text().size()));
+  if (age && desired_texts_.TryAcquire(size, Now())) {
+    result["text"] = desired_.text();
+    // Rounded up, because an age must not look smaller than it is.
+    result["age_ms"] = static_cast<Json::Int64>(
+        std::chrono::ceil<std::chrono::milliseconds>(*age).count());
+    telemetry_.log->Write(
+        "desired_sent",
+        {{"version",
+          static_cast<std::int64_t>(desired_.current()->version().value())},
+         {"bytes", size.value()}});
   }
-  peer_client_.Call(platform::AdviceCall(peer->address, request.step,
-                                         request.workers, kAdviseTimeout),
-                    [done](const wire::HttpResult& answer) {
-                      done(platform::DecodeAdvice(answer));
-                    });
+  reply(std::move(result));
 }
 
 void Member::Impl::HandleAdviceRequest(const Json::Value& params,
--- a/src/member/owner_call_forwarder.cc
+++ b/src/member/owner_call_forwarder.cc
@@ -18,16 +18,20 @@
 
 }  // namespace
 
-OwnerCallForwarder::OwnerCallForwarder(
-    const wire::EventLoop& loop, RpcClient* rpc,
-    core::scheduler::Telemetry telemetry, FindOwner find_owner,
-    HandleLocally handle_locally, IsCutOff is_cut_off, OwnerHint owner_hint)
+OwnerCallForwarder::OwnerCallForwarder(const wire::EventLoop& loop,
+                                       RpcClient* rpc,
+                                       core::scheduler::Telemetry telemetry,
+                                       FindOwner find_owner,
+                                       HandleLocally handle_locally,
+                                       IsCutOff is_cut_off,
+                                       OwnerHint owner_hint, AddShard add_shard)
     : rpc_(rpc),
       telemetry_(telemetry),
       find_owner_(std::move(find_owner)),
       handle_locally_(std::move(handle_locally)),
       is_cut_off_(std::move(is_cut_off)),
       owner_hint_(std::move(owner_hint)),
+      add_shard_(std::move(add_shard)),
       sweep_timer_(loop, [this] { Sweep(); }) {}
 
 void OwnerCallForwarder::Call(const OwnerCall& call, OwnerReply reply) {
@@ -72,7 +76,9 @@
         });
     return;
   }
-  rpc_->Call(owner->address, MethodOf(call), ToJson(call),
+  Json::Value params = ToJson(call);
+  add_shard_(&params);
+  rpc_->Call(owner->address, MethodOf(call), std::move(params),
              call_timeout_ - (Now() - pending.begun_at),
              [this, id, token = owner->token](const RpcResult& result) {
                OnRpc(id, token, result);
--- a/src/member/owner_call_forwarder.h
+++ b/src/member/owner_call_forwarder.h
@@ -1,4 +1,5 @@
-// Forwards calls to the owner, and retries them when the owner changes.
+// Forwards calls to the owner of a shard, and retries them when the owner
+// changes.
 //
 // If the outcome of a call at one owner is unknown, the next owner decides it:
 // a replaced owner can no longer store anything, and the next owner reads all
@@ -44,11 +45,14 @@
   // included in its answer.
   using OwnerHint = std::function<void(const std::string& encoded_record)>;
 
+  // Adds to the parameters of a call which shard it is for.
+  using AddShard = std::function<void(Json::Value* params)>;
+
   // All arguments must outlive this.
   OwnerCallForwarder(const wire::EventLoop& loop, RpcClient* rpc,
                      core::scheduler::Telemetry telemetry, FindOwner find_owner,
                      HandleLocally handle_locally, IsCutOff is_cut_off,
-                     OwnerHint owner_hint);
+                     OwnerHint owner_hint, AddShard add_shard);
 
   // Calls `reply` once, within the call time-out.
   void Call(const OwnerCall& call, OwnerReply reply);
@@ -109,6 +113,7 @@
   HandleLocally handle_locally_;
   IsCutOff is_cut_off_;
   OwnerHint owner_hint_;
+  AddShard add_shard_;
   std::map<std::uint64_t, Pending> pending_;
   std::uint64_t last_id_ = 0;
   wire::Timer sweep_timer_;
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -64,14 +64,23 @@
             }
           }),
       pass_timer_(*parts_.loop, [this] { Pass(); }),
-      times_(parts_.telemetry.log),
+      times_(parts_.telemetry.log, parts_.shard),
       tick_timer_(*parts_.loop, kTickPeriod, [this] { Tick(); }) {
   store_clock_offset_ms_ -=
       Now().time_since_epoch() / std::chrono::milliseconds(1);
   scheduler_.BeginTerm(token_, Now());
+  if (parts_.plan->count() > 1) {
+    scheduler_.SetWorkerFilter([plan = parts_.plan, shard = parts_.shard](
+                                   const core::workers::Listing& listing) {
+      return plan->ShardOf(listing) == shard;
+    });
+  }
   last_tick_ = Now();
   parts_.telemetry.log->Write(
-      "term_begun", {{"token", static_cast<std::int64_t>(token_.value())}});
+      "term_begun",
+      {{"token", static_cast<std::int64_t>(token_.value())},
+       {"shard", static_cast<std::int64_t>(parts_.shard.value())},
+       {"shards", static_cast<std::int64_t>(parts_.plan->count())}});
   LoadAll();
 }
 
@@ -103,8 +112,9 @@
   SchedulePass();
 }
 
-void OwnerTerm::SetAdviceClients(const std::vector<base::EntryId>& entries) {
-  scheduler_.SetAdviceClients(entries);
+void OwnerTerm::SetAdviceClients(const std::vector<base::EntryId>& entries,
+                                 std::size_t entry_host_count) {
+  scheduler_.SetAdviceClients(entries, entry_host_count);
 }
 
 std::int64_t OwnerTerm::StoreNowMillis() const {
@@ -229,6 +239,7 @@
       SchedulePass();
     }
     times_.RecordInput(OwnerInput::kTick, Now() - begun);
+    DivideCellIfIdle(begun);
     if (times_.IsDue(begun)) {
       times_.Log(saturation_gate_, scheduler_.TakePassEffort(), begun);
     }
@@ -244,6 +255,35 @@
   LogIfDue();
 }
 
+void OwnerTerm::DivideCellIfIdle(base::TimePoint now) {
+  if (parts_.plan->count() > 1 || is_resigning_ ||
+      !division_trigger_.ShouldPlan(
+          {.workers = scheduler_.fleet().workers().size(),
+           .has_jobs = !scheduler_.has_no_jobs(),
+           .can_hosts_follow = parts_.can_divide_cell()},
+          now)) {
+    return;
+  }
+  std::vector<const core::workers::Listing*> workers;
+  for (const auto& [id, worker] : scheduler_.fleet().workers()) {
+    workers.push_back(&worker.listing());
+  }
+  core::shards::ShardPlan plan = core::shards::PlanShards(
+      workers, scheduler_.desired().organisations(), token_, parts_.planner);
+  if (plan.count() == 1) {
+    return;
+  }
+  parts_.telemetry.log->Write(
+      "cell_divided",
+      {{"shards", static_cast<std::int64_t>(plan.count())},
+       {"workers", static_cast<std::int64_t>(workers.size())},
+       {"organisations",
+        static_cast<std::int64_t>(plan.assignments().organisations.size())},
+       {"racks", static_cast<std::int64_t>(plan.assignments().racks.size())}});
+  next_plan_ = std::move(plan);
+  Resign();
+}
+
 void OwnerTerm::SchedulePassIn(base::Duration delay) {
   if (const auto wait = pass_pacer_.Request(Now(), delay)) {
     pass_timer_.StartOnce(*wait);
@@ -275,7 +315,7 @@
   times_.RecordPass({.paused = paused,
                      .lag = lag,
                      .placing = placed - begun,
-                     .ordering = Now() - placed});
+                     .sending = Now() - placed});
 }
 
 void OwnerTerm::Execute() {
@@ -347,8 +387,13 @@
   }
   last_write_begun_ = now;
   // Shared because callbacks are copied and a batch may be large.
-  const auto batch = std::make_shared<const core::scheduler::RecordBatch>(
+  const auto batch = std::make_shared<core::scheduler::RecordBatch>(
       has_changes ? scheduler_.TakeBatch(now) : core::scheduler::RecordBatch());
+  if (is_resigning_ && next_plan_) {
+    batch->changes.push_back({core::scheduler::RecordTable::kShardPlan,
+                              kPlanKey,
+                              core::shards::EncodeShardPlan(*next_plan_)});
+  }
   // The resignation is written together with the changes that exist now. Under
   // load there are always further changes, and the next owner learns of those
   // from the workers and from callers.
@@ -411,7 +456,9 @@
   is_over_ = true;
   parts_.telemetry.log->Write(
       "term_ended",
-      {{"why", why}, {"token", static_cast<std::int64_t>(token_.value())}});
+      {{"why", why},
+       {"token", static_cast<std::int64_t>(token_.value())},
+       {"shard", static_cast<std::int64_t>(parts_.shard.value())}});
   parts_.ended();
 }
 
--- a/src/member/owner_term.h
+++ b/src/member/owner_term.h
@@ -1,12 +1,13 @@
-// One term of this host as the owner of the cell: loads what previous owners
-// stored, then drives the scheduler, carries out its actions and stores its
-// changes.
+// One term of this host as the owner of a shard of the cell: loads what
+// previous owners stored, then drives the scheduler, carries out its actions
+// and stores its changes.
 #ifndef DOTTERELBARROW_SRC_MEMBER_OWNER_TERM_H_
 #define DOTTERELBARROW_SRC_MEMBER_OWNER_TERM_H_
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -16,6 +17,8 @@
 #include "dotterelbarrow/core/leadership/leadership.h"
 #include "dotterelbarrow/core/scheduler/pass_pacer.h"
 #include "dotterelbarrow/core/scheduler/scheduler.h"
+#include "dotterelbarrow/core/shards/division_trigger.h"
+#include "dotterelbarrow/core/shards/shard_plan.h"
 #include "dotterelbarrow/wire/event_loop.h"
 #include "platform/store_client.h"
 #include "platform/worker_client.h"
@@ -41,6 +44,13 @@
     OwnershipWriter* writer = nullptr;
     core::leadership::Leadership* leadership = nullptr;
     core::scheduler::Telemetry telemetry;
+    core::shards::ShardNumber shard{};
+    // The plan under which this host claimed the shard.
+    std::shared_ptr<const core::shards::ShardPlan> plan =
+        std::make_shared<const core::shards::ShardPlan>();
+    core::shards::ShardPlannerSettings planner{};
+    // Returns whether the other hosts can follow the owners of several shards.
+    std::function<bool()> can_divide_cell = [] { return false; };
     // How often the platform's list of workers is read.
     base::Duration listings_period{0};
     Advise advise;
@@ -66,18 +76,20 @@
 
   void SetDesired(std::shared_ptr<const core::desired::DesiredState> desired);
   void SetEvacuatedZones(const std::set<base::AvailabilityZone>& zones);
-  void SetAdviceClients(const std::vector<base::EntryId>& entries);
+  void SetAdviceClients(const std::vector<base::EntryId>& entries,
+                        std::size_t entry_host_count);
   // The previous owner is guaranteed to send no more commands to workers.
   void OnPreviousOwnerStopped();
   // Calls `reply` at once, or later when the outcome is stored.
   void Handle(const OwnerCall& call, const OwnerReply& reply);
-  // Gives up ownership of the cell with the next write.
+  // Gives up ownership of the shard with the next write.
   void Resign();
-  // Another host has answered that it owns the cell now.
+  // Another host has answered that it owns the shard now.
   void OnReplaced() { EndTerm("replaced_by_peer"); }
 
   bool is_ready() const { return is_loaded_; }
   const core::scheduler::Scheduler& scheduler() const { return scheduler_; }
+  const core::shards::ShardPlan& plan() const { return *parts_.plan; }
 
  private:
   // A scheduling pass handles all events of this time.
@@ -97,6 +109,9 @@
   void BeginScheduling();
 
   void Tick();
+  // Divides an undivided cell into shards, if its fleet calls for several and
+  // no job is known: stores the plan together with the resignation.
+  void DivideCellIfIdle(base::TimePoint now);
   // Schedules a pass, which places tasks and writes changes, a little later, so
   // that one pass handles many events.
   void SchedulePass() { SchedulePassIn(kPassDelay); }
@@ -168,6 +183,9 @@
   OwnerTimes times_;
   core::admission::SaturationGate saturation_gate_;
   base::TimePoint last_tick_;
+  core::shards::DivisionTrigger division_trigger_;
+  // Stored with the resignation.
+  std::optional<core::shards::ShardPlan> next_plan_;
   wire::PeriodicTimer tick_timer_;
 };
 
--- a/src/member/owner_term_load.cc
+++ b/src/member/owner_term_load.cc
@@ -45,7 +45,7 @@
 
 void OwnerTerm::Load(RecordTable table, const std::string& from) {
   parts_.store->Read(
-      RowsFrom(table, from), kReadTimeout,
+      RowsFrom(table, parts_.shard, from), kReadTimeout,
       Guarded(OwnerInput::kLoading,
               [this, table, from](const platform::ReadResult& result) {
                 OnLoaded(table, from, result);
@@ -96,7 +96,8 @@
   }
   parts_.telemetry.log->Write(
       "term_loaded",
-      {{"jobs", static_cast<std::int64_t>(scheduler_.live_jobs())},
+      {{"shard", static_cast<std::int64_t>(parts_.shard.value())},
+       {"jobs", static_cast<std::int64_t>(scheduler_.live_jobs())},
        {"workers",
         static_cast<std::int64_t>(loading_[RecordTable::kWorkers].size())}});
   loading_.clear();
--- a/src/member/owner_times.cc
+++ b/src/member/owner_times.cc
@@ -21,7 +21,7 @@
   ++passes_;
   paused_ += pass.paused;
   placing_ += pass.placing;
-  ordering_ += pass.ordering;
+  sending_ += pass.sending;
   max_lag_ = std::max(max_lag_, pass.lag);
 }
 
@@ -44,10 +44,11 @@
   };
   log_->Write(
       "owner_times",
-      {{"passes", std::exchange(passes_, 0)},
+      {{"shard", static_cast<std::int64_t>(shard_.value())},
+       {"passes", std::exchange(passes_, 0)},
        {"paused_us", Micros(std::exchange(paused_, {}))},
        {"placing_us", Micros(std::exchange(placing_, {}))},
-       {"ordering_us", Micros(std::exchange(ordering_, {}))},
+       {"sending_us", Micros(std::exchange(sending_, {}))},
        {"most_lag_us", Micros(std::exchange(max_lag_, {}))},
        {"steps_ranked", static_cast<std::int64_t>(effort.steps_ranked)},
        {"steps_tried", static_cast<std::int64_t>(effort.steps_tried)},
--- a/src/member/owner_times.h
+++ b/src/member/owner_times.h
@@ -11,6 +11,7 @@
 #include "dotterelbarrow/core/admission/saturation_gate.h"
 #include "dotterelbarrow/core/scheduler/decision_log.h"
 #include "dotterelbarrow/core/scheduler/pass_effort.h"
+#include "dotterelbarrow/core/shards/shard_plan.h"
 
 namespace dotterelbarrow::member {
 
@@ -34,8 +35,8 @@
   // How much later than its due time it began.
   base::Duration lag{0};
   base::Duration placing{0};
-  // For sending its commands to workers.
-  base::Duration ordering{0};
+  // For sending its commands, and the batch of changes, if one was due.
+  base::Duration sending{0};
 };
 
 class OwnerTimes {
@@ -43,7 +44,8 @@
   // Time between two log lines.
   static constexpr base::Duration kPeriod = std::chrono::seconds(1);
 
-  explicit OwnerTimes(core::scheduler::DecisionLog* log) : log_(log) {}
+  OwnerTimes(core::scheduler::DecisionLog* log, core::shards::ShardNumber shard)
+      : log_(log), shard_(shard) {}
 
   void RecordPass(const PassTimes& pass);
   // Records that one input of this kind was handled in `elapsed`.
@@ -64,11 +66,12 @@
       static_cast<std::size_t>(OwnerInput::kTick) + 1;
 
   core::scheduler::DecisionLog* log_;
+  core::shards::ShardNumber shard_;
   base::TimePoint written_at_;
   std::int64_t passes_ = 0;
   base::Duration paused_{0};
   base::Duration placing_{0};
-  base::Duration ordering_{0};
+  base::Duration sending_{0};
   std::array<base::Duration, kInputs> inputs_{};
   base::Duration max_lag_{0};
   std::int64_t writes_ = 0;
--- a/src/member/ownership_writer.cc
+++ b/src/member/ownership_writer.cc
@@ -32,9 +32,11 @@
 
 OwnershipWriter::OwnershipWriter(const wire::EventLoop& loop,
                                  platform::StoreClient* store,
+                                 core::shards::ShardNumber shard,
                                  core::leadership::Leadership* leadership,
                                  core::scheduler::Telemetry telemetry)
     : store_(store),
+      shard_(shard),
       leadership_(leadership),
       telemetry_(telemetry),
       retry_timer_(loop, [this] { Resend(); }) {}
@@ -43,13 +45,13 @@
     const core::leadership::OwnershipWrite& head,
     const std::vector<core::scheduler::RecordChange>& changes, Done done) {
   platform::Transaction transaction;
-  transaction.conditions.push_back({OwnershipRow(), head.expected});
+  transaction.conditions.push_back({OwnershipRow(shard_), head.expected});
   transaction.puts.push_back(
-      {OwnershipRow(),
+      {OwnershipRow(shard_),
        core::leadership::EncodeOwnershipRecord(head.record),
        {}});
   for (const core::scheduler::RecordChange& change : changes) {
-    platform::RowKey row{TableOf(change.table), kCellPart, change.key};
+    platform::RowKey row{TableOf(change.table), PartOf(shard_), change.key};
     if (change.value) {
       transaction.puts.push_back({std::move(row), *change.value, {}});
     } else {
@@ -143,7 +145,7 @@
 
 void OwnershipWriter::ProbeStore() {
   if (copies_sent_ == 1) {
-    store_->Read(platform::SingleRowRange(OwnershipRow()), kCopyTimeout,
+    store_->Read(platform::SingleRowRange(OwnershipRow(shard_)), kCopyTimeout,
                  [](const platform::ReadResult&) {});
   }
 }
@@ -190,7 +192,7 @@
   base::RowVersion version;
   for (const platform::Row& row : result.rows) {
     base::Failure reason;
-    if (row.key == OwnershipRow()) {
+    if (row.key == OwnershipRow(shard_)) {
       record = core::leadership::DecodeOwnershipRecord(row.value, &reason);
       version = row.version;
     }
--- a/src/member/ownership_writer.h
+++ b/src/member/ownership_writer.h
@@ -1,5 +1,5 @@
-// Writes the ownership record to the store, one write at a time, and retries
-// each until its outcome is known.
+// Writes the ownership record of a shard to the store, one write at a time, and
+// retries each until its outcome is known.
 #ifndef DOTTERELBARROW_SRC_MEMBER_OWNERSHIP_WRITER_H_
 #define DOTTERELBARROW_SRC_MEMBER_OWNERSHIP_WRITER_H_
 
@@ -11,6 +11,7 @@
 #include "dotterelbarrow/core/leadership/store_timeout_policy.h"
 #include "dotterelbarrow/core/scheduler/decision_log.h"
 #include "dotterelbarrow/core/scheduler/job_registry.h"
+#include "dotterelbarrow/core/shards/shard_plan.h"
 #include "dotterelbarrow/wire/event_loop.h"
 #include "platform/store_client.h"
 
@@ -29,6 +30,7 @@
 
   // All arguments must outlive this.
   OwnershipWriter(const wire::EventLoop& loop, platform::StoreClient* store,
+                  core::shards::ShardNumber shard,
                   core::leadership::Leadership* leadership,
                   core::scheduler::Telemetry telemetry);
 
@@ -64,6 +66,7 @@
   void UpdateUsualLatency(base::Duration latency);
 
   platform::StoreClient* store_;
+  core::shards::ShardNumber shard_;
   core::leadership::Leadership* leadership_;
   core::scheduler::Telemetry telemetry_;
   std::optional<platform::Transaction> transaction_;
--- a/src/member/member_peers.cc
+++ b/src/member/shard_controller_peers.cc
@@ -1,12 +1,12 @@
-// Communication between entry hosts: heartbeats, offers of the cell, hints at
-// its owner, and the comparison of processor shares.
+// Communication between the hosts that follow a shard: heartbeats, offers of
+// the shard, hints at its owner, and the comparison of processor shares.
 #include <algorithm>
-#include <cmath>
 #include <utility>
 #include <vector>
 
+#include "dotterelbarrow/core/admission/reachability.h"
 #include "src/member/clock.h"
-#include "src/member/member_impl.h"
+#include "src/member/shard_controller.h"
 
 namespace dotterelbarrow::member {
 namespace {
@@ -14,6 +14,11 @@
 // Heartbeats also keep a host on the owner's list of hosts that may request
 // placement advice.
 constexpr base::Duration kHeartbeatPeriod = std::chrono::milliseconds(300);
+// The period of strong hosts that are at home elsewhere: any of them may notice
+// that the owner is gone. Less than half of the time for which a host counts as
+// live.
+constexpr base::Duration kForeignHeartbeatPeriod =
+    std::chrono::milliseconds(900);
 constexpr base::Duration kPeerCallTimeout = std::chrono::milliseconds(900);
 // A heartbeat whose connection is refused is repeated soon. Two refusals
 // without an answer in between mean that the process has ended.
@@ -22,23 +27,15 @@
 // An owner that leaves heartbeats unanswered for this long is unresponsive: it
 // is many times what a busy owner needs to answer.
 constexpr base::Duration kUnresponsiveAfter = std::chrono::milliseconds(300);
-// A failing owner offers the cell again after this time if no host has claimed
+// A failing owner offers the shard again after this time if no host has claimed
 // it.
 constexpr base::Duration kOfferPeriod = std::chrono::milliseconds(300);
 
-// Additional delay before a host claims the cell, for each processor that it
-// has less than the best host. A host with half the best host's share waits for
-// longer than the time between two polls of the ownership record.
-constexpr base::Duration kClaimDelayPerProcessor =
-    std::chrono::milliseconds(1200);
-// An owner whose processor share is below this fraction of the best host's
-// resigns once that has been so for kResignAfterWeakerFor. No tasks are started
-// for half a second then.
-constexpr double kResignBelowShareRatio = 0.7;
+// A host whose processor share is below this fraction of the best host's is
+// weak. A weak owner resigns once it has been so for kResignAfterWeakerFor. No
+// tasks are started for half a second then.
+constexpr double kWeakShareRatio = 0.7;
 constexpr base::Duration kResignAfterWeakerFor = std::chrono::seconds(3);
-// If the better host doesn't claim the cell, the owner doesn't resign again
-// before this time.
-constexpr base::Duration kMinResignationInterval = std::chrono::seconds(30);
 
 // Rounds up, because an age must not look smaller than it is.
 Json::Int64 CeilMilliseconds(base::Duration age) {
@@ -51,11 +48,24 @@
          heartbeat_reply["is_owner"].asBool();
 }
 
+bool IsSet(const Json::Value& params, const char* name) {
+  return params[name].isBool() && params[name].asBool();
+}
+
 }  // namespace
 
-void Member::Impl::SendHeartbeat() {
+bool ShardController::SendsHeartbeats() const {
+  return is_home() ||
+         host_->settings->cpu_share >= kWeakShareRatio * best_cpu_share_;
+}
+
+base::Duration ShardController::HeartbeatPeriod() const {
+  return is_home() ? kHeartbeatPeriod : kForeignHeartbeatPeriod;
+}
+
+void ShardController::SendHeartbeat() {
   const core::leadership::OwnershipRecord* owner = leadership_.owner();
-  heartbeat_timer_.StartOnce(kHeartbeatPeriod);
+  heartbeat_timer_.StartOnce(HeartbeatPeriod());
   if (leadership_.role() == core::leadership::Role::kOwner) {
     UpdateAdviceClients();
     ResignIfMuchWeaker();
@@ -65,22 +75,32 @@
     return;
   }
   last_heartbeat_token_ = owner->token;
+  if (!SendsHeartbeats()) {
+    unanswered_since_.reset();
+    return;
+  }
   if (!unanswered_since_) {
     unanswered_since_ = Now();
   } else if (IsOwnerUnresponsive()) {
     PollOwner();
   }
   Json::Value params(Json::objectValue);
-  params["host"] = settings_.host.value();
-  params["address"] = settings_.peers_address;
-  params["share"] = settings_.cpu_share;
-  rpc_.Call(owner->address, "greet", std::move(params), kPeerCallTimeout,
-            [this, asked = *owner, sent_at = Now()](const RpcResult& result) {
-              OnHeartbeatReply(asked, result, sent_at);
-            });
+  params["host"] = host_->settings->host.value();
+  params["address"] = host_->settings->peers_address;
+  params["share"] = AvailableCpuShare();
+  params["follows_shards"] = true;
+  if (!is_home()) {
+    params["is_foreign"] = true;
+  }
+  AddShard(&params);
+  host_->rpc->Call(
+      owner->address, "greet", std::move(params), kPeerCallTimeout,
+      [this, asked = *owner, sent_at = Now()](const RpcResult& result) {
+        OnHeartbeatReply(asked, result, sent_at);
+      });
 }
 
-void Member::Impl::OnHeartbeatReply(
+void ShardController::OnHeartbeatReply(
     const core::leadership::OwnershipRecord& owner, const RpcResult& result,
     base::TimePoint sent_at) {
   const core::leadership::OwnershipRecord* current = leadership_.owner();
@@ -94,7 +114,7 @@
     ApplyHeartbeatReply(owner, result.result, sent_at);
     const Json::Value& best_share = result.result["best_share"];
     if (best_share.isNumeric()) {
-      SetClaimDelay(best_share.asDouble());
+      best_cpu_share_ = best_share.asDouble();
     }
     const Json::Value& incarnation = result.result["incarnation"];
     // Another incarnation of the host answers: the owner's process has ended.
@@ -115,13 +135,15 @@
   }
   if (is_gone) {
     refused_heartbeats_ = 0;
-    telemetry_.log->Write("owner_gone", {{"owner", owner.holder.value()}});
+    host_->telemetry.log->Write(
+        "owner_gone", {{"owner", owner.holder.value()},
+                       {"shard", static_cast<std::int64_t>(shard_.value())}});
     leadership_.OnOwnerGone(Now());
     PollOwner();
   }
 }
 
-void Member::Impl::ApplyHeartbeatReply(
+void ShardController::ApplyHeartbeatReply(
     const core::leadership::OwnershipRecord& owner,
     const Json::Value& heartbeat_reply, base::TimePoint sent_at) {
   if (const Json::Value& hint = heartbeat_reply["owner"]; hint.isString()) {
@@ -140,72 +162,60 @@
   const Json::Value& version = heartbeat_reply["desired_version"];
   const Json::Value& age = heartbeat_reply["desired_age_ms"];
   if (version.isUInt64() && age.isInt64() &&
-      desired_.OnPeerVersion(base::ConfigVersion(version.asUInt64()), sent_at,
-                             std::chrono::milliseconds(age.asInt64()))) {
-    desired_fetcher_.Fetch(owner.address);
+      host_->desired->OnPeerVersion(base::ConfigVersion(version.asUInt64()),
+                                    sent_at,
+                                    std::chrono::milliseconds(age.asInt64()))) {
+    host_->fetch_desired(owner.address);
   }
 }
 
-void Member::Impl::HandleDesiredRequest(const RpcServer::Reply& reply) {
-  Json::Value result(Json::objectValue);
-  const auto age = desired_.ConfirmationAge();
-  const base::Bytes size(static_cast<std::int64_t>(desired_.text().size()));
-  if (age && desired_texts_.TryAcquire(size, Now())) {
-    result["text"] = desired_.text();
-    result["age_ms"] = CeilMilliseconds(*age);
-    telemetry_.log->Write(
-        "desired_sent",
-        {{"version",
-          static_cast<std::int64_t>(desired_.current()->version().value())},
-         {"bytes", size.value()}});
-  }
-  reply(std::move(result));
-}
-
-bool Member::Impl::IsOwnerUnresponsive() const {
+bool ShardController::IsOwnerUnresponsive() const {
   return unanswered_since_ && Now() - *unanswered_since_ >= kUnresponsiveAfter;
 }
 
-bool Member::Impl::IsOwnerResponsive() const {
+bool ShardController::IsOwnerResponsive() const {
   return last_answered_heartbeat_at_ &&
-         Now() - *last_answered_heartbeat_at_ < kUnresponsiveAfter * 2;
+         Now() - *last_answered_heartbeat_at_ < HeartbeatPeriod() * 2;
 }
 
-void Member::Impl::AnnounceOwnership() {
+void ShardController::AnnounceOwnership() {
   const core::leadership::OwnershipRecord* previous =
       leadership_.previous_owner();
-  if (previous == nullptr || previous->holder == settings_.host) {
+  if (previous == nullptr || previous->holder == host_->settings->host) {
     return;
   }
   Json::Value params(Json::objectValue);
   AddOwnerHint(&params);
-  rpc_.Call(previous->address, "owner_is", std::move(params), kPeerCallTimeout,
-            [](const RpcResult&) {});
+  AddShard(&params);
+  host_->rpc->Call(previous->address, "owner_is", std::move(params),
+                   kPeerCallTimeout, [](const RpcResult&) {});
 }
 
-void Member::Impl::AddOwnerHint(Json::Value* answer) const {
+void ShardController::AddOwnerHint(Json::Value* answer) const {
   if (const core::leadership::OwnershipRecord* owner = leadership_.owner()) {
     (*answer)["owner"] = core::leadership::EncodeOwnershipRecord(*owner);
   }
 }
 
-void Member::Impl::OnOwnerHint(const std::string& encoded_record) {
+void ShardController::OnOwnerHint(const std::string& encoded_record) {
   base::Failure reason;
   const auto record =
       core::leadership::DecodeOwnershipRecord(encoded_record, &reason);
   if (!record) {
-    telemetry_.log->Write("owner_hint_unreadable", {{"detail", reason.detail}});
+    host_->telemetry.log->Write("owner_hint_unreadable",
+                                {{"detail", reason.detail}});
     return;
   }
   const core::leadership::OwnershipRecord* known = leadership_.owner();
-  if (record->holder == settings_.host ||
+  if (record->holder == host_->settings->host ||
       (known != nullptr && record->token <= known->token)) {
     return;
   }
-  telemetry_.log->Write(
+  host_->telemetry.log->Write(
       "owner_heard_of",
       {{"owner", record->holder.value()},
-       {"token", static_cast<std::int64_t>(record->token.value())}});
+       {"token", static_cast<std::int64_t>(record->token.value())},
+       {"shard", static_cast<std::int64_t>(shard_.value())}});
   if (term_ != nullptr) {
     term_->OnReplaced();
   }
@@ -213,44 +223,49 @@
   SendHeartbeat();
 }
 
-void Member::Impl::QueryDeputies() {
+void ShardController::QueryDeputies() {
   for (const std::string& address : deputies_) {
-    rpc_.Call(address, "who_owns", Json::Value(Json::objectValue),
-              kPeerCallTimeout, [this](const RpcResult& result) {
-                if (result.outcome == RpcOutcome::kAnswered &&
-                    result.result["owner"].isString()) {
-                  OnOwnerHint(result.result["owner"].asString());
-                }
-              });
+    Json::Value params(Json::objectValue);
+    AddShard(&params);
+    host_->rpc->Call(address, "who_owns", std::move(params), kPeerCallTimeout,
+                     [this](const RpcResult& result) {
+                       if (result.outcome == RpcOutcome::kAnswered &&
+                           result.result["owner"].isString()) {
+                         OnOwnerHint(result.result["owner"].asString());
+                       }
+                     });
   }
 }
 
-void Member::Impl::OfferCellOnStoreFailure() {
+void ShardController::OfferShardOnStoreFailure() {
   const base::TimePoint now = Now();
   if (now < next_offer_at_) {
     return;
   }
   next_offer_at_ = now + kOfferPeriod;
-  telemetry_.log->Write("hand_over_offered", {});
-  OfferCell(leadership_.token());
+  host_->telemetry.log->Write(
+      "hand_over_offered",
+      {{"shard", static_cast<std::int64_t>(shard_.value())}});
+  OfferShard(leadership_.token());
 }
 
-void Member::Impl::OfferCell(core::leadership::FencingToken token) {
+void ShardController::OfferShard(core::leadership::FencingToken token) {
   for (const auto& [host, peer] : peers_.peers()) {
     Json::Value params(Json::objectValue);
     params["token"] = static_cast<Json::UInt64>(token.value());
-    rpc_.Call(peer.address, "take_over", std::move(params), kPeerCallTimeout,
-              [](const RpcResult&) {});
+    AddShard(&params);
+    host_->rpc->Call(peer.address, "take_over", std::move(params),
+                     kPeerCallTimeout, [](const RpcResult&) {});
   }
 }
 
-void Member::Impl::HandleTakeOverOffer(const Json::Value& params,
-                                       const RpcServer::Reply& reply) {
+void ShardController::HandleTakeOverOffer(const Json::Value& params,
+                                          const RpcServer::Reply& reply) {
   const core::leadership::OwnershipRecord* owner = leadership_.owner();
   const Json::Value& token = params["token"];
   if (owner != nullptr && token.isUInt64() &&
       token.asUInt64() == owner->token.value() && term_ == nullptr) {
-    // This host claims the cell only if it reads the ownership record from the
+    // This host claims the shard only if it reads the ownership record from the
     // store.
     leadership_.OnOwnerGone(Now());
     PollOwner();
@@ -258,15 +273,19 @@
   reply(Json::Value(Json::objectValue));
 }
 
-void Member::Impl::HandleHeartbeat(const Json::Value& params,
-                                   const RpcServer::Reply& reply) {
+void ShardController::HandleHeartbeat(const Json::Value& params,
+                                      const RpcServer::Reply& reply) {
   const Json::Value& host = params["host"];
   const Json::Value& address = params["address"];
   if (host.isString() && address.isString()) {
     const base::EntryId entry(host.asString());
     const Json::Value& share = params["share"];
-    peers_.RecordHeartbeat(entry, {address.asString(), Now(),
-                                   share.isNumeric() ? share.asDouble() : 0});
+    peers_.RecordHeartbeat(
+        entry, {.address = address.asString(),
+                .last_heartbeat_at = Now(),
+                .cpu_share = share.isNumeric() ? share.asDouble() : 0,
+                .is_at_home = !IsSet(params, "is_foreign"),
+                .follows_shards = IsSet(params, "follows_shards")});
     const core::leadership::OwnershipRecord* previous =
         leadership_.previous_owner();
     // A host that sends heartbeats to this owner has given up ownership itself.
@@ -275,9 +294,9 @@
     }
   }
   Json::Value result(Json::objectValue);
-  result["incarnation"] = static_cast<Json::UInt64>(incarnation_.value());
+  result["incarnation"] = static_cast<Json::UInt64>(host_->incarnation.value());
   result["best_share"] = LargestCpuShare();
-  const bool is_owner = term_ != nullptr && term_->is_ready();
+  const bool is_owner = has_ready_term();
   result["is_owner"] = is_owner;
   if (is_owner) {
     Json::Value deputies(Json::arrayValue);
@@ -288,29 +307,23 @@
   } else {
     AddOwnerHint(&result);
   }
-  if (const auto age = desired_.ConfirmationAge()) {
+  if (const auto age = host_->desired->ConfirmationAge()) {
     result["desired_version"] =
-        static_cast<Json::UInt64>(desired_.current()->version().value());
+        static_cast<Json::UInt64>(host_->desired->current()->version().value());
     result["desired_age_ms"] = CeilMilliseconds(*age);
   }
   reply(std::move(result));
 }
 
-double Member::Impl::LargestCpuShare() {
-  return std::max(settings_.cpu_share,
+double ShardController::LargestCpuShare() {
+  return std::max(AvailableCpuShare(),
                   peers_.SummaryAt(Now()).largest_cpu_share);
 }
 
-void Member::Impl::SetClaimDelay(double best_share) {
-  const double share_deficit = std::max(0.0, best_share - settings_.cpu_share);
-  leadership_.set_claim_delay(base::Duration(
-      std::llround(share_deficit * kClaimDelayPerProcessor.count())));
-}
-
-void Member::Impl::ResignIfMuchWeaker() {
+void ShardController::ResignIfMuchWeaker() {
+  const double largest = LargestCpuShare();
   const bool is_weaker =
-      term_ != nullptr && term_->is_ready() &&
-      settings_.cpu_share < kResignBelowShareRatio * LargestCpuShare();
+      has_ready_term() && AvailableCpuShare() < kWeakShareRatio * largest;
   if (!is_weaker) {
     weaker_since_.reset();
     return;
@@ -318,27 +331,34 @@
   if (!weaker_since_) {
     weaker_since_ = Now();
   }
-  if (Now() - *weaker_since_ >= kResignAfterWeakerFor &&
-      Now() >= next_resignation_at_) {
+  if (Now() - *weaker_since_ >= kResignAfterWeakerFor && host_->may_resign()) {
     weaker_since_.reset();
-    next_resignation_at_ = Now() + kMinResignationInterval;
-    SetClaimDelay(LargestCpuShare());
-    telemetry_.log->Write("resigning_as_weaker", {});
+    best_cpu_share_ = largest;
+    host_->telemetry.log->Write(
+        "resigning_as_weaker",
+        {{"shard", static_cast<std::int64_t>(shard_.value())}});
     term_->Resign();
   }
 }
 
-void Member::Impl::UpdateAdviceClients() {
+bool ShardController::CanDivideCell() const {
+  return peers_.AllFollowShards(Now());
+}
+
+void ShardController::UpdateAdviceClients() {
   if (term_ == nullptr) {
     return;
   }
-  std::vector<base::EntryId> advice_clients = {settings_.host};
-  for (base::EntryId& host : peers_.LiveHosts(Now())) {
-    if (host != settings_.host) {
+  std::vector<base::EntryId> advice_clients = {host_->settings->host};
+  for (base::EntryId& host : peers_.LiveHostsAtHome(Now())) {
+    if (host != host_->settings->host) {
       advice_clients.push_back(std::move(host));
     }
   }
-  term_->SetAdviceClients(advice_clients);
+  // Jobs come in through the hosts of all shards, of which each is the home of
+  // about as many.
+  const std::size_t entry_hosts = advice_clients.size() * term_->plan().count();
+  term_->SetAdviceClients(advice_clients, entry_hosts);
 }
 
 }  // namespace dotterelbarrow::member
--- a/src/standins/site/worker_service.cc
+++ b/src/standins/site/worker_service.cc
@@ -322,6 +322,8 @@
   value["state"] = is_draining_ ? "draining" : "ready";
   value["sequence"] = static_cast<Json::UInt64>(++heartbeats_);
   value["born"] = static_cast<Json::Int64>(listing.born_ms);
+  // The last label names the rack.
+  value["labels"].append("general");
   value["labels"].append("rack-" + listing.rack);
   value["capacity"]["cpu"] =
       static_cast<Json::Int64>(listing.capacity.cpu.value());
--- a/test/core/leadership/leadership_test.cc
+++ b/test/core/leadership/leadership_test.cc
@@ -256,5 +256,18 @@
   }
 }
 
+// Guards against a worker that sees a lower token after the division of a cell.
+TEST_CASE("the first owner of a shard holds higher tokens than those before") {
+  LeadershipSettings settings;
+  settings.self = base::EntryId("a");
+  settings.last_token = FencingToken(5 * scheduler::kTokensPerTerm);
+  Leadership host(settings);
+  Cell cell;
+  cell.Read(&host);
+  REQUIRE(cell.Claim(&host));
+  CHECK(host.token() == FencingToken(6 * scheduler::kTokensPerTerm));
+  CHECK(scheduler::TokenFor({}, host.token()) > settings.last_token);
+}
+
 }  // namespace
 }  // namespace dotterelbarrow::core::leadership
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -1,10 +1,13 @@
 // Executes the actions of the scheduler under test.
 #include "test/core/scheduler/scheduler_scenario.h"
 
+#include <json/json.h>
+
 #include <algorithm>
 #include <utility>
 
 #include "dotterelbarrow/base/overloaded.h"
+#include "dotterelbarrow/core/codec.h"
 
 namespace dotterelbarrow::core::scheduler {
 namespace {
@@ -52,6 +55,12 @@
   scheduler_ =
       std::make_unique<Scheduler>(settings_, Telemetry{&log_, &counters_});
   scheduler_->BeginTerm(FencingToken(++token_), now_);
+  if (own_rack_) {
+    scheduler_->SetWorkerFilter(
+        [rack = *own_rack_](const workers::Listing& listing) {
+          return listing.rack == rack;
+        });
+  }
   scheduler_->SetEvacuatedZones(evacuated_, now_);
   for (const RecordTable table :
        {RecordTable::kLivePages, RecordTable::kEndedPages}) {
@@ -69,7 +78,15 @@
   }
   DropQueue("");
   scheduler_->SetAdviceClients(
-      {base::EntryId("host-0"), base::EntryId("host-1")});
+      {base::EntryId("host-0"), base::EntryId("host-1")}, 2);
+}
+
+void SchedulerScenario::ForgetRackInRecord(const std::string& worker) {
+  base::Failure reason;
+  std::string& record = rows_[RecordTable::kWorkers].at(worker);
+  Json::Value fields = *ReadJson(record, &reason);
+  fields.removeMember("rack");
+  record = WriteJson(fields);
 }
 
 void SchedulerScenario::AddWorkers(int count, const std::string& rack) {
--- a/test/core/scheduler/scheduler_scenario.h
+++ b/test/core/scheduler/scheduler_scenario.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -125,6 +126,21 @@
 
   // Replaces the owner: a new scheduler begins its term with what is stored.
   void TakeOver();
+  // Owners that take over from now on own only the workers of this rack.
+  void set_own_rack(const std::string& rack) { own_rack_ = rack; }
+  // Returns the workers whose records the store holds.
+  std::set<std::string> RecordedWorkers() const {
+    std::set<std::string> workers;
+    if (const auto it = rows_.find(RecordTable::kWorkers); it != rows_.end()) {
+      for (const auto& [id, record] : it->second) {
+        workers.insert(id);
+      }
+    }
+    return workers;
+  }
+  // Replaces the record of a worker by one of an earlier version, without its
+  // rack.
+  void ForgetRackInRecord(const std::string& worker);
 
   Scheduler& scheduler() { return *scheduler_; }
   const Counters& counters() const { return counters_; }
@@ -180,6 +196,7 @@
   EventLog log_;
   Counters counters_;
   base::TimePoint now_ = base::TimePoint(std::chrono::seconds(100));
+  std::optional<std::string> own_rack_;
   std::uint64_t token_ = 0;
   std::set<base::AvailabilityZone> evacuated_;
   std::uint64_t last_waiter_ = 0;
--- a/test/e2e/member_test.py
+++ b/test/e2e/member_test.py
@@ -27,28 +27,31 @@
 class MemberStory(unittest.TestCase):
     """A site of three entry hosts and four workers. Calls go to the host that a test names."""
 
+    def new_site(self):
+        return Site(SEED, hosts=3, workers=4)
+
     def setUp(self):
-        self.site = Site(SEED, hosts=3, workers=4)
+        self.site = self.new_site()
         self.addCleanup(lambda: self.site.close(keep_logs=False))
         self.site.start()
         self.jobs = 0
 
     # -- calls ----------------------------------------------------------------------------------------------------
 
-    def ask(self, host, method, job, body=None):
+    def ask(self, host, method, job, body=None, key=KEY):
         """Calls a host about a job. Returns (status, answer), or (None, None) without an answer."""
         try:
-            return call(self.site.port(host, 0), method, f"/plain/{job}", body, KEY, timeout=5.0, host=CALLERS_HOST)
+            return call(self.site.port(host, 0), method, f"/plain/{job}", body, key, timeout=5.0, host=CALLERS_HOST)
         except NoAnswer:
             return None, None
 
-    def submit(self, host, tasks=1, estimate_ms=50):
+    def submit(self, host, tasks=1, estimate_ms=50, key=KEY):
         """Submits a job, repeatedly until it is accepted. Returns its id."""
         self.jobs += 1
         job = f"{self.jobs:016x}"
         steps = [{"count": tasks, "cpu": 250, "mem_mb": 16, "estimate_ms": estimate_ms}]
         body = {"spec": json.dumps({"steps": [{"ms": estimate_ms, "cpu": 250, "gang": 0}]}), "job_steps": steps}
-        self.wait(lambda: self.ask(host, "POST", job, body)[0] == 200, f"job {job} is accepted")
+        self.wait(lambda: self.ask(host, "POST", job, body, key)[0] == 200, f"job {job} is accepted")
         return job
 
     def wait(self, condition, what):
--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -199,7 +199,7 @@
     scheduler.RestoreRunTimes(key, text, Now());
   }
   scheduler.SetDesired(desired_);
-  scheduler.SetAdviceClients({base::EntryId("a"), base::EntryId("b")});
+  scheduler.SetAdviceClients({base::EntryId("a"), base::EntryId("b")}, 2);
   owners_.push_back(std::move(owner));
 }
 
--- a/test/member/evacuation_watch_test.cc
+++ b/test/member/evacuation_watch_test.cc
@@ -263,7 +263,8 @@
   REQUIRE(leadership.BeginClaim(Now()));
   leadership.OnWritten(base::RowVersion(2), Now());
   const core::scheduler::Telemetry telemetry{&w.log, &w.counters, nullptr};
-  OwnershipWriter writer(w.loop, &w.store_client, &leadership, telemetry);
+  OwnershipWriter writer(w.loop, &w.store_client, core::shards::ShardNumber(0),
+                         &leadership, telemetry);
   std::function<void(const DesiredWatch::Zones&)> answer;
   OwnerTerm term({.loop = &w.loop,
                   .store = &w.store_client,
--- a/test/member/live_peers_test.cc
+++ b/test/member/live_peers_test.cc
@@ -41,7 +41,7 @@
     now += milliseconds(100);
     CHECK(peers.SummaryAt(now).deputies == std::vector<std::string>{"b:1"});
     CHECK(peers.SummaryAt(now).largest_cpu_share == 0.1);
-    CHECK(peers.LiveHosts(now) ==
+    CHECK(peers.LiveHostsAtHome(now) ==
           std::vector<base::EntryId>{base::EntryId("b")});
     CHECK(peers.Find(base::EntryId("a")) != nullptr);
   }
@@ -61,7 +61,7 @@
     peers.SummaryAt(now);
   }
   CHECK(peers.summaries_made() <= 11);
-  CHECK(peers.LiveHosts(now).size() == kHosts);
+  CHECK(peers.LiveHostsAtHome(now).size() == kHosts);
 }
 
 }  // namespace
--- a/test/member/ownership_writer_test.cc
+++ b/test/member/ownership_writer_test.cc
@@ -142,7 +142,8 @@
   wire::HttpClient client(loop, {});
   platform::StoreClient store(&client, slow_store.address(), &counters);
   core::leadership::Leadership leadership({});
-  OwnershipWriter writer(loop, &store, &leadership, {&log, &counters, nullptr});
+  OwnershipWriter writer(loop, &store, core::shards::ShardNumber(0),
+                         &leadership, {&log, &counters, nullptr});
   int stored = 0;
   bool has_offered = false;
   bool has_failed = false;
