Refuse calls that wait for an owner when the plan of the shards becomes known

A host that has just started forwards calls before it knows the plan as if the cell had one shard. Those that waited for an owner were then sent to the owner of shard 0 under the new plan, which accepted jobs of other shards and denied those that their own owners had accepted. Such calls have had no effect and are answered so. An owner also refuses a submission of another shard's organisation.

--- a/src/member/shard_controller.cc
+++ b/src/member/shard_controller.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <utility>
+#include <variant>
 
 #include "src/member/clock.h"
 #include "src/member/store_layout.h"
@@ -320,13 +321,24 @@
     reply(std::move(result));
   };
   // A caller that doesn't know the plan yet may mean another owner's job.
-  if (term_ == nullptr || term_->plan().count() != shards) {
+  if (term_ == nullptr || term_->plan().count() != shards || !IsOwnCall(call)) {
     send_answer(NoOwner{});
   } else {
     term_->Handle(call, send_answer);
   }
 }
 
+bool ShardController::IsOwnCall(const OwnerCall& call) const {
+  const auto* submit = std::get_if<SubmitCall>(&call);
+  if (submit == nullptr ||
+      term_->plan().ShardOf(submit->submission.organisation,
+                            submit->submission.key) == shard_) {
+    return true;
+  }
+  host_->telemetry.counters->Increment("owner_calls", "other_shard");
+  return false;
+}
+
 void ShardController::Advise(const core::scheduler::RequestAdvice& request,
                              const platform::WorkerClient::AdviceDone& done) {
   if (request.client == host_->settings->host) {
--- a/src/member/shard_controller.h
+++ b/src/member/shard_controller.h
@@ -172,6 +172,9 @@
   bool CanDivideCell() const;
 
   std::optional<OwnerRoute> FindOwner() const;
+  // Returns whether a submission is of this shard; other calls don't say.
+  // Precondition: there is a term.
+  bool IsOwnCall(const OwnerCall& call) const;
   void Advise(const core::scheduler::RequestAdvice& request,
               const platform::WorkerClient::AdviceDone& done);
   // Adds the number of this shard, unless it is the only one.
--- a/src/member/shard_set.cc
+++ b/src/member/shard_set.cc
@@ -56,6 +56,9 @@
       "plan_adopted", {{"shards", static_cast<std::int64_t>(plan.count())}});
   plan_ = std::make_shared<const ShardPlan>(plan);
   for (const auto& controller : controllers_) {
+    // Calls that wait were routed without the plan: the owner of this shard
+    // would accept or deny jobs of other shards.
+    controller->FinishCalls();
     controller->SetPlan(plan_);
   }
   for (std::uint64_t i = controllers_.size(); i < plan_->count(); ++i) {
