Refuse a gang that can't be expected to fit on the workers of its shard

The advisor allows a gang of the large deployment a quarter of the workers. Drawn from its site file, 0.9% of these gangs don't fit on the allowed workers of a shard of 275 even if nothing else runs, 0.3% of 367, 0.02% of 550, none of 1,100. The owner of a shard learns which part of the workers a queue is usually allowed, and refuses a gang that needs more than that less three standard deviations, before it is accepted. A cell of one shard keeps such gangs, as before.

--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -18,6 +18,7 @@
 #include "dotterelbarrow/core/desired/desired_state.h"
 #include "dotterelbarrow/core/placement/crash_containment.h"
 #include "dotterelbarrow/core/placement/gang_holds.h"
+#include "dotterelbarrow/core/placement/gang_width.h"
 #include "dotterelbarrow/core/placement/kept_rooms.h"
 #include "dotterelbarrow/core/placement/load_shedder.h"
 #include "dotterelbarrow/core/placement/locality_wait.h"
@@ -102,6 +103,10 @@
   }
   // Removes the step, with its advice.
   void Remove(const jobs::StepRef& step);
+  // Returns whether a gang of the job would probably not fit on this owner's
+  // workers even if nothing else ran on them.
+  bool IsGangTooWide(const desired::Queue& queue,
+                     const jobs::JobSpec& spec) const;
   // Returns whether and why a new job should be refused, judged by the last
   // pass.
   placement::Refusal ShouldRefuseNewWork(
@@ -304,6 +309,8 @@
   // worker; 0 if that is not known better than by its estimate.
   base::Duration ExpectedRunTimeOn(const WaitingStep& item,
                                    const base::BackendId& worker) const;
+  bool HasRoomForGang(const desired::Queue& queue,
+                      const jobs::StepSpec& step) const;
   // Returns whether all tasks of a gang wait for a part of its organisation's
   // cap, and reserves that part.
   bool WaitsForCap(const WaitingStep& item);
@@ -625,6 +632,7 @@
   };
   std::unordered_map<jobs::StepRef, LoggedWait> last_logged_;
   placement::KeptRooms kept_rooms_;
+  placement::GangWidth gang_width_;
   placement::PreemptionLimits preemption_limits_;
   std::unordered_map<jobs::StepRef, PreemptionTry> preemption_tries_;
   // How many more preemptions may be considered in this pass, and when the next
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -53,6 +53,9 @@
   // A gang of which not all members run this long after its first start is
   // stopped.
   base::Duration gang_start_timeout = std::chrono::milliseconds(2000);
+  // Whether to refuse jobs with gangs that probably never fit on this owner's
+  // workers, because it has only a part of the fleet.
+  bool refuses_wide_gangs = false;
 };
 
 // A job as the caller submitted it, with what the entry host knows about the
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -315,6 +315,10 @@
     ForgetLastTry(step);
     advice->has_answer = true;
     advice->failed_calls = 0;
+    if (const jobs::Job* job = jobs_->Find(step.job)) {
+      gang_width_.RecordAdvice(job->queue, request.workers.size(),
+                               result.allowed.size());
+    }
     for (const AllowedWorker& allowed : result.allowed) {
       if (const workers::Worker* worker = fleet_->Find(allowed.worker)) {
         advice->allowed.Put(
--- a/src/core/scheduler/scheduler_admission.cc
+++ b/src/core/scheduler/scheduler_admission.cc
@@ -42,6 +42,10 @@
   if (fleet_.IsServiceEvacuated(queue->service)) {
     return refuse("evacuated", kEvacuatedRetryAfter);
   }
+  if (settings_.refuses_wide_gangs &&
+      dispatcher_.IsGangTooWide(*queue, submission.spec)) {
+    return refuse("gang_too_wide", kFullRetryAfter);
+  }
   const desired::Organisation* organisation =
       desired_->FindOrganisation(submission.organisation);
   decision.is_over_share =
--- a/src/member/shard_controller.cc
+++ b/src/member/shard_controller.cc
@@ -49,8 +49,10 @@
 constexpr base::Duration kAdviseTimeout = std::chrono::milliseconds(3000);
 
 core::scheduler::SchedulerSettings SchedulerOf(
-    const platform::PlatformSettings& settings) {
+    const platform::PlatformSettings& settings,
+    const core::shards::ShardPlan& plan) {
   core::scheduler::SchedulerSettings result;
+  result.refuses_wide_gangs = plan.count() > 1;
   result.fleet.lease_duration =
       std::min(result.fleet.lease_duration, settings.max_lease);
   // The platform removes a worker from its list after three missed heartbeats.
@@ -279,7 +281,7 @@
               },
           .ended = [this] { EndTerm(); },
           .on_store_failing = [this] { OfferShardOnStoreFailure(); }},
-      SchedulerOf(*host_->settings), store_now_ms);
+      SchedulerOf(*host_->settings, *plan_), store_now_ms);
   term_->SetDesired(host_->desired->current());
   host_->on_terms_changed();
   UpdateAdviceClients();
--- a/test/core/scheduler/own_workers_test.cc
+++ b/test/core/scheduler/own_workers_test.cc
@@ -65,6 +65,33 @@
   }
 }
 
+// Guards against a gang that waits for ever because its shard is too small.
+TEST_CASE("a gang that is wider than the owner's part of the fleet") {
+  SchedulerSettings settings;
+  settings.refuses_wide_gangs = true;
+  SchedulerScenario cell(settings);
+  cell.AddWorkers(4);
+  SUBCASE("is refused before it is accepted") {
+    const SubmitResult wide =
+        cell.Submit(1, "gangs", {SchedulerScenario::Gang(5)});
+    CHECK(wide.outcome == SubmitOutcome::kRefused);
+    CHECK(wide.reason == "gang_too_wide");
+    CHECK(wide.retry_after > base::Duration(0));
+  }
+  SUBCASE("is accepted if it fits once nothing else runs") {
+    cell.SubmitAndStore(1, "plain", {SchedulerScenario::Step(16)});
+    cell.RunPasses(2);
+    CHECK(cell.Submit(2, "gangs", {SchedulerScenario::Gang(4)}).outcome ==
+          SubmitOutcome::kStoring);
+  }
+  SUBCASE("waits in a cell that isn't divided") {
+    SchedulerScenario whole;
+    whole.AddWorkers(4);
+    CHECK(whole.Submit(1, "gangs", {SchedulerScenario::Gang(5)}).outcome ==
+          SubmitOutcome::kStoring);
+  }
+}
+
 TEST_CASE("a cell without jobs") {
   SchedulerScenario cell;
   cell.AddWorkers(1);
