A fleet of 1,000 workers or more has an owner for each 500 of them

Smaller fleets keep one owner and write no plan.

The experiment replays a pattern for several owners.

--- a/bench/experiment/main.cc
+++ b/bench/experiment/main.cc
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "bench/experiment/experiment.h"
+#include "bench/experiment/shards.h"
 #include "bench/figure.h"
 
 namespace dotterelbarrow::bench {
@@ -109,6 +110,7 @@
   bool without_run_times = false;
   bool preempts = true;
   bool has_costs = false;
+  int owners = 1;
   po::options_description description("dotterel-experiment");
   description.add_options()("help", "show this text")(
       "pattern", po::value(&path)->required(), "load pattern, a JSON file")(
@@ -136,7 +138,10 @@
       "remote-factor", po::value(&remote_factor),
       "replaces the pattern's remote_factor")(
       "load", po::value(&load)->default_value(1),
-      "multiplies the arrival rates");
+      "multiplies the arrival rates")(
+      "owners", po::value(&owners)->default_value(1),
+      "into how many shards with an owner each the cell is divided; 0 for as "
+      "many as its fleet gets");
   po::variables_map values;
   try {
     po::store(po::parse_command_line(argc, argv, description), values);
@@ -174,8 +179,12 @@
   for (Kind& kind : pattern->kinds) {
     kind.jobs_per_s *= load;
   }
-  Experiment experiment(*pattern, options);
-  Print(*pattern, experiment.Run());
+  if (owners < 0) {
+    std::cerr << "expected a number of owners, got " << owners << '\n';
+    return 2;
+  }
+  Print(*pattern, RunWithOwners(*pattern, options,
+                                owners > 0 ? owners : OwnersOf(*pattern)));
   return 0;
 }
 
--- a/include/dotterelbarrow/core/shards/shard_plan.h
+++ b/include/dotterelbarrow/core/shards/shard_plan.h
@@ -84,7 +84,7 @@
 struct ShardPlannerSettings {
   // How many workers one owner manages. A fleet of less than twice as many has
   // one shard.
-  std::size_t workers_per_shard = 275;
+  std::size_t workers_per_shard = 500;
   // Each shard has at least this many workers of each service and label, or
   // else the plan has fewer shards: a job whose label no worker of its shard
   // has would never start.
--- a/src/core/shards/shard_plan.cc
+++ b/src/core/shards/shard_plan.cc
@@ -67,7 +67,7 @@
 
 std::string EncodeShardPlan(const ShardPlan& plan) {
   Json::Value value(Json::objectValue);
-  value["shards"] = Json::UInt(plan.count());
+  value["shards"] = plan.count();
   value["last_token"] = static_cast<Json::UInt64>(plan.last_token().value());
   value["organisations"] = Json::Value(Json::objectValue);
   for (const auto& [id, shard] : plan.assignments().organisations) {
--- a/src/daemon/command_line.cc
+++ b/src/daemon/command_line.cc
@@ -19,7 +19,8 @@
       "serve on the users' platform, with the settings file that the "
       "environment variable DOTTERELBARROW_CONFIG names");
   add("workers-per-owner",
-      options::value<std::size_t>()->value_name("N")->default_value(0),
+      options::value<std::size_t>()->value_name("N")->default_value(
+          core::shards::ShardPlannerSettings().workers_per_shard),
       "with --platform: a fleet of at least twice as many workers is divided "
       "into shards of about N workers, each with its own owner; 0 for never");
   add("min-workers-of-kind",
--- a/src/member/shard_controller.cc
+++ b/src/member/shard_controller.cc
@@ -364,7 +364,7 @@
 void ShardController::AddShard(Json::Value* params) const {
   if (plan_->count() > 1) {
     (*params)[kShardField] = static_cast<Json::UInt64>(shard_.value());
-    (*params)[kShardCountField] = Json::UInt(plan_->count());
+    (*params)[kShardCountField] = plan_->count();
   }
 }
 
