A host that can't read the plan of the shards follows no owner and claims nothing

It would take shard 0 for the whole cell, and command the workers of all shards. The test fails without the check: the host follows the owner of shard 0. The hosts' versions are looked at only while a cell knows no job, not at each tick.

--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -256,11 +256,12 @@
 }
 
 void OwnerTerm::DivideCellIfIdle(base::TimePoint now) {
+  const bool has_jobs = !scheduler_.has_no_jobs();
   if (parts_.plan->count() > 1 || is_resigning_ ||
       !division_trigger_.ShouldPlan(
           {.workers = scheduler_.fleet().workers().size(),
-           .has_jobs = !scheduler_.has_no_jobs(),
-           .can_hosts_follow = parts_.can_divide_cell()},
+           .has_jobs = has_jobs,
+           .can_hosts_follow = !has_jobs && parts_.can_divide_cell()},
           now)) {
     return;
   }
--- a/src/member/shard_controller.cc
+++ b/src/member/shard_controller.cc
@@ -161,19 +161,21 @@
              : kOwnerPollPeriod;
 }
 
-void ShardController::ReadPlan(const std::vector<platform::Row>& rows) {
+bool ShardController::ReadPlan(const std::vector<platform::Row>& rows) {
   const auto row = std::find_if(
       rows.begin(), rows.end(),
       [](const platform::Row& read) { return read.key.key == kPlanKey; });
   if (row == rows.end()) {
-    return;
+    return true;
   }
   base::Failure reason;
-  if (const auto plan = core::shards::DecodeShardPlan(row->value, &reason)) {
-    host_->on_plan(*plan);
-  } else {
+  const auto plan = core::shards::DecodeShardPlan(row->value, &reason);
+  if (!plan) {
     host_->telemetry.log->Write("plan_unreadable", {{"detail", reason.detail}});
+    return false;
   }
+  host_->on_plan(*plan);
+  return true;
 }
 
 void ShardController::OnOwnershipRecord(const platform::ReadResult& result,
@@ -187,7 +189,10 @@
   if (leadership_.role() == core::leadership::Role::kOwner) {
     return;
   }
-  ReadPlan(result.rows);
+  // A host that doesn't know the plan would take shard 0 for the whole cell.
+  if (!ReadPlan(result.rows)) {
+    return;
+  }
   std::optional<core::leadership::OwnershipRecord> record;
   base::RowVersion version;
   for (const platform::Row& row : result.rows) {
--- a/src/member/shard_controller.h
+++ b/src/member/shard_controller.h
@@ -125,8 +125,9 @@
   void PollOwner();
   void OnOwnershipRecord(const platform::ReadResult& result,
                          base::TimePoint sent_at);
-  // Applies the plan, if it is among the rows.
-  void ReadPlan(const std::vector<platform::Row>& rows);
+  // Applies the plan, if it is among the rows. Returns false if it can't be
+  // read.
+  bool ReadPlan(const std::vector<platform::Row>& rows);
   base::Duration OwnerPollPeriod() const;
   void ClaimIfFree();
   void OnClaimed(OwnershipWriteOutcome end, std::int64_t store_now_ms);
--- a/test/member/shard_set_test.cc
+++ b/test/member/shard_set_test.cc
@@ -91,6 +91,8 @@
   void Put(const platform::RowKey& key, const std::string& value) {
     rows_[{key.part, key.key}] = value;
   }
+  // How many reads of ownership records were answered.
+  int reads() const { return reads_; }
   void BeginToAnswer() {
     is_answering_ = true;
     AnswerAll();
@@ -122,6 +124,9 @@
         row["schema_version"] = 5;
         answer["rows"].append(std::move(row));
       }
+      const auto table = query.find("table");
+      reads_ +=
+          table != query.end() && table->second == kOwnershipTable ? 1 : 0;
       http_.Reply(exchange, {.status = 200, .body = core::WriteJson(answer)});
     }
   }
@@ -129,6 +134,7 @@
   wire::HttpServer http_;
   std::string address_;
   bool is_answering_ = false;
+  int reads_ = 0;
   std::map<std::pair<std::string, std::string>, std::string> rows_;
   std::vector<std::pair<wire::ExchangeId, std::map<std::string, std::string>>>
       waiting_;
@@ -228,6 +234,13 @@
     CHECK(cell.owners[0]->submissions.empty());
     CHECK(cell.owners[1]->submissions.empty());
   }
+  // Guards against a host that takes shard 0 for the whole cell.
+  SUBCASE("a host that can't read the plan follows no owner") {
+    cell.store.Put({kOwnershipTable, kCellPart, kPlanKey}, "{");
+    cell.store.BeginToAnswer();
+    REQUIRE(cell.RunUntil([&] { return cell.store.reads() >= 3; }));
+    CHECK(cell.shards.home_owner() == nullptr);
+  }
   SUBCASE("then each goes to the owner of its organisation's shard") {
     cell.store.BeginToAnswer();
     const auto submit_until_accepted = [&](const auto& organisation) {
