Split the owner's term and the placement of gangs by subject

The calls of entry hosts, the division of a cell and the width of gangs have files of their own; nothing else changes.

--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -26,13 +26,6 @@
 // them must fit into the time after which the fleet assumes that a reading
 // failed.
 constexpr base::Duration kMaxListingsPeriod = std::chrono::milliseconds(400);
-// When a caller may retry whose job was refused because the owner's processor
-// is saturated: bursts are over in some seconds.
-constexpr base::Duration kSaturatedRetryAfter = std::chrono::seconds(1);
-constexpr base::Duration kStoreUnavailableRetryAfter = std::chrono::seconds(1);
-// Maximum age of the counts of waiting jobs.
-constexpr base::Duration kMaxPendingCountAge = std::chrono::milliseconds(300);
-
 }  // namespace
 
 OwnerTerm::OwnerTerm(Parts parts,
@@ -128,86 +121,6 @@
          core::leadership::StoreTimeoutPolicy::ShouldRefuseNewWork(*signs);
 }
 
-void OwnerTerm::RefuseUnwrittenJobs() {
-  const std::vector<core::scheduler::WaiterId> waiters =
-      scheduler_.RemoveUnwritten();
-  if (!waiters.empty()) {
-    parts_.telemetry.counters->Increment("jobs_refused", "store_away",
-                                         waiters.size());
-    ReplyTo(waiters, Refused{"store_away", kStoreUnavailableRetryAfter});
-  }
-}
-
-core::scheduler::WaiterId OwnerTerm::AddWaiter(const OwnerReply& reply) {
-  const core::scheduler::WaiterId id(++last_waiter_);
-  waiters_.emplace(id, reply);
-  return id;
-}
-
-void OwnerTerm::Handle(const OwnerCall& call, const OwnerReply& reply) {
-  if (!is_loaded_ || is_resigning_) {
-    reply(NoOwner{});
-    return;
-  }
-  const base::TimePoint begun = Now();
-  std::visit(
-      base::Overloaded{
-          [&](const SubmitCall& submit) {
-            if (IsStoreUnavailable()) {
-              reply(Refused{"store_away", kStoreUnavailableRetryAfter});
-              return;
-            }
-            if (!scheduler_.IsKnown(submit.submission.key) &&
-                !saturation_gate_.TryAcquire()) {
-              parts_.telemetry.counters->Increment("jobs_refused",
-                                                   "owner_saturated");
-              reply(Refused{"owner_saturated", kSaturatedRetryAfter});
-              return;
-            }
-            const auto waiter = AddWaiter(reply);
-            const auto answer = scheduler_.Submit(submit.submission, waiter,
-                                                  StoreNowMillis(), Now());
-            using core::scheduler::SubmitOutcome;
-            if (answer.outcome == SubmitOutcome::kStoring) {
-              return;
-            }
-            waiters_.erase(waiter);
-            if (answer.outcome == SubmitOutcome::kAccepted) {
-              reply(Accepted{});
-            } else {
-              reply(Refused{answer.reason, answer.retry_after, answer.pause});
-            }
-          },
-          [&](const CancelCall& cancel) {
-            const auto waiter = AddWaiter(reply);
-            const auto answer = scheduler_.Cancel(cancel.key, waiter, Now());
-            using core::scheduler::CancelResult;
-            if (answer == CancelResult::kUnknown) {
-              unknown_waiters_.push_back(waiter);
-            } else if (answer == CancelResult::kCancelled) {
-              waiters_.erase(waiter);
-              reply(Cancelled{});
-            }
-          },
-          [&](const StateCall& state) {
-            if (const auto found = scheduler_.StateOf(state.key)) {
-              reply(JobStateAnswer{*found});
-            } else {
-              unknown_waiters_.push_back(AddWaiter(reply));
-            }
-          },
-          [&](const PendingCall& pending) {
-            if (Now() - pending_counted_at_ >= kMaxPendingCountAge) {
-              pending_ = scheduler_.PendingJobs();
-              pending_counted_at_ = Now();
-            }
-            reply(PendingAnswer{pending_[pending.queue]});
-          }},
-      call);
-  times_.RecordInput(OwnerInput::kCall, Now() - begun);
-  SchedulePass();
-}
-
 void OwnerTerm::OnPreviousOwnerStopped() {
   if (is_previous_owner_stopped_) {
     return;
@@ -255,36 +168,6 @@
   LogIfDue();
 }
 
-void OwnerTerm::DivideCellIfIdle(base::TimePoint now) {
-  const bool has_jobs = !scheduler_.has_no_jobs();
-  if (parts_.plan->count() > 1 || is_resigning_ ||
-      !division_trigger_.ShouldPlan(
-          {.workers = scheduler_.fleet().workers().size(),
-           .has_jobs = has_jobs,
-           .can_hosts_follow = !has_jobs && parts_.can_divide_cell()},
-          now)) {
-    return;
-  }
-  std::vector<const core::workers::Listing*> workers;
-  for (const auto& [id, worker] : scheduler_.fleet().workers()) {
-    workers.push_back(&worker.listing());
-  }
-  core::shards::ShardPlan plan = core::shards::PlanShards(
-      workers, scheduler_.desired().organisations(), token_, parts_.planner);
-  if (plan.count() == 1) {
-    return;
-  }
-  parts_.telemetry.log->Write(
-      "cell_divided",
-      {{"shards", static_cast<std::int64_t>(plan.count())},
-       {"workers", static_cast<std::int64_t>(workers.size())},
-       {"organisations",
-        static_cast<std::int64_t>(plan.assignments().organisations.size())},
-       {"racks", static_cast<std::int64_t>(plan.assignments().racks.size())}});
-  next_plan_ = std::move(plan);
-  Resign();
-}
-
 void OwnerTerm::SchedulePassIn(base::Duration delay) {
   if (const auto wait = pass_pacer_.Request(Now(), delay)) {
     pass_timer_.StartOnce(*wait);
