A job's records may be larger than a row of the store

Cause: a job's progress record has no limit. After a take-over it names each announced start; of a timed job, each unfinished occurrence. The store refuses the row, the owner's term ends, and each next owner meets the same record.

Change: JobPages splits a record into parts, each in a page of its own, all in one batch; a batch ends before a record that would exceed a transaction. A job has at most 4,000 unfinished tasks in further occurrences, and untouched occurrences are written as ranges. The summary of run times is kept to one row. The stores of the scenario, the fuzzer and the stand-in refuse rows and transactions over the platform's limits; none did before.

Looked for elsewhere: final states, worker records, ownership record, plan of shards (bounded); acceptance (refused above a page).

--- a/include/dotterelbarrow/core/jobs/job.h
+++ b/include/dotterelbarrow/core/jobs/job.h
@@ -127,6 +127,14 @@
   const StepSpec& SpecOf(const StepRef& ref) const {
     return spec.steps[ref.step];
   }
+  // The tasks of all unfinished occurrences, unless there is only one. Limits
+  // the job's memory and the size of its progress record.
+  static constexpr std::size_t kMaxUnfinishedTasks = 4000;
+  // Returns whether there is a next occurrence, and it may begin beside the
+  // unfinished ones.
+  bool MayBeginOccurrence() const;
+  // Returns an occurrence whose tasks are all waiting.
+  Occurrence MakeOccurrence() const;
   // Adds the next occurrence; all its tasks are waiting.
   void BeginOccurrence();
   // Returns whether all steps that `step` depends on are done.
--- a/include/dotterelbarrow/core/jobs/job_records.h
+++ b/include/dotterelbarrow/core/jobs/job_records.h
@@ -7,9 +7,10 @@
 //               {"done":"<bits>","failed":[[index,attempt..]..],
 //                "gang_failed":[attempt..],
 //                "crashed":[[index,attempt,kind..]..],
-//                "gang_crashed":[attempt,kind..]}..]}..]}
+//                "gang_crashed":[attempt,kind..]}..]}..],
+//               "untouched":[[first,last]..]}
 //   kind 0 and 1 are crashes with shared and with sole blame, 2 is an announced
-//   start of a suspect
+//   start of a suspect; "untouched" are further unfinished occurrences
 //
 // Most members with a default value are omitted. Times are milliseconds of the
 // store's clock, except start_ms, which counts from 1970.
@@ -34,7 +35,11 @@
                                        base::Failure* reason);
 
 std::string AcceptanceRecord(const Job& job);
-std::string ProgressRecord(const Job& job);
+// What a progress record holds. Without crashes it is smaller, and the next
+// owner has to learn again which tasks are suspects.
+enum class ProgressDetail { kAll, kNoCrashes };
+std::string ProgressRecord(const Job& job,
+                           ProgressDetail detail = ProgressDetail::kAll);
 
 // Decodes an acceptance record. Returns a queued job, or nullopt with a reason.
 std::optional<Job> ReadAcceptance(JobKey key, const std::string& record,
--- a/include/dotterelbarrow/core/scheduler/job_pages.h
+++ b/include/dotterelbarrow/core/scheduler/job_pages.h
@@ -17,8 +17,13 @@
 // Pages of ended jobs hold final states. The last such page grows until it is
 // full. Each is removed as a whole.
 //
+// A record that is larger than `kMaxPartBytes` is split into parts, each in a
+// page of its own. All parts are written in the same batch.
+//
 // live page:
-//   "a <key> <acceptance record>\n" and "p <key> <progress record>\n"
+//   "a <key> <acceptance record>\n" and "p <key> <progress record>\n", or
+//   "A <key> <part> <parts> <text>\n" and "P <key> <part> <parts> <text>\n",
+//   where parts are numbered from 0
 // ended page:
 //   "d <key>\n" (done), "f <key>\n" (failed), "c <key>\n" (cancelled)
 #ifndef DOTTERELBARROW_CORE_SCHEDULER_JOB_PAGES_H_
@@ -31,6 +36,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "dotterelbarrow/base/failure.h"
@@ -80,11 +86,11 @@
   using RecordReader =
       std::function<std::optional<std::string>(jobs::JobKey, RecordKind)>;
 
-  // The maximum size of a record.
-  static constexpr std::size_t kMaxRecordBytes = kPageBytes - 64;
+  // The maximum size of a record that is stored in one part.
+  static constexpr std::size_t kMaxPartBytes = kPageBytes - 64;
 
-  // Adds a record to the next batch. An earlier record of the same job and kind
-  // becomes obsolete.
+  // Adds a record of any size to the next batch. An earlier record of the same
+  // job and kind becomes obsolete. The caller limits the size of the batch.
   void PutRecord(jobs::JobKey key, RecordKind kind, const std::string& record,
                  base::TimePoint now);
   // Adds the final state of a job to the next batch. All other records of the
@@ -98,9 +104,8 @@
   // `retention`. Returns whether any page is marked.
   bool Maintain(base::TimePoint now, base::Duration retention);
   // Returns the rows of the next batch, at most `max_rows`. Removals and
-  // rewrites that do not fit are left to later batches. Rewrites begin only
-  // while the records of the batch have fewer than `max_bytes`, so they exceed
-  // it by less than a page.
+  // rewrites that do not fit are left to later batches. Rewrites exceed
+  // `max_bytes` by at most a page, unless the batch would be empty otherwise.
   std::vector<RecordChange> TakeBatch(std::size_t max_rows,
                                       std::size_t max_bytes,
                                       const RecordReader& reread,
@@ -131,29 +136,37 @@
     std::string text;
     base::TimePoint last_end;
   };
-  // The pages that hold the current records of a job; 0 for none.
+  // The pages that hold the current records of a job, one for each part of a
+  // record; empty for none.
   struct CurrentPages {
-    PageNumber acceptance = 0;
-    PageNumber progress = 0;
+    std::vector<PageNumber> acceptance;
+    std::vector<PageNumber> progress;
 
-    PageNumber& of(RecordKind kind) {
+    std::vector<PageNumber>& of(RecordKind kind) {
       return kind == RecordKind::kAcceptance ? acceptance : progress;
     }
   };
+  // One line of a live page.
+  struct RecordLine;
 
   static std::string RowKey(PageNumber number);
   PageNumber NextNumber() { return ++last_number_; }
   // Counts one more record of the page as obsolete.
   void MarkObsolete(PageNumber page, base::TimePoint now);
   void MarkAllObsolete(jobs::JobKey key, base::TimePoint now);
-  void Append(jobs::JobKey key, RecordKind kind, const std::string& record,
-              base::TimePoint now);
-  // Copies the current records of the page to a new page. Does nothing if
-  // `reread` returns nullopt for one of them.
+  void MarkObsolete(const std::vector<PageNumber>& pages, base::TimePoint now);
+  // Adds a line to the last unwritten page, or to a new one, and returns the
+  // page's number.
+  PageNumber AppendLine(const Entry& entry, const std::string& line);
+  // Writes the current records of the page again, all parts of each. Does
+  // nothing if `reread` returns nullopt for one of them, or if they don't fit.
   void Rewrite(PageNumber number, const RecordReader& reread,
-               base::TimePoint now);
+               std::size_t max_bytes, base::TimePoint now);
   bool RestoreLive(PageNumber number, const std::string& text,
                    base::TimePoint now);
+  // Restores one line. Returns false if it is unreadable.
+  bool RestoreLine(PageNumber number, const RecordLine& line,
+                   base::TimePoint now);
   bool RestoreEnded(PageNumber number, const std::string& text,
                     base::TimePoint now);
 
@@ -175,6 +188,9 @@
   std::vector<PageNumber> live_pages_to_rewrite_;
   base::TimePoint next_rewrite_scan_;
   std::map<jobs::JobKey, StoredJob> restored_;
+  // How many parts the record should have whose first parts were restored, if
+  // it has several.
+  std::map<std::pair<jobs::JobKey, RecordKind>, std::size_t> restored_parts_;
 };
 
 }  // namespace dotterelbarrow::core::scheduler
--- a/include/dotterelbarrow/core/scheduler/job_registry.h
+++ b/include/dotterelbarrow/core/scheduler/job_registry.h
@@ -55,9 +55,9 @@
   // How many of these rows may be records of workers, which are not packed into
   // pages.
   std::size_t max_worker_changes = 60;
-  // Bytes of the records in a batch. The last ones may exceed it, by two
-  // records or a page. The store encodes values as base64, in a request body of
-  // at most 1 MB.
+  // Bytes of the records in a batch, and of the largest record. The last ones
+  // may exceed it, by an acceptance record or a page. The store encodes values
+  // as base64, in a request body of at most 1 MB.
   std::size_t max_bytes = std::size_t{500} * 1024;
 };
 
@@ -158,7 +158,12 @@
   };
   using PendingChange = std::variant<jobs::JobKey, ReportedEnds, WorkerRecord>;
 
-  void AddToBatch(jobs::JobKey key, base::TimePoint now, RecordBatch* batch);
+  // Adds the job's record. Returns false, and does nothing, if it doesn't fit
+  // beside the others.
+  bool AddToBatch(jobs::JobKey key, base::TimePoint now, RecordBatch* batch);
+  // Returns the progress record of a live job, without its crashes if it would
+  // exceed `max_bytes` otherwise.
+  std::string ProgressRecordOf(const jobs::Job& job) const;
   static void AddToBatch(const WorkerRecord& record, RecordBatch* batch);
   bool RestoreJob(jobs::JobKey key, const JobPages::StoredJob& stored,
                   base::TimePoint now, base::Failure* reason);
--- a/src/core/jobs/job.cc
+++ b/src/core/jobs/job.cc
@@ -77,14 +77,29 @@
              : &step->tasks[ref.index];
 }
 
-void Job::BeginOccurrence() {
-  Occurrence& occurrence = occurrences[occurrences_begun];
+Occurrence Job::MakeOccurrence() const {
+  Occurrence occurrence;
   for (const StepSpec& step : spec.steps) {
     occurrence.steps.emplace_back().tasks.resize(step.tasks);
   }
+  return occurrence;
+}
+
+void Job::BeginOccurrence() {
+  occurrences[occurrences_begun] = MakeOccurrence();
   ++occurrences_begun;
 }
 
+bool Job::MayBeginOccurrence() const {
+  std::size_t tasks_of_one = 0;
+  for (const StepSpec& step : spec.steps) {
+    tasks_of_one += step.tasks;
+  }
+  return occurrences_begun < spec.occurrences() &&
+         (occurrences.empty() ||
+          (occurrences.size() + 1) * tasks_of_one <= kMaxUnfinishedTasks);
+}
+
 bool Job::IsUnblocked(const Occurrence& occurrence, std::uint32_t step) const {
   const std::vector<std::uint32_t>& earlier = spec.steps[step].depends_on;
   return std::all_of(earlier.begin(), earlier.end(),
--- a/src/core/jobs/job_records.cc
+++ b/src/core/jobs/job_records.cc
@@ -20,6 +20,10 @@
 constexpr std::int64_t kMaxAttempts = 4'000'000'000;
 constexpr std::int64_t kMaxNumber = std::int64_t{1} << 52;
 
+// Beyond this many unfinished occurrences, those without progress are written
+// as ranges. Versions that know no ranges can read smaller records.
+constexpr std::size_t kMaxListedOccurrences = 100;
+
 constexpr std::array kAllStates = {JobState::kQueued, JobState::kInProgress,
                                    JobState::kCompleted, JobState::kFailed,
                                    JobState::kCancelled};
@@ -253,7 +257,8 @@
   }
 }
 
-Json::Value ProgressOfStep(const Step& step) {
+Json::Value ProgressOfStep(const Step& step, ProgressDetail detail) {
+  const bool names_crashes = detail == ProgressDetail::kAll;
   Json::Value value(Json::objectValue);
   if (step.done > 0) {
     value["done"] = DoneBits(step);
@@ -266,14 +271,14 @@
       AppendAttempts(task.failed_attempts, &row);
       value["failed"].append(std::move(row));
     }
-    if (!task.crashes.empty() && !task.done) {
+    if (names_crashes && !task.crashes.empty() && !task.done) {
       Json::Value row(Json::arrayValue);
       row.append(static_cast<Json::UInt64>(i));
       AppendCrashes(task.crashes, &row);
       value["crashed"].append(std::move(row));
     }
   }
-  if (!step.gang_crashes.empty()) {
+  if (names_crashes && !step.gang_crashes.empty()) {
     AppendCrashes(step.gang_crashes, &value["gang_crashed"]);
   }
   if (!step.failed_gang_attempts.empty()) {
@@ -282,6 +287,22 @@
   return value;
 }
 
+// Adds a number, which must be greater than all before, to an array of ranges
+// [first, last].
+void AppendToRanges(std::uint32_t number, Json::Value* ranges) {
+  if (!ranges->empty()) {
+    Json::Value& last = (*ranges)[ranges->size() - 1][1];
+    if (last.asUInt() + 1 == number) {
+      last = number;
+      return;
+    }
+  }
+  Json::Value range(Json::arrayValue);
+  range.append(number);
+  range.append(number);
+  ranges->append(std::move(range));
+}
+
 bool IsArrayOfUnsigned(const Json::Value& row) {
   return row.isArray() &&
          std::all_of(row.begin(), row.end(), [](const Json::Value& number) {
@@ -434,20 +455,28 @@
   return WriteJson(value);
 }
 
-std::string ProgressRecord(const Job& job) {
+std::string ProgressRecord(const Job& job, ProgressDetail detail) {
   Json::Value value(Json::objectValue);
   value["state"] = ToString(job.state);
   if (IsFinal(job.state)) {
     return WriteJson(value);
   }
   value["begun"] = job.occurrences_begun;
+  const bool has_ranges = job.occurrences.size() > kMaxListedOccurrences;
   for (const auto& [number, occurrence] : job.occurrences) {
     Json::Value entry(Json::objectValue);
     entry["k"] = number;
+    bool has_progress = false;
     for (const Step& step : occurrence.steps) {
-      entry["steps"].append(ProgressOfStep(step));
+      Json::Value progress = ProgressOfStep(step, detail);
+      has_progress |= !progress.empty();
+      entry["steps"].append(std::move(progress));
+    }
+    if (has_ranges && !has_progress) {
+      AppendToRanges(number, &value["untouched"]);
+    } else {
+      value["occurrences"].append(std::move(entry));
     }
-    value["occurrences"].append(std::move(entry));
   }
   return WriteJson(value);
 }
@@ -494,26 +523,37 @@
   ObjectReader reader(*value, reason);
   const auto begun =
       static_cast<std::uint32_t>(reader.Number("begun", kMaxRepeats));
-  while (updated.occurrences_begun < begun) {
-    updated.BeginOccurrence();
-  }
+  updated.occurrences_begun = std::max(updated.occurrences_begun, begun);
   std::map<std::uint32_t, Occurrence> unfinished;
+  for (const Json::Value& range : reader.List("untouched")) {
+    if (!IsArrayOfUnsigned(range) || range.size() != 2 ||
+        range[0].asUInt64() > range[1].asUInt64() ||
+        range[1].asUInt64() >= updated.occurrences_begun) {
+      *reason = {FailureCode::kMalformed,
+                 "progress: expected ranges of begun occurrences"};
+      return false;
+    }
+    for (Json::UInt64 i = range[0].asUInt64(); i <= range[1].asUInt64(); ++i) {
+      unfinished.emplace(static_cast<std::uint32_t>(i),
+                         updated.MakeOccurrence());
+    }
+  }
   for (const Json::Value& entry : reader.List("occurrences")) {
     ObjectReader fields(entry, reason);
     const auto number =
         static_cast<std::uint32_t>(fields.Number("k", kMaxRepeats));
-    const auto it = updated.occurrences.find(number);
     const Json::Value& steps = fields.List("steps");
-    if (!fields.ok() || it == updated.occurrences.end() ||
-        steps.size() != it->second.steps.size()) {
+    Occurrence occurrence = updated.MakeOccurrence();
+    if (!fields.ok() || number >= updated.occurrences_begun ||
+        steps.size() != occurrence.steps.size()) {
       *reason = {FailureCode::kMalformed,
                  "progress: expected each step of a begun occurrence"};
       return false;
     }
     for (Json::ArrayIndex i = 0; i < steps.size(); ++i) {
-      ReadStepProgress(steps[i], &reader, &it->second.steps[i]);
+      ReadStepProgress(steps[i], &reader, &occurrence.steps[i]);
     }
-    unfinished.emplace(number, std::move(it->second));
+    unfinished.insert_or_assign(number, std::move(occurrence));
   }
   updated.occurrences = std::move(unfinished);
   if (!reader.ok()) {
--- a/src/core/scheduler/job_pages.cc
+++ b/src/core/scheduler/job_pages.cc
@@ -19,6 +19,9 @@
 
 constexpr char kAcceptanceMark = 'a';
 constexpr char kProgressMark = 'p';
+// The same for the parts of a record that is split.
+constexpr char kAcceptancePartMark = 'A';
+constexpr char kProgressPartMark = 'P';
 constexpr std::size_t kRowKeyDigits = 16;
 constexpr int kHexBase = 16;
 // Length of a mark, a space and the key of a job.
@@ -86,8 +89,38 @@
   return all_parsed;
 }
 
+std::string LineOf(char mark, JobKey key, std::string_view text) {
+  std::string line(1, mark);
+  line += ' ';
+  line += jobs::ToString(key);
+  line += ' ';
+  line += text;
+  line += '\n';
+  return line;
+}
+
+// Reads a number and the space behind it from the beginning of `text`, and
+// removes both.
+std::optional<std::size_t> TakeNumber(std::string_view* text) {
+  std::size_t number = 0;
+  const char* const end = text->data() + text->size();
+  const auto [stop, error] = std::from_chars(text->data(), end, number);
+  if (error != std::errc() || stop == end || *stop != ' ') {
+    return std::nullopt;
+  }
+  text->remove_prefix(static_cast<std::size_t>(stop + 1 - text->data()));
+  return number;
+}
+
 }  // namespace
 
+struct JobPages::RecordLine {
+  Entry entry;
+  std::size_t part = 0;
+  std::size_t parts = 1;
+  std::string_view text;
+};
+
 std::string JobPages::RowKey(PageNumber number) {
   std::string digits(kRowKeyDigits, '0');
   for (auto at = digits.rbegin(); number != 0; number >>= 4) {
@@ -114,23 +147,20 @@
   if (it == current_pages_.end()) {
     return;
   }
-  for (const PageNumber page : {it->second.acceptance, it->second.progress}) {
-    if (page != 0) {
-      MarkObsolete(page, now);
-    }
-  }
+  MarkObsolete(it->second.acceptance, now);
+  MarkObsolete(it->second.progress, now);
   current_pages_.erase(it);
 }
 
-void JobPages::Append(JobKey key, RecordKind kind, const std::string& record,
-                      base::TimePoint now) {
-  std::string line(
-      1, kind == RecordKind::kAcceptance ? kAcceptanceMark : kProgressMark);
-  line += ' ';
-  line += jobs::ToString(key);
-  line += ' ';
-  line += record;
-  line += '\n';
+void JobPages::MarkObsolete(const std::vector<PageNumber>& pages,
+                            base::TimePoint now) {
+  for (const PageNumber page : pages) {
+    MarkObsolete(page, now);
+  }
+}
+
+JobPages::PageNumber JobPages::AppendLine(const Entry& entry,
+                                          const std::string& line) {
   // A page without current records is about to be removed.
   const bool needs_page =
       unwritten_.empty() ||
@@ -141,18 +171,34 @@
   unwritten_[page] += line;
   pending_bytes_ += line.size();
   LivePage& target = live_pages_[page];
-  target.entries.push_back({key, kind});
+  target.entries.push_back(entry);
   ++target.current_records;
-  PageNumber& place = current_pages_[key].of(kind);
-  const PageNumber previous = std::exchange(place, page);
-  if (previous != 0) {
-    MarkObsolete(previous, now);
-  }
+  return page;
 }
 
 void JobPages::PutRecord(JobKey key, RecordKind kind, const std::string& record,
                          base::TimePoint now) {
-  Append(key, kind, record, now);
+  const bool is_acceptance = kind == RecordKind::kAcceptance;
+  std::vector<PageNumber> pages;
+  if (record.size() <= kMaxPartBytes) {
+    pages.push_back(AppendLine(
+        {key, kind},
+        LineOf(is_acceptance ? kAcceptanceMark : kProgressMark, key, record)));
+  } else {
+    const std::size_t parts =
+        (record.size() + kMaxPartBytes - 1) / kMaxPartBytes;
+    for (std::size_t part = 0; part < parts; ++part) {
+      pages.push_back(AppendLine(
+          {key, kind},
+          LineOf(is_acceptance ? kAcceptancePartMark : kProgressPartMark, key,
+                 std::to_string(part) + ' ' + std::to_string(parts) + ' ' +
+                     record.substr(part * kMaxPartBytes, kMaxPartBytes))));
+    }
+  }
+  // The new record is added first, so that a page with both of them keeps a
+  // current one.
+  MarkObsolete(std::exchange(current_pages_[key].of(kind), std::move(pages)),
+               now);
 }
 
 void JobPages::PutFinalState(JobKey key, JobState state, base::TimePoint now) {
@@ -200,26 +246,35 @@
 }
 
 void JobPages::Rewrite(PageNumber number, const RecordReader& reread,
-                       base::TimePoint now) {
+                       std::size_t max_bytes, base::TimePoint now) {
   const auto it = live_pages_.find(number);
   if (it == live_pages_.end() || it->second.current_records == 0) {
     return;
   }
-  std::vector<std::pair<Entry, std::string>> records;
+  std::map<std::pair<JobKey, RecordKind>, std::string> records;
+  std::size_t bytes = 0;
   for (const Entry& entry : it->second.entries) {
     const auto pages = current_pages_.find(entry.key);
     if (pages == current_pages_.end() ||
-        pages->second.of(entry.kind) != number) {
+        records.contains({entry.key, entry.kind})) {
+      continue;
+    }
+    const std::vector<PageNumber>& current = pages->second.of(entry.kind);
+    if (std::find(current.begin(), current.end(), number) == current.end()) {
       continue;
     }
     auto record = reread(entry.key, entry.kind);
     if (!record) {
       return;
     }
-    records.emplace_back(entry, std::move(*record));
+    bytes += record->size();
+    records.emplace(std::pair(entry.key, entry.kind), std::move(*record));
+  }
+  if (pending_bytes_ > 0 && pending_bytes_ + bytes > max_bytes + kPageBytes) {
+    return;
   }
   for (const auto& [entry, record] : records) {
-    Append(entry.key, entry.kind, record, now);
+    PutRecord(entry.first, entry.second, record, now);
   }
 }
 
@@ -232,7 +287,7 @@
   for (const PageNumber number : std::exchange(live_pages_to_rewrite_, {})) {
     if (unwritten_.size() + live_pages_to_remove_.size() + 2 < max_rows / 2 &&
         pending_bytes_ < max_bytes) {
-      Rewrite(number, reread, now);
+      Rewrite(number, reread, max_bytes, now);
     }
   }
   std::vector<RecordChange> changes;
@@ -271,27 +326,58 @@
 bool JobPages::RestoreLive(PageNumber number, const std::string& text,
                            base::TimePoint now) {
   return ForEachLine(text, [&](const Line& line) {
-    if (line.mark != kAcceptanceMark && line.mark != kProgressMark) {
+    RecordLine record{{line.key, RecordKind::kProgress}, 0, 1, line.record};
+    if (line.mark == kAcceptanceMark || line.mark == kAcceptancePartMark) {
+      record.entry.kind = RecordKind::kAcceptance;
+    } else if (line.mark != kProgressMark && line.mark != kProgressPartMark) {
       return false;
     }
-    const RecordKind kind = line.mark == kAcceptanceMark
-                                ? RecordKind::kAcceptance
-                                : RecordKind::kProgress;
-    LivePage& page = live_pages_[number];
-    page.entries.push_back({line.key, kind});
-    ++page.current_records;
-    PageNumber& place = current_pages_[line.key].of(kind);
-    if (place != 0) {
-      MarkObsolete(place, now);
+    if (line.mark == kAcceptancePartMark || line.mark == kProgressPartMark) {
+      const auto part = TakeNumber(&record.text);
+      const auto parts = part ? TakeNumber(&record.text) : std::nullopt;
+      if (!parts || *part >= *parts) {
+        return false;
+      }
+      record.part = *part;
+      record.parts = *parts;
     }
-    place = number;
-    StoredJob& job = restored_[line.key];
-    (kind == RecordKind::kAcceptance ? job.acceptance : job.progress) =
-        std::string(line.record);
-    return true;
+    return RestoreLine(number, record, now);
   });
 }
 
+bool JobPages::RestoreLine(PageNumber number, const RecordLine& line,
+                           base::TimePoint now) {
+  const auto& [key, kind] = line.entry;
+  LivePage& page = live_pages_[number];
+  page.entries.push_back(line.entry);
+  std::vector<PageNumber>& pages = current_pages_[key].of(kind);
+  StoredJob& job = restored_[key];
+  std::optional<std::string>& record =
+      kind == RecordKind::kAcceptance ? job.acceptance : job.progress;
+  if (line.part > 0) {
+    const auto begun = restored_parts_.find({key, kind});
+    if (begun == restored_parts_.end() || begun->second != line.parts ||
+        pages.size() != line.part) {
+      // The first part of an obsolete record was removed with its page. The
+      // current record is in pages with higher numbers, or the job has ended.
+      page.first_obsolete_at = now;
+      return true;
+    }
+    ++page.current_records;
+    pages.push_back(number);
+    *record += line.text;
+    return true;
+  }
+  ++page.current_records;
+  MarkObsolete(std::exchange(pages, {number}), now);
+  restored_parts_.erase({key, kind});
+  if (line.parts > 1) {
+    restored_parts_[{key, kind}] = line.parts;
+  }
+  record = std::string(line.text);
+  return true;
+}
+
 bool JobPages::RestoreEnded(PageNumber number, const std::string& text,
                             base::TimePoint now) {
   ended_pages_[number] = {text, now};
@@ -333,6 +419,13 @@
       MarkAllObsolete(key, now);
     }
   }
+  restored_parts_.clear();
+  live_pages_to_remove_.clear();
+  for (const auto& [number, page] : live_pages_) {
+    if (page.current_records == 0) {
+      live_pages_to_remove_.push_back(number);
+    }
+  }
   return std::exchange(restored_, {});
 }
 
--- a/src/core/scheduler/job_registry.cc
+++ b/src/core/scheduler/job_registry.cc
@@ -108,16 +108,32 @@
   }
 }
 
-void JobRegistry::AddToBatch(jobs::JobKey key, base::TimePoint now,
+std::string JobRegistry::ProgressRecordOf(const jobs::Job& job) const {
+  std::string record = jobs::ProgressRecord(job);
+  // Suspicions are lost before run ends are.
+  return record.size() <= settings_.max_bytes
+             ? record
+             : jobs::ProgressRecord(job, jobs::ProgressDetail::kNoCrashes);
+}
+
+bool JobRegistry::AddToBatch(jobs::JobKey key, base::TimePoint now,
                              RecordBatch* batch) {
-  changed_jobs_.erase(key);
   const auto job = jobs_.find(key);
   const auto unstored = unstored_acceptances_.find(key);
   const bool is_new = unstored != unstored_acceptances_.end();
+  std::string progress;
+  if (job != jobs_.end() && !is_new) {
+    progress = ProgressRecordOf(job->second);
+    if (pages_.pending_bytes() > 0 &&
+        pages_.pending_bytes() + progress.size() > settings_.max_bytes) {
+      return false;
+    }
+  }
+  changed_jobs_.erase(key);
   if (job == jobs_.end()) {
     const auto ended = ended_jobs_.find(key);
     if (ended == ended_jobs_.end()) {
-      return;  // Its state expired in the meantime.
+      return true;  // Its state expired in the meantime.
     }
     pages_.PutFinalState(key, ended->second.state, now);
     batch->ended_jobs.push_back(key);
@@ -125,8 +141,7 @@
     pages_.PutRecord(key, JobPages::RecordKind::kAcceptance,
                      std::exchange(unstored->second, {}), now);
   } else {
-    pages_.PutRecord(key, JobPages::RecordKind::kProgress,
-                     jobs::ProgressRecord(job->second), now);
+    pages_.PutRecord(key, JobPages::RecordKind::kProgress, progress, now);
   }
   jobs_in_batch_.insert(key);
   if (is_new) {
@@ -140,6 +155,7 @@
   };
   move_waiters(&accept_waiters_, &batch->accept_waiters);
   move_waiters(&change_waiters_, &batch->change_waiters);
+  return true;
 }
 
 std::vector<WaiterId> JobRegistry::RemoveUnwritten(
@@ -170,18 +186,21 @@
 
 RecordBatch JobRegistry::TakeBatch(base::TimePoint now) {
   RecordBatch batch;
-  while (!pending_changes_.empty() &&
+  bool is_full = false;
+  while (!pending_changes_.empty() && !is_full &&
          batch.changes.size() < settings_.max_worker_changes &&
          pages_.pending_bytes() < settings_.max_bytes) {
     std::visit(
         base::Overloaded{
-            [&](jobs::JobKey key) { AddToBatch(key, now, &batch); },
+            [&](jobs::JobKey key) { is_full = !AddToBatch(key, now, &batch); },
             [&](const ReportedEnds& ends) {
               batch.run_ends[{ends.worker, ends.born_ms}] = ends.number;
             },
             [&](const WorkerRecord& record) { AddToBatch(record, &batch); }},
         pending_changes_.front());
-    pending_changes_.pop_front();
+    if (!is_full) {
+      pending_changes_.pop_front();
+    }
   }
   const auto reread =
       [this](jobs::JobKey key,
@@ -192,7 +211,7 @@
     }
     return kind == JobPages::RecordKind::kAcceptance
                ? jobs::AcceptanceRecord(job->second)
-               : jobs::ProgressRecord(job->second);
+               : ProgressRecordOf(job->second);
   };
   for (RecordChange& change :
        pages_.TakeBatch(settings_.max_changes - batch.changes.size(),
--- a/src/core/scheduler/run_time_recorder.cc
+++ b/src/core/scheduler/run_time_recorder.cc
@@ -169,8 +169,13 @@
     return std::nullopt;
   }
   next_summary_ = now + kSummaryPeriod;
-  return RecordChange{RecordTable::kRunTimes, kSummaryKey,
-                      EncodeRunTimeSummary(MakeSummary())};
+  std::string summary = EncodeRunTimeSummary(MakeSummary());
+  if (summary.size() > JobPages::kMaxPartBytes) {
+    // The stored summary, which is older, remains.
+    telemetry_.counters->Increment("run_time_summaries_dropped", "too_large");
+    return std::nullopt;
+  }
+  return RecordChange{RecordTable::kRunTimes, kSummaryKey, std::move(summary)};
 }
 
 bool RunTimeRecorder::Restore(const std::string& text, base::TimePoint now,
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -196,7 +196,7 @@
   job.accepted_ms = store_now_ms;
   job.accepted_at = now;
   std::string acceptance = jobs::AcceptanceRecord(job);
-  if (acceptance.size() > JobPages::kMaxRecordBytes) {
+  if (acceptance.size() > JobPages::kMaxPartBytes) {
     return {SubmitOutcome::kRefused, "job_too_large", base::Duration(0)};
   }
   if (job.spec.is_scheduled()) {
@@ -290,7 +290,7 @@
 
 void Scheduler::BeginDueOccurrences(jobs::Job* job, std::int64_t unix_now_ms) {
   bool has_begun = false;
-  while (job->occurrences_begun < job->spec.occurrences() &&
+  while (job->MayBeginOccurrence() &&
          job->spec.start_at_ms +
                  job->spec.interval_ms * job->occurrences_begun <=
              unix_now_ms - kDueMarginMs) {
--- a/src/standins/site/store_service.cc
+++ b/src/standins/site/store_service.cc
@@ -18,6 +18,9 @@
 constexpr int kUnavailable = 503;
 constexpr std::size_t kMaxRowsPerRead = 500;
 constexpr std::size_t kMaxTransactionEntries = 100;
+constexpr std::size_t kMaxTransactionBytes = 1'000'000;
+// Of a value that is encoded as base64.
+constexpr std::size_t kMaxRowBytes = 65'536;
 // Time that a transaction and a read take, and the factor under kSlow.
 constexpr std::int64_t kTransactionDelayMs = 8;
 constexpr std::int64_t kReadDelayMs = 2;
@@ -105,6 +108,7 @@
   const auto body = core::ReadJson(request.body, &reason);
   StoreTransaction transaction;
   bool is_allowed = true;
+  bool has_large_row = false;
   std::size_t entries = 0;
   for (const Json::Value& row :
        body ? (*body)["expected_revision"] : Json::Value()) {
@@ -113,7 +117,9 @@
   }
   for (const Json::Value& row : body ? (*body)["put"] : Json::Value()) {
     is_allowed = is_allowed && !IsReadOnly(RowOf(row));
-    transaction.puts[RowOf(row)] = TextOf(row, "value");
+    std::string value = TextOf(row, "value");
+    has_large_row |= value.size() > kMaxRowBytes;
+    transaction.puts[RowOf(row)] = std::move(value);
     ++entries;
   }
   for (const Json::Value& row : body ? (*body)["remove"] : Json::Value()) {
@@ -121,7 +127,8 @@
     transaction.removals.push_back(RowOf(row));
     ++entries;
   }
-  if (!body || entries > kMaxTransactionEntries || !is_allowed) {
+  if (!body || entries > kMaxTransactionEntries || !is_allowed ||
+      has_large_row || request.body.size() > kMaxTransactionBytes) {
     Reply(request.exchange, is_allowed ? kBadRequest : kForbidden,
           Json::Value(Json::objectValue));
     return;
--- a/test/core/jobs/job_test.cc
+++ b/test/core/jobs/job_test.cc
@@ -312,5 +312,57 @@
   }
 }
 
+// Guards against a progress record that grows with each time at which a job
+// can't be done.
+TEST_CASE("a job of which thousands of occurrences wait") {
+  Job job;
+  job.key = JobKey(1);
+  job.spec.steps = {StepSpec()};
+  job.spec.steps[0].tasks = 2;
+  job.spec.repeat_count = 100'000;
+  while (job.MayBeginOccurrence()) {
+    job.BeginOccurrence();
+  }
+  const auto record_end = [&job](std::uint32_t occurrence, RunEnd end) {
+    for (const std::uint32_t task : {0U, 1U}) {
+      job.RecordRunEnd({{job.key, occurrence, 0}, task}, Attempt(1), end, "",
+                       base::BackendId("worker"), kTwoAttempts);
+    }
+  };
+  record_end(7, RunEnd::kDone);
+  record_end(100, RunEnd::kFailed);
+  const std::string record = ProgressRecord(job);
+
+  SUBCASE("begins no more of them than its record can hold") {
+    CHECK(job.occurrences_begun == Job::kMaxUnfinishedTasks / 2);
+    CHECK(job.MayBeginOccurrence());
+    job.BeginOccurrence();
+    CHECK_FALSE(job.MayBeginOccurrence());
+  }
+  SUBCASE("has a small record, from which all of them are read") {
+    CHECK(record.size() < 1000);
+    base::Failure reason;
+    auto read = ReadAcceptance(job.key, AcceptanceRecord(job), &reason);
+    REQUIRE(ReadProgress(record, &*read, &reason));
+    CHECK(read->occurrences_begun == job.occurrences_begun);
+    CHECK(read->occurrences.size() == job.occurrences.size());
+    CHECK_FALSE(read->occurrences.contains(7));
+    CHECK(read->occurrences.at(100).steps[0].tasks[1].failed_attempts.size() ==
+          1);
+    CHECK(ProgressRecord(*read) == record);
+  }
+  SUBCASE("is not read from malformed ranges") {
+    base::Failure reason;
+    auto read = ReadAcceptance(job.key, AcceptanceRecord(job), &reason);
+    for (const char* text :
+         {R"({"state":"queued","begun":4,"untouched":[[2,1]]})",
+          R"({"state":"queued","begun":4,"untouched":[[2,4]]})",
+          R"({"state":"queued","begun":4,"untouched":[2,3]})"}) {
+      CAPTURE(text);
+      CHECK_FALSE(ReadProgress(text, &*read, &reason));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace dotterelbarrow::core::jobs
--- a/test/core/scheduler/crashing_tasks_test.cc
+++ b/test/core/scheduler/crashing_tasks_test.cc
@@ -44,6 +44,34 @@
         jobs::JobState::kFailed);
 }
 
+// Guards against a row that outgrows the store when the starts of a wide step
+// are announced after a change of owner, so that no owner can write any more.
+TEST_CASE("a wide step waits when the owner is lost") {
+  constexpr std::uint32_t kTasks = 3000;
+  Scenario scenario;
+  scenario.AddWorkers(8);
+  jobs::StepSpec wide = Scenario::Step(kTasks);
+  wide.needs.cpu = base::Millicores(10);
+  wide.depends_on = {0};
+  scenario.SubmitAndStore(kJob, "plain", {Scenario::Step(1), wide});
+  REQUIRE(StartAndCrash(&scenario));
+  scenario.TakeOver();
+  const jobs::TaskRef first{{jobs::JobKey(kJob), 0, 0}, 0};
+  for (int i = 0; i < 120 && scenario.WorkerOf(first).empty(); ++i) {
+    scenario.RunPasses(1);
+    scenario.Store();
+  }
+  scenario.EndRun(first, jobs::RunEnd::kDone);
+  std::size_t started = 0;
+  scenario.TakeStarts();
+  for (int i = 0; i < 20; ++i) {
+    scenario.RunPasses(1);
+    scenario.Store();
+    started += scenario.TakeStarts().size();
+  }
+  CHECK(started == kTasks);
+}
+
 // Guards against starts without end: no owner lives long enough to see a
 // crash, each only finds that an announced start is missing (soak, seed 12).
 TEST_CASE("a task that crashes its workers under owners that change") {
--- a/test/core/scheduler/job_pages_test.cc
+++ b/test/core/scheduler/job_pages_test.cc
@@ -20,6 +20,9 @@
 constexpr std::size_t kMaxRows = 98;
 constexpr std::size_t kMaxBytes = std::size_t{500} * 1024;
 constexpr base::Duration kRetention = seconds(180);
+// The store's limits, for values encoded as base64.
+constexpr std::size_t kStoreMaxRowBytes = 65'536;
+constexpr std::size_t kStoreMaxBodyBytes = 1'000'000;
 
 // The expected records, one of each kind for each job.
 struct ExpectedRecords {
@@ -72,7 +75,9 @@
     last_batch_bytes = 0;
     for (const RecordChange& change : changes) {
       if (change.value) {
-        last_batch_bytes += (change.value->size() + 2) / 3 * 4;
+        const std::size_t row_bytes = (change.value->size() + 2) / 3 * 4;
+        CHECK(row_bytes <= kStoreMaxRowBytes);
+        last_batch_bytes += row_bytes;
         rows[change.table][change.key] = *change.value;
       } else {
         rows[change.table].erase(change.key);
@@ -177,7 +182,6 @@
 // all pages of the bursts are due for a rewrite, while the next burst arrives.
 TEST_CASE("JobPages: many large pages are due for a rewrite") {
   Owner owner;
-  constexpr std::size_t kStoreMaxBodyBytes = 1'000'000;
   const std::string record(4000, 'x');
   std::uint64_t last_job = 0;
   const auto accept_burst = [&] {
@@ -214,6 +218,65 @@
   }
 }
 
+// Guards against a progress record that exceeds a row of the store, so that no
+// owner could write any more.
+TEST_CASE("a record that is larger than a row of the store") {
+  Owner owner;
+  const JobKey wide(1);
+  const JobKey other(2);
+  owner.Accept(wide, "wide");
+  owner.Accept(other, "other");
+  owner.Progress(wide, std::string(90'000, 'p') + "end");
+  owner.Write();
+  CHECK(owner.Matches(owner.TakeOver()));
+
+  SUBCASE("is replaced as a whole by a smaller one") {
+    owner.Progress(wide, "small");
+    owner.Write();
+    CHECK(owner.Matches(owner.TakeOver()));
+    owner.Write();
+    CHECK(owner.rows[RecordTable::kLivePages].size() == 2);
+  }
+  SUBCASE("is replaced by one of as many parts") {
+    owner.Progress(wide, std::string(91'000, 'q'));
+    owner.Write();
+    CHECK(owner.Matches(owner.TakeOver()));
+  }
+  SUBCASE("leaves no rows when its job ends") {
+    owner.End(wide, JobState::kCompleted);
+    owner.End(other, JobState::kCompleted);
+    owner.Write();
+    CHECK(owner.rows[RecordTable::kLivePages].empty());
+  }
+  SUBCASE("is moved together with the other records of its pages") {
+    owner.End(other, JobState::kCompleted);
+    owner.Write();
+    owner.now += JobPages::kRewriteAfter;
+    owner.Write();
+    owner.now += seconds(2);
+    owner.Write();
+    CHECK(owner.Matches(owner.TakeOver()));
+  }
+  SUBCASE("loses nothing when a page of an earlier one was not removed yet") {
+    auto before = owner.rows[RecordTable::kLivePages];
+    owner.Progress(wide, std::string(50'000, 'r'));
+    owner.Write();
+    // Only the first page of the earlier record was removed.
+    before.erase(before.begin());
+    owner.rows[RecordTable::kLivePages].merge(before);
+    owner.expected.live[other].acceptance = "other again";
+    owner.pages.PutRecord(other, JobPages::RecordKind::kAcceptance,
+                          "other again", owner.now);
+    owner.expected.live[wide].acceptance = "wide again";
+    owner.pages.PutRecord(wide, JobPages::RecordKind::kAcceptance, "wide again",
+                          owner.now);
+    owner.Write();
+    CHECK(owner.Matches(owner.TakeOver()));
+    owner.Write();
+    CHECK(owner.Matches(owner.TakeOver()));
+  }
+}
+
 TEST_CASE("unreadable pages") {
   JobPages pages;
   base::Failure reason;
@@ -227,6 +290,8 @@
            {"0000000000000001", "x 0000000000000001 {}\n"},
            {"0000000000000002", "a 1 {}\n"},
            {"0000000000000003", "\n"},
+           {"0000000000000006", "P 0000000000000001 2 2 {}\n"},
+           {"0000000000000007", "P 0000000000000001 0 {}\n"},
            {"0000000000000004", "a"}}) {
     CAPTURE(key);
     CAPTURE(text);
@@ -244,7 +309,9 @@
 // it.
 void PerformOperation(Owner* owner, int choice, std::uint64_t job, int size) {
   const JobKey key(job);
-  const std::string record(static_cast<std::size_t>(size) * 40, 'r');
+  // Some records exceed a row.
+  const std::string record(static_cast<std::size_t>(size * size * size) * 2,
+                           static_cast<char>('a' + size % 26));
   const bool is_live = owner->expected.live.contains(key);
   const bool has_ended = owner->expected.ended.contains(key);
   switch (choice) {
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -1,6 +1,7 @@
 // Executes the actions of the scheduler under test.
 #include "test/core/scheduler/scheduler_scenario.h"
 
+#include <doctest/doctest.h>
 #include <json/json.h>
 
 #include <algorithm>
@@ -17,6 +18,10 @@
 
 constexpr std::int64_t kWorkerCores = 4;
 constexpr std::int64_t kMillicores = 1000;
+// The store's limits for a transaction and, encoded as base64, for a row.
+constexpr std::size_t kStoreMaxEntries = 100;
+constexpr std::size_t kStoreMaxRowBytes = 65'536;
+constexpr std::size_t kStoreMaxBodyBytes = 1'000'000;
 const base::ServiceId kService("tasks");
 
 desired::Queue MakeQueue(const std::string& name) {
@@ -188,13 +193,20 @@
   std::vector<WaiterId> notified;
   while (scheduler_->has_changes()) {
     const RecordBatch batch = scheduler_->TakeBatch(now_);
+    // Two entries are those of the ownership record.
+    REQUIRE(batch.changes.size() + 2 <= kStoreMaxEntries);
+    std::size_t body_bytes = 0;
     for (const RecordChange& change : batch.changes) {
       if (change.value) {
+        const std::size_t row_bytes = (change.value->size() + 2) / 3 * 4;
+        REQUIRE(row_bytes <= kStoreMaxRowBytes);
+        body_bytes += row_bytes;
         rows_[change.table][change.key] = *change.value;
       } else {
         rows_[change.table].erase(change.key);
       }
     }
+    REQUIRE(body_bytes < kStoreMaxBodyBytes);
     scheduler_->UpdateStoreClock(NowMillis(), now_);
     scheduler_->OnStored(batch, now_);
     notified.insert(notified.end(), batch.accept_waiters.begin(),
--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -50,6 +50,9 @@
 constexpr double kRemoteFactor = 2;
 constexpr double kAmpleWeight = 1000;
 constexpr std::int64_t kCheckpointIntervalMs = 500;
+// The store's limits for a transaction and, before base64, for a row.
+constexpr std::size_t kStoreMaxEntries = 100;
+constexpr std::size_t kStoreMaxRowBytes = 49'152;
 
 const char* const kService = "service";
 
@@ -288,9 +291,16 @@
 }
 
 void Cell::Store(const RecordBatch& batch) {
+  // Two entries are those of the ownership record.
+  if (batch.changes.size() + 2 > kStoreMaxEntries) {
+    Break("a batch exceeds a transaction of the store");
+  }
   for (const core::scheduler::RecordChange& change : batch.changes) {
     auto& rows = rows_[change.table];
     if (change.value) {
+      if (change.value->size() > kStoreMaxRowBytes) {
+        Break("a record exceeds a row of the store: " + change.key);
+      }
       rows[change.key] = *change.value;
     } else {
       rows.erase(change.key);
