A list of run ends that is cut says nothing about the runs that it leaves out

Cause: a worker lists 500 ends at a time. A run that was neither active nor listed was taken for stopped, and a new owner took a worker for reconciled after the first 500 ends.

Change: PollResult::lists_all. While it is false, such a run keeps its room, and an inherited worker stays unreconciled. A held end no longer waits for runs that are certain to be over, nor for lists of claimed workers: the fuzzer showed that the end that is held can itself keep the list cut.

--- a/include/dotterelbarrow/core/scheduler/actions.h
+++ b/include/dotterelbarrow/core/scheduler/actions.h
@@ -136,7 +136,11 @@
   std::int64_t clock_ms = 0;
   std::int64_t born_ms = 0;
   std::vector<ListedRun> active;
+  // The run ends that the worker remembers, those with the lowest numbers.
   std::vector<ListedEnd> ended;
+  // Whether the lists are complete, so that a run that is in neither of them
+  // has no end which this owner has yet to learn.
+  bool lists_all = true;
 };
 
 struct AllowedWorker {
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -102,6 +102,9 @@
   // proves that it runs in the current incarnation of the worker: the answer to
   // its start command may have come from the next incarnation.
   bool is_listed = false;
+  // Whether the run is certain to be over, but the list of ends was cut before
+  // its own, so that it isn't known how it ended.
+  bool awaits_end = false;
   base::TimePoint stop_sent_at{};
   // The checkpoint from which another attempt could resume, as last reported by
   // the worker.
--- a/src/core/scheduler/fleet_runs.cc
+++ b/src/core/scheduler/fleet_runs.cc
@@ -266,6 +266,8 @@
       target->inherited_born_ms = kUnknownIncarnation;
       inherited_worker_lost.emit(worker, workers::LossKind::kCrashed);
     }
+  }
+  if (result.lists_all && unreconciled_.contains(worker)) {
     MarkReconciled(worker);
   }
   if (target->leases_suspended) {
@@ -354,7 +356,12 @@
         run.stop_accepted_ms != 0 && run.stop_accepted_ms < result.clock_ms;
     if (was_stop_applied || (run.state == RunState::kRunning &&
                              WasConfirmedBefore(run, result.clock_ms))) {
-      ended_runs.push_back(key);
+      // If the list was cut, the run's end may be a success that comes later.
+      if (result.lists_all) {
+        ended_runs.push_back(key);
+      } else {
+        run.awaits_end = true;
+      }
     } else if (run.state == RunState::kUncertain) {
       // The start command may still arrive; once stopped, the run can never
       // start.
--- a/src/core/scheduler/scheduler_copies.cc
+++ b/src/core/scheduler/scheduler_copies.cc
@@ -29,7 +29,16 @@
 }
 
 bool Scheduler::CanRelease(const HeldEnds::End& end) {
-  if (end.is_inherited && !fleet_.unreconciled().empty()) {
+  // A claimed worker carries out no more starts of previous owners. Waiting for
+  // its list of ends to be complete could take forever, because the ends that
+  // are held are listed first.
+  const auto is_unclaimed = [this](const base::BackendId& id) {
+    const workers::Worker* worker = fleet_.Find(id);
+    return worker != nullptr && !worker->is_claimed;
+  };
+  if (end.is_inherited &&
+      std::any_of(fleet_.unreconciled().begin(), fleet_.unreconciled().end(),
+                  is_unclaimed)) {
     return false;
   }
   const std::set<PlacedRun>& runs = runs_.RunsOfStep(end.task.step);
@@ -40,7 +49,7 @@
             ? nullptr
             : worker->FindRun(placed.task, placed.attempt);
     return run != nullptr && run->state != workers::RunState::kReserved &&
-           run->start_confirmed_ms == 0;
+           run->start_confirmed_ms == 0 && !run->awaits_end;
   });
 }
 
--- a/src/standins/site/worker_model.cc
+++ b/src/standins/site/worker_model.cc
@@ -38,6 +38,9 @@
   for (const auto& [task, end] : ending) {
     End(task, end);
   }
+  if (clock_ms_ >= lease_until_ms_) {
+    lapsed_through_ = last_end_;
+  }
 }
 
 bool WorkerModel::AcceptToken(FencingToken token) {
@@ -147,7 +150,10 @@
   for (const auto& [task, run] : runs_) {
     result.active.push_back({task, run.attempt, CheckpointOf(run, false)});
   }
-  result.ended = ends_;
+  const std::size_t listed = std::min(ends_.size(), max_listed_ends_);
+  result.ended.assign(ends_.begin(),
+                      ends_.begin() + static_cast<std::ptrdiff_t>(listed));
+  result.lists_all = listed < max_listed_ends_;
   return result;
 }
 
@@ -184,6 +190,7 @@
   closed_attempts_.clear();
   ends_.clear();
   last_end_ = 0;
+  lapsed_through_ = 0;
 }
 
 }  // namespace dotterelbarrow::standins::site
--- a/src/standins/site/worker_model.h
+++ b/src/standins/site/worker_model.h
@@ -78,6 +78,9 @@
                       FencingToken token);
   PollResult Look(const core::scheduler::PollWorker& command,
                   FencingToken token);
+  // The number of the last run end before the lease expired last; 0 if it never
+  // did. These ends count for nothing, even if they are acknowledged later.
+  std::uint64_t lapsed_through() const { return lapsed_through_; }
   // Time of the worker's own clock.
   std::int64_t clock_ms() const { return clock_ms_; }
 
@@ -93,6 +96,10 @@
   // the last kCapacityNoticeMs.
   void SetCapacity(const base::Resources& capacity);
 
+  // The number of run ends that one answer to a poll lists at most.
+  static constexpr std::size_t kMaxListedEnds = 500;
+  void set_max_listed_ends(std::size_t count) { max_listed_ends_ = count; }
+
   // Whether a start has ever brought the concurrent runs above the capacity.
   bool was_overloaded() const { return was_overloaded_; }
 
@@ -134,6 +141,8 @@
   std::map<TaskRef, Attempt> closed_attempts_;
   std::vector<ListedEnd> ends_;
   std::uint64_t last_end_ = 0;
+  std::uint64_t lapsed_through_ = 0;
+  std::size_t max_listed_ends_ = kMaxListedEnds;
   bool was_overloaded_ = false;
 };
 
--- a/test/core/scheduler/fleet_test.cc
+++ b/test/core/scheduler/fleet_test.cc
@@ -62,8 +62,9 @@
   void Tick() { fleet.Tick(now, &actions); }
   // Answers the regular poll with these lists.
   void AnswerPoll(std::vector<ListedRun> active,
-                  std::vector<ListedEnd> ended = {}) {
+                  std::vector<ListedEnd> ended = {}, bool lists_all = true) {
     PollResult result;
+    result.lists_all = lists_all;
     result.outcome = CommandOutcome::kDone;
     result.clock_ms = worker_clock_ms;
     result.born_ms = born_ms;
@@ -368,6 +369,58 @@
   }
 }
 
+// Guards against a success that is taken for a stop, because the list of ends
+// was cut before it.
+TEST_CASE("a list of ends that is cut") {
+  FleetScenario scenario;
+  scenario.Start();
+  scenario.AnswerStart(CommandOutcome::kDone);
+  scenario.Advance(milliseconds(700));
+  const jobs::TaskRef other{kTask.step, 1};
+  const ListedEnd earlier{1, other, kAttempt, jobs::RunEnd::kDone, ""};
+
+  SUBCASE("says nothing about a confirmed run that it doesn't name") {
+    scenario.AnswerPoll({}, {earlier}, false);
+    CHECK(scenario.ends.empty());
+    CHECK(scenario.FreeCpu() == 1000);
+    scenario.AnswerPoll({}, {{2, kTask, kAttempt, jobs::RunEnd::kDone, ""}});
+    CHECK(scenario.ends == std::vector{jobs::RunEnd::kDone});
+  }
+  SUBCASE("says nothing about a run that was stopped") {
+    scenario.fleet.Stop(kWorker, {kTask, kAttempt}, scenario.now,
+                        &scenario.actions);
+    scenario.fleet.OnStopped(kWorker, scenario.born_ms, {kTask, kAttempt},
+                             CommandOutcome::kDone, scenario.worker_clock_ms,
+                             &scenario.actions);
+    scenario.Advance(milliseconds(5));
+    scenario.AnswerPoll({}, {earlier}, false);
+    CHECK(scenario.ends.empty());
+    scenario.AnswerPoll({}, {{2, kTask, kAttempt, jobs::RunEnd::kDone, ""}});
+    CHECK(scenario.ends == std::vector{jobs::RunEnd::kDone});
+  }
+  SUBCASE("does not reconcile a worker of the previous owner") {
+    Fleet next_owner(FleetSettings(), {&scenario.log, &scenario.counters});
+    workers::Listing listing;
+    listing.id = kWorker;
+    next_owner.AddInheritedWorker(listing, scenario.now);
+    PollResult result;
+    result.outcome = CommandOutcome::kDone;
+    result.clock_ms = scenario.worker_clock_ms;
+    result.born_ms = scenario.born_ms;
+    result.ended = {earlier};
+    const auto answer_poll = [&](bool lists_all) {
+      result.lists_all = lists_all;
+      next_owner.OnPolled(kWorker, workers::kUnknownIncarnation, true, result,
+                          scenario.now, &scenario.actions);
+    };
+    answer_poll(false);
+    CHECK(next_owner.Find(kWorker)->is_claimed);
+    CHECK(next_owner.unreconciled().contains(kWorker));
+    answer_poll(true);
+    CHECK_FALSE(next_owner.unreconciled().contains(kWorker));
+  }
+}
+
 TEST_CASE("an inherited worker") {
   FleetScenario scenario;
   Fleet next_owner(FleetSettings(), {&scenario.log, &scenario.counters});
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -18,6 +18,8 @@
 
 constexpr std::int64_t kWorkerCores = 4;
 constexpr std::int64_t kMillicores = 1000;
+// The number of run ends that an answer to a poll lists at most.
+constexpr std::size_t kMaxListedEnds = 500;
 // The store's limits for a transaction and, encoded as base64, for a row.
 constexpr std::size_t kStoreMaxEntries = 100;
 constexpr std::size_t kStoreMaxRowBytes = 65'536;
@@ -296,7 +298,12 @@
                                                   ? CheckpointOf(attempt)
                                                   : it->second});
                    }
-                   result.ended = worker.ended;
+                   const std::size_t listed =
+                       std::min(worker.ended.size(), kMaxListedEnds);
+                   result.ended.assign(worker.ended.begin(),
+                                       worker.ended.begin() +
+                                           static_cast<std::ptrdiff_t>(listed));
+                   result.lists_all = listed < kMaxListedEnds;
                    scheduler_->OnPolled(command, result, now_);
                  },
                  [this](const RequestAdvice& request) {
--- a/test/core/scheduler/scheduler_test.cc
+++ b/test/core/scheduler/scheduler_test.cc
@@ -489,6 +489,49 @@
 
 // Guards against passes that cost as much as there is waiting, although nothing
 // has changed for what waits.
+// Guards against tasks that are started again after their success, once a
+// worker has more run ends than it lists at a time (review, case 2).
+TEST_CASE("more run ends than a worker lists wait for the store") {
+  constexpr std::uint32_t kTasks = 1300;
+  Scenario scenario;
+  scenario.AddWorkers(1);
+  jobs::StepSpec step = Scenario::Step(kTasks);
+  step.needs.cpu = base::Millicores(3);
+  scenario.SubmitAndStore(1, "plain", {step});
+  scenario.RunPasses(2);
+  std::set<jobs::TaskRef> started;
+  const auto count_repeated_starts = [&] {
+    int repeated = 0;
+    for (const StartTask& start : scenario.TakeStarts()) {
+      repeated += started.insert(start.task).second ? 0 : 1;
+    }
+    return repeated;
+  };
+  REQUIRE(count_repeated_starts() == 0);
+  REQUIRE(started.size() == kTasks);
+  for (std::uint32_t task = 0; task < kTasks; ++task) {
+    scenario.EndRun({{jobs::JobKey(1), 0, 0}, task}, jobs::RunEnd::kDone);
+  }
+
+  SUBCASE("none is started again by the owner that started it") {
+    scenario.RunPasses(30);
+    CHECK(count_repeated_starts() == 0);
+  }
+  SUBCASE("none is started again by the next owner") {
+    scenario.TakeOver();
+    scenario.RunPasses(30);
+    CHECK(count_repeated_starts() == 0);
+  }
+  for (int i = 0; i < 30; ++i) {
+    scenario.RunPasses(1);
+    scenario.Store();
+  }
+  CHECK(count_repeated_starts() == 0);
+  CHECK(scenario.UnacknowledgedEnds("worker-0") == 0);
+  CHECK(scenario.scheduler().StateOf(jobs::JobKey(1)) ==
+        jobs::JobState::kCompleted);
+}
+
 TEST_CASE("a backlog on a full fleet") {
   constexpr std::uint64_t kBacklog = 40;
   constexpr int kPasses = 4;
--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -45,6 +45,8 @@
 // Half of the steps other than gangs.
 constexpr int kStepsWithCopies = 500;
 constexpr double kAmpleSlack = 100;
+// So few that the lists of run ends are often cut.
+constexpr std::size_t kMaxListedEnds = 4;
 // Workers are on this many racks, and half of the steps want one of them.
 constexpr int kRacks = 3;
 constexpr double kRemoteFactor = 2;
@@ -154,6 +156,7 @@
     listing.zone = ZoneOf(i % kZones);
     listing.rack = "rack-" + std::to_string(i % kRacks);
     workers_.push_back(std::make_unique<WorkerModel>(listing, Between(0, 20)));
+    workers_.back()->set_max_listed_ends(kMaxListedEnds);
   }
   log_.now_ms = &now_ms_;
   BeginTerm();
@@ -267,7 +270,7 @@
   // The store rejects the writes of all owners but the newest, because their
   // condition fails.
   const bool is_newest = owner->token.value() == last_token_;
-  if (owner->writing && now_ms_ >= owner->write_ends_ms) {
+  if (owner->writing && now_ms_ >= owner->write_ends_ms && !is_store_down_) {
     const RecordBatch batch = std::move(*owner->writing);
     owner->writing.reset();
     if (!is_newest) {
@@ -449,7 +452,7 @@
                 [this, owner, look, result](WorkerModel* worker) {
                   for (const ListedEnd& end : worker->ends()) {
                     if (end.number <= look.ends_stored) {
-                      OnAcknowledged(end);
+                      OnAcknowledged(*worker, end);
                     }
                   }
                   *result =
@@ -528,12 +531,26 @@
     Break("started again " + std::to_string(now_ms_ - done->second) +
           " ms after its success: " + name);
   }
+  for (const auto& worker : workers_) {
+    for (const ListedEnd& end : worker->ends()) {
+      if (worker->is_up() && end.task == task && end.end == RunEnd::kDone &&
+          end.number > worker->lapsed_through() && !spec.may_have_copies()) {
+        restarted_[{task, end.attempt}] = name;
+      }
+    }
+  }
   if (acknowledged_failures_[task].size() >= kMaxAttempts) {
     Break("started again after its last failure: " + name);
   }
 }
 
-void Cell::OnAcknowledged(const ListedEnd& end) {
+void Cell::OnAcknowledged(const WorkerModel& worker, const ListedEnd& end) {
+  const auto restarted = restarted_.find({end.task, end.attempt});
+  if (restarted != restarted_.end() && end.number > worker.lapsed_through()) {
+    Break("started again before its success was acknowledged: " +
+          restarted->second);
+    restarted_.erase(restarted);
+  }
   if (end.end == RunEnd::kDone) {
     acknowledged_done_.try_emplace(end.task, now_ms_);
   }
@@ -783,6 +800,7 @@
   }
   faults = Faults{.runs_failing = 0, .runs_slow = 0};
   cut_.clear();
+  is_store_down_ = false;
   const std::int64_t end = now_ms_ + kMaxRecoveryMs;
   while (now_ms_ < end) {
     Run(1000);
--- a/test/fuzz/scheduler/cell.h
+++ b/test/fuzz/scheduler/cell.h
@@ -91,6 +91,8 @@
   // unaware of its successor.
   void ChangeOwnerKeepingPrevious();
   void CutWorker(std::size_t index, bool is_cut);
+  // While the store is down, no write ends.
+  void SetStoreDown(bool is_down) { is_store_down_ = is_down; }
   // Crashes the worker. It is back after 0.5 to 4 s.
   void CrashWorker(std::size_t index);
   // From now on, each start of a task of this job crashes its worker
@@ -189,7 +191,7 @@
   // time.
   void CheckEnds(const TaskRef& task, const std::string& name);
   // Records that the owner has acknowledged this end to its worker.
-  void OnAcknowledged(const ListedEnd& end);
+  void OnAcknowledged(const WorkerModel& worker, const ListedEnd& end);
   // Checks that a run may be stopped for the step.
   void CheckPreemption(const std::string& task, const std::string& for_step);
   // Whether the advisor allows the step on the worker.
@@ -231,6 +233,9 @@
   // The tasks whose success the owner has acknowledged to a worker, and when it
   // did first.
   std::map<TaskRef, std::int64_t> acknowledged_done_;
+  // The successful attempts that had ended when their task was started again.
+  // Acknowledging such an end is a violation.
+  std::map<std::pair<TaskRef, Attempt>, std::string> restarted_;
   // The failed attempts of each task that the owner has acknowledged.
   std::map<TaskRef, std::set<Attempt>> acknowledged_failures_;
   std::uint64_t copies_ = 0;
@@ -254,6 +259,7 @@
   // The contents of the store.
   std::map<core::scheduler::RecordTable, std::map<std::string, std::string>>
       rows_;
+  bool is_store_down_ = false;
   std::vector<std::string> broken_;
 };
 
--- a/test/platform/worker_messages_test.cc
+++ b/test/platform/worker_messages_test.cc
@@ -64,6 +64,28 @@
     CHECK(result.ended[0].attempt.value() == 0);
     CHECK(result.ended[0].end == RunEnd::kFailed);
   }
+  SUBCASE("with as many ends as a worker lists at a time is incomplete") {
+    std::string ends;
+    const auto decode = [&ends] {
+      return DecodePollAnswer(
+          Answer(R"({"clock_ms":1,"active":[],"finished":[)" + ends + "]}"));
+    };
+    for (int number = 499; number > 0; --number) {
+      ends += "[" + std::to_string(number) +
+              R"(,"5c0e7a21d94b36f8.0.1.9",1,"done",""])" +
+              (number > 1 ? "," : "");
+    }
+    auto result = decode();
+    CHECK(result.lists_all);
+    CHECK(result.ended.front().number == 1);
+    CHECK(result.ended.back().number == 499);
+    ends += R"(,[500,"5c0e7a21d94b36f8.0.1.9",1,"done",""])";
+    CHECK_FALSE(decode().lists_all);
+  }
+  SUBCASE("with an active run that can't be read is incomplete") {
+    CHECK_FALSE(DecodePollAnswer(Answer(R"({"clock_ms":1,"active":[["?",1]]})"))
+                    .lists_all);
+  }
   SUBCASE("nested too deep for a recursive parser does no harm") {
     const std::string nested(200'000, '[');
     CHECK(DecodePollAnswer(Answer(nested)).outcome ==
