An entry that is ignored or unreadable is not a worker that has left

Cause: entries that the owner doesn't use, or can't read, reached the fleet as removed entries, and a draining worker whose entry is removed has exited.

Change: ListingChanges has `removed` and `unusable`, a full list names the workers of unreadable entries. An unusable entry stops new starts; runs continue and are renewed.

The test of the reader asserted the fault (an unreadable entry was delivered as unlisted); it now asserts that the two are told apart, in changes and in full lists.

--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -69,8 +69,11 @@
 struct ListingChanges {
   // New entries, and those with a new revision.
   std::vector<workers::Listing> listed;
-  // Workers whose entries were removed, or can't be read any more.
-  std::vector<base::BackendId> unlisted;
+  // Workers whose entries were removed.
+  std::vector<base::BackendId> removed;
+  // Workers whose entries exist, but can't be read or are not to be used. Their
+  // runs continue; nothing new is started there.
+  std::vector<base::BackendId> unusable;
 };
 
 class Fleet {
@@ -126,9 +129,11 @@
 
   // Applies the platform's list, which was requested at `requested_at`. A
   // worker that is missing from it keeps its runs until its leases have
-  // expired, except one that is certain to have shut down.
+  // expired, except one that is certain to have shut down. Those in `unusable`
+  // are not missing: their entries exist, but name no worker to use.
   void UpdateListings(const std::vector<workers::Listing>& listings,
-                      base::TimePoint requested_at, base::TimePoint now);
+                      base::TimePoint requested_at, base::TimePoint now,
+                      const std::vector<base::BackendId>& unusable = {});
   // Applies changes of the list since the last call of this or of
   // UpdateListings. They were requested at `requested_at`; earlier changes were
   // all applied before.
@@ -262,14 +267,17 @@
   void UpdateEvacuation();
   // Adds the worker of a list entry, or applies the entry to the known worker.
   void AddOrApplyListing(const workers::Listing& listing, base::TimePoint now);
-  // Handles that the worker is missing from the list.
-  void OnUnlisted(workers::Worker* worker, base::TimePoint now);
+  // Handles that the worker's entry was removed from the list.
+  void OnRemoved(workers::Worker* worker, base::TimePoint now);
+  // Handles that the worker's entry can't be used any more. That says nothing
+  // about the worker's process.
+  void OnUnusable(workers::Worker* worker);
   // Applies the platform's list entry of a known worker.
   void ApplyListing(workers::Worker* worker, const workers::Listing& listing,
                     base::TimePoint now);
-  // Whether a worker that is missing from the list for the first time has shut
-  // down, and was not removed for being unresponsive: it was draining, and its
-  // last report is too recent for that removal.
+  // Whether a worker whose entry has just been removed has shut down, and was
+  // not removed for being unresponsive: it was draining, and its last report is
+  // too recent for that removal.
   bool HasShutDown(const workers::Worker& worker, base::TimePoint now) const;
   // Ends the runs that this incarnation of the worker had confirmed, because
   // its process has ended.
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -136,13 +136,14 @@
   // The progress of the evacuations.
   const EvacuationMonitor& evacuations() const { return evacuations_; }
   // Applies the platform's list of workers, which was requested at `asked_at`.
-  // Ignores workers of services that the configuration doesn't name, and those
-  // of other shards.
+  // Starts nothing on workers of services that the configuration doesn't name,
+  // nor on those of other shards; runs there continue. `unreadable` are the
+  // workers whose entries can't be read.
   void UpdateListings(std::vector<workers::Listing> listings,
-                      base::TimePoint asked_at, base::TimePoint now);
+                      base::TimePoint asked_at, base::TimePoint now,
+                      std::vector<base::BackendId> unreadable = {});
 
-  // Applies what has changed in that list. Entries that are ignored count as
-  // removed.
+  // Applies what has changed in that list.
   void ApplyListingChanges(ListingChanges changes, base::TimePoint asked_at,
                            base::TimePoint now);
 
@@ -325,6 +326,9 @@
   // Releases the reserved runs on evacuated workers, whose starts were not
   // sent, and of a gang that has no other runs the rest of its reserved ones.
   void ReleaseEvacuatedRuns();
+  // Moves the entries of workers that this owner doesn't use to `unusable`.
+  void RemoveUnused(std::vector<workers::Listing>* listings,
+                    std::vector<base::BackendId>* unusable) const;
   // Whether this owner uses the worker.
   bool IsUsed(const workers::Listing& listing) const;
   // Returns null if the job has ended or the task doesn't exist.
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -90,15 +90,22 @@
 }
 
 void Fleet::UpdateListings(const std::vector<Listing>& listings,
-                           base::TimePoint requested_at, base::TimePoint now) {
+                           base::TimePoint requested_at, base::TimePoint now,
+                           const std::vector<base::BackendId>& unusable) {
   std::set<base::BackendId> listed;
   for (const Listing& listing : listings) {
     listed.insert(listing.id);
     AddOrApplyListing(listing, now);
   }
+  for (const base::BackendId& id : unusable) {
+    listed.insert(id);
+    if (Worker* worker = Find(id)) {
+      OnUnusable(worker);
+    }
+  }
   for (auto& [id, worker] : workers_) {
     if (!listed.contains(id)) {
-      OnUnlisted(&worker, now);
+      OnRemoved(&worker, now);
     }
   }
   list_requested_at_ = requested_at;
@@ -111,9 +118,14 @@
   for (const Listing& listing : changes.listed) {
     AddOrApplyListing(listing, now);
   }
-  for (const base::BackendId& id : changes.unlisted) {
+  for (const base::BackendId& id : changes.unusable) {
     if (Worker* worker = Find(id)) {
-      OnUnlisted(worker, now);
+      OnUnusable(worker);
+    }
+  }
+  for (const base::BackendId& id : changes.removed) {
+    if (Worker* worker = Find(id)) {
+      OnRemoved(worker, now);
     }
   }
   list_requested_at_ = requested_at;
@@ -136,7 +148,18 @@
   added->next_poll = now;
 }
 
-void Fleet::OnUnlisted(Worker* worker, base::TimePoint now) {
+void Fleet::OnUnusable(Worker* worker) {
+  if (!worker->is_listed()) {
+    return;
+  }
+  worker->set_listed(false);
+  telemetry_.log->Write(
+      "worker_unusable",
+      {{"worker", worker->id().value()},
+       {"runs", static_cast<std::int64_t>(worker->runs().size())}});
+}
+
+void Fleet::OnRemoved(Worker* worker, base::TimePoint now) {
   if (!worker->is_listed()) {
     return;
   }
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -141,13 +141,23 @@
   dispatcher_.set_advice_clients(entries);
 }
 
+void Scheduler::RemoveUnused(std::vector<workers::Listing>* listings,
+                             std::vector<base::BackendId>* unusable) const {
+  std::erase_if(*listings, [&](const workers::Listing& listing) {
+    const bool is_unused = !IsUsed(listing);
+    if (is_unused) {
+      unusable->push_back(listing.id);
+    }
+    return is_unused;
+  });
+}
+
 void Scheduler::UpdateListings(std::vector<workers::Listing> listings,
-                               base::TimePoint asked_at, base::TimePoint now) {
+                               base::TimePoint asked_at, base::TimePoint now,
+                               std::vector<base::BackendId> unreadable) {
   now_ = now;
-  std::erase_if(listings, [this](const workers::Listing& listing) {
-    return !IsUsed(listing);
-  });
-  fleet_.UpdateListings(listings, asked_at, now);
+  RemoveUnused(&listings, &unreadable);
+  fleet_.UpdateListings(listings, asked_at, now, unreadable);
   worker_records_.Update(listings);
   run_time_recorder_.OnListed(now);
 }
@@ -156,13 +166,7 @@
                                     base::TimePoint asked_at,
                                     base::TimePoint now) {
   now_ = now;
-  std::erase_if(changes.listed, [this, &changes](const auto& listing) {
-    const bool is_unused = !IsUsed(listing);
-    if (is_unused) {
-      changes.unlisted.push_back(listing.id);
-    }
-    return is_unused;
-  });
+  RemoveUnused(&changes.listed, &changes.unusable);
   fleet_.ApplyListingChanges(changes, asked_at, now);
   worker_records_.Update(changes.listed);
   run_time_recorder_.OnListed(now);
--- a/src/member/listing_reader.cc
+++ b/src/member/listing_reader.cc
@@ -36,7 +36,8 @@
 void ListingReader::Read() {
   ++reading_;
   feed_timer_.Cancel();
-  incoming_ = {.requested_at = Now(), .version = {}, .listings = {}};
+  incoming_ = {
+      .requested_at = Now(), .version = {}, .listings = {}, .unreadable = {}};
   ReadPage("");
 }
 
@@ -59,6 +60,8 @@
   for (const platform::Row& row : result.rows) {
     if (auto listing = ReadEntry(row)) {
       incoming_.listings.push_back(std::move(*listing));
+    } else {
+      incoming_.unreadable.emplace_back(row.key.key);
     }
   }
   if (result.has_more && !result.rows.empty()) {
@@ -69,7 +72,8 @@
   // some of them may be in the list already.
   version_ = incoming_.version;
   feed_timer_.StartOnce(kMinFeedInterval);
-  on_list_(std::move(incoming_.listings), incoming_.requested_at);
+  on_list_(std::move(incoming_.listings), std::move(incoming_.unreadable),
+           incoming_.requested_at);
 }
 
 void ListingReader::ReadChanges() {
@@ -102,11 +106,12 @@
     if (!key.part.empty() || !seen.insert(key.key).second) {
       continue;
     }
-    auto listing = change->is_deleted ? std::nullopt : ReadEntry(change->row);
-    if (listing) {
+    if (change->is_deleted) {
+      changes.removed.emplace_back(key.key);
+    } else if (auto listing = ReadEntry(change->row)) {
       changes.listed.push_back(std::move(*listing));
     } else {
-      changes.unlisted.emplace_back(key.key);
+      changes.unusable.emplace_back(key.key);
     }
   }
   feed_timer_.StartOnce(result.changes.empty() ? base::Duration(0)
--- a/src/member/listing_reader.h
+++ b/src/member/listing_reader.h
@@ -24,9 +24,11 @@
 
 class ListingReader {
  public:
-  // Receives a complete list and the time at which its first page was
-  // requested. The list shows the workers as they were at that time or later.
+  // Receives a complete list, the workers whose entries can't be read, and the
+  // time at which its first page was requested. The list shows the workers as
+  // they were at that time or later.
   using OnList = std::function<void(std::vector<core::workers::Listing>,
+                                    std::vector<base::BackendId> unreadable,
                                     base::TimePoint requested_at)>;
   // Receives all changes since the last list or changes. Called at least once
   // per period while the store answers, also if nothing has changed.
@@ -51,6 +53,7 @@
     // The store's version before the first page was read.
     base::RowVersion version;
     std::vector<core::workers::Listing> listings;
+    std::vector<base::BackendId> unreadable;
   };
 
   // Wraps a callback so that it does nothing after this object's destruction,
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -39,10 +39,11 @@
           *parts_.loop, parts_.store, parts_.telemetry.counters,
           std::min(parts_.listings_period, kMaxListingsPeriod),
           [this](std::vector<core::workers::Listing> listings,
+                 std::vector<base::BackendId> unreadable,
                  base::TimePoint requested_at) {
             if (!is_over_) {
               scheduler_.UpdateListings(std::move(listings), requested_at,
-                                        Now());
+                                        Now(), std::move(unreadable));
               SchedulePass();
             }
           },
--- a/test/core/scheduler/fleet_test.cc
+++ b/test/core/scheduler/fleet_test.cc
@@ -449,16 +449,19 @@
   other.id = base::BackendId("other");
   other.born_ms = 1;
   SUBCASE("a new entry adds its worker and leaves the others listed") {
-    scenario.fleet.ApplyListingChanges({.listed = {other}, .unlisted = {}},
-                                       scenario.now, scenario.now);
+    scenario.fleet.ApplyListingChanges(
+        {.listed = {other}, .removed = {}, .unusable = {}}, scenario.now,
+        scenario.now);
     CHECK(scenario.fleet.Find(other.id) != nullptr);
     CHECK(scenario.fleet.Find(kWorker)->is_listed());
   }
   SUBCASE("a removed entry unlists only its worker") {
-    scenario.fleet.ApplyListingChanges({.listed = {other}, .unlisted = {}},
-                                       scenario.now, scenario.now);
-    scenario.fleet.ApplyListingChanges({.listed = {}, .unlisted = {kWorker}},
-                                       scenario.now, scenario.now);
+    scenario.fleet.ApplyListingChanges(
+        {.listed = {other}, .removed = {}, .unusable = {}}, scenario.now,
+        scenario.now);
+    scenario.fleet.ApplyListingChanges(
+        {.listed = {}, .removed = {kWorker}, .unusable = {}}, scenario.now,
+        scenario.now);
     CHECK_FALSE(scenario.fleet.Find(kWorker)->is_listed());
     CHECK(scenario.fleet.Find(other.id)->is_listed());
   }
@@ -468,13 +471,34 @@
     scenario.revision = 2;
     scenario.ApplyList(true);
     scenario.Advance(milliseconds(400));
-    scenario.fleet.ApplyListingChanges({.listed = {}, .unlisted = {kWorker}},
-                                       scenario.now, scenario.now);
+    scenario.fleet.ApplyListingChanges(
+        {.listed = {}, .removed = {kWorker}, .unusable = {}}, scenario.now,
+        scenario.now);
     CHECK(scenario.ends == std::vector{jobs::RunEnd::kWorkerGone});
   }
+  // Guards against runs that are taken for ended because the entry of their
+  // draining worker is ignored (review, case 3).
+  SUBCASE("a worker that drained before its entry became unusable runs on") {
+    scenario.Start();
+    scenario.AnswerStart(CommandOutcome::kDone);
+    scenario.revision = 2;
+    scenario.ApplyList(true);
+    scenario.Advance(milliseconds(400));
+    scenario.fleet.ApplyListingChanges(
+        {.listed = {}, .removed = {}, .unusable = {kWorker}}, scenario.now,
+        scenario.now);
+    CHECK(scenario.ends.empty());
+    CHECK_FALSE(scenario.fleet.Find(kWorker)->is_listed());
+    scenario.Advance(milliseconds(400));
+    scenario.fleet.UpdateListings({}, scenario.now, scenario.now, {kWorker});
+    CHECK(scenario.ends.empty());
+    scenario.AnswerPoll({}, {{1, kTask, kAttempt, jobs::RunEnd::kDone, ""}});
+    CHECK(scenario.ends == std::vector{jobs::RunEnd::kDone});
+  }
   SUBCASE("an unknown worker that is removed is no news") {
-    scenario.fleet.ApplyListingChanges({.listed = {}, .unlisted = {other.id}},
-                                       scenario.now, scenario.now);
+    scenario.fleet.ApplyListingChanges(
+        {.listed = {}, .removed = {other.id}, .unusable = {}}, scenario.now,
+        scenario.now);
     CHECK(scenario.fleet.Find(other.id) == nullptr);
   }
 }
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -24,12 +24,11 @@
 constexpr std::size_t kStoreMaxEntries = 100;
 constexpr std::size_t kStoreMaxRowBytes = 65'536;
 constexpr std::size_t kStoreMaxBodyBytes = 1'000'000;
-const base::ServiceId kService("tasks");
 
 desired::Queue MakeQueue(const std::string& name) {
   desired::Queue queue;
   queue.id = desired::QueueId(name);
-  queue.service = kService;
+  queue.service = base::ServiceId("tasks");
   queue.max_attempts = SchedulerScenario::kMaxAttempts;
   queue.slack_factor = 10.0;
   queue.completion_target = seconds(5);
@@ -41,7 +40,7 @@
 const base::OrganisationId SchedulerScenario::kSchool("school");
 
 SchedulerScenario::SchedulerScenario(const SchedulerSettings& settings)
-    : settings_(settings) {
+    : settings_(settings), service_("tasks") {
   desired::Queue advised = MakeQueue("advised");
   advised.advice = desired::AdvicePolicy{
       milliseconds(20), std::chrono::microseconds(100), kTicketValidity};
@@ -102,7 +101,7 @@
     worker.listing.id =
         base::BackendId("worker-" + std::to_string(workers_.size()));
     worker.listing.address = worker.listing.id.value();
-    worker.listing.service = kService;
+    worker.listing.service = service_;
     worker.listing.capacity.cpu = base::Millicores(kWorkerCores * kMillicores);
     worker.listing.capacity.memory = base::Mebibytes(1024);
     worker.listing.born_ms = 1;
@@ -155,6 +154,14 @@
   DropQueue("");
 }
 
+void SchedulerScenario::ReplaceService(const std::string& name) {
+  service_ = base::ServiceId(name);
+  for (desired::Queue& queue : queues_) {
+    queue.service = service_;
+  }
+  DropQueue("");
+}
+
 void SchedulerScenario::DropQueue(const std::string& name) {
   std::erase_if(queues_, [&name](const desired::Queue& queue) {
     return queue.id.value() == name;
@@ -162,7 +169,7 @@
   scheduler_->SetDesired(std::make_shared<desired::DesiredState>(
       base::ConfigVersion(1), queues_,
       std::vector<desired::Organisation>{organisation_},
-      std::vector<desired::Service>{{kService, false, false}},
+      std::vector<desired::Service>{{service_, false, false}},
       desired::CallLimits()));
 }
 
--- a/test/core/scheduler/scheduler_scenario.h
+++ b/test/core/scheduler/scheduler_scenario.h
@@ -56,6 +56,9 @@
   void ResizeWorker(const std::string& name, int cores);
   // Sets the cap of the organisation, in cores.
   void SetCap(int cores);
+  // Replaces the configuration by one whose only service is `name`, to which
+  // all queues lead. Workers that are added later belong to it.
+  void ReplaceService(const std::string& name);
   // Removes the queue from the configuration.
   void DropQueue(const std::string& name);
 
@@ -201,6 +204,7 @@
   std::set<base::AvailabilityZone> evacuated_;
   std::uint64_t last_waiter_ = 0;
   std::vector<desired::Queue> queues_;
+  base::ServiceId service_;
   desired::Organisation organisation_;
   std::map<base::BackendId, Worker> workers_;
   std::unique_ptr<Scheduler> scheduler_;
--- a/test/core/scheduler/scheduler_test.cc
+++ b/test/core/scheduler/scheduler_test.cc
@@ -532,6 +532,41 @@
         jobs::JobState::kCompleted);
 }
 
+// Guards against tasks that run twice at once, since the workers on which they
+// run are taken for shut down (review, case 3).
+TEST_CASE("the service of draining workers is replaced while tasks run") {
+  Scenario scenario;
+  scenario.AddWorkers(2);
+  scenario.SubmitAndStore(1, "plain", {Scenario::Step(10)});
+  scenario.RunPasses(2);
+  REQUIRE(scenario.TakeStarts().size() == 8);
+  for (const char* worker : {"worker-0", "worker-1"}) {
+    scenario.DrainWorker(worker);
+  }
+  scenario.RunPasses(4);
+  scenario.ReplaceService("new");
+  scenario.AddWorkers(2);
+  scenario.RunPasses(20);
+  scenario.Store();
+
+  SUBCASE("only what waits is started on the workers of the new one") {
+    CHECK(scenario.TakeStarts().size() == 2);
+    CHECK(scenario.RunningOn("worker-0").size() == 4);
+  }
+  SUBCASE("what has ended is acknowledged") {
+    const auto tasks = scenario.RunningOn("worker-0");
+    for (const jobs::TaskRef& task : tasks) {
+      scenario.EndRun(task, jobs::RunEnd::kDone);
+    }
+    for (int i = 0; i < 5; ++i) {
+      scenario.RunPasses(1);
+      scenario.Store();
+    }
+    CHECK(scenario.UnacknowledgedEnds("worker-0") == 0);
+    CHECK(scenario.TakeStarts().size() == 2);
+  }
+}
+
 TEST_CASE("a backlog on a full fleet") {
   constexpr std::uint64_t kBacklog = 40;
   constexpr int kPasses = 4;
--- a/test/member/listing_reader_test.cc
+++ b/test/member/listing_reader_test.cc
@@ -142,17 +142,22 @@
   wire::HttpClient http{loop, wire::HttpClientOptions()};
   platform::StoreClient store{&http, fake_store.address(), &counters};
   std::vector<std::vector<core::workers::Listing>> lists;
+  // Of the last list.
+  std::vector<base::BackendId> unreadable;
   std::vector<core::scheduler::ListingChanges> changes;
   ListingReader reader{
       loop,
       &store,
       &counters,
       period,
-      [this](std::vector<core::workers::Listing> list, base::TimePoint) {
+      [this](std::vector<core::workers::Listing> list,
+             std::vector<base::BackendId> unreadable_entries, base::TimePoint) {
         lists.push_back(std::move(list));
+        unreadable = std::move(unreadable_entries);
       },
       [this](core::scheduler::ListingChanges changed, base::TimePoint) {
-        if (!changed.listed.empty() || !changed.unlisted.empty()) {
+        if (!changed.listed.empty() || !changed.removed.empty() ||
+            !changed.unusable.empty()) {
           changes.push_back(std::move(changed));
         }
       }};
@@ -185,12 +190,12 @@
     REQUIRE(f.changes[0].listed.size() == 1);
     CHECK(f.changes[0].listed[0].id.value() == "f");
     CHECK(f.changes[0].listed[0].revision == 7);
-    CHECK(f.changes[0].unlisted.empty());
+    CHECK(f.changes[0].removed.empty());
     f.fake_store.Remove("b");
     f.RunUntilChanges(2);
     CHECK(f.changes[1].listed.empty());
-    REQUIRE(f.changes[1].unlisted.size() == 1);
-    CHECK(f.changes[1].unlisted[0].value() == "b");
+    REQUIRE(f.changes[1].removed.size() == 1);
+    CHECK(f.changes[1].removed[0].value() == "b");
     CHECK(f.fake_store.reads() == reads);
   }
   SUBCASE("names a worker once whose entry changed several times") {
@@ -198,13 +203,20 @@
     f.fake_store.Add("a", kRegistration);
     f.RunUntilChanges(1);
     CHECK(f.changes[0].listed.size() == 1);
-    CHECK(f.changes[0].unlisted.empty());
+    CHECK(f.changes[0].removed.empty());
   }
-  SUBCASE("drops a worker whose entry can't be read any more") {
+  SUBCASE("tells an entry that can't be read from one that was removed") {
     f.fake_store.Add("a", "{\"service\":7}");
     f.RunUntilChanges(1);
-    REQUIRE(f.changes[0].unlisted.size() == 1);
-    CHECK(f.changes[0].unlisted[0].value() == "a");
+    CHECK(f.changes[0].removed.empty());
+    REQUIRE(f.changes[0].unusable.size() == 1);
+    CHECK(f.changes[0].unusable[0].value() == "a");
+    f.fake_store.Add("b", kRegistration);
+    f.fake_store.DropHistory();
+    f.RunUntilLists(2);
+    CHECK(f.lists[1].size() == 4);
+    REQUIRE(f.unreadable.size() == 1);
+    CHECK(f.unreadable[0].value() == "a");
   }
   SUBCASE("is read as a whole again if the store has dropped its history") {
     f.fake_store.Remove("a");
