A start counts as missing only once its worker has confirmed it

Cause: an owner that is replaced between the announcement of a start and the start itself leaves an announced start that nobody finds. Four of them failed the job. Starts were announced far too often where the store's clock has another origin than the time of day, since births of workers were compared with acceptances of jobs.

Change: the confirmation is stored, and only a confirmed start counts. Jobs store the newest birth of a worker at their acceptance. StoreTime is a type of its own. All clocks of the scenario, the fuzzer and the stand-in have origins of their own.

--- a/include/dotterelbarrow/core/jobs/crash_history.h
+++ b/include/dotterelbarrow/core/jobs/crash_history.h
@@ -62,13 +62,18 @@
   // the start: the worker may crash, and then the owner change, before anyone
   // has noticed.
   void AnnounceStart(Attempt attempt, std::uint64_t incarnations = 0);
+  // The announced attempt has started: its worker confirmed it or listed it.
+  // Returns whether there is something new to store.
+  bool ConfirmStart(Attempt attempt);
   // The announced attempt has ended in a known way. Returns whether there is
   // something new to store.
   bool OnEnded(Attempt attempt);
   // The announced attempt was made by a previous owner and is nowhere to be
-  // found, and its worker is lost, so that it counts as a crash.
+  // found, and its worker is lost, so that it counts as a crash. Precondition:
+  // it is confirmed. One that isn't may never have been sent.
   void CountMissingStart();
   std::optional<Attempt> announced_start() const { return announced_start_; }
+  bool is_start_confirmed() const { return is_start_confirmed_; }
   // What AnnounceStart was last called with; 0 if that is unknown.
   std::uint64_t announced_incarnations() const {
     return announced_incarnations_;
@@ -104,6 +109,8 @@
   std::size_t faint_crashes_ = 0;
   std::optional<Attempt> announced_start_;
   std::uint64_t announced_incarnations_ = 0;
+  // Invariant: false unless a start is announced.
+  bool is_start_confirmed_ = false;
   // Whether a run has survived since the last crash.
   bool has_survived_ = false;
 };
--- a/include/dotterelbarrow/core/jobs/job.h
+++ b/include/dotterelbarrow/core/jobs/job.h
@@ -95,6 +95,22 @@
   bool is_done() const;
 };
 
+// A time on the store's steady clock. A type of its own, since its origin is
+// not that of any other clock.
+class StoreTime {
+ public:
+  StoreTime() = default;
+  explicit StoreTime(base::Duration since_origin)
+      : since_origin_(since_origin) {}
+  // The time that has passed since `earlier`.
+  base::Duration operator-(StoreTime earlier) const {
+    return since_origin_ - earlier.since_origin_;
+  }
+
+ private:
+  base::Duration since_origin_{0};
+};
+
 struct Job {
   JobKey key;
   desired::QueueId queue;
@@ -103,8 +119,11 @@
   // the job after the queue is removed.
   desired::Queue rules;
   JobSpec spec;
-  // When the job was accepted, by the store's clock, in milliseconds.
-  std::int64_t accepted_ms = 0;
+  // When the job was accepted, by the store's clock.
+  StoreTime accepted_on_store;
+  // When the newest incarnation of any worker was born that was known when the
+  // job was accepted, by that worker's wall clock; 0 if unknown.
+  std::int64_t newest_born_ms = 0;
   // When the job was accepted, by the driver's clock.
   base::TimePoint accepted_at;
   // How long after acceptance the job is due, and how long after acceptance its
--- a/include/dotterelbarrow/core/jobs/job_records.h
+++ b/include/dotterelbarrow/core/jobs/job_records.h
@@ -2,6 +2,7 @@
 // are JSON in this project's own format:
 //
 //   acceptance {"queue","organisation","rules":{..},"accepted_ms","payload",
+//               "newest_born_ms",
 //               "steps":[..],"repeat","start_ms","interval_ms"}; never changes
 //   progress   {"state","begun","occurrences":[{"k","steps":[
 //               {"done":"<bits>","failed":[[index,attempt..]..],
@@ -10,7 +11,8 @@
 //                "gang_crashed":[attempt,kind..]}..]}..],
 //               "untouched":[[first,last]..]}
 //   kind 0 and 1 are crashes with shared and with sole blame, 2 is an announced
-//   start of a suspect; "untouched" are further unfinished occurrences
+//   start of a suspect, 3 one that its worker has confirmed; "untouched" are
+//   further unfinished occurrences
 //
 // Most members with a default value are omitted. Times are milliseconds of the
 // store's clock, except start_ms, which counts from 1970.
--- a/include/dotterelbarrow/core/scheduler/dispatcher_suspects.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher_suspects.h
@@ -27,6 +27,8 @@
   // Records that a worker of a previous owner is lost. It may have crashed
   // under runs that nobody remembers.
   void RecordInheritedLoss() { has_lost_inherited_workers_ = true; }
+  // When the newest incarnation of any worker was born, by its own clock.
+  std::int64_t newest_born_ms() const { return newest_born_ms_; }
   // Reads from the fleet which worker was born last. Call it before each pass.
   void UpdateNewestIncarnation();
   // Whether tasks of the job may have crashed workers under previous owners: a
@@ -35,7 +37,7 @@
   // is remembered even if no owner lives long enough to see one.
   bool MayHaveCrashedWorkers(const jobs::Job& job) const;
   // Returns whether a previous owner's announced start is missing because its
-  // worker is lost.
+  // worker is lost. A start that was never confirmed may not have been sent.
   bool IsAnnouncedWorkerLost(const jobs::CrashHistory& crashes,
                              bool is_gang) const;
   // Returns the tasks that were found guilty of crashing workers since the last
--- a/src/core/jobs/crash_history.cc
+++ b/src/core/jobs/crash_history.cc
@@ -37,6 +37,12 @@
 void CrashHistory::AnnounceStart(Attempt attempt, std::uint64_t incarnations) {
   announced_start_ = attempt;
   announced_incarnations_ = incarnations;
+  is_start_confirmed_ = false;
+}
+
+bool CrashHistory::ConfirmStart(Attempt attempt) {
+  return announced_start_ == attempt &&
+         !std::exchange(is_start_confirmed_, true);
 }
 
 bool CrashHistory::OnEnded(Attempt attempt) {
@@ -44,12 +50,14 @@
     return false;
   }
   announced_start_.reset();
+  is_start_confirmed_ = false;
   return true;
 }
 
 void CrashHistory::CountMissingStart() {
   if (const auto attempt = std::exchange(announced_start_, std::nullopt)) {
     Add(*attempt, CrashBlame::kShared);
+    is_start_confirmed_ = false;
   }
 }
 
--- a/src/core/jobs/job_records.cc
+++ b/src/core/jobs/job_records.cc
@@ -221,6 +221,7 @@
 constexpr unsigned kSharedCrash = 0;
 constexpr unsigned kSoleCrash = 1;
 constexpr unsigned kAnnouncedStart = 2;
+constexpr unsigned kConfirmedStart = 3;
 // What identifies the announced incarnations is added to the kind in units of
 // this.
 constexpr std::uint64_t kIncarnationsUnit = 4;
@@ -235,9 +236,9 @@
            crash.blame == CrashBlame::kSole ? kSoleCrash : kSharedCrash);
   }
   if (history.announced_start()) {
-    append(
-        *history.announced_start(),
-        kAnnouncedStart + history.announced_incarnations() * kIncarnationsUnit);
+    append(*history.announced_start(),
+           (history.is_start_confirmed() ? kConfirmedStart : kAnnouncedStart) +
+               history.announced_incarnations() * kIncarnationsUnit);
   }
 }
 
@@ -248,8 +249,12 @@
   for (Json::ArrayIndex i = from; i + 1 < row.size(); i += 2) {
     const Attempt attempt(row[i].asUInt64());
     const Json::UInt64 kind = row[i + 1].asUInt64();
-    if (kind % kIncarnationsUnit == kAnnouncedStart) {
+    if (kind % kIncarnationsUnit == kAnnouncedStart ||
+        kind % kIncarnationsUnit == kConfirmedStart) {
       history->AnnounceStart(attempt, kind / kIncarnationsUnit);
+      if (kind % kIncarnationsUnit == kConfirmedStart) {
+        history->ConfirmStart(attempt);
+      }
     } else {
       history->Add(attempt, kind == kSoleCrash ? CrashBlame::kSole
                                                : CrashBlame::kShared);
@@ -451,7 +456,9 @@
   value["queue"] = job.queue.value();
   value["organisation"] = job.organisation.value();
   value["rules"] = RulesToJson(job.rules);
-  value["accepted_ms"] = static_cast<Json::Int64>(job.accepted_ms);
+  value["accepted_ms"] = static_cast<Json::Int64>(
+      Milliseconds(job.accepted_on_store - StoreTime()));
+  value["newest_born_ms"] = static_cast<Json::Int64>(job.newest_born_ms);
   return WriteJson(value);
 }
 
@@ -499,7 +506,9 @@
   job.organisation = base::OrganisationId(reader.Text("organisation"));
   job.rules = RulesFromJson((*value)["rules"], reason);
   job.rules.id = job.queue;
-  job.accepted_ms = reader.Number("accepted_ms", kMaxNumber);
+  job.accepted_on_store = StoreTime(
+      std::chrono::milliseconds(reader.Number("accepted_ms", kMaxNumber)));
+  job.newest_born_ms = reader.Number("newest_born_ms", kMaxNumber);
   if (!job.spec.is_scheduled()) {
     job.BeginOccurrence();
   }
--- a/src/core/scheduler/dispatcher_suspects.cc
+++ b/src/core/scheduler/dispatcher_suspects.cc
@@ -36,9 +36,6 @@
          1U;
 }
 
-// Covers the difference between a worker's clock and the store's.
-constexpr std::int64_t kClockMarginMs = 1000;
-
 }  // namespace
 
 void DispatcherSuspects::UpdateNewestIncarnation() {
@@ -59,7 +56,8 @@
 bool DispatcherSuspects::MayHaveCrashedWorkers(const jobs::Job& job) const {
   return context_->inherited.contains(job.key) &&
          (has_lost_inherited_workers_ || has_unknown_incarnation_ ||
-          newest_born_ms_ >= job.accepted_ms - kClockMarginMs);
+          job.newest_born_ms == workers::kUnknownIncarnation ||
+          newest_born_ms_ > job.newest_born_ms);
 }
 
 bool DispatcherSuspects::NeedsAnnouncement(
@@ -72,7 +70,7 @@
 
 bool DispatcherSuspects::IsAnnouncedWorkerLost(
     const jobs::CrashHistory& crashes, bool is_gang) const {
-  if (!crashes.announced_start() ||
+  if (!crashes.announced_start() || !crashes.is_start_confirmed() ||
       *crashes.announced_start() >= context_->first_attempt) {
     return false;
   }
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -82,8 +82,9 @@
   });
   for (const auto& [key, unused] : jobs_.jobs()) {
     jobs::Job* job = jobs_.Find(key);
-    job->accepted_at = now - std::chrono::milliseconds(std::max<std::int64_t>(
-                                 0, store_now_ms - job->accepted_ms));
+    const jobs::StoreTime store_now{std::chrono::milliseconds(store_now_ms)};
+    job->accepted_at =
+        now - std::max(base::Duration(0), store_now - job->accepted_on_store);
     if (job->spec.is_scheduled()) {
       scheduled_jobs_.insert(key);
     }
@@ -197,7 +198,10 @@
   job.organisation = submission.organisation;
   job.rules = *queue;
   job.spec = std::move(submission.spec);
-  job.accepted_ms = store_now_ms;
+  job.accepted_on_store =
+      jobs::StoreTime(std::chrono::milliseconds(store_now_ms));
+  dispatcher_.suspects().UpdateNewestIncarnation();
+  job.newest_born_ms = dispatcher_.suspects().newest_born_ms();
   job.accepted_at = now;
   std::string acceptance = jobs::AcceptanceRecord(job);
   if (acceptance.size() > JobPages::kMaxPartBytes) {
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -26,7 +26,9 @@
   if (job != nullptr && job->SpecOf(command.task.step).gang) {
     starting_gangs_.try_emplace(command.task.step, now);
   }
-  if (outcome != CommandOutcome::kDone) {
+  if (outcome == CommandOutcome::kDone) {
+    ConfirmStart(command.task, command.attempt);
+  } else {
     telemetry_.log->Write(
         "start_failed",
         {{"task", jobs::ToString(command.task)},
@@ -39,6 +41,14 @@
                    &actions_);
 }
 
+void Scheduler::ConfirmStart(const jobs::TaskRef& task, jobs::Attempt attempt) {
+  jobs::Job* job = jobs_.Find(task.step.job);
+  jobs::CrashHistory* crashes = job == nullptr ? nullptr : job->CrashesOf(task);
+  if (crashes != nullptr && crashes->ConfirmStart(attempt)) {
+    jobs_.EnqueueJob(job->key, now_);
+  }
+}
+
 void Scheduler::OnStopped(const StopTask& command, CommandOutcome outcome,
                           std::int64_t clock_ms, base::TimePoint now) {
   now_ = now;
@@ -180,6 +190,7 @@
   runs_.Add(worker->id(), run);
   job->RecordRun(listed.task, listed.attempt);
   job->state = jobs::JobState::kInProgress;
+  ConfirmStart(listed.task, listed.attempt);
   dispatcher_.OnRunAdopted(worker->id(), run, now);
 }
 
--- a/src/standins/site/clock.h
+++ b/src/standins/site/clock.h
@@ -15,6 +15,15 @@
                  .count();
 }
 
+// The store's clock, and the time of day. Their origins differ from that of
+// the workers' clocks.
+inline std::int64_t StoreMillis() { return NowMillis() + 7'000'000; }
+inline std::int64_t UnixMillis() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 }  // namespace dotterelbarrow::standins::site
 
 #endif  // DOTTERELBARROW_STANDINS_SITE_CLOCK_H_
--- a/src/standins/site/site_service.cc
+++ b/src/standins/site/site_service.cc
@@ -38,7 +38,7 @@
   listing.capacity = {base::Millicores(options.cores * kMillicores),
                       base::Mebibytes(kMemoryMb), base::Accelerators(0),
                       base::Slots(0)};
-  listing.born_ms = 1;
+  listing.born_ms = UnixMillis();
   return listing;
 }
 
--- a/src/standins/site/store_service.cc
+++ b/src/standins/site/store_service.cc
@@ -6,6 +6,7 @@
 
 #include "dotterelbarrow/core/codec.h"
 #include "platform/base64.h"
+#include "src/standins/site/clock.h"
 
 namespace dotterelbarrow::standins::site {
 namespace {
@@ -151,6 +152,7 @@
     Json::Value answer(Json::objectValue);
     answer["schema_version"] =
         static_cast<Json::UInt64>(version.value_or(model_.version()));
+    answer["now_ms"] = static_cast<Json::Int64>(StoreMillis());
     for (const auto& condition : transaction.conditions) {
       const StoredRow* row = model_.Find(condition.row);
       if (!version && row != nullptr) {
@@ -178,6 +180,7 @@
       answer["rows"].append(ToJson(name, row));
     }
     answer["has_more"] = range.has_more;
+    answer["now_ms"] = static_cast<Json::Int64>(StoreMillis());
     answer["schema_version"] = static_cast<Json::UInt64>(model_.version());
     Reply(request.exchange, kOk, answer);
   });
--- a/src/standins/site/worker_service.cc
+++ b/src/standins/site/worker_service.cc
@@ -370,7 +370,7 @@
   if (model_.is_up()) {
     return;
   }
-  model_.Restart(NowMillis());
+  model_.Restart(UnixMillis());
   is_draining_ = false;
   last_recorded_end_ = 0;
   next_heartbeat_ms_ = 0;
--- a/test/core/jobs/job_test.cc
+++ b/test/core/jobs/job_test.cc
@@ -216,7 +216,8 @@
   second.gang = true;
   second.tasks = 2;
   Job job = MakeJob({first, second});
-  job.accepted_ms = 51230;
+  job.accepted_on_store = StoreTime(std::chrono::milliseconds(51230));
+  job.newest_born_ms = 1'790'000'000'000;
   base::Failure reason;
 
   SUBCASE("an acceptance is read back whole") {
@@ -225,7 +226,9 @@
     CHECK(AcceptanceRecord(*read) == AcceptanceRecord(job));
     CHECK(read->spec.steps[0].needs.cpu == base::Millicores(1500));
     CHECK(read->spec.steps[1].gang);
-    CHECK(read->accepted_ms == 51230);
+    CHECK(read->accepted_on_store - StoreTime() ==
+          std::chrono::milliseconds(51230));
+    CHECK(read->newest_born_ms == job.newest_born_ms);
   }
   SUBCASE("an acceptance keeps the rules of its queue") {
     job.rules.id = job.queue;
--- a/test/core/scheduler/crashing_tasks_test.cc
+++ b/test/core/scheduler/crashing_tasks_test.cc
@@ -72,6 +72,45 @@
   CHECK(started == kTasks);
 }
 
+// Guards against jobs that fail without a failed run: each owner announces a
+// start and is replaced before it sends it, while the worker is silent or
+// restarts (review, case 4).
+TEST_CASE("starts that are announced and never sent") {
+  Scenario scenario;
+  scenario.AddWorkers(2);
+  const jobs::TaskRef task{{jobs::JobKey(kJob), 0, 0}, 0};
+  scenario.SubmitAndStore(kJob, "plain", {Scenario::Step(1)});
+  // Its incarnation is newer than the job, so that starts are announced.
+  scenario.Advance(std::chrono::seconds(2));
+  scenario.RestartWorker("worker-1");
+  bool restarts = false;
+  SUBCASE("while their worker restarts, are no crashes") { restarts = true; }
+  SUBCASE("while their worker is silent, are no crashes") {}
+  for (int owner = 0; owner < 8; ++owner) {
+    scenario.TakeOver();
+    REQUIRE(scenario.WorkerOf(task).empty());
+    // The announcement, but not the start.
+    scenario.Advance(std::chrono::milliseconds(100));
+    scenario.RunPass();
+    scenario.Store();
+    if (restarts) {
+      scenario.Advance(std::chrono::seconds(1));
+      scenario.RestartWorker("worker-0");
+      scenario.RestartWorker("worker-1");
+    } else {
+      scenario.unresponsive_workers = {"worker-" + std::to_string(owner % 2)};
+    }
+    REQUIRE(scenario.scheduler().StateOf(jobs::JobKey(kJob)) ==
+            jobs::JobState::kQueued);
+  }
+  scenario.unresponsive_workers.clear();
+  for (int i = 0; i < 120 && scenario.WorkerOf(task).empty(); ++i) {
+    scenario.RunPasses(1);
+    scenario.Store();
+  }
+  CHECK_FALSE(scenario.WorkerOf(task).empty());
+}
+
 // Guards against starts without end: no owner lives long enough to see a
 // crash, each only finds that an announced start is missing (soak, seed 12).
 TEST_CASE("a task that crashes its workers under owners that change") {
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -74,9 +74,9 @@
       scheduler_->RestorePage(table, key, text, now_);
     }
   }
-  scheduler_->RestoreJobs(now_, NowMillis());
+  scheduler_->RestoreJobs(now_, StoreMillis());
   for (const auto& [id, record] : rows_[RecordTable::kWorkers]) {
-    scheduler_->AddInheritedWorker(base::BackendId(id), record, NowMillis(),
+    scheduler_->AddInheritedWorker(base::BackendId(id), record, StoreMillis(),
                                    now_);
   }
   for (const auto& [key, text] : rows_[RecordTable::kRunTimes]) {
@@ -104,7 +104,7 @@
     worker.listing.service = service_;
     worker.listing.capacity.cpu = base::Millicores(kWorkerCores * kMillicores);
     worker.listing.capacity.memory = base::Mebibytes(1024);
-    worker.listing.born_ms = 1;
+    worker.listing.born_ms = UnixMillis();
     worker.listing.revision = 1;
     worker.listing.rack = rack;
     workers_.emplace(worker.listing.id, std::move(worker));
@@ -195,7 +195,7 @@
       jobs::JobKey(key), desired::QueueId(queue), kSchool, {}};
   submission.spec.steps = std::move(steps);
   return scheduler_->Submit(std::move(submission), WaiterId(++last_waiter_),
-                            NowMillis(), now_);
+                            StoreMillis(), now_);
 }
 
 std::vector<WaiterId> SchedulerScenario::Store() {
@@ -216,7 +216,7 @@
       }
     }
     REQUIRE(body_bytes < kStoreMaxBodyBytes);
-    scheduler_->UpdateStoreClock(NowMillis(), now_);
+    scheduler_->UpdateStoreClock(StoreMillis(), now_);
     scheduler_->OnStored(batch, now_);
     notified.insert(notified.end(), batch.accept_waiters.begin(),
                     batch.accept_waiters.end());
@@ -240,7 +240,7 @@
     listings.push_back(worker.listing);
   }
   scheduler_->UpdateListings(listings, now_, now_);
-  scheduler_->Tick(now_, NowMillis());
+  scheduler_->Tick(now_, UnixMillis());
   scheduler_->RunPass(now_);
   CarryOut();
 }
@@ -434,12 +434,16 @@
   if (id.empty()) {
     return false;
   }
-  Worker& worker = workers_.at(base::BackendId(id));
+  RestartWorker(id);
+  return true;
+}
+
+void SchedulerScenario::RestartWorker(const std::string& name) {
+  Worker& worker = workers_.at(base::BackendId(name));
   workers::Listing next = worker.listing;
-  next.born_ms = std::max(next.born_ms + 1, NowMillis());
+  next.born_ms = std::max(next.born_ms + 1, UnixMillis());
   ++next.revision;
   worker = Worker{next, {}, {}, {}, 0};
-  return true;
 }
 
 void SchedulerScenario::TakeOver() {
--- a/test/core/scheduler/scheduler_scenario.h
+++ b/test/core/scheduler/scheduler_scenario.h
@@ -101,6 +101,8 @@
   // Crashes the worker on which the task runs; its next incarnation is there at
   // once. Returns false if the task runs nowhere.
   bool CrashWorkerOf(const jobs::TaskRef& task);
+  // Replaces the worker's process by its next incarnation.
+  void RestartWorker(const std::string& name);
   // Returns the worker on which the task runs; empty if it runs nowhere.
   std::string WorkerOf(const jobs::TaskRef& task) const;
   // Whether workers refuse the ticket of each start.
@@ -191,9 +193,13 @@
   bool IsUnresponsive(const WorkerAddress& worker) const {
     return unresponsive_workers.contains(worker.id.value());
   }
+  // The workers' own clocks, the store's, and the time of day have origins of
+  // their own.
   std::int64_t NowMillis() const {
     return now_.time_since_epoch() / std::chrono::milliseconds(1);
   }
+  std::int64_t StoreMillis() const { return NowMillis() + 7'000'000; }
+  std::int64_t UnixMillis() const { return NowMillis() + 1'790'000'000'000; }
 
   SchedulerSettings settings_;
   EventLog log_;
--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -152,7 +152,7 @@
     listing.capacity = {base::Millicores(kWorkerCores * 1000),
                         base::Mebibytes(kWorkerMemory), base::Accelerators(0),
                         base::Slots(0)};
-    listing.born_ms = 1;
+    listing.born_ms = UnixMillis();
     listing.zone = ZoneOf(i % kZones);
     listing.rack = "rack-" + std::to_string(i % kRacks);
     workers_.push_back(std::make_unique<WorkerModel>(listing, Between(0, 20)));
@@ -197,9 +197,10 @@
       scheduler.RestorePage(table, key, text, Now());
     }
   }
-  scheduler.RestoreJobs(Now(), now_ms_);
+  scheduler.RestoreJobs(Now(), StoreMillis());
   for (const auto& [id, record] : rows_[RecordTable::kWorkers]) {
-    scheduler.AddInheritedWorker(base::BackendId(id), record, now_ms_, Now());
+    scheduler.AddInheritedWorker(base::BackendId(id), record, StoreMillis(),
+                                 Now());
   }
   for (const auto& [key, text] : rows_[RecordTable::kRunTimes]) {
     scheduler.RestoreRunTimes(key, text, Now());
@@ -255,7 +256,7 @@
     }
     scheduler.UpdateListings(listings, Now(), Now());
   }
-  scheduler.Tick(Now(), now_ms_);
+  scheduler.Tick(Now(), UnixMillis());
   scheduler.RunPass(Now());
   for (const Action& action : scheduler.TakeActions()) {
     CarryOut(owner, action);
@@ -278,7 +279,7 @@
       return;
     }
     Store(batch);
-    owner->scheduler->UpdateStoreClock(now_ms_, Now());
+    owner->scheduler->UpdateStoreClock(StoreMillis(), Now());
     owner->scheduler->OnStored(batch, Now());
     for (const auto waiter : batch.accept_waiters) {
       accepted_.insert(owner->waiters[waiter]);
@@ -596,7 +597,7 @@
   submission.queue = core::desired::QueueId(queue);
   submission.organisation = base::OrganisationId("organisation");
   submission.spec = std::move(spec);
-  owner->scheduler->Submit(submission, waiter, now_ms_, Now());
+  owner->scheduler->Submit(submission, waiter, StoreMillis(), Now());
   return key;
 }
 
@@ -698,7 +699,7 @@
   }
   After(Between(500, 4000), [this, index, worker] {
     dark_.erase(index);
-    worker->Restart(now_ms_);
+    worker->Restart(UnixMillis());
     if (renames_workers) {
       worker->Rename(
           base::BackendId("renamed-" + std::to_string(++last_rename_)));
@@ -788,6 +789,24 @@
   worker.SetCapacity(capacity);
 }
 
+void Cell::CheckFailedJobs() {
+  for (const JobKey job : accepted_) {
+    if (StateOf(job) != core::jobs::JobState::kFailed ||
+        deadly_.contains(job)) {
+      continue;
+    }
+    std::size_t failures = 0;
+    for (const auto& [task, attempts] : acknowledged_failures_) {
+      if (task.step.job == job) {
+        failures = std::max(failures, attempts.size());
+      }
+    }
+    // The last failure may not be acknowledged yet, and those of a gang may be
+    // failures of several members.
+    failed_early_ += failures == 0 ? 1 : 0;
+  }
+}
+
 bool Cell::Mend() {
   for (std::size_t i = 0; i < workers_.size(); ++i) {
     if (workers_[i]->listing().capacity.cpu !=
@@ -805,6 +824,7 @@
   while (now_ms_ < end) {
     Run(1000);
     if (Unfinished().empty()) {
+      CheckFailedJobs();
       return true;
     }
   }
--- a/test/fuzz/scheduler/cell.h
+++ b/test/fuzz/scheduler/cell.h
@@ -127,6 +127,9 @@
   // Ends all faults and runs the cell until all accepted jobs have finished.
   // Returns whether they finished in time.
   bool Mend();
+  // Returns how many jobs without deadly tasks have failed although no run had.
+  // Known after Mend.
+  std::size_t failed_without_failures() const { return failed_early_; }
   // Lists the accepted jobs that have not finished, with their states.
   std::string Unfinished() const;
 
@@ -156,6 +159,12 @@
   };
   using Event = std::function<void()>;
 
+  // The workers' own clocks, the store's, and the time of day have origins of
+  // their own.
+  std::int64_t StoreMillis() const { return now_ms_ + 7'000'000; }
+  std::int64_t UnixMillis() const { return now_ms_ + 1'790'000'000'000; }
+  // Counts the jobs that have failed although no run of a task has.
+  void CheckFailedJobs();
   base::TimePoint Now() const {
     return base::TimePoint(std::chrono::milliseconds(now_ms_));
   }
@@ -259,6 +268,7 @@
   // The contents of the store.
   std::map<core::scheduler::RecordTable, std::map<std::string, std::string>>
       rows_;
+  std::size_t failed_early_ = 0;
   bool is_store_down_ = false;
   std::vector<std::string> broken_;
 };
