Start nothing on a worker before its record is stored

What callers may have seen (reports of real processes, TWICE): a task was started again by the next owner after its success on a worker of which the store held no record.

Cause: a new owner waits for the recorded workers before it starts what may run already. Work was started on a worker that was listed for the first time while its record was on its way to the store.

Change: leases of such a worker are suspended until its record is stored, as after a silence.

Evidence: before, "a worker is listed for the first time" starts a task with nothing stored.

--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -226,10 +226,10 @@
   // Whether stored run ends are not acknowledged yet, because another run of
   // their task may still start.
   bool has_held_ends = false;
-  // Whether leases are suspended: the worker's record in the store names the
-  // time at which its leases end, or a write of it is in flight. No lease is
-  // granted and nothing is started until a record without that time is stored,
-  // because the next owner relies on it.
+  // Whether leases are suspended: the store holds no record of the worker, or
+  // one that names the time at which its leases end, or a write of it is in
+  // flight. No lease is granted and nothing is started until a record without
+  // that time is stored, because the next owner relies on it.
   bool leases_suspended = false;
   bool poll_in_flight = false;
   base::TimePoint next_poll;
--- a/src/core/scheduler/worker_records.cc
+++ b/src/core/scheduler/worker_records.cc
@@ -49,13 +49,14 @@
 void WorkerRecords::Update(const std::vector<workers::Listing>& listings) {
   for (const workers::Listing& listing : listings) {
     const auto it = worker_states_.find(listing.id);
-    if (it != worker_states_.end() &&
-        (it->second.names_leases_end || it->second.is_removal)) {
-      // The fleet may have removed and added the worker meanwhile, so that it
-      // does not know that the stored record suspends the leases.
+    const bool is_new = it == worker_states_.end() || it->second.is_removal;
+    if (is_new || it->second.names_leases_end) {
+      // The next owner waits only for recorded workers before it starts what
+      // may run already. The fleet may also have removed and added the worker
+      // meanwhile, so that it does not know that the stored record suspends the
+      // leases.
       fleet_->SuspendLeases(listing.id);
     }
-    const bool is_new = it == worker_states_.end() || it->second.is_removal;
     // The next owner would take an incarnation that isn't recorded for a crash
     // that nobody has noticed.
     const bool is_restarted = !is_new && !it->second.names_leases_end &&
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -96,6 +96,12 @@
 }
 
 void SchedulerScenario::AddWorkers(int count, const std::string& rack) {
+  AddUnlistedWorkers(count, rack);
+  RunPass();
+  Store();
+}
+
+void SchedulerScenario::AddUnlistedWorkers(int count, const std::string& rack) {
   for (int i = 0; i < count; ++i) {
     Worker worker;
     worker.listing.id =
@@ -109,8 +115,6 @@
     worker.listing.rack = rack;
     workers_.emplace(worker.listing.id, std::move(worker));
   }
-  RunPass();
-  Store();
 }
 
 void SchedulerScenario::SetZone(const std::string& name,
--- a/test/core/scheduler/scheduler_scenario.h
+++ b/test/core/scheduler/scheduler_scenario.h
@@ -46,6 +46,8 @@
   // Adds workers of four cores each on a rack, runs a pass and stores its
   // changes.
   void AddWorkers(int count, const std::string& rack = "");
+  // Adds workers of which the owner hasn't heard yet.
+  void AddUnlistedWorkers(int count, const std::string& rack = "");
   // The worker is listed as draining from now on.
   void DrainWorker(const std::string& name);
   // Sets the availability zone that a worker lists from now on.
--- a/test/core/scheduler/worker_records_test.cc
+++ b/test/core/scheduler/worker_records_test.cc
@@ -30,6 +30,35 @@
   return starts;
 }
 
+// Guards against a task that runs twice: the next owner knows nothing of the
+// worker on which it runs, and doesn't wait for it.
+TEST_CASE("a worker is listed for the first time") {
+  Scenario scenario;
+  scenario.SubmitAndStore(kJob, "plain", {Scenario::Step(1)});
+  scenario.AddUnlistedWorkers(1);
+  scenario.RunPasses(5);
+
+  SUBCASE("nothing is started there before its record is stored") {
+    CHECK(scenario.TakeStarts().empty());
+    scenario.Store();
+    scenario.RunPasses(2);
+    CHECK(scenario.TakeStarts().size() == 1);
+  }
+  SUBCASE("a task that runs there when the owner is lost runs once") {
+    scenario.Store();
+    scenario.RunPasses(2);
+    REQUIRE(scenario.TakeStarts().size() == 1);
+    scenario.unresponsive_workers = {"worker-0"};
+    scenario.AddUnlistedWorkers(1);
+    scenario.TakeOver();
+    for (int i = 0; i < 20; ++i) {
+      scenario.RunPasses(1);
+      scenario.Store();
+    }
+    CHECK(scenario.TakeStarts().empty());
+  }
+}
+
 TEST_CASE("a worker becomes unresponsive, and the owner is lost later") {
   Scenario scenario;
   scenario.AddWorkers(2);
