A refusal is no answer to a call of which another copy may be accepted

Cause: the forwarder sends a submission again whose first copy has no outcome, and took the refusal of the second copy for the answer, also from the same owner, which may still get and accept the first one. The owner refused with store_away before it asked whether it knew the job.

Change: such a refusal ends the call as unknown; a refusal by a newer owner stays final, since the one before can store nothing. The owner asks first whether the job is known; refusals because the store is away are counted.

There was no test of the forwarder.

--- a/src/member/owner_call_forwarder.cc
+++ b/src/member/owner_call_forwarder.cc
@@ -116,6 +116,7 @@
   pending.is_in_flight = false;
   if (std::holds_alternative<OutcomeUnknown>(answer)) {
     pending.may_have_taken_effect = true;
+    pending.unknown_at = sent_to;
     return;  // The next owner decides the outcome, or the call times out.
   }
   if (std::holds_alternative<NoOwner>(answer)) {
@@ -124,6 +125,14 @@
       return;
     }
   }
+  if (std::holds_alternative<Refused>(answer) &&
+      pending.may_have_taken_effect && sent_to <= pending.unknown_at) {
+    // An earlier copy of the call may still reach the same owner, and be
+    // accepted then.
+    telemetry_.counters->Increment("owner_calls", "refused_after_lost_copy");
+    Finish(id, OutcomeUnknown{});
+    return;
+  }
   Finish(id, answer);
 }
 
@@ -167,8 +176,10 @@
       overdue.push_back(id);
     } else if (has_newer_owner) {
       // An unanswered attempt at a replaced owner may have taken effect there.
-      pending.may_have_taken_effect =
-          pending.may_have_taken_effect || pending.is_in_flight;
+      if (pending.is_in_flight) {
+        pending.may_have_taken_effect = true;
+        pending.unknown_at = pending.sent_to;
+      }
       to_send_again.push_back(id);
     } else if (pending.has_no_effect() && age >= kOwnerWaitTimeout) {
       ownerless.push_back(id);
--- a/src/member/owner_call_forwarder.h
+++ b/src/member/owner_call_forwarder.h
@@ -79,8 +79,10 @@
     // whether that attempt is still unanswered.
     core::scheduler::FencingToken sent_to;
     bool is_in_flight = false;
-    // An attempt was made whose outcome is unknown.
+    // An attempt was made whose outcome is unknown, last at the owner with the
+    // token `unknown_at`.
     bool may_have_taken_effect = false;
+    core::scheduler::FencingToken unknown_at{};
     // Set when an owner answers that it can't serve the call or is no longer
     // the owner: not sent again before this time.
     base::TimePoint next_try_at{};
--- a/src/member/owner_term_calls.cc
+++ b/src/member/owner_term_calls.cc
@@ -44,12 +44,16 @@
   std::visit(
       base::Overloaded{
           [&](const SubmitCall& submit) {
-            if (IsStoreUnavailable()) {
+            // A job that is accepted already, or about to be, is never refused:
+            // this may be another copy of the call that handed it in.
+            const bool is_known = scheduler_.IsKnown(submit.submission.key);
+            if (!is_known && IsStoreUnavailable()) {
+              parts_.telemetry.counters->Increment("jobs_refused",
+                                                   "store_away");
               reply(Refused{"store_away", kStoreUnavailableRetryAfter});
               return;
             }
-            if (!scheduler_.IsKnown(submit.submission.key) &&
-                !saturation_gate_.TryAcquire()) {
+            if (!is_known && !saturation_gate_.TryAcquire()) {
               parts_.telemetry.counters->Increment("jobs_refused",
                                                    "owner_saturated");
               reply(Refused{"owner_saturated", kSaturatedRetryAfter});
