A job has begun once a start is confirmed, listed or ended

Cause: a job's state becomes "in progress" when room is reserved for a task, before the start is sent, and nothing sets it back.

Change: Job::has_started is set by a worker's confirmation, its list or a run's own end; counts of waiting jobs and the state that callers and the next owner see follow it. The fleet tells the scheduler when a run is listed first, which also confirms announced starts whose answers were lost.

--- a/include/dotterelbarrow/core/jobs/job.h
+++ b/include/dotterelbarrow/core/jobs/job.h
@@ -134,11 +134,19 @@
   // until computed.
   std::vector<base::Duration> critical_paths;
   JobState state = JobState::kQueued;
+  // Whether some task has surely started: its worker confirmed or listed a run,
+  // or reported the end of one. A run that is only recorded may never start.
+  bool has_started = false;
   // The occurrences that have begun and are not done, by number. Invariant: an
   // occurrence below `occurrences_begun` that is missing here is done.
   std::map<std::uint32_t, Occurrence> occurrences;
   std::uint32_t occurrences_begun = 0;
 
+  // Returns the state to show to callers.
+  JobState ShownState() const {
+    return state == JobState::kInProgress && !has_started ? JobState::kQueued
+                                                          : state;
+  }
   // Both return nullptr if the occurrence is done or has not begun, or if the
   // job has no such step or task.
   Step* FindStep(const StepRef& ref);
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -95,6 +95,8 @@
   // run to the worker, the fleet stops it as an orphan.
   sigc::signal<void(workers::Worker*, const ListedRun&, base::TimePoint)>
       untracked_run_listed;
+  // A worker listed the run for the first time.
+  sigc::signal<void(const workers::Run&)> run_listed;
   // A start command was not carried out, for the reason given. The resources of
   // its run are free again.
   sigc::signal<void(const workers::Worker&, const workers::Run&,
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -307,8 +307,9 @@
   // member is missing, if a worker may have crashed under it. Placing it again
   // beside the others would leave no trace of that crash.
   void StopInheritedIncompleteGangs();
-  // A worker has started the attempt. If it was announced, the next owner takes
-  // its absence for a crash of the worker only after that is stored.
+  // A worker has started the attempt, so that its job has begun. If the start
+  // was announced, the next owner takes its absence for a crash of the worker
+  // only after that is stored.
   void ConfirmStart(const jobs::TaskRef& task, jobs::Attempt attempt);
   // Withdraws the announcements of starts whose runs have lived for long, so
   // that the next owner doesn't take a later loss of their workers for crashes
--- a/src/core/jobs/job.cc
+++ b/src/core/jobs/job.cc
@@ -166,6 +166,7 @@
     return false;
   }
   Step* step = FindStep(ref.step);
+  has_started |= end == RunEnd::kDone || end == RunEnd::kFailed;
   const bool is_current = RemoveRun(ref, attempt);
   task->last_attempt = std::max(task->last_attempt, attempt);
   if (is_current && !checkpoint.empty()) {
--- a/src/core/jobs/job_records.cc
+++ b/src/core/jobs/job_records.cc
@@ -464,7 +464,7 @@
 
 std::string ProgressRecord(const Job& job, ProgressDetail detail) {
   Json::Value value(Json::objectValue);
-  value["state"] = ToString(job.state);
+  value["state"] = ToString(job.ShownState());
   if (IsFinal(job.state)) {
     return WriteJson(value);
   }
@@ -529,6 +529,7 @@
   }
   Job updated = *job;
   updated.state = *state;
+  updated.has_started = *state != JobState::kQueued;
   ObjectReader reader(*value, reason);
   const auto begun =
       static_cast<std::uint32_t>(reader.Number("begun", kMaxRepeats));
--- a/src/core/scheduler/fleet_runs.cc
+++ b/src/core/scheduler/fleet_runs.cc
@@ -328,7 +328,9 @@
     if (run->start_confirmed_ms == 0) {
       run->start_confirmed_ms = result.clock_ms;
     }
-    run->is_listed = true;
+    if (!std::exchange(run->is_listed, true) && !run->is_orphan) {
+      run_listed.emit(*run);
+    }
     // A task that was lost before after some time remains a suspect.
     if (run->is_suspect && !run->was_lost_before &&
         !workers::IsYoungAt(*run, now)) {
--- a/src/core/scheduler/job_registry.cc
+++ b/src/core/scheduler/job_registry.cc
@@ -50,7 +50,7 @@
   }
   // Whether a task has started needs no stored record, because started runs
   // survive a change of owner.
-  return it->second.state;
+  return it->second.ShownState();
 }
 
 void JobRegistry::EnqueueJob(jobs::JobKey key, base::TimePoint now) {
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -38,6 +38,8 @@
       sigc::mem_fun(*this, &Scheduler::OnUntrackedRunEnded));
   fleet_.untracked_run_listed.connect(
       sigc::mem_fun(*this, &Scheduler::OnUntrackedRunListed));
+  fleet_.run_listed.connect(
+      [this](const workers::Run& run) { ConfirmStart(run.task, run.attempt); });
   fleet_.start_refused.connect(
       sigc::mem_fun(*this, &Scheduler::OnStartRefused));
   fleet_.worker_unresponsive.connect(
@@ -278,7 +280,7 @@
 std::map<desired::QueueId, std::uint64_t> Scheduler::PendingJobs() const {
   std::map<desired::QueueId, std::uint64_t> pending;
   for (const auto& [key, job] : jobs_.jobs()) {
-    if (job.state == jobs::JobState::kQueued && jobs_.IsStored(key)) {
+    if (!job.has_started && jobs_.IsStored(key)) {
       ++pending[job.queue];
     }
   }
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -43,7 +43,11 @@
 
 void Scheduler::ConfirmStart(const jobs::TaskRef& task, jobs::Attempt attempt) {
   jobs::Job* job = jobs_.Find(task.step.job);
-  jobs::CrashHistory* crashes = job == nullptr ? nullptr : job->CrashesOf(task);
+  if (job == nullptr) {
+    return;
+  }
+  job->has_started = true;
+  jobs::CrashHistory* crashes = job->CrashesOf(task);
   if (crashes != nullptr && crashes->ConfirmStart(attempt)) {
     jobs_.EnqueueJob(job->key, now_);
   }
@@ -190,7 +194,6 @@
   runs_.Add(worker->id(), run);
   job->RecordRun(listed.task, listed.attempt);
   job->state = jobs::JobState::kInProgress;
-  ConfirmStart(listed.task, listed.attempt);
   dispatcher_.OnRunAdopted(worker->id(), run, now);
 }
 
--- a/test/core/scheduler/scheduler_test.cc
+++ b/test/core/scheduler/scheduler_test.cc
@@ -532,6 +532,37 @@
         jobs::JobState::kCompleted);
 }
 
+// Guards against counts of waiting jobs that leave out those whose start orders
+// get no answer (review, case 5).
+TEST_CASE("jobs whose start orders get no answer") {
+  constexpr std::uint64_t kJobs = 4;
+  Scenario scenario;
+  scenario.AddWorkers(2);
+  scenario.loses_start_answers = true;
+  SUBCASE("wait while the orders are lost") { scenario.loses_starts = true; }
+  SUBCASE("have begun once their workers list them") {}
+  for (std::uint64_t job = 1; job <= kJobs; ++job) {
+    scenario.SubmitAndStore(job, "plain", {Scenario::Step(1)});
+  }
+  scenario.RunPasses(2);
+  REQUIRE(scenario.TakeStarts().size() >= kJobs);
+  const bool have_begun = !scenario.loses_starts;
+  const auto check = [&] {
+    const auto pending = scenario.scheduler().PendingJobs();
+    const auto plain = pending.find(desired::QueueId("plain"));
+    CHECK((plain == pending.end() ? 0 : plain->second) ==
+          (have_begun ? 0 : kJobs));
+    CHECK(scenario.scheduler().StateOf(jobs::JobKey(1)) ==
+          (have_begun ? jobs::JobState::kInProgress : jobs::JobState::kQueued));
+  };
+  scenario.RunPasses(1);
+  check();
+  scenario.Store();
+  scenario.TakeOver();
+  scenario.RunPasses(2);
+  check();
+}
+
 // Guards against tasks that run twice at once, since the workers on which they
 // run are taken for shut down (review, case 3).
 TEST_CASE("the service of draining workers is replaced while tasks run") {
