--- a/include/dotterelbarrow/core/scheduler/job_pages.h
+++ b/include/dotterelbarrow/core/scheduler/job_pages.h
@@ -164,8 +164,7 @@
                std::size_t max_bytes, base::TimePoint now);
   bool RestoreLive(PageNumber number, const std::string& text,
                    base::TimePoint now);
-  // Restores one line. Returns false if it is unreadable.
-  bool RestoreLine(PageNumber number, const RecordLine& line,
+  void RestoreLine(PageNumber number, const RecordLine& line,
                    base::TimePoint now);
   bool RestoreEnded(PageNumber number, const std::string& text,
                     base::TimePoint now);
--- a/src/core/scheduler/job_pages.cc
+++ b/src/core/scheduler/job_pages.cc
@@ -341,11 +341,12 @@
       record.part = *part;
       record.parts = *parts;
     }
-    return RestoreLine(number, record, now);
+    RestoreLine(number, record, now);
+    return true;
   });
 }
 
-bool JobPages::RestoreLine(PageNumber number, const RecordLine& line,
+void JobPages::RestoreLine(PageNumber number, const RecordLine& line,
                            base::TimePoint now) {
   const auto& [key, kind] = line.entry;
   LivePage& page = live_pages_[number];
@@ -361,12 +362,12 @@
       // The first part of an obsolete record was removed with its page. The
       // current record is in pages with higher numbers, or the job has ended.
       page.first_obsolete_at = now;
-      return true;
+      return;
     }
     ++page.current_records;
     pages.push_back(number);
     *record += line.text;
-    return true;
+    return;
   }
   ++page.current_records;
   MarkObsolete(std::exchange(pages, {number}), now);
@@ -375,7 +376,6 @@
     restored_parts_[{key, kind}] = line.parts;
   }
   record = std::string(line.text);
-  return true;
 }
 
 bool JobPages::RestoreEnded(PageNumber number, const std::string& text,
--- a/test/core/scheduler/scheduler_test.cc
+++ b/test/core/scheduler/scheduler_test.cc
@@ -487,8 +487,6 @@
   }
 }
 
-// Guards against passes that cost as much as there is waiting, although nothing
-// has changed for what waits.
 // Guards against tasks that are started again after their success, once a
 // worker has more run ends than it lists at a time (review, case 2).
 TEST_CASE("more run ends than a worker lists wait for the store") {
@@ -598,6 +596,8 @@
   }
 }
 
+// Guards against passes that cost as much as there is waiting, although nothing
+// has changed for what waits.
 TEST_CASE("a backlog on a full fleet") {
   constexpr std::uint64_t kBacklog = 40;
   constexpr int kPasses = 4;
