One announced start, one log that drops its lines, one loop over unusable entries

No change of behaviour. What CrashHistory knows of an announced start is one optional value, so that nothing has to be reset beside it. Four tests had a NullLog of their own; test/core/scheduler/null_log.h serves them all. Fleet::OnUnusable takes the ids that both of its callers went through. Two sections of fleet_test share their set-up; no assertion has changed.

--- a/include/dotterelbarrow/core/jobs/crash_history.h
+++ b/include/dotterelbarrow/core/jobs/crash_history.h
@@ -72,11 +72,17 @@
   // found, and its worker is lost, so that it counts as a crash. Precondition:
   // it is confirmed. One that isn't may never have been sent.
   void CountMissingStart();
-  std::optional<Attempt> announced_start() const { return announced_start_; }
-  bool is_start_confirmed() const { return is_start_confirmed_; }
-  // What AnnounceStart was last called with; 0 if that is unknown.
+  std::optional<Attempt> announced_start() const {
+    return announced_ ? std::optional(announced_->attempt) : std::nullopt;
+  }
+  // Whether a start is announced and confirmed.
+  bool is_start_confirmed() const {
+    return announced_ && announced_->is_confirmed;
+  }
+  // Where the announced start happens; 0 if that is unknown, or if no start is
+  // announced.
   std::uint64_t announced_incarnations() const {
-    return announced_incarnations_;
+    return announced_ ? announced_->incarnations : 0;
   }
 
   // A run of the task has lived long enough to be no suspect any more. With
@@ -99,18 +105,21 @@
 
   // The crashes to store.
   const std::vector<Crash>& crashes() const { return crashes_; }
-  bool empty() const { return crashes_.empty() && !announced_start_; }
+  bool empty() const { return crashes_.empty() && !announced_; }
 
  private:
+  struct AnnouncedStart {
+    Attempt attempt;
+    std::uint64_t incarnations = 0;
+    bool is_confirmed = false;
+  };
+
   std::size_t Count(CrashBlame blame) const;
 
   // Invariant: each attempt at most once, none with faint blame.
   std::vector<Crash> crashes_;
   std::size_t faint_crashes_ = 0;
-  std::optional<Attempt> announced_start_;
-  std::uint64_t announced_incarnations_ = 0;
-  // Invariant: false unless a start is announced.
-  bool is_start_confirmed_ = false;
+  std::optional<AnnouncedStart> announced_;
   // Whether a run has survived since the last crash.
   bool has_survived_ = false;
 };
--- a/include/dotterelbarrow/core/scheduler/dispatcher_suspects.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher_suspects.h
@@ -29,7 +29,8 @@
   void RecordInheritedLoss() { has_lost_inherited_workers_ = true; }
   // When the newest incarnation of any worker was born, by its own clock.
   std::int64_t newest_born_ms() const { return newest_born_ms_; }
-  // Reads from the fleet which worker was born last. Call it before each pass.
+  // Reads from the fleet which worker was born last. Call it before each pass,
+  // and before newest_born_ms.
   void UpdateNewestIncarnation();
   // Whether tasks of the job may have crashed workers under previous owners: a
   // worker was lost, or was born after the job was accepted. The next start of
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -271,9 +271,9 @@
   void AddOrApplyListing(const workers::Listing& listing, base::TimePoint now);
   // Handles that the worker's entry was removed from the list.
   void OnRemoved(workers::Worker* worker, base::TimePoint now);
-  // Handles that the worker's entry can't be used any more. That says nothing
-  // about the worker's process.
-  void OnUnusable(workers::Worker* worker);
+  // Handles that the workers' entries can't be used any more. That says nothing
+  // about the workers' processes.
+  void OnUnusable(const std::vector<base::BackendId>& ids);
   // Applies the platform's list entry of a known worker.
   void ApplyListing(workers::Worker* worker, const workers::Listing& listing,
                     base::TimePoint now);
--- a/src/core/jobs/crash_history.cc
+++ b/src/core/jobs/crash_history.cc
@@ -35,29 +35,25 @@
 }
 
 void CrashHistory::AnnounceStart(Attempt attempt, std::uint64_t incarnations) {
-  announced_start_ = attempt;
-  announced_incarnations_ = incarnations;
-  is_start_confirmed_ = false;
+  announced_ = AnnouncedStart{attempt, incarnations, false};
 }
 
 bool CrashHistory::ConfirmStart(Attempt attempt) {
-  return announced_start_ == attempt &&
-         !std::exchange(is_start_confirmed_, true);
+  return announced_start() == attempt &&
+         !std::exchange(announced_->is_confirmed, true);
 }
 
 bool CrashHistory::OnEnded(Attempt attempt) {
-  if (announced_start_ != attempt) {
+  if (announced_start() != attempt) {
     return false;
   }
-  announced_start_.reset();
-  is_start_confirmed_ = false;
+  announced_.reset();
   return true;
 }
 
 void CrashHistory::CountMissingStart() {
-  if (const auto attempt = std::exchange(announced_start_, std::nullopt)) {
-    Add(*attempt, CrashBlame::kShared);
-    is_start_confirmed_ = false;
+  if (const auto missing = std::exchange(announced_, std::nullopt)) {
+    Add(missing->attempt, CrashBlame::kShared);
   }
 }
 
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -97,12 +97,8 @@
     listed.insert(listing.id);
     AddOrApplyListing(listing, now);
   }
-  for (const base::BackendId& id : unusable) {
-    listed.insert(id);
-    if (Worker* worker = Find(id)) {
-      OnUnusable(worker);
-    }
-  }
+  listed.insert(unusable.begin(), unusable.end());
+  OnUnusable(unusable);
   for (auto& [id, worker] : workers_) {
     if (!listed.contains(id)) {
       OnRemoved(&worker, now);
@@ -118,11 +114,7 @@
   for (const Listing& listing : changes.listed) {
     AddOrApplyListing(listing, now);
   }
-  for (const base::BackendId& id : changes.unusable) {
-    if (Worker* worker = Find(id)) {
-      OnUnusable(worker);
-    }
-  }
+  OnUnusable(changes.unusable);
   for (const base::BackendId& id : changes.removed) {
     if (Worker* worker = Find(id)) {
       OnRemoved(worker, now);
@@ -148,15 +140,18 @@
   added->next_poll = now;
 }
 
-void Fleet::OnUnusable(Worker* worker) {
-  if (!worker->is_listed()) {
-    return;
+void Fleet::OnUnusable(const std::vector<base::BackendId>& ids) {
+  for (const base::BackendId& id : ids) {
+    Worker* worker = Find(id);
+    if (worker == nullptr || !worker->is_listed()) {
+      continue;
+    }
+    worker->set_listed(false);
+    telemetry_.log->Write(
+        "worker_unusable",
+        {{"worker", id.value()},
+         {"runs", static_cast<std::int64_t>(worker->runs().size())}});
   }
-  worker->set_listed(false);
-  telemetry_.log->Write(
-      "worker_unusable",
-      {{"worker", worker->id().value()},
-       {"runs", static_cast<std::int64_t>(worker->runs().size())}});
 }
 
 void Fleet::OnRemoved(Worker* worker, base::TimePoint now) {
--- a/test/core/scheduler/fleet_test.cc
+++ b/test/core/scheduler/fleet_test.cc
@@ -89,6 +89,14 @@
     fleet.OnStarted(kWorker, born_ms, {kTask, kAttempt}, outcome,
                     worker_clock_ms, now, &actions);
   }
+  // Starts the task on the worker, which drains, and lets 400 ms pass.
+  void StartAndDrain() {
+    Start();
+    AnswerStart(CommandOutcome::kDone);
+    revision = 2;
+    ApplyList(true);
+    Advance(milliseconds(400));
+  }
   template <typename Kind>
   int CountActions() {
     int count = 0;
@@ -466,11 +474,7 @@
     CHECK(scenario.fleet.Find(other.id)->is_listed());
   }
   SUBCASE("a worker that drained before its entry was removed has shut down") {
-    scenario.Start();
-    scenario.AnswerStart(CommandOutcome::kDone);
-    scenario.revision = 2;
-    scenario.ApplyList(true);
-    scenario.Advance(milliseconds(400));
+    scenario.StartAndDrain();
     scenario.fleet.ApplyListingChanges(
         {.listed = {}, .removed = {kWorker}, .unusable = {}}, scenario.now,
         scenario.now);
@@ -479,11 +483,7 @@
   // Guards against runs that are taken for ended because the entry of their
   // draining worker is ignored (review, case 3).
   SUBCASE("a worker that drained before its entry became unusable runs on") {
-    scenario.Start();
-    scenario.AnswerStart(CommandOutcome::kDone);
-    scenario.revision = 2;
-    scenario.ApplyList(true);
-    scenario.Advance(milliseconds(400));
+    scenario.StartAndDrain();
     scenario.fleet.ApplyListingChanges(
         {.listed = {}, .removed = {}, .unusable = {kWorker}}, scenario.now,
         scenario.now);
--- a/test/core/scheduler/scheduler_scenario.h
+++ b/test/core/scheduler/scheduler_scenario.h
@@ -12,15 +12,10 @@
 #include <vector>
 
 #include "dotterelbarrow/core/scheduler/scheduler.h"
+#include "test/core/scheduler/null_log.h"
 
 namespace dotterelbarrow::core::scheduler {
 
-class NullLog : public DecisionLog {
- public:
-  void Write(std::string_view /*event*/,
-             std::initializer_list<LogField> /*fields*/) override {}
-};
-
 // Keeps the names of the events.
 class EventLog : public DecisionLog {
  public:
--- a/test/fuzz/scheduler/late_polls_test.cc
+++ b/test/fuzz/scheduler/late_polls_test.cc
@@ -9,6 +9,7 @@
 
 #include "dotterelbarrow/core/scheduler/fleet.h"
 #include "src/standins/site/worker_model.h"
+#include "test/core/scheduler/null_log.h"
 
 namespace dotterelbarrow::test {
 namespace {
@@ -32,12 +33,7 @@
 constexpr std::int64_t kRunMs = 100;
 const base::BackendId kWorker("worker");
 
-class NullLog : public core::scheduler::DecisionLog {
- public:
-  void Write(
-      std::string_view /*event*/,
-      std::initializer_list<core::scheduler::LogField> /*fields*/) override {}
-};
+using core::scheduler::NullLog;
 
 core::workers::Listing MakeListing() {
   core::workers::Listing listing;
--- a/test/member/owner_call_forwarder_test.cc
+++ b/test/member/owner_call_forwarder_test.cc
@@ -9,16 +9,12 @@
 #include <vector>
 
 #include "dotterelbarrow/wire/http_client.h"
+#include "test/core/scheduler/null_log.h"
 
 namespace dotterelbarrow::member {
 namespace {
 
-class NullLog : public core::scheduler::DecisionLog {
- public:
-  void Write(
-      std::string_view /*event*/,
-      std::initializer_list<core::scheduler::LogField> /*fields*/) override {}
-};
+using core::scheduler::NullLog;
 
 // A host that is the owner itself; the test gives the owner's answers.
 struct Fixture {
--- a/test/member/shard_set_test.cc
+++ b/test/member/shard_set_test.cc
@@ -17,6 +17,7 @@
 #include "platform/base64.h"
 #include "src/member/clock.h"
 #include "src/member/store_layout.h"
+#include "test/core/scheduler/null_log.h"
 
 namespace dotterelbarrow::member {
 namespace {
@@ -28,11 +29,7 @@
 const base::OrganisationId kFirst("first");
 const base::OrganisationId kSecond("second");
 
-class NullLog : public core::scheduler::DecisionLog {
- public:
-  void Write(std::string_view /*event*/,
-             std::initializer_list<core::scheduler::LogField>) override {}
-};
+using core::scheduler::NullLog;
 
 std::string ListenOn(wire::HttpServer* server) {
   base::Failure reason;
