Cell fuzz: owners partitioned from the store and from a part of the workers (failing test)

Change: a cell can isolate its newest owner together with some workers; owners command workers for kOwnershipLease after their last confirmed write, as OwnerTerm does. No random draw of the other tests changes.

--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -29,6 +29,9 @@
 constexpr std::int64_t kStepMs = 10;
 constexpr std::int64_t kListingsPeriodMs = 500;
 constexpr std::int64_t kAnswerTimeoutMs = 500;
+// As long as an owner commands workers without a confirmed write.
+constexpr std::int64_t kOwnershipLeaseMs =
+    core::scheduler::kOwnershipLease / std::chrono::milliseconds(1);
 constexpr std::int64_t kWorkerCores = 16;
 constexpr std::int64_t kWorkerMemory = 64;
 constexpr std::int64_t kMaxRecoveryMs = 120'000;
@@ -182,6 +185,7 @@
   auto owner = std::make_shared<Owner>();
   last_token_ += core::scheduler::kTokensPerTerm;
   owner->token = FencingToken(last_token_);
+  owner->confirmed_ms = now_ms_;
   core::scheduler::SchedulerSettings settings;
   settings.dispatcher.preemption = preemption_;
   settings.dispatcher.remote_factor = kRemoteFactor;
@@ -247,7 +251,8 @@
     return;
   }
   Scheduler& scheduler = *owner->scheduler;
-  if (now_ms_ % kListingsPeriodMs == 0) {
+  RenewOwnership(owner.get());
+  if (now_ms_ % kListingsPeriodMs == 0 && !owner->is_isolated) {
     std::vector<core::workers::Listing> listings;
     for (std::size_t i = 0; i < workers_.size(); ++i) {
       if (workers_[i]->is_up() && !cut_.contains(i)) {
@@ -256,8 +261,10 @@
     }
     scheduler.UpdateListings(listings, Now(), Now());
   }
-  scheduler.Tick(Now(), UnixMillis());
-  scheduler.RunPass(Now());
+  if (now_ms_ - owner->confirmed_ms < kOwnershipLeaseMs) {
+    scheduler.Tick(Now(), UnixMillis());
+    scheduler.RunPass(Now());
+  }
   for (const Action& action : scheduler.TakeActions()) {
     CarryOut(owner, action);
   }
@@ -271,7 +278,8 @@
   // The store rejects the writes of all owners but the newest, because their
   // condition fails.
   const bool is_newest = owner->token.value() == last_token_;
-  if (owner->writing && now_ms_ >= owner->write_ends_ms && !is_store_down_) {
+  if (owner->writing && now_ms_ >= owner->write_ends_ms && !is_store_down_ &&
+      !owner->is_isolated) {
     const RecordBatch batch = std::move(*owner->writing);
     owner->writing.reset();
     if (!is_newest) {
@@ -281,6 +289,7 @@
     Store(batch);
     owner->scheduler->UpdateStoreClock(StoreMillis(), Now());
     owner->scheduler->OnStored(batch, Now());
+    owner->confirmed_ms = owner->write_begun_ms;
     for (const auto waiter : batch.accept_waiters) {
       accepted_.insert(owner->waiters[waiter]);
     }
@@ -290,6 +299,7 @@
   }
   if (!owner->writing && owner->scheduler->has_changes()) {
     owner->writing = owner->scheduler->TakeBatch(Now());
+    owner->write_begun_ms = now_ms_;
     owner->write_ends_ms = now_ms_ + Between(10, 40);
   }
 }
@@ -351,7 +361,8 @@
   };
   const bool is_late = Chance(faults.commands_late);
   const std::int64_t timeout_ms = wait_ms + kAnswerTimeoutMs;
-  const bool is_reachable = !cut_.contains(index) && !dark_.contains(index);
+  const bool is_reachable = !cut_.contains(index) && !dark_.contains(index) &&
+                            IsOnSameSide(*owner, index);
   if (!model.is_up() && is_reachable) {
     reply(Between(1, 15), CommandOutcome::kNotSent, 0);
     return;
@@ -364,7 +375,7 @@
   const bool is_answered = !is_late && !Chance(faults.answers_lost);
   const std::int64_t delay = is_late ? Between(2000, 8000) : Between(1, 15);
   const std::int64_t born_ms = model.listing().born_ms;
-  After(delay, [this, index, order, reply, is_answered, is_late, born_ms,
+  After(delay, [this, owner, index, order, reply, is_answered, is_late, born_ms,
                 id = worker.id] {
     WorkerModel* target = workers_[index].get();
     if (!target->is_up()) {
@@ -382,7 +393,7 @@
     const CommandOutcome outcome = target->listing().id == id
                                        ? order(target)
                                        : CommandOutcome::kOtherIncarnation;
-    if (is_answered && !cut_.contains(index)) {
+    if (is_answered && !cut_.contains(index) && IsOnSameSide(*owner, index)) {
       reply(Between(1, 15), outcome, target->clock_ms());
     }
   });
@@ -688,6 +699,25 @@
   }
 }
 
+void Cell::IsolateOwner(const std::set<std::size_t>& with_workers) {
+  owners_.back()->is_isolated = true;
+  isolated_workers_ = with_workers;
+}
+
+void Cell::EndIsolation() {
+  for (const auto& owner : owners_) {
+    owner->is_isolated = false;
+  }
+  isolated_workers_.clear();
+}
+
+void Cell::RenewOwnership(Owner* owner) {
+  const bool is_newest = owner->token.value() == last_token_;
+  if (is_newest && !owner->writing && !is_store_down_ && !owner->is_isolated) {
+    owner->confirmed_ms = now_ms_;
+  }
+}
+
 void Cell::CrashWorker(std::size_t index) {
   WorkerModel* worker = workers_[index].get();
   if (!worker->is_up()) {
@@ -819,6 +849,7 @@
   }
   faults = Faults{.runs_failing = 0, .runs_slow = 0};
   cut_.clear();
+  EndIsolation();
   is_store_down_ = false;
   const std::int64_t end = now_ms_ + kMaxRecoveryMs;
   while (now_ms_ < end) {
--- a/test/fuzz/scheduler/cell.h
+++ b/test/fuzz/scheduler/cell.h
@@ -91,6 +91,11 @@
   // unaware of its successor.
   void ChangeOwnerKeepingPrevious();
   void CutWorker(std::size_t index, bool is_cut);
+  // Partitions the newest owner together with these workers: it reaches neither
+  // the store nor other workers, and later owners don't reach these.
+  void IsolateOwner(const std::set<std::size_t>& with_workers);
+  // Ends that partition.
+  void EndIsolation();
   // While the store is down, no write ends.
   void SetStoreDown(bool is_down) { is_store_down_ = is_down; }
   // Crashes the worker. It is back after 0.5 to 4 s.
@@ -152,10 +157,15 @@
     FencingToken token;
     bool is_alive = true;
     std::optional<core::scheduler::RecordBatch> writing;
+    std::int64_t write_begun_ms = 0;
     std::int64_t write_ends_ms = 0;
     std::map<core::scheduler::WaiterId, core::jobs::JobKey> waiters;
     // The evacuated zones that it has read.
     std::set<base::AvailabilityZone> evacuated;
+    // When the last write that is stored was begun.
+    std::int64_t confirmed_ms = 0;
+    // Whether it is on the side of the partition that has no store.
+    bool is_isolated = false;
   };
   using Event = std::function<void()>;
 
@@ -175,6 +185,12 @@
   std::int64_t Between(std::int64_t least, std::int64_t most);
   void After(std::int64_t delay_ms, Event event);
 
+  // Whether the owner and the worker are on the same side of the partition.
+  bool IsOnSameSide(const Owner& owner, std::size_t worker) const {
+    return owner.is_isolated == isolated_workers_.contains(worker);
+  }
+  // Confirms the ownership of an owner that has nothing to write.
+  void RenewOwnership(Owner* owner);
   void BeginTerm();
   void Step();
   void StepOwner(const std::shared_ptr<Owner>& owner);
@@ -224,6 +240,8 @@
   std::shared_ptr<core::desired::DesiredState> desired_;
   std::vector<std::unique_ptr<WorkerModel>> workers_;
   std::set<std::size_t> cut_;
+  // The workers that only isolated owners reach.
+  std::set<std::size_t> isolated_workers_;
   // Crashed workers whose machine is gone too, so that nothing refuses
   // connections.
   std::set<std::size_t> dark_;
