A lease expires in an owner's books only while its ownership is confirmed

Cause: an owner commands workers for six seconds after its last confirmed write, so that work survives an outage of the store. It gave a silent worker up 4.1 s after the last lease that it had granted. If a partition separates it from the store and from a part of the workers, another host takes over in that time, claims those workers, renews their leases and acknowledges their ends, while the former owner starts their tasks again on the workers that only it reaches. The class: time is taken for proof, although another owner may act meanwhile.

Change: Fleet::Tick takes the time at which the ownership was last confirmed, the begin of the last write that is stored. Leases expire only by that time; until then the expiry is withheld (worker_lapse_withheld, counter lease_expiries_withheld). With a store that answers this adds at most the 200 ms between two renewals.

Why it works: a lease that had ended while this host was certain to be the owner can't have been renewed by a later one.

--- a/bench/experiment/experiment.cc
+++ b/bench/experiment/experiment.cc
@@ -505,7 +505,7 @@
                  timeline_.Now());
     last_tick_us_ = timeline_.now_us();
     scheduler_.set_poll_stretch(gate_.stretch());
-    scheduler_.Tick(timeline_.Now(), 0);
+    scheduler_.Tick(timeline_.Now(), timeline_.Now(), 0);
     CarryOut();
     WriteIfDue();
   });
--- a/include/dotterelbarrow/core/leadership/leadership.h
+++ b/include/dotterelbarrow/core/leadership/leadership.h
@@ -159,6 +159,9 @@
     return role_ == Role::kOwner && !write_ &&
            now - confirmed_at_ >= settings_.renewal_period;
   }
+  // Returns when the write began that was confirmed last: this host was still
+  // the owner then. Meaningful only while it is the owner.
+  base::TimePoint confirmed_at() const { return confirmed_at_; }
   // Returns whether this host is the owner and may still command workers.
   bool HoldsOwnershipLease(base::TimePoint now) const {
     return role_ == Role::kOwner &&
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -182,8 +182,11 @@
 
   // Expires the leases that are due, and appends the polls and repeated stop
   // commands that are due. Of a large fleet, each call looks at a part of the
-  // workers, in turn.
-  void Tick(base::TimePoint now, std::vector<Action>* actions);
+  // workers, in turn. This owner was certain to be the owner at `confirmed_at`,
+  // for example because a write of it that began then is stored. Leases expire
+  // only by that time: a later owner may be renewing them since.
+  void Tick(base::TimePoint now, base::TimePoint confirmed_at,
+            std::vector<Action>* actions);
 
   // Reserves resources for a run, which stays reserved until Start. The worker
   // must exist.
@@ -263,7 +266,7 @@
   }
   // Does what is due for one worker, and removes it if it can be.
   void TickWorker(workers::Worker* worker, base::TimePoint now,
-                  std::vector<Action>* actions);
+                  base::TimePoint confirmed_at, std::vector<Action>* actions);
   // Marks the workers in evacuated zones, and finds the services that have no
   // others.
   void UpdateEvacuation();
@@ -320,7 +323,8 @@
   void PollForSuspects(workers::Worker* worker, base::TimePoint now,
                        std::vector<Action>* actions);
   // Returns whether the worker can be removed.
-  bool ExpireIfDue(workers::Worker* worker, base::TimePoint now);
+  bool ExpireIfDue(workers::Worker* worker, base::TimePoint now,
+                   base::TimePoint confirmed_at);
   void ApplyRunEnds(workers::Worker* worker,
                     const std::vector<ListedEnd>& ends);
   void ApplyActiveRuns(workers::Worker* worker, const PollResult& result,
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -178,9 +178,12 @@
   // Returns, for each queue, how many accepted and stored jobs have not begun.
   std::map<desired::QueueId, std::uint64_t> PendingJobs() const;
 
-  // Does the periodic work other than placement. `unix_now_ms` is used only to
-  // decide which occurrences of scheduled jobs are due.
-  void Tick(base::TimePoint now, std::int64_t unix_now_ms);
+  // Does the periodic work other than placement. `confirmed_at` is the latest
+  // time at which this owner was certain to be the owner (see Fleet::Tick).
+  // `unix_now_ms` is used only to decide which occurrences of scheduled jobs
+  // are due.
+  void Tick(base::TimePoint now, base::TimePoint confirmed_at,
+            std::int64_t unix_now_ms);
   // Tells whether the owner's processor can't keep up with its work.
   void set_saturated(bool saturated) { dispatcher_.set_saturated(saturated); }
   // Returns how many jobs have had their first task started since the last
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -231,6 +231,9 @@
   // flight. No lease is granted and nothing is started until a record without
   // that time is stored, because the next owner relies on it.
   bool leases_suspended = false;
+  // Whether its leases would have expired, but for a later owner that may be
+  // renewing them.
+  bool is_expiry_withheld = false;
   bool poll_in_flight = false;
   base::TimePoint next_poll;
   // The next poll is not sent before this time, a minimum interval after the
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -325,7 +325,8 @@
   worker_reconciled.emit(id);
 }
 
-void Fleet::Tick(base::TimePoint now, std::vector<Action>* actions) {
+void Fleet::Tick(base::TimePoint now, base::TimePoint confirmed_at,
+                 std::vector<Action>* actions) {
   std::size_t looked_at = 0;
   for (std::size_t i = 0;
        i < by_number_.size() && looked_at < settings_.max_workers_per_tick;
@@ -333,15 +334,16 @@
     last_ticked_ = last_ticked_ + 1 < by_number_.size() ? last_ticked_ + 1 : 0;
     if (Worker* worker = by_number_[last_ticked_]) {
       ++looked_at;
-      TickWorker(worker, now, actions);
+      TickWorker(worker, now, confirmed_at, actions);
     }
   }
   UpdateEvacuation();
 }
 
 void Fleet::TickWorker(Worker* worker, base::TimePoint now,
+                       base::TimePoint confirmed_at,
                        std::vector<Action>* actions) {
-  if (ExpireIfDue(worker, now)) {
+  if (ExpireIfDue(worker, now, confirmed_at)) {
     const base::BackendId id = worker->id();
     by_number_[static_cast<std::size_t>(worker->number().value())] = nullptr;
     removed_workers_[id] = {worker->listing().born_ms,
@@ -355,12 +357,27 @@
   PollForSuspects(worker, now, actions);
 }
 
-bool Fleet::ExpireIfDue(Worker* worker, base::TimePoint now) {
+bool Fleet::ExpireIfDue(Worker* worker, base::TimePoint now,
+                        base::TimePoint confirmed_at) {
   const bool is_unresponsive =
       now - worker->last_answer >= settings_.lease_duration;
   if (!is_unresponsive || !worker->IsLeaseGuaranteedExpired(now)) {
     return false;
   }
+  if (!worker->IsLeaseGuaranteedExpired(confirmed_at)) {
+    if (!std::exchange(worker->is_expiry_withheld, true)) {
+      telemetry_.counters->Increment("lease_expiries_withheld",
+                                     "ownership_unconfirmed");
+      telemetry_.log->Write(
+          "worker_lapse_withheld",
+          {{"worker", worker->id().value()},
+           {"runs", static_cast<std::int64_t>(worker->runs().size())},
+           {"confirmed_ms_ago",
+            (now - confirmed_at) / std::chrono::milliseconds(1)}});
+    }
+    return false;
+  }
+  worker->is_expiry_withheld = false;
   if (!worker->runs().empty() || unreconciled_.contains(worker->id())) {
     telemetry_.log->Write(
         "worker_lapsed",
--- a/src/core/scheduler/fleet_runs.cc
+++ b/src/core/scheduler/fleet_runs.cc
@@ -240,6 +240,7 @@
         {{"worker", worker.value()}, {"looks_failed", target->failed_polls}});
   }
   target->failed_polls = 0;
+  target->is_expiry_withheld = false;
   target->unanswered_commands = 0;
   target->last_answer = now;
   target->alive_at = now;
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -313,9 +313,10 @@
   }
 }
 
-void Scheduler::Tick(base::TimePoint now, std::int64_t unix_now_ms) {
+void Scheduler::Tick(base::TimePoint now, base::TimePoint confirmed_at,
+                     std::int64_t unix_now_ms) {
   now_ = now;
-  fleet_.Tick(now, &actions_);
+  fleet_.Tick(now, confirmed_at, &actions_);
   run_time_recorder_.Tick(now);
   ReleaseEnds();
   StopIncompleteGangs(now);
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -147,7 +147,7 @@
   last_tick_ = begun;
   scheduler_.set_poll_stretch(saturation_gate_.stretch());
   if (is_loaded_ && parts_.leadership->HoldsOwnershipLease(Now())) {
-    scheduler_.Tick(Now(), UnixMillis());
+    scheduler_.Tick(Now(), parts_.leadership->confirmed_at(), UnixMillis());
     Execute();
     if (scheduler_.IsPassDue(Now())) {
       SchedulePass();
--- a/test/core/scheduler/fleet_test.cc
+++ b/test/core/scheduler/fleet_test.cc
@@ -59,7 +59,7 @@
     fleet.UpdateListings({listing}, now, now);
   }
   void ApplyEmptyList() { fleet.UpdateListings({}, now, now); }
-  void Tick() { fleet.Tick(now, &actions); }
+  void Tick() { fleet.Tick(now, now, &actions); }
   // Answers the regular poll with these lists.
   void AnswerPoll(std::vector<ListedRun> active,
                   std::vector<ListedEnd> ended = {}, bool lists_all = true) {
@@ -443,10 +443,12 @@
   }
   SUBCASE("expires later while its previous owner may send commands") {
     std::vector<Action> actions;
-    next_owner.Tick(scenario.now + seconds(6), &actions);
+    next_owner.Tick(scenario.now + seconds(6), scenario.now + seconds(6),
+                    &actions);
     CHECK(next_owner.unreconciled().contains(kWorker));
     next_owner.OnPreviousOwnerStopped(scenario.now);
-    next_owner.Tick(scenario.now + seconds(6), &actions);
+    next_owner.Tick(scenario.now + seconds(6), scenario.now + seconds(6),
+                    &actions);
     CHECK_FALSE(next_owner.unreconciled().contains(kWorker));
   }
 }
@@ -581,7 +583,7 @@
   std::vector<Action> actions;
   fleet.UpdateListings(listings, now, now);
   SUBCASE("looks at no more than its part of the workers before") {
-    fleet.Tick(now, &actions);
+    fleet.Tick(now, now, &actions);
     CHECK(actions.size() == kMostPerTick);
   }
   SUBCASE("looks at all that are left") {
@@ -590,7 +592,7 @@
     // None was claimed, so that those which left are removed.
     now += seconds(60);
     for (int i = 0; i < kLeaving; ++i) {
-      fleet.Tick(now, &actions);
+      fleet.Tick(now, now, &actions);
     }
     REQUIRE(fleet.workers().size() == kMostPerTick);
     for (const workers::Listing& listing : listings) {
@@ -601,7 +603,7 @@
     }
     now += seconds(1);
     actions.clear();
-    fleet.Tick(now, &actions);
+    fleet.Tick(now, now, &actions);
     CHECK(actions.size() == kMostPerTick);
   }
 }
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -244,7 +244,7 @@
     listings.push_back(worker.listing);
   }
   scheduler_->UpdateListings(listings, now_, now_);
-  scheduler_->Tick(now_, UnixMillis());
+  scheduler_->Tick(now_, confirmed_at_.value_or(now_), UnixMillis());
   scheduler_->RunPass(now_);
   CarryOut();
 }
--- a/test/core/scheduler/scheduler_scenario.h
+++ b/test/core/scheduler/scheduler_scenario.h
@@ -151,6 +151,10 @@
     return std::exchange(log_.events, {});
   }
   base::TimePoint now() const { return now_; }
+  // From now on, no write of the owner is confirmed: another host may own the
+  // cell.
+  void StopConfirmingOwnership() { confirmed_at_ = now_; }
+  void ResumeConfirmingOwnership() { confirmed_at_.reset(); }
   // Returns the tasks that run on the worker, those being stopped included.
   std::set<jobs::TaskRef> RunningOn(const std::string& worker) const;
   const std::string& RackOf(const base::BackendId& worker) const {
@@ -202,6 +206,8 @@
   EventLog log_;
   Counters counters_;
   base::TimePoint now_ = base::TimePoint(std::chrono::seconds(100));
+  // When the last write was confirmed; nullopt if each is at once.
+  std::optional<base::TimePoint> confirmed_at_;
   std::optional<std::string> own_rack_;
   std::uint64_t token_ = 0;
   std::set<base::AvailabilityZone> evacuated_;
--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -262,7 +262,9 @@
     scheduler.UpdateListings(listings, Now(), Now());
   }
   if (now_ms_ - owner->confirmed_ms < kOwnershipLeaseMs) {
-    scheduler.Tick(Now(), UnixMillis());
+    scheduler.Tick(
+        Now(), base::TimePoint(std::chrono::milliseconds(owner->confirmed_ms)),
+        UnixMillis());
     scheduler.RunPass(Now());
   }
   for (const Action& action : scheduler.TakeActions()) {
--- a/test/fuzz/scheduler/late_polls_test.cc
+++ b/test/fuzz/scheduler/late_polls_test.cc
@@ -81,7 +81,7 @@
   PollWorker TakePoll() {
     actions.clear();
     Advance(1100);
-    fleet.Tick(now(), &actions);
+    fleet.Tick(now(), now(), &actions);
     for (const Action& action : std::exchange(actions, {})) {
       if (const auto* poll = std::get_if<PollWorker>(&action)) {
         return *poll;
@@ -177,7 +177,7 @@
     scenario.fleet.UpdateListings({}, scenario.now(), scenario.now());
     for (int i = 0; i < 50 && scenario.fleet.Find(kWorker) != nullptr; ++i) {
       scenario.Advance(200);
-      scenario.fleet.Tick(scenario.now(), &scenario.actions);
+      scenario.fleet.Tick(scenario.now(), scenario.now(), &scenario.actions);
     }
     REQUIRE(scenario.fleet.Find(kWorker) == nullptr);
     scenario.List();
