Log and count ends that no run in the owner's books explains

Cause: a success of a task that had been started again meanwhile, one of an occurrence or a job that the owner doesn't know, and the usual one of a waiting inherited task were recorded and acknowledged alike, without a line.

Change: each end without a run in the books, and the success of an orphaned run, gives one line `untracked_end` with its cause and the last attempt of its task. dotterel_untracked_successes_total{reason="newer_run"} is the alarm. `worker_unlisted` says how old the worker's last report and the list were that decided; `worker_new_life` names both births and the silence; a worker at whose address another incarnation answers has a line of its own, `worker_replaced`, also while it drains, when no loss is reported.

--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -285,7 +285,7 @@
   // its process has ended.
   void EndConfirmedRuns(workers::Worker* worker);
   // Handles that another incarnation answered at the worker's address.
-  void OnReplaced(workers::Worker* worker);
+  void OnReplaced(workers::Worker* worker, base::TimePoint now);
   // Describes the loss of the worker; nullopt if it was described before, if
   // the worker had announced that it leaves, or if nothing ran there.
   std::optional<workers::WorkerLoss> NoteLoss(workers::Worker* worker,
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -290,6 +290,14 @@
   void ApplyRunEnd(const jobs::TaskRef& task, jobs::Attempt attempt,
                    jobs::RunEnd end, const std::string& checkpoint,
                    const base::BackendId& worker, bool never_started);
+  // Tells how an end that belongs to no run in the books relates to its task.
+  const char* FindWhyUntracked(const jobs::TaskRef& task,
+                               jobs::Attempt attempt);
+  // Logs and counts such an end. A success of a task that has a newer run,
+  // `newer_run`, means that the task was started again after its success.
+  void ReportUntrackedEnd(const workers::Worker& worker,
+                          const jobs::TaskRef& task, jobs::Attempt attempt,
+                          jobs::RunEnd end);
   // The worker has reported that the task is done. If another run of the task
   // may still start, holds back the acknowledgement of that end: what starts
   // before it is acknowledged is the copy's known risk, later it is a fault.
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -24,6 +24,12 @@
 // The last token of a term, counted from its first one.
 constexpr std::uint64_t kLastOffset = kTokensPerTerm - 1;
 
+// Returns -1 if the time is not known.
+std::int64_t MillisecondsSince(std::optional<base::TimePoint> time,
+                               base::TimePoint now) {
+  return time ? (now - *time) / std::chrono::milliseconds(1) : -1;
+}
+
 }  // namespace
 
 FencingToken TokenFor(const WorkerAddress& worker, FencingToken highest) {
@@ -164,7 +170,11 @@
       "worker_unlisted",
       {{"worker", worker->id().value()},
        {"runs", static_cast<std::int64_t>(worker->runs().size())},
-       {"has_left", has_left ? "yes" : "no"}});
+       {"has_left", has_left ? "yes" : "no"},
+       {"draining", worker->listing().draining ? "yes" : "no"},
+       {"report_age_ms", MillisecondsSince(worker->reported_after, now)},
+       {"list_age_ms", MillisecondsSince(list_requested_at_, now)},
+       {"silent_ms", MillisecondsSince(worker->last_answer, now)}});
   if (has_left) {
     EndConfirmedRuns(worker);
   }
@@ -241,7 +251,9 @@
       "worker_new_life",
       {{"worker", worker->id().value()},
        {"born_ms", listing.born_ms},
-       {"lost_runs", static_cast<std::int64_t>(worker->runs().size())}});
+       {"lost_runs", static_cast<std::int64_t>(worker->runs().size())},
+       {"before_born_ms", worker->listing().born_ms},
+       {"silent_ms", MillisecondsSince(worker->last_answer, now)}});
   const std::optional<WorkerLoss> loss = NoteLoss(worker, LossKind::kCrashed);
   // The new incarnation is reached under the same ID. It may execute start
   // commands that are still unanswered, and may have executed those whose runs
--- a/src/core/scheduler/fleet_losses.cc
+++ b/src/core/scheduler/fleet_losses.cc
@@ -28,7 +28,14 @@
   }
 }
 
-void Fleet::OnReplaced(Worker* worker) {
+void Fleet::OnReplaced(Worker* worker, base::TimePoint now) {
+  telemetry_.log->Write(
+      "worker_replaced",
+      {{"worker", worker->id().value()},
+       {"before_born_ms", worker->listing().born_ms},
+       {"runs", static_cast<std::int64_t>(worker->runs().size())},
+       {"silent_ms",
+        (now - worker->last_answer) / std::chrono::milliseconds(1)}});
   const std::optional<WorkerLoss> loss = NoteLoss(worker, LossKind::kCrashed);
   EndConfirmedRuns(worker);
   ReportLoss(loss);
--- a/src/core/scheduler/fleet_runs.cc
+++ b/src/core/scheduler/fleet_runs.cc
@@ -202,7 +202,7 @@
     }
     if (was_regular_poll && target->is_claimed &&
         result.outcome == CommandOutcome::kOtherIncarnation) {
-      OnReplaced(target);
+      OnReplaced(target, now);
     }
     ++target->failed_polls;
     if (was_regular_poll) {
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -82,6 +82,9 @@
   runs_.Remove(worker.id(), run);
   dispatcher_.OnRunEnded(worker, run, end, now_);
   if (end == jobs::RunEnd::kDone) {
+    if (run.is_orphan) {
+      ReportUntrackedEnd(worker, run.task, run.attempt, end);
+    }
     HoldEnd(worker, run.task);
   }
   UpdateQuarantine(worker, run, end);
@@ -98,6 +101,7 @@
 
 void Scheduler::OnUntrackedRunEnded(const workers::Worker& worker,
                                     const ListedEnd& end) {
+  ReportUntrackedEnd(worker, end.task, end.attempt, end.end);
   if (end.end == jobs::RunEnd::kDone) {
     HoldEnd(worker, end.task);
   }
@@ -117,6 +121,49 @@
   }
 }
 
+const char* Scheduler::FindWhyUntracked(const jobs::TaskRef& task,
+                                        jobs::Attempt attempt) {
+  jobs::Job* job = jobs_.Find(task.step.job);
+  if (job == nullptr) {
+    return jobs_.IsKnown(task.step.job) ? "job_ended" : "unknown_job";
+  }
+  if (task.step.occurrence >= job->occurrences_begun) {
+    return "occurrence_not_begun";
+  }
+  const jobs::Task* found = job->FindTask(task);
+  if (found == nullptr) {
+    return "already_done";
+  }
+  if (found->last_attempt > attempt) {
+    return job->SpecOf(task.step).may_have_copies() ? "has_copy" : "newer_run";
+  }
+  if (found->done) {
+    return "already_done";
+  }
+  return found->may_be_running ? "same_attempt_elsewhere" : "task_waits";
+}
+
+void Scheduler::ReportUntrackedEnd(const workers::Worker& worker,
+                                   const jobs::TaskRef& task,
+                                   jobs::Attempt attempt, jobs::RunEnd end) {
+  const char* why = FindWhyUntracked(task, attempt);
+  telemetry_.counters->Increment(
+      end == jobs::RunEnd::kDone ? "untracked_successes" : "untracked_ends",
+      why);
+  const jobs::Task* found = FindTask(task);
+  telemetry_.log->Write(
+      "untracked_end",
+      {{"task", jobs::ToString(task)},
+       {"attempt", static_cast<std::int64_t>(attempt.value())},
+       {"worker", worker.id().value()},
+       {"end", jobs::ToString(end)},
+       {"why", why},
+       {"last_attempt",
+        static_cast<std::int64_t>(
+            found == nullptr ? 0 : found->last_attempt.value())},
+       {"number", static_cast<std::int64_t>(worker.ends_received)}});
+}
+
 void Scheduler::ApplyRunEnd(const jobs::TaskRef& task, jobs::Attempt attempt,
                             jobs::RunEnd end, const std::string& checkpoint,
                             const base::BackendId& worker, bool never_started) {
