Stand-in site: report a start between a success and its late acknowledgement

Cause: the soak's ledger looked for a start after an acknowledged success only. The rule counts an end as taken note of whenever `acked_through` reaches it, unless the worker's lease lapsed between the two.

Change: the ledger keeps, per task, the attempts that ended `done` and those after which the task was started again, and reports the case when such an end is acknowledged. An end whose lease has lapsed counts for nothing, as the rule says; before, its late acknowledgement was taken for a success. Every answer of the store carries the store's clock: Reply wrote the workers' clock over it, so that the origins never differed.

--- a/src/standins/site/store_service.cc
+++ b/src/standins/site/store_service.cc
@@ -152,7 +152,6 @@
     Json::Value answer(Json::objectValue);
     answer["schema_version"] =
         static_cast<Json::UInt64>(version.value_or(model_.version()));
-    answer["now_ms"] = static_cast<Json::Int64>(StoreMillis());
     for (const auto& condition : transaction.conditions) {
       const StoredRow* row = model_.Find(condition.row);
       if (!version && row != nullptr) {
@@ -180,7 +179,6 @@
       answer["rows"].append(ToJson(name, row));
     }
     answer["has_more"] = range.has_more;
-    answer["now_ms"] = static_cast<Json::Int64>(StoreMillis());
     answer["schema_version"] = static_cast<Json::UInt64>(model_.version());
     Reply(request.exchange, kOk, answer);
   });
@@ -233,7 +231,7 @@
 void StoreService::Reply(wire::ExchangeId exchange, int status,
                          const Json::Value& body) {
   Json::Value answer = body;
-  answer["now_ms"] = static_cast<Json::Int64>(NowMillis());
+  answer["now_ms"] = static_cast<Json::Int64>(StoreMillis());
   server_.Reply(exchange, {.status = status, .body = core::WriteJson(answer)});
 }
 
--- a/src/standins/site/task_ledger.h
+++ b/src/standins/site/task_ledger.h
@@ -29,13 +29,16 @@
                    std::int64_t received_ms);
   // Records that `worker` started a run of the task on a command.
   void OnStarted(const std::string& worker, const core::jobs::TaskRef& task);
-  // Records that the run on `worker` ended, with any outcome, or that the
-  // worker's process did.
+  // Records that the run `attempt` on `worker` ended, with any outcome, or that
+  // the worker's process did.
   void OnEnded(const std::string& worker, const core::jobs::TaskRef& task,
-               core::jobs::RunEnd end);
-  // Records that an owner acknowledged the run's end, which it does once it has
-  // stored it.
-  void OnAcknowledged(const core::jobs::TaskRef& task, core::jobs::RunEnd end);
+               core::jobs::Attempt attempt, core::jobs::RunEnd end);
+  // Records that an owner acknowledged the end of the run `attempt`, which it
+  // does once it has stored it. `has_lapsed` tells whether the worker's lease
+  // has expired since that end; then the end counts for nothing.
+  void OnAcknowledged(const core::jobs::TaskRef& task,
+                      core::jobs::Attempt attempt, core::jobs::RunEnd end,
+                      bool has_lapsed);
   // Records that the worker that ran the task crashed because of it.
   void OnCrashedUnder(const core::jobs::TaskRef& task);
   // Records that the runs on the worker exceed its capacity.
@@ -57,7 +60,10 @@
  private:
   struct Task {
     std::set<std::string> running_on;
-    bool is_done = false;
+    // The attempts that succeeded, and those of them after whose end the task
+    // was started again: such an end must never be acknowledged.
+    std::set<core::jobs::Attempt> done_attempts;
+    std::map<core::jobs::Attempt, std::string> restarted;
     bool is_done_acknowledged = false;
     int crashes = 0;
     int starts_after_third_crash = 0;
--- a/src/standins/site/worker_service.cc
+++ b/src/standins/site/worker_service.cc
@@ -231,7 +231,8 @@
     }
     for (const ListedEnd& end : before) {
       if (end.number <= command.ends_stored) {
-        site_.ledger->OnAcknowledged(end.task, end.end);
+        site_.ledger->OnAcknowledged(end.task, end.attempt, end.end,
+                                     end.number <= model_.lapsed_through());
       }
     }
     if (is_answered) {
@@ -287,7 +288,8 @@
   for (const ListedEnd& end : model_.ends()) {
     if (end.number > last_recorded_end_) {
       last_recorded_end_ = end.number;
-      site_.ledger->OnEnded(model_.listing().id.value(), end.task, end.end);
+      site_.ledger->OnEnded(model_.listing().id.value(), end.task, end.attempt,
+                            end.end);
     }
   }
 }
@@ -336,7 +338,7 @@
 void WorkerService::Crash() {
   RecordRunEnds();
   for (const auto& [task, run] : model_.runs()) {
-    site_.ledger->OnEnded(model_.listing().id.value(), task,
+    site_.ledger->OnEnded(model_.listing().id.value(), task, run.attempt,
                           RunEnd::kLeaseExpired);
   }
   model_.Crash();
