Soak: owners isolated with a part of the workers, pauses of all hosts, sizes of a large deployment

Cause: in the soak a host lost its link to the store only.

Change: an owner is isolated with a zone of the workers, for 4.5 to 9 s. Workers tell the sides apart by the fencing token of the isolated term; a call across gets no answer. The links to the store and between hosts are silent too, or refuse: a relay that refuses doesn't listen. A preloaded library lets a daemon listen behind the relay of its announced peers port, and gives its connections a source address by which the others' relays know them; so it works with any version of the daemon. Also: pauses of 50 ms to 3 s of all hosts at once, and options for the number of callers, the share of a processor in the settings, and for partitions alone. Partitions and common pauses have a random generator of their own, so that older seeds choose their faults as before.

--- a/scripts/relay.py
+++ b/scripts/relay.py
@@ -1,8 +1,9 @@
 """A TCP relay on loopback that lets a test disturb the traffic between a client and a server.
 
 While cut, the relay accepts connections but forwards no data, like a firewall that drops all packets; it can be cut in
-one direction only. repair() closes the connections that were cut, since the data in transit is lost. limit_rate() gives
-the link a bandwidth towards the client, which all connections share.
+one direction only. repair() closes the connections that were cut, since the data in transit is lost. While it refuses,
+nothing listens on its ports. block() cuts the connections from one source address only. limit_rate() gives the link a
+bandwidth towards the client, which all connections share.
 """
 import asyncio
 import threading
@@ -12,7 +13,7 @@
 
 # For each mode of the relay: whether it forwards data to the target, and data from the target.
 FORWARDS = {"pass": (True, True), "cut": (False, False), "deaf": (False, True), "mute": (True, False),
-          "delay": (True, True)}
+          "delay": (True, True), "refuse": (False, False)}
 DELAY_S = 0.4
 
 
@@ -23,7 +24,10 @@
         self._target_of = target_of
         self._loop = asyncio.new_event_loop()
         self._connections = set()
+        self._servers = []
         self._mode = "pass"
+        self._blocked_source = None
+        self._is_blocked_refused = False
         self._bytes_per_s = None
         # When the link has sent all that was handed to it, by the loop's clock.
         self._free_at = 0.0
@@ -41,6 +45,10 @@
         """Sets one of the modes in FORWARDS; `pass` also drops all present connections."""
         self._run(self._set_mode(mode))
 
+    def block(self, source, is_refused=False):
+        """Cuts the connections from the address `source` only, or closes each; None lifts that and drops all."""
+        self._run(self._block(source, is_refused))
+
     def limit_rate(self, bytes_per_s):
         """Limits the bandwidth from the server to the client; None lifts the limit."""
         self._bytes_per_s = bytes_per_s
@@ -59,13 +67,29 @@
 
     async def _listen(self):
         for port, target in self._target_of.items():
-            await asyncio.start_server(lambda reader, writer, to=target: self._serve(reader, writer, to), HOST, port)
+            self._servers.append(await asyncio.start_server(
+                lambda reader, writer, to=target: self._serve(reader, writer, to), HOST, port))
 
     async def _set_mode(self, mode):
         self._mode = mode
-        if mode == "pass":
+        if mode == "refuse":
+            for server in self._servers:
+                server.close()
+            self._servers.clear()
+        elif not self._servers:
+            await self._listen()
+        if mode in ("pass", "refuse"):
+            await self._drop_connections()
+
+    async def _block(self, source, is_refused):
+        self._blocked_source = source
+        self._is_blocked_refused = is_refused
+        if source is None or is_refused:
             await self._drop_connections()
 
+    def _is_blocked(self, source):
+        return self._blocked_source is not None and source == self._blocked_source
+
     async def _drop_connections(self):
         tasks = list(self._connections)
         for task in tasks:
@@ -73,12 +97,17 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _serve(self, reader, writer, target):
+        source = writer.get_extra_info("peername")[0]
+        if self._is_blocked(source) and self._is_blocked_refused:
+            writer.close()
+            return
         task = asyncio.current_task()
         self._connections.add(task)
         try:
             far_reader, far_writer = await asyncio.open_connection(HOST, target)
             try:
-                await asyncio.gather(self._forward(reader, far_writer, 0), self._forward(far_reader, writer, 1))
+                await asyncio.gather(self._forward(reader, far_writer, 0, source),
+                                     self._forward(far_reader, writer, 1, source))
             finally:
                 far_writer.close()
         except (OSError, asyncio.CancelledError):
@@ -92,7 +121,7 @@
         self._free_at = max(self._free_at, now) + size / bytes_per_s
         await asyncio.sleep(self._free_at - now)
 
-    async def _forward(self, reader, writer, direction):
+    async def _forward(self, reader, writer, direction, source):
         while data := await reader.read(CHUNK_BYTES):
             if self._mode == "delay":
                 await asyncio.sleep(DELAY_S)
@@ -100,7 +129,7 @@
             rate = self._bytes_per_s
             if direction == 1 and rate:
                 await self._wait_for_bandwidth(len(data), rate)
-            if FORWARDS[self._mode][direction]:
+            if FORWARDS[self._mode][direction] and not self._is_blocked(source):
                 writer.write(data)
                 await writer.drain()
         writer.close()
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -2,13 +2,16 @@
 """A randomized soak test that injects faults into the real programs, which run against the stand-in site.
 
 Callers submit jobs and request their states over persistent connections. Meanwhile processes are stopped, paused,
-killed and restarted, connections to the store are cut in one or both directions, reset, delayed and narrow, the store
-and the workers misbehave, and the operator changes keys and the size of the desired state; faults follow each other and
-overlap. The guarantees are checked by what callers and workers observe. A seed reproduces the choice of faults and
-jobs, but not their timing.
+killed and restarted, connections to the store are cut in one or both directions, reset, delayed and narrow, an owner is
+isolated together with some workers, the store and the workers misbehave, and the operator changes keys and the size of
+the desired state; faults follow each other and overlap. The guarantees are checked by what callers and workers observe.
+A seed reproduces the choice of faults and jobs, but not their timing.
 
 Usage: scripts/soak.py [--seeds FIRST-LAST | --file SEEDS] [--seconds S] [--hosts N] [--workers N]
-                       [--workers-per-owner N] [--keep] [--until-broken]
+                       [--workers-per-owner N] [--callers N] [--cpu-share S] [--partitions KIND ...]
+                       [--keep] [--until-broken]
+
+--hosts 7 --workers 48 --callers 16 --cpu-share 0.25 approaches the sizes of amman-bake, at a lower rate of jobs.
 """
 import argparse
 import random
@@ -36,14 +39,23 @@
 MIN_QUEUES_CHANGED = 1000
 # At most half of MAX_UNUSED_QUEUES, so that they can always be either added or removed.
 MAX_QUEUES_CHANGED = 2000
+# An isolated owner commands workers for 6 s, and gives up those that it doesn't reach after 4.1 s.
+MIN_ISOLATED_S = 4.5
+MAX_ISOLATED_S = 9.0
+MIN_PAUSE_S = 0.05
+MAX_PAUSE_S = 3.0
 
 
 class Faults:
     """Injects faults, one after the other and overlapping."""
 
-    def __init__(self, site, rng):
+    def __init__(self, site, rng, partitions_rng):
+        """Partitions and common pauses are drawn from `partitions_rng`: older seeds choose the others as before."""
         self._site = site
         self._rng = rng
+        self._partitions_rng = partitions_rng
+        self._partition_kinds = ["silent", "refused"]
+        self._isolated = None
         self._undo_threads = []
         # Hosts whose daemon is being ended and restarted.
         self._restarting = set()
@@ -53,8 +65,27 @@
         self._lock = threading.Lock()
         self.done = []
 
-    def run(self, seconds):
+    def run(self, seconds, only_partitions=None):
+        """Injects faults for some time; with `only_partitions`, only partitions of these kinds and common pauses."""
         end = time.monotonic() + seconds
+        if only_partitions:
+            self._partition_kinds = only_partitions
+            self._run_partitions(end)
+        else:
+            partitions = threading.Thread(target=self._run_partitions, args=(end,))
+            partitions.start()
+            self._run_others(end)
+            partitions.join()
+        for thread in self._undo_threads:
+            thread.join()
+
+    def _run_partitions(self, end):
+        while time.monotonic() < end:
+            time.sleep(self._partitions_rng.uniform(0.3, 3.0))
+            with self._lock:
+                self._partitions_rng.choice([self._isolate_owner, self._isolate_owner, self._pause_all])()
+
+    def _run_others(self, end):
         if self._rng.random() < 0.5:
             self._narrow_links_for_good()
         while time.monotonic() < end:
@@ -64,8 +95,6 @@
         if self._rng.random() < 0.5:
             # So that hosts often have to recover with a large desired state.
             self._grow_behind_narrow_links()
-        for thread in self._undo_threads:
-            thread.join()
 
     def _kinds(self):
         return [self._kill, self._kill, self._pause, self._terminate, self._kill_all, self._store, self._store,
@@ -140,6 +169,30 @@
             self._site.signal_host(host, signal.SIGSTOP)
             self._later(self._rng.uniform(0.3, 4.0), lambda: self._site.wake_host(host))
 
+    def _pause_all(self):
+        self._record("pause all")
+        for host in self._hosts():
+            self._site.signal_host(host, signal.SIGSTOP)
+            self._later(self._partitions_rng.uniform(MIN_PAUSE_S, MAX_PAUSE_S),
+                        lambda host=host: self._site.wake_host(host))
+
+    def _isolate_owner(self):
+        """Isolates an owner together with a zone of the workers."""
+        zone = self._partitions_rng.randrange(ZONES)
+        seconds = self._partitions_rng.uniform(MIN_ISOLATED_S, MAX_ISOLATED_S)
+        kind = self._partitions_rng.choice(self._partition_kinds)
+        owner = self._site.owner(self._partitions_rng.randrange(self._site.shards()))
+        if self._isolated is not None or owner not in self._hosts():
+            return
+        self._isolated = owner
+        self._record(f"isolate {owner} with zone-{zone}, {kind}, for {seconds:.1f} s")
+        self._site.isolate(owner, range(zone, self._site.workers, ZONES), kind == "refused")
+
+        def rejoin():
+            self._site.rejoin(owner)
+            self._isolated = None
+        self._later(seconds, rejoin)
+
     def _terminate(self):
         host = self._host()
         if host is not None:
@@ -309,14 +362,15 @@
 def soak(seed, arguments):
     """Runs one seed; returns the violations that were found, and a summary line."""
     rng = random.Random(seed)
-    site = Site(seed, arguments.hosts, arguments.workers, workers_per_owner=arguments.workers_per_owner)
+    site = Site(seed, arguments.hosts, arguments.workers, workers_per_owner=arguments.workers_per_owner,
+                cpu_share=arguments.cpu_share, relays_peers=True)
     broken = []
     try:
         site.start()
-        callers = Callers(site, random.Random(seed + 1), KEY_REVOCATION_BOUND_S)
+        callers = Callers(site, random.Random(seed + 1), KEY_REVOCATION_BOUND_S, arguments.callers)
         callers.start()
-        faults = Faults(site, rng)
-        faults.run(arguments.seconds)
+        faults = Faults(site, rng, random.Random(seed + 2))
+        faults.run(arguments.seconds, arguments.partitions)
         site.fault(store="none")
         for link in site.links.values():
             link.repair()
@@ -350,6 +404,10 @@
     parser.add_argument("--hosts", type=int, default=5)
     parser.add_argument("--workers", type=int, default=8)
     parser.add_argument("--workers-per-owner", type=int, help="divide the cell into shards of about that many workers")
+    parser.add_argument("--callers", type=int, default=4)
+    parser.add_argument("--cpu-share", type=float, default=1.0, help="the part of a processor that the settings name")
+    parser.add_argument("--partitions", nargs="+", choices=["silent", "refused"],
+                        help="only isolate owners, by partitions of these kinds, and pause all hosts at once")
     parser.add_argument("--keep", action="store_true", help="keep the logs of seeds without violations too")
     parser.add_argument("--until-broken", action="store_true", help="stop after the first seed with a violation")
     arguments = parser.parse_args()
--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -8,7 +8,6 @@
 from cell import HOST
 from soak_site import CALLERS_HOST
 
-CALLERS = 4
 PAUSE_S = 0.05
 TIMEOUT_S = 3.0
 MAX_TRIES = 5
@@ -43,10 +42,11 @@
 class Callers:
     """Several threads, each with a persistent connection to each host."""
 
-    def __init__(self, site, rng, key_bound_s):
+    def __init__(self, site, rng, key_bound_s, count):
         self._site = site
         self._rng = rng
         self._key_bound_s = key_bound_s
+        self._count = count
         self._lock = threading.Lock()
         self._stopping = threading.Event()
         self._threads = []
@@ -55,7 +55,7 @@
         self._revoked_at = {}
 
     def start(self):
-        for number in range(CALLERS):
+        for number in range(self._count):
             thread = threading.Thread(target=self._run, args=(number,))
             thread.start()
             self._threads.append(thread)
--- a/scripts/soak_site.py
+++ b/scripts/soak_site.py
@@ -19,10 +19,12 @@
 BUILD = pathlib.Path(os.environ.get("DOTTEREL_BUILD", ROOT / "build"))
 
 # A site's ports, counted from its base port: store, advisor, control, hosts (each with ports for callers, readiness,
-# peers and metrics), the relays between the hosts and the store, workers.
+# peers and metrics), the relays between the hosts and the store, the ports on which daemons with relayed peers listen
+# for them, workers.
 HOST_PORTS = 10
 PORTS_OF_A_HOST = 4
 STORE_RELAY_PORTS = 70
+PEER_PORTS = 85
 WORKER_PORTS = 100
 MAX_HOSTS = 15
 MAX_WORKERS = 99
@@ -58,17 +60,22 @@
 class Site:
     """A site with `hosts` daemons, and `workers` workers of `cores` cores each."""
 
-    def __init__(self, seed, hosts=5, workers=8, cores=4, workers_per_owner=None):
-        """With `workers_per_owner`, the hosts divide the cell into shards of about that many workers."""
+    def __init__(self, seed, hosts=5, workers=8, cores=4, workers_per_owner=None, cpu_share=1.0, relays_peers=False):
+        """With `workers_per_owner`, the hosts divide the cell into shards of about that many workers. `cpu_share` is
+        the part of a processor that the settings name. With `relays_peers`, a host can be isolated from the others.
+        """
         self.base_port, self._ports_lock = reserve_ports()
         self.seed = seed
         self.hosts = hosts
         self.workers = workers
         self.cores = cores
         self.workers_per_owner = workers_per_owner
+        self.cpu_share = cpu_share
+        self.relays_peers = relays_peers
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"dotterel-soak-{seed}-"))
         self.processes = {}
         self.links = {}
+        self.peers = {}
         self.version = 1
         self.keys = dict(KEYS)
         self.unused_queues = 0
@@ -92,6 +99,8 @@
         self.write_desired()
         for host in range(self.hosts):
             self.links[host] = Relay({self.base_port + STORE_RELAY_PORTS + host: self.base_port})
+            if self.relays_peers:
+                self.peers[host] = Relay({self.port(host, 2): self.base_port + PEER_PORTS + host})
             self.start_host(host)
         self._wait(lambda: all(self._is_ready(host) for host in range(self.hosts)), "all hosts ready")
         if self.workers_per_owner:
@@ -124,14 +133,46 @@
             "node_name": f"host-{host}", "ip": HOST, "zone": f"zone-{host % 3}",
             "listen_addrs": {"frontend": f"{HOST}:{self.port(host, 0)}", "readiness": f"{HOST}:{self.port(host, 1)}"},
             "internal_ports": [self.port(host, 2), self.port(host, 3)],
-            "limits": {"cpu_share": 1.0}, "advisor": f"{HOST}:{self.base_port + 1}", "heartbeat_ms": 1500,
+            "limits": {"cpu_share": self.cpu_share}, "advisor": f"{HOST}:{self.base_port + 1}", "heartbeat_ms": 1500,
             "platform": {"address": f"{HOST}:{self.base_port + STORE_RELAY_PORTS + host}"},
             "bounds": {"revoke_ms": 5000, "grace_s": GRACE_S, "max_hold_ms": 10000, "status_s": 120,
                        "gang_timeout_ms": 3000, "drain_ms": 2000, "config_apply_ms": 2000, "evacuate_ms": 5000},
         }))
         division = ["--workers-per-owner", self.workers_per_owner, "--min-workers-of-kind", 1]
+        environment = dict(os.environ, DOTTERELBARROW_CONFIG=str(path))
+        if self.relays_peers:
+            environment.update(LD_PRELOAD=str(BUILD / "dotterel-standin-shim.so"),
+                               ASAN_OPTIONS="verify_asan_link_order=0",
+                               DOTTEREL_SHIM_LISTEN=f"{self.port(host, 2)}:{self.base_port + PEER_PORTS + host}",
+                               DOTTEREL_SHIM_SOURCE=self._source(host))
         self._spawn(f"host-{host}", BUILD / "dotterelbarrowd", "--platform",
-                    *(division if self.workers_per_owner else []), environment=dict(os.environ, DOTTERELBARROW_CONFIG=str(path)))
+                    *(division if self.workers_per_owner else []), environment=environment)
+
+    @staticmethod
+    def _source(host):
+        """Returns the address from which a host connects, if its peers are relayed."""
+        return f"127.0.0.{10 + host}"
+
+    def isolate(self, host, workers, is_refused):
+        """Cuts an owner off from the store, the other hosts, and all workers but `workers`, which only it reaches.
+        Calls to workers across the partition get no answer; those between hosts and to the store are refused if
+        `is_refused`."""
+        token = max(token for _, token, _, owner in self._terms() if owner == host)
+        mode = "refuse" if is_refused else "cut"
+        for other, relay in self.peers.items():
+            relay.set_mode(mode) if other == host else relay.block(self._source(host), is_refused)
+        self.links[host].set_mode(mode)
+        for number in range(self.workers):
+            self.fault(worker=f"worker-{number}", term=token, hears=number in workers)
+
+    def rejoin(self, host):
+        """Ends the isolation of a host."""
+        for number in range(self.workers):
+            self.fault(worker=f"worker-{number}", term=0, hears=False)
+        self.links[host].repair()
+        for relay in self.peers.values():
+            relay.block(None)
+            relay.repair()
 
     def _process(self, host):
         return self.processes[f"host-{host}"]
@@ -197,7 +238,7 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
-        for link in self.links.values():
+        for link in [*self.links.values(), *self.peers.values()]:
             link.close()
         self._ports_lock.close()
         if not keep_logs:
--- a/src/standins/site/site_service.cc
+++ b/src/standins/site/site_service.cc
@@ -136,6 +136,10 @@
   } else if (workers_.contains(id) && (*body)["fault"].isString()) {
     workers_.at(id)->SetFault(ParseWorkerFault((*body)["fault"].asString()),
                               permille);
+  } else if (workers_.contains(id) && (*body)["term"].isUInt64()) {
+    workers_.at(id)->SetTerm(
+        core::scheduler::FencingToken((*body)["term"].asUInt64()),
+        (*body)["hears"].asBool());
   } else if (workers_.contains(id) && (*body)["cpu"].isInt64()) {
     workers_.at(id)->Resize(base::Millicores((*body)["cpu"].asInt64()));
   } else if (workers_.contains(id) && (*body)["do"].isString()) {
--- a/src/standins/site/worker_service.cc
+++ b/src/standins/site/worker_service.cc
@@ -107,6 +107,13 @@
   return std::uniform_int_distribution<int>(0, 999)(*site_.random) < permille_;
 }
 
+bool WorkerService::Hears(FencingToken token) const {
+  const bool is_of_term =
+      token <= term_ &&
+      token.value() + core::scheduler::kTokensPerTerm > term_.value();
+  return term_ == FencingToken(0) || is_of_term == hears_term_;
+}
+
 void WorkerService::HandleCall(
     const wire::HttpRequest& request,
     const std::function<void(const Json::Value&, bool)>& command) {
@@ -119,6 +126,9 @@
     server_.Reply(request.exchange, {.status = kBadRequest, .body = {}});
     return;
   }
+  if (!Hears(FencingToken(CountOf(*body, "fencing_token")))) {
+    return;
+  }
   if (fault_ != WorkerFault::kLate || !DrawFault()) {
     command(*body, true);
     return;
@@ -237,7 +247,8 @@
     }
     if (is_answered) {
       const auto wait = static_cast<std::int64_t>(CountOf(body, "wait_ms"));
-      polls_.push_back({exchange, NowMillis() + wait});
+      polls_.push_back({exchange, NowMillis() + wait,
+                        FencingToken(CountOf(body, "fencing_token"))});
       AnswerPolls();
     }
   });
@@ -279,7 +290,9 @@
     if (!is_due(poll)) {
       return false;
     }
-    server_.Reply(poll.exchange, {.status = kOk, .body = body});
+    if (Hears(poll.token)) {
+      server_.Reply(poll.exchange, {.status = kOk, .body = body});
+    }
     return true;
   });
 }
--- a/src/standins/site/worker_service.h
+++ b/src/standins/site/worker_service.h
@@ -51,6 +51,13 @@
     fault_ = fault;
     permille_ = permille;
   }
+  // While `hears` is true, the worker hears only calls under a token of the
+  // term whose highest token is `term`, else all but those; the others have no
+  // effect and get no answer. Term 0 ends this.
+  void SetTerm(FencingToken term, bool hears) {
+    term_ = term;
+    hears_term_ = hears;
+  }
   // Crash ends the worker's process. Restart brings it back as another
   // incarnation; it has no effect while the worker is up.
   void Crash();
@@ -64,6 +71,7 @@
   struct WaitingPoll {
     wire::ExchangeId exchange;
     std::int64_t until_ms = 0;
+    FencingToken token;
   };
 
   // Parses the request and calls `command` with its body: at once, late or
@@ -76,6 +84,8 @@
       const wire::HttpRequest& request,
       const std::function<CommandOutcome(const core::jobs::TaskRef&,
                                          const Json::Value&)>& command);
+  // Returns whether the caller that has this token is reached by the worker.
+  bool Hears(FencingToken token) const;
   void OnStart(const wire::HttpRequest& request);
   void OnStop(const wire::HttpRequest& request);
   void OnPoll(const wire::HttpRequest& request);
@@ -99,6 +109,8 @@
   WorkerModel model_;
   WorkerFault fault_ = WorkerFault::kNone;
   int permille_ = 0;
+  FencingToken term_;
+  bool hears_term_ = false;
   bool is_draining_ = false;
   bool was_overloaded_ = false;
   std::uint64_t last_recorded_end_ = 0;
