--- a/src/standins/site/worker_service.cc
+++ b/src/standins/site/worker_service.cc
@@ -107,6 +107,13 @@
   return std::uniform_int_distribution<int>(0, 999)(*site_.random) < permille_;
 }
 
+bool WorkerService::Hears(FencingToken token) const {
+  const bool is_of_term =
+      token <= term_ &&
+      token.value() + core::scheduler::kTokensPerTerm > term_.value();
+  return term_ == FencingToken(0) || is_of_term == hears_term_;
+}
+
 void WorkerService::HandleCall(
     const wire::HttpRequest& request,
     const std::function<void(const Json::Value&, bool)>& command) {
@@ -119,6 +126,9 @@
     server_.Reply(request.exchange, {.status = kBadRequest, .body = {}});
     return;
   }
+  if (!Hears(FencingToken(CountOf(*body, "fencing_token")))) {
+    return;
+  }
   if (fault_ != WorkerFault::kLate || !DrawFault()) {
     command(*body, true);
     return;
@@ -231,12 +241,14 @@
     }
     for (const ListedEnd& end : before) {
       if (end.number <= command.ends_stored) {
-        site_.ledger->OnAcknowledged(end.task, end.end);
+        site_.ledger->OnAcknowledged(end.task, end.attempt, end.end,
+                                     end.number <= model_.lapsed_through());
       }
     }
     if (is_answered) {
       const auto wait = static_cast<std::int64_t>(CountOf(body, "wait_ms"));
-      polls_.push_back({exchange, NowMillis() + wait});
+      polls_.push_back({exchange, NowMillis() + wait,
+                        FencingToken(CountOf(body, "fencing_token"))});
       AnswerPolls();
     }
   });
@@ -278,7 +290,9 @@
     if (!is_due(poll)) {
       return false;
     }
-    server_.Reply(poll.exchange, {.status = kOk, .body = body});
+    if (Hears(poll.token)) {
+      server_.Reply(poll.exchange, {.status = kOk, .body = body});
+    }
     return true;
   });
 }
@@ -287,7 +301,8 @@
   for (const ListedEnd& end : model_.ends()) {
     if (end.number > last_recorded_end_) {
       last_recorded_end_ = end.number;
-      site_.ledger->OnEnded(model_.listing().id.value(), end.task, end.end);
+      site_.ledger->OnEnded(model_.listing().id.value(), end.task, end.attempt,
+                            end.end);
     }
   }
 }
@@ -336,7 +351,7 @@
 void WorkerService::Crash() {
   RecordRunEnds();
   for (const auto& [task, run] : model_.runs()) {
-    site_.ledger->OnEnded(model_.listing().id.value(), task,
+    site_.ledger->OnEnded(model_.listing().id.value(), task, run.attempt,
                           RunEnd::kLeaseExpired);
   }
   model_.Crash();
