A refused connection, an offer or a resignation doesn't prove that an owner has stopped

Cause: Leadership counted a previous owner as stopped whenever the cell could be claimed without waiting: after two refused connections (a partition can refuse them as well), after a take_over offer by an owner that still commands, and after a stored resignation whose answer that owner hasn't read. The next owner then waited one lease (4.2 s) for silent workers instead of the ownership lease and one lease (10.2 s), while the previous one could still renew their leases.

Change: what lets a host claim sooner (OnOwnerReplaceable, a resignation) is separate from what proves that an owner has stopped (OnOwnerStopped, kept by token, or the same host). Proofs are another process that answers at the owner's address, and a take_over offer with has_stopped, which an owner sends once its resignation is answered; a planned restart therefore costs silent workers no more than before. Claims are as quick as before. term_loaded says whether the stop was proven, owner_gone by which sign.

Evidence: leadership_test, "what proves that the previous owner has stopped", had 4 failed checks with the earlier meaning put back (refused or offered, an earlier owner's proof, an unread resignation). core_test: 254 cases pass. member_test: 18 pass. scheduler_fuzz_test: the 15 cases besides the known failure (isolated_owner_test) pass. The exchange of heartbeats and offers between processes was not run.

--- a/include/dotterelbarrow/core/leadership/leadership.h
+++ b/include/dotterelbarrow/core/leadership/leadership.h
@@ -103,9 +103,12 @@
   FencingToken token() const { return own_record_.token; }
   // Whether this host's last term ended by its resignation.
   bool has_resigned() const { return own_record_.is_resigned; }
-  // Whether it was known, when this host claimed the cell, that the previous
-  // owner no longer commanded any workers.
-  bool was_previous_owner_gone() const { return was_previous_owner_gone_; }
+  // Whether it is proven that the previous owner commands no worker any more:
+  // there was none, it was an earlier term of this host, or OnOwnerStopped was
+  // called for it. A free cell alone proves nothing: the owner may be cut off
+  // from this host, offer the cell while it commands, or not know yet that its
+  // resignation is stored.
+  bool has_previous_owner_stopped() const;
   // The previous owner; null if there was none.
   const OwnershipRecord* previous_owner() const {
     return previous_owner_ ? &*previous_owner_ : nullptr;
@@ -123,9 +126,14 @@
   void OnRead(const std::optional<OwnershipRecord>& head,
               base::RowVersion version, base::Duration latency,
               base::TimePoint now);
-  // Records that the owner is gone, for example because its address refuses
-  // connections.
-  void OnOwnerGone(base::TimePoint now);
+  // Records that the owner need not be waited for, because its address refuses
+  // connections or because it offers the cell: the cell may be claimed sooner.
+  // A network can refuse connections as well, so the owner may still command
+  // workers.
+  void OnOwnerReplaceable();
+  // Records that the owner with this token commands no worker any more and
+  // never will. If it is still in the record, the cell may be claimed sooner.
+  void OnOwnerStopped(FencingToken token);
   // Sets whether the owner has been leaving this host's calls unanswered.
   void set_owner_unresponsive(bool is_unresponsive) {
     is_owner_unresponsive_ = is_unresponsive;
@@ -178,13 +186,14 @@
   base::TimePoint unchanged_since_;
   base::TimePoint last_read_;
   base::Duration read_latency_{0};
-  bool is_owner_gone_ = false;
+  bool is_owner_replaceable_ = false;
+  // The last owner that is known to have stopped.
+  std::optional<FencingToken> stopped_owner_;
   bool is_owner_unresponsive_ = false;
   std::optional<OwnershipRecord> relayed_;
   base::Duration claim_delay_{0};
   std::optional<base::TimePoint> free_since_;
   std::optional<OwnershipRecord> previous_owner_;
-  bool was_previous_owner_gone_ = false;
   OwnershipRecord own_record_;
   base::RowVersion own_version_;
   // Invariant: set while a write is in flight.
--- a/src/core/leadership/leadership.cc
+++ b/src/core/leadership/leadership.cc
@@ -89,7 +89,7 @@
     unchanged_since_ = now;
   }
   if (version != seen_version_) {
-    is_owner_gone_ = false;
+    is_owner_replaceable_ = false;
     is_owner_unresponsive_ = false;
     free_since_.reset();
   }
@@ -100,21 +100,31 @@
   seen_version_ = version;
 }
 
-void Leadership::OnOwnerGone(base::TimePoint /*now*/) { is_owner_gone_ = true; }
+void Leadership::OnOwnerReplaceable() { is_owner_replaceable_ = true; }
+
+void Leadership::OnOwnerStopped(FencingToken token) {
+  stopped_owner_ = std::max(stopped_owner_.value_or(token), token);
+}
+
+bool Leadership::has_previous_owner_stopped() const {
+  return !previous_owner_ || previous_owner_->holder == settings_.self ||
+         previous_owner_->token == stopped_owner_;
+}
 
 std::optional<OwnershipWrite> Leadership::BeginClaim(base::TimePoint now) {
   if (role_ == Role::kOwner || write_ || !was_read_ ||
       now - last_read_ > settings_.max_read_gap) {
     return std::nullopt;
   }
-  // If this host holds the record from an earlier run, that process is gone.
-  const bool is_gone = !seen_ || seen_->is_resigned || is_owner_gone_ ||
-                       seen_->holder == settings_.self;
+  // If this host holds the record from an earlier run, that process has ended.
+  const bool is_free = !seen_ || seen_->is_resigned || is_owner_replaceable_ ||
+                       seen_->holder == settings_.self ||
+                       seen_->token == stopped_owner_;
   const base::Duration timeout =
       (is_owner_unresponsive_ ? settings_.unresponsive_owner_timeout
                               : settings_.owner_timeout) +
       read_latency_ * settings_.latency_factor;
-  if (!is_gone && now - unchanged_since_ < timeout) {
+  if (!is_free && now - unchanged_since_ < timeout) {
     free_since_.reset();
     return std::nullopt;
   }
@@ -125,7 +135,6 @@
     return std::nullopt;
   }
   previous_owner_ = seen_;
-  was_previous_owner_gone_ = is_gone;
   own_record_ =
       OwnershipRecord{.token = HighestTokenAfter(seen_, settings_.last_token),
                       .holder = settings_.self,
@@ -182,7 +191,7 @@
   }
   was_read_ = false;
   seen_.reset();
-  is_owner_gone_ = false;
+  is_owner_replaceable_ = false;
 }
 
 void Leadership::BecomeOwner(base::RowVersion version) {
--- a/src/member/owner_term_load.cc
+++ b/src/member/owner_term_load.cc
@@ -94,17 +94,18 @@
   for (const auto& [key, text] : loading_[RecordTable::kRunTimes]) {
     scheduler_.RestoreRunTimes(key, text, now);
   }
+  is_previous_owner_stopped_ = is_previous_owner_stopped_ ||
+                               parts_.leadership->has_previous_owner_stopped();
   parts_.telemetry.log->Write(
       "term_loaded",
       {{"shard", static_cast<std::int64_t>(parts_.shard.value())},
        {"jobs", static_cast<std::int64_t>(scheduler_.live_jobs())},
        {"workers",
-        static_cast<std::int64_t>(loading_[RecordTable::kWorkers].size())}});
+        static_cast<std::int64_t>(loading_[RecordTable::kWorkers].size())},
+       {"previous_stopped", is_previous_owner_stopped_ ? "yes" : "no"}});
   loading_.clear();
   is_loaded_ = true;
-  if (is_previous_owner_stopped_ ||
-      parts_.leadership->was_previous_owner_gone()) {
-    is_previous_owner_stopped_ = true;
+  if (is_previous_owner_stopped_) {
     scheduler_.OnPreviousOwnerStopped(now);
   }
   listings_.Read();
--- a/src/member/shard_controller.cc
+++ b/src/member/shard_controller.cc
@@ -297,7 +297,8 @@
   if (leadership_.role() == core::leadership::Role::kOwner) {
     leadership_.StepDown();
   } else if (leadership_.has_resigned()) {
-    OfferShard(leadership_.token());
+    // The resignation was answered, so no term of this token goes on.
+    OfferShard(leadership_.token(), true);
   }
   writer_.Cancel();
   // Not destroyed here, because the term is calling this function.
--- a/src/member/shard_controller.h
+++ b/src/member/shard_controller.h
@@ -151,8 +151,11 @@
   // An owner whose writes to the store fail offers the shard to all known
   // hosts, at most once in `kOfferPeriod`.
   void OfferShardOnStoreFailure();
-  // Offers the shard that was owned with `token` to all known hosts.
-  void OfferShard(core::leadership::FencingToken token);
+  // Offers the shard that is or was owned with `token` to all known hosts, and
+  // tells them whether that owner has stopped.
+  void OfferShard(core::leadership::FencingToken token, bool has_stopped);
+  // The owner with this token is certain to send no more commands to workers.
+  void OnOwnerStopped(core::leadership::FencingToken token);
   // A host that the store refuses to serve learns from other hosts who owns the
   // shard: from a new owner that announces itself to the previous one, or from
   // the deputies that the last owner named.
--- a/src/member/shard_controller_peers.cc
+++ b/src/member/shard_controller_peers.cc
@@ -20,10 +20,11 @@
 constexpr base::Duration kForeignHeartbeatPeriod =
     std::chrono::milliseconds(900);
 constexpr base::Duration kPeerCallTimeout = std::chrono::milliseconds(900);
-// A heartbeat whose connection is refused is repeated soon. Two refusals
-// without an answer in between mean that the process has ended.
+// A heartbeat whose connection is refused is repeated soon. After two refusals
+// without an answer in between, the owner need not be waited for. They don't
+// prove that its process has ended: a network can refuse connections, too.
 constexpr base::Duration kHeartbeatRetryDelay = std::chrono::milliseconds(100);
-constexpr int kRefusalsUntilGone = 2;
+constexpr int kRefusalsUntilReplaceable = 2;
 // An owner that leaves heartbeats unanswered for this long is unresponsive: it
 // is many times what a busy owner needs to answer.
 constexpr base::Duration kUnresponsiveAfter = std::chrono::milliseconds(300);
@@ -107,7 +108,8 @@
   if (current == nullptr || current->token != owner.token) {
     return;
   }
-  bool is_gone = false;
+  bool has_stopped = false;
+  bool is_refusing = false;
   if (result.outcome == RpcOutcome::kAnswered) {
     refused_heartbeats_ = 0;
     unanswered_since_.reset();
@@ -118,10 +120,10 @@
     }
     const Json::Value& incarnation = result.result["incarnation"];
     // Another incarnation of the host answers: the owner's process has ended.
-    is_gone = incarnation.isUInt64() &&
-              incarnation.asUInt64() != owner.incarnation.value();
+    has_stopped = incarnation.isUInt64() &&
+                  incarnation.asUInt64() != owner.incarnation.value();
   } else if (result.outcome == RpcOutcome::kRefused) {
-    is_gone = ++refused_heartbeats_ >= kRefusalsUntilGone;
+    is_refusing = ++refused_heartbeats_ >= kRefusalsUntilReplaceable;
     heartbeat_timer_.StartOnce(kHeartbeatRetryDelay);
   }
   const bool is_store_unresponsive =
@@ -133,12 +135,17 @@
   if (!is_owner && is_store_unresponsive) {
     QueryDeputies();
   }
-  if (is_gone) {
+  if (has_stopped || is_refusing) {
     refused_heartbeats_ = 0;
     host_->telemetry.log->Write(
         "owner_gone", {{"owner", owner.holder.value()},
-                       {"shard", static_cast<std::int64_t>(shard_.value())}});
-    leadership_.OnOwnerGone(Now());
+                       {"shard", static_cast<std::int64_t>(shard_.value())},
+                       {"sign", has_stopped ? "other_life" : "refused"}});
+    if (has_stopped) {
+      OnOwnerStopped(owner.token);
+    } else {
+      leadership_.OnOwnerReplaceable();
+    }
     PollOwner();
   }
 }
@@ -246,13 +253,15 @@
   host_->telemetry.log->Write(
       "hand_over_offered",
       {{"shard", static_cast<std::int64_t>(shard_.value())}});
-  OfferShard(leadership_.token());
+  OfferShard(leadership_.token(), false);
 }
 
-void ShardController::OfferShard(core::leadership::FencingToken token) {
+void ShardController::OfferShard(core::leadership::FencingToken token,
+                                 bool has_stopped) {
   for (const auto& [host, peer] : peers_.peers()) {
     Json::Value params(Json::objectValue);
     params["token"] = static_cast<Json::UInt64>(token.value());
+    params["has_stopped"] = has_stopped;
     AddShard(&params);
     host_->rpc->Call(peer.address, "take_over", std::move(params),
                      kPeerCallTimeout, [](const RpcResult&) {});
@@ -263,16 +272,26 @@
                                           const RpcServer::Reply& reply) {
   const core::leadership::OwnershipRecord* owner = leadership_.owner();
   const Json::Value& token = params["token"];
+  if (token.isUInt64() && IsSet(params, "has_stopped")) {
+    OnOwnerStopped(core::leadership::FencingToken(token.asUInt64()));
+  }
   if (owner != nullptr && token.isUInt64() &&
       token.asUInt64() == owner->token.value() && term_ == nullptr) {
     // This host claims the shard only if it reads the ownership record from the
     // store.
-    leadership_.OnOwnerGone(Now());
+    leadership_.OnOwnerReplaceable();
     PollOwner();
   }
   reply(Json::Value(Json::objectValue));
 }
 
+void ShardController::OnOwnerStopped(core::leadership::FencingToken token) {
+  leadership_.OnOwnerStopped(token);
+  if (term_ != nullptr && leadership_.has_previous_owner_stopped()) {
+    term_->OnPreviousOwnerStopped();
+  }
+}
+
 void ShardController::HandleHeartbeat(const Json::Value& params,
                                       const RpcServer::Reply& reply) {
   const Json::Value& host = params["host"];
--- a/test/core/leadership/leadership_test.cc
+++ b/test/core/leadership/leadership_test.cc
@@ -155,19 +155,23 @@
     SUBCASE("and follows the store again once it shows a newer owner") {
       Leadership third = MakeHost("third");
       cell.Read(&third);
-      third.OnOwnerGone(cell.now);
+      third.OnOwnerReplaceable();
       REQUIRE(cell.Claim(&third));
       cell.Read(&other);
       CHECK(other.owner()->holder == base::EntryId("third"));
     }
   }
-  SUBCASE("an owner whose process is gone is replaced at once") {
-    other.OnOwnerGone(cell.now);
+  SUBCASE("an owner that refuses connections is replaced at once") {
+    other.OnOwnerReplaceable();
+    CHECK(cell.Claim(&other));
+  }
+  SUBCASE("an owner whose process has ended is replaced at once") {
+    other.OnOwnerStopped(owner.token());
     CHECK(cell.Claim(&other));
   }
   SUBCASE("a host with a claim delay waits before it claims a free cell") {
     other.set_claim_delay(milliseconds(300));
-    other.OnOwnerGone(cell.now);
+    other.OnOwnerReplaceable();
     CHECK_FALSE(cell.Claim(&other));
     cell.now += milliseconds(300);
     CHECK(cell.Claim(&other));
@@ -201,6 +205,72 @@
   }
 }
 
+// Guards against a next owner that takes the leases of silent workers for
+// expired while the previous owner, cut off and alive, renews them.
+TEST_CASE("what proves that the previous owner has stopped") {
+  Cell cell;
+  Leadership owner = MakeHost("owner");
+  Leadership other = MakeHost("other");
+  cell.Read(&owner);
+  REQUIRE(cell.Claim(&owner));
+  CHECK(owner.has_previous_owner_stopped());  // There was none.
+  cell.Read(&other);
+
+  SUBCASE("not that it refuses connections or offers the cell") {
+    other.OnOwnerReplaceable();
+    REQUIRE(cell.Claim(&other));
+    CHECK_FALSE(other.has_previous_owner_stopped());
+
+    SUBCASE("but that it is seen to have stopped, also after the claim") {
+      other.OnOwnerStopped(owner.token());
+      CHECK(other.has_previous_owner_stopped());
+    }
+    SUBCASE("and not that an earlier owner has stopped") {
+      other.OnOwnerStopped(FencingToken(1));
+      CHECK_FALSE(other.has_previous_owner_stopped());
+    }
+  }
+  SUBCASE("not that it stopped writing") {
+    cell.Watch(&other, milliseconds(1500));
+    REQUIRE(cell.Claim(&other));
+    CHECK_FALSE(other.has_previous_owner_stopped());
+  }
+  SUBCASE("not that its resignation is stored: it may not know that yet") {
+    REQUIRE(cell.row.Write(owner.BeginResignation(cell.now)));
+    CHECK(owner.HoldsOwnershipLease(cell.now));
+    cell.Read(&other);
+    REQUIRE(cell.Claim(&other));
+    CHECK_FALSE(other.has_previous_owner_stopped());
+  }
+  SUBCASE("that another process answers in its place") {
+    other.OnOwnerStopped(owner.token());
+    REQUIRE(cell.Claim(&other));
+    CHECK(other.has_previous_owner_stopped());
+
+    SUBCASE("which says nothing about the next owner") {
+      Leadership third = MakeHost("third");
+      cell.Read(&third);
+      third.OnOwnerStopped(owner.token());
+      CHECK_FALSE(cell.Claim(&third));
+      third.OnOwnerReplaceable();
+      REQUIRE(cell.Claim(&third));
+      CHECK_FALSE(third.has_previous_owner_stopped());
+    }
+  }
+  SUBCASE("that this host was the previous owner") {
+    Leadership restarted = MakeHost("owner", 2);
+    cell.Read(&restarted);
+    REQUIRE(cell.Claim(&restarted));
+    CHECK(restarted.has_previous_owner_stopped());
+  }
+  SUBCASE("and a late report of an earlier owner doesn't take that back") {
+    other.OnOwnerStopped(owner.token());
+    other.OnOwnerStopped(FencingToken(1));
+    REQUIRE(cell.Claim(&other));
+    CHECK(other.has_previous_owner_stopped());
+  }
+}
+
 TEST_CASE(
     "a claim whose answer was lost is recognised when its retry conflicts") {
   Cell cell;
