An owner grants no lease after its ownership lease, whatever decided on it

Cause: OwnerTerm::Pass sent queued commands without checking the ownership lease. The advisor's answer starts tasks outside of a pass, with a fresh lease, so an owner without the store granted leases for longer than the next owner waits for a silent worker. A process that is paused between its check and the sending did the same with any command.

Change: each command is checked when it is sent (leadership::AdmitAction): without the ownership lease a start is reported to the scheduler as not sent, and a poll reads the lists without renewing. The cell fuzz sends commands in the same way, and checks every start and renewal against the ownership lease.

A process paused between its decision and the sending was not run; lease_gate_test covers that decision.

--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "dotterelbarrow/base/overloaded.h"
+#include "dotterelbarrow/core/leadership/lease_gate.h"
 #include "src/member/clock.h"
 #include "src/member/store_layout.h"
 
@@ -204,8 +205,16 @@
 }
 
 void OwnerTerm::Execute() {
-  for (const core::scheduler::Action& action : scheduler_.TakeActions()) {
-    Execute(action);
+  for (core::scheduler::Action& action : scheduler_.TakeActions()) {
+    if (core::leadership::AdmitAction(
+            parts_.leadership->HoldsOwnershipLease(Now()), &action,
+            parts_.telemetry.counters)) {
+      Execute(action);
+    } else if (const auto* start =
+                   std::get_if<core::scheduler::StartTask>(&action)) {
+      scheduler_.OnStarted(*start, core::scheduler::CommandOutcome::kNotSent, 0,
+                           Now());
+    }
   }
   if (scheduler_.is_fenced()) {
     EndTerm("fenced_by_worker");
--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "dotterelbarrow/base/overloaded.h"
+#include "dotterelbarrow/core/leadership/lease_gate.h"
 #include "src/standins/site/gang_model.h"
 
 namespace dotterelbarrow::test {
@@ -265,8 +266,16 @@
     scheduler.Tick(Now(), UnixMillis());
     scheduler.RunPass(Now());
   }
-  for (const Action& action : scheduler.TakeActions()) {
-    CarryOut(owner, action);
+  for (Action& action : scheduler.TakeActions()) {
+    const bool holds_ownership_lease =
+        now_ms_ - owner->confirmed_ms < kOwnershipLeaseMs;
+    if (core::leadership::AdmitAction(holds_ownership_lease, &action,
+                                      &counters_)) {
+      CarryOut(owner, action);
+    } else if (const auto* start = std::get_if<StartTask>(&action)) {
+      scheduler.OnStarted(*start, core::scheduler::CommandOutcome::kNotSent, 0,
+                          Now());
+    }
   }
   WriteBatch(owner);
   if (scheduler.is_fenced()) {
@@ -419,10 +428,17 @@
       .restore_ms = kPreemption.restore_time / std::chrono::milliseconds(1)};
 }
 
+void Cell::CheckLeaseGrant(const Owner& owner, const std::string& what) {
+  if (now_ms_ - owner.confirmed_ms >= kOwnershipLeaseMs) {
+    Break("a lease granted after the ownership lease: " + what);
+  }
+}
+
 void Cell::CarryOut(const std::shared_ptr<Owner>& owner, const Action& action) {
   std::visit(
       base::Overloaded{
           [&](const StartTask& start) {
+            CheckLeaseGrant(*owner, core::jobs::ToString(start.task));
             CheckZone(*owner, start);
             Deliver(
                 owner, start.worker,
@@ -458,6 +474,9 @@
                 });
           },
           [&](const PollWorker& look) {
+            if (look.lease_until_ms) {
+              CheckLeaseGrant(*owner, look.worker.id.value());
+            }
             auto result = std::make_shared<PollResult>();
             Deliver(
                 owner, look.worker,
--- a/test/fuzz/scheduler/cell.h
+++ b/test/fuzz/scheduler/cell.h
@@ -207,6 +207,8 @@
   void Store(const core::scheduler::RecordBatch& batch);
   // Hands the evacuations that the store holds to the owner.
   void ReadEvacuations(Owner* owner);
+  // Checks that the owner holds its ownership lease when it grants a lease.
+  void CheckLeaseGrant(const Owner& owner, const std::string& what);
   // Checks that the owner knows of no evacuation of the zone to which it sends
   // a start.
   void CheckZone(const Owner& owner, const core::scheduler::StartTask& start);
