Let only the owner that a submission was sent to accept it

What callers saw: a submission was refused (503), and its job ran.

Cause: a call between hosts didn't name the term that it was for. A copy whose answer was lost and that arrives late was accepted by any later term of the same host, although the owner in between had refused another copy and the host had passed that refusal on. The store fences the previous term, not the previous host.

Change: a submission names the fencing token of the owner that it is for, and a host with another term answers that it isn't the owner, logs it and counts it. A refusal by a later owner is final then: earlier copies can only reach a term that the store has fenced. A host of an earlier version names no token, and is served as before.

owner_calls_test also covers the order of checks in OwnerTerm::Handle, which had no test: a known job isn't refused while the store is away.

--- a/src/member/calls.cc
+++ b/src/member/calls.cc
@@ -102,6 +102,12 @@
                            : OwnerCall(StateCall{*key});
 }
 
+bool IsForOwner(const Json::Value& params,
+                core::scheduler::FencingToken token) {
+  const Json::Value& named = params[kOwnerTokenField];
+  return !named.isUInt64() || named.asUInt64() == token.value();
+}
+
 const char* NameOf(const OwnerAnswer& answer) {
   return std::visit(
       base::Overloaded{[](const Accepted&) { return "accepted"; },
--- a/src/member/calls.h
+++ b/src/member/calls.h
@@ -73,6 +73,9 @@
 // is meant.
 inline constexpr const char* kShardField = "shard";
 inline constexpr const char* kShardCountField = "shards";
+// Parameter of a submission: the fencing token of the owner that it is for. A
+// host of an earlier version sends none.
+inline constexpr const char* kOwnerTokenField = "owner_token";
 
 // Conversions between a call and its JSON-RPC method name and parameters.
 // OwnerCallFromJson returns nullopt and sets `reason` if they are malformed.
@@ -81,6 +84,11 @@
 std::optional<OwnerCall> OwnerCallFromJson(const std::string& method,
                                            const Json::Value& params,
                                            base::Failure* reason);
+// Returns false if the parameters name another owner than the one that holds
+// `token`. A copy of a submission may arrive late, when its host owns the shard
+// again and a refusal of another copy has been passed on, so only the owner
+// that it was sent to may accept it.
+bool IsForOwner(const Json::Value& params, core::scheduler::FencingToken token);
 Json::Value ToJson(const OwnerAnswer& answer);
 // Returns OutcomeUnknown for an answer that is malformed.
 OwnerAnswer OwnerAnswerFromJson(const Json::Value& value);
--- a/src/member/member_calls.cc
+++ b/src/member/member_calls.cc
@@ -82,9 +82,7 @@
         reply(member::ToJson(OwnerAnswer(NoOwner{})));
         return;
       }
-      const Json::Value& shards = params[kShardCountField];
-      shard->HandleOwnerCall(*call, shards.isUInt64() ? shards.asUInt64() : 1,
-                             reply);
+      shard->HandleOwnerCall(*call, params, reply);
     });
   }
 }
--- a/src/member/owner_call_forwarder.cc
+++ b/src/member/owner_call_forwarder.cc
@@ -78,6 +78,9 @@
   }
   Json::Value params = ToJson(call);
   add_shard_(&params);
+  if (std::holds_alternative<SubmitCall>(call)) {
+    params[kOwnerTokenField] = static_cast<Json::UInt64>(owner->token.value());
+  }
   rpc_->Call(owner->address, MethodOf(call), std::move(params),
              call_timeout_ - (Now() - pending.begun_at),
              [this, id, token = owner->token](const RpcResult& result) {
--- a/src/member/owner_call_forwarder.h
+++ b/src/member/owner_call_forwarder.h
@@ -4,7 +4,8 @@
 // If the outcome of a call at one owner is unknown, the next owner decides it:
 // a replaced owner can no longer store anything, and the next owner reads all
 // that it did store. So such a call is sent again as soon as another host owns
-// the cell, if its caller still waits.
+// the cell, if its caller still waits. A submission names the owner that it is
+// for, so that a late copy isn't accepted by a later owner on the same host.
 #ifndef DOTTERELBARROW_SRC_MEMBER_OWNER_CALL_FORWARDER_H_
 #define DOTTERELBARROW_SRC_MEMBER_OWNER_CALL_FORWARDER_H_
 
--- a/src/member/shard_controller.cc
+++ b/src/member/shard_controller.cc
@@ -318,7 +318,7 @@
 }
 
 void ShardController::HandleOwnerCall(const OwnerCall& call,
-                                      std::uint64_t shards,
+                                      const Json::Value& params,
                                       const RpcServer::Reply& reply) {
   const auto send_answer = [this, reply](const OwnerAnswer& answer) {
     Json::Value result = ToJson(answer);
@@ -328,15 +328,29 @@
     reply(std::move(result));
   };
   // A caller that doesn't know the plan yet may mean another owner's job.
-  if (term_ == nullptr || term_->plan().count() != shards || !IsOwnCall(call)) {
+  const Json::Value& shards = params[kShardCountField];
+  if (term_ == nullptr ||
+      term_->plan().count() != (shards.isUInt64() ? shards.asUInt64() : 1) ||
+      !IsOwnCall(call, params)) {
     send_answer(NoOwner{});
   } else {
     term_->Handle(call, send_answer);
   }
 }
 
-bool ShardController::IsOwnCall(const OwnerCall& call) const {
+bool ShardController::IsOwnCall(const OwnerCall& call,
+                                const Json::Value& params) const {
   const auto* submit = std::get_if<SubmitCall>(&call);
+  if (submit != nullptr && !IsForOwner(params, leadership_.token())) {
+    host_->telemetry.counters->Increment("owner_calls", "other_term");
+    host_->telemetry.log->Write(
+        "submission_for_other_term",
+        {{"job", core::jobs::ToString(submit->submission.key)},
+         {"shard", static_cast<std::int64_t>(shard_.value())},
+         {"named", params[kOwnerTokenField].asInt64()},
+         {"token", static_cast<std::int64_t>(leadership_.token().value())}});
+    return false;
+  }
   if (submit == nullptr ||
       term_->plan().ShardOf(submit->submission.organisation,
                             submit->submission.key) == shard_) {
--- a/src/member/shard_controller.h
+++ b/src/member/shard_controller.h
@@ -94,8 +94,9 @@
   void HandleTakeOverOffer(const Json::Value& params,
                            const RpcServer::Reply& reply);
   void OnOwnerHint(const std::string& encoded_record);
-  // Handles a call for the owner of this shard in a cell of `shards`.
-  void HandleOwnerCall(const OwnerCall& call, std::uint64_t shards,
+  // Handles a call for the owner of this shard; `params` are those that it was
+  // decoded from.
+  void HandleOwnerCall(const OwnerCall& call, const Json::Value& params,
                        const RpcServer::Reply& reply);
   // Adds the ownership record to `answer`, if this host knows an owner.
   void AddOwnerHint(Json::Value* answer) const;
@@ -173,9 +174,9 @@
   bool CanDivideCell() const;
 
   std::optional<OwnerRoute> FindOwner() const;
-  // Returns whether a submission is of this shard; other calls don't say.
-  // Precondition: there is a term.
-  bool IsOwnCall(const OwnerCall& call) const;
+  // Returns whether a submission is for this term and of this shard; other
+  // calls don't say. Precondition: there is a term.
+  bool IsOwnCall(const OwnerCall& call, const Json::Value& params) const;
   void Advise(const core::scheduler::RequestAdvice& request,
               const platform::WorkerClient::AdviceDone& done);
   // Adds the number of this shard, unless it is the only one.
--- /dev/null
+++ b/test/member/owner_calls_test.cc
@@ -0,0 +1,156 @@
+// Tests how an owner answers the submissions that other hosts send it.
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "src/member/clock.h"
+#include "src/member/shard_set.h"
+#include "test/core/scheduler/null_log.h"
+#include "test/member/desired_stores.h"
+
+namespace dotterelbarrow::member {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// More than any of these tests needs.
+constexpr base::Duration kTestTimeout = seconds(20);
+
+using core::scheduler::NullLog;
+
+// A host that owns the only shard of a cell without workers.
+struct OwningHost {
+  OwningHost() {
+    store.Put(DesiredText(1, 1));
+    settings.host = base::EntryId("host");
+    settings.cpu_share = 1;
+    shards.Start();
+    REQUIRE(RunUntil([this] {
+      ShardController* shard = shards.Find(Json::Value(Json::objectValue));
+      return shard->has_ready_term();
+    }));
+  }
+
+  ShardController* shard() {
+    return shards.Find(Json::Value(Json::objectValue));
+  }
+  std::uint64_t token() { return shard()->owner()->token.value(); }
+  // Delivers a submission that names the owner with `token`, and returns where
+  // its answer arrives.
+  std::shared_ptr<std::optional<OwnerAnswer>> Submit(std::uint64_t job,
+                                                     std::uint64_t token) {
+    SubmitCall call;
+    call.submission.key = core::jobs::JobKey(job);
+    call.submission.queue = core::desired::QueueId("queue-0");
+    call.submission.spec.steps.resize(1);
+    Json::Value params = ToJson(OwnerCall(call));
+    params[kOwnerTokenField] = static_cast<Json::UInt64>(token);
+    const auto answer = std::make_shared<std::optional<OwnerAnswer>>();
+    shard()->HandleOwnerCall(call, params, [answer](const Json::Value& result) {
+      *answer = OwnerAnswerFromJson(result);
+    });
+    return answer;
+  }
+  bool RunUntil(const std::function<bool()>& done) {
+    const base::TimePoint begun = wire::MonotonicNow();
+    bool is_done = false;
+    loop.RunUntil([&] {
+      is_done = done();
+      return is_done || wire::MonotonicNow() - begun > kTestTimeout;
+    });
+    return is_done;
+  }
+  template <typename Answer>
+  bool IsAnswered(const std::shared_ptr<std::optional<OwnerAnswer>>& answer) {
+    return RunUntil([&] { return answer->has_value(); }) &&
+           std::holds_alternative<Answer>(**answer);
+  }
+
+  wire::EventLoop loop;
+  NullLog log;
+  core::Counters counters;
+  core::scheduler::Telemetry telemetry{&log, &counters, nullptr};
+  platform::PlatformSettings settings;
+  FastStore store{loop};
+  wire::HttpClient client{loop, {}};
+  platform::StoreClient store_client{&client, store.address(), &counters};
+  platform::WorkerClient workers{&client, platform::WorkerClientSettings()};
+  RpcClient rpc{&client, &counters};
+  DesiredWatch desired{loop,
+                       &store_client,
+                       telemetry,
+                       milliseconds(50),
+                       [](const auto&) {},
+                       [](const auto&) {}};
+  ShardSet shards{{.loop = &loop,
+                   .settings = &settings,
+                   .incarnation = base::Incarnation(2),
+                   .planner = {},
+                   .telemetry = telemetry,
+                   .peer_client = &client,
+                   .store = &store_client,
+                   .workers = &workers,
+                   .rpc = &rpc,
+                   .desired = &desired,
+                   .fetch_desired = [](const std::string&) {},
+                   .is_isolated = [] { return false; },
+                   .on_plan = nullptr,
+                   .owned_shards = nullptr,
+                   .on_terms_changed = [] {},
+                   .may_resign = nullptr}};
+};
+
+TEST_CASE("an owner that gets a submission from another host") {
+  OwningHost host;
+
+  SUBCASE("accepts one that names it") {
+    CHECK(host.IsAnswered<Accepted>(host.Submit(1, host.token())));
+  }
+  // Guards against a refused job that runs: a copy that was sent to an earlier
+  // term of this host arrives after the owner in between refused another one.
+  SUBCASE("leaves one that names an earlier term without effect") {
+    CHECK(host.IsAnswered<NoOwner>(host.Submit(1, host.token() - 1)));
+    CHECK_FALSE(
+        host.shard()->term()->scheduler().IsKnown(core::jobs::JobKey(1)));
+  }
+}
+
+// Guards against a refusal of a job that is accepted, and so runs.
+TEST_CASE("an owner that the store doesn't serve") {
+  OwningHost host;
+  REQUIRE(host.IsAnswered<Accepted>(host.Submit(1, host.token())));
+  host.store.set_refusing(true);
+  const auto in_batch = host.Submit(2, host.token());
+  // Until the write that includes it has begun.
+  const base::TimePoint begun = Now();
+  host.RunUntil([&] { return Now() - begun > milliseconds(100); });
+  std::shared_ptr<std::optional<OwnerAnswer>> unwritten;
+  REQUIRE(host.RunUntil([&] {
+    unwritten = host.Submit(3, host.token());
+    return unwritten->has_value();
+  }));
+
+  SUBCASE("refuses a new job") {
+    CHECK(std::holds_alternative<Refused>(**unwritten));
+    SUBCASE("which it doesn't know then") {
+      CHECK_FALSE(
+          host.shard()->term()->scheduler().IsKnown(core::jobs::JobKey(3)));
+    }
+  }
+  SUBCASE("answers a repeated submission of an accepted job with success") {
+    CHECK(host.IsAnswered<Accepted>(host.Submit(1, host.token())));
+  }
+  SUBCASE("refuses no job whose write is under way") {
+    CHECK_FALSE(in_batch->has_value());
+    host.store.set_refusing(false);
+    CHECK(host.IsAnswered<Accepted>(in_batch));
+  }
+}
+
+}  // namespace
+}  // namespace dotterelbarrow::member
