Write run-time summaries that their reader accepts; one bad entry costs that entry

Cause: the reader held a queue's weight against 400 and a worker's against 4,000, and refused the whole summary beyond that; the writer limited neither. Seven steps a second in one queue exceed the first limit, so that new owners of a busy deployment began without any estimate.

Change: values beyond a limit are written as the limit, which earlier versions can read; entries that are not finite are omitted; an entry that can't be read is counted and logged, and the others are restored.

--- a/include/dotterelbarrow/core/scheduler/run_time_summary.h
+++ b/include/dotterelbarrow/core/scheduler/run_time_summary.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "dotterelbarrow/base/failure.h"
 #include "dotterelbarrow/base/ids.h"
@@ -36,10 +37,16 @@
   std::size_t known_workers = 0;
   std::map<base::BackendId, WorkerEntry> workers;
   std::map<desired::QueueId, placement::QueueRunTimes::Moments> queues;
+  // Of a decoded summary: why entries are missing that its text has.
+  std::vector<base::Failure> unreadable_entries{};
 };
 
+// Limits each value to what can be decoded. Omits entries with values that are
+// not finite.
 std::string EncodeRunTimeSummary(const RunTimeSummary& summary);
 // Returns nullopt and sets `reason` if the text is no summary of this version.
+// An entry that can't be read is missing from the summary, without loss of the
+// others.
 std::optional<RunTimeSummary> DecodeRunTimeSummary(const std::string& text,
                                                    base::Failure* reason);
 
--- a/src/core/jobs/job_records.cc
+++ b/src/core/jobs/job_records.cc
@@ -370,8 +370,12 @@
 Json::Value RulesToJson(const desired::Queue& rules) {
   Json::Value value(Json::objectValue);
   value["service"] = rules.service.value();
-  value["priority"] = rules.priority;
-  value["attempts"] = rules.max_attempts;
+  // The configuration limits neither, and readers take a number that is out of
+  // range for 0, which would be the most urgent priority and no attempt.
+  value["priority"] = static_cast<Json::Int64>(
+      std::clamp<std::int64_t>(rules.priority, 0, kMaxPriority));
+  value["attempts"] = static_cast<Json::Int64>(
+      std::min<std::int64_t>(rules.max_attempts, kMaxAttempts));
   value["slack"] = rules.slack_factor;
   value["target_ms"] = Milliseconds(rules.completion_target);
   if (rules.advice) {
--- a/src/core/scheduler/run_time_recorder.cc
+++ b/src/core/scheduler/run_time_recorder.cc
@@ -184,6 +184,13 @@
   if (!summary) {
     return false;
   }
+  for (const base::Failure& failure : summary->unreadable_entries) {
+    telemetry_.counters->Increment("run_times_not_restored",
+                                   "unreadable_entry");
+    telemetry_.log->Write(
+        "run_time_entry_unreadable",
+        {{"reason", ToString(failure.code)}, {"detail", failure.detail}});
+  }
   for (const auto& [id, moments] : summary->queues) {
     model_->RestoreQueue(id, moments, now);
   }
--- a/src/core/scheduler/run_time_summary.cc
+++ b/src/core/scheduler/run_time_summary.cc
@@ -3,8 +3,10 @@
 
 #include <json/json.h>
 
+#include <algorithm>
 #include <array>
 #include <cmath>
+#include <utility>
 
 #include "dotterelbarrow/core/codec.h"
 
@@ -15,11 +17,18 @@
 
 constexpr int kVersion = 1;
 constexpr double kThousandths = 1000;
-// Limits of what can be restored: a factor of 20 in speed, and the weight of
-// ten times as many runs as a worker ends in the time that is remembered.
+// Limits of what is written and restored. A model can exceed each of them:
+// weights grow with the number of runs and steps per second, slowness and
+// logarithms with run times that differ by orders of magnitude. Values beyond a
+// limit are written as the limit, because readers, those of earlier versions
+// included, refuse them.
+// A factor of 20 in speed.
 constexpr double kMaxLogSlowness = 3;
+// Far more than the weight of the assumption that a worker is a typical one.
 constexpr double kMaxWeight = 4000;
-// Logarithms of seconds, and their squares, of any plausible run time.
+// Logarithms of seconds, and their squares, of any plausible run time; also
+// for the weight of a queue, a hundred times that of the assumption that
+// estimates are right.
 constexpr double kMaxMoment = 400;
 
 constexpr std::array kMomentFields = {&Moments::weight,
@@ -65,6 +74,42 @@
   return is_valid ? std::optional(moments) : std::nullopt;
 }
 
+// Returns nullopt if the model has lost the value.
+std::optional<Json::Value> WorkerToJson(
+    const base::BackendId& id, const RunTimeSummary::WorkerEntry& worker) {
+  if (!std::isfinite(worker.log_slowness) || !std::isfinite(worker.weight)) {
+    return std::nullopt;
+  }
+  Json::Value entry(Json::arrayValue);
+  entry.append(id.value());
+  entry.append(static_cast<Json::Int64>(worker.born_ms));
+  entry.append(static_cast<Json::Int64>(std::llround(
+      std::clamp(worker.log_slowness, -kMaxLogSlowness, kMaxLogSlowness) *
+      kThousandths)));
+  entry.append(static_cast<Json::Int64>(
+      std::llround(std::clamp(worker.weight, 0.0, kMaxWeight))));
+  return entry;
+}
+
+// Returns nullopt if the model has lost a value.
+std::optional<Json::Value> QueueToJson(const desired::QueueId& id,
+                                       const Moments& moments) {
+  Json::Value entry(Json::arrayValue);
+  entry.append(id.value());
+  for (const auto field : kMomentFields) {
+    const double value = moments.*field;
+    if (!std::isfinite(value)) {
+      return std::nullopt;
+    }
+    const bool is_signed =
+        field != &Moments::weight && field != &Moments::noise;
+    const double limited =
+        std::clamp(value, is_signed ? -kMaxMoment : 0.0, kMaxMoment);
+    entry.append(std::round(limited * kThousandths) / kThousandths);
+  }
+  return entry;
+}
+
 }  // namespace
 
 std::string EncodeRunTimeSummary(const RunTimeSummary& summary) {
@@ -73,22 +118,15 @@
   value["known"] = static_cast<Json::UInt64>(summary.known_workers);
   Json::Value& workers = value["workers"] = Json::arrayValue;
   for (const auto& [id, worker] : summary.workers) {
-    Json::Value entry(Json::arrayValue);
-    entry.append(id.value());
-    entry.append(static_cast<Json::Int64>(worker.born_ms));
-    entry.append(static_cast<Json::Int64>(
-        std::llround(worker.log_slowness * kThousandths)));
-    entry.append(static_cast<Json::Int64>(std::llround(worker.weight)));
-    workers.append(std::move(entry));
+    if (auto entry = WorkerToJson(id, worker)) {
+      workers.append(std::move(*entry));
+    }
   }
   Json::Value& queues = value["queues"] = Json::arrayValue;
   for (const auto& [id, moments] : summary.queues) {
-    Json::Value entry(Json::arrayValue);
-    entry.append(id.value());
-    for (const auto field : kMomentFields) {
-      entry.append(std::round(moments.*field * kThousandths) / kThousandths);
+    if (auto entry = QueueToJson(id, moments)) {
+      queues.append(std::move(*entry));
     }
-    queues.append(std::move(entry));
   }
   return WriteJson(value);
 }
@@ -112,18 +150,20 @@
   for (const Json::Value& entry : fields["workers"]) {
     const auto worker = ReadWorker(entry);
     if (!worker) {
-      *reason = {base::FailureCode::kMalformed,
-                 "run times: a worker's entry is malformed"};
-      return std::nullopt;
+      summary.unreadable_entries.emplace_back(
+          base::FailureCode::kMalformed,
+          "run times: a worker's entry is malformed: " + WriteJson(entry));
+      continue;
     }
     summary.workers[base::BackendId(entry[0].asString())] = *worker;
   }
   for (const Json::Value& entry : fields["queues"]) {
     const auto moments = ReadQueue(entry);
     if (!moments) {
-      *reason = {base::FailureCode::kMalformed,
-                 "run times: a queue's entry is malformed"};
-      return std::nullopt;
+      summary.unreadable_entries.emplace_back(
+          base::FailureCode::kMalformed,
+          "run times: a queue's entry is malformed: " + WriteJson(entry));
+      continue;
     }
     summary.queues[desired::QueueId(entry[0].asString())] = *moments;
   }
