The ownership record names until when earlier owners may grant leases

Cause: a new owner waited only for the leases of its direct predecessor. If the first of three owners is cut off and alive, and the second one stops seconds after its claim, the third one knows that the second has stopped and waited one lease for silent workers, while the first renewed their leases until six seconds after its last write.

Change: the ownership record has earlier_owners_until_ms (store's clock): until when owners before the holder may grant leases. It is in the claim already, so that it holds if the holder stops before its next write, and in each write until all inherited workers are reconciled. A new owner waits for the leases granted until then, also once the previous one is known to have stopped. Records of earlier versions lack the field, which means none; earlier versions ignore it. The end that is stored for the leases of an unresponsive worker still bounds the wait for that worker.

Real processes were not run.

--- a/include/dotterelbarrow/core/leadership/leadership.h
+++ b/include/dotterelbarrow/core/leadership/leadership.h
@@ -37,6 +37,10 @@
   std::uint64_t sequence = 0;
   // Whether the holder has resigned, so that the cell is free.
   bool is_resigned = false;
+  // Until when, on the store's clock, owners before the holder may have granted
+  // leases to workers, while some of these workers may still be theirs; 0 if no
+  // worker may. Earlier versions of this program don't write it.
+  std::int64_t earlier_owners_until_ms = 0;
 
   friend bool operator==(const OwnershipRecord&,
                          const OwnershipRecord&) = default;
@@ -134,6 +138,12 @@
   // Records that the owner with this token commands no worker any more and
   // never will. If it is still in the record, the cell may be claimed sooner.
   void OnOwnerStopped(FencingToken token);
+  // Records that the store's clock showed `store_ms` at some time after
+  // `sent_at`.
+  void OnStoreClock(std::int64_t store_ms, base::TimePoint sent_at);
+  // Records that no worker can be an earlier owner's any more: this owner has
+  // claimed each of them, or its leases have expired. The next write says so.
+  void OnEarlierOwnersSettled() { are_earlier_owners_settled_ = true; }
   // Sets whether the owner has been leaving this host's calls unanswered.
   void set_owner_unresponsive(bool is_unresponsive) {
     is_owner_unresponsive_ = is_unresponsive;
@@ -175,6 +185,10 @@
 
  private:
   void BecomeOwner(base::RowVersion version);
+  // Returns until when owners before this host may grant leases, if this host
+  // claims the cell now. They include the previous owner of a cell that changes
+  // its owner twice within an ownership lease.
+  std::int64_t EarlierOwnersUntil(base::TimePoint now) const;
 
   LeadershipSettings settings_;
   Role role_ = Role::kFollower;
@@ -194,6 +208,9 @@
   base::Duration claim_delay_{0};
   std::optional<base::TimePoint> free_since_;
   std::optional<OwnershipRecord> previous_owner_;
+  // What the store's clock shows at most, minus the clock of this host.
+  std::optional<base::Duration> store_clock_offset_;
+  bool are_earlier_owners_settled_ = false;
   OwnershipRecord own_record_;
   base::RowVersion own_version_;
   // Invariant: set while a write is in flight.
--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -167,7 +167,14 @@
       const workers::Listing& listing, base::TimePoint taken_over_at,
       std::optional<base::TimePoint> leases_end = std::nullopt,
       std::int64_t born_ms = workers::kUnknownIncarnation);
-  // The previous owner is certain to send no further commands.
+  // Owners before the previous one may grant leases to inherited workers until
+  // this time, also if the previous owner is known to have stopped. Call before
+  // AddInheritedWorker.
+  void SetEarlierOwnersUntil(base::TimePoint until) {
+    earlier_owners_until_ = until;
+  }
+  // The previous owner is certain to send no further commands. That says
+  // nothing about the owners before it.
   void OnPreviousOwnerStopped(base::TimePoint now);
 
   // Sets the factor by which the interval between polls is longer than in the
@@ -345,6 +352,8 @@
   };
   std::unordered_map<base::BackendId, RemovedWorker> removed_workers_;
   std::set<base::BackendId> unreconciled_;
+  // See SetEarlierOwnersUntil.
+  base::TimePoint earlier_owners_until_;
   bool is_fenced_ = false;
   double poll_stretch_ = 1.0;
   // When the last successful list request was sent.
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -117,6 +117,18 @@
   void RestoreRunTimes(const std::string& key, const std::string& text,
                        base::TimePoint now);
 
+  // Owners before the previous one may grant leases until the store's clock
+  // shows `until_ms`. Call before AddInheritedWorker.
+  void SetEarlierOwnersUntil(std::int64_t until_ms, std::int64_t store_now_ms,
+                             base::TimePoint now) {
+    fleet_.SetEarlierOwnersUntil(
+        now + std::chrono::milliseconds(until_ms - store_now_ms));
+  }
+  // Whether an inherited worker may still have runs that this owner doesn't
+  // know.
+  bool has_unreconciled_workers() const {
+    return !fleet_.unreconciled().empty();
+  }
   // The previous owner is certain not to command workers any more.
   void OnPreviousOwnerStopped(base::TimePoint now) {
     fleet_.OnPreviousOwnerStopped(now);
--- a/src/core/leadership/leadership.cc
+++ b/src/core/leadership/leadership.cc
@@ -11,6 +11,8 @@
 namespace dotterelbarrow::core::leadership {
 namespace {
 
+constexpr const char* kEarlierOwnersUntil = "earlier_owners_until_ms";
+
 // An earlier version of this program holds one token per term, the successor of
 // the recorded one, so the record must name the highest token of the term.
 FencingToken HighestTokenAfter(const std::optional<OwnershipRecord>& previous,
@@ -30,6 +32,10 @@
   value["address"] = head.address;
   value["sequence"] = static_cast<Json::UInt64>(head.sequence);
   value["resigned"] = head.is_resigned;
+  if (head.earlier_owners_until_ms != 0) {
+    value[kEarlierOwnersUntil] =
+        static_cast<Json::Int64>(head.earlier_owners_until_ms);
+  }
   return WriteJson(value);
 }
 
@@ -55,6 +61,14 @@
   head.address = fields["address"].asString();
   head.sequence = fields["sequence"].asUInt64();
   head.is_resigned = fields["resigned"].asBool();
+  if (const Json::Value& until = fields[kEarlierOwnersUntil]; !until.isNull()) {
+    if (!until.isInt64()) {
+      *reason = {base::FailureCode::kMalformed,
+                 "ownership record: a field has the wrong type"};
+      return std::nullopt;
+    }
+    head.earlier_owners_until_ms = until.asInt64();
+  }
   return head;
 }
 
@@ -111,6 +125,25 @@
          previous_owner_->token == stopped_owner_;
 }
 
+void Leadership::OnStoreClock(std::int64_t store_ms, base::TimePoint sent_at) {
+  store_clock_offset_ =
+      std::chrono::milliseconds(store_ms) - sent_at.time_since_epoch();
+}
+
+std::int64_t Leadership::EarlierOwnersUntil(base::TimePoint now) const {
+  if (!previous_owner_ || !store_clock_offset_) {
+    return 0;
+  }
+  // The previous owner has written nothing since this host read the record.
+  const base::Duration until =
+      now.time_since_epoch() + *store_clock_offset_ +
+      (has_previous_owner_stopped() ? base::Duration(0)
+                                    : settings_.ownership_lease);
+  const std::int64_t until_ms =
+      std::chrono::ceil<std::chrono::milliseconds>(until).count();
+  return std::max(until_ms, previous_owner_->earlier_owners_until_ms);
+}
+
 std::optional<OwnershipWrite> Leadership::BeginClaim(base::TimePoint now) {
   if (role_ == Role::kOwner || write_ || !was_read_ ||
       now - last_read_ > settings_.max_read_gap) {
@@ -139,7 +172,9 @@
       OwnershipRecord{.token = HighestTokenAfter(seen_, settings_.last_token),
                       .holder = settings_.self,
                       .incarnation = settings_.incarnation,
-                      .address = settings_.address};
+                      .address = settings_.address,
+                      .earlier_owners_until_ms = EarlierOwnersUntil(now)};
+  are_earlier_owners_settled_ = false;
   role_ = Role::kClaiming;
   write_ = OwnershipWrite{seen_version_, own_record_};
   write_sent_at_ = now;
@@ -149,6 +184,9 @@
 OwnershipWrite Leadership::BeginWrite(base::TimePoint now) {
   OwnershipRecord next = own_record_;
   ++next.sequence;
+  if (are_earlier_owners_settled_) {
+    next.earlier_owners_until_ms = 0;
+  }
   write_ = OwnershipWrite{own_version_, next};
   write_sent_at_ = now;
   return *write_;
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -183,7 +183,8 @@
   worker.last_answer = leases_end ? base::TimePoint() : taken_over_at;
   worker.next_poll = taken_over_at;
   worker.inherited_leases_end = LatestExpiryOfLeasesGrantedAt(
-      taken_over_at + settings_.previous_ownership_lease);
+      std::max(taken_over_at + settings_.previous_ownership_lease,
+               earlier_owners_until_));
   if (leases_end) {
     worker.inherited_leases_end =
         std::min(worker.inherited_leases_end, *leases_end);
@@ -195,8 +196,9 @@
 void Fleet::OnPreviousOwnerStopped(base::TimePoint now) {
   for (const base::BackendId& id : unreconciled_) {
     Worker& worker = workers_.at(id);
-    worker.inherited_leases_end = std::min(worker.inherited_leases_end,
-                                           LatestExpiryOfLeasesGrantedAt(now));
+    worker.inherited_leases_end = std::min(
+        worker.inherited_leases_end,
+        LatestExpiryOfLeasesGrantedAt(std::max(now, earlier_owners_until_)));
   }
 }
 
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -288,6 +288,9 @@
                               kPlanKey,
                               core::shards::EncodeShardPlan(*next_plan_)});
   }
+  if (is_loaded_ && !scheduler_.has_unreconciled_workers()) {
+    parts_.leadership->OnEarlierOwnersSettled();
+  }
   // The resignation is written together with the changes that exist now. Under
   // load there are always further changes, and the next owner learns of those
   // from the workers and from callers.
--- a/src/member/owner_term_load.cc
+++ b/src/member/owner_term_load.cc
@@ -87,6 +87,10 @@
     }
   }
   scheduler_.RestoreJobs(now, StoreNowMillis());
+  if (const auto* previous = parts_.leadership->previous_owner()) {
+    scheduler_.SetEarlierOwnersUntil(previous->earlier_owners_until_ms,
+                                     StoreNowMillis(), now);
+  }
   for (const auto& [id, record] : loading_[RecordTable::kWorkers]) {
     scheduler_.AddInheritedWorker(base::BackendId(id), record, StoreNowMillis(),
                                   now);
--- a/src/member/shard_controller.cc
+++ b/src/member/shard_controller.cc
@@ -207,6 +207,9 @@
                                   {{"detail", reason.detail}});
     }
   }
+  if (result.now_ms > 0) {
+    leadership_.OnStoreClock(result.now_ms, sent_at);
+  }
   leadership_.OnRead(record, version, Now() - sent_at, Now());
   leadership_.set_owner_unresponsive(IsOwnerUnresponsive());
   ClaimIfFree();
--- a/test/core/leadership/leadership_test.cc
+++ b/test/core/leadership/leadership_test.cc
@@ -271,6 +271,67 @@
   }
 }
 
+// Guards against a third owner that waits for the leases of the second one
+// only, while the first one, cut off and alive, still grants leases.
+TEST_CASE("a record tells until when earlier owners may grant leases") {
+  constexpr std::int64_t kStoreMs = 5'000'000;
+  const auto lease_ms =
+      scheduler::kOwnershipLease / std::chrono::milliseconds(1);
+  Cell cell;
+  Leadership first = MakeHost("first");
+  Leadership second = MakeHost("second");
+  Leadership third = MakeHost("third");
+  // The store's clock is read 10 ms after the claimant asked.
+  const auto read = [&cell](Leadership* host, std::int64_t store_ms) {
+    host->OnStoreClock(store_ms, cell.now - milliseconds(10));
+    cell.Read(host);
+  };
+  const auto until = [&cell] {
+    return cell.row.head()->earlier_owners_until_ms;
+  };
+  read(&first, kStoreMs);
+  REQUIRE(cell.Claim(&first));
+  CHECK(until() == 0);  // There was none.
+  read(&second, kStoreMs);
+  second.OnOwnerReplaceable();
+  REQUIRE(cell.Claim(&second));
+  const std::int64_t until_first = kStoreMs + 10 + lease_ms;
+  CHECK(until() == until_first);
+
+  SUBCASE("in each write of an owner that hasn't settled their workers") {
+    cell.Apply(&second, second.BeginWrite(cell.now));
+    CHECK(until() == until_first);
+    cell.Apply(&second, second.BeginResignation(cell.now));
+    CHECK(until() == until_first);
+  }
+  SUBCASE("until an owner has settled their workers") {
+    const OwnershipWrite in_flight = second.BeginWrite(cell.now);
+    second.OnEarlierOwnersSettled();
+    cell.Apply(&second, in_flight);
+    CHECK(until() == until_first);
+    cell.Apply(&second, second.BeginWrite(cell.now));
+    CHECK(until() == 0);
+  }
+  SUBCASE("also through a second owner that stops two seconds later") {
+    cell.now += std::chrono::seconds(2);
+    read(&third, kStoreMs + 2000);
+    third.OnOwnerStopped(second.token());
+    REQUIRE(cell.Claim(&third));
+    CHECK(third.has_previous_owner_stopped());
+    CHECK(third.previous_owner()->earlier_owners_until_ms == until_first);
+    CHECK(until() == until_first);
+
+    SUBCASE("and no longer than that is passed on") {
+      cell.now += std::chrono::seconds(6);
+      read(&first, kStoreMs + 8000);
+      first.OnConflict(cell.row.head(), cell.row.version(), cell.now);
+      first.OnOwnerStopped(third.token());
+      REQUIRE(cell.Claim(&first));
+      CHECK(until() == kStoreMs + 8010);
+    }
+  }
+}
+
 TEST_CASE(
     "a claim whose answer was lost is recognised when its retry conflicts") {
   Cell cell;
@@ -318,9 +379,20 @@
                              base::Incarnation(9),
                              "10.0.0.1:1",
                              3,
-                             true};
+                             true,
+                             5'000'000};
   CHECK(DecodeOwnershipRecord(EncodeOwnershipRecord(head), &reason) == head);
-  for (const char* text : {"", "[]", "{}", R"({"token":"7"})"}) {
+  // Records of earlier versions don't tell until when earlier owners granted
+  // leases.
+  OwnershipRecord without = head;
+  without.earlier_owners_until_ms = 0;
+  const std::string earlier_version = EncodeOwnershipRecord(without);
+  CHECK(earlier_version.find("earlier_owners") == std::string::npos);
+  CHECK(DecodeOwnershipRecord(earlier_version, &reason) == without);
+  for (const char* text :
+       {"", "[]", "{}", R"({"token":"7"})",
+        R"({"token":7,"holder":"a","incarnation":9,"address":"b","sequence":3,)"
+        R"("resigned":true,"earlier_owners_until_ms":"5"})"}) {
     CAPTURE(text);
     CHECK_FALSE(DecodeOwnershipRecord(text, &reason));
   }
--- a/test/core/scheduler/fleet_test.cc
+++ b/test/core/scheduler/fleet_test.cc
@@ -451,6 +451,38 @@
   }
 }
 
+// Guards against a task that is started again while its run goes on: the owner
+// before the previous one, cut off and alive, renewed the worker's lease.
+TEST_CASE("an inherited worker that an earlier owner may still use") {
+  FleetScenario scenario;
+  Fleet third_owner(FleetSettings(), {&scenario.log, &scenario.counters});
+  workers::Listing listing;
+  listing.id = kWorker;
+  const auto is_expired_after = [&](base::Duration passed) {
+    std::vector<Action> actions;
+    third_owner.Tick(scenario.now + passed, &actions);
+    return !third_owner.unreconciled().contains(kWorker);
+  };
+  third_owner.SetEarlierOwnersUntil(scenario.now + seconds(4));
+  SUBCASE("expires later although the previous owner has stopped") {
+    third_owner.AddInheritedWorker(listing, scenario.now);
+    third_owner.OnPreviousOwnerStopped(scenario.now);
+    CHECK_FALSE(is_expired_after(milliseconds(8100)));
+    CHECK(is_expired_after(milliseconds(8300)));
+  }
+  SUBCASE("expires as without it while the previous owner may go on longer") {
+    third_owner.AddInheritedWorker(listing, scenario.now);
+    CHECK_FALSE(is_expired_after(milliseconds(10100)));
+    CHECK(is_expired_after(milliseconds(10300)));
+  }
+  SUBCASE("expires at the end that is stored for its leases") {
+    third_owner.AddInheritedWorker(listing, scenario.now,
+                                   scenario.now + seconds(1));
+    third_owner.OnPreviousOwnerStopped(scenario.now);
+    CHECK(is_expired_after(milliseconds(4100)));
+  }
+}
+
 TEST_CASE("the list is delivered as changes") {
   FleetScenario scenario;
   workers::Listing other;
--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -182,7 +182,7 @@
                   std::move(event));
 }
 
-void Cell::BeginTerm() {
+void Cell::BeginTerm(bool has_previous_owner_stopped) {
   auto owner = std::make_shared<Owner>();
   last_token_ += core::scheduler::kTokensPerTerm;
   owner->token = FencingToken(last_token_);
@@ -203,6 +203,13 @@
     }
   }
   scheduler.RestoreJobs(Now(), StoreMillis());
+  scheduler.SetEarlierOwnersUntil(earlier_owners_until_ms_, StoreMillis(),
+                                  Now());
+  if (!owners_.empty()) {
+    earlier_owners_until_ms_ = std::max(
+        earlier_owners_until_ms_,
+        StoreMillis() + (has_previous_owner_stopped ? 0 : kOwnershipLeaseMs));
+  }
   for (const auto& [id, record] : rows_[RecordTable::kWorkers]) {
     scheduler.AddInheritedWorker(base::BackendId(id), record, StoreMillis(),
                                  Now());
@@ -212,6 +219,9 @@
   }
   scheduler.SetDesired(desired_);
   scheduler.SetAdviceClients({base::EntryId("a"), base::EntryId("b")}, 2);
+  if (has_previous_owner_stopped) {
+    scheduler.OnPreviousOwnerStopped(Now());
+  }
   owners_.push_back(std::move(owner));
 }
 
@@ -298,7 +308,7 @@
     Store(batch);
     owner->scheduler->UpdateStoreClock(StoreMillis(), Now());
     owner->scheduler->OnStored(batch, Now());
-    owner->confirmed_ms = owner->write_begun_ms;
+    StoreOwnership(owner.get(), owner->write_begun_ms);
     for (const auto waiter : batch.accept_waiters) {
       accepted_.insert(owner->waiters[waiter]);
     }
@@ -691,14 +701,23 @@
   owner->scheduler->Cancel(*it, waiter, Now());
 }
 
+void Cell::ReplaceStoppedOwner() {
+  EndOwner();
+  BeginTerm(true);
+}
+
 void Cell::ChangeOwner() {
+  EndOwner();
+  BeginTerm();
+}
+
+void Cell::EndOwner() {
   const std::shared_ptr<Owner> owner = owners_.back();
   owner->is_alive = false;
   if (owner->writing && Chance(500)) {
     Store(*owner->writing);
   }
   now_ms_ += kStepMs;
-  BeginTerm();
 }
 
 void Cell::ChangeOwnerKeepingPrevious() {
@@ -733,7 +752,14 @@
 void Cell::RenewOwnership(Owner* owner) {
   const bool is_newest = owner->token.value() == last_token_;
   if (is_newest && !owner->writing && !is_store_down_ && !owner->is_isolated) {
-    owner->confirmed_ms = now_ms_;
+    StoreOwnership(owner, now_ms_);
+  }
+}
+
+void Cell::StoreOwnership(Owner* owner, std::int64_t begun_ms) {
+  owner->confirmed_ms = begun_ms;
+  if (!owner->scheduler->has_unreconciled_workers()) {
+    earlier_owners_until_ms_ = 0;
   }
 }
 
--- a/test/fuzz/scheduler/cell.h
+++ b/test/fuzz/scheduler/cell.h
@@ -87,6 +87,8 @@
   // Ends the owner's process; another one takes over some time later. The write
   // in progress may be stored or lost.
   void ChangeOwner();
+  // The same, and the next owner knows that the previous one has stopped.
+  void ReplaceStoppedOwner();
   // Starts the next owner at once, while the previous owner continues to run,
   // unaware of its successor.
   void ChangeOwnerKeepingPrevious();
@@ -191,7 +193,11 @@
   }
   // Confirms the ownership of an owner that has nothing to write.
   void RenewOwnership(Owner* owner);
-  void BeginTerm();
+  // Writes the ownership record when the owner's write is stored.
+  void StoreOwnership(Owner* owner, std::int64_t begun_ms);
+  // Ends the process of the newest owner.
+  void EndOwner();
+  void BeginTerm(bool has_previous_owner_stopped = false);
   void Step();
   void StepOwner(const std::shared_ptr<Owner>& owner);
   void CarryOut(const std::shared_ptr<Owner>& owner,
@@ -249,6 +255,8 @@
   std::set<std::size_t> dark_;
   std::vector<std::shared_ptr<Owner>> owners_;
   std::uint64_t last_token_ = 0;
+  // As the ownership record names it; see core::leadership::OwnershipRecord.
+  std::int64_t earlier_owners_until_ms_ = 0;
   std::uint64_t last_job_ = 0;
   std::uint64_t last_waiter_ = 0;
   std::uint64_t starts_ = 0;
