Take over occurrences that a lost owner began ahead of this one's clock

Cause: an owner begins an occurrence of a repeated job by its own wall clock and starts its tasks before the store holds that it has begun. If the owner is lost before that, the next one, whose wall clock is behind, knows no such occurrence: it stopped the runs as orphans, acknowledged the successes without a record, and ran the occurrence again when it was due by its own clock.

Change: a run or an end that a worker lists of an occurrence that has not begun here begins it, with those before it, up to 10 s ahead of this host's clock (each clock is wrong by 5 s at most); line occurrence_inherited, counter occurrences{inherited}. Storing the beginning before the first start would close the gap at its source, but delays each occurrence by a write and holds all of them up while the store is down. Taking over what is listed costs nothing and is complete: an end is acknowledged only after the beginning is stored, and nothing of an inherited job starts before all workers are reconciled or their leases have lapsed.

Not looked for in a run of real processes.

--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -330,6 +330,11 @@
   // to the dispatcher.
   void EnqueueReadySteps(const jobs::Job& job);
   void BeginDueOccurrences(jobs::Job* job, std::int64_t unix_now_ms);
+  // A worker has listed a run, or the end of one, of the task. Begins its
+  // occurrence and those before it if they have not begun: a previous owner
+  // began them, by a wall clock that is ahead of this host's, and its record of
+  // them was lost. Does nothing if no host's wall clock can be that far ahead.
+  void BeginListedOccurrence(const jobs::TaskRef& task);
   // Records the end of a job, and stops its runs unless it completed.
   void EndJob(const jobs::Job& job);
   // Removes the start commands to evacuated workers that TakeActions has not
@@ -366,6 +371,8 @@
   placement::SubmissionRateLimiter submission_rates_;
   std::vector<Action> actions_;
   base::TimePoint now_;
+  // This host's wall clock at the last Tick.
+  std::int64_t unix_now_ms_ = 0;
   // Number of entry hosts that submit jobs.
   std::size_t entry_host_count_ = 1;
   base::TimePoint load_logged_at_;
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -16,9 +16,17 @@
 // Scheduled occurrences begin this much later, because the wall clocks of the
 // hosts differ a little and an occurrence must not begin early.
 constexpr std::int64_t kDueMarginMs = 150;
+// The most by which the wall clocks of two hosts differ: each may be wrong by
+// five seconds in either direction.
+constexpr std::int64_t kMaxWallClockDifferenceMs = 10'000;
 constexpr base::Duration kLoadLogPeriod = std::chrono::seconds(1);
 constexpr std::int64_t kMillicoresPerCore = 1000;
 
+// Returns when the occurrence is due, by any host's wall clock.
+std::int64_t DueMs(const jobs::JobSpec& spec, std::uint32_t occurrence) {
+  return spec.start_at_ms + spec.interval_ms * occurrence;
+}
+
 }  // namespace
 
 Scheduler::Scheduler(const SchedulerSettings& settings, Telemetry telemetry)
@@ -301,8 +309,7 @@
 void Scheduler::BeginDueOccurrences(jobs::Job* job, std::int64_t unix_now_ms) {
   bool has_begun = false;
   while (job->MayBeginOccurrence() &&
-         job->spec.start_at_ms +
-                 job->spec.interval_ms * job->occurrences_begun <=
+         DueMs(job->spec, job->occurrences_begun) <=
              unix_now_ms - kDueMarginMs) {
     job->BeginOccurrence();
     has_begun = true;
@@ -313,8 +320,33 @@
   }
 }
 
+void Scheduler::BeginListedOccurrence(const jobs::TaskRef& task) {
+  jobs::Job* job = jobs_.Find(task.step.job);
+  const std::uint32_t occurrence = task.step.occurrence;
+  if (job == nullptr || occurrence < job->occurrences_begun ||
+      occurrence >= job->spec.occurrences() ||
+      DueMs(job->spec, occurrence) > unix_now_ms_ + kMaxWallClockDifferenceMs) {
+    return;
+  }
+  telemetry_.log->Write(
+      "occurrence_inherited",
+      {{"task", jobs::ToString(task)},
+       {"begun", static_cast<std::int64_t>(job->occurrences_begun)},
+       {"due_in_ms", DueMs(job->spec, occurrence) - unix_now_ms_}});
+  telemetry_.counters->Increment("occurrences", "inherited");
+  // The previous owner kept to the limit of unfinished tasks, but may have
+  // finished occurrences that are still unfinished here. So the limit doesn't
+  // apply.
+  while (job->occurrences_begun <= occurrence) {
+    job->BeginOccurrence();
+  }
+  jobs_.EnqueueJob(job->key, now_);
+  EnqueueReadySteps(*job);
+}
+
 void Scheduler::Tick(base::TimePoint now, std::int64_t unix_now_ms) {
   now_ = now;
+  unix_now_ms_ = unix_now_ms;
   fleet_.Tick(now, &actions_);
   run_time_recorder_.Tick(now);
   ReleaseEnds();
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -101,6 +101,7 @@
 
 void Scheduler::OnUntrackedRunEnded(const workers::Worker& worker,
                                     const ListedEnd& end) {
+  BeginListedOccurrence(end.task);
   ReportUntrackedEnd(worker, end.task, end.attempt, end.end);
   if (end.end == jobs::RunEnd::kDone) {
     HoldEnd(worker, end.task);
@@ -220,6 +221,7 @@
 void Scheduler::OnUntrackedRunListed(workers::Worker* worker,
                                      const ListedRun& listed,
                                      base::TimePoint now) {
+  BeginListedOccurrence(listed.task);
   jobs::Job* job = jobs_.Find(listed.task.step.job);
   const bool is_wanted =
       job != nullptr && job->MayHaveRun(listed.task, listed.attempt);
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -202,6 +202,21 @@
                             StoreMillis(), now_);
 }
 
+void SchedulerScenario::SubmitRepeatedAndStore(
+    std::uint64_t key, const std::string& queue,
+    std::vector<jobs::StepSpec> steps, std::uint32_t count,
+    base::Duration interval) {
+  Submission submission{
+      jobs::JobKey(key), desired::QueueId(queue), kSchool, {}};
+  submission.spec.steps = std::move(steps);
+  submission.spec.repeat_count = count;
+  submission.spec.start_at_ms = OwnersUnixMillis();
+  submission.spec.interval_ms = interval / milliseconds(1);
+  scheduler_->Submit(std::move(submission), WaiterId(++last_waiter_),
+                     StoreMillis(), now_);
+  Store();
+}
+
 std::vector<WaiterId> SchedulerScenario::Store() {
   std::vector<WaiterId> notified;
   while (scheduler_->has_changes()) {
@@ -244,7 +259,7 @@
     listings.push_back(worker.listing);
   }
   scheduler_->UpdateListings(listings, now_, now_);
-  scheduler_->Tick(now_, UnixMillis());
+  scheduler_->Tick(now_, OwnersUnixMillis());
   scheduler_->RunPass(now_);
   CarryOut();
 }
--- a/test/core/scheduler/scheduler_scenario.h
+++ b/test/core/scheduler/scheduler_scenario.h
@@ -65,6 +65,13 @@
   static jobs::StepSpec Gang(std::uint32_t tasks);
   SubmitResult Submit(std::uint64_t key, const std::string& queue,
                       std::vector<jobs::StepSpec> steps);
+  // Submits a job that begins `count` times, first now by the owner's wall
+  // clock and then after each interval, and stores its acceptance.
+  void SubmitRepeatedAndStore(std::uint64_t key, const std::string& queue,
+                              std::vector<jobs::StepSpec> steps,
+                              std::uint32_t count, base::Duration interval);
+  // How far the wall clock of the present owner's host is ahead.
+  base::Duration wall_clock_error{0};
   // Writes all pending changes to the store; returns the waiters that are
   // notified.
   std::vector<WaiterId> Store();
@@ -197,6 +204,9 @@
   }
   std::int64_t StoreMillis() const { return NowMillis() + 7'000'000; }
   std::int64_t UnixMillis() const { return NowMillis() + 1'790'000'000'000; }
+  std::int64_t OwnersUnixMillis() const {
+    return UnixMillis() + wall_clock_error / std::chrono::milliseconds(1);
+  }
 
   SchedulerSettings settings_;
   EventLog log_;
--- a/test/core/scheduler/untracked_ends_test.cc
+++ b/test/core/scheduler/untracked_ends_test.cc
@@ -85,5 +85,77 @@
   }
 }
 
+// Guards against a second run of an occurrence that an owner began whose wall
+// clock was ahead, and whose record of it was lost with the owner.
+TEST_CASE("an occurrence that isn't due yet by the next owner's wall clock") {
+  constexpr int kPassesUntilDue = 60;
+  Scenario scenario;
+  scenario.AddWorkers(2);
+  scenario.wall_clock_error = std::chrono::seconds(3);
+  scenario.SubmitRepeatedAndStore(kJob, "plain", {Scenario::Step(2)}, 2,
+                                  std::chrono::minutes(10));
+  scenario.RunPasses(3);
+  const std::vector<StartTask> first = scenario.TakeStarts();
+  REQUIRE(first.size() == 2);
+  const auto take_over = [&scenario] {
+    scenario.wall_clock_error = base::Duration(0);
+    scenario.TakeStops();
+    scenario.TakeOver();
+  };
+
+  SUBCASE("goes on if its tasks run") {
+    take_over();
+    RunAndStore(&scenario, kPassesUntilDue);
+    CHECK(scenario.TakeStops().empty());
+    CHECK_FALSE(scenario.WorkerOf(TaskOf(0)).empty());
+    CHECK_FALSE(scenario.WorkerOf(TaskOf(1)).empty());
+  }
+  SUBCASE("is done if its tasks are") {
+    scenario.EndRun(TaskOf(0), RunEnd::kDone);
+    scenario.EndRun(TaskOf(1), RunEnd::kDone);
+    take_over();
+    RunAndStore(&scenario, kPassesUntilDue);
+    CHECK(scenario.UnacknowledgedEnds("worker-0") == 0);
+    CHECK(scenario.UnacknowledgedEnds("worker-1") == 0);
+  }
+  SUBCASE("goes on where a task is done and the other runs") {
+    scenario.EndRun(TaskOf(0), RunEnd::kDone);
+    take_over();
+    RunAndStore(&scenario, kPassesUntilDue);
+    CHECK_FALSE(scenario.WorkerOf(TaskOf(1)).empty());
+  }
+  CHECK(scenario.TakeStarts().empty());
+  CHECK(Successes(scenario, "occurrence_not_begun") == 0);
+
+  SUBCASE("and the one after it begins when it is due") {
+    take_over();
+    for (const std::uint32_t index : {0U, 1U}) {
+      scenario.EndRun(TaskOf(index), RunEnd::kDone);
+    }
+    RunAndStore(&scenario, kPassesUntilDue);
+    CHECK(scenario.TakeStarts().empty());
+    scenario.Advance(std::chrono::minutes(10));
+    RunAndStore(&scenario, kPassesUntilDue);
+    CHECK(scenario.TakeStarts().size() == 2);
+    CHECK_FALSE(scenario.WorkerOf(TaskOf(0, 1)).empty());
+  }
+}
+
+// Guards against occurrences that a worker's list names and nobody can have
+// begun.
+TEST_CASE("a run of an occurrence that is far from due is an orphan") {
+  Scenario scenario;
+  scenario.AddWorkers(1);
+  scenario.wall_clock_error = std::chrono::minutes(11);
+  scenario.SubmitRepeatedAndStore(kJob, "plain", {Scenario::Step(1)}, 2,
+                                  std::chrono::minutes(10));
+  scenario.RunPasses(3);
+  scenario.TakeStarts();
+  scenario.wall_clock_error = base::Duration(0);
+  scenario.TakeOver();
+  scenario.RunPasses(3);
+  CHECK_FALSE(scenario.TakeStops().empty());
+}
+
 }  // namespace
 }  // namespace dotterelbarrow::core::scheduler
