--- a/test/core/scheduler/fleet_test.cc
+++ b/test/core/scheduler/fleet_test.cc
@@ -462,7 +462,7 @@
   listing.id = kWorker;
   const auto is_expired_after = [&](base::Duration passed) {
     std::vector<Action> actions;
-    third_owner.Tick(scenario.now + passed, &actions);
+    third_owner.Tick(scenario.now + passed, scenario.now + passed, &actions);
     return !third_owner.unreconciled().contains(kWorker);
   };
   third_owner.SetEarlierOwnersUntil(scenario.now + seconds(4));
