Answer those who begin to wait while a job is being written

What callers saw: a repeated submission that arrives while the job's acceptance is being written got no answer from the owner, so its host answered 504 when its time was up; so did a repeated cancel in that time.

Cause: a batch takes its waiting callers along when it is taken. Those who began to wait for its jobs after that were moved into the next batch with a change of the job, however late that came. A job that was cancelled before its acceptance was written stayed in the set of unstored acceptances, so a later submission of it waited forever.

Change: OnStored returns the callers that wait for what is stored now, and the owner answers them with those of the batch.

--- a/include/dotterelbarrow/core/scheduler/job_registry.h
+++ b/include/dotterelbarrow/core/scheduler/job_registry.h
@@ -46,6 +46,12 @@
   std::vector<base::BackendId> recorded_workers;
 };
 
+// Callers that began to wait for the changes of a batch after it was taken.
+struct LateWaiters {
+  std::vector<WaiterId> accept_waiters;
+  std::vector<WaiterId> change_waiters;
+};
+
 struct JobRegistrySettings {
   // How long the state of an ended job can be queried.
   base::Duration retention = std::chrono::seconds(180);
@@ -122,8 +128,9 @@
   bool has_changes() const {
     return !pending_changes_.empty() || has_due_pages_;
   }
-  // Marks the changes in `batch` as stored.
-  void OnStored(const RecordBatch& batch);
+  // Marks the changes in `batch` as stored. Returns the callers that must be
+  // notified besides those in the batch.
+  LateWaiters OnStored(const RecordBatch& batch);
 
   // Restores a page that a previous owner stored. Pages of live jobs must come
   // in the order of their keys. Returns false with a reason if a part of the
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -219,8 +219,9 @@
   bool has_changes() const { return jobs_.has_changes(); }
   // Returns the next batch to write to the store.
   RecordBatch TakeBatch(base::TimePoint now);
-  // The store has confirmed `batch`.
-  void OnStored(const RecordBatch& batch, base::TimePoint now);
+  // The store has confirmed `batch`. Returns the callers that must be notified
+  // besides those in the batch.
+  LateWaiters OnStored(const RecordBatch& batch, base::TimePoint now);
   // Sets an upper bound of the time on the store's clock. The records of
   // unresponsive workers state on that clock when their leases end; before the
   // first call none states it.
--- a/src/core/scheduler/job_registry.cc
+++ b/src/core/scheduler/job_registry.cc
@@ -8,6 +8,20 @@
 #include "dotterelbarrow/core/jobs/job_records.h"
 
 namespace dotterelbarrow::core::scheduler {
+namespace {
+
+// Moves those who wait for the job to the end of `target`.
+void MoveWaiters(
+    jobs::JobKey key,
+    std::unordered_map<jobs::JobKey, std::vector<WaiterId>>* source,
+    std::vector<WaiterId>* target) {
+  if (const auto it = source->find(key); it != source->end()) {
+    target->insert(target->end(), it->second.begin(), it->second.end());
+    source->erase(it);
+  }
+}
+
+}  // namespace
 
 void JobRegistry::Accept(jobs::Job job, std::string acceptance,
                          WaiterId waiter) {
@@ -147,14 +161,8 @@
   if (is_new) {
     batch->accepted_jobs.push_back(key);
   }
-  const auto move_waiters = [key](auto* source, std::vector<WaiterId>* target) {
-    if (const auto it = source->find(key); it != source->end()) {
-      target->insert(target->end(), it->second.begin(), it->second.end());
-      source->erase(it);
-    }
-  };
-  move_waiters(&accept_waiters_, &batch->accept_waiters);
-  move_waiters(&change_waiters_, &batch->change_waiters);
+  MoveWaiters(key, &accept_waiters_, &batch->accept_waiters);
+  MoveWaiters(key, &change_waiters_, &batch->change_waiters);
   return true;
 }
 
@@ -167,11 +175,7 @@
     }
   }
   for (const jobs::JobKey key : *keys) {
-    if (const auto it = accept_waiters_.find(key);
-        it != accept_waiters_.end()) {
-      waiters.insert(waiters.end(), it->second.begin(), it->second.end());
-      accept_waiters_.erase(it);
-    }
+    MoveWaiters(key, &accept_waiters_, &waiters);
     unstored_acceptances_.erase(key);
     changed_jobs_.erase(key);
     jobs_.erase(key);
@@ -222,17 +226,28 @@
   return batch;
 }
 
-void JobRegistry::OnStored(const RecordBatch& batch) {
+LateWaiters JobRegistry::OnStored(const RecordBatch& batch) {
+  LateWaiters late;
+  for (const jobs::JobKey key : jobs_in_batch_) {
+    if (!changed_jobs_.contains(key)) {
+      MoveWaiters(key, &change_waiters_, &late.change_waiters);
+    }
+  }
   jobs_in_batch_.clear();
   for (const jobs::JobKey key : batch.accepted_jobs) {
     unstored_acceptances_.erase(key);
+    MoveWaiters(key, &accept_waiters_, &late.accept_waiters);
   }
   for (const jobs::JobKey key : batch.ended_jobs) {
+    // The final state of a job that ended before its acceptance was written.
+    unstored_acceptances_.erase(key);
+    MoveWaiters(key, &accept_waiters_, &late.accept_waiters);
     if (const auto it = ended_jobs_.find(key);
         it != ended_jobs_.end() && !changed_jobs_.contains(key)) {
       it->second.stored = true;
     }
   }
+  return late;
 }
 
 bool JobRegistry::RestoreJob(jobs::JobKey key,
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -376,15 +376,16 @@
   return batch;
 }
 
-void Scheduler::OnStored(const RecordBatch& batch, base::TimePoint now) {
+LateWaiters Scheduler::OnStored(const RecordBatch& batch, base::TimePoint now) {
   now_ = now;
-  jobs_.OnStored(batch);
+  LateWaiters late = jobs_.OnStored(batch);
   worker_records_.OnStored(batch, now);
   for (const auto& [incarnation, number] : batch.run_ends) {
     const auto& [worker, born_ms] = incarnation;
     fleet_.OnEndsStored(worker, born_ms,
                         held_ends_.OnStored(worker, born_ms, number), now);
   }
+  return late;
 }
 
 }  // namespace dotterelbarrow::core::scheduler
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -312,9 +312,11 @@
         now);
   }
   times_.RecordWrite(Now() - last_write_begun_);
-  scheduler_.OnStored(batch, Now());
+  const core::scheduler::LateWaiters late = scheduler_.OnStored(batch, Now());
   ReplyTo(batch.accept_waiters, Accepted{});
+  ReplyTo(late.accept_waiters, Accepted{});
   ReplyTo(batch.change_waiters, Cancelled{});
+  ReplyTo(late.change_waiters, Cancelled{});
   if (parts_.leadership->has_resigned()) {
     EndTerm("resigned");
     return;
--- a/test/core/scheduler/scheduler_test.cc
+++ b/test/core/scheduler/scheduler_test.cc
@@ -61,6 +61,43 @@
     scenario.RunPasses(3);
     CHECK(scenario.TakeStarts().empty());
   }
+  // Guards against a repeated submission without an answer.
+  SUBCASE("submitted again while its acceptance is being written") {
+    const RecordBatch batch = scenario.scheduler().TakeBatch(scenario.now());
+    CHECK(scenario.Submit(kJob, "plain", {Scenario::Step(3)}).outcome ==
+          SubmitOutcome::kStoring);
+    SUBCASE("is no more withdrawn") {
+      CHECK(scenario.scheduler().RemoveUnwritten().empty());
+    }
+    const LateWaiters late =
+        scenario.scheduler().OnStored(batch, scenario.now());
+    CHECK(batch.accept_waiters.size() == 1);
+    CHECK(late.accept_waiters.size() == 1);
+  }
+  SUBCASE("cancelled before its acceptance was written") {
+    REQUIRE(scenario.scheduler().Cancel(jobs::JobKey(kJob), WaiterId(7),
+                                        scenario.now()) ==
+            CancelResult::kStoring);
+    const RecordBatch batch = scenario.scheduler().TakeBatch(scenario.now());
+    CHECK(batch.accept_waiters.size() == 1);
+    CHECK(batch.change_waiters == std::vector{WaiterId(7)});
+    SUBCASE("answers those who repeat a call meanwhile") {
+      CHECK(scenario.Submit(kJob, "plain", {Scenario::Step(3)}).outcome ==
+            SubmitOutcome::kStoring);
+      REQUIRE(scenario.scheduler().Cancel(jobs::JobKey(kJob), WaiterId(8),
+                                          scenario.now()) ==
+              CancelResult::kStoring);
+      const LateWaiters late =
+          scenario.scheduler().OnStored(batch, scenario.now());
+      CHECK(late.accept_waiters.size() == 1);
+      CHECK(late.change_waiters == std::vector{WaiterId(8)});
+    }
+    SUBCASE("is known to be stored then") {
+      scenario.scheduler().OnStored(batch, scenario.now());
+      CHECK(scenario.Submit(kJob, "plain", {Scenario::Step(3)}).outcome ==
+            SubmitOutcome::kAccepted);
+    }
+  }
   SUBCASE("is completed once the end of its last task is stored") {
     scenario.Store();
     scenario.RunPasses(1);
--- a/test/member/owner_calls_test.cc
+++ b/test/member/owner_calls_test.cc
@@ -146,9 +146,12 @@
     CHECK(host.IsAnswered<Accepted>(host.Submit(1, host.token())));
   }
   SUBCASE("refuses no job whose write is under way") {
+    const auto repeated = host.Submit(2, host.token());
     CHECK_FALSE(in_batch->has_value());
+    CHECK_FALSE(repeated->has_value());
     host.store.set_refusing(false);
     CHECK(host.IsAnswered<Accepted>(in_batch));
+    CHECK(host.IsAnswered<Accepted>(repeated));
   }
 }
 
