Ask the owner which jobs it knows before a pause refuses them

Cause: the pause was looked at before anyone asked whether the job is known.

Change: submissions that arrive in a pause are collected for 50 ms, and the owner is asked about all of them at once (`known`: keys only, answered from memory, also for a job whose write is under way). Those that it knows are forwarded, the others refused. One by one they would be the load that the pause is there to avert: callers retry refused jobs up to a thousand times a second in all; a host asks at most 20 times a second for each organisation.

--- a/include/dotterelbarrow/core/admission/refusal_pauses.h
+++ b/include/dotterelbarrow/core/admission/refusal_pauses.h
@@ -1,5 +1,5 @@
-// Tracks the organisations whose jobs for a queue an entry host refuses without
-// asking the owner.
+// Tracks the organisations whose jobs for a queue an entry host refuses itself,
+// unless the owner says that it knows them already.
 //
 // Load pattern: one organisation submits several times its share, and callers
 // retry each refused job at other hosts, up to a thousand times per second in
--- a/src/member/calls.cc
+++ b/src/member/calls.cc
@@ -22,6 +22,31 @@
   return key;
 }
 
+// Reads the keys in `list`, without those that are malformed.
+std::vector<core::jobs::JobKey> ReadJobKeys(const Json::Value& list) {
+  std::vector<core::jobs::JobKey> keys;
+  if (!list.isArray()) {
+    return keys;
+  }
+  for (const Json::Value& text : list) {
+    const auto key = text.isString() ? core::jobs::ParseJobKey(text.asString())
+                                     : std::nullopt;
+    if (key) {
+      keys.push_back(*key);
+    }
+  }
+  return keys;
+}
+
+template <typename Keys>
+Json::Value JobKeysToJson(const Keys& keys) {
+  Json::Value list(Json::arrayValue);
+  for (const core::jobs::JobKey key : keys) {
+    list.append(core::jobs::ToString(key));
+  }
+  return list;
+}
+
 std::string StringField(const Json::Value& params, const char* name) {
   return params[name].isString() ? params[name].asString() : std::string();
 }
@@ -50,7 +75,8 @@
       base::Overloaded{[](const SubmitCall&) { return kSubmit; },
                        [](const CancelCall&) { return kCancel; },
                        [](const StateCall&) { return kState; },
-                       [](const PendingCall&) { return kPending; }},
+                       [](const PendingCall&) { return kPending; },
+                       [](const KnownCall&) { return kKnown; }},
       call);
 }
 
@@ -72,6 +98,9 @@
                  },
                  [&params](const PendingCall& pending) {
                    params["queue"] = pending.queue.value();
+                 },
+                 [&params](const KnownCall& known) {
+                   params["jobs"] = JobKeysToJson(known.jobs);
                  }},
              call);
   return params;
@@ -90,6 +119,9 @@
   if (method == kPending) {
     return PendingCall{core::desired::QueueId(StringField(params, "queue"))};
   }
+  if (method == kKnown) {
+    return KnownCall{ReadJobKeys(params["jobs"])};
+  }
   if (method != kCancel && method != kState) {
     *reason = {FailureCode::kUnknownValue, "method " + method};
     return std::nullopt;
@@ -116,6 +148,7 @@
                        [](const UnknownJob&) { return "unknown_job"; },
                        [](const JobStateAnswer&) { return "state"; },
                        [](const PendingAnswer&) { return "pending"; },
+                       [](const KnownAnswer&) { return "known"; },
                        [](const NoOwner&) { return "no_owner"; },
                        [](const OutcomeUnknown&) { return "unknown"; }},
       answer);
@@ -139,6 +172,8 @@
     value["state"] = core::jobs::ToString(state->state);
   } else if (const auto* pending = std::get_if<PendingAnswer>(&answer)) {
     value["jobs"] = static_cast<Json::UInt64>(pending->jobs);
+  } else if (const auto* known = std::get_if<KnownAnswer>(&answer)) {
+    value["jobs"] = JobKeysToJson(known->jobs);
   }
   return value;
 }
@@ -170,6 +205,10 @@
   if (name == "pending" && value["jobs"].isUInt64()) {
     return PendingAnswer{value["jobs"].asUInt64()};
   }
+  if (name == "known" && value["jobs"].isArray()) {
+    const auto jobs = ReadJobKeys(value["jobs"]);
+    return KnownAnswer{{jobs.begin(), jobs.end()}};
+  }
   return OutcomeUnknown{};
 }
 
--- a/src/member/calls.h
+++ b/src/member/calls.h
@@ -9,8 +9,10 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "dotterelbarrow/base/failure.h"
 #include "dotterelbarrow/core/jobs/job.h"
@@ -30,7 +32,13 @@
 struct PendingCall {
   core::desired::QueueId queue;
 };
-using OwnerCall = std::variant<SubmitCall, CancelCall, StateCall, PendingCall>;
+// Asks which of the jobs, all of one shard, the owner knows. It answers at
+// once, and also names jobs whose acceptance isn't stored yet.
+struct KnownCall {
+  std::vector<core::jobs::JobKey> jobs;
+};
+using OwnerCall =
+    std::variant<SubmitCall, CancelCall, StateCall, PendingCall, KnownCall>;
 
 // The job is in the store.
 struct Accepted {};
@@ -39,7 +47,7 @@
   std::string reason;
   base::Duration retry_after{0};
   // For this long the entry host that made the call refuses the organisation's
-  // jobs itself, without asking the owner.
+  // jobs itself, unless the owner knows them.
   base::Duration pause{0};
 };
 // The cancellation is in the store.
@@ -51,13 +59,16 @@
 struct PendingAnswer {
   std::uint64_t jobs = 0;
 };
+struct KnownAnswer {
+  std::set<core::jobs::JobKey> jobs;
+};
 // No owner was reached. The call is guaranteed to have had no effect.
 struct NoOwner {};
 // The call may have taken effect.
 struct OutcomeUnknown {};
 using OwnerAnswer =
     std::variant<Accepted, Refused, Cancelled, UnknownJob, JobStateAnswer,
-                 PendingAnswer, NoOwner, OutcomeUnknown>;
+                 PendingAnswer, KnownAnswer, NoOwner, OutcomeUnknown>;
 using OwnerReply = std::function<void(const OwnerAnswer&)>;
 
 // JSON-RPC method names of the calls.
@@ -65,8 +76,9 @@
 inline constexpr const char* kCancel = "cancel";
 inline constexpr const char* kState = "state";
 inline constexpr const char* kPending = "pending";
-inline constexpr std::array kOwnerMethods = {kSubmit, kCancel, kState,
-                                             kPending};
+inline constexpr const char* kKnown = "known";
+inline constexpr std::array kOwnerMethods = {kSubmit, kCancel, kState, kPending,
+                                             kKnown};
 
 // Parameters of calls between entry hosts about one shard of several: its
 // number, and how many there are. Without them shard 0 of a cell with one shard
--- a/src/member/job_api.cc
+++ b/src/member/job_api.cc
@@ -2,8 +2,10 @@
 // replies.
 #include "src/member/job_api.h"
 
+#include <memory>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "dotterelbarrow/base/overloaded.h"
 #include "platform/job_api_json.h"
@@ -24,6 +26,10 @@
 // A change of owner takes two to three seconds, but another host may know the
 // next owner sooner.
 constexpr base::Duration kRetryAfter = std::chrono::seconds(1);
+// How long submissions in a pause are collected for one question to the owner.
+// Callers retry refused jobs up to a thousand times a second in all, and each
+// host asks at most this often.
+constexpr base::Duration kPausedCheckDelay = std::chrono::milliseconds(50);
 // Another host may be able to serve the call now.
 constexpr base::Duration kRetryElsewhereNow{0};
 
@@ -36,15 +42,17 @@
 
 }  // namespace
 
-JobApi::JobApi(wire::HttpServer* server, const DesiredWatch* desired,
-               core::admission::Gate gate, core::scheduler::Telemetry telemetry,
-               FindReach find_reach, ForwardToOwner forward_to_owner)
+JobApi::JobApi(const wire::EventLoop& loop, wire::HttpServer* server,
+               const DesiredWatch* desired, core::admission::Gate gate,
+               core::scheduler::Telemetry telemetry, FindReach find_reach,
+               ForwardToOwner forward_to_owner)
     : server_(server),
       desired_(desired),
       gate_(gate),
       telemetry_(telemetry),
       find_reach_(std::move(find_reach)),
-      forward_to_owner_(std::move(forward_to_owner)) {
+      forward_to_owner_(std::move(forward_to_owner)),
+      paused_timer_(loop, [this] { CheckPaused(); }) {
   for (const wire::HttpMethod method :
        {wire::HttpMethod::kGet, wire::HttpMethod::kPost, wire::HttpMethod::kPut,
         wire::HttpMethod::kDelete}) {
@@ -137,21 +145,55 @@
     return;
   }
   const base::OrganisationId organisation = OrganisationOf(admitted);
-  const Submission submission{key, admitted.queue->id, organisation};
-  if (const auto* pause =
-          pauses_.Find(organisation, admitted.queue->id, Now())) {
-    LogAnswer(submission, Refused{pause->reason, pause->retry_after}, "host");
-    telemetry_.counters->Increment("calls_refused", "in_pause");
-    Refuse(request.exchange, pause->reason.c_str(), pause->retry_after);
+  core::scheduler::Submission job{key, admitted.queue->id, organisation,
+                                  std::move(*spec)};
+  const auto* pause = pauses_.Find(organisation, admitted.queue->id, Now());
+  if (pause == nullptr) {
+    Forward(request.exchange, std::move(job));
     return;
   }
-  forward_to_owner_(
-      organisation,
-      SubmitCall{{key, admitted.queue->id, organisation, std::move(*spec)}},
-      [this, exchange = request.exchange,
-       submission](const OwnerAnswer& answer) {
-        OnSubmitAnswer(exchange, submission, answer);
-      });
+  if (paused_.empty()) {
+    paused_timer_.StartOnce(kPausedCheckDelay);
+  }
+  paused_[organisation].push_back(
+      {request.exchange, std::move(job), pause->reason, pause->retry_after});
+}
+
+void JobApi::Forward(wire::ExchangeId exchange,
+                     core::scheduler::Submission job) {
+  const Submission submission{job.key, job.queue, job.organisation};
+  forward_to_owner_(submission.organisation, SubmitCall{std::move(job)},
+                    [this, exchange, submission](const OwnerAnswer& answer) {
+                      OnSubmitAnswer(exchange, submission, answer);
+                    });
+}
+
+void JobApi::CheckPaused() {
+  for (auto& [organisation, submissions] : std::exchange(paused_, {})) {
+    // Shared because callbacks are copied.
+    const auto paused =
+        std::make_shared<const std::vector<Paused>>(std::move(submissions));
+    KnownCall question;
+    for (const Paused& one : *paused) {
+      question.jobs.push_back(one.job.key);
+    }
+    forward_to_owner_(
+        organisation, question, [this, paused](const OwnerAnswer& answer) {
+          const auto* known = std::get_if<KnownAnswer>(&answer);
+          for (const Paused& one : *paused) {
+            // An owner that can't say decides about the submission itself.
+            if (known == nullptr || known->jobs.contains(one.job.key)) {
+              telemetry_.counters->Increment("calls_in_pause", "forwarded");
+              Forward(one.exchange, one.job);
+              continue;
+            }
+            LogAnswer({one.job.key, one.job.queue, one.job.organisation},
+                      Refused{one.reason, one.retry_after}, "host");
+            telemetry_.counters->Increment("calls_refused", "in_pause");
+            Refuse(one.exchange, one.reason.c_str(), one.retry_after);
+          }
+        });
+  }
 }
 
 void JobApi::OnSubmitAnswer(wire::ExchangeId exchange,
--- a/src/member/job_api.h
+++ b/src/member/job_api.h
@@ -4,12 +4,15 @@
 #define DOTTERELBARROW_SRC_MEMBER_JOB_API_H_
 
 #include <functional>
+#include <map>
 #include <string>
+#include <vector>
 
 #include "dotterelbarrow/core/admission/gate.h"
 #include "dotterelbarrow/core/admission/reachability.h"
 #include "dotterelbarrow/core/admission/refusal_pauses.h"
 #include "dotterelbarrow/core/scheduler/decision_log.h"
+#include "dotterelbarrow/wire/event_loop.h"
 #include "dotterelbarrow/wire/http_server.h"
 #include "src/member/calls.h"
 #include "src/member/desired_watch.h"
@@ -26,9 +29,10 @@
   using FindReach = std::function<core::admission::Reachability()>;
 
   // Serves all requests of `server`. All arguments must outlive this.
-  JobApi(wire::HttpServer* server, const DesiredWatch* desired,
-         core::admission::Gate gate, core::scheduler::Telemetry telemetry,
-         FindReach find_reach, ForwardToOwner forward_to_owner);
+  JobApi(const wire::EventLoop& loop, wire::HttpServer* server,
+         const DesiredWatch* desired, core::admission::Gate gate,
+         core::scheduler::Telemetry telemetry, FindReach find_reach,
+         ForwardToOwner forward_to_owner);
 
  private:
   // What identifies a submission in the log.
@@ -38,6 +42,13 @@
     base::OrganisationId organisation;
   };
 
+  struct Paused {
+    wire::ExchangeId exchange;
+    core::scheduler::Submission job;
+    std::string reason;
+    base::Duration retry_after{0};
+  };
+
   void OnCall(const wire::HttpRequest& request);
   void OnAdmitted(const wire::HttpRequest& request,
                   const core::admission::Admitted& admitted);
@@ -46,6 +57,11 @@
               core::jobs::JobKey key);
   void OnSubmitAnswer(wire::ExchangeId exchange, const Submission& submission,
                       const OwnerAnswer& answer);
+  // Forwards the submission to the owner.
+  void Forward(wire::ExchangeId exchange, core::scheduler::Submission job);
+  // Asks the owner which of the submissions in a pause it knows, and refuses
+  // the others.
+  void CheckPaused();
   // `decided_by` is "owner", or "host" while this host refuses an
   // organisation's jobs itself after a refusal by the owner.
   void LogAnswer(const Submission& submission, const OwnerAnswer& answer,
@@ -72,6 +88,11 @@
   FindReach find_reach_;
   ForwardToOwner forward_to_owner_;
   core::admission::RefusalPauses pauses_;
+  // Submissions that arrived in a pause, by organisation. They may be repeated
+  // ones of jobs that are accepted already, so the owner is asked first,
+  // about many at a time.
+  std::map<base::OrganisationId, std::vector<Paused>> paused_;
+  wire::Timer paused_timer_;
 };
 
 }  // namespace dotterelbarrow::member
--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -98,7 +98,7 @@
       desired_texts_(settings.link),
       shards_(MakeShardHost()),
       job_api_(
-          &callers_, &desired_,
+          *loop, &callers_, &desired_,
           core::admission::Gate(settings.key_revocation_limit), telemetry_,
           [this] { return FindReach(); },
           [this](const base::OrganisationId& organisation,
--- a/src/member/owner_call_forwarder.cc
+++ b/src/member/owner_call_forwarder.cc
@@ -53,7 +53,8 @@
 }
 
 bool OwnerCallForwarder::CanWaitForOwner(const OwnerCall& call) {
-  return !std::holds_alternative<PendingCall>(call);
+  return !std::holds_alternative<PendingCall>(call) &&
+         !std::holds_alternative<KnownCall>(call);
 }
 
 void OwnerCallForwarder::Dispatch(std::uint64_t id) {
@@ -117,7 +118,8 @@
   }
   Pending& pending = it->second;
   pending.is_in_flight = false;
-  if (std::holds_alternative<OutcomeUnknown>(answer)) {
+  if (std::holds_alternative<OutcomeUnknown>(answer) &&
+      !std::holds_alternative<KnownCall>(pending.call)) {
     pending.may_have_taken_effect = true;
     pending.unknown_at = sent_to;
     return;  // The next owner decides the outcome, or the call times out.
--- a/src/member/owner_call_forwarder.h
+++ b/src/member/owner_call_forwarder.h
@@ -95,7 +95,8 @@
   };
 
   // Returns whether to hold the call until there is an owner. Callers repeat
-  // queries for counts anyway, so these fail at once.
+  // queries for counts anyway, and submissions wait for the answer whether jobs
+  // are known, so these fail at once.
   static bool CanWaitForOwner(const OwnerCall& call);
   void Dispatch(std::uint64_t id);
   void OnRpc(std::uint64_t id, core::scheduler::FencingToken sent_to,
--- a/src/member/owner_term_calls.cc
+++ b/src/member/owner_term_calls.cc
@@ -91,6 +91,15 @@
               unknown_waiters_.push_back(AddWaiter(reply));
             }
           },
+          [&](const KnownCall& known) {
+            KnownAnswer answer;
+            for (const core::jobs::JobKey key : known.jobs) {
+              if (scheduler_.IsKnown(key)) {
+                answer.jobs.insert(key);
+              }
+            }
+            reply(answer);
+          },
           [&](const PendingCall& pending) {
             if (Now() - pending_counted_at_ >= kMaxPendingCountAge) {
               pending_ = scheduler_.PendingJobs();
--- a/src/member/shard_set.cc
+++ b/src/member/shard_set.cc
@@ -100,6 +100,13 @@
           [&](const SubmitCall& submit) { forward(submit.submission.key); },
           [&](const CancelCall& cancel) { forward(cancel.key); },
           [&](const StateCall& state) { forward(state.key); },
+          [&](const KnownCall& known) {
+            if (known.jobs.empty()) {
+              reply(KnownAnswer{});
+            } else {
+              forward(known.jobs.front());
+            }
+          },
           [&](const PendingCall& pending) { CountPending(pending, reply); }},
       call);
 }
--- a/test/member/owner_calls_test.cc
+++ b/test/member/owner_calls_test.cc
@@ -2,7 +2,9 @@
 #include <doctest/doctest.h>
 
 #include <functional>
+#include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -145,6 +147,17 @@
   SUBCASE("answers a repeated submission of an accepted job with success") {
     CHECK(host.IsAnswered<Accepted>(host.Submit(1, host.token())));
   }
+  SUBCASE("knows the accepted job and the one whose write is under way") {
+    const KnownCall call{
+        {core::jobs::JobKey(1), core::jobs::JobKey(2), core::jobs::JobKey(3)}};
+    std::optional<OwnerAnswer> answer;
+    host.shards.Call({}, call,
+                     [&](const OwnerAnswer& known) { answer = known; });
+    REQUIRE(host.RunUntil([&] { return answer.has_value(); }));
+    REQUIRE(std::holds_alternative<KnownAnswer>(*answer));
+    CHECK(std::get<KnownAnswer>(*answer).jobs ==
+          std::set{core::jobs::JobKey(1), core::jobs::JobKey(2)});
+  }
   SUBCASE("refuses no job whose write is under way") {
     const auto repeated = host.Submit(2, host.token());
     CHECK_FALSE(in_batch->has_value());
