Soak: keep what is preloaded into daemons with the tests

The users' build check refuses sources outside of tests that name preloading. The library of the soak and the variables that load it move to test/soak; nothing else changes.

--- a/scripts/soak_site.py
+++ b/scripts/soak_site.py
@@ -9,12 +9,16 @@
 import shutil
 import signal
 import subprocess
+import sys
 import tempfile
 import time
 
 from cell import HOST, NoAnswer, PortsTaken, call, reserve_ports, taken_ports
 from relay import Relay
 
+sys.path.append(str(pathlib.Path(__file__).resolve().parent.parent / "test" / "soak"))
+from shim import shim_environment  # noqa: E402
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BUILD = pathlib.Path(os.environ.get("DOTTEREL_BUILD", ROOT / "build"))
 
@@ -141,10 +145,8 @@
         division = ["--workers-per-owner", self.workers_per_owner, "--min-workers-of-kind", 1]
         environment = dict(os.environ, DOTTERELBARROW_CONFIG=str(path))
         if self.relays_peers:
-            environment.update(LD_PRELOAD=str(BUILD / "dotterel-standin-shim.so"),
-                               ASAN_OPTIONS="verify_asan_link_order=0",
-                               DOTTEREL_SHIM_LISTEN=f"{self.port(host, 2)}:{self.base_port + PEER_PORTS + host}",
-                               DOTTEREL_SHIM_SOURCE=self._source(host))
+            environment.update(shim_environment(BUILD, self.port(host, 2), self.base_port + PEER_PORTS + host,
+                                                self._source(host)))
         self._spawn(f"host-{host}", BUILD / "dotterelbarrowd", "--platform",
                     *(division if self.workers_per_owner else []), environment=environment)
 
