--- a/test/core/scheduler/fleet_test.cc
+++ b/test/core/scheduler/fleet_test.cc
@@ -59,7 +59,7 @@
     fleet.UpdateListings({listing}, now, now);
   }
   void ApplyEmptyList() { fleet.UpdateListings({}, now, now); }
-  void Tick() { fleet.Tick(now, &actions); }
+  void Tick() { fleet.Tick(now, now, &actions); }
   // Answers the regular poll with these lists.
   void AnswerPoll(std::vector<ListedRun> active,
                   std::vector<ListedEnd> ended = {}, bool lists_all = true) {
@@ -443,10 +443,12 @@
   }
   SUBCASE("expires later while its previous owner may send commands") {
     std::vector<Action> actions;
-    next_owner.Tick(scenario.now + seconds(6), &actions);
+    next_owner.Tick(scenario.now + seconds(6), scenario.now + seconds(6),
+                    &actions);
     CHECK(next_owner.unreconciled().contains(kWorker));
     next_owner.OnPreviousOwnerStopped(scenario.now);
-    next_owner.Tick(scenario.now + seconds(6), &actions);
+    next_owner.Tick(scenario.now + seconds(6), scenario.now + seconds(6),
+                    &actions);
     CHECK_FALSE(next_owner.unreconciled().contains(kWorker));
   }
 }
@@ -460,7 +462,8 @@
   listing.id = kWorker;
   const auto is_expired_after = [&](base::Duration passed) {
     std::vector<Action> actions;
-    third_owner.Tick(scenario.now + passed, &actions);
+    const base::TimePoint now = scenario.now + passed;
+    third_owner.Tick(now, now, &actions);
     return !third_owner.unreconciled().contains(kWorker);
   };
   third_owner.SetEarlierOwnersUntil(scenario.now + seconds(4));
@@ -613,7 +616,7 @@
   std::vector<Action> actions;
   fleet.UpdateListings(listings, now, now);
   SUBCASE("looks at no more than its part of the workers before") {
-    fleet.Tick(now, &actions);
+    fleet.Tick(now, now, &actions);
     CHECK(actions.size() == kMostPerTick);
   }
   SUBCASE("looks at all that are left") {
@@ -622,7 +625,7 @@
     // None was claimed, so that those which left are removed.
     now += seconds(60);
     for (int i = 0; i < kLeaving; ++i) {
-      fleet.Tick(now, &actions);
+      fleet.Tick(now, now, &actions);
     }
     REQUIRE(fleet.workers().size() == kMostPerTick);
     for (const workers::Listing& listing : listings) {
@@ -633,7 +636,7 @@
     }
     now += seconds(1);
     actions.clear();
-    fleet.Tick(now, &actions);
+    fleet.Tick(now, now, &actions);
     CHECK(actions.size() == kMostPerTick);
   }
 }
