A heartbeat proves that its sender gave up the cell only if it names this term

Cause: an owner took any heartbeat from the host of its predecessor for the proof that this host commands no worker any more. A heartbeat that was sent to an earlier term of the same owner, and was delayed, for example because the process was paused, may come from a host that has become the owner since. The wait for silent workers then was one lease instead of the ownership lease and one lease.

Change: heartbeats name the token of the owner that the sender follows (owner_token), and only the token of this term counts. An incarnation is no proof here: a heartbeat of the process before the previous owner's differs as well, and a restarted process names the token with its next heartbeat.

Evidence: with the earlier rule, leadership_test failed for a heartbeat of an earlier term and for one without a term; without the field in the message, shard_set_test failed. A real delayed heartbeat was not run.

--- a/include/dotterelbarrow/core/leadership/leadership.h
+++ b/include/dotterelbarrow/core/leadership/leadership.h
@@ -138,6 +138,12 @@
   // Records that the owner with this token commands no worker any more and
   // never will. If it is still in the record, the cell may be claimed sooner.
   void OnOwnerStopped(FencingToken token);
+  // Records that `host` sent a heartbeat as a follower of the owner with this
+  // token; nullopt if it didn't say which, as earlier versions don't. If it was
+  // the previous owner and follows this term, it has stopped. A heartbeat to an
+  // earlier term proves nothing: it may have been delayed, and the host may
+  // have become the owner since.
+  void OnFollower(const base::EntryId& host, std::optional<FencingToken> owner);
   // Records that the store's clock showed `store_ms` at some time after
   // `sent_at`.
   void OnStoreClock(std::int64_t store_ms, base::TimePoint sent_at);
--- a/src/core/leadership/leadership.cc
+++ b/src/core/leadership/leadership.cc
@@ -120,6 +120,14 @@
   stopped_owner_ = std::max(stopped_owner_.value_or(token), token);
 }
 
+void Leadership::OnFollower(const base::EntryId& host,
+                            std::optional<FencingToken> owner) {
+  if (previous_owner_ && previous_owner_->holder == host &&
+      owner == own_record_.token) {
+    OnOwnerStopped(previous_owner_->token);
+  }
+}
+
 bool Leadership::has_previous_owner_stopped() const {
   return !previous_owner_ || previous_owner_->holder == settings_.self ||
          previous_owner_->token == stopped_owner_;
--- a/src/member/shard_controller.h
+++ b/src/member/shard_controller.h
@@ -156,6 +156,8 @@
   void OfferShard(core::leadership::FencingToken token, bool has_stopped);
   // The owner with this token is certain to send no more commands to workers.
   void OnOwnerStopped(core::leadership::FencingToken token);
+  // Tells the term, if there is one and the previous owner has stopped.
+  void ReportPreviousOwnerStopped();
   // A host that the store refuses to serve learns from other hosts who owns the
   // shard: from a new owner that announces itself to the previous one, or from
   // the deputies that the last owner named.
--- a/src/member/shard_controller_peers.cc
+++ b/src/member/shard_controller_peers.cc
@@ -1,6 +1,7 @@
 // Communication between the hosts that follow a shard: heartbeats, offers of
 // the shard, hints at its owner, and the comparison of processor shares.
 #include <algorithm>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -90,6 +91,7 @@
   params["address"] = host_->settings->peers_address;
   params["share"] = AvailableCpuShare();
   params["follows_shards"] = true;
+  params["owner_token"] = static_cast<Json::UInt64>(owner->token.value());
   if (!is_home()) {
     params["is_foreign"] = true;
   }
@@ -287,6 +289,10 @@
 
 void ShardController::OnOwnerStopped(core::leadership::FencingToken token) {
   leadership_.OnOwnerStopped(token);
+  ReportPreviousOwnerStopped();
+}
+
+void ShardController::ReportPreviousOwnerStopped() {
   if (term_ != nullptr && leadership_.has_previous_owner_stopped()) {
     term_->OnPreviousOwnerStopped();
   }
@@ -305,12 +311,13 @@
                 .cpu_share = share.isNumeric() ? share.asDouble() : 0,
                 .is_at_home = !IsSet(params, "is_foreign"),
                 .follows_shards = IsSet(params, "follows_shards")});
-    const core::leadership::OwnershipRecord* previous =
-        leadership_.previous_owner();
-    // A host that sends heartbeats to this owner has given up ownership itself.
-    if (term_ != nullptr && previous != nullptr && previous->holder == entry) {
-      term_->OnPreviousOwnerStopped();
-    }
+    const Json::Value& token = params["owner_token"];
+    leadership_.OnFollower(
+        entry,
+        token.isUInt64()
+            ? std::optional(core::leadership::FencingToken(token.asUInt64()))
+            : std::nullopt);
+    ReportPreviousOwnerStopped();
   }
   Json::Value result(Json::objectValue);
   result["incarnation"] = static_cast<Json::UInt64>(host_->incarnation.value());
--- a/test/core/leadership/leadership_test.cc
+++ b/test/core/leadership/leadership_test.cc
@@ -221,6 +221,23 @@
     REQUIRE(cell.Claim(&other));
     CHECK_FALSE(other.has_previous_owner_stopped());
 
+    SUBCASE("but that it follows this term") {
+      other.OnFollower(base::EntryId("owner"), other.token());
+      CHECK(other.has_previous_owner_stopped());
+    }
+    SUBCASE("and not that another host follows this term") {
+      other.OnFollower(base::EntryId("third"), other.token());
+      CHECK_FALSE(other.has_previous_owner_stopped());
+    }
+    SUBCASE("and not that it followed an earlier term, by a delayed message") {
+      other.OnFollower(base::EntryId("owner"),
+                       FencingToken(owner.token().value() - 1));
+      CHECK_FALSE(other.has_previous_owner_stopped());
+    }
+    SUBCASE("and not a message that doesn't tell which term it is for") {
+      other.OnFollower(base::EntryId("owner"), std::nullopt);
+      CHECK_FALSE(other.has_previous_owner_stopped());
+    }
     SUBCASE("but that it is seen to have stopped, also after the claim") {
       other.OnOwnerStopped(owner.token());
       CHECK(other.has_previous_owner_stopped());
--- a/test/member/shard_set_test.cc
+++ b/test/member/shard_set_test.cc
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -29,6 +30,8 @@
 const base::OrganisationId kFirst("first");
 const base::OrganisationId kSecond("second");
 
+constexpr core::leadership::FencingToken kOwnerToken(512);
+
 using core::scheduler::NullLog;
 
 std::string ListenOn(wire::HttpServer* server) {
@@ -42,9 +45,11 @@
  public:
   explicit FakeOwner(const wire::EventLoop& loop)
       : http_(loop, wire::HttpServerOptions()), rpc_(&http_, &counters_) {
-    rpc_.Bind("greet", [](const Json::Value&, const RpcServer::Reply& reply) {
-      reply(Json::Value(Json::objectValue));
-    });
+    rpc_.Bind("greet",
+              [this](const Json::Value& params, const RpcServer::Reply& reply) {
+                heartbeats.push_back(params);
+                reply(Json::Value(Json::objectValue));
+              });
     rpc_.Bind(kSubmit,
               [this](const Json::Value& params, const RpcServer::Reply& reply) {
                 submissions.push_back(params);
@@ -59,6 +64,7 @@
   }
   const std::string& address() const { return address_; }
 
+  std::vector<Json::Value> heartbeats;
   std::vector<Json::Value> submissions;
   std::vector<Json::Value> counts;
 
@@ -145,7 +151,7 @@
     for (std::uint64_t shard = 0; shard < owners.size(); ++shard) {
       store.Put(OwnershipRow(core::shards::ShardNumber(shard)),
                 core::leadership::EncodeOwnershipRecord(
-                    {.token = core::leadership::FencingToken(512),
+                    {.token = kOwnerToken,
                      .holder = base::EntryId("owner"),
                      .incarnation = base::Incarnation(1),
                      .address = owners[shard]->address()}));
@@ -238,6 +244,21 @@
     REQUIRE(cell.RunUntil([&] { return cell.store.reads() >= 3; }));
     CHECK(cell.shards.home_owner() == nullptr);
   }
+  // Guards against an owner that takes a delayed heartbeat to an earlier term
+  // of its own for the proof that its predecessor has stopped.
+  SUBCASE("a heartbeat names the term of the owner that the host follows") {
+    cell.store.BeginToAnswer();
+    const auto has_heartbeat = [](const auto& owner) {
+      return !owner->heartbeats.empty();
+    };
+    REQUIRE(cell.RunUntil([&] {
+      return std::any_of(cell.owners.begin(), cell.owners.end(), has_heartbeat);
+    }));
+    const auto& owner =
+        *std::find_if(cell.owners.begin(), cell.owners.end(), has_heartbeat);
+    CHECK(owner->heartbeats.front()["owner_token"].asUInt64() ==
+          kOwnerToken.value());
+  }
   SUBCASE("then each goes to the owner of its organisation's shard") {
     cell.store.BeginToAnswer();
     const auto submit_until_accepted = [&](const auto& organisation) {
