Release what is reserved for a step once an older run of it is done

Cause: on a queue with advice, runs are reserved until their tickets come. If the success of an older attempt arrives meanwhile, the reserved runs of a gang stayed, and the advisor's answer started the whole gang again although its success was recorded and acknowledged: every member twice, by the owner that knew better. If the success ended the job, what was reserved for it, a gang or single tasks, was kept for good, and runs of newer attempts went on to their ends.

Change: the success that completes a gang stops its runs of other attempts and releases reserved ones; the members of the attempt that is done end by themselves, as before. Other runs of a single task are stopped also if its success ends the job.

--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -309,6 +309,9 @@
   // Stops all runs of a step.
   void StopRuns(const jobs::StepRef& step);
   void StopRunsOfTask(const jobs::TaskRef& task);
+  // The gang is done by this attempt, whose members end by themselves. Stops
+  // its runs of other attempts, and releases those that are only reserved.
+  void StopOtherAttempts(const jobs::StepRef& step, jobs::Attempt attempt);
   void StopRunsOfJob(const jobs::Job& job);
   void StopIncompleteGangs(base::TimePoint now);
   // Once all inherited workers are reconciled: stops inherited gangs of which a
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -191,9 +191,14 @@
   const bool is_gang = job->SpecOf(task.step).gang;
   const bool changed =
       job->RecordRunEnd(task, attempt, end, checkpoint, worker, max_attempts);
-  if (end == jobs::RunEnd::kDone && job->SpecOf(task.step).may_have_copies()) {
-    // Also if the job is completed by this: its copy would run to its end.
-    StopRunsOfTask(task);
+  if (end == jobs::RunEnd::kDone) {
+    // Also if the job is completed by this: other runs would go on to their
+    // ends, and reserved ones would keep their resources.
+    if (!is_gang) {
+      StopRunsOfTask(task);
+    } else if (changed) {
+      StopOtherAttempts(task.step, attempt);
+    }
   }
   if (changed && jobs::IsFinal(job->state)) {
     EndJob(*job);
@@ -203,9 +208,6 @@
     jobs_.EnqueueJob(job->key, now_);
   }
   if (end == jobs::RunEnd::kDone) {
-    if (!is_gang) {
-      StopRunsOfTask(task);
-    }
     EnqueueReadySteps(*job);
   } else {
     // A gang member that never started is placed again while the others wait
@@ -280,6 +282,21 @@
   }
 }
 
+void Scheduler::StopOtherAttempts(const jobs::StepRef& step,
+                                  jobs::Attempt attempt) {
+  const std::set<PlacedRun> runs = runs_.RunsOfStep(step);
+  for (const PlacedRun& placed : runs) {
+    workers::Worker* worker = fleet_.Find(placed.worker);
+    const workers::Run* run =
+        worker == nullptr ? nullptr
+                          : worker->FindRun(placed.task, placed.attempt);
+    if (run != nullptr && (placed.attempt != attempt ||
+                           run->state == workers::RunState::kReserved)) {
+      fleet_.Stop(placed.worker, placed.key(), now_, &actions_);
+    }
+  }
+}
+
 void Scheduler::StopRunsOfJob(const jobs::Job& job) {
   for (const auto& [number, occurrence] : job.occurrences) {
     for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
--- a/test/core/scheduler/untracked_ends_test.cc
+++ b/test/core/scheduler/untracked_ends_test.cc
@@ -157,5 +157,84 @@
   CHECK_FALSE(scenario.TakeStops().empty());
 }
 
+// A step of two tasks whose workers were given up after it was done, and are
+// there again while its next attempt waits for new tickets.
+struct ReservedStep : Scenario {
+  ReservedStep(const jobs::StepSpec& step, bool has_next_step) {
+    AddWorkers(4);
+    std::vector<jobs::StepSpec> steps{step};
+    if (has_next_step) {
+      steps.push_back(Step(1));
+      steps.back().depends_on = {0};
+    }
+    SubmitAndStore(kJob, "advised", steps);
+    AnswerAll();
+    for (int i = 0; i < 10 && WorkerOf(TaskOf(1)).empty(); ++i) {
+      RunAndStore(this, 1);
+      AnswerAll();
+    }
+    REQUIRE(TakeStarts().size() == 2);
+    for (const std::uint32_t index : {0U, 1U}) {
+      unresponsive_workers.insert(WorkerOf(TaskOf(index)));
+      EndRun(TaskOf(index), RunEnd::kDone);
+    }
+    for (int i = 0; i < kPassesToExpire && requests.empty(); ++i) {
+      RunAndStore(this, 1);
+      requests = TakeAdviceRequests();
+    }
+    REQUIRE(requests.size() == 1);
+    REQUIRE(ReservedCores() == 8);
+    unresponsive_workers.clear();
+    RunAndStore(this, 5);
+  }
+  void AnswerAll() {
+    for (const RequestAdvice& request : TakeAdviceRequests()) {
+      AnswerAdviceRequest(request,
+                          {"worker-0", "worker-1", "worker-2", "worker-3"});
+    }
+  }
+  int ReservedCores() const {
+    int cores = 0;
+    for (int i = 0; i < 4; ++i) {
+      cores += UsedCores("worker-" + std::to_string(i));
+    }
+    return cores;
+  }
+  std::vector<RequestAdvice> requests;
+};
+
+// Guards against workers that stay reserved for a job that has ended.
+TEST_CASE("single tasks whose successes arrive while they are reserved again") {
+  jobs::StepSpec step = Scenario::Gang(2);
+  step.gang = false;
+  ReservedStep scenario(step, false);
+  CHECK(StateOf(&scenario) == JobState::kCompleted);
+  CHECK(scenario.ReservedCores() == 0);
+}
+
+// Guards against a gang that is started again although its success is known:
+// its next attempt was placed before the success arrived, and waited for
+// tickets.
+TEST_CASE("a gang whose success arrives while its next attempt is reserved") {
+  SUBCASE("leaves the reserved workers to others if the job ends") {
+    ReservedStep scenario(Scenario::Gang(2), false);
+    CHECK(StateOf(&scenario) == JobState::kCompleted);
+    CHECK(scenario.ReservedCores() == 0);
+    scenario.AnswerAdviceRequest(scenario.requests[0],
+                                 {"worker-2", "worker-3"});
+    CHECK(scenario.TakeStarts().empty());
+  }
+  SUBCASE("is not started again if the job goes on, nor are its workers kept") {
+    ReservedStep scenario(Scenario::Gang(2), true);
+    scenario.AnswerAdviceRequest(scenario.requests[0],
+                                 {"worker-2", "worker-3"});
+    for (const StartTask& start : scenario.TakeStarts()) {
+      CHECK(start.task.step.step == 1);
+    }
+    RunAndStore(&scenario, 1);
+    CHECK(scenario.ReservedCores() <= 1);
+  }
+}
+
 }  // namespace
 }  // namespace dotterelbarrow::core::scheduler
