Stop a gang only for ends of its own attempt or a later one

Cause: an end `failed`, or any other that a new owner records of a task that waits, stopped all runs of the gang, whatever their attempt. A worker that was silent and lists the failure of an earlier attempt had the next attempt stopped, which ran elsewhere; so did, at the next owner, the end `stopped` of an earlier attempt that was listed before a member's worker had answered.

Change: such an end stops the runs up to its own attempt. A failure still counts as an attempt.

--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -309,6 +309,8 @@
   // Stops all runs of a step.
   void StopRuns(const jobs::StepRef& step);
   void StopRunsOfTask(const jobs::TaskRef& task);
+  // Stops the runs of a gang that are of this attempt or an earlier one.
+  void StopRunsUpTo(const jobs::StepRef& step, jobs::Attempt attempt);
   // The gang is done by this attempt, whose members end by themselves. Stops
   // its runs of other attempts, and releases those that are only reserved.
   void StopOtherAttempts(const jobs::StepRef& step, jobs::Attempt attempt);
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -213,8 +213,9 @@
     // A gang member that never started is placed again while the others wait
     // for it. Otherwise the other members would end too, but stopping them is
     // more reliable and sooner.
+    // An end of an earlier attempt says nothing about a later one.
     if (is_gang && !never_started) {
-      StopRuns(task.step);
+      StopRunsUpTo(task.step, attempt);
     }
     dispatcher_.Enqueue(task.step);
   }
@@ -282,6 +283,15 @@
   }
 }
 
+void Scheduler::StopRunsUpTo(const jobs::StepRef& step, jobs::Attempt attempt) {
+  const std::set<PlacedRun> runs = runs_.RunsOfStep(step);
+  for (const PlacedRun& run : runs) {
+    if (run.attempt <= attempt) {
+      fleet_.Stop(run.worker, run.key(), now_, &actions_);
+    }
+  }
+}
+
 void Scheduler::StopOtherAttempts(const jobs::StepRef& step,
                                   jobs::Attempt attempt) {
   const std::set<PlacedRun> runs = runs_.RunsOfStep(step);
--- a/test/core/scheduler/untracked_ends_test.cc
+++ b/test/core/scheduler/untracked_ends_test.cc
@@ -3,7 +3,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "test/core/scheduler/scheduler_scenario.h"
 
@@ -236,5 +238,58 @@
   }
 }
 
+// Guards against a sound attempt of a gang that is stopped for what became of
+// an earlier one.
+TEST_CASE(
+    "a gang whose next attempt runs when ends of the earlier one arrive") {
+  Scenario scenario;
+  scenario.AddWorkers(4);
+  scenario.SubmitAndStore(kJob, "plain", {Scenario::Gang(2)});
+  scenario.RunPasses(1);
+  std::set<std::string> first;
+  for (const std::uint32_t index : {0U, 1U}) {
+    first.insert(scenario.WorkerOf(TaskOf(index)));
+  }
+  REQUIRE(first.size() == 2);
+  REQUIRE_FALSE(first.contains(""));
+  const auto end_earlier_attempt = [&](RunEnd end) {
+    scenario.unresponsive_workers = first;
+    for (const std::uint32_t index : {0U, 1U}) {
+      scenario.EndRun(TaskOf(index), end);
+    }
+  };
+  // Guards the set-up: all members of the next attempt run on other workers.
+  const auto next_attempt_runs = [&] {
+    return !scenario.WorkerOf(TaskOf(0)).empty() &&
+           !scenario.WorkerOf(TaskOf(1)).empty() &&
+           !first.contains(scenario.WorkerOf(TaskOf(0))) &&
+           !first.contains(scenario.WorkerOf(TaskOf(1)));
+  };
+
+  SUBCASE("goes on after a failure, which counts as one") {
+    end_earlier_attempt(RunEnd::kFailed);
+    RunAndStore(&scenario, kPassesToExpire);
+    REQUIRE(next_attempt_runs());
+    scenario.TakeStops();
+    scenario.unresponsive_workers.clear();
+    RunAndStore(&scenario, 20);
+    CHECK(scenario.TakeStops().empty());
+    CHECK(next_attempt_runs());
+  }
+  SUBCASE("goes on at the next owner, which hears of those ends first") {
+    end_earlier_attempt(RunEnd::kStopped);
+    RunAndStore(&scenario, kPassesToExpire);
+    REQUIRE(next_attempt_runs());
+    scenario.unresponsive_workers = {scenario.WorkerOf(TaskOf(1))};
+    scenario.TakeStops();
+    scenario.TakeOver();
+    RunAndStore(&scenario, 2);
+    scenario.unresponsive_workers.clear();
+    RunAndStore(&scenario, 20);
+    CHECK(scenario.TakeStops().empty());
+    CHECK(next_attempt_runs());
+  }
+}
+
 }  // namespace
 }  // namespace dotterelbarrow::core::scheduler
