Keep the latest owner at which a submission has no outcome

Cause: the forwarder kept the last owner at which a copy had no outcome, not the latest one. If a host's view of the owner went back, a copy without an outcome at the earlier owner hid the one at the later owner, and a refusal by the later one was passed on as final.

Evidence: owner_call_forwarder_test, "a submission without an outcome at two owners", got `refused` instead of `unknown` before this change. Not shown: that a host's view of the owner goes back; by reading it doesn't while reads of the ownership record are current.

Change: the maximum is kept.

--- a/src/member/owner_call_forwarder.cc
+++ b/src/member/owner_call_forwarder.cc
@@ -120,8 +120,7 @@
   pending.is_in_flight = false;
   if (std::holds_alternative<OutcomeUnknown>(answer) &&
       !std::holds_alternative<KnownCall>(pending.call)) {
-    pending.may_have_taken_effect = true;
-    pending.unknown_at = sent_to;
+    pending.SetOutcomeUnknown(sent_to);
     return;  // The next owner decides the outcome, or the call times out.
   }
   if (std::holds_alternative<NoOwner>(answer)) {
@@ -182,8 +181,7 @@
     } else if (has_newer_owner) {
       // An unanswered attempt at a replaced owner may have taken effect there.
       if (pending.is_in_flight) {
-        pending.may_have_taken_effect = true;
-        pending.unknown_at = pending.sent_to;
+        pending.SetOutcomeUnknown(pending.sent_to);
       }
       to_send_again.push_back(id);
     } else if (pending.has_no_effect() && age >= kOwnerWaitTimeout) {
--- a/src/member/owner_call_forwarder.h
+++ b/src/member/owner_call_forwarder.h
@@ -9,6 +9,7 @@
 #ifndef DOTTERELBARROW_SRC_MEMBER_OWNER_CALL_FORWARDER_H_
 #define DOTTERELBARROW_SRC_MEMBER_OWNER_CALL_FORWARDER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -80,14 +81,18 @@
     // whether that attempt is still unanswered.
     core::scheduler::FencingToken sent_to;
     bool is_in_flight = false;
-    // An attempt was made whose outcome is unknown, last at the owner with the
-    // token `unknown_at`.
+    // An attempt was made whose outcome is unknown; `unknown_at` is the latest
+    // owner of those at which one was.
     bool may_have_taken_effect = false;
     core::scheduler::FencingToken unknown_at{};
     // Set when an owner answers that it can't serve the call or is no longer
     // the owner: not sent again before this time.
     base::TimePoint next_try_at{};
 
+    void SetOutcomeUnknown(core::scheduler::FencingToken owner) {
+      may_have_taken_effect = true;
+      unknown_at = std::max(unknown_at, owner);
+    }
     // Whether the call is guaranteed to have had no effect.
     bool has_no_effect() const {
       return !is_in_flight && !may_have_taken_effect;
--- a/test/member/owner_call_forwarder_test.cc
+++ b/test/member/owner_call_forwarder_test.cc
@@ -83,6 +83,34 @@
   }
 }
 
+// Guards against a refusal while a copy at the same owner has no outcome, if
+// another copy went to an earlier owner since.
+TEST_CASE("a submission without an outcome at two owners") {
+  Fixture f;
+  f.owner_token = 2;
+  f.RunUntilCopies(2);
+  f.copies[1](OutcomeUnknown{});
+  f.owner_token = 1;
+  f.RunUntilCopies(3);
+  f.copies[2](OutcomeUnknown{});
+  f.owner_token = 2;
+  f.RunUntilCopies(4);
+  REQUIRE_FALSE(f.answer.has_value());
+
+  SUBCASE("is without an outcome if the later one refuses it") {
+    f.copies[3](kRefused);
+    REQUIRE(f.answer.has_value());
+    CHECK(std::holds_alternative<OutcomeUnknown>(*f.answer));
+  }
+  SUBCASE("is refused if the next one refuses it") {
+    f.owner_token = 3;
+    f.RunUntilCopies(5);
+    f.copies[4](kRefused);
+    REQUIRE(f.answer.has_value());
+    CHECK(std::holds_alternative<Refused>(*f.answer));
+  }
+}
+
 TEST_CASE("a submission that is refused at once") {
   Fixture f;
   f.RunUntilCopies(1);
