Log what the answer to a submission rests on

submission_answered has the answer, its reason and who decided. It didn't say how many copies the host had sent, which owner answered last, and the latest owner at which a copy had no outcome, so a wrong refusal couldn't be told from a right one. The forwarder now logs these in submission_forwarded for every submission that isn't accepted by its first copy.

Tested in owner_call_forwarder_test.

--- a/src/member/owner_call_forwarder.cc
+++ b/src/member/owner_call_forwarder.cc
@@ -69,6 +69,7 @@
   }
   pending.sent_to = owner->token;
   pending.is_in_flight = true;
+  ++pending.copies;
   const OwnerCall call = pending.call;
   if (owner->address.empty()) {
     handle_locally_(
@@ -144,10 +145,28 @@
   const auto it = pending_.find(id);
   const OwnerReply reply = std::move(it->second.reply);
   telemetry_.Observe("owner_call", Now() - it->second.begun_at);
+  LogEnd(it->second, answer);
   pending_.erase(it);
   reply(answer);
 }
 
+void OwnerCallForwarder::LogEnd(const Pending& pending,
+                                const OwnerAnswer& answer) const {
+  const auto* submit = std::get_if<SubmitCall>(&pending.call);
+  if (submit == nullptr ||
+      (pending.copies == 1 && std::holds_alternative<Accepted>(answer))) {
+    return;
+  }
+  telemetry_.log->Write(
+      "submission_forwarded",
+      {{"job", core::jobs::ToString(submit->submission.key)},
+       {"answer", NameOf(answer)},
+       {"copies", pending.copies},
+       {"last_token", static_cast<std::int64_t>(pending.sent_to.value())},
+       {"unknown_token", static_cast<std::int64_t>(pending.unknown_at.value())},
+       {"age_ms", (Now() - pending.begun_at) / std::chrono::milliseconds(1)}});
+}
+
 void OwnerCallForwarder::FinishAll() {
   while (!pending_.empty()) {
     const auto& [id, pending] = *pending_.begin();
--- a/src/member/owner_call_forwarder.h
+++ b/src/member/owner_call_forwarder.h
@@ -81,6 +81,7 @@
     // whether that attempt is still unanswered.
     core::scheduler::FencingToken sent_to;
     bool is_in_flight = false;
+    int copies = 0;
     // An attempt was made whose outcome is unknown; `unknown_at` is the latest
     // owner of those at which one was.
     bool may_have_taken_effect = false;
@@ -109,6 +110,9 @@
   void OnAnswer(std::uint64_t id, core::scheduler::FencingToken sent_to,
                 const OwnerAnswer& answer);
   void Finish(std::uint64_t id, const OwnerAnswer& answer);
+  // Logs what the answer to a submission rests on, unless it is the first
+  // copy's acceptance.
+  void LogEnd(const Pending& pending, const OwnerAnswer& answer) const;
   // Ends the calls that have timed out, and sends again those that another
   // owner can decide.
   void Sweep();
--- a/test/member/owner_call_forwarder_test.cc
+++ b/test/member/owner_call_forwarder_test.cc
@@ -3,25 +3,49 @@
 
 #include <doctest/doctest.h>
 
+#include <cstdint>
+#include <initializer_list>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
 
 #include "dotterelbarrow/wire/http_client.h"
-#include "test/core/scheduler/null_log.h"
 
 namespace dotterelbarrow::member {
 namespace {
 
-using core::scheduler::NullLog;
+// Keeps the lines about forwarded submissions, without their ages.
+class ForwardingLog : public core::scheduler::DecisionLog {
+ public:
+  void Write(std::string_view event,
+             std::initializer_list<core::scheduler::LogField> fields) override {
+    if (event != "submission_forwarded") {
+      return;
+    }
+    std::string line;
+    for (const core::scheduler::LogField& field : fields) {
+      const auto* number = std::get_if<std::int64_t>(&field.second);
+      if (field.first != "age_ms") {
+        line += std::string(field.first) + "=" +
+                (number == nullptr ? std::get<std::string>(field.second)
+                                   : std::to_string(*number)) +
+                " ";
+      }
+    }
+    lines.push_back(line);
+  }
+  std::vector<std::string> lines;
+};
 
 // A host that is the owner itself; the test gives the owner's answers.
 struct Fixture {
   wire::EventLoop loop;
   wire::HttpClient http{loop, wire::HttpClientOptions()};
   core::Counters counters;
-  NullLog log;
+  ForwardingLog log;
   RpcClient rpc{&http, &counters};
   std::uint64_t owner_token = 1;
   std::vector<OwnerReply> copies;
@@ -80,6 +104,10 @@
     f.copies[1](kRefused);
     REQUIRE(f.answer.has_value());
     CHECK(std::holds_alternative<Refused>(*f.answer));
+    REQUIRE(f.log.lines.size() == 1);
+    CHECK(f.log.lines[0] ==
+          "job=0000000000000001 answer=refused copies=2 last_token=2 "
+          "unknown_token=1 ");
   }
 }
 
