--- a/src/member/owner_call_forwarder.h
+++ b/src/member/owner_call_forwarder.h
@@ -9,6 +9,7 @@
 #ifndef DOTTERELBARROW_SRC_MEMBER_OWNER_CALL_FORWARDER_H_
 #define DOTTERELBARROW_SRC_MEMBER_OWNER_CALL_FORWARDER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -80,14 +81,19 @@
     // whether that attempt is still unanswered.
     core::scheduler::FencingToken sent_to;
     bool is_in_flight = false;
-    // An attempt was made whose outcome is unknown, last at the owner with the
-    // token `unknown_at`.
+    int copies = 0;
+    // An attempt was made whose outcome is unknown; `unknown_at` is the latest
+    // owner of those at which one was.
     bool may_have_taken_effect = false;
     core::scheduler::FencingToken unknown_at{};
     // Set when an owner answers that it can't serve the call or is no longer
     // the owner: not sent again before this time.
     base::TimePoint next_try_at{};
 
+    void SetOutcomeUnknown(core::scheduler::FencingToken owner) {
+      may_have_taken_effect = true;
+      unknown_at = std::max(unknown_at, owner);
+    }
     // Whether the call is guaranteed to have had no effect.
     bool has_no_effect() const {
       return !is_in_flight && !may_have_taken_effect;
@@ -104,6 +110,9 @@
   void OnAnswer(std::uint64_t id, core::scheduler::FencingToken sent_to,
                 const OwnerAnswer& answer);
   void Finish(std::uint64_t id, const OwnerAnswer& answer);
+  // Logs what the answer to a submission rests on, unless it is the first
+  // copy's acceptance.
+  void LogEnd(const Pending& pending, const OwnerAnswer& answer) const;
   // Ends the calls that have timed out, and sends again those that another
   // owner can decide.
   void Sweep();
