Ask about overdue work as fast as the advisor allows

Cause, shown in virtual time (owners changed each 6 s, a backlog of 100 overdue steps with room for all): three limits hold calls for advice back. Long calls may use three of seven hosts while the four for short calls are idle. A failed call pauses its host for 2 s, so that a break of all channels pauses all of them. Newer work goes first without limit while the advisor is busy.

Change: long calls for overdue work borrow the hosts that short calls for work on time have not needed lately, all but one at most. When all hosts for a call are paused, they are tried again after 0.15 s, doubled with each failure up to 2 s. Once a second the overdue step that has waited longest without advice is asked about first; counter advice_calls with out_of_turn. Without failed calls the number of calls for a step is as before, and existing tests that count requests are unchanged.

--- a/include/dotterelbarrow/core/advice/advice_cache.h
+++ b/include/dotterelbarrow/core/advice/advice_cache.h
@@ -32,7 +32,9 @@
 // and so delay a long one. While long calls occupy all of their hosts, they
 // also use those hosts for short calls that the recent short calls don't need:
 // gangs whose calls take more than a second otherwise wait for the advisor
-// while a third of the fleet is idle.
+// while a third of the fleet is idle. Overdue work borrows more of them: after
+// a time without owner hundreds of overdue steps may need long calls, while
+// there are no short ones.
 class AdviceClientChooser {
  public:
   // A call expected to take at least this long is a long one: it would use up
@@ -44,6 +46,11 @@
   // How long a host is not used after a failed call: a host that is gone may
   // stay on the list of hosts for as long.
   static constexpr base::Duration kFailedHostPause = std::chrono::seconds(2);
+  // The same while there is no other host for the call: then calls have failed
+  // at all of them, more likely because connections broke than because all
+  // hosts are gone. Doubles with each further failure, up to the above.
+  static constexpr base::Duration kOnlyHostsPause =
+      std::chrono::milliseconds(150);
   // After this long without a long call, the hosts for long calls also serve
   // short ones.
   static constexpr base::Duration kLongCallHostsRelease =
@@ -52,6 +59,9 @@
   // Hosts that are always left for short calls, which are enough for the
   // backlog of urgent steps of a small cell after a take-over.
   static constexpr std::size_t kMinShortHosts = 4;
+  // The same beside calls for overdue work. More are left while recent short
+  // calls need them.
+  static constexpr std::size_t kMinShortHostsBesideOverdue = 1;
   // Hosts that are left for short calls, in units of the mean number of hosts
   // that such calls occupied lately. Bursts of urgent work are up to twice the
   // usual load, and a host lent to a long call is missing for over a second.
@@ -59,17 +69,23 @@
   // Time constant of that mean.
   static constexpr base::Duration kShortLoadTime = std::chrono::seconds(3);
 
+  // Whether the call is for work that can be on time.
+  enum class CallFor { kOnTime, kOverdue };
+
   // Replaces the list of hosts. Hosts that were listed before keep their state.
   void SetHosts(const std::vector<base::EntryId>& hosts);
   // Returns a host that is free for a call expected to take `cost` and records
   // the call as in flight there; nullopt if no host is free.
-  std::optional<base::EntryId> Choose(base::Duration cost, base::TimePoint now);
+  std::optional<base::EntryId> Choose(base::Duration cost, base::TimePoint now,
+                                      CallFor call_for = CallFor::kOnTime);
   // Returns whether `Choose` would find a host.
-  bool CanChoose(base::Duration cost, base::TimePoint now);
-  // Records that a call of the host ended.
+  bool CanChoose(base::Duration cost, base::TimePoint now,
+                 CallFor call_for = CallFor::kOnTime);
+  // Records that the advisor has replied to a call of the host.
   void OnEnded(const base::EntryId& host, base::TimePoint now);
   // Records that a call of the host failed: the host is gone or can't reach the
-  // advisor. It is not chosen for `kFailedHostPause`.
+  // advisor. It is not chosen for `kFailedHostPause`, or for less if there is
+  // no other.
   void OnFailed(const base::EntryId& host, base::TimePoint now);
 
  private:
@@ -81,12 +97,18 @@
     // When the calls in flight are expected to be answered.
     base::TimePoint busy_until;
     base::TimePoint failed_until;
+    // The end of the shorter pause, and the failures since the last reply.
+    base::TimePoint retry_at;
+    int failures = 0;
   };
   // Returns a free host, or null.
-  Host* FindFree(base::Duration cost, base::TimePoint now);
+  Host* FindFree(base::Duration cost, base::TimePoint now, CallFor call_for);
   // Returns a free host for short calls that can be lent to a long call, or
   // null.
-  Host* FindLent(std::size_t short_hosts, base::TimePoint now);
+  Host* FindLent(std::size_t short_hosts, base::TimePoint now,
+                 CallFor call_for);
+  // A call of the host has ended in any way.
+  static void RemoveCall(Host* host, base::TimePoint now);
   // Returns the mean number of hosts that short calls occupied lately.
   double ShortLoad(base::TimePoint now) const;
   // Returns null for a host that is not listed.
@@ -95,8 +117,8 @@
   // Sorted by id.
   std::vector<Host> hosts_;
   std::optional<base::TimePoint> last_long_call_;
-  // The mean number of hosts that short calls occupied, as of the time beside
-  // it.
+  // The mean number of hosts that short calls for work on time occupied, as of
+  // the time beside it. Those for overdue work reserve no hosts.
   double short_load_ = 0;
   base::TimePoint short_load_at_;
 };
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -252,6 +252,14 @@
   // accepts new work. If none does, requests advice where that is due.
   bool FindCandidates(WaitingStep* item, base::TimePoint now,
                       std::vector<Action>* actions);
+  // Returns the overdue step that has waited longest without advice and can be
+  // asked about now.
+  std::optional<jobs::StepRef> LongestWithoutAdvice(base::TimePoint now) const;
+  // Requests the first advice for the overdue step that has waited longest,
+  // before other steps can occupy all entry hosts. Otherwise it would wait as
+  // long as more urgent work arrives faster than it is advised about.
+  void RequestAdviceOutOfTurn(base::TimePoint now,
+                              std::vector<Action>* actions);
   // Returns how many workers the first request for a step names at most.
   std::size_t FirstRequestSize(const jobs::StepSpec& spec) const;
   // Returns whether an entry host is free for an advice request.
@@ -624,6 +632,10 @@
   jobs::StepRef overdue_rotation_;
   // When overdue steps are next considered.
   base::TimePoint next_overdue_pass_;
+  // The overdue step for which advice is requested first, and when another is
+  // chosen.
+  std::optional<jobs::StepRef> out_of_turn_step_;
+  base::TimePoint next_out_of_turn_choice_;
   // The reason last logged for each waiting step, and since when it waits for
   // that.
   struct LoggedWait {
--- a/include/dotterelbarrow/core/scheduler/dispatcher_settings.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher_settings.h
@@ -46,6 +46,10 @@
   // Interval at which overdue steps are considered: steps of jobs that can no
   // longer complete in time.
   base::Duration overdue_pass_interval = std::chrono::milliseconds(50);
+  // Interval at which an overdue step that was never advised about goes before
+  // all others. Takes one call a second from more urgent work where the advisor
+  // is the limit, and nothing elsewhere.
+  base::Duration out_of_turn_advice_interval = std::chrono::seconds(1);
   // Whether run times are learnt, for experiments without that.
   bool uses_run_times = true;
   // How many runs a pass looks at, at most, to see whether they need copies. A
--- a/src/core/advice/advice_cache.cc
+++ b/src/core/advice/advice_cache.cc
@@ -28,7 +28,8 @@
 }
 
 AdviceClientChooser::Host* AdviceClientChooser::FindFree(base::Duration cost,
-                                                         base::TimePoint now) {
+                                                         base::TimePoint now,
+                                                         CallFor call_for) {
   const bool is_long = cost >= kLongCall;
   if (is_long) {
     last_long_call_ = now;
@@ -42,9 +43,14 @@
     return !are_hosts_separate || hosts_.size() == 1 ||
            (position >= short_hosts) == is_long;
   };
+  bool are_all_paused = true;
+  for (std::size_t position = 0; position < hosts_.size(); ++position) {
+    are_all_paused &=
+        !serves_kind(position) || now < hosts_[position].failed_until;
+  }
   const auto is_free = [&](const Host& host) {
     if (now < host.failed_until) {
-      return false;
+      return are_all_paused && now >= host.retry_at && host.calls == 0;
     }
     return host.calls == 0 ||
            (!is_long && host.calls < 2 && host.busy_until <= now + kSendAhead);
@@ -61,16 +67,18 @@
     }
   }
   if (best == nullptr && is_long && are_hosts_separate) {
-    best = FindLent(short_hosts, now);
+    best = FindLent(short_hosts, now, call_for);
   }
   return best;
 }
 
 AdviceClientChooser::Host* AdviceClientChooser::FindLent(
-    std::size_t short_hosts, base::TimePoint now) {
-  const auto needed = std::max(
-      kMinShortHosts, 1 + static_cast<std::size_t>(
-                              std::ceil(ShortLoad(now) * kShortHostsFactor)));
+    std::size_t short_hosts, base::TimePoint now, CallFor call_for) {
+  const auto needed =
+      std::max(call_for == CallFor::kOverdue ? kMinShortHostsBesideOverdue
+                                             : kMinShortHosts,
+               1 + static_cast<std::size_t>(
+                       std::ceil(ShortLoad(now) * kShortHostsFactor)));
   const auto is_lendable = [now](const Host& host) {
     return host.calls == 0 && now >= host.failed_until;
   };
@@ -92,13 +100,15 @@
   return short_load_ * std::exp(-age / time_constant);
 }
 
-bool AdviceClientChooser::CanChoose(base::Duration cost, base::TimePoint now) {
-  return FindFree(cost, now) != nullptr;
+bool AdviceClientChooser::CanChoose(base::Duration cost, base::TimePoint now,
+                                    CallFor call_for) {
+  return FindFree(cost, now, call_for) != nullptr;
 }
 
 std::optional<base::EntryId> AdviceClientChooser::Choose(base::Duration cost,
-                                                         base::TimePoint now) {
-  Host* const best = FindFree(cost, now);
+                                                         base::TimePoint now,
+                                                         CallFor call_for) {
+  Host* const best = FindFree(cost, now, call_for);
   if (best == nullptr) {
     return std::nullopt;
   }
@@ -106,7 +116,7 @@
   const std::size_t short_hosts = (hosts_.size() + 1) / 2;
   best->is_lent = is_long && best - hosts_.data() <
                                  static_cast<std::ptrdiff_t>(short_hosts);
-  if (!is_long) {
+  if (!is_long && call_for == CallFor::kOnTime) {
     short_load_ =
         ShortLoad(now) + std::chrono::duration<double>(cost) /
                              std::chrono::duration<double>(kShortLoadTime);
@@ -117,23 +127,36 @@
   return best->id;
 }
 
+void AdviceClientChooser::RemoveCall(Host* host, base::TimePoint now) {
+  host->calls = std::max(0, host->calls - 1);
+  if (host->calls == 0) {
+    host->is_lent = false;
+    host->busy_until = now;
+  }
+}
+
 void AdviceClientChooser::OnEnded(const base::EntryId& host,
                                   base::TimePoint now) {
-  Host* const known = Find(host);
-  if (known == nullptr) {
-    return;
-  }
-  known->calls = std::max(0, known->calls - 1);
-  if (known->calls == 0) {
-    known->is_lent = false;
-    known->busy_until = now;
+  if (Host* const known = Find(host)) {
+    RemoveCall(known, now);
+    known->failed_until = base::TimePoint();
+    known->failures = 0;
   }
 }
 
 void AdviceClientChooser::OnFailed(const base::EntryId& host,
                                    base::TimePoint now) {
-  OnEnded(host, now);
   if (Host* const known = Find(host)) {
+    RemoveCall(known, now);
+    // Several calls that fail at once count once.
+    if (now >= known->retry_at) {
+      constexpr int kMaxDoublings = 8;
+      known->retry_at =
+          now + std::min(kFailedHostPause,
+                         kOnlyHostsPause *
+                             (1 << std::min(known->failures, kMaxDoublings)));
+      ++known->failures;
+    }
     known->failed_until = now + kFailedHostPause;
   }
 }
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -119,6 +119,7 @@
   jobs_in_preparation_ = 0;
   capped_.clear();
   BeginPreemptionPass(now);
+  RequestAdviceOutOfTurn(now, actions);
   PlaceAll(CollectByUrgency(&waiting_, now), nullptr, now, actions);
   if (now >= next_overdue_pass_) {
     next_overdue_pass_ = now + context_.settings.overdue_pass_interval;
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <iterator>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -21,6 +22,12 @@
 constexpr std::size_t kMinAdvisedWorkers = 12;
 constexpr std::size_t kAdvisedWorkersPerTask = 6;
 
+advice::AdviceClientChooser::CallFor CallForOf(const WaitingStep& item) {
+  return item.urgency.deadline_status == placement::DeadlineStatus::kOnTime
+             ? advice::AdviceClientChooser::CallFor::kOnTime
+             : advice::AdviceClientChooser::CallFor::kOverdue;
+}
+
 }  // namespace
 
 bool Dispatcher::FindCandidates(WaitingStep* item, base::TimePoint now,
@@ -53,6 +60,56 @@
   return false;
 }
 
+std::optional<jobs::StepRef> Dispatcher::LongestWithoutAdvice(
+    base::TimePoint now) const {
+  std::optional<jobs::StepRef> longest;
+  base::TimePoint accepted_at;
+  for (const jobs::StepRef& step : overdue_) {
+    const advice::StepAdvice* advice = advice_.Find(step);
+    if (advice != nullptr &&
+        (advice->has_answer || advice->calls_in_flight > 0 ||
+         now < advice->retry_at)) {
+      continue;
+    }
+    const std::optional<WaitingStep> item = context_.MakeWaitingStep(step, now);
+    if (item && item->queue->advice && jobs_->IsStored(step.job) &&
+        MayFit(*item) && (!longest || item->job->accepted_at < accepted_at)) {
+      longest = step;
+      accepted_at = item->job->accepted_at;
+    }
+  }
+  return longest;
+}
+
+void Dispatcher::RequestAdviceOutOfTurn(base::TimePoint now,
+                                        std::vector<Action>* actions) {
+  if (now >= next_out_of_turn_choice_) {
+    next_out_of_turn_choice_ = now + context_.settings.overdue_pass_interval;
+    out_of_turn_step_ = LongestWithoutAdvice(now);
+  }
+  if (!out_of_turn_step_ || !overdue_.contains(*out_of_turn_step_)) {
+    return;
+  }
+  std::optional<WaitingStep> item =
+      context_.MakeWaitingStep(*out_of_turn_step_, now);
+  if (!item) {
+    out_of_turn_step_.reset();
+    return;
+  }
+  const advice::StepAdvice& advice = advice_.FindOrAdd(item->step);
+  if (advice.has_answer || advice.calls_in_flight > 0) {
+    out_of_turn_step_.reset();
+    return;
+  }
+  FindCandidates(&*item, now, actions);
+  if (advice.calls_in_flight > 0) {
+    out_of_turn_step_.reset();
+    next_out_of_turn_choice_ =
+        now + context_.settings.out_of_turn_advice_interval;
+    telemetry_.counters->Increment("advice_calls", "out_of_turn");
+  }
+}
+
 std::size_t Dispatcher::FirstRequestSize(const jobs::StepSpec& spec) const {
   return spec.gang ? context_.settings.max_workers_per_request
                    : std::min(context_.settings.max_workers_per_request,
@@ -67,7 +124,8 @@
   const std::size_t workers = std::min(
       FirstRequestSize(item.job->SpecOf(item.step)), fleet_->workers().size());
   return advice_clients_.CanChoose(
-      advice::ExpectedCallDuration(*item.queue->advice, workers), now);
+      advice::ExpectedCallDuration(*item.queue->advice, workers), now,
+      CallForOf(item));
 }
 
 void Dispatcher::RequestMoreAdvice(const WaitingStep& item, base::TimePoint now,
@@ -255,7 +313,8 @@
     return false;
   }
   const auto client = advice_clients_.Choose(
-      advice::ExpectedCallDuration(*item.queue->advice, workers.size()), now);
+      advice::ExpectedCallDuration(*item.queue->advice, workers.size()), now,
+      CallForOf(item));
   if (!client) {
     return false;
   }
--- a/test/core/advice/advice_cache_test.cc
+++ b/test/core/advice/advice_cache_test.cc
@@ -130,6 +130,80 @@
   }
 }
 
+// Guards against an owner that asks nothing for two seconds after all channels
+// broke, while its work becomes overdue (issue 42).
+TEST_CASE("calls that fail at all hosts") {
+  AdvisorLoad load;
+  load.chooser.SetHosts(Hosts(2));
+  const auto fail_all = [&load] {
+    int calls = 0;
+    std::vector<base::EntryId> chosen;
+    while (const auto host = load.chooser.Choose(kShort * 2, load.now)) {
+      chosen.push_back(*host);
+      ++calls;
+    }
+    for (const base::EntryId& host : chosen) {
+      load.chooser.OnFailed(host, load.now);
+    }
+    return calls;
+  };
+  REQUIRE(fail_all() == 2);
+  CHECK_FALSE(load.chooser.CanChoose(kShort, load.now));
+  SUBCASE("are soon sent again") {
+    load.now += AdviceClientChooser::kOnlyHostsPause;
+    const auto host = load.chooser.Choose(kShort, load.now);
+    REQUIRE(host);
+    SUBCASE("through a host that is used as before once it has an answer") {
+      load.chooser.OnEnded(*host, load.now);
+      CHECK(load.chooser.Choose(kShort, load.now) == host);
+    }
+    SUBCASE("once for each host, not two at a time") {
+      load.now += kShort;
+      CHECK(load.StartAll(kShort) == 1);
+    }
+  }
+  SUBCASE("are sent less and less often while all hosts are gone") {
+    int calls = 0;
+    for (int i = 0; i < 1000; ++i) {
+      load.now += milliseconds(10);
+      calls += fail_all();
+    }
+    // After 0.15, 0.45, 1.05, 2.25, 4.25, 6.25, 8.25 s from both hosts; without
+    // a shorter pause, every two seconds.
+    CHECK(calls <= 14);
+  }
+}
+
+// Guards against overdue work that waits for three hosts while the four for
+// short calls are idle (issue 42).
+TEST_CASE("long calls for overdue work") {
+  using CallFor = AdviceClientChooser::CallFor;
+  AdvisorLoad load;
+  load.chooser.SetHosts(Hosts(7));
+  const auto start_all = [&load](CallFor call_for) {
+    int calls = 0;
+    while (load.chooser.Choose(kLong, load.now, call_for)) {
+      ++calls;
+    }
+    return calls;
+  };
+  SUBCASE("use all hosts but one if there are no short calls") {
+    CHECK(start_all(CallFor::kOverdue) == 6);
+    CHECK(load.StartAll(kShort) >= 1);
+  }
+  SUBCASE("leave the hosts that short calls have needed lately") {
+    for (int i = 0; i < 1000; ++i) {
+      const auto host = load.chooser.Choose(kShort, load.now);
+      load.chooser.OnEnded(*host, load.now);
+      load.now += kShort;
+    }
+    CHECK(start_all(CallFor::kOverdue) == 3);
+  }
+  SUBCASE("are no reason for other long calls to use more") {
+    CHECK(start_all(CallFor::kOnTime) == 3);
+  }
+}
+
 TEST_CASE("one host alone takes calls of both kinds") {
   AdvisorLoad load;
   load.chooser.SetHosts(Hosts(1));
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -83,8 +83,27 @@
     scheduler_->RestoreRunTimes(key, text, now_);
   }
   DropQueue("");
-  scheduler_->SetAdviceClients(
-      {base::EntryId("host-0"), base::EntryId("host-1")}, 2);
+  SetAdviceClients();
+}
+
+void SchedulerScenario::SetAdviceClients() {
+  std::vector<base::EntryId> hosts;
+  for (int i = 0; i < advice_hosts_; ++i) {
+    hosts.emplace_back("host-" + std::to_string(i));
+  }
+  scheduler_->SetAdviceClients(hosts, hosts.size());
+}
+
+void SchedulerScenario::SetAdvice(base::Duration decision,
+                                  base::Duration per_worker, int hosts) {
+  for (desired::Queue& queue : queues_) {
+    if (queue.advice) {
+      queue.advice = {decision, per_worker, queue.advice->ticket_validity};
+    }
+  }
+  advice_hosts_ = hosts;
+  DropQueue("");
+  SetAdviceClients();
 }
 
 void SchedulerScenario::ForgetRackInRecord(const std::string& worker) {
--- a/test/core/scheduler/scheduler_scenario.h
+++ b/test/core/scheduler/scheduler_scenario.h
@@ -56,6 +56,9 @@
   // Replaces the configuration by one whose only service is `name`, to which
   // all queues lead. Workers that are added later belong to it.
   void ReplaceService(const std::string& name);
+  // Sets what a call for advice of the queue "advised" is expected to take, and
+  // the hosts that can make one, now and for owners that take over later.
+  void SetAdvice(base::Duration decision, base::Duration per_worker, int hosts);
   // Removes the queue from the configuration.
   void DropQueue(const std::string& name);
 
@@ -178,6 +181,7 @@
   };
 
   void BeginTerm();
+  void SetAdviceClients();
   void CarryOut();
   void CarryOut(const Action& action);
   void CarryOut(const StopTask& command);
@@ -205,6 +209,7 @@
   std::optional<std::string> own_rack_;
   std::uint64_t token_ = 0;
   std::set<base::AvailabilityZone> evacuated_;
+  int advice_hosts_ = 2;
   std::uint64_t last_waiter_ = 0;
   std::vector<desired::Queue> queues_;
   base::ServiceId service_;
