Place a lost task again only once the ownership was confirmed after its loss

That the worker is gone is certain, but not that this host still decides what follows from it.

Change: a step remembers when a task of it was last lost without a report of its end. Its tasks are placed only once a write that began after that is confirmed (wait reason unconfirmed_owner).

--- a/include/dotterelbarrow/core/jobs/job.h
+++ b/include/dotterelbarrow/core/jobs/job.h
@@ -75,6 +75,10 @@
   std::uint32_t possibly_running = 0;
   // Attempts of the gang in which a member failed, without duplicates.
   std::vector<Attempt> failed_gang_attempts;
+  // When this owner last concluded, without a report of the run's end, that a
+  // task was lost with its worker. A later owner may know better, so tasks are
+  // placed only once the ownership was confirmed after that.
+  base::TimePoint lost_at{};
   // The workers that crashed under members of the gang.
   CrashHistory gang_crashes;
   // If the step may have copies: the run times of tasks that are done, as on a
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -75,6 +75,10 @@
   void set_first_attempt(jobs::Attempt first) {
     context_.first_attempt = first;
   }
+  // Sets when this owner was last certain to be the owner (see Fleet::Tick).
+  void set_confirmed_at(base::TimePoint confirmed_at) {
+    context_.confirmed_at = confirmed_at;
+  }
   // Marks a job as accepted by a previous owner. Its steps are not started as
   // long as some worker may have untracked runs, because one of them may be a
   // run of this job.
--- a/include/dotterelbarrow/core/scheduler/dispatcher_context.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher_context.h
@@ -56,6 +56,8 @@
   placement::RunTimeModel run_times{};
   placement::CrashContainment containment{};
   placement::GangHolds gang_holds{};
+  // When this owner was last certain to be the owner (see Fleet::Tick).
+  base::TimePoint confirmed_at{};
   // When the current pass began.
   base::TimePoint pass_began{};
   // The fraction of the fleet in use, and the capacity of the workers that
--- a/include/dotterelbarrow/core/scheduler/waiting_step.h
+++ b/include/dotterelbarrow/core/scheduler/waiting_step.h
@@ -21,12 +21,14 @@
   kStoring,        // The acceptance of its job is not stored yet.
   kUntrackedRuns,  // A worker of a previous owner may have an untracked run of
                    // it.
-  kAdvice,         // The advisor has not said which workers may run it.
-  kFreeResources,  // The allowed workers lack free resources.
-  kCap,            // Its organisation has reached its cap.
-  kOrphanedMembers,  // Members of its last attempt may still be running.
-  kIsolation,        // Its tasks may crash workers, and no worker is apart from
-                     // others.
+  kUnconfirmedOwner,  // A task was lost with its worker, and this owner may
+                      // have been replaced since.
+  kAdvice,            // The advisor has not said which workers may run it.
+  kFreeResources,     // The allowed workers lack free resources.
+  kCap,               // Its organisation has reached its cap.
+  kOrphanedMembers,   // Members of its last attempt may still be running.
+  kIsolation,    // Its tasks may crash workers, and no worker is apart from
+                 // others.
   kLocalWorker,  // A place near its data, or on one rack, is worth the wait.
 };
 
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -60,6 +60,8 @@
       item->blocked_by = WaitReason::kStoring;
     } else if (may_have_untracked && context_.inherited.contains(it->job)) {
       item->blocked_by = WaitReason::kUntrackedRuns;
+    } else if (item->job->FindStep(*it)->lost_at > context_.confirmed_at) {
+      item->blocked_by = WaitReason::kUnconfirmedOwner;
     }
     items.push_back(std::move(*item));
     ++it;
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -348,6 +348,7 @@
                      std::int64_t unix_now_ms) {
   now_ = now;
   unix_now_ms_ = unix_now_ms;
+  dispatcher_.set_confirmed_at(confirmed_at);
   fleet_.Tick(now, confirmed_at, &actions_);
   run_time_recorder_.Tick(now);
   ReleaseEnds();
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -97,6 +97,12 @@
                              !run.was_lost_in_crash;
   ApplyRunEnd(run.task, run.attempt, end, checkpoint, worker.id(),
               never_started);
+  jobs::Job* job = jobs_.Find(run.task.step.job);
+  jobs::Step* step = job == nullptr ? nullptr : job->FindStep(run.task.step);
+  if (step != nullptr &&
+      (end == jobs::RunEnd::kWorkerGone || run.was_lost_in_crash)) {
+    step->lost_at = now_;
+  }
 }
 
 void Scheduler::OnUntrackedRunEnded(const workers::Worker& worker,
--- a/src/core/scheduler/waiting_step.cc
+++ b/src/core/scheduler/waiting_step.cc
@@ -8,6 +8,8 @@
       return "storing";
     case WaitReason::kUntrackedRuns:
       return "unseen_workers";
+    case WaitReason::kUnconfirmedOwner:
+      return "unconfirmed_owner";
     case WaitReason::kAdvice:
       return "advice";
     case WaitReason::kFreeResources:
--- a/test/core/scheduler/unconfirmed_owner_test.cc
+++ b/test/core/scheduler/unconfirmed_owner_test.cc
@@ -52,6 +52,27 @@
   }
 }
 
+// Guards against the same by a worker's restart: a later owner may have stored
+// the success of the task that this one sees lost.
+TEST_CASE("a worker restarts while no write of the owner is confirmed") {
+  Scenario scenario;
+  scenario.AddWorkers(2);
+  scenario.SubmitAndStore(kJob, "plain", {Scenario::Step(1)});
+  RunFor(&scenario, seconds(1));
+  REQUIRE(scenario.TakeStarts().size() == 1);
+  const std::string worker = scenario.WorkerOf(kTask);
+  scenario.unresponsive_workers = {worker};
+  scenario.StopConfirmingOwnership();
+  RunFor(&scenario, seconds(1));
+  scenario.RestartWorker(worker);
+  RunFor(&scenario, seconds(1));
+  CHECK(scenario.TakeStarts().empty());
+
+  scenario.ResumeConfirmingOwnership();
+  RunFor(&scenario, milliseconds(500));
+  CHECK(scenario.TakeStarts().size() == 1);
+}
+
 TEST_CASE("a write that began before the leases had expired is confirmed") {
   Scenario scenario;
   scenario.AddWorkers(2);
