--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -221,11 +221,11 @@
     }
     REQUIRE(body_bytes < kStoreMaxBodyBytes);
     scheduler_->UpdateStoreClock(StoreMillis(), now_);
-    scheduler_->OnStored(batch, now_);
-    notified.insert(notified.end(), batch.accept_waiters.begin(),
-                    batch.accept_waiters.end());
-    notified.insert(notified.end(), batch.change_waiters.begin(),
-                    batch.change_waiters.end());
+    const LateWaiters late = scheduler_->OnStored(batch, now_);
+    for (const auto& waiters : {batch.accept_waiters, late.accept_waiters,
+                                batch.change_waiters, late.change_waiters}) {
+      notified.insert(notified.end(), waiters.begin(), waiters.end());
+    }
   }
   return notified;
 }
--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -280,12 +280,16 @@
     }
     Store(batch);
     owner->scheduler->UpdateStoreClock(StoreMillis(), Now());
-    owner->scheduler->OnStored(batch, Now());
-    for (const auto waiter : batch.accept_waiters) {
-      accepted_.insert(owner->waiters[waiter]);
+    const auto late = owner->scheduler->OnStored(batch, Now());
+    for (const auto& waiters : {batch.accept_waiters, late.accept_waiters}) {
+      for (const auto waiter : waiters) {
+        accepted_.insert(owner->waiters[waiter]);
+      }
     }
-    for (const auto waiter : batch.change_waiters) {
-      cancelled_.insert(owner->waiters[waiter]);
+    for (const auto& waiters : {batch.change_waiters, late.change_waiters}) {
+      for (const auto waiter : waiters) {
+        cancelled_.insert(owner->waiters[waiter]);
+      }
     }
   }
   if (!owner->writing && owner->scheduler->has_changes()) {
