--- a/include/dotterelbarrow/core/scheduler/actions.h
+++ b/include/dotterelbarrow/core/scheduler/actions.h
@@ -29,10 +29,11 @@
 inline constexpr std::uint64_t kTokensPerTerm = 256;
 
 // How long an owner may command workers without a confirmed write to the store.
-// While the store is unavailable, no other process can take over ownership, so
-// this outlasts the usual store outage of four to six seconds. If an owner
-// stops responding and a worker is lost too, whatever the owner may have
-// started on that worker also waits this long before it is placed again.
+// It outlasts the usual store outage of four to six seconds. If the store is
+// unavailable to this owner only, another host may take over meanwhile: such an
+// owner must not conclude from a worker's silence that its leases have expired.
+// If an owner stops responding and a worker is lost too, whatever the owner may
+// have started on that worker also waits this long before it is placed again.
 inline constexpr base::Duration kOwnershipLease = std::chrono::seconds(6);
 
 // The destination of a command. It names the worker's incarnation, so that a
