--- a/src/core/advice/advice_cache.cc
+++ b/src/core/advice/advice_cache.cc
@@ -6,6 +6,12 @@
 #include <utility>
 
 namespace dotterelbarrow::core::advice {
+namespace {
+
+// The pause between two tries of a host doubles at most this often.
+constexpr int kMaxDoublings = 8;
+
+}  // namespace
 
 void AdviceClientChooser::SetHosts(const std::vector<base::EntryId>& hosts) {
   std::vector<Host> next;
@@ -150,7 +156,6 @@
     RemoveCall(known, now);
     // Several calls that fail at once count once.
     if (now >= known->retry_at) {
-      constexpr int kMaxDoublings = 8;
       known->retry_at =
           now + std::min(kFailedHostPause,
                          kOnlyHostsPause *
--- a/src/core/scheduler/run_time_summary.cc
+++ b/src/core/scheduler/run_time_summary.cc
@@ -150,9 +150,9 @@
   for (const Json::Value& entry : fields["workers"]) {
     const auto worker = ReadWorker(entry);
     if (!worker) {
-      summary.unreadable_entries.emplace_back(
+      summary.unreadable_entries.push_back(base::Failure{
           base::FailureCode::kMalformed,
-          "run times: a worker's entry is malformed: " + WriteJson(entry));
+          "run times: a worker's entry is malformed: " + WriteJson(entry)});
       continue;
     }
     summary.workers[base::BackendId(entry[0].asString())] = *worker;
@@ -160,9 +160,9 @@
   for (const Json::Value& entry : fields["queues"]) {
     const auto moments = ReadQueue(entry);
     if (!moments) {
-      summary.unreadable_entries.emplace_back(
+      summary.unreadable_entries.push_back(base::Failure{
           base::FailureCode::kMalformed,
-          "run times: a queue's entry is malformed: " + WriteJson(entry));
+          "run times: a queue's entry is malformed: " + WriteJson(entry)});
       continue;
     }
     summary.queues[desired::QueueId(entry[0].asString())] = *moments;
