--- a/test/core/scheduler/unconfirmed_owner_test.cc
+++ b/test/core/scheduler/unconfirmed_owner_test.cc
@@ -20,14 +20,19 @@
   scenario->RunPasses(static_cast<int>(duration / milliseconds(100)));
 }
 
+// Starts the task on one of two workers.
+void StartTheTask(Scenario* scenario) {
+  scenario->AddWorkers(2);
+  scenario->SubmitAndStore(kJob, "plain", {Scenario::Step(1)});
+  RunFor(scenario, seconds(1));
+  REQUIRE(scenario->TakeStarts().size() == 1);
+}
+
 // Guards against a task that runs twice: the owner is partitioned from the
 // store and from a worker, whose leases the next owner renews.
 TEST_CASE("a worker is silent while no write of the owner is confirmed") {
   Scenario scenario;
-  scenario.AddWorkers(2);
-  scenario.SubmitAndStore(kJob, "plain", {Scenario::Step(1)});
-  RunFor(&scenario, seconds(1));
-  REQUIRE(scenario.TakeStarts().size() == 1);
+  StartTheTask(&scenario);
   scenario.unresponsive_workers = {scenario.WorkerOf(kTask)};
   scenario.StopConfirmingOwnership();
   RunFor(&scenario, seconds(6));
@@ -56,10 +61,7 @@
 // the success of the task that this one sees lost.
 TEST_CASE("a worker restarts while no write of the owner is confirmed") {
   Scenario scenario;
-  scenario.AddWorkers(2);
-  scenario.SubmitAndStore(kJob, "plain", {Scenario::Step(1)});
-  RunFor(&scenario, seconds(1));
-  REQUIRE(scenario.TakeStarts().size() == 1);
+  StartTheTask(&scenario);
   const std::string worker = scenario.WorkerOf(kTask);
   scenario.unresponsive_workers = {worker};
   scenario.StopConfirmingOwnership();
@@ -75,10 +77,7 @@
 
 TEST_CASE("a write that began before the leases had expired is confirmed") {
   Scenario scenario;
-  scenario.AddWorkers(2);
-  scenario.SubmitAndStore(kJob, "plain", {Scenario::Step(1)});
-  RunFor(&scenario, seconds(1));
-  REQUIRE(scenario.TakeStarts().size() == 1);
+  StartTheTask(&scenario);
   scenario.unresponsive_workers = {scenario.WorkerOf(kTask)};
   RunFor(&scenario, seconds(3));
   scenario.StopConfirmingOwnership();
--- a/test/member/evacuation_watch_test.cc
+++ b/test/member/evacuation_watch_test.cc
@@ -13,6 +13,7 @@
 #include "src/member/desired_watch.h"
 #include "src/member/owner_term.h"
 #include "test/member/desired_stores.h"
+#include "test/member/run_until.h"
 
 namespace dotterelbarrow::member {
 namespace {
@@ -63,13 +64,7 @@
         });
   }
   bool RunUntil(const std::function<bool()>& done) {
-    const base::TimePoint begun = wire::MonotonicNow();
-    bool is_done = false;
-    loop.RunUntil([&] {
-      is_done = done();
-      return is_done || wire::MonotonicNow() - begun > kTestTimeout;
-    });
-    return is_done;
+    return RunLoopUntil(&loop, done, kTestTimeout);
   }
   bool RunUntilZones(const std::set<std::string>& expected) {
     return RunUntil([&] { return zones == expected; });
--- a/test/member/job_api_test.cc
+++ b/test/member/job_api_test.cc
@@ -15,6 +15,7 @@
 #include "src/member/clock.h"
 #include "test/core/scheduler/null_log.h"
 #include "test/member/desired_stores.h"
+#include "test/member/run_until.h"
 
 namespace dotterelbarrow::member {
 namespace {
@@ -82,13 +83,7 @@
     return statuses.at(job);
   }
   bool RunUntil(const std::function<bool()>& done) {
-    const base::TimePoint begun = wire::MonotonicNow();
-    bool is_done = false;
-    loop.RunUntil([&] {
-      is_done = done();
-      return is_done || wire::MonotonicNow() - begun > kTestTimeout;
-    });
-    return is_done;
+    return RunLoopUntil(&loop, done, kTestTimeout);
   }
 
   wire::EventLoop loop;
--- a/test/member/owner_calls_test.cc
+++ b/test/member/owner_calls_test.cc
@@ -13,6 +13,7 @@
 #include "src/member/shard_set.h"
 #include "test/core/scheduler/null_log.h"
 #include "test/member/desired_stores.h"
+#include "test/member/run_until.h"
 
 namespace dotterelbarrow::member {
 namespace {
@@ -59,13 +60,7 @@
     return answer;
   }
   bool RunUntil(const std::function<bool()>& done) {
-    const base::TimePoint begun = wire::MonotonicNow();
-    bool is_done = false;
-    loop.RunUntil([&] {
-      is_done = done();
-      return is_done || wire::MonotonicNow() - begun > kTestTimeout;
-    });
-    return is_done;
+    return RunLoopUntil(&loop, done, kTestTimeout);
   }
   template <typename Answer>
   bool IsAnswered(const std::shared_ptr<std::optional<OwnerAnswer>>& answer) {
--- a/test/member/shard_set_test.cc
+++ b/test/member/shard_set_test.cc
@@ -19,6 +19,7 @@
 #include "src/member/clock.h"
 #include "src/member/store_layout.h"
 #include "test/core/scheduler/null_log.h"
+#include "test/member/run_until.h"
 
 namespace dotterelbarrow::member {
 namespace {
@@ -194,13 +195,7 @@
                 [this](const OwnerAnswer& answered) { answer = answered; });
   }
   bool RunUntil(const std::function<bool()>& done) {
-    const base::TimePoint begun = wire::MonotonicNow();
-    bool is_done = false;
-    loop.RunUntil([&] {
-      is_done = done();
-      return is_done || wire::MonotonicNow() - begun > kTestTimeout;
-    });
-    return is_done;
+    return RunLoopUntil(&loop, done, kTestTimeout);
   }
 
   wire::EventLoop loop;
