--- a/review/standins-2/cell.py
+++ b/review/standins-2/cell.py
@@ -79,10 +79,10 @@
         self.hosts, self.runners, self.cores = hosts, runners, cores
         self.processes = {}
         self.begun = time.time()
-        ports = free_ports(1 + runners + 4 * hosts)
-        self.store_port = ports[0]
-        self.runner_ports = ports[1:1 + runners]
-        self.host_ports = [ports[1 + runners + 4 * i:][:4] for i in range(hosts)]
+        ports = free_ports(2 + runners + 4 * hosts)
+        self.store_port, self.advisor_port = ports[:2]
+        self.runner_ports = ports[2:2 + runners]
+        self.host_ports = [ports[2 + runners + 4 * i:][:4] for i in range(hosts)]
         self.desired = {
             "version": 3,
             "routes": [{"name": "jobs", "host": CALLERS_HOST, "path_prefix": "/jobs/", "service": "tasks",
@@ -117,6 +117,10 @@
                                         str(self.runner_ports[number]), str(self.store_port), f"zone-{number % 3}",
                                         f"rack-{number // 4}", str(self.cores), str(self.runs_log)])
 
+    def start_runners(self):
+        for number in range(self.runners):
+            self.start_runner(number)
+
     def start_host(self, number):
         frontend, readiness, first, last = self.host_ports[number]
         path = self.folder / f"host-{number}.yaml"
@@ -127,6 +131,7 @@
             "internal_ports": [first, last], "bootstrap": True,
             "limits": {"cpu_share": 0.25, "cores": 1, "memory_mb": 260, "max_fds": 4200, "link_mbps": 1000.0},
             "discovery": "platform", "heartbeat_ms": 1500, "bounds": BOUNDS, "control_mode": "call",
+            "advisor": f"{HOST}:{self.advisor_port}",
             "platform": {"address": f"{HOST}:{self.store_port}", "form": "table", "writes_per_s": 600,
                          "reads_per_s": 2000, "row_bytes": 65536}}))
         self.spawn(f"host-{number}", DAEMON, {"PATH": os.environ.get("PATH", ""), "HOME": str(self.folder),
@@ -138,8 +143,7 @@
         self.spawn("store", [sys.executable, "-B", str(STANDIN), "store", str(self.store_port)])
         self.wait(lambda: http_call(self.store_port, "GET", "/rows-get?table=op&part=")[0] == 200, "the store")
         self.write_desired()
-        for number in range(self.runners):
-            self.start_runner(number)
+        self.start_runners()
         for number in range(self.hosts):
             self.start_host(number)
         self.wait(lambda: all(http_call(ports[1], "GET", "/readyz")[0] == 200 for ports in self.host_ports),
@@ -207,9 +211,9 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def play(record, case, **options):
+def play(record, case, cell_class=Cell, **options):
     """Runs `case(cell)`, which returns what was broken, or an empty text. Exits with 1, 0, or 2."""
-    cell = Cell(record, **options)
+    cell = cell_class(record, **options)
     try:
         cell.start()
         broken = case(cell)
