--- a/review/standins-2/cell.py
+++ b/review/standins-2/cell.py
@@ -213,17 +213,18 @@
 
 def play(record, case, cell_class=Cell, **options):
     """Runs `case(cell)`, which returns what was broken, or an empty text. Exits with 1, 0, or 2."""
-    cell = cell_class(record, **options)
+    cell = None
+    code = 2
     try:
+        cell = cell_class(record, **options)
         cell.start()
         broken = case(cell)
         cell.note("verdict", broken=broken)
         print("broken: " + broken if broken else "held")
         code = 1 if broken else 0
-    except CannotRun as reason:
-        cell.note("could not run", reason=str(reason))
-        print("could not run:", reason)
-        code = 2
+    except Exception as reason:  # Whatever it is, it is no verdict.
+        print("could not run:", repr(reason))
     finally:
-        cell.close()
+        if cell is not None:
+            cell.close()
     sys.exit(code)
