--- a/review/8/case.py
+++ b/review/8/case.py
@@ -13,8 +13,8 @@
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "standins-2"))
-from cell import BOUNDS, CALLERS_HOST, KEY, CannotRun, http_call, play, trouble  # noqa: E402
+sys.path.insert(0, str(FOLDER.parent))
+from cell_2 import BOUNDS, CALLERS_HOST, KEY, CannotRun, http_call, play, trouble  # noqa: E402
 
 HOSTS = 4
 CALLERS = 30
--- a/review/standins-2/cell.py
+++ b/review/cell_2.py
@@ -16,8 +16,8 @@
 import time
 
 HOST = "127.0.0.1"
-ROOT = pathlib.Path(__file__).resolve().parents[2]
-STANDIN = pathlib.Path(__file__).resolve().parent / "platform_standin.py"
+ROOT = pathlib.Path(__file__).resolve().parents[1]
+STANDIN = pathlib.Path(__file__).resolve().parent / "stand_in_2.py"
 DAEMON = [str(ROOT / "target" / "dotterelbarrowd"), "--platform"]  # `run` of the role in deploy/system.toml
 CALLERS_HOST = "cell.example"
 KEY = "key-one"
--- a/review/standins-2/platform_standin.py
+++ b/review/stand_in_2.py
@@ -1,7 +1,7 @@
 """Small stand-ins of the platform: its store, and one runner a process.
 
-    platform_standin.py store PORT
-    platform_standin.py runner ID PORT STORE_PORT ZONE RACK CORES LOG
+    stand_in_2.py store PORT
+    stand_in_2.py runner ID PORT STORE_PORT ZONE RACK CORES LOG
 
 They follow PROTOCOL.md ("The platform's metadata store", "Running tasks", "Service discovery"). A runner writes a line
 to LOG for each order that it gets and each run that ends, before it answers, so that nothing is lost when it is killed.
