Bar the key of a cancelled job that isn't known

Cause: the owner decides "no such job" when the DELETE comes, and answers it with the next stored write. The POST, which another host held, is accepted meanwhile, mostly in that same write, or after it; nothing remembers the cancellation.

Ruled out: a second look when the write is stored would leave the POST that comes after the answer, by another host or as another try of the caller.

Change: a cancellation of an unknown job bars its key, in the page of ended jobs of the write that the answer waits for. A submission under a barred key is refused for the retention time, by later owners too. At most 20,000 keys are barred. A question for a job's state is answered with what is known when its write is stored.

Why it works: either the owner knows the job when the DELETE comes, and cancels it; or the bar is stored before the answer, and each owner that could accept the POST reads it or has it in memory. An owner that was replaced can't store it, and doesn't answer.

The soak's callers leave early and cancel at another host; a job whose cancellation was answered 410 must never start.

--- a/include/dotterelbarrow/core/scheduler/job_pages.h
+++ b/include/dotterelbarrow/core/scheduler/job_pages.h
@@ -25,7 +25,8 @@
 //   "A <key> <part> <parts> <text>\n" and "P <key> <part> <parts> <text>\n",
 //   where parts are numbered from 0
 // ended page:
-//   "d <key>\n" (done), "f <key>\n" (failed), "c <key>\n" (cancelled)
+//   "d <key>\n" (done), "f <key>\n" (failed), "c <key>\n" (cancelled),
+//   "u <key>\n" (cancelled while unknown)
 #ifndef DOTTERELBARROW_CORE_SCHEDULER_JOB_PAGES_H_
 #define DOTTERELBARROW_CORE_SCHEDULER_JOB_PAGES_H_
 
@@ -80,6 +81,8 @@
     std::optional<std::string> acceptance;
     std::optional<std::string> progress;
     std::optional<jobs::JobState> final_state;
+    // Whether the key was barred before any job was accepted under it.
+    bool is_barred = false;
   };
   // Returns the present record of a live job, or nullopt if the job has ended
   // and PutFinalState has not been called for it yet.
@@ -97,6 +100,8 @@
   // job become obsolete.
   void PutFinalState(jobs::JobKey key, jobs::JobState state,
                      base::TimePoint now);
+  // Adds to the next batch that no job may be accepted under the key.
+  void PutBarred(jobs::JobKey key, base::TimePoint now);
   // Bytes of the records added since the last TakeBatch.
   std::size_t pending_bytes() const { return pending_bytes_; }
 
@@ -155,6 +160,8 @@
   void MarkObsolete(PageNumber page, base::TimePoint now);
   void MarkAllObsolete(jobs::JobKey key, base::TimePoint now);
   void MarkObsolete(const std::vector<PageNumber>& pages, base::TimePoint now);
+  // Adds a line to the page of ended jobs that takes more of them.
+  void AppendEnded(char mark, jobs::JobKey key, base::TimePoint now);
   // Adds a line to the last unwritten page, or to a new one, and returns the
   // page's number.
   PageNumber AppendLine(const Entry& entry, const std::string& line);
--- a/include/dotterelbarrow/core/scheduler/job_registry.h
+++ b/include/dotterelbarrow/core/scheduler/job_registry.h
@@ -55,6 +55,8 @@
 struct JobRegistrySettings {
   // How long the state of an ended job can be queried.
   base::Duration retention = std::chrono::seconds(180);
+  // Maximum number of barred keys. Limits memory: each takes about 100 bytes.
+  std::size_t max_barred_keys = 20'000;
   // Maximum rows of a batch. A transaction of the store holds 100 entries, less
   // the condition on the ownership record and the write of it.
   std::size_t max_changes = 98;
@@ -72,17 +74,29 @@
   explicit JobRegistry(JobRegistrySettings settings) : settings_(settings) {}
 
   // Adds a new job, and enqueues its acceptance record for the next batch.
-  // `waiter` is notified when it is stored. Precondition: IsKnown is false.
+  // `waiter` is notified when it is stored. Precondition: the key is neither
+  // known nor barred.
   void Accept(jobs::Job job, std::string acceptance, WaiterId waiter);
   // Returns whether the acceptance of the job is stored. If not, `waiter` is
   // notified when it is.
   bool AwaitAccepted(jobs::JobKey key, WaiterId waiter);
-  // Returns whether all changes of the job are stored. If not, `waiter` is
-  // notified when they are.
+  // Returns whether all changes of the job, or the bar of its key, are stored.
+  // If not, `waiter` is notified when they are.
   bool AwaitStored(jobs::JobKey key, WaiterId waiter);
 
-  // Returns whether no job is known, of those that have ended too.
-  bool is_empty() const { return jobs_.empty() && ended_jobs_.empty(); }
+  // Bars the key, which must be unknown: for the retention time, no job may be
+  // accepted under it, here or by a later owner once that is stored. Returns
+  // false if too many keys are barred.
+  bool Bar(jobs::JobKey key, base::TimePoint now);
+  // Returns for how much longer the key is barred; nullopt if it isn't.
+  std::optional<base::Duration> BarredFor(jobs::JobKey key,
+                                          base::TimePoint now) const;
+
+  // Returns whether no job is known, of those that have ended too, and no key
+  // is barred.
+  bool is_empty() const {
+    return jobs_.empty() && ended_jobs_.empty() && barred_keys_.empty();
+  }
   bool IsKnown(jobs::JobKey key) const {
     return jobs_.contains(key) || ended_jobs_.contains(key);
   }
@@ -145,7 +159,8 @@
   void RestoreJobs(base::TimePoint now,
                    const std::function<void(jobs::JobKey,
                                             const base::Failure&)>& unreadable);
-  // Removes the states of jobs that ended longer ago than the retention time.
+  // Removes the states of jobs that ended longer ago than the retention time,
+  // and the bars that are older.
   void Expire(base::TimePoint now);
 
  private:
@@ -182,13 +197,17 @@
   std::unordered_map<jobs::JobKey, Ended> ended_jobs_;
   // Invariant: in the order in which the jobs ended.
   std::deque<jobs::JobKey> ended_order_;
+  // When each key was barred.
+  std::unordered_map<jobs::JobKey, base::TimePoint> barred_keys_;
+  // Invariant: the keys in `barred_keys_`, in the order of their times.
+  std::deque<jobs::JobKey> barred_order_;
   // Jobs whose acceptance is not stored, with the acceptance record until a
   // batch takes it.
   std::unordered_map<jobs::JobKey, std::string> unstored_acceptances_;
   std::deque<PendingChange> pending_changes_;
-  // Invariant: the jobs in `pending_changes_`.
+  // Invariant: the keys in `pending_changes_`.
   std::unordered_set<jobs::JobKey> changed_jobs_;
-  // Invariant: the jobs in the batch that is being written.
+  // Invariant: the keys in the batch that is being written.
   std::unordered_set<jobs::JobKey> jobs_in_batch_;
   std::unordered_map<jobs::JobKey, std::vector<WaiterId>> accept_waiters_;
   std::unordered_map<jobs::JobKey, std::vector<WaiterId>> change_waiters_;
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -84,7 +84,15 @@
   base::Duration pause{0};
 };
 
-enum class CancelResult { kCancelled, kStoring, kUnknown };
+enum class CancelResult {
+  kCancelled,  // Nothing about the job remains to be stored.
+  kStoring,    // The waiter is notified once the cancellation is stored.
+  // No job is known. The waiter is notified once it is stored that the key is
+  // barred, so that no later copy of its submission is accepted.
+  kUnknown,
+  kBarred,   // No job is known, and the bar of its key is stored.
+  kRefused,  // No job is known, and too many keys are barred.
+};
 
 class Scheduler : public sigc::trackable {
  public:
@@ -166,14 +174,14 @@
                       std::int64_t store_now_ms, base::TimePoint now);
   // Returns whether no job is known, of those that have ended too.
   bool has_no_jobs() const { return jobs_.is_empty(); }
-  // Returns whether the job was accepted, in this term or before.
+  // Returns whether the job was accepted, in this term or before. False for a
+  // key that was only barred.
   bool IsKnown(jobs::JobKey key) const { return jobs_.IsKnown(key); }
   // Withdraws the accepted jobs that no batch contains yet; returns the waiters
   // that must be told that these jobs will never run.
   std::vector<WaiterId> RemoveUnwritten();
-  // Cancels the job if it has not ended, and stops its runs. Returns kStoring
-  // if the waiter will be notified once that is stored, and kCancelled if
-  // nothing about the job remains to be stored.
+  // Cancels the job if it has not ended, and stops its runs. A key that is not
+  // known is barred: its submission may still be on its way.
   CancelResult Cancel(jobs::JobKey key, WaiterId waiter, base::TimePoint now);
   // Returns the stored state of a job, nullopt if it is not known or not
   // stored.
--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -2,6 +2,7 @@
 the earlier ones."""
 import http.client
 import json
+import random
 import threading
 import time
 
@@ -10,6 +11,9 @@
 
 PAUSE_S = 0.05
 TIMEOUT_S = 3.0
+# Callers that leave before the answer to their submission, and cancel the job at another host.
+LEAVING_SHARE = 0.1
+MAX_STAY_S = 0.3
 MAX_TRIES = 5
 CONFIRMATION_MARGIN_S = 1.0
 # Each deadly job takes two or three workers away for three seconds.
@@ -25,6 +29,8 @@
         # "accepted", "never" (each attempt to submit it was refused) or "unknown".
         self.outcome = "unknown"
         self.is_cancelled = False
+        # Whether a cancellation was answered with "no such job".
+        self.is_called_unknown = False
         # Its first task crashes each worker this long after its start; 0 for none.
         self.deadly_ms = 0
 
@@ -45,6 +51,8 @@
     def __init__(self, site, rng, key_bound_s, count):
         self._site = site
         self._rng = rng
+        # Of its own, so that the other choices of a seed stay as they are.
+        self._leaving_rng = random.Random(rng.getstate()[1][0])
         self._key_bound_s = key_bound_s
         self._count = count
         self._lock = threading.Lock()
@@ -67,11 +75,12 @@
 
     # -- calls ----------------------------------------------------------------------------------------------------
 
-    def _call(self, connections, host, method, path, key, body=None):
-        """Returns (status, parsed body), or (None, None) if no complete answer arrived."""
+    def _call(self, connections, host, method, path, key, body=None, timeout=TIMEOUT_S):
+        """Returns (status, parsed body), or (None, None) if no complete answer arrived. The timeout is that of a
+        connection that is opened for the call."""
         connection = connections.get(host)
         if connection is None:
-            connection = http.client.HTTPConnection(HOST, self._site.port(host, 0), timeout=TIMEOUT_S)
+            connection = http.client.HTTPConnection(HOST, self._site.port(host, 0), timeout=timeout)
             connections[host] = connection
         try:
             connection.request(method, path, body, {"Host": CALLERS_HOST, "Authorization": f"Bearer {key}"})
@@ -97,12 +106,16 @@
         while not self._stopping.is_set():
             with self._lock:
                 job = self._new_job()
-            self._submit(connections, job)
+                is_leaving = self._leaving_rng.random() < LEAVING_SHARE
+            if is_leaving:
+                self._submit_and_leave(connections, job)
+            else:
+                self._submit(connections, job)
             with self._lock:
                 other = self._rng.choice(self.jobs)
                 is_cancel = self._rng.random() < 0.05
             if is_cancel:
-                self._cancel(connections, other)
+                self._cancel(connections, other, self._rng.randrange(self._site.hosts))
             else:
                 self._check_state(connections, other)
             if number == 0:
@@ -142,6 +155,17 @@
         if refused == MAX_TRIES:
             job.outcome = "never"
 
+    def _submit_and_leave(self, connections, job):
+        """Hands the job in, leaves before long, and cancels it at another host."""
+        with self._lock:
+            first, second = self._leaving_rng.sample(range(self._site.hosts), 2)
+            stay_s = self._leaving_rng.uniform(0.01, MAX_STAY_S)
+        job.is_cancelled = True
+        self._call({}, first, "POST", self._path(job), self._key(job), job.body(), stay_s)
+        for _ in range(MAX_TRIES):
+            if self._cancel(connections, job, second) in (200, 410):
+                return
+
     def _check_state(self, connections, job):
         outcome = job.outcome
         host = self._rng.randrange(self._site.hosts)
@@ -158,9 +182,11 @@
         if done != job.tasks:
             self.broken.append(f"{job.key}: shown as completed with {done} of {job.tasks} tasks done")
 
-    def _cancel(self, connections, job):
+    def _cancel(self, connections, job, host):
         job.is_cancelled = True  # Set before the call, which may take effect without an answer.
-        self._call(connections, self._rng.randrange(self._site.hosts), "DELETE", self._path(job), self._key(job))
+        status, _ = self._call(connections, host, "DELETE", self._path(job), self._key(job))
+        job.is_called_unknown |= status == 410
+        return status
 
     def _try_revoked_keys(self, connections):
         """Checks that no host accepts a key that was revoked longer than the bound ago."""
@@ -208,6 +234,8 @@
         for job in self.jobs:
             if job.outcome == "never" and self._site.truth(job.key)["has_started"]:
                 broken.append(f"{job.key}: refused each time, but started")
+            if job.is_called_unknown and self._site.truth(job.key)["has_started"]:
+                broken.append(f"{job.key}: its cancellation was answered with 410, but it started")
         return self.broken + broken
 
     def _without_answer(self, connections, hosts):
--- a/src/core/scheduler/job_pages.cc
+++ b/src/core/scheduler/job_pages.cc
@@ -34,6 +34,7 @@
 constexpr std::array kStates = {NamedState{'d', JobState::kCompleted},
                                 NamedState{'f', JobState::kFailed},
                                 NamedState{'c', JobState::kCancelled}};
+constexpr char kBarredMark = 'u';
 
 char MarkForState(JobState state) {
   for (const NamedState& named : kStates) {
@@ -203,13 +204,21 @@
 
 void JobPages::PutFinalState(JobKey key, JobState state, base::TimePoint now) {
   MarkAllObsolete(key, now);
+  AppendEnded(MarkForState(state), key, now);
+}
+
+void JobPages::PutBarred(JobKey key, base::TimePoint now) {
+  AppendEnded(kBarredMark, key, now);
+}
+
+void JobPages::AppendEnded(char mark, JobKey key, base::TimePoint now) {
   const auto last_page = ended_pages_.find(last_ended_page_);
   if (last_page == ended_pages_.end() ||
       last_page->second.text.size() >= kEndedPageBytes) {
     last_ended_page_ = NextNumber();
   }
   EndedPage& page = ended_pages_[last_ended_page_];
-  page.text += MarkForState(state);
+  page.text += mark;
   page.text += ' ';
   page.text += jobs::ToString(key);
   page.text += '\n';
@@ -382,6 +391,10 @@
                             base::TimePoint now) {
   ended_pages_[number] = {text, now};
   return ForEachLine(text, [&](const Line& line) {
+    if (line.mark == kBarredMark) {
+      restored_[line.key].is_barred = true;
+      return true;
+    }
     const auto state = StateForMark(line.mark);
     if (state) {
       restored_[line.key].final_state = state;
--- a/src/core/scheduler/job_registry.cc
+++ b/src/core/scheduler/job_registry.cc
@@ -49,6 +49,27 @@
   return false;
 }
 
+bool JobRegistry::Bar(jobs::JobKey key, base::TimePoint now) {
+  if (barred_keys_.size() >= settings_.max_barred_keys) {
+    return false;
+  }
+  if (barred_keys_.emplace(key, now).second) {
+    barred_order_.push_back(key);
+    changed_jobs_.insert(key);
+    pending_changes_.emplace_back(key);
+  }
+  return true;
+}
+
+std::optional<base::Duration> JobRegistry::BarredFor(
+    jobs::JobKey key, base::TimePoint now) const {
+  const auto it = barred_keys_.find(key);
+  return it == barred_keys_.end()
+             ? std::nullopt
+             : std::optional(std::max(base::Duration(0),
+                                      it->second + settings_.retention - now));
+}
+
 jobs::Job* JobRegistry::Find(jobs::JobKey key) {
   const auto it = jobs_.find(key);
   return it == jobs_.end() ? nullptr : &it->second;
@@ -144,7 +165,9 @@
     }
   }
   changed_jobs_.erase(key);
-  if (job == jobs_.end()) {
+  if (barred_keys_.contains(key)) {
+    pages_.PutBarred(key, now);
+  } else if (job == jobs_.end()) {
     const auto ended = ended_jobs_.find(key);
     if (ended == ended_jobs_.end()) {
       return true;  // Its state expired in the meantime.
@@ -258,6 +281,11 @@
     ended_order_.push_back(key);
     return true;
   }
+  if (stored.is_barred && !stored.acceptance) {
+    barred_keys_.emplace(key, now);
+    barred_order_.push_back(key);
+    return true;
+  }
   if (!stored.acceptance) {
     *reason = {base::FailureCode::kMissingField,
                "progress record without an acceptance record"};
@@ -285,6 +313,12 @@
 
 void JobRegistry::Expire(base::TimePoint now) {
   has_due_pages_ = pages_.Maintain(now, settings_.retention);
+  while (!barred_order_.empty() &&
+         BarredFor(barred_order_.front(), now) == base::Duration(0) &&
+         IsUpToDate(barred_order_.front())) {
+    barred_keys_.erase(barred_order_.front());
+    barred_order_.pop_front();
+  }
   while (!ended_order_.empty()) {
     const jobs::JobKey key = ended_order_.front();
     const auto it = ended_jobs_.find(key);
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -267,7 +267,15 @@
                                base::TimePoint now) {
   now_ = now;
   if (!jobs_.IsKnown(key)) {
-    return CancelResult::kUnknown;
+    if (!jobs_.BarredFor(key, now)) {
+      if (!jobs_.Bar(key, now)) {
+        telemetry_.counters->Increment("cancels_refused", "too_many_barred");
+        return CancelResult::kRefused;
+      }
+      telemetry_.log->Write("job_barred", {{"job", jobs::ToString(key)}});
+    }
+    return jobs_.AwaitStored(key, waiter) ? CancelResult::kBarred
+                                          : CancelResult::kUnknown;
   }
   if (jobs::Job* job = jobs_.Find(key)) {
     telemetry_.log->Write(
--- a/src/core/scheduler/scheduler_admission.cc
+++ b/src/core/scheduler/scheduler_admission.cc
@@ -32,6 +32,9 @@
         SubmitResult{SubmitOutcome::kRefused, reason, retry_after, pause};
     return decision;
   };
+  if (const auto remaining = jobs_.BarredFor(submission.key, now)) {
+    return refuse("cancelled", *remaining);
+  }
   const desired::Queue* queue = dispatcher_.FindQueue(submission.queue);
   if (queue == nullptr) {
     return refuse("unknown_queue", kFullRetryAfter);
--- a/src/member/job_api.cc
+++ b/src/member/job_api.cc
@@ -258,6 +258,8 @@
           Reply(exchange, kOk, "{}");
         } else if (std::holds_alternative<UnknownJob>(answer)) {
           Reply(exchange, kGone, platform::ErrorBody("unknown_job"));
+        } else if (const auto* refused = std::get_if<Refused>(&answer)) {
+          Refuse(exchange, refused->reason.c_str(), refused->retry_after);
         } else if (std::holds_alternative<NoOwner>(answer)) {
           Refuse(exchange, "no_owner", kRetryAfter);
         } else {
--- a/src/member/owner_term.cc
+++ b/src/member/owner_term.cc
@@ -270,7 +270,7 @@
   }
   const base::TimePoint now = Now();
   const bool has_changes = is_loaded_ && scheduler_.has_changes();
-  const bool has_reason = has_changes || !unknown_waiters_.empty();
+  const bool has_reason = has_changes || !state_waiters_.empty();
   const bool is_due = is_resigning_ || (has_reason && now - last_write_begun_ >=
                                                           kMinWriteInterval);
   if (!is_due && !parts_.leadership->IsRenewalDue(now)) {
@@ -299,11 +299,13 @@
                     : parts_.leadership->BeginWrite(now),
       batch->changes,
       Guarded(OwnerInput::kStored,
-              [this, batch, unknown = std::exchange(unknown_waiters_, {})](
+              [this, batch, asked = std::exchange(state_waiters_, {})](
                   OwnershipWriteOutcome end, std::int64_t store_now_ms) {
                 OnWritten(end, store_now_ms, *batch);
                 if (end == OwnershipWriteOutcome::kStored) {
-                  ReplyTo(unknown, UnknownJob{});
+                  for (const StateWaiter& waiter : asked) {
+                    ReplyTo({waiter.id}, StateAnswerFor(waiter.key));
+                  }
                 }
               }));
 }
--- a/src/member/owner_term.h
+++ b/src/member/owner_term.h
@@ -127,6 +127,7 @@
                  const core::scheduler::RecordBatch& batch);
   void ReplyTo(const std::vector<core::scheduler::WaiterId>& waiters,
                const OwnerAnswer& answer);
+  OwnerAnswer StateAnswerFor(core::jobs::JobKey key) const;
   core::scheduler::WaiterId AddWaiter(const OwnerReply& reply);
   std::int64_t StoreNowMillis() const;
   bool IsStoreUnavailable() const;
@@ -168,11 +169,15 @@
   std::int64_t store_clock_offset_ms_ = 0;
   std::uint64_t last_waiter_ = 0;
   std::unordered_map<core::scheduler::WaiterId, OwnerReply> waiters_;
-  // Callers that asked for a job that is not known here. They are told so once
-  // a write that began after their call confirms that this host still owns the
-  // cell: another owner may have accepted the job while this process was
-  // paused.
-  std::vector<core::scheduler::WaiterId> unknown_waiters_;
+  struct StateWaiter {
+    core::scheduler::WaiterId id;
+    core::jobs::JobKey key;
+  };
+  // Callers that asked for the state of a job that was not known here. They are
+  // answered with what is known once a write that began after their call
+  // confirms that this host still owns the cell: another owner may have
+  // accepted the job while this process was paused.
+  std::vector<StateWaiter> state_waiters_;
   base::TimePoint last_write_begun_;
   std::map<core::desired::QueueId, std::uint64_t> pending_;
   base::TimePoint pending_counted_at_;
--- a/src/member/owner_term_calls.cc
+++ b/src/member/owner_term_calls.cc
@@ -14,6 +14,9 @@
 // is saturated: bursts are over in some seconds.
 constexpr base::Duration kSaturatedRetryAfter = std::chrono::seconds(1);
 constexpr base::Duration kStoreUnavailableRetryAfter = std::chrono::seconds(1);
+// When a caller may repeat the cancellation of an unknown job that was refused
+// because too many such cancellations are remembered.
+constexpr base::Duration kBarredRetryAfter = std::chrono::seconds(2);
 // Maximum age of the counts of waiting jobs.
 constexpr base::Duration kMaxPendingCountAge = std::chrono::milliseconds(300);
 
@@ -35,6 +38,12 @@
   return id;
 }
 
+OwnerAnswer OwnerTerm::StateAnswerFor(core::jobs::JobKey key) const {
+  const auto state = scheduler_.StateOf(key);
+  return state ? OwnerAnswer(JobStateAnswer{*state})
+               : OwnerAnswer(UnknownJob{});
+}
+
 void OwnerTerm::Handle(const OwnerCall& call, const OwnerReply& reply) {
   if (!is_loaded_ || is_resigning_) {
     reply(NoOwner{});
@@ -75,20 +84,38 @@
           },
           [&](const CancelCall& cancel) {
             const auto waiter = AddWaiter(reply);
-            const auto answer = scheduler_.Cancel(cancel.key, waiter, Now());
-            using core::scheduler::CancelResult;
-            if (answer == CancelResult::kUnknown) {
-              unknown_waiters_.push_back(waiter);
-            } else if (answer == CancelResult::kCancelled) {
+            const auto reply_now = [&](const OwnerAnswer& answer) {
               waiters_.erase(waiter);
-              reply(Cancelled{});
+              reply(answer);
+            };
+            using core::scheduler::CancelResult;
+            switch (scheduler_.Cancel(cancel.key, waiter, Now())) {
+              case CancelResult::kCancelled:
+                reply_now(Cancelled{});
+                break;
+              case CancelResult::kStoring:
+                break;
+              case CancelResult::kBarred:
+                reply_now(UnknownJob{});
+                break;
+              case CancelResult::kUnknown:
+                waiters_[waiter] = [reply](const OwnerAnswer& answer) {
+                  reply(std::holds_alternative<Cancelled>(answer)
+                            ? OwnerAnswer(UnknownJob{})
+                            : answer);
+                };
+                break;
+              case CancelResult::kRefused:
+                reply_now(Refused{"too_many_cancels", kBarredRetryAfter});
+                break;
             }
           },
           [&](const StateCall& state) {
-            if (const auto found = scheduler_.StateOf(state.key)) {
-              reply(JobStateAnswer{*found});
+            const OwnerAnswer answer = StateAnswerFor(state.key);
+            if (std::holds_alternative<UnknownJob>(answer)) {
+              state_waiters_.push_back({AddWaiter(reply), state.key});
             } else {
-              unknown_waiters_.push_back(AddWaiter(reply));
+              reply(answer);
             }
           },
           [&](const KnownCall& known) {
--- a/test/core/scheduler/scheduler_test.cc
+++ b/test/core/scheduler/scheduler_test.cc
@@ -148,6 +148,101 @@
   }
 }
 
+// Guards against a job that runs although its caller was told that it doesn't
+// exist: its cancellation arrives before its submission.
+TEST_CASE("a job whose cancellation arrives before its submission") {
+  Scenario scenario;
+  scenario.AddWorkers(1);
+  const auto cancel = [&scenario](std::uint64_t waiter) {
+    return scenario.scheduler().Cancel(jobs::JobKey(kJob), WaiterId(waiter),
+                                       scenario.now());
+  };
+  const auto submit = [&scenario] {
+    return scenario.Submit(kJob, "plain", {Scenario::Step(2)});
+  };
+  REQUIRE(cancel(99) == CancelResult::kUnknown);
+
+  SUBCASE("is refused, also before the cancellation is stored") {
+    CHECK(submit().outcome == SubmitOutcome::kRefused);
+    CHECK(submit().reason == "cancelled");
+    scenario.Store();
+    CHECK(submit().outcome == SubmitOutcome::kRefused);
+    scenario.RunPasses(3);
+    CHECK(scenario.TakeStarts().empty());
+  }
+  SUBCASE("is unknown to callers") {
+    scenario.Store();
+    CHECK_FALSE(StateOf(&scenario, kJob));
+    CHECK_FALSE(scenario.scheduler().IsKnown(jobs::JobKey(kJob)));
+    CHECK(scenario.scheduler().PendingJobs().empty());
+  }
+  SUBCASE("keeps the cell from being divided") {
+    CHECK_FALSE(scenario.scheduler().has_no_jobs());
+  }
+  SUBCASE("cancelled again") {
+    SUBCASE("waits for the same write") {
+      CHECK(cancel(100) == CancelResult::kUnknown);
+      CHECK(scenario.Store() == std::vector{WaiterId(99), WaiterId(100)});
+    }
+    SUBCASE("while that is written is answered with it") {
+      const RecordBatch batch = scenario.scheduler().TakeBatch(scenario.now());
+      CHECK(cancel(100) == CancelResult::kUnknown);
+      CHECK(
+          scenario.scheduler().OnStored(batch, scenario.now()).change_waiters ==
+          std::vector{WaiterId(100)});
+    }
+    SUBCASE("later needs no write") {
+      scenario.Store();
+      CHECK(cancel(100) == CancelResult::kBarred);
+      CHECK_FALSE(scenario.scheduler().has_changes());
+    }
+  }
+  SUBCASE("is refused by the next owner, too") {
+    scenario.Store();
+    scenario.TakeOver();
+    CHECK(submit().outcome == SubmitOutcome::kRefused);
+    CHECK_FALSE(StateOf(&scenario, kJob));
+    CHECK(cancel(100) == CancelResult::kBarred);
+  }
+  SUBCASE("is refused for as long as the state of an ended job is known") {
+    scenario.Store();
+    const base::Duration retention = JobRegistrySettings().retention;
+    CHECK(submit().retry_after == retention);
+    scenario.Advance(retention - seconds(1));
+    scenario.RunPasses(1);
+    CHECK(submit().outcome == SubmitOutcome::kRefused);
+    scenario.Advance(seconds(2));
+    scenario.RunPasses(1);
+    CHECK(submit().outcome == SubmitOutcome::kStoring);
+    SUBCASE("and known to the next owner when it was accepted after that") {
+      scenario.Store();
+      scenario.TakeOver();
+      CHECK(scenario.scheduler().IsKnown(jobs::JobKey(kJob)));
+    }
+  }
+}
+
+// Guards against memory that grows with each cancellation of an unknown job.
+TEST_CASE("more cancellations of unknown jobs than are remembered") {
+  SchedulerSettings settings;
+  settings.jobs.max_barred_keys = 2;
+  Scenario scenario(settings);
+  const auto cancel = [&scenario](std::uint64_t job) {
+    return scenario.scheduler().Cancel(jobs::JobKey(job), WaiterId(100 + job),
+                                       scenario.now());
+  };
+  REQUIRE(cancel(1) == CancelResult::kUnknown);
+  REQUIRE(cancel(2) == CancelResult::kUnknown);
+  CHECK(cancel(3) == CancelResult::kRefused);
+  CHECK(cancel(2) == CancelResult::kUnknown);
+  SUBCASE("are refused until earlier ones are forgotten") {
+    scenario.Store();
+    scenario.Advance(settings.jobs.retention);
+    scenario.RunPasses(1);
+    CHECK(cancel(3) == CancelResult::kUnknown);
+  }
+}
+
 TEST_CASE("a job with advice") {
   Scenario scenario;
   scenario.AddWorkers(3);
--- a/test/member/owner_calls_test.cc
+++ b/test/member/owner_calls_test.cc
@@ -28,6 +28,8 @@
 
 // A host that owns the only shard of a cell without workers.
 struct OwningHost {
+  using Answer = std::shared_ptr<std::optional<OwnerAnswer>>;
+
   OwningHost() {
     store.Put(DesiredText(1, 1));
     settings.host = base::EntryId("host");
@@ -45,27 +47,31 @@
   std::uint64_t token() { return shard()->owner()->token.value(); }
   // Delivers a submission that names the owner with `token`, and returns where
   // its answer arrives.
-  std::shared_ptr<std::optional<OwnerAnswer>> Submit(std::uint64_t job,
-                                                     std::uint64_t token) {
+  Answer Submit(std::uint64_t job, std::uint64_t token) {
     SubmitCall call;
     call.submission.key = core::jobs::JobKey(job);
     call.submission.queue = core::desired::QueueId("queue-0");
     call.submission.spec.steps.resize(1);
     Json::Value params = ToJson(OwnerCall(call));
     params[kOwnerTokenField] = static_cast<Json::UInt64>(token);
-    const auto answer = std::make_shared<std::optional<OwnerAnswer>>();
-    shard()->HandleOwnerCall(call, params, [answer](const Json::Value& result) {
-      *answer = OwnerAnswerFromJson(result);
-    });
-    return answer;
+    return Deliver(call, params);
   }
+  // Delivers any other call.
+  Answer Call(const OwnerCall& call) { return Deliver(call, ToJson(call)); }
   bool RunUntil(const std::function<bool()>& done) {
     return RunLoopUntil(&loop, done, kTestTimeout);
   }
-  template <typename Answer>
-  bool IsAnswered(const std::shared_ptr<std::optional<OwnerAnswer>>& answer) {
+  template <typename Expected>
+  bool IsAnswered(const Answer& answer) {
     return RunUntil([&] { return answer->has_value(); }) &&
-           std::holds_alternative<Answer>(**answer);
+           std::holds_alternative<Expected>(**answer);
+  }
+  Answer Deliver(const OwnerCall& call, const Json::Value& params) {
+    const auto answer = std::make_shared<std::optional<OwnerAnswer>>();
+    shard()->HandleOwnerCall(call, params, [answer](const Json::Value& result) {
+      *answer = OwnerAnswerFromJson(result);
+    });
+    return answer;
   }
 
   wire::EventLoop loop;
@@ -117,6 +123,51 @@
   }
 }
 
+// Hosts hold calls while there is no owner, and deliver them in any order.
+TEST_CASE("an owner that gets calls for a job before its submission") {
+  OwningHost host;
+  const core::jobs::JobKey job(1);
+  const auto is_known = [&] {
+    return host.shard()->term()->scheduler().IsKnown(job);
+  };
+
+  // Guards against a job that runs although its cancellation was answered: both
+  // calls are answered with the same write.
+  SUBCASE("accepts no job whose cancellation it answers") {
+    const auto cancelled = host.Call(CancelCall{job});
+    const auto submitted = host.Submit(1, host.token());
+    CHECK(host.IsAnswered<UnknownJob>(cancelled));
+    CHECK(host.IsAnswered<Refused>(submitted));
+    CHECK_FALSE(is_known());
+    SUBCASE("nor a later copy of its submission") {
+      CHECK(host.IsAnswered<Refused>(host.Submit(1, host.token())));
+      CHECK_FALSE(is_known());
+    }
+    SUBCASE("and answers a repeated cancellation") {
+      CHECK(host.IsAnswered<UnknownJob>(host.Call(CancelCall{job})));
+    }
+  }
+  SUBCASE("answers no cancellation before the store has it") {
+    host.store.set_refusing(true);
+    const auto cancelled = host.Call(CancelCall{job});
+    const base::TimePoint begun = Now();
+    host.RunUntil([&] { return Now() - begun > milliseconds(300); });
+    CHECK_FALSE(cancelled->has_value());
+    host.store.set_refusing(false);
+    CHECK(host.IsAnswered<UnknownJob>(cancelled));
+  }
+  // Guards against a job that is called unknown after it was accepted.
+  SUBCASE("answers a question for its state with what is known then") {
+    const auto asked = host.Call(StateCall{job});
+    const auto submitted = host.Submit(1, host.token());
+    CHECK(host.IsAnswered<Accepted>(submitted));
+    CHECK(host.IsAnswered<JobStateAnswer>(asked));
+  }
+  SUBCASE("answers that the state of no job is known") {
+    CHECK(host.IsAnswered<UnknownJob>(host.Call(StateCall{job})));
+  }
+}
+
 // Guards against a refusal of a job that is accepted, and so runs.
 TEST_CASE("an owner that the store doesn't serve") {
   OwningHost host;
