--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -97,6 +97,9 @@
   // How long the run was expected to take on this worker when it was placed; 0
   // if only the estimate was known.
   base::Duration expected_run_time{0};
+  // The last reading of the worker's clock before the start command was sent.
+  // An answer with an earlier one comes from another incarnation.
+  std::int64_t start_sent_ms = 0;
   // The worker's clock when it confirmed the start and when it accepted the
   // stop command; 0 before that. A list of active runs with a later clock
   // reading shows the command's effect.
@@ -129,6 +132,8 @@
   // `answered_at`.
   void RecordReading(std::int64_t clock_ms, base::TimePoint answered_at);
   bool is_known() const { return read_.has_value(); }
+  // Returns 0 if it is not known.
+  std::int64_t last_reading_ms() const { return read_ ? read_->clock_ms : 0; }
   // Returns the lowest value that the worker's clock can show at `now`, in
   // milliseconds; 0 if it is not known.
   std::int64_t LowerBound(base::TimePoint now) const;
@@ -217,6 +222,8 @@
   // Whether this owner has claimed the worker: acquired its fencing token and
   // read its lists of runs. Nothing is started before that.
   bool is_claimed = false;
+  // When this owner claimed the incarnation for the first time.
+  std::optional<base::TimePoint> claimed_at;
   // The incarnation that a previous owner used; unknown for workers that this
   // owner found first.
   std::int64_t inherited_born_ms = kUnknownIncarnation;
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -269,11 +269,18 @@
 
 void Fleet::BeginIncarnation(Worker* worker, const Listing& listing,
                              base::TimePoint now) {
+  const auto unanswered_starts = std::count_if(
+      worker->runs().begin(), worker->runs().end(), [](const auto& run) {
+        return run.second.state == RunState::kStarting ||
+               run.second.state == RunState::kUncertain;
+      });
   telemetry_.log->Write(
       "worker_new_life",
       {{"worker", worker->id().value()},
        {"born_ms", listing.born_ms},
        {"lost_runs", static_cast<std::int64_t>(worker->runs().size())},
+       {"unanswered_starts", static_cast<std::int64_t>(unanswered_starts)},
+       {"poll_in_flight", worker->poll_in_flight ? "yes" : "no"},
        {"before_born_ms", worker->listing().born_ms},
        {"silent_ms", MillisecondsSince(worker->last_answer, now)}});
   const std::optional<WorkerLoss> loss = NoteLoss(worker, LossKind::kCrashed);
@@ -419,6 +426,8 @@
         "worker_lapsed",
         {{"worker", worker->id().value()},
          {"runs", static_cast<std::int64_t>(worker->runs().size())},
+         {"born_ms", worker->listing().born_ms},
+         {"claimed_ms_ago", MillisecondsSince(worker->claimed_at, now)},
          {"silent_ms",
           (now - worker->last_answer) / std::chrono::milliseconds(1)}});
     const std::optional<WorkerLoss> loss =
--- a/src/core/scheduler/fleet_runs.cc
+++ b/src/core/scheduler/fleet_runs.cc
@@ -63,6 +63,7 @@
   run->state = RunState::kStarting;
   run->since = now;
   run->started_at = now;
+  run->start_sent_ms = target.clock.last_reading_ms();
   run->checkpoint = checkpoint;
   actions->push_back(StartTask{.worker = AddressOf(target),
                                .task = key.first,
@@ -132,6 +133,16 @@
   if (run == nullptr) {
     return;
   }
+  if (clock_ms > 0 && clock_ms < run->start_sent_ms) {
+    telemetry_.counters->Increment("answers_of_other_life", ToString(outcome));
+    telemetry_.log->Write("start_answered_by_other_life",
+                          {{"worker", worker.value()},
+                           {"task", jobs::ToString(key.first)},
+                           {"outcome", ToString(outcome)},
+                           {"born_ms", target->listing().born_ms},
+                           {"clock_ms", clock_ms},
+                           {"sent_ms", run->start_sent_ms}});
+  }
   if (outcome == CommandOutcome::kDone) {
     run->start_confirmed_ms = clock_ms;
     if (run->state != RunState::kStopping) {
@@ -244,6 +255,9 @@
   target->unanswered_commands = 0;
   target->last_answer = now;
   target->alive_at = now;
+  if (!target->claimed_at) {
+    target->claimed_at = now;
+  }
   target->clock.RecordReading(result.clock_ms, now);
   ApplyRunEnds(target, result.ended);
   ApplyActiveRuns(target, result, now, actions);
@@ -262,6 +276,10 @@
     telemetry_.log->Write(
         "worker_claimed",
         {{"worker", worker.value()},
+         {"born_ms", result.born_ms},
+         {"clock_ms", result.clock_ms},
+         {"earlier_lives",
+          static_cast<std::int64_t>(target->earlier_incarnations)},
          {"running", static_cast<std::int64_t>(result.active.size())},
          {"ended", static_cast<std::int64_t>(result.ended.size())}});
     if (target->inherited_born_ms != kUnknownIncarnation &&
