Count the leases that a worker's next incarnation takes from former calls

Cause: a deadline is a time on the worker's clock, and each incarnation's clock has an origin of its own. Until it is claimed, the next incarnation executes calls that were sent to the former one, and a deadline that is far ahead of its clock grants the longest lease, 10 s, to all its runs. The owner counted 4 s.

Ruled out: a bound only where a call was under way.

Change: the leases of an incarnation that isn't the first under its id, as far as the records tell, count as lasting until the longest lease after its first claim; of one that is never claimed, until a second and the longest lease after it was noticed. The worker's record names that time on the store's clock, so that the next owner counts it too; where it is missing, it counts the longest lease. Leases that have a usual end keep it: a first incarnation, and any that was claimed ten seconds ago, is given up after 4.2 s as before.

Why it works: with its first poll the claim's higher token fences off calls to former incarnations, so that each lease that they granted began before.

The model of a worker cuts leases to 10 s and has a clock of its own in each life, and calls to a worker that is being restarted reach its next life.

--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -35,6 +35,10 @@
   // survives either. The tasks of a lost worker wait this long before they
   // start elsewhere.
   base::Duration lease_duration = std::chrono::milliseconds(4000);
+  // Workers cut longer leases to this.
+  base::Duration max_lease_duration = std::chrono::milliseconds(10'000);
+  // How long a command may be on its way to a worker.
+  base::Duration max_command_delay = std::chrono::milliseconds(1000);
   // Timeout of a long poll, which waits for a run end.
   base::Duration long_poll_timeout = std::chrono::milliseconds(1000);
   // The platform removes an unresponsive worker from its list after this time,
@@ -172,11 +176,14 @@
   // its ownership lease ends, so the worker's leases may hold for that time and
   // one lease duration more. If the previous owner stored an end of the leases,
   // `leases_end`, they hold no longer than that, and the worker's leases are
-  // suspended. `born_ms` is the incarnation that the previous owner used.
+  // suspended. `born_ms` is the incarnation that the previous owner used, and
+  // `carried_leases_end` the end of the leases that it took from commands to
+  // earlier ones: long ago if there were none, nullopt if it is not known.
   void AddInheritedWorker(
       const workers::Listing& listing, base::TimePoint taken_over_at,
       std::optional<base::TimePoint> leases_end = std::nullopt,
-      std::int64_t born_ms = workers::kUnknownIncarnation);
+      std::int64_t born_ms = workers::kUnknownIncarnation,
+      std::optional<base::TimePoint> carried_leases_end = base::TimePoint());
   // Owners before the previous one may grant leases to inherited workers until
   // this time, also if the previous owner is known to have stopped. Call before
   // AddInheritedWorker.
@@ -278,6 +285,20 @@
   base::TimePoint LatestExpiryOfLeasesGrantedAt(base::TimePoint now) const {
     return now + settings_.lease_duration + settings_.lease_duration / 20;
   }
+  // Returns when all leases have expired that an incarnation took from commands
+  // to earlier ones up to `now`, on the slowest permitted clock.
+  base::TimePoint LatestExpiryOfLeasesCarriedAt(base::TimePoint now) const {
+    return now + settings_.max_lease_duration +
+           settings_.max_lease_duration / 20;
+  }
+  // Returns when all leases of an inherited worker have expired, if no owner
+  // before this one sends commands after `until`.
+  base::TimePoint InheritedLeasesEnd(const workers::Worker& worker,
+                                     base::TimePoint until) const;
+  // Handles that another incarnation than the recorded one of an inherited,
+  // unclaimed worker is listed: it may still take leases from commands to that
+  // one.
+  void ExpectCarriedLeases(workers::Worker* worker, base::TimePoint now) const;
   bool IsInEvacuatedZone(const workers::Worker& worker) const {
     return evacuated_zones_.contains(worker.listing().zone);
   }
--- a/include/dotterelbarrow/core/scheduler/worker_records.h
+++ b/include/dotterelbarrow/core/scheduler/worker_records.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "dotterelbarrow/core/scheduler/fleet.h"
@@ -41,10 +42,11 @@
         .recorded_born_ms = record.recorded_born_ms,
         .recorded_capacity = record.listing.capacity};
   }
-  // Enqueues records of new workers and of those whose capacity exceeds the
-  // recorded one, and removals of the records of workers
-  // that the fleet no longer holds. Call it after the fleet has applied
-  // `listings`, which holds at least the list entries that have changed.
+  // Enqueues records of new workers, of those whose capacity exceeds the
+  // recorded one, and of those whose carried leases aren't recorded, and
+  // removals of the records of workers that the fleet no longer holds. Call it
+  // after the fleet has applied `listings`, which holds at least the list
+  // entries that have changed.
   void Update(const std::vector<workers::Listing>& listings);
   // The store's clock showed at most `at_most_ms` at `now`. Until this is
   // known, no record names an end of leases.
@@ -68,6 +70,8 @@
     bool is_removal = false;
     // The incarnation that the last enqueued record names.
     std::int64_t recorded_born_ms = workers::kUnknownIncarnation;
+    // Whether the last enqueued record names the end of carried leases.
+    bool names_carried_leases = false;
     // The capacity that the last enqueued record without an end of the leases
     // names.
     base::Resources recorded_capacity{};
@@ -78,6 +82,18 @@
   void OnUnresponsive(const workers::Worker& worker,
                       base::TimePoint leases_end);
   void OnResponsiveAgain(const workers::Worker& worker, base::TimePoint now);
+  void OnClaimed(const workers::Worker& worker);
+  // Enqueues the records of claimed incarnations that don't name yet when their
+  // carried leases end.
+  void RecordCarriedLeases();
+  // Returns the time until which leases of the worker's incarnation may be
+  // valid that it took from commands to earlier ones, by the store's clock; 0
+  // for none, and nullopt if it is not known.
+  std::optional<std::int64_t> CarriedUntilMs(
+      const workers::Worker& worker) const;
+  // Returns an upper bound of the store's clock at `at`.
+  static std::int64_t StoreMillisAt(const StoreClock& clock,
+                                    base::TimePoint at);
   void EnqueueRecord(const base::BackendId& worker,
                      std::optional<workers::WorkerRecord> record);
 
@@ -85,6 +101,9 @@
   Fleet* fleet_;
   std::optional<StoreClock> store_clock_;
   std::map<base::BackendId, WorkerState> worker_states_;
+  // Claimed workers whose last enqueued record doesn't name the end of their
+  // carried leases.
+  std::set<base::BackendId> without_carried_leases_;
 };
 
 }  // namespace dotterelbarrow::core::scheduler
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -224,11 +224,21 @@
   bool is_claimed = false;
   // When this owner claimed the incarnation for the first time.
   std::optional<base::TimePoint> claimed_at;
+  // Until an incarnation is claimed, it also executes commands that were sent
+  // to an earlier one under its id. Such a command names a deadline by another
+  // clock, so that it may grant the longest lease. Set once it is known when
+  // all these leases have expired; long ago if there was no earlier
+  // incarnation.
+  struct CarriedLeases {
+    std::int64_t born_ms = kUnknownIncarnation;
+    base::TimePoint end;
+  };
+  std::optional<CarriedLeases> carried_leases;
   // The incarnation that a previous owner used; unknown for workers that this
   // owner found first.
   std::int64_t inherited_born_ms = kUnknownIncarnation;
-  // The time by which all leases granted by previous owners, whose deadlines
-  // are not known, have expired.
+  // The time by which all leases have expired whose deadlines are not known:
+  // those granted by previous owners, and those of `carried_leases`.
   base::TimePoint inherited_leases_end;
   // The number of the last run end that was received from the worker.
   std::uint64_t ends_received = 0;
--- a/include/dotterelbarrow/core/workers/worker_record.h
+++ b/include/dotterelbarrow/core/workers/worker_record.h
@@ -2,8 +2,8 @@
 // it, so that the next owner can claim the worker even if the platform doesn't
 // list it any more. Its JSON fields are "address", "cpu" in millicores,
 // "memory" in mebibytes and "accelerators" of the largest capacity that is
-// known of the incarnation, "born_ms", "rack" and, for an unresponsive worker,
-// "leases_end_ms".
+// known of the incarnation, "born_ms", "rack", "carried_until_ms" once it is
+// known and, for an unresponsive worker, "leases_end_ms".
 #ifndef DOTTERELBARROW_CORE_WORKERS_WORKER_RECORD_H_
 #define DOTTERELBARROW_CORE_WORKERS_WORKER_RECORD_H_
 
@@ -23,6 +23,9 @@
   // worker may be valid. No lease is granted until a record without this field
   // is stored.
   std::optional<std::int64_t> leases_end_ms{};
+  // The time, by the store's clock, until which leases may be valid that the
+  // incarnation took from commands to earlier ones; 0 if there were none.
+  std::optional<std::int64_t> carried_until_ms{};
   // The incarnation that the record was written for, in milliseconds since
   // 1970; unknown in the records of earlier versions of this program.
   std::int64_t recorded_born_ms = kUnknownIncarnation;
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -85,6 +85,9 @@
     worker->reported_after = list_requested_at_;
   }
   const bool is_new_incarnation = listing.born_ms != worker->listing().born_ms;
+  if (is_new_incarnation && listing.born_ms != worker->inherited_born_ms) {
+    ExpectCarriedLeases(worker, now);
+  }
   incarnations_version_ += is_new_incarnation ? 1 : 0;
   worker->Update(listing);
   worker->set_listed(true);
@@ -147,6 +150,10 @@
     return;
   }
   Worker* added = Add(Worker(listing, NextNumber()));
+  if (!removed_workers_.contains(listing.id)) {
+    // No record names the worker, so no owner has used an earlier incarnation.
+    added->carried_leases = {listing.born_ms, base::TimePoint()};
+  }
   if (const auto removed = removed_workers_.find(listing.id);
       removed != removed_workers_.end()) {
     const RemovedWorker& before = removed->second;
@@ -200,21 +207,24 @@
   }
 }
 
-void Fleet::AddInheritedWorker(const Listing& listing,
-                               base::TimePoint taken_over_at,
-                               std::optional<base::TimePoint> leases_end,
-                               std::int64_t born_ms) {
+void Fleet::AddInheritedWorker(
+    const Listing& listing, base::TimePoint taken_over_at,
+    std::optional<base::TimePoint> leases_end, std::int64_t born_ms,
+    std::optional<base::TimePoint> carried_leases_end) {
   Worker worker(listing, NextNumber());
   worker.inherited_born_ms = born_ms;
+  if (carried_leases_end) {
+    worker.carried_leases = {born_ms, *carried_leases_end};
+  }
   worker.leases_suspended = leases_end.has_value();
   worker.set_listed(false);
   // If the end of the leases is known, the worker has not answered for some
   // time.
   worker.last_answer = leases_end ? base::TimePoint() : taken_over_at;
   worker.next_poll = taken_over_at;
-  worker.inherited_leases_end = LatestExpiryOfLeasesGrantedAt(
-      std::max(taken_over_at + settings_.previous_ownership_lease,
-               earlier_owners_until_));
+  worker.inherited_leases_end = InheritedLeasesEnd(
+      worker, std::max(taken_over_at + settings_.previous_ownership_lease,
+                       earlier_owners_until_));
   if (leases_end) {
     worker.inherited_leases_end =
         std::min(worker.inherited_leases_end, *leases_end);
@@ -228,10 +238,24 @@
     Worker& worker = workers_.at(id);
     worker.inherited_leases_end = std::min(
         worker.inherited_leases_end,
-        LatestExpiryOfLeasesGrantedAt(std::max(now, earlier_owners_until_)));
+        InheritedLeasesEnd(worker, std::max(now, earlier_owners_until_)));
   }
 }
 
+base::TimePoint Fleet::InheritedLeasesEnd(const Worker& worker,
+                                          base::TimePoint until) const {
+  return std::max(LatestExpiryOfLeasesGrantedAt(until),
+                  worker.carried_leases ? worker.carried_leases->end
+                                        : LatestExpiryOfLeasesCarriedAt(until));
+}
+
+void Fleet::ExpectCarriedLeases(Worker* worker, base::TimePoint now) const {
+  worker->carried_leases.reset();
+  worker->inherited_leases_end = std::max(
+      worker->inherited_leases_end,
+      LatestExpiryOfLeasesCarriedAt(now + settings_.max_command_delay));
+}
+
 void Fleet::SuspendLeases(const base::BackendId& worker) {
   if (Worker* found = Find(worker)) {
     found->leases_suspended = true;
@@ -305,6 +329,7 @@
   // A previous owner may have used this incarnation as well; claiming the
   // worker shows whether it did.
   restarted.inherited_leases_end = worker->inherited_leases_end;
+  ExpectCarriedLeases(&restarted, now);
   restarted.inherited_born_ms = worker->inherited_born_ms;
   restarted.leases_suspended = worker->leases_suspended;
   restarted.set_evacuated(IsInEvacuatedZone(restarted));
--- a/src/core/scheduler/fleet_runs.cc
+++ b/src/core/scheduler/fleet_runs.cc
@@ -268,8 +268,14 @@
       target->returned_at = now;
     }
     target->next_poll = now;
-    // From now on, no previous owner can renew the lease that it granted.
-    target->inherited_leases_end = base::TimePoint();
+    // From now on, no previous owner can renew the lease that it granted, and
+    // the incarnation rejects commands that are meant for earlier ones.
+    if (!target->carried_leases ||
+        target->carried_leases->born_ms != result.born_ms) {
+      target->carried_leases = {result.born_ms,
+                                LatestExpiryOfLeasesCarriedAt(now)};
+    }
+    target->inherited_leases_end = target->carried_leases->end;
     target->granted_until_ms =
         result.clock_ms +
         settings_.lease_duration / std::chrono::milliseconds(1);
--- a/src/core/scheduler/worker_records.cc
+++ b/src/core/scheduler/worker_records.cc
@@ -29,6 +29,8 @@
       sigc::mem_fun(*this, &WorkerRecords::OnUnresponsive));
   fleet_->worker_responsive_again.connect(
       sigc::mem_fun(*this, &WorkerRecords::OnResponsiveAgain));
+  fleet_->worker_claimed.connect(
+      sigc::mem_fun(*this, &WorkerRecords::OnClaimed));
 }
 
 void WorkerRecords::Inherit(const workers::WorkerRecord& record,
@@ -36,14 +38,23 @@
   worker_states_[record.listing.id] = {
       .names_leases_end = record.leases_end_ms.has_value(),
       .recorded_born_ms = record.recorded_born_ms,
+      .names_carried_leases = record.carried_until_ms.has_value(),
       .recorded_capacity = record.listing.capacity};
+  const auto local_time = [&](std::int64_t store_ms) {
+    return now + std::chrono::milliseconds(store_ms - store_now_ms);
+  };
   std::optional<base::TimePoint> leases_end;
   if (record.leases_end_ms) {
-    leases_end =
-        now + std::chrono::milliseconds(*record.leases_end_ms - store_now_ms);
+    leases_end = local_time(*record.leases_end_ms);
+  }
+  std::optional<base::TimePoint> carried_leases_end;
+  if (record.carried_until_ms) {
+    carried_leases_end = *record.carried_until_ms == 0
+                             ? base::TimePoint()
+                             : local_time(*record.carried_until_ms);
   }
   fleet_->AddInheritedWorker(record.listing, now, leases_end,
-                             record.recorded_born_ms);
+                             record.recorded_born_ms, carried_leases_end);
 }
 
 void WorkerRecords::Update(const std::vector<workers::Listing>& listings) {
@@ -69,6 +80,7 @@
       EnqueueRecord(listing.id, workers::WorkerRecord{listing, std::nullopt});
     }
   }
+  RecordCarriedLeases();
   for (auto& [id, state] : worker_states_) {
     if (!state.is_removal && !fleet_->workers().contains(id)) {
       EnqueueRecord(id, std::nullopt);
@@ -76,6 +88,53 @@
   }
 }
 
+void WorkerRecords::OnClaimed(const workers::Worker& worker) {
+  const WorkerState& state = worker_states_[worker.id()];
+  if (!state.names_carried_leases ||
+      state.recorded_born_ms != worker.listing().born_ms) {
+    without_carried_leases_.insert(worker.id());
+  }
+}
+
+void WorkerRecords::RecordCarriedLeases() {
+  std::erase_if(without_carried_leases_, [this](const base::BackendId& id) {
+    const workers::Worker* worker = fleet_->Find(id);
+    const WorkerState& state = worker_states_[id];
+    if (worker == nullptr || state.is_removal) {
+      return true;
+    }
+    if (state.names_leases_end || state.unstored_records > 0 ||
+        !CarriedUntilMs(*worker)) {
+      return false;
+    }
+    if (!state.names_carried_leases ||
+        state.recorded_born_ms != worker->listing().born_ms) {
+      EnqueueRecord(id, workers::WorkerRecord{worker->listing()});
+    }
+    return true;
+  });
+}
+
+std::optional<std::int64_t> WorkerRecords::CarriedUntilMs(
+    const workers::Worker& worker) const {
+  const auto& carried = worker.carried_leases;
+  if (!carried || carried->born_ms != worker.listing().born_ms) {
+    return std::nullopt;
+  }
+  if (carried->end == base::TimePoint()) {
+    return 0;
+  }
+  return store_clock_
+             ? std::optional(StoreMillisAt(*store_clock_, carried->end))
+             : std::nullopt;
+}
+
+std::int64_t WorkerRecords::StoreMillisAt(const StoreClock& clock,
+                                          base::TimePoint at) {
+  return clock.at_most_ms + CeilMilliseconds(at - clock.read_at) +
+         kClockMarginMs;
+}
+
 void WorkerRecords::EnqueueRecord(const base::BackendId& worker,
                                   std::optional<workers::WorkerRecord> record) {
   WorkerState& state = worker_states_[worker];
@@ -83,6 +142,9 @@
     if (const workers::Worker* found = fleet_->Find(worker)) {
       // The next owner takes it for the most that may run on the worker.
       record->listing.capacity = found->largest_capacity();
+      if (found->listing().born_ms == record->listing.born_ms) {
+        record->carried_until_ms = CarriedUntilMs(*found);
+      }
     }
     if (!record->leases_end_ms) {
       state.recorded_capacity = record->listing.capacity;
@@ -90,6 +152,7 @@
   }
   state.names_leases_end = record && record->leases_end_ms.has_value();
   state.is_removal = !record.has_value();
+  state.names_carried_leases = record && record->carried_until_ms.has_value();
   state.recorded_born_ms = record ? record->listing.born_ms : 0;
   ++state.unstored_records;
   jobs_->EnqueueWorkerRecord(
@@ -102,9 +165,7 @@
   if (!store_clock_) {
     return;
   }
-  const std::int64_t leases_end_ms =
-      store_clock_->at_most_ms +
-      CeilMilliseconds(leases_end - store_clock_->read_at) + kClockMarginMs;
+  const std::int64_t leases_end_ms = StoreMillisAt(*store_clock_, leases_end);
   fleet_->SuspendLeases(worker.id());
   EnqueueRecord(worker.id(),
                 workers::WorkerRecord{worker.listing(), leases_end_ms});
--- a/src/core/workers/worker_record.cc
+++ b/src/core/workers/worker_record.cc
@@ -17,6 +17,10 @@
       static_cast<Json::Int64>(listing.capacity.accelerators.value());
   value["born_ms"] = static_cast<Json::Int64>(listing.born_ms);
   value["rack"] = listing.rack;
+  if (record.carried_until_ms) {
+    value["carried_until_ms"] =
+        static_cast<Json::Int64>(*record.carried_until_ms);
+  }
   if (record.leases_end_ms) {
     value["leases_end_ms"] = static_cast<Json::Int64>(*record.leases_end_ms);
   }
@@ -42,6 +46,9 @@
   if (fields["leases_end_ms"].isInt64()) {
     record.leases_end_ms = fields["leases_end_ms"].asInt64();
   }
+  if (fields["carried_until_ms"].isInt64()) {
+    record.carried_until_ms = fields["carried_until_ms"].asInt64();
+  }
   if (fields["born_ms"].isInt64()) {
     record.recorded_born_ms = fields["born_ms"].asInt64();
   }
--- a/src/member/shard_controller.cc
+++ b/src/member/shard_controller.cc
@@ -55,6 +55,7 @@
   result.refuses_wide_gangs = plan.count() > 1;
   result.fleet.lease_duration =
       std::min(result.fleet.lease_duration, settings.max_lease);
+  result.fleet.max_lease_duration = settings.max_lease;
   // The platform removes a worker from its list after three missed heartbeats.
   result.fleet.listing_timeout = settings.heartbeat * 3;
   // Tasks of a gang time out by themselves after `gang_timeout`. Stopping them
--- a/src/standins/site/worker_model.cc
+++ b/src/standins/site/worker_model.cc
@@ -51,6 +51,11 @@
   return true;
 }
 
+void WorkerModel::ExtendLease(std::int64_t until_ms) {
+  lease_until_ms_ =
+      std::max(lease_until_ms_, std::min(until_ms, clock_ms_ + kMaxLeaseMs));
+}
+
 void WorkerModel::End(const TaskRef& task, RunEnd end) {
   const auto it = runs_.find(task);
   if (it == runs_.end()) {
@@ -92,7 +97,7 @@
   if (command.lease_until_ms <= clock_ms_) {
     return CommandOutcome::kDeadlinePassed;
   }
-  lease_until_ms_ = std::max(lease_until_ms_, command.lease_until_ms);
+  ExtendLease(command.lease_until_ms);
   const auto present = runs_.find(command.task);
   if (present != runs_.end() && present->second.attempt == command.attempt) {
     return CommandOutcome::kDone;
@@ -142,7 +147,7 @@
   }
   result.outcome = CommandOutcome::kDone;
   if (command.lease_until_ms) {
-    lease_until_ms_ = std::max(lease_until_ms_, *command.lease_until_ms);
+    ExtendLease(*command.lease_until_ms);
   }
   std::erase_if(ends_, [&command](const ListedEnd& end) {
     return end.number <= command.ends_stored;
@@ -181,12 +186,12 @@
   runs_.clear();
 }
 
-void WorkerModel::Restart(std::int64_t born_ms) {
+void WorkerModel::Restart(std::int64_t born_ms, std::int64_t clock_ms) {
   is_up_ = true;
   listing_.born_ms = born_ms;
   fence_ = FencingToken(0);
   lease_until_ms_ = 0;
-  clock_ms_ = 0;
+  clock_ms_ = clock_ms;
   closed_attempts_.clear();
   ends_.clear();
   last_end_ = 0;
--- a/src/standins/site/worker_model.h
+++ b/src/standins/site/worker_model.h
@@ -85,9 +85,10 @@
   std::int64_t clock_ms() const { return clock_ms_; }
 
   // Crash drops all runs. Restart brings the worker back under the same id, as
-  // another incarnation that is identified by `born_ms`.
+  // another incarnation that is identified by `born_ms`, with a clock that
+  // shows `clock_ms`.
   void Crash();
-  void Restart(std::int64_t born_ms);
+  void Restart(std::int64_t born_ms, std::int64_t clock_ms = 0);
   // Gives the worker another id, as its next incarnation on the same machine
   // may have.
   void Rename(base::BackendId id) { listing_.id = std::move(id); }
@@ -100,12 +101,17 @@
   static constexpr std::size_t kMaxListedEnds = 500;
   void set_max_listed_ends(std::size_t count) { max_listed_ends_ = count; }
 
+  // The longest lease, by the worker's clock; a longer one is cut to it.
+  static constexpr std::int64_t kMaxLeaseMs = 10'000;
+
   // Whether a start has ever brought the concurrent runs above the capacity.
   bool was_overloaded() const { return was_overloaded_; }
 
  private:
   // Returns whether the token is at least the highest one seen, and stores it.
   bool AcceptToken(FencingToken token);
+  // Extends the lease to this time, or to the longest one.
+  void ExtendLease(std::int64_t until_ms);
   // Returns the capacity by which a start is judged.
   base::Resources CapacityInForce() const;
   void End(const TaskRef& task, RunEnd end);
--- a/test/core/scheduler/fleet_test.cc
+++ b/test/core/scheduler/fleet_test.cc
@@ -429,6 +429,120 @@
   }
 }
 
+// Guards against a task that runs twice at once: the next incarnation has
+// executed a command to the former one, whose deadline is far ahead of its
+// clock, and holds the longest lease.
+TEST_CASE("a worker returns under its id, and is lost soon after") {
+  FleetScenario scenario;
+  const auto advance = [&](base::Duration duration) {
+    for (base::Duration passed{0}; passed < duration;
+         passed += milliseconds(100)) {
+      scenario.Advance(milliseconds(100));
+      scenario.Tick();
+    }
+    scenario.actions.clear();
+  };
+  const auto restart = [&] {
+    scenario.born_ms = 2;
+    scenario.worker_clock_ms = 100;
+    scenario.ApplyList();
+    scenario.Tick();
+  };
+  const auto start = [&] {
+    scenario.actions.clear();
+    scenario.Start();
+    scenario.AnswerStart(CommandOutcome::kDone);
+    scenario.AnswerPoll({{kTask, kAttempt, ""}});
+  };
+
+  SUBCASE("its runs are given up once the longest lease has expired") {
+    restart();
+    scenario.AnswerPoll({});
+    start();
+    advance(milliseconds(9900));
+    CHECK(scenario.ends.empty());
+    advance(milliseconds(700));
+    CHECK(scenario.ends == std::vector{jobs::RunEnd::kLeaseExpired});
+  }
+  SUBCASE("the time counts from its claim, not from its last answer") {
+    restart();
+    scenario.AnswerPoll({});
+    start();
+    for (int i = 0; i < 10; ++i) {
+      advance(seconds(1));
+      scenario.AnswerPoll({{kTask, kAttempt, ""}});
+    }
+    advance(milliseconds(3900));
+    CHECK(scenario.ends.empty());
+    advance(milliseconds(500));
+    CHECK(scenario.ends == std::vector{jobs::RunEnd::kLeaseExpired});
+  }
+  SUBCASE("a start to the former incarnation may run there, unclaimed") {
+    scenario.Start();
+    scenario.AnswerStart(CommandOutcome::kUnanswered);
+    restart();
+    advance(milliseconds(10'900));
+    CHECK(scenario.ends.empty());
+    advance(milliseconds(700));
+    CHECK(scenario.ends == std::vector{jobs::RunEnd::kLeaseExpired});
+  }
+  SUBCASE("the first incarnation holds no such lease") {
+    start();
+    advance(milliseconds(4400));
+    CHECK(scenario.ends == std::vector{jobs::RunEnd::kLeaseExpired});
+  }
+}
+
+TEST_CASE("an inherited worker whose incarnation isn't the first") {
+  FleetScenario scenario;
+  Fleet next_owner(FleetSettings(), {&scenario.log, &scenario.counters});
+  workers::Listing listing;
+  listing.id = kWorker;
+  constexpr std::int64_t kBornMs = 7;
+  const auto inherit = [&](std::optional<base::TimePoint> carried_leases_end) {
+    next_owner.AddInheritedWorker(listing, scenario.now, std::nullopt, kBornMs,
+                                  carried_leases_end);
+    next_owner.OnPreviousOwnerStopped(scenario.now);
+  };
+  const auto is_expired_after = [&](base::Duration passed) {
+    std::vector<Action> actions;
+    next_owner.Tick(scenario.now + passed, scenario.now + passed, &actions);
+    return !next_owner.unreconciled().contains(kWorker);
+  };
+  const auto list = [&](std::int64_t born_ms) {
+    workers::Listing listed = listing;
+    listed.born_ms = born_ms;
+    next_owner.UpdateListings({listed}, scenario.now, scenario.now);
+  };
+
+  SUBCASE("expires once the leases have that it took from other commands") {
+    inherit(scenario.now + seconds(8));
+    CHECK_FALSE(is_expired_after(milliseconds(7900)));
+    CHECK(is_expired_after(milliseconds(8100)));
+  }
+  SUBCASE("expires as usual if these expired long ago") {
+    inherit(scenario.now - seconds(8));
+    CHECK_FALSE(is_expired_after(milliseconds(4100)));
+    CHECK(is_expired_after(milliseconds(4300)));
+  }
+  SUBCASE("expires after the longest lease if their end isn't known") {
+    inherit(std::nullopt);
+    CHECK_FALSE(is_expired_after(milliseconds(10'000)));
+    CHECK(is_expired_after(milliseconds(10'600)));
+  }
+  SUBCASE("listed with the recorded incarnation expires as usual") {
+    inherit(scenario.now - seconds(8));
+    list(kBornMs);
+    CHECK(is_expired_after(milliseconds(4300)));
+  }
+  SUBCASE("listed with a later one expires after the longest lease") {
+    inherit(scenario.now - seconds(8));
+    list(kBornMs + 1);
+    CHECK_FALSE(is_expired_after(milliseconds(10'900)));
+    CHECK(is_expired_after(milliseconds(11'600)));
+  }
+}
+
 TEST_CASE("an inherited worker") {
   FleetScenario scenario;
   Fleet next_owner(FleetSettings(), {&scenario.log, &scenario.counters});
--- a/test/core/scheduler/worker_records_test.cc
+++ b/test/core/scheduler/worker_records_test.cc
@@ -99,6 +99,53 @@
   }
 }
 
+// Guards against a task that runs twice at once: the next owner doesn't know
+// that the worker returned just before, and holds a longer lease than usual.
+TEST_CASE("a worker returns, is claimed and lost, and so is the owner") {
+  Scenario scenario;
+  scenario.SubmitAndStore(kJob, "plain", {Scenario::Step(1)});
+  scenario.AddWorkers(1);
+  RunAndStore(&scenario, seconds(1));
+  scenario.TakeStarts();
+  const std::string worker = "worker-0";
+  scenario.RestartWorker(worker);
+  RunAndStore(&scenario, milliseconds(600));
+  REQUIRE(CountStartsOn(&scenario, worker) == 1);
+  const auto lose_both = [&] {
+    scenario.unresponsive_workers = {worker};
+    scenario.AddUnlistedWorkers(1);
+    scenario.TakeOver();
+  };
+
+  SUBCASE("soon: the task waits until the longest lease has expired") {
+    const base::TimePoint returned = scenario.now() - milliseconds(600);
+    lose_both();
+    const base::Duration longest = FleetSettings().max_lease_duration;
+    while (scenario.now() < returned + longest) {
+      RunAndStore(&scenario, milliseconds(100));
+      CHECK(scenario.TakeStarts().empty());
+    }
+    RunAndStore(&scenario, milliseconds(1500));
+    CHECK(CountStartsOn(&scenario, "worker-1") == 1);
+  }
+  SUBCASE("later: it waits for a usual lease, as the record tells the time") {
+    RunAndStore(&scenario, seconds(10));
+    lose_both();
+    RunAndStore(&scenario, milliseconds(4000));
+    CHECK(scenario.TakeStarts().empty());
+    RunAndStore(&scenario, milliseconds(700));
+    CHECK(CountStartsOn(&scenario, "worker-1") == 1);
+  }
+  SUBCASE("later, under a second owner: the record still tells the time") {
+    RunAndStore(&scenario, seconds(4));
+    scenario.TakeOver();
+    RunAndStore(&scenario, seconds(6));
+    lose_both();
+    RunAndStore(&scenario, milliseconds(4700));
+    CHECK(CountStartsOn(&scenario, "worker-1") == 1);
+  }
+}
+
 TEST_CASE("a worker answers again") {
   Scenario scenario;
   scenario.AddWorkers(2);
--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -34,6 +34,12 @@
 constexpr std::int64_t kOwnershipLeaseMs =
     core::scheduler::kOwnershipLease / std::chrono::milliseconds(1);
 constexpr std::int64_t kWorkerCores = 16;
+// The range of the clocks of workers that were restarted unnoticed.
+constexpr std::int64_t kMaxClockOriginMs = 60'000;
+// A command whose connection isn't accepted for this long is not executed, and
+// one that still waits arrives this long after its worker's return at most.
+constexpr std::int64_t kMaxConnectTimeMs = 1000;
+constexpr std::int64_t kMaxReconnectDelayMs = 60;
 constexpr std::int64_t kWorkerMemory = 64;
 constexpr std::int64_t kMaxRecoveryMs = 120'000;
 constexpr std::uint32_t kMaxAttempts = 3;
@@ -402,6 +408,10 @@
   const bool is_late = Chance(faults.commands_late);
   const bool is_reachable = !cut_.contains(index) && !dark_.contains(index) &&
                             IsOnSameSide(*owner, index);
+  if (restarting_.contains(index) && is_reachable) {
+    WaitForRestart(owner, index, worker.id, order, answer, timeout_ms);
+    return;
+  }
   if (!model.is_up() && is_reachable) {
     reply(Between(1, 15), CommandOutcome::kNotSent, 0);
     return;
@@ -484,6 +494,36 @@
   }
 }
 
+void Cell::WaitForRestart(
+    const std::shared_ptr<Owner>& owner, std::size_t index,
+    const base::BackendId& id,
+    const std::function<CommandOutcome(WorkerModel*)>& order,
+    const std::function<void(CommandOutcome, std::int64_t)>& answer,
+    std::int64_t timeout_ms) {
+  const auto is_over = std::make_shared<bool>(false);
+  const auto finish = [owner, answer, is_over](CommandOutcome outcome,
+                                               std::int64_t clock_ms) {
+    if (!std::exchange(*is_over, true) && owner->is_alive) {
+      answer(outcome, clock_ms);
+    }
+  };
+  After(timeout_ms, [finish] { finish(CommandOutcome::kUnanswered, 0); });
+  waiting_commands_.push_back(
+      {index, now_ms_, [this, index, id, order, finish] {
+         WorkerModel* target = workers_[index].get();
+         if (!target->is_up() || target->listing().id != id) {
+           return;
+         }
+         const CommandOutcome outcome = order(target);
+         if (!cut_.contains(index)) {
+           After(Between(1, 15),
+                 [finish, outcome, clock_ms = target->clock_ms()] {
+                   finish(outcome, clock_ms);
+                 });
+         }
+       }});
+}
+
 void Cell::HoldPoll(std::size_t index, std::uint64_t cuts,
                     std::int64_t until_ms, const Event& answer) {
   const WorkerModel& worker = *workers_[index];
@@ -902,6 +942,34 @@
   });
 }
 
+void Cell::RestartWorkerUnnoticed(std::size_t index, std::int64_t down_ms) {
+  WorkerModel* worker = workers_[index].get();
+  if (!worker->is_up()) {
+    return;
+  }
+  RecordCrashedRuns(*worker);
+  worker->Crash();
+  restarting_.insert(index);
+  After(down_ms, [this, index, worker] {
+    restarting_.erase(index);
+    worker->Restart(UnixMillis(), Between(0, kMaxClockOriginMs));
+    // Each connection is tried again at times of its own.
+    std::vector<WaitingCommand> arriving;
+    for (WaitingCommand& command : waiting_commands_) {
+      if (command.worker == index &&
+          now_ms_ - command.sent_ms <= kMaxConnectTimeMs) {
+        arriving.push_back(std::move(command));
+      }
+    }
+    std::erase_if(waiting_commands_, [index](const WaitingCommand& command) {
+      return command.worker == index;
+    });
+    for (const WaitingCommand& command : arriving) {
+      After(Between(0, kMaxReconnectDelayMs), command.execute);
+    }
+  });
+}
+
 void Cell::MakeDeadly(JobKey job, bool first_task_only) {
   deadly_[job] = first_task_only;
 }
--- a/test/fuzz/scheduler/cell.h
+++ b/test/fuzz/scheduler/cell.h
@@ -117,6 +117,10 @@
   void SetStoreDown(bool is_down) { is_store_down_ = is_down; }
   // Crashes the worker. It is back after 0.5 to 4 s.
   void CrashWorker(std::size_t index);
+  // Crashes the worker without a trace on the network. It is back after
+  // `down_ms`, with a clock of its own; commands that were sent meanwhile, or
+  // were under way, reach its next incarnation.
+  void RestartWorkerUnnoticed(std::size_t index, std::int64_t down_ms);
   // From now on, each start of a task of this job crashes its worker
   // `deadly_after_ms` later. Only the first task of the first step does so if
   // `first_task_only`.
@@ -205,6 +209,12 @@
   std::int64_t Between(std::int64_t least, std::int64_t most);
   void After(std::int64_t delay_ms, Event event);
 
+  struct WaitingCommand {
+    std::size_t worker = 0;
+    std::int64_t sent_ms = 0;
+    Event execute;
+  };
+
   // Whether the owner and the worker are on the same side of the partition.
   bool IsOnSameSide(const Owner& owner, std::size_t worker) const {
     return owner.is_isolated == isolated_workers_.contains(worker);
@@ -232,6 +242,15 @@
   bool IsCutOff(std::size_t index, std::uint64_t cuts) const {
     return has_hard_cuts && cut_counts_[index] != cuts;
   }
+  // Delivers a command to a worker that is being restarted unnoticed: its next
+  // incarnation executes it. The answer is that of a lost command unless it
+  // arrives before the command times out.
+  void WaitForRestart(
+      const std::shared_ptr<Owner>& owner, std::size_t index,
+      const base::BackendId& id,
+      const std::function<CommandOutcome(WorkerModel*)>& order,
+      const std::function<void(CommandOutcome, std::int64_t)>& answer,
+      std::int64_t timeout_ms);
   // Calls `answer` once the worker lists a run end, or at `until_ms`, or when
   // the worker has crashed or was cut off.
   void HoldPoll(std::size_t index, std::uint64_t cuts, std::int64_t until_ms,
@@ -285,6 +304,9 @@
   std::set<std::size_t> listed_while_cut_;
   // The workers that only isolated owners reach.
   std::set<std::size_t> isolated_workers_;
+  // Commands to workers that are being restarted unnoticed.
+  std::vector<WaitingCommand> waiting_commands_;
+  std::set<std::size_t> restarting_;
   // Crashed workers whose machine is gone too, so that nothing refuses
   // connections.
   std::set<std::size_t> dark_;
