Don't take the next incarnation's answer for a start that was confirmed here

What callers could see (TWICE): a task runs twice at once. A start for an incarnation that has just crashed is executed by the next one and answered with 200. The former incarnation's last list, read after that answer, doesn't show the run, so that its end was booked, and the task started elsewhere.

Cause: the answer to a start names no incarnation, and was booked for the one that the owner knew. WasConfirmedBefore compares the clocks of two incarnations then: the next one's is usually behind.

Change: an answer whose clock is before the last reading known when the start was sent leaves the start without an answer. The worker is polled at once, and the run is stopped in the incarnation that has it.

Why it works: a clock never goes back within one incarnation, so that such an answer comes from a later one. If that one's clock is ahead instead, its time is after the readings of all late lists, which end no run then.

--- a/src/core/scheduler/fleet_runs.cc
+++ b/src/core/scheduler/fleet_runs.cc
@@ -122,18 +122,8 @@
   if (target == nullptr) {
     return;
   }
-  const bool was_unreachable = outcome == CommandOutcome::kUnanswered ||
-                               outcome == CommandOutcome::kNotSent;
-  target->unanswered_commands =
-      was_unreachable ? target->unanswered_commands + 1 : 0;
-  if (outcome == CommandOutcome::kDone) {
-    target->alive_at = now;
-  }
   Run* run = target->FindRun(key.first, key.second);
-  if (run == nullptr) {
-    return;
-  }
-  if (clock_ms > 0 && clock_ms < run->start_sent_ms) {
+  if (run != nullptr && clock_ms > 0 && clock_ms < run->start_sent_ms) {
     telemetry_.counters->Increment("answers_of_other_life", ToString(outcome));
     telemetry_.log->Write("start_answered_by_other_life",
                           {{"worker", worker.value()},
@@ -142,6 +132,21 @@
                            {"born_ms", target->listing().born_ms},
                            {"clock_ms", clock_ms},
                            {"sent_ms", run->start_sent_ms}});
+    if (outcome == CommandOutcome::kDone) {
+      // The run is in the next incarnation. A list of this one that arrives
+      // late can't show it, and must not be taken for its end.
+      outcome = CommandOutcome::kUnanswered;
+    }
+  }
+  const bool was_unreachable = outcome == CommandOutcome::kUnanswered ||
+                               outcome == CommandOutcome::kNotSent;
+  target->unanswered_commands =
+      was_unreachable ? target->unanswered_commands + 1 : 0;
+  if (outcome == CommandOutcome::kDone) {
+    target->alive_at = now;
+  }
+  if (run == nullptr) {
+    return;
   }
   if (outcome == CommandOutcome::kDone) {
     run->start_confirmed_ms = clock_ms;
--- a/test/core/scheduler/fleet_test.cc
+++ b/test/core/scheduler/fleet_test.cc
@@ -493,6 +493,38 @@
   }
 }
 
+// Guards against a task that runs twice at once: the answer of the next
+// incarnation to a start was taken for one of the present incarnation, whose
+// late list doesn't show the run.
+TEST_CASE(
+    "a start is executed by the next incarnation, which isn't known yet") {
+  FleetScenario scenario;
+  scenario.AnswerPoll({});
+  scenario.Start();
+  scenario.fleet.OnStarted(kWorker, scenario.born_ms, {kTask, kAttempt},
+                           CommandOutcome::kDone, 50, scenario.now,
+                           &scenario.actions);
+  CHECK(scenario.counters.value("answers_of_other_life", "done") == 1);
+
+  SUBCASE("a late list of the former incarnation doesn't end the run") {
+    scenario.Advance(milliseconds(20));
+    scenario.AnswerPoll({});
+    CHECK(scenario.ends.empty());
+    CHECK(scenario.FreeCpu() == 1000);
+  }
+  SUBCASE("it is stopped there") {
+    scenario.born_ms = 2;
+    scenario.worker_clock_ms = 90;
+    scenario.ApplyList();
+    CHECK(scenario.ends.empty());
+    scenario.actions.clear();
+    scenario.Tick();
+    CHECK(scenario.CountActions<StopTask>() == 1);
+    scenario.AnswerPoll({}, {{1, kTask, kAttempt, jobs::RunEnd::kStopped, ""}});
+    CHECK(scenario.ends == std::vector{jobs::RunEnd::kStopped});
+  }
+}
+
 TEST_CASE("an inherited worker whose incarnation isn't the first") {
   FleetScenario scenario;
   Fleet next_owner(FleetSettings(), {&scenario.log, &scenario.counters});
