Record carried leases only for incarnations that aren't the first

Cause: the record of each worker named the end of its carried leases, 0 for none.

Change: a record without the field says that there was no earlier incarnation; an incarnation that isn't claimed yet is recorded as unknown. Records of an earlier version lack the field too: until all hosts are new, a next owner counts the usual lease for workers that returned under such a host.

--- a/include/dotterelbarrow/core/scheduler/worker_records.h
+++ b/include/dotterelbarrow/core/scheduler/worker_records.h
@@ -70,7 +70,8 @@
     bool is_removal = false;
     // The incarnation that the last enqueued record names.
     std::int64_t recorded_born_ms = workers::kUnknownIncarnation;
-    // Whether the last enqueued record names the end of carried leases.
+    // Whether the last enqueued record names the end of carried leases, or says
+    // that there are none.
     bool names_carried_leases = false;
     // The capacity that the last enqueued record without an end of the leases
     // names.
@@ -86,9 +87,8 @@
   // Enqueues the records of claimed incarnations that don't name yet when their
   // carried leases end.
   void RecordCarriedLeases();
-  // Returns the time until which leases of the worker's incarnation may be
-  // valid that it took from commands to earlier ones, by the store's clock; 0
-  // for none, and nullopt if it is not known.
+  // Returns what a record of the worker's incarnation says of the leases that
+  // it took from commands to earlier ones (WorkerRecord::carried_until_ms).
   std::optional<std::int64_t> CarriedUntilMs(
       const workers::Worker& worker) const;
   // Returns an upper bound of the store's clock at `at`.
--- a/include/dotterelbarrow/core/workers/worker_record.h
+++ b/include/dotterelbarrow/core/workers/worker_record.h
@@ -2,8 +2,9 @@
 // it, so that the next owner can claim the worker even if the platform doesn't
 // list it any more. Its JSON fields are "address", "cpu" in millicores,
 // "memory" in mebibytes and "accelerators" of the largest capacity that is
-// known of the incarnation, "born_ms", "rack", "carried_until_ms" once it is
-// known and, for an unresponsive worker, "leases_end_ms".
+// known of the incarnation, "born_ms", "rack", "carried_until_ms" for an
+// incarnation that isn't the first and, for an unresponsive worker,
+// "leases_end_ms".
 #ifndef DOTTERELBARROW_CORE_WORKERS_WORKER_RECORD_H_
 #define DOTTERELBARROW_CORE_WORKERS_WORKER_RECORD_H_
 
@@ -15,6 +16,8 @@
 
 namespace dotterelbarrow::core::workers {
 
+inline constexpr std::int64_t kUnknownCarriedUntil = -1;
+
 struct WorkerRecord {
   // In a decoded record its incarnation is unknown: another one may answer by
   // now.
@@ -24,7 +27,8 @@
   // is stored.
   std::optional<std::int64_t> leases_end_ms{};
   // The time, by the store's clock, until which leases may be valid that the
-  // incarnation took from commands to earlier ones; 0 if there were none.
+  // incarnation took from commands to earlier ones; kUnknownCarriedUntil until
+  // it is claimed. Not set if there was no earlier one.
   std::optional<std::int64_t> carried_until_ms{};
   // The incarnation that the record was written for, in milliseconds since
   // 1970; unknown in the records of earlier versions of this program.
--- a/src/core/scheduler/worker_records.cc
+++ b/src/core/scheduler/worker_records.cc
@@ -38,7 +38,8 @@
   worker_states_[record.listing.id] = {
       .names_leases_end = record.leases_end_ms.has_value(),
       .recorded_born_ms = record.recorded_born_ms,
-      .names_carried_leases = record.carried_until_ms.has_value(),
+      .names_carried_leases =
+          record.carried_until_ms != workers::kUnknownCarriedUntil,
       .recorded_capacity = record.listing.capacity};
   const auto local_time = [&](std::int64_t store_ms) {
     return now + std::chrono::milliseconds(store_ms - store_now_ms);
@@ -48,10 +49,10 @@
     leases_end = local_time(*record.leases_end_ms);
   }
   std::optional<base::TimePoint> carried_leases_end;
-  if (record.carried_until_ms) {
-    carried_leases_end = *record.carried_until_ms == 0
-                             ? base::TimePoint()
-                             : local_time(*record.carried_until_ms);
+  if (!record.carried_until_ms) {
+    carried_leases_end = base::TimePoint();
+  } else if (*record.carried_until_ms != workers::kUnknownCarriedUntil) {
+    carried_leases_end = local_time(*record.carried_until_ms);
   }
   fleet_->AddInheritedWorker(record.listing, now, leases_end,
                              record.recorded_born_ms, carried_leases_end);
@@ -104,7 +105,7 @@
       return true;
     }
     if (state.names_leases_end || state.unstored_records > 0 ||
-        !CarriedUntilMs(*worker)) {
+        CarriedUntilMs(*worker) == workers::kUnknownCarriedUntil) {
       return false;
     }
     if (!state.names_carried_leases ||
@@ -119,14 +120,13 @@
     const workers::Worker& worker) const {
   const auto& carried = worker.carried_leases;
   if (!carried || carried->born_ms != worker.listing().born_ms) {
-    return std::nullopt;
+    return workers::kUnknownCarriedUntil;
   }
   if (carried->end == base::TimePoint()) {
-    return 0;
+    return std::nullopt;
   }
-  return store_clock_
-             ? std::optional(StoreMillisAt(*store_clock_, carried->end))
-             : std::nullopt;
+  return store_clock_ ? StoreMillisAt(*store_clock_, carried->end)
+                      : workers::kUnknownCarriedUntil;
 }
 
 std::int64_t WorkerRecords::StoreMillisAt(const StoreClock& clock,
@@ -142,9 +142,10 @@
     if (const workers::Worker* found = fleet_->Find(worker)) {
       // The next owner takes it for the most that may run on the worker.
       record->listing.capacity = found->largest_capacity();
-      if (found->listing().born_ms == record->listing.born_ms) {
-        record->carried_until_ms = CarriedUntilMs(*found);
-      }
+      record->carried_until_ms =
+          found->listing().born_ms == record->listing.born_ms
+              ? CarriedUntilMs(*found)
+              : workers::kUnknownCarriedUntil;
     }
     if (!record->leases_end_ms) {
       state.recorded_capacity = record->listing.capacity;
@@ -152,7 +153,8 @@
   }
   state.names_leases_end = record && record->leases_end_ms.has_value();
   state.is_removal = !record.has_value();
-  state.names_carried_leases = record && record->carried_until_ms.has_value();
+  state.names_carried_leases =
+      record && record->carried_until_ms != workers::kUnknownCarriedUntil;
   state.recorded_born_ms = record ? record->listing.born_ms : 0;
   ++state.unstored_records;
   jobs_->EnqueueWorkerRecord(
