Acknowledge the ends of runs once

What callers could see (TWICE): a task starts again after its success. A poll that is meant for a former incarnation and executed by the next one, before that is claimed, discards the ends up to its number; a start for the former incarnation may have run and ended there, and nobody has read that.

Cause: each poll repeated the last number that is stored, long after the worker had forgotten these ends.

Change: once a poll with the number was answered, later polls acknowledge nothing until further ends are stored. What remains is a poll that carries a new number and is delayed past a crash, together with such a start.

--- a/include/dotterelbarrow/core/scheduler/fleet.h
+++ b/include/dotterelbarrow/core/scheduler/fleet.h
@@ -235,10 +235,12 @@
                  const RunKey& key, CommandOutcome outcome,
                  std::int64_t clock_ms, std::vector<Action>* actions);
   // `was_regular_poll` is false for an immediate poll sent alongside the
-  // regular one, which may be a long poll.
+  // regular one, which may be a long poll. `ends_acknowledged` is the number up
+  // to which the poll acknowledged run ends.
   void OnPolled(const base::BackendId& worker, std::int64_t born_ms,
                 bool was_regular_poll, const PollResult& result,
-                base::TimePoint now, std::vector<Action>* actions);
+                base::TimePoint now, std::vector<Action>* actions,
+                std::uint64_t ends_acknowledged = 0);
   // The store holds all run ends up to `number` of the worker's incarnation
   // that began at `born_ms`.
   void OnEndsStored(const base::BackendId& worker, std::int64_t born_ms,
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -244,6 +244,9 @@
   std::uint64_t ends_received = 0;
   // Run ends up to this number are stored; the worker may forget them.
   std::uint64_t ends_stored = 0;
+  // The worker has answered a poll that acknowledged the run ends up to this
+  // number.
+  std::uint64_t ends_forgotten = 0;
   // Whether stored run ends are not acknowledged yet, because another run of
   // their task may still start.
   bool has_held_ends = false;
@@ -291,6 +294,12 @@
   jobs::JobKey last_failed_job;
   int quarantines = 0;
 
+  // Returns the number up to which a poll has to acknowledge run ends; 0 if the
+  // worker has forgotten them. A poll that reaches the next incarnation would
+  // discard ends that nobody has read.
+  std::uint64_t EndsToAcknowledge() const {
+    return ends_stored > ends_forgotten ? ends_stored : 0;
+  }
   // Returns whether all leases of the worker are guaranteed to have expired, so
   // that no run that was ever commanded can still be active, even if the worker
   // doesn't answer.
--- a/src/core/scheduler/fleet.cc
+++ b/src/core/scheduler/fleet.cc
@@ -477,7 +477,7 @@
   worker->poll_sent_at = now;
   PollWorker poll{.worker = AddressOf(*worker),
                   .lease_until_ms = std::nullopt,
-                  .ends_stored = worker->ends_stored,
+                  .ends_stored = worker->EndsToAcknowledge(),
                   .wait = base::Duration(0)};
   // The lease of an unresponsive worker is not renewed: any unanswered renewal
   // may have taken effect, so its lease would never be guaranteed to have
@@ -493,7 +493,7 @@
 void Fleet::PollImmediately(Worker* worker, std::vector<Action>* actions) {
   actions->push_back(PollWorker{.worker = AddressOf(*worker),
                                 .lease_until_ms = std::nullopt,
-                                .ends_stored = worker->ends_stored,
+                                .ends_stored = worker->EndsToAcknowledge(),
                                 .wait = base::Duration(0),
                                 .is_immediate = true});
 }
--- a/src/core/scheduler/fleet_runs.cc
+++ b/src/core/scheduler/fleet_runs.cc
@@ -189,7 +189,8 @@
 
 void Fleet::OnPolled(const base::BackendId& worker, std::int64_t born_ms,
                      bool was_regular_poll, const PollResult& result,
-                     base::TimePoint now, std::vector<Action>* actions) {
+                     base::TimePoint now, std::vector<Action>* actions,
+                     std::uint64_t ends_acknowledged) {
   Worker* target = Find(worker);
   // A poll to an unknown incarnation was sent before any restart was known.
   const bool is_outdated =
@@ -264,6 +265,7 @@
     target->claimed_at = now;
   }
   target->clock.RecordReading(result.clock_ms, now);
+  target->ends_forgotten = std::max(target->ends_forgotten, ends_acknowledged);
   ApplyRunEnds(target, result.ended);
   ApplyActiveRuns(target, result, now, actions);
   ResolveUnlistedRuns(target, result, now, actions);
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -86,7 +86,7 @@
   now_ = now;
   const bool is_long_poll = !command.is_immediate;
   fleet_.OnPolled(command.worker.id, command.worker.born_ms, is_long_poll,
-                  result, now, &actions_);
+                  result, now, &actions_, command.ends_stored);
 }
 
 void Scheduler::OnAdvice(const RequestAdvice& request,
--- a/test/fuzz/scheduler/late_polls_test.cc
+++ b/test/fuzz/scheduler/late_polls_test.cc
@@ -99,10 +99,10 @@
   }
   void Answer(const PollWorker& poll, const PollResult& result) {
     fleet.OnPolled(poll.worker.id, poll.worker.born_ms, true, result, now(),
-                   &actions);
+                   &actions, poll.ends_stored);
   }
-  // Runs a task to its success on the worker.
-  void RunTask(std::uint64_t job) {
+  // Sends a start command, and returns it.
+  StartTask SendStart(std::uint64_t job) {
     core::workers::Run run;
     run.task = TaskOf(job);
     run.attempt = Attempt(1);
@@ -110,12 +110,20 @@
     fleet.Reserve(kWorker, run);
     actions.clear();
     fleet.Start(kWorker, {run.task, run.attempt}, "", "", "", now(), &actions);
-    const auto start = std::get<StartTask>(actions.at(0));
-    const CommandOutcome outcome =
-        worker.Start(start, TokenFor(start.worker, kToken),
-                     {.needs = run.reserved, .duration_ms = kRunMs});
+    return std::get<StartTask>(actions.at(0));
+  }
+  CommandOutcome Execute(const StartTask& start) {
+    return worker.Start(start, TokenFor(start.worker, kToken),
+                        {.needs = {base::Millicores(1000), base::Mebibytes(0),
+                                   base::Accelerators(0), base::Slots(0)},
+                         .duration_ms = kRunMs});
+  }
+  // Runs a task to its success on the worker.
+  void RunTask(std::uint64_t job) {
+    const StartTask start = SendStart(job);
+    const CommandOutcome outcome = Execute(start);
     REQUIRE(outcome == CommandOutcome::kDone);
-    fleet.OnStarted(kWorker, start.worker.born_ms, {run.task, run.attempt},
+    fleet.OnStarted(kWorker, start.worker.born_ms, {start.task, start.attempt},
                     outcome, worker.clock_ms(), now(), &actions);
     Advance(kRunMs);
   }
@@ -189,6 +197,53 @@
   }
 }
 
+// Guards against the same loss before the next incarnation is claimed: a start
+// for the former one has run there, and its end is discarded unread.
+TEST_CASE("a poll is executed by the next incarnation before its claim") {
+  LatePollScenario scenario;
+  scenario.RunTask(1);
+  scenario.AnswerPoll(scenario.TakePoll());
+  scenario.StoreEnds(1, 1);
+  scenario.AnswerPoll(scenario.TakePoll());
+  REQUIRE_FALSE(scenario.ListsEndOf(1));
+  const PollWorker late = scenario.TakePoll();
+  const StartTask start = scenario.SendStart(2);
+  scenario.Restart(2);
+  REQUIRE(scenario.Execute(start) == CommandOutcome::kDone);
+  scenario.Advance(kRunMs);
+  REQUIRE(scenario.ListsEndOf(2));
+  scenario.Execute(late);
+  CHECK(scenario.ListsEndOf(2));
+  scenario.List();
+  scenario.AnswerPoll(scenario.TakePoll());
+  CHECK(scenario.done == std::vector{TaskOf(1), TaskOf(2)});
+}
+
+TEST_CASE("a poll acknowledges ends once") {
+  LatePollScenario scenario;
+  scenario.RunTask(1);
+  scenario.AnswerPoll(scenario.TakePoll());
+  scenario.StoreEnds(1, 1);
+  const PollWorker first = scenario.TakePoll();
+  CHECK(first.ends_stored == 1);
+  SUBCASE("answered, later polls acknowledge nothing until there are others") {
+    scenario.AnswerPoll(first);
+    const PollWorker second = scenario.TakePoll();
+    CHECK(second.ends_stored == 0);
+    scenario.AnswerPoll(second);
+    scenario.RunTask(2);
+    scenario.AnswerPoll(scenario.TakePoll());
+    scenario.StoreEnds(1, 2);
+    CHECK(scenario.TakePoll().ends_stored == 2);
+  }
+  SUBCASE("without an answer, the next poll acknowledges them again") {
+    PollResult lost;
+    lost.outcome = CommandOutcome::kUnanswered;
+    scenario.Answer(first, lost);
+    CHECK(scenario.TakePoll().ends_stored == 1);
+  }
+}
+
 // Guards against the same loss without a late command: the numbers of a batch
 // that was being stored during the restart are those of the previous
 // incarnation.
