Soak workers that return under their ids and fall silent soon after

Cause: the soak's workers lost the calls that came while they were restarted, and stayed away for seconds, so that no call ever reached a next incarnation.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -9,7 +9,7 @@
 
 Usage: scripts/soak.py [--seeds FIRST-LAST | --file SEEDS] [--seconds S] [--hosts N] [--workers N]
                        [--workers-per-owner N] [--callers N] [--cpu-share S] [--partitions KIND ...]
-                       [--silences] [--keep] [--until-broken]
+                       [--silences] [--returns] [--keep] [--until-broken]
 
 --hosts 7 --workers 48 --callers 16 --cpu-share 0.25 approaches the sizes of amman-bake, at a lower rate of jobs.
 """
@@ -52,6 +52,13 @@
 # So that about half of 8 workers are silent.
 MIN_BETWEEN_SILENCES_S = 4.0
 MAX_BETWEEN_SILENCES_S = 12.0
+# Workers that crash are back after this time, and fall silent some time after that: later than they are claimed, and
+# before the longest lease ends, of 10 s, that a call to the former incarnation may have granted.
+RETURNED_AFTER_S = (0.1, 0.7)
+SILENT_AFTER_RETURN_S = (0.3, 3.0)
+SILENT_AFTER_RETURN_FOR_S = (5.0, 11.0)
+# The share of jobs with tasks that last that long.
+LONG_SHARE = 0.12
 # When an owner is killed after a silence has begun: the start is announced by then, and the worker isn't given up.
 KILLED_AFTER_SILENCE_S = 0.3
 
@@ -77,11 +84,15 @@
         self._lock = threading.Lock()
         self.done = []
 
-    def run(self, seconds, only_partitions=None, only_silences=False):
-        """Injects faults for some time; with `only_partitions`, only partitions of these kinds and common pauses, and
-        with `only_silences`, only workers that fall silent, and kills of the owner meanwhile."""
+    def run(self, seconds, only_partitions=None, only_silences=False, only_returns=False):
+        """Injects faults for some time; with `only_partitions`, only partitions of these kinds and common pauses, with
+        `only_silences`, only workers that fall silent, and kills of the owner meanwhile, and with `only_returns`, only
+        workers that return and fall silent, and such kills."""
         end = time.monotonic() + seconds
-        if only_partitions:
+        if only_returns:
+            while time.monotonic() < end:
+                self._return_workers()
+        elif only_partitions:
             self._partition_kinds = only_partitions
             self._run_partitions(end)
         elif only_silences:
@@ -285,6 +296,29 @@
         self._site.fault(worker=worker, do="crash")
         self._later(self._rng.uniform(0.2, 7.0), lambda: self._site.fault(worker=worker, do="restart"))
 
+    def _return_workers(self):
+        """Half of the workers crash and are back soon. They fall silent after that, and the owner may be killed."""
+        workers = [f"worker-{number}" for number in range(self._rng.randrange(2), self._site.workers, 2)]
+        down_s = self._rng.uniform(*RETURNED_AFTER_S)
+        silent_s = self._rng.uniform(*SILENT_AFTER_RETURN_FOR_S)
+        self._record(f"{len(workers)} workers return after {down_s:.1f} s, later silent for {silent_s:.1f} s")
+        for worker in workers:
+            self._site.fault(worker=worker, do="restart_unnoticed", ms=round(down_s * 1000))
+        time.sleep(down_s + self._rng.uniform(*SILENT_AFTER_RETURN_S))
+        kill = self._rng.choice([None, "before", "after"])
+        if kill == "before":
+            self._kill_owner(0.5)
+            time.sleep(self._rng.uniform(0.0, 1.5))
+        for worker in workers:
+            self._site.fault(worker=worker, fault="silent", permille=1000)
+        if kill == "after":
+            time.sleep(self._rng.uniform(0.0, 1.5))
+            self._kill_owner(0.5)
+        time.sleep(silent_s)
+        for worker in workers:
+            self._site.fault(worker=worker, fault="none")
+        time.sleep(self._rng.uniform(0.5, 3.0))
+
     def _leave(self):
         worker = f"worker-{self._rng.randrange(self._site.workers)}"
         self._record(f"{worker} leaves")
@@ -412,10 +446,11 @@
     broken = []
     try:
         site.start()
-        callers = Callers(site, random.Random(seed + 1), KEY_REVOCATION_BOUND_S, arguments.callers)
+        callers = Callers(site, random.Random(seed + 1), KEY_REVOCATION_BOUND_S, arguments.callers,
+                          LONG_SHARE if arguments.returns else 0.0)
         callers.start()
         faults = Faults(site, rng, random.Random(seed + 2), random.Random(seed + 3))
-        faults.run(arguments.seconds, arguments.partitions, arguments.silences)
+        faults.run(arguments.seconds, arguments.partitions, arguments.silences, arguments.returns)
         site.fault(store="none")
         for link in site.links.values():
             link.repair()
@@ -456,6 +491,8 @@
                         help="only isolate owners, by partitions of these kinds, and pause all hosts at once")
     parser.add_argument("--silences", action="store_true",
                         help="only let workers fall silent after a start, and kill owners meanwhile")
+    parser.add_argument("--returns", action="store_true",
+                        help="only restart workers that fall silent soon after, and kill owners meanwhile")
     parser.add_argument("--keep", action="store_true", help="keep the logs of seeds without violations too")
     parser.add_argument("--until-broken", action="store_true", help="stop after the first seed with a violation")
     arguments = parser.parse_args()
--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -48,13 +48,15 @@
 class Callers:
     """Several threads, each with a persistent connection to each host."""
 
-    def __init__(self, site, rng, key_bound_s, count):
+    def __init__(self, site, rng, key_bound_s, count, long_share=0.0):
+        """`long_share` is the share of jobs whose tasks run for many seconds."""
         self._site = site
         self._rng = rng
         # Of its own, so that the other choices of a seed stay as they are.
         self._leaving_rng = random.Random(rng.getstate()[1][0])
         self._key_bound_s = key_bound_s
         self._count = count
+        self._long_share = long_share
         self._lock = threading.Lock()
         self._stopping = threading.Event()
         self._threads = []
@@ -134,6 +136,10 @@
             steps.append(step)
         job = Job(f"{self._rng.getrandbits(63) + 1:016x}", self._rng.choice(["plain", "advised"]),
                   self._rng.choice(sorted(self._site.keys)), steps)
+        if self._long_share and self._rng.random() < self._long_share:
+            for step in steps:
+                step["estimate_ms"] = self._rng.randrange(5000, 12000)
+                step["cpu"] = 250
         if not steps[0].get("gang") and self._rng.random() < DEADLY_SHARE:
             job.deadly_ms = self._rng.choice([10, 10, 50, 150])
         self.jobs.append(job)
--- a/src/standins/site/site_service.cc
+++ b/src/standins/site/site_service.cc
@@ -87,12 +87,15 @@
 }
 
 void SiteService::ControlWorker(const std::string& id,
-                                const std::string& operation) {
+                                const std::string& operation,
+                                std::int64_t duration_ms) {
   WorkerService* worker = workers_.at(id).get();
   if (operation == "drain") {
     worker->Drain();
   } else if (operation == "restart") {
     worker->Restart();
+  } else if (operation == "restart_unnoticed") {
+    worker->RestartUnnoticed(duration_ms);
   } else if (operation == "leave") {
     worker->Crash();
     store_.Remove("servers", id);
@@ -145,7 +148,9 @@
   } else if (workers_.contains(id) && (*body)["cpu"].isInt64()) {
     workers_.at(id)->Resize(base::Millicores((*body)["cpu"].asInt64()));
   } else if (workers_.contains(id) && (*body)["do"].isString()) {
-    ControlWorker(id, (*body)["do"].asString());
+    const Json::Value& duration = (*body)["ms"];
+    ControlWorker(id, (*body)["do"].asString(),
+                  duration.isInt64() ? duration.asInt64() : 0);
   } else {
     control_.Reply(request.exchange, {.status = kBadRequest, .body = {}});
     return;
--- a/src/standins/site/site_service.h
+++ b/src/standins/site/site_service.h
@@ -47,7 +47,9 @@
   void OnTruth(const wire::HttpRequest& request);
   // Performs the control request {"worker", "do"}, where "do" is "crash",
   // "leave", "drain" or "restart".
-  void ControlWorker(const std::string& id, const std::string& operation);
+  // `duration_ms` is for how long a restarted worker is down.
+  void ControlWorker(const std::string& id, const std::string& operation,
+                     std::int64_t duration_ms);
   // Performs the control request {"evacuate", "active", "bound_ms"}: writes or
   // removes the row that requests the evacuation of the zone. If there is a
   // bound, the ledger checks that nothing is started later than that.
--- a/src/standins/site/worker_service.cc
+++ b/src/standins/site/worker_service.cc
@@ -123,6 +123,11 @@
     const std::function<void(const Json::Value&, bool)>& command) {
   base::Failure reason;
   const auto body = core::ReadJson(request.body, &reason);
+  if (is_restarting_unnoticed_) {
+    waiting_calls_.push_back(
+        [this, request, command] { HandleCall(request, command); });
+    return;
+  }
   if (!model_.is_up() || IsSilent()) {
     return;
   }
@@ -391,6 +396,21 @@
   }
 }
 
+void WorkerService::RestartUnnoticed(std::int64_t down_ms) {
+  if (!model_.is_up()) {
+    return;
+  }
+  Crash();
+  is_restarting_unnoticed_ = true;
+  site_.delayed_calls->After(down_ms, [this] {
+    is_restarting_unnoticed_ = false;
+    Restart();
+    for (const auto& call : std::exchange(waiting_calls_, {})) {
+      call();
+    }
+  });
+}
+
 void WorkerService::Restart() {
   if (model_.is_up()) {
     return;
--- a/src/standins/site/worker_service.h
+++ b/src/standins/site/worker_service.h
@@ -63,6 +63,10 @@
   // incarnation; it has no effect while the worker is up.
   void Crash();
   void Restart();
+  // Crashes the worker, and restarts it after this time. Its machine takes
+  // calls all the while: those that come meanwhile are executed by the next
+  // incarnation.
+  void RestartUnnoticed(std::int64_t down_ms);
   // Changes the processors that the worker has, and says so at once.
   void Resize(base::Millicores cpu);
   // Lets the registration say that the worker accepts no new work.
@@ -120,6 +124,9 @@
   bool was_overloaded_ = false;
   std::uint64_t last_recorded_end_ = 0;
   std::vector<WaitingPoll> polls_;
+  bool is_restarting_unnoticed_ = false;
+  // Calls for the next incarnation.
+  std::vector<std::function<void()>> waiting_calls_;
   std::int64_t next_heartbeat_ms_ = 0;
   std::uint64_t heartbeats_ = 0;
 };
