Bound what the clients of an HTTP server can make it hold

Cause: evhttp keeps a socket readable while it writes a reply, to notice that the client leaves, and doesn't bound the input that piles up meanwhile. While an answer can't be sent, because the client doesn't read, all that the client sends is kept: 2.5 GB in 5 s. A client that reads does the same, as each turn of the loop reads 16 KB and answers one request. The class: nothing bounded what a client decides, in one connection or in all.

Ruled out: the allocator (the input buffers hold it all), the replies (one at a time for each connection), the handlers that answer later (the same, more slowly).

Change: ConnectionMonitor follows the buffers of each connection. Input beyond a header is read only while a body is being received. If all connections together hold too much, those without progress for longest are closed; if there are too many, the one that was idle for longest is. A connection whose request is in hand is never closed; requests in hand that take too much in all are refused when they arrive, POST with 504, since an earlier copy may have been accepted. Closed connections are freed at once (evhttp's close callback). A failure to accept no longer spins.

--- a/include/dotterelbarrow/wire/http_server.h
+++ b/include/dotterelbarrow/wire/http_server.h
@@ -9,6 +9,11 @@
 //
 // A handler may reply immediately or later, but must reply to each request
 // exactly once.
+//
+// What clients can make a server hold is bounded, for each connection and for
+// all of them together: see HttpServerOptions. A server that reaches a limit
+// closes connections whose clients make no progress, and refuses requests. It
+// never closes one on which a request awaits its reply.
 #ifndef DOTTERELBARROW_WIRE_HTTP_SERVER_H_
 #define DOTTERELBARROW_WIRE_HTTP_SERVER_H_
 
@@ -56,6 +61,23 @@
   base::Duration retry_after{0};
 };
 
+// Why a server has closed a connection or refused a request.
+enum class LimitReason {
+  // A request was not completely received within `receive_timeout`.
+  kSlowRequest,
+  // All connections together held more than `max_buffered_bytes`.
+  kMemory,
+  // A new connection exceeded `max_connections`.
+  kConnections,
+  // The requests in hand would have exceeded half of `max_buffered_bytes`.
+  kRequestMemory,
+  // The process had no descriptor left to accept a connection with.
+  kDescriptors,
+};
+const char* ToString(LimitReason reason);
+// How often each limit was reached; a reason that is missing counts as zero.
+using LimitCounts = std::map<LimitReason, std::uint64_t>;
+
 struct HttpServerOptions {
   std::size_t max_header_bytes = std::size_t{16} * 1024;
   std::size_t max_body_bytes = std::size_t{16} * 1024 * 1024;
@@ -65,11 +87,23 @@
   // A connection is closed if a request is not completely received within this
   // time after its first byte, even if bytes keep arriving.
   base::Duration receive_timeout = std::chrono::seconds(10);
-  // While this many connections are open, the server accepts no further ones.
-  // If half of the process's limit on open files is less, that applies instead.
+  // When a client connects while this many connections are open, the one that
+  // was idle for longest is closed, or else the one on which a request or reply
+  // has made no progress for longest. While a request is in hand on all of
+  // them, the server accepts no further ones. If half of the process's limit on
+  // open files is less, that applies instead.
   std::size_t max_connections = 4096;
+  // The input that has arrived, incomplete requests and unsent replies of all
+  // connections may take this many bytes. Beyond that, those of them that have
+  // made no progress for longest are closed. Requests in hand may take half as
+  // much in addition; beyond that, requests are refused. At least twice the
+  // greatest request applies.
+  std::size_t max_buffered_bytes = std::size_t{64} * 1024 * 1024;
 };
 
+// Returns the process's limit on open files.
+std::size_t DescriptorLimit();
+
 class HttpServer {
  public:
   using Handler = std::function<void(const HttpRequest&)>;
@@ -95,6 +129,12 @@
   // reply.
   void StopAccepting();
 
+  // Charges `bytes` to a request in hand, until its reply, for what its handler
+  // keeps. If the requests in hand would then exceed their limit, returns false
+  // and replies to the request: 504 to a POST, which an earlier copy may have
+  // carried out, else 503.
+  bool Reserve(ExchangeId exchange, std::size_t bytes);
+
   // Sends the reply to a request. Does nothing if `exchange` is unknown or was
   // already replied to. Discards the reply if the connection is closed.
   void Reply(ExchangeId exchange, const HttpReply& reply);
@@ -104,9 +144,10 @@
   // Returns the number of replies that are not yet completely handed to the
   // kernel.
   std::size_t unsent_replies() const;
-  // Returns how many connections were closed because a request exceeded
-  // `receive_timeout`.
-  std::uint64_t slow_requests() const;
+  std::size_t connections() const;
+  // Returns how many bytes the clients make this server hold.
+  std::size_t held_bytes() const;
+  const LimitCounts& limit_counts() const;
 
  private:
   class Impl;
--- a/src/wire/http_server.cc
+++ b/src/wire/http_server.cc
@@ -38,12 +38,22 @@
   return value;
 }
 
-// Returns half of the process's limit on open files, so that descriptors remain
-// for everything else.
-std::size_t ConnectionsPermittedByFileLimit() {
-  rlimit limit{};
-  getrlimit(RLIMIT_NOFILE, &limit);
-  return static_cast<std::size_t>(limit.rlim_cur / 2);
+// When a client whose request was refused for want of memory may repeat it.
+constexpr base::Duration kOverloadRetryAfter = std::chrono::seconds(1);
+constexpr int kNotFound = 404;
+constexpr int kMethodNotAllowed = 405;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+// Limits the connections to half of the process's descriptors, so that some
+// remain for everything else, and lets a request of the greatest size pass.
+HttpServerOptions Effective(HttpServerOptions options) {
+  options.max_connections =
+      std::min(options.max_connections, DescriptorLimit() / 2);
+  options.max_buffered_bytes =
+      std::max(options.max_buffered_bytes,
+               2 * (options.max_header_bytes + options.max_body_bytes));
+  return options;
 }
 
 HttpMethod ToMethod(evhttp_cmd_type command) {
@@ -128,13 +138,35 @@
 
 }  // namespace
 
+std::size_t DescriptorLimit() {
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  return static_cast<std::size_t>(limit.rlim_cur);
+}
+
+const char* ToString(LimitReason reason) {
+  switch (reason) {
+    case LimitReason::kSlowRequest:
+      return "slow_request";
+    case LimitReason::kMemory:
+      return "memory";
+    case LimitReason::kConnections:
+      return "connections";
+    case LimitReason::kRequestMemory:
+      return "request_memory";
+    case LimitReason::kDescriptors:
+      return "descriptors";
+  }
+  return "";
+}
+
 class HttpServer::Impl {
  public:
+  // `options` must be effective ones.
   Impl(const EventLoop& loop, const HttpServerOptions& options)
       : loop_(loop),
-        max_connections_(std::min(options.max_connections,
-                                  ConnectionsPermittedByFileLimit())),
-        monitor_(loop, options.receive_timeout, [this] { UpdateAccepting(); }),
+        max_request_memory_(options.max_buffered_bytes / 2),
+        monitor_(loop, options, [this] { UpdateAccepting(); }),
         http_(evhttp_new(loop.base())) {
     evhttp_set_max_headers_size(
         http_, static_cast<ev_ssize_t>(options.max_header_bytes));
@@ -146,8 +178,15 @@
                                           EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
     evhttp_set_bevcb(http_, &Impl::OnAccept, this);
     evhttp_set_gencb(http_, &Impl::OnRequest, this);
+    ServerOf()[http_] = this;
+  }
+  ~Impl() {
+    ServerOf().erase(http_);
+    // evhttp frees the listeners first. It then closes the connections, which
+    // the monitor reports.
+    listeners_.clear();
+    evhttp_free(http_);
   }
-  ~Impl() { evhttp_free(http_); }
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
 
@@ -171,6 +210,7 @@
     // Accepted sockets inherit TCP_NODELAY from the listening socket.
     setsockopt(evconnlistener_get_fd(listener), IPPROTO_TCP, TCP_NODELAY,
                &enable, sizeof(enable));
+    evconnlistener_set_error_cb(listener, &Impl::OnAcceptFailed);
     listeners_.push_back(evhttp_bind_listener(http_, listener));
     return PortOf(evconnlistener_get_fd(listener));
   }
@@ -183,36 +223,95 @@
     closing_ = true;
   }
 
+  bool Reserve(ExchangeId exchange, std::size_t bytes) {
+    const auto it = exchanges_.find(exchange);
+    if (it == exchanges_.end()) {
+      return false;
+    }
+    // The only request in hand is always accepted, as it has a limit of its
+    // own.
+    if (request_memory_ + bytes > max_request_memory_ &&
+        exchanges_.size() > 1) {
+      Refuse(exchange);
+      return false;
+    }
+    it->second.reserved_bytes += bytes;
+    request_memory_ += bytes;
+    return true;
+  }
+
   void Reply(ExchangeId exchange, const HttpReply& reply) {
     const auto it = exchanges_.find(exchange);
     if (it == exchanges_.end()) {
       return;
     }
-    evhttp_request* request = it->second;
+    const Exchange found = it->second;
     exchanges_.erase(it);
-    Send(request, reply);
+    request_memory_ -= found.reserved_bytes;
+    Send(found, reply);
   }
 
   std::size_t open_exchanges() const { return exchanges_.size(); }
-  std::size_t unsent_replies() const { return unsent_replies_; }
-  std::uint64_t slow_requests() const { return monitor_.slow_requests(); }
+  std::size_t unsent_replies() const { return monitor_.unsent_replies(); }
+  std::size_t connections() const { return monitor_.connections(); }
+  std::size_t held_bytes() const {
+    return monitor_.buffered_bytes() + request_memory_;
+  }
+  const LimitCounts& limit_counts() const { return monitor_.counts(); }
 
  private:
   using Methods = std::map<HttpMethod, Handler>;
 
+  struct Exchange {
+    evhttp_request* request = nullptr;
+    // What the request itself takes, and what it takes with all that its
+    // handler has reserved.
+    std::size_t received_bytes = 0;
+    std::size_t reserved_bytes = 0;
+  };
+
+  // Returns the servers by their evhttp, which is all that a listener passes to
+  // its error callback.
+  static std::unordered_map<void*, Impl*>& ServerOf() {
+    static auto& servers = *new std::unordered_map<void*, Impl*>();
+    return servers;
+  }
+
   static bufferevent* OnAccept(event_base* /*base*/, void* self) {
     auto* server = static_cast<Impl*>(self);
     bufferevent* connection = server->monitor_.NewConnection();
-    server->UpdateAccepting();
+    if (server->monitor_.is_full()) {
+      // The descriptor of the connection that was closed in its place is freed
+      // only after this turn's other connections would be accepted.
+      server->SetAccepting(false);
+    }
     return connection;
   }
 
+  static void OnAcceptFailed(evconnlistener* /*listener*/, void* http) {
+    const auto server = ServerOf().find(http);
+    if (server != ServerOf().end()) {
+      server->second->monitor_.Count(LimitReason::kDescriptors);
+      server->second->monitor_.CloseIdlest();
+      // Until the next sweep; trying again at once would fail again.
+      server->second->SetAccepting(false);
+    }
+  }
+
   static void OnRequest(evhttp_request* request, void* self) {
     static_cast<Impl*>(self)->Handle(request);
   }
 
-  static void OnSent(evhttp_request* /*request*/, void* self) {
-    --static_cast<Impl*>(self)->unsent_replies_;
+  static void OnSent(evhttp_request* request, void* self) {
+    static_cast<Impl*>(self)->monitor_.OnReplySent(ConnectionOf(request));
+  }
+
+  // Returns null if the connection is closed.
+  static bufferevent* ConnectionOf(evhttp_request* request) {
+    evhttp_connection* connection = evhttp_request_get_connection(request);
+    return connection == nullptr
+               ? nullptr
+               : evhttp_connection_get_bufferevent(connection);
   }
 
   evconnlistener* Bind(const SocketAddress& address) {
@@ -224,18 +323,19 @@
         kListenBacklog, reinterpret_cast<sockaddr*>(&storage), size);
   }
 
-  // Stops accepting while `max_connections_` are open, and resumes otherwise.
-  void UpdateAccepting() {
-    const bool full = monitor_.connections() >= max_connections_;
+  void UpdateAccepting() { SetAccepting(monitor_.HasRoom()); }
+
+  void SetAccepting(bool accepts) {
     for (evhttp_bound_socket* bound : listeners_) {
       evconnlistener* listener = evhttp_bound_socket_get_listener(bound);
-      full ? evconnlistener_disable(listener) : evconnlistener_enable(listener);
+      accepts ? evconnlistener_enable(listener)
+              : evconnlistener_disable(listener);
     }
   }
 
   void Handle(evhttp_request* request) {
-    monitor_.OnRequestComplete(evhttp_connection_get_bufferevent(
-        evhttp_request_get_connection(request)));
+    const std::size_t received =
+        monitor_.OnRequestComplete(ConnectionOf(request));
     HttpRequest parsed;
     last_exchange_ = last_exchange_.next();
     parsed.exchange = last_exchange_;
@@ -247,19 +347,22 @@
     parsed.query = ParseQuery(evhttp_uri_get_query(uri));
     parsed.bearer = BearerOf(request);
     parsed.body = BodyOf(request);
-    exchanges_.emplace(parsed.exchange, request);
-    Dispatch(&parsed);
+    exchanges_.emplace(parsed.exchange, Exchange{.request = request,
+                                                 .received_bytes = received});
+    if (Reserve(parsed.exchange, received)) {
+      Dispatch(&parsed);
+    }
   }
 
   void Dispatch(HttpRequest* request) {
     const Methods* methods = FindRoute(request);
     if (methods == nullptr) {
-      Reply(request->exchange, {.status = 404, .body = {}});
+      Reply(request->exchange, {.status = kNotFound, .body = {}});
       return;
     }
     const auto handler = methods->find(request->method);
     if (handler == methods->end()) {
-      Reply(request->exchange, {.status = 405, .body = {}});
+      Reply(request->exchange, {.status = kMethodNotAllowed, .body = {}});
       return;
     }
     handler->second(*request);
@@ -281,7 +384,18 @@
     return nullptr;
   }
 
-  void Send(evhttp_request* request, const HttpReply& reply) {
+  void Refuse(ExchangeId exchange) {
+    monitor_.Count(LimitReason::kRequestMemory);
+    const bool is_post =
+        evhttp_request_get_command(exchanges_.at(exchange).request) ==
+        EVHTTP_REQ_POST;
+    Reply(exchange, {.status = is_post ? kGatewayTimeout : kUnavailable,
+                     .body = {},
+                     .retry_after = kOverloadRetryAfter});
+  }
+
+  void Send(const Exchange& exchange, const HttpReply& reply) {
+    evhttp_request* request = exchange.request;
     evkeyvalq* headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Content-Type", reply.content_type.c_str());
     if (reply.retry_after > base::Duration(0)) {
@@ -293,8 +407,8 @@
     if (closing_) {
       evhttp_add_header(headers, "Connection", "close");
     }
-    if (evhttp_request_get_connection(request) != nullptr) {
-      ++unsent_replies_;
+    if (bufferevent* connection = ConnectionOf(request)) {
+      monitor_.OnReply(connection, exchange.received_bytes);
       evhttp_request_set_on_complete_cb(request, &Impl::OnSent, this);
     }
     evbuffer* body = evbuffer_new();
@@ -304,13 +418,14 @@
   }
 
   const EventLoop& loop_;
-  std::size_t max_connections_;
   std::map<std::string, Methods> routes_;
   std::vector<evhttp_bound_socket*> listeners_;
   ExchangeId last_exchange_;
   // Invariant: each request here was received from evhttp and not replied to.
-  std::unordered_map<ExchangeId, evhttp_request*> exchanges_;
-  std::size_t unsent_replies_ = 0;
+  std::unordered_map<ExchangeId, Exchange> exchanges_;
+  std::size_t max_request_memory_;
+  // Invariant: the sum of what the requests in `exchanges_` take.
+  std::size_t request_memory_ = 0;
   bool closing_ = false;
   // Must outlive `http_`, which uses its bufferevents.
   ConnectionMonitor monitor_;
@@ -318,7 +433,7 @@
 };
 
 HttpServer::HttpServer(const EventLoop& loop, const HttpServerOptions& options)
-    : impl_(std::make_unique<Impl>(loop, options)) {}
+    : impl_(std::make_unique<Impl>(loop, Effective(options))) {}
 
 HttpServer::~HttpServer() = default;
 
@@ -334,6 +449,10 @@
 
 void HttpServer::StopAccepting() { impl_->StopAccepting(); }
 
+bool HttpServer::Reserve(ExchangeId exchange, std::size_t bytes) {
+  return impl_->Reserve(exchange, bytes);
+}
+
 void HttpServer::Reply(ExchangeId exchange, const HttpReply& reply) {
   impl_->Reply(exchange, reply);
 }
@@ -346,8 +465,12 @@
   return impl_->unsent_replies();
 }
 
-std::uint64_t HttpServer::slow_requests() const {
-  return impl_->slow_requests();
+std::size_t HttpServer::connections() const { return impl_->connections(); }
+
+std::size_t HttpServer::held_bytes() const { return impl_->held_bytes(); }
+
+const LimitCounts& HttpServer::limit_counts() const {
+  return impl_->limit_counts();
 }
 
 }  // namespace dotterelbarrow::wire
--- a/test/wire/raw_socket.h
+++ b/test/wire/raw_socket.h
@@ -50,6 +50,11 @@
     return send(fd_, text.data(), text.size(), MSG_NOSIGNAL) ==
            static_cast<ssize_t>(text.size());
   }
+  // Returns how many bytes of `text` were sent.
+  std::size_t SendSome(const std::string& text) {
+    const ssize_t sent = send(fd_, text.data(), text.size(), MSG_NOSIGNAL);
+    return sent < 0 ? 0 : static_cast<std::size_t>(sent);
+  }
   // Appends the bytes that have arrived to received(). Returns whether the
   // other end has closed the connection.
   bool Receive() {
