Give each listener of a member its own part of descriptors and memory

Cause: each of a member's four HTTP servers accepted connections up to half of the process's descriptors, so that crowds at two of them left none for the store, peers and workers: with 300 idle connections at each listener and 400 descriptors, no submission was accepted, as the connection to the store couldn't be opened again. What requests in hand keep (a decoded job and the call to its owner, twenty times the text of a job of many small steps) counted nowhere.

Change: callers have a quarter of descriptors and memory (limits.memory_mb is read now), hosts an eighth, metrics and readiness less, and the bodies that each listener accepts fit what is sent there. JobApi and RpcServer reserve what they keep of a request. Reached limits are counted (client_limits) and logged once a second; gauges show connections and held bytes. Of the calls that a host turns away, 100 a second are logged, with 64 bytes of the path. The flood test with a silent store waits for readiness after its own fault, before its checks.

--- a/include/dotterelbarrow/core/jobs/job_spec.h
+++ b/include/dotterelbarrow/core/jobs/job_spec.h
@@ -5,6 +5,7 @@
 #define DOTTERELBARROW_CORE_JOBS_JOB_SPEC_H_
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -123,6 +124,8 @@
     return is_scheduled() ? repeat_count : 1;
   }
   bool has_long_running_step() const;
+  // Returns about how much memory this specification takes.
+  std::size_t ApproximateBytes() const;
   // Returns, for each step, the length of the critical path that begins with
   // it: the longest chain of dependent steps, measured as the sum of their
   // durations.
--- a/src/core/jobs/job_spec.cc
+++ b/src/core/jobs/job_spec.cc
@@ -81,6 +81,16 @@
                      [](const StepSpec& step) { return step.long_running; });
 }
 
+std::size_t JobSpec::ApproximateBytes() const {
+  std::size_t bytes = sizeof(JobSpec) + payload.size();
+  for (const StepSpec& step : steps) {
+    bytes += sizeof(StepSpec) + step.required_label.size() +
+             step.data_rack.size() + step.image.size() +
+             step.depends_on.size() * sizeof(step.depends_on.front());
+  }
+  return bytes;
+}
+
 std::vector<base::Duration> JobSpec::CriticalPaths(
     const std::function<base::Duration(const StepSpec&)>& duration_of) const {
   // Steps depend only on earlier ones. Iterating backwards, the path of each
--- a/src/member/job_api.cc
+++ b/src/member/job_api.cc
@@ -30,6 +30,14 @@
 // Callers retry refused jobs up to a thousand times a second in all, and each
 // host asks at most this often.
 constexpr base::Duration kPausedCheckDelay = std::chrono::milliseconds(50);
+// A submission is kept up to this many times until it is answered: here, as a
+// call to the owner, and as the text of that call.
+constexpr std::size_t kSubmissionCopies = 3;
+// How much of a refused call's path is logged: more than a job id.
+constexpr std::size_t kMaxLoggedPath = 64;
+// How many refused calls are logged in a second, so that one client's can't
+// displace all other lines.
+constexpr int kMaxRefusalsLogged = 100;
 // Another host may be able to serve the call now.
 constexpr base::Duration kRetryElsewhereNow{0};
 
@@ -144,6 +152,11 @@
     Reply(request.exchange, kBadRequest, platform::ErrorBody(reason.detail));
     return;
   }
+  if (!server_->Reserve(request.exchange,
+                        kSubmissionCopies * spec->ApproximateBytes())) {
+    telemetry_.counters->Increment("calls_refused", "request_memory");
+    return;
+  }
   const base::OrganisationId organisation = OrganisationOf(admitted);
   core::scheduler::Submission job{key, admitted.queue->id, organisation,
                                   std::move(*spec)};
@@ -284,9 +297,19 @@
 
 void JobApi::LogRefusedCall(const wire::HttpRequest& request,
                             const char* reason) {
+  const base::TimePoint now = Now();
+  if (now - refusals_logged_since_ >= std::chrono::seconds(1)) {
+    refusals_logged_since_ = now;
+    refusals_logged_ = 0;
+  }
+  if (++refusals_logged_ > kMaxRefusalsLogged) {
+    telemetry_.counters->Increment("log_lines_left_out", "call_turned_away");
+    return;
+  }
   const auto& desired = desired_->current();
   const auto age = desired_->ConfirmationAge();
-  const std::string rest = request.path.substr(request.path.rfind('/') + 1);
+  const std::string rest =
+      request.path.substr(request.path.rfind('/') + 1, kMaxLoggedPath);
   telemetry_.log->Write(
       "call_turned_away",
       {{"job", rest},
--- a/src/member/job_api.h
+++ b/src/member/job_api.h
@@ -74,7 +74,8 @@
   void CountPending(const wire::HttpRequest& request,
                     const core::desired::QueueId& queue);
 
-  // Logs a call that this host refused without forwarding it to the owner.
+  // Logs a call that this host refused without forwarding it to the owner,
+  // unless many were logged in this second.
   void LogRefusedCall(const wire::HttpRequest& request, const char* reason);
   void Reply(wire::ExchangeId exchange, int status, std::string body);
   // Replies that the call had no effect and when to retry it.
@@ -93,6 +94,10 @@
   // about many at a time.
   std::map<base::OrganisationId, std::vector<Paused>> paused_;
   wire::Timer paused_timer_;
+  // How many refused calls were logged in the current second, and when that
+  // began.
+  base::TimePoint refusals_logged_since_;
+  int refusals_logged_ = 0;
 };
 
 }  // namespace dotterelbarrow::member
--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -27,6 +27,29 @@
 constexpr base::Duration kIdleTimeout = std::chrono::seconds(30);
 constexpr base::Duration kSilenceTimeout = std::chrono::seconds(2);
 constexpr std::size_t kMaxCallBytes = std::size_t{320} * 1024;
+// A call between hosts contains at most one submission, with all fields named.
+constexpr std::size_t kMaxPeerCallBytes = std::size_t{512} * 1024;
+constexpr std::size_t kMaxProbeBytes = std::size_t{4} * 1024;
+
+// The memory of a host whose settings don't say how much it has.
+constexpr std::size_t kDefaultMemory = std::size_t{256} * 1024 * 1024;
+
+// Each listener has its own part of the host's descriptors and memory, so that
+// a crowd at one can't take what another needs. Together they leave more than
+// half of the descriptors to the connections that this host opens itself. The
+// numbers are divisors.
+struct ListenerShare {
+  std::size_t descriptors;
+  std::size_t memory;
+};
+constexpr ListenerShare kCallersShare = {.descriptors = 4, .memory = 4};
+constexpr ListenerShare kPeersShare = {.descriptors = 8, .memory = 8};
+constexpr ListenerShare kMetricsShare = {.descriptors = 64, .memory = 32};
+constexpr ListenerShare kReadinessShare = {.descriptors = 64, .memory = 64};
+constexpr std::size_t kMinConnections = 8;
+// Peers and monitors may take longer than callers to send a request.
+constexpr base::Duration kCallReceiveTimeout = std::chrono::seconds(3);
+constexpr base::Duration kReceiveTimeout = std::chrono::seconds(10);
 
 // A planned stop continues to accept connections for this long. By then new
 // ones go to other hosts: the platform checks readiness each second and reacts
@@ -55,6 +78,27 @@
           .unacknowledged_timeout = kSilenceTimeout};
 }
 
+wire::HttpServerOptions ServerOptions(
+    const platform::PlatformSettings& settings, const ListenerShare& share,
+    std::size_t max_body_bytes,
+    base::Duration receive_timeout = kReceiveTimeout) {
+  std::size_t descriptors = wire::DescriptorLimit();
+  if (settings.max_descriptors > 0) {
+    descriptors = std::min(descriptors, settings.max_descriptors);
+  }
+  const std::size_t memory =
+      settings.memory > base::Bytes(0)
+          ? static_cast<std::size_t>(settings.memory.value())
+          : kDefaultMemory;
+  return {
+      .max_body_bytes = max_body_bytes,
+      .receive_timeout = receive_timeout,
+      .max_connections =
+          std::max(kMinConnections, descriptors / share.descriptors),
+      .max_buffered_bytes = memory / share.memory,
+  };
+}
+
 }  // namespace
 
 Member::Impl::Impl(wire::EventLoop* loop,
@@ -69,11 +113,27 @@
       telemetry_{&log_, &counters_, &latencies_},
       client_(*loop, ClientOptions(settings.max_descriptors)),
       peer_client_(*loop, ClientOptions(settings.max_descriptors / 4)),
-      callers_(*loop, {.max_body_bytes = kMaxCallBytes,
-                       .receive_timeout = std::chrono::seconds(3)}),
-      readiness_(*loop, wire::HttpServerOptions()),
-      peers_server_(*loop, wire::HttpServerOptions()),
-      metrics_server_(*loop, wire::HttpServerOptions()),
+      callers_(*loop, ServerOptions(settings, kCallersShare, kMaxCallBytes,
+                                    kCallReceiveTimeout)),
+      readiness_(*loop,
+                 ServerOptions(settings, kReadinessShare, kMaxProbeBytes)),
+      peers_server_(*loop,
+                    ServerOptions(settings, kPeersShare, kMaxPeerCallBytes)),
+      metrics_server_(*loop,
+                      ServerOptions(settings, kMetricsShare, kMaxCallBytes)),
+      limit_watch_(
+          *loop,
+          [this](const wire::LimitReport& report) {
+            counters_.Increment("client_limits", report.Label().c_str(),
+                                report.times);
+            telemetry_.log->Write(
+                "client_limit_reached",
+                {{"listener", report.listener},
+                 {"reason", ToString(report.reason)},
+                 {"times", static_cast<std::int64_t>(report.times)},
+                 {"connections", static_cast<std::int64_t>(report.connections)},
+                 {"held_bytes", static_cast<std::int64_t>(report.held_bytes)}});
+          }),
       store_(&client_, settings.store_address, &counters_),
       workers_(&client_, platform::WorkerClientSettings()),
       rpc_(&peer_client_, &counters_),
@@ -109,6 +169,17 @@
   BindRpc();
   BindAdvice();
   BindPages();
+  for (const auto& [listener, server] : Listeners()) {
+    limit_watch_.Add(listener, server);
+  }
+}
+
+std::vector<std::pair<std::string, const wire::HttpServer*>>
+Member::Impl::Listeners() const {
+  return {{"callers", &callers_},
+          {"readiness", &readiness_},
+          {"peers", &peers_server_},
+          {"metrics", &metrics_server_}};
 }
 
 ShardHost Member::Impl::MakeShardHost() {
--- a/src/member/member_calls.cc
+++ b/src/member/member_calls.cc
@@ -180,6 +180,12 @@
   metrics_.Set(counters_);
   metrics_.SetProcessMetrics();
   metrics_.Set("log_lines_dropped", static_cast<double>(log_.dropped_lines()));
+  for (const auto& [listener, server] : Listeners()) {
+    metrics_.Set(listener + "_connections",
+                 static_cast<double>(server->connections()));
+    metrics_.Set(listener + "_held_bytes",
+                 static_cast<double>(server->held_bytes()));
+  }
   double terms = 0;
   double live_jobs = 0;
   double waiting_steps = 0;
--- a/src/member/member_impl.h
+++ b/src/member/member_impl.h
@@ -5,6 +5,8 @@
 #include <chrono>
 #include <functional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "dotterelbarrow/core/admission/reachability.h"
 #include "dotterelbarrow/core/admission/transfer_budget.h"
@@ -12,6 +14,7 @@
 #include "dotterelbarrow/member/member.h"
 #include "dotterelbarrow/wire/http_client.h"
 #include "dotterelbarrow/wire/http_server.h"
+#include "dotterelbarrow/wire/limit_watch.h"
 #include "dotterelbarrow/wire/metrics.h"
 #include "platform/store_client.h"
 #include "platform/worker_client.h"
@@ -59,6 +62,9 @@
   // Passes requests for advice on to the advisor, and its answers back, unread.
   void BindAdvice();
   void BindPages();
+  // Returns all servers with the names that logs and metrics give them.
+  std::vector<std::pair<std::string, const wire::HttpServer*>> Listeners()
+      const;
 
   // Returns which of the store and the owner this host can reach now.
   core::admission::Reachability FindReach() const;
@@ -91,6 +97,7 @@
   wire::HttpServer readiness_;
   wire::HttpServer peers_server_;
   wire::HttpServer metrics_server_;
+  wire::LimitWatch limit_watch_;
   platform::StoreClient store_;
   platform::WorkerClient workers_;
   RpcClient rpc_;
--- a/src/member/rpc.cc
+++ b/src/member/rpc.cc
@@ -13,6 +13,10 @@
 // takes the whole connect time-out.
 constexpr base::Duration kRefusalMaxLatency = std::chrono::milliseconds(200);
 
+// A request is kept about this many times its size until it is answered: as
+// its parameters, and as the state of the call that they describe.
+constexpr std::size_t kCallSizeFactor = 4;
+
 constexpr int kStatusOk = 200;
 constexpr int kStatusBadRequest = 400;
 
@@ -65,6 +69,10 @@
 }
 
 void RpcServer::OnPost(const wire::HttpRequest& post) {
+  if (!server_->Reserve(post.exchange, kCallSizeFactor * post.body.size())) {
+    counters_->Increment("peer_calls_refused", "request_memory");
+    return;
+  }
   base::Failure reason;
   const auto request = core::ReadJson(post.body, &reason);
   const auto handler =
--- a/test/e2e/member_flood_test.py
+++ b/test/e2e/member_flood_test.py
@@ -233,6 +233,7 @@
             crowd.close()
             self.site.links[0].repair()
         self.wait(lambda: self.submit()[0] == 200, "submissions are accepted again")
+        self.wait(lambda: call(self.port(READINESS), "GET", "/readyz")[0] == 200, "the host is ready again")
         self.check_daemon("after the crowd has left")
 
     def test_clients_leave_before_the_answer_and_connect_again(self):
--- a/test/platform/decoders_test.cc
+++ b/test/platform/decoders_test.cc
@@ -49,13 +49,25 @@
   SUBCASE("gives the host's share of resources") {
     const auto settings = ParsePlatformSettings(
         std::string(kSettings) +
-            "limits: {cpu_share: 0.25, max_fds: 4100, link_mbps: 200.0}",
+            "limits: {cpu_share: 0.25, memory_mb: 260, max_fds: 4100, "
+            "link_mbps: 200.0}",
         &reason);
     REQUIRE_MESSAGE(settings, reason.detail);
     CHECK(settings->cpu_share == 0.25);
+    CHECK(settings->memory == base::Bytes(260 << 20));
     CHECK(settings->max_descriptors == 4100);
     CHECK(settings->link == base::BytesPerSecond(25'000'000));
   }
+  SUBCASE("has a memory of zero if the field is missing or no number") {
+    for (const char* memory : {"-3", ".nan", ".inf", "[1]", "x"}) {
+      CAPTURE(memory);
+      const auto settings = ParsePlatformSettings(
+          std::string(kSettings) + "limits: {memory_mb: " + memory + "}",
+          &reason);
+      REQUIRE_MESSAGE(settings, reason.detail);
+      CHECK(settings->memory == base::Bytes(0));
+    }
+  }
   SUBCASE("has a usable link whatever the field holds") {
     for (const char* mbps : {"0", "-3", ".nan", ".inf", "1e300", "[1]", "x"}) {
       CAPTURE(mbps);
