Limit connections and the values of messages in a cell of its own

Cause: both addresses of a daemon accepted connections up to half of its descriptors each, and bodies of 16 MiB, also of callers, whose requests may have 1 MiB: 400 of 400 descriptors were open with 300 idle connections at each address. A message of peers was parsed whatever it held: 16 MiB of "0," become eight million values of a hundred bytes, above 260 MB.

Change: [daemon] connections and connection_bytes; a quarter of the descriptors for each address by default. The address for callers takes bodies of the configured size. A message of more than a million JSON values is refused before it is parsed. What the JSON reader says of a bad text is cut to 200 bytes. Reached limits are counted and logged as for members.

--- a/include/dotterelbarrow/core/codec.h
+++ b/include/dotterelbarrow/core/codec.h
@@ -86,6 +86,9 @@
 std::string WriteJson(const Json::Value& value);
 std::optional<Json::Value> ReadJson(std::string_view text,
                                     base::Failure* reason);
+// Returns the greatest number of values that the JSON text can hold. A parsed
+// value takes many times the two bytes that its text may have.
+std::size_t MaxJsonValues(std::string_view text);
 
 // Like ToJson and FromJson, but to and from text.
 template <typename Message>
--- a/include/dotterelbarrow/settings/settings_file.h
+++ b/include/dotterelbarrow/settings/settings_file.h
@@ -36,6 +36,12 @@
   LogLevel log_level = LogLevel::kInfo;
   // The maximum size of a request body, in bytes.
   std::uint32_t max_request_body_bytes = 1U << 20;
+  // How many connections each address accepts at a time; 0 for a quarter of the
+  // process's limit on open files.
+  std::uint32_t max_connections = 0;
+  // How many bytes the clients of `listen_address` can make this process hold.
+  // Those of `callers_address` can make it hold half as much in addition.
+  std::uint32_t max_connection_bytes = 64U << 20;
 };
 
 // One error in a settings file.
--- a/src/core/codec/json_text.cc
+++ b/src/core/codec/json_text.cc
@@ -15,6 +15,8 @@
 // Messages have only a few levels of nesting; texts with more than this many
 // are rejected.
 constexpr int kMaxNestingLevels = 32;
+// The reader may report many errors in one text.
+constexpr std::size_t kMaxErrorBytes = 200;
 
 // A stream buffer that appends its output to a string.
 class StringBuffer : public std::streambuf {
@@ -84,8 +86,25 @@
   } catch (const Json::Exception& exception) {
     errors = exception.what();
   }
-  *reason = {base::FailureCode::kMalformed, "not JSON: " + errors};
+  *reason = {base::FailureCode::kMalformed,
+             "not JSON: " + errors.substr(0, kMaxErrorBytes)};
   return std::nullopt;
 }
 
+std::size_t MaxJsonValues(std::string_view text) {
+  std::size_t values = 1;
+  bool is_in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (c == '"') {
+      is_in_string = !is_in_string;
+    } else if (is_in_string) {
+      i += c == '\\' ? 1 : 0;
+    } else if (c == ',' || c == '[' || c == '{') {
+      ++values;
+    }
+  }
+  return values;
+}
+
 }  // namespace dotterelbarrow::core
--- a/src/daemon/driver.cc
+++ b/src/daemon/driver.cc
@@ -3,6 +3,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 #include <variant>
@@ -23,6 +24,30 @@
 constexpr std::size_t kPlatformConnections = 32;
 constexpr std::size_t kPlatformBodyBytes = std::size_t{256} * 1024 * 1024;
 
+// Without a setting, each of the two addresses may use this part of the
+// process's descriptors.
+constexpr std::size_t kConnectionsDivisor = 4;
+// Messages of peers and tickets are larger than the requests of callers.
+constexpr std::size_t kMaxPeerBodyBytes = std::size_t{16} * 1024 * 1024;
+// So that a body which is too large is still answered with a reason.
+constexpr std::size_t kBodyMargin = std::size_t{64} * 1024;
+
+wire::HttpServerOptions ServerOptions(const settings::DaemonSettings& settings,
+                                      wire::Audience audience) {
+  const bool is_for_callers = audience == wire::Audience::kCallersOnly;
+  wire::HttpServerOptions options;
+  options.max_connections = settings.max_connections > 0
+                                ? settings.max_connections
+                                : wire::DescriptorLimit() / kConnectionsDivisor;
+  options.max_buffered_bytes =
+      settings.max_connection_bytes / (is_for_callers ? 2 : 1);
+  options.max_body_bytes =
+      is_for_callers ? settings.max_request_body_bytes + kBodyMargin
+                     : std::max<std::size_t>(kMaxPeerBodyBytes,
+                                             settings.max_request_body_bytes);
+  return options;
+}
+
 wire::HttpClientOptions PlatformOptions() {
   wire::HttpClientOptions options;
   options.max_connections = kPlatformConnections;
@@ -38,7 +63,10 @@
       settings_(settings),
       node_(settings.node, seed, wire::MonotonicNow()),
       change_log_(&node_),
-      server_(*loop, wire::HttpServerOptions()),
+      server_(*loop,
+              ServerOptions(settings, wire::Audience::kCallersAndOperators)),
+      limit_watch_(
+          *loop, [this](const wire::LimitReport& report) { OnLimit(report); }),
       peer_http_(*loop, wire::HttpClientOptions()),
       backend_http_(*loop, wire::HttpClientOptions()),
       platform_http_(*loop, PlatformOptions()),
@@ -62,14 +90,17 @@
       status_pages_(&server_, &settings_.node, &node_, &counters_),
       shutdown_timer_(*loop, [this] { loop_->Stop(); }),
       tick_timer_(*loop, kTickPeriod, [this] { Tick(); }) {
+  limit_watch_.Add("all", &server_);
   backend_client_.AddReportRoute(&server_);
   if (!settings_.callers_address.empty()) {
     caller_endpoint_.emplace(this, loop);
+    limit_watch_.Add("callers", &caller_endpoint_->server);
   }
 }
 
 Driver::CallerEndpoint::CallerEndpoint(Driver* driver, wire::EventLoop* loop)
-    : server(*loop, wire::HttpServerOptions()),
+    : server(*loop,
+             ServerOptions(driver->settings_, wire::Audience::kCallersOnly)),
       api(
           &server, wire::Audience::kCallersOnly,
           driver->settings_.max_request_body_bytes,
@@ -150,6 +181,15 @@
              : caller_api_;
 }
 
+void Driver::OnLimit(const wire::LimitReport& report) {
+  counters_.Increment("client_limits", report.Label().c_str(), report.times);
+  LOG(WARNING) << "event=client_limit_reached listener=" << report.listener
+               << " reason=" << ToString(report.reason)
+               << " times=" << report.times
+               << " connections=" << report.connections
+               << " held_bytes=" << report.held_bytes;
+}
+
 void Driver::OnShutdownComplete() {
   if (handover_complete_) {
     return;
--- a/src/daemon/driver.h
+++ b/src/daemon/driver.h
@@ -16,6 +16,7 @@
 #include "dotterelbarrow/wire/event_loop.h"
 #include "dotterelbarrow/wire/http_client.h"
 #include "dotterelbarrow/wire/http_server.h"
+#include "dotterelbarrow/wire/limit_watch.h"
 #include "dotterelbarrow/wire/peer_link.h"
 #include "dotterelbarrow/wire/peer_server.h"
 #include "dotterelbarrow/wire/platform_client.h"
@@ -58,6 +59,7 @@
   void SendOutputs();
   void Send(const core::Output& output);
   wire::CallerApi& ApiForToken(core::CallerToken token);
+  void OnLimit(const wire::LimitReport& report);
   void OnShutdownComplete();
   // Stops the event loop if no request is open and nothing is left to send.
   void StopIfFlushed();
@@ -68,6 +70,7 @@
   core::Node node_;
   ChangeLog change_log_;
   wire::HttpServer server_;
+  wire::LimitWatch limit_watch_;
   wire::HttpClient peer_http_;
   wire::HttpClient backend_http_;
   wire::HttpClient platform_http_;
--- a/src/settings/setting_table.cc
+++ b/src/settings/setting_table.cc
@@ -52,6 +52,17 @@
        "Maximum request body size; longer requests of callers and operators "
        "are "
        "rejected."},
+      {"daemon", "connections",
+       CountField{&Daemon<&D::max_connections>, 0, 1U << 20}, "connections",
+       "Maximum number of connections at each address; 0 for a quarter of the "
+       "process's limit on open files. Beyond it, the connection that was idle "
+       "for longest is closed."},
+      {"daemon", "connection_bytes",
+       CountField{&Daemon<&D::max_connection_bytes>, 1U << 20, 1U << 30},
+       "bytes",
+       "Maximum memory for requests that are arriving and replies that are not "
+       "read yet, of all clients together; the address for callers has half as "
+       "much of its own. Beyond it, the slowest connections are closed."},
       {"daemon", "call_timeout", NodeDuration<&N::call_timeout>(50, kMinuteMs),
        "ms", "Timeout of a call to the platform or to another entry host."},
       {"daemon", "shutdown_bound",
--- a/src/wire/peer_server.cc
+++ b/src/wire/peer_server.cc
@@ -14,6 +14,9 @@
 namespace dotterelbarrow::wire {
 namespace {
 
+// The most values of a message. Parsed, each takes about a hundred bytes.
+constexpr std::size_t kMaxValues = 1'000'000;
+
 // A connector that has no transport: the library handles each text
 // synchronously on the calling thread, and the connector stores the response
 // instead of sending it.
@@ -74,6 +77,11 @@
   }
 
   void OnPost(const HttpRequest& post) {
+    if (core::MaxJsonValues(post.body) > kMaxValues) {
+      counters_->Increment("peer_messages_refused", "too_many_values");
+      server_->Reply(post.exchange, {.status = 413, .body = {}});
+      return;
+    }
     if (!HandleText(post.body)) {
       counters_->Increment("peer_messages_refused", "malformed");
       server_->Reply(post.exchange, {.status = 400, .body = {}});
--- a/test/core/codec_test.cc
+++ b/test/core/codec_test.cc
@@ -219,5 +219,13 @@
   }
 }
 
+TEST_CASE("the values of a JSON text are counted without parsing it") {
+  CHECK(MaxJsonValues("") == 1);
+  CHECK(MaxJsonValues("7") == 1);
+  CHECK(MaxJsonValues("[0,0,0]") == 4);
+  CHECK(MaxJsonValues(R"({"a":[1,2],"b":{}})") == 6);
+  CHECK(MaxJsonValues(R"(["a,[{\\\",","\\",1])") == 4);
+}
+
 }  // namespace
 }  // namespace dotterelbarrow::core
