Accept jobs of up to 262,144 bytes

Cause: a submission above 32,768 bytes was answered 400, though a body may have 262,144 bytes (max_body_bytes of the desired state); a job of 900 steps in 46 KB couldn't be handed in. The limit stood for the size of a store's row: an acceptance record had to fit into one page.

Change: bodies up to 262,144 bytes; acceptance records up to 400 KiB, in as many pages as they need. A record that doesn't fit beside the others in a batch waits for the next one, so that a transaction stays below 1 MB.

--- a/include/dotterelbarrow/core/scheduler/job_registry.h
+++ b/include/dotterelbarrow/core/scheduler/job_registry.h
@@ -63,9 +63,9 @@
   // How many of these rows may be records of workers, which are not packed into
   // pages.
   std::size_t max_worker_changes = 60;
-  // Bytes of the records in a batch, and of the largest record. The last ones
-  // may exceed it, by an acceptance record or a page. The store encodes values
-  // as base64, in a request body of at most 1 MB.
+  // Bytes of the records in a batch, and of the largest record. A rewritten
+  // page may exceed it. The store encodes values as base64, in a request body
+  // of at most 1 MB.
   std::size_t max_bytes = std::size_t{500} * 1024;
 };
 
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -94,6 +94,10 @@
   kRefused,  // No job is known, and too many keys are barred.
 };
 
+// The size of the largest acceptance record; it must fit into one batch. A job
+// whose record is larger is refused.
+inline constexpr std::size_t kMaxAcceptanceBytes = std::size_t{400} * 1024;
+
 class Scheduler : public sigc::trackable {
  public:
   Scheduler(const SchedulerSettings& settings, Telemetry telemetry);
--- a/src/core/scheduler/job_registry.cc
+++ b/src/core/scheduler/job_registry.cc
@@ -159,10 +159,11 @@
   std::string progress;
   if (job != jobs_.end() && !is_new) {
     progress = ProgressRecordOf(job->second);
-    if (pages_.pending_bytes() > 0 &&
-        pages_.pending_bytes() + progress.size() > settings_.max_bytes) {
-      return false;
-    }
+  }
+  const std::size_t size = is_new ? unstored->second.size() : progress.size();
+  if (pages_.pending_bytes() > 0 &&
+      pages_.pending_bytes() + size > settings_.max_bytes) {
+    return false;
   }
   changed_jobs_.erase(key);
   if (barred_keys_.contains(key)) {
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -231,7 +231,7 @@
   job.newest_born_ms = dispatcher_.suspects().newest_born_ms();
   job.accepted_at = now;
   std::string acceptance = jobs::AcceptanceRecord(job);
-  if (acceptance.size() > JobPages::kMaxPartBytes) {
+  if (acceptance.size() > kMaxAcceptanceBytes) {
     return {SubmitOutcome::kRefused, "job_too_large", base::Duration(0)};
   }
   if (job.spec.is_scheduled()) {
--- a/src/core/scheduler/scheduler_explanation.cc
+++ b/src/core/scheduler/scheduler_explanation.cc
@@ -41,7 +41,7 @@
   job.spec = submission.spec;
   job.accepted_at = now;
   if (!decision.refusal &&
-      jobs::AcceptanceRecord(job).size() > JobPages::kMaxPartBytes) {
+      jobs::AcceptanceRecord(job).size() > kMaxAcceptanceBytes) {
     explanation.refused = "job_too_large";
   }
   job.BeginOccurrence();
--- a/test/core/scheduler/scheduler_test.cc
+++ b/test/core/scheduler/scheduler_test.cc
@@ -854,5 +854,32 @@
   }
 }
 
+TEST_CASE("jobs of so many steps that their records take several pages") {
+  Scenario s;
+  s.AddWorkers(4);
+  std::vector<jobs::StepSpec> steps(900, Scenario::Step(1));
+  for (jobs::StepSpec& step : steps) {
+    step.image = std::string(100, 'i');
+  }
+  constexpr std::uint64_t kJobs = 6;
+  for (std::uint64_t key = 1; key <= kJobs; ++key) {
+    REQUIRE(s.Submit(key, "plain", steps).outcome == SubmitOutcome::kStoring);
+  }
+  // Together they exceed a transaction of the store, which Store checks.
+  s.Store();
+  s.TakeOver();
+  for (std::uint64_t key = 1; key <= kJobs; ++key) {
+    CHECK(s.scheduler().IsKnown(jobs::JobKey(key)));
+  }
+  SUBCASE("are refused if they don't fit into one batch") {
+    for (jobs::StepSpec& step : steps) {
+      step.image = std::string(500, 'i');
+    }
+    const SubmitResult result = s.Submit(kJobs + 1, "plain", steps);
+    CHECK(result.outcome == SubmitOutcome::kRefused);
+    CHECK(result.reason == "job_too_large");
+  }
+}
+
 }  // namespace
 }  // namespace dotterelbarrow::core::scheduler
