Bound the memory of live jobs, and of one organisation's

Cause: an owner accepted up to 4,000 jobs whatever they take. A job of 150 bytes may have 4,000 tasks of some 230 bytes each, so that a client with a good key made its owner exceed 120 MB with fewer than 300 submissions.

Change: JobRegistry adds up what live jobs take, also those of each organisation. The owner refuses a job (503: it never runs) that would bring them above a quarter of its memory, or its organisation's above half of that, so that no organisation keeps the others out. Jobs that are known are never refused.

--- a/include/dotterelbarrow/core/scheduler/job_registry.h
+++ b/include/dotterelbarrow/core/scheduler/job_registry.h
@@ -102,6 +102,13 @@
   }
   // Returns null for a job that has ended or is unknown.
   jobs::Job* Find(jobs::JobKey key);
+  // Returns about how much memory a live job with this specification takes.
+  static std::size_t ApproximateBytes(const jobs::JobSpec& spec);
+  // Returns about how much memory all live jobs take, and those of one
+  // organisation.
+  std::size_t bytes() const { return bytes_; }
+  std::size_t BytesOf(const base::OrganisationId& organisation) const;
+
   const std::unordered_map<jobs::JobKey, jobs::Job>& jobs() const {
     return jobs_;
   }
@@ -180,6 +187,8 @@
   };
   using PendingChange = std::variant<jobs::JobKey, ReportedEnds, WorkerRecord>;
 
+  void Insert(jobs::JobKey key, jobs::Job job);
+  void Remove(jobs::JobKey key);
   // Adds the job's record. Returns false, and does nothing, if it doesn't fit
   // beside the others.
   bool AddToBatch(jobs::JobKey key, base::TimePoint now, RecordBatch* batch);
@@ -194,6 +203,9 @@
   JobPages pages_;
   bool has_due_pages_ = false;
   std::unordered_map<jobs::JobKey, jobs::Job> jobs_;
+  // Invariant: the sums of ApproximateBytes over `jobs_`.
+  std::size_t bytes_ = 0;
+  std::map<base::OrganisationId, std::size_t> organisation_bytes_;
   std::unordered_map<jobs::JobKey, Ended> ended_jobs_;
   // Invariant: in the order in which the jobs ended.
   std::deque<jobs::JobKey> ended_order_;
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -49,8 +49,11 @@
   DispatcherSettings dispatcher;
   JobRegistrySettings jobs;
   // Maximum number of jobs that have not ended; when it is reached, new ones
-  // are refused. Limits memory: a job of the largest size takes about 20 kB.
+  // are refused.
   std::size_t max_jobs = 4000;
+  // How much memory such jobs may take. An organisation's may take half of it,
+  // so that no organisation can keep out the others.
+  std::size_t max_job_bytes = std::size_t{64} * 1024 * 1024;
   // A gang of which not all members run this long after its first start is
   // stopped.
   base::Duration gang_start_timeout = std::chrono::milliseconds(2000);
--- a/src/core/scheduler/job_registry.cc
+++ b/src/core/scheduler/job_registry.cc
@@ -21,14 +21,55 @@
   }
 }
 
+// What a live job takes beside its specification and its tasks.
+constexpr std::size_t kJobBytes = 1024;
+// A repeated job has at most this many unfinished tasks in all its occurrences
+// but one.
+constexpr std::uint64_t kMaxFurtherTasks = 4000;
+
 }  // namespace
 
+std::size_t JobRegistry::ApproximateBytes(const jobs::JobSpec& spec) {
+  std::uint64_t tasks = 0;
+  for (const jobs::StepSpec& step : spec.steps) {
+    tasks += step.tasks;
+  }
+  tasks += std::min<std::uint64_t>(kMaxFurtherTasks,
+                                   tasks * (spec.occurrences() - 1));
+  return kJobBytes + spec.ApproximateBytes() + tasks * sizeof(jobs::Task);
+}
+
+std::size_t JobRegistry::BytesOf(
+    const base::OrganisationId& organisation) const {
+  const auto it = organisation_bytes_.find(organisation);
+  return it == organisation_bytes_.end() ? 0 : it->second;
+}
+
+void JobRegistry::Insert(jobs::JobKey key, jobs::Job job) {
+  const std::size_t bytes = ApproximateBytes(job.spec);
+  bytes_ += bytes;
+  organisation_bytes_[job.organisation] += bytes;
+  jobs_.emplace(key, std::move(job));
+}
+
+void JobRegistry::Remove(jobs::JobKey key) {
+  const auto it = jobs_.find(key);
+  const std::size_t bytes = ApproximateBytes(it->second.spec);
+  bytes_ -= bytes;
+  const auto organisation = organisation_bytes_.find(it->second.organisation);
+  organisation->second -= bytes;
+  if (organisation->second == 0) {
+    organisation_bytes_.erase(organisation);
+  }
+  jobs_.erase(it);
+}
+
 void JobRegistry::Accept(jobs::Job job, std::string acceptance,
                          WaiterId waiter) {
   const jobs::JobKey key = job.key;
   unstored_acceptances_.emplace(key, std::move(acceptance));
   accept_waiters_[key].push_back(waiter);
-  jobs_.emplace(key, std::move(job));
+  Insert(key, std::move(job));
   changed_jobs_.insert(key);
   pending_changes_.emplace_back(key);
 }
@@ -96,7 +137,7 @@
   if (jobs::IsFinal(it->second.state)) {
     ended_jobs_[key] = {it->second.state, false, now};
     ended_order_.push_back(key);
-    jobs_.erase(it);
+    Remove(key);
   }
   if (changed_jobs_.insert(key).second) {
     pending_changes_.emplace_back(key);
@@ -202,7 +243,7 @@
     MoveWaiters(key, &accept_waiters_, &waiters);
     unstored_acceptances_.erase(key);
     changed_jobs_.erase(key);
-    jobs_.erase(key);
+    Remove(key);
   }
   std::erase_if(pending_changes_, [keys](const PendingChange& change) {
     const auto* key = std::get_if<jobs::JobKey>(&change);
@@ -297,7 +338,7 @@
                !jobs::ReadProgress(*stored.progress, &*job, reason))) {
     return false;
   }
-  jobs_.emplace(key, std::move(*job));
+  Insert(key, std::move(*job));
   return true;
 }
 
--- a/src/core/scheduler/scheduler_admission.cc
+++ b/src/core/scheduler/scheduler_admission.cc
@@ -42,6 +42,14 @@
   if (jobs_.jobs().size() >= settings_.max_jobs) {
     return refuse("too_many_jobs", kFullRetryAfter);
   }
+  const std::size_t bytes = JobRegistry::ApproximateBytes(submission.spec);
+  if (jobs_.bytes() + bytes > settings_.max_job_bytes) {
+    return refuse("jobs_too_large", kFullRetryAfter);
+  }
+  if (jobs_.BytesOf(submission.organisation) + bytes >
+      settings_.max_job_bytes / 2) {
+    return refuse("organisation_too_large", kFullRetryAfter);
+  }
   if (fleet_.IsServiceEvacuated(queue->service)) {
     return refuse("evacuated", kEvacuatedRetryAfter);
   }
--- a/src/member/shard_controller.cc
+++ b/src/member/shard_controller.cc
@@ -46,6 +46,9 @@
 // period.
 constexpr base::Duration kForeignClaimDelay = std::chrono::milliseconds(250);
 
+// The live jobs of a shard may take this part of its owner's memory.
+constexpr std::size_t kJobMemoryDivisor = 4;
+
 constexpr base::Duration kAdviseTimeout = std::chrono::milliseconds(3000);
 
 core::scheduler::SchedulerSettings SchedulerOf(
@@ -53,6 +56,10 @@
     const core::shards::ShardPlan& plan) {
   core::scheduler::SchedulerSettings result;
   result.refuses_wide_gangs = plan.count() > 1;
+  if (settings.memory > base::Bytes(0)) {
+    result.max_job_bytes =
+        static_cast<std::size_t>(settings.memory.value()) / kJobMemoryDivisor;
+  }
   result.fleet.lease_duration =
       std::min(result.fleet.lease_duration, settings.max_lease);
   result.fleet.max_lease_duration = settings.max_lease;
--- a/test/core/scheduler/scheduler_test.cc
+++ b/test/core/scheduler/scheduler_test.cc
@@ -881,5 +881,34 @@
   }
 }
 
+TEST_CASE("jobs that take too much memory are refused") {
+  SchedulerSettings settings;
+  const std::vector<jobs::StepSpec> steps = {Scenario::Step(1000)};
+  const std::size_t bytes =
+      JobRegistry::ApproximateBytes({.payload = {}, .steps = steps});
+  CHECK(bytes > 1000 * sizeof(jobs::Task));
+  settings.max_job_bytes = 5 * bytes;
+  Scenario s(settings);
+  s.AddWorkers(1);
+  REQUIRE(s.Submit(1, "plain", steps).outcome == SubmitOutcome::kStoring);
+  REQUIRE(s.Submit(2, "plain", steps).outcome == SubmitOutcome::kStoring);
+  SUBCASE("beyond the organisation's half") {
+    CHECK(s.Submit(3, "plain", steps).reason == "organisation_too_large");
+    CHECK(s.Submit(3, "plain", {Scenario::Step(1)}).outcome ==
+          SubmitOutcome::kStoring);
+  }
+  SUBCASE("also after a change of owner") {
+    s.Store();
+    s.TakeOver();
+    CHECK(s.Submit(3, "plain", steps).reason == "organisation_too_large");
+  }
+  SUBCASE("until others have ended") {
+    s.Store();
+    s.scheduler().Cancel(jobs::JobKey(1), WaiterId(100), s.now());
+    s.Store();
+    CHECK(s.Submit(3, "plain", steps).outcome == SubmitOutcome::kStoring);
+  }
+}
+
 }  // namespace
 }  // namespace dotterelbarrow::core::scheduler
--- a/test/e2e/member_flood_test.py
+++ b/test/e2e/member_flood_test.py
@@ -14,6 +14,7 @@
 
 SEED = 1
 KEY = "key-school"
+OTHER_KEY = "key-parts"
 # The smallest machine that the daemon runs on.
 MACHINE = {"memory_mb": 120, "max_fds": 3075}
 # The largest request that a client may send, and how long it may take or pause.
@@ -42,6 +43,7 @@
         self.site.start()
         self.observe(self.site.processes["host-0"].pid, limits, most_descriptors)
         self.jobs = 0
+        self.key = KEY
         self.wait(lambda: self.submit()[0] == 200, "a first job is accepted")
 
     def folder(self):
@@ -65,7 +67,7 @@
         self.fail(f"expected within {TIMEOUT_S} s: {what}; logs in {self.folder()}")
 
     def ask(self, method, job, body=None):
-        return call(self.port(), method, f"/plain/{job:016x}", body, KEY, timeout=TIMEOUT_S, host=CALLERS_HOST)
+        return call(self.port(), method, f"/plain/{job:016x}", body, self.key, timeout=TIMEOUT_S, host=CALLERS_HOST)
 
     def submit(self, body=SMALL_JOB):
         self.jobs += 1
@@ -253,6 +255,19 @@
             self.press(Crowd(self.port(), 8, repeated=refused))
             self.press(Crowd(self.port(), 200, once=body, reopens=True))
 
+    def test_an_organisation_submits_jobs_of_many_tasks(self):
+        self.start()
+        first = self.jobs
+        body = json.dumps({"spec": json.dumps({"steps": [{"ms": 60000, "cpu": 250, "gang": 0}]}),
+                           "job_steps": [{"count": 4000, "cpu": 250, "mem_mb": 16, "estimate_ms": 60000}]})
+        for _ in range(300):
+            if self.observed.peak_kb() <= self.most_kb:
+                self.submit(body)
+        # The organisation's own jobs may be refused now, those of another one are not.
+        self.key = OTHER_KEY
+        self.check_daemon("after many tasks")
+        self.assertEqual(200, self.ask("GET", first)[0], "the state of a job that was accepted before")
+
     # -- connections that are held --------------------------------------------------------------------------------
 
     def hold(self, listener, connections, once=b"", repeated=b""):
