Give a body more time than a header to arrive

A body of 262,144 bytes over a link with less than 90 KB/s was cut off, though its client made progress all the while.

Change: a second more for each 16 KiB received. A client that sends a few bytes at a time is closed as before, and what it holds is bounded by the sums.

Measured: http_server_limits_test, "a large body may take longer than the receive timeout", fails on the commit before and passes.

--- a/include/dotterelbarrow/wire/http_server.h
+++ b/include/dotterelbarrow/wire/http_server.h
@@ -85,7 +85,8 @@
   // read nothing of a reply for this long.
   base::Duration idle_timeout = std::chrono::seconds(60);
   // A connection is closed if a request is not completely received within this
-  // time after its first byte, even if bytes keep arriving.
+  // time after its first byte, even if bytes keep arriving. One second is added
+  // for each 16 KiB received.
   base::Duration receive_timeout = std::chrono::seconds(10);
   // When a client connects while this many connections are open, the one that
   // was idle for longest is closed, or else the one on which a request or reply
--- a/src/wire/connection_monitor.cc
+++ b/src/wire/connection_monitor.cc
@@ -12,6 +12,9 @@
 // The longest time between two checks of all connections. A shorter receive
 // timeout shortens it.
 constexpr base::Duration kMaxSweepPeriod = std::chrono::seconds(1);
+// A request may take longer than the receive timeout if it arrives at this rate
+// or faster, in bytes a second, since its body may be large.
+constexpr std::int64_t kMinReceiveRate = std::int64_t{16} * 1024;
 // What evhttp allocates for each line of a header beside its text.
 constexpr std::size_t kHeaderLineBytes = 112;
 // Input beyond a header of the greatest size, so that evhttp sees that a header
@@ -338,10 +341,12 @@
   const base::TimePoint now = MonotonicNow();
   std::vector<Connection*> slow;
   for (Connection* connection : in_phase_[Index(Phase::kReceiving)]) {
-    if (now - connection->since < receive_timeout_) {
-      break;
+    const base::Duration for_size =
+        base::Duration(std::chrono::seconds(1)) *
+        static_cast<std::int64_t>(connection->received_bytes) / kMinReceiveRate;
+    if (now - connection->since >= receive_timeout_ + for_size) {
+      slow.push_back(connection);
     }
-    slow.push_back(connection);
   }
   for (Connection* connection : slow) {
     Close(connection, LimitReason::kSlowRequest);
--- a/test/wire/http_server_limits_test.cc
+++ b/test/wire/http_server_limits_test.cc
@@ -155,6 +155,27 @@
   CHECK(f.posted[0].body.size() == kBodyBytes);
 }
 
+TEST_CASE("a large body may take longer than the receive timeout") {
+  EventLoop loop;
+  HttpServer server(loop, {.max_body_bytes = kBodyBytes,
+                           .receive_timeout = milliseconds(100)});
+  bool is_received = false;
+  server.Route(HttpMethod::kPost, "/",
+               [&](const HttpRequest&) { is_received = true; });
+  base::Failure reason;
+  RawSocket client;
+  client.Connect(server.Listen("127.0.0.1:0", &reason).value_or(0));
+  std::string rest = Post(kBodyBytes, kBodyBytes);
+  bool is_closed = false;
+  PeriodicTimer send(loop, milliseconds(20), [&] {
+    const std::string part = rest.substr(0, 4096);
+    rest.erase(0, client.SendSome(part));
+    is_closed = client.Receive();
+  });
+  loop.RunUntil([&] { return is_received || is_closed; });
+  CHECK(is_received);
+}
+
 TEST_CASE(
     "of too many connections, the one that is idle for longest is closed") {
   Fixture f;
