Test jobs of the greatest size through each host

Cause: the flood tests submit large jobs to the owner only; other hosts send it the job as a call with all fields named, which is larger than the job's text.

Change: e2e_member_a_job_of_the_greatest_size_is_accepted_through_each_host.

--- a/test/e2e/member_test.py
+++ b/test/e2e/member_test.py
@@ -25,6 +25,7 @@
 # A worker's lease is 4 s long. Workers that are heard of again before four of them have fallen silent hide the failure.
 SILENT_S = 20.0
 LONGER_THAN_A_LEASE_MS = 6000
+MAX_BODY_BYTES = 262144
 
 
 class MemberStory(unittest.TestCase):
@@ -154,6 +155,18 @@
         self.assertEqual(4, self.site.truth()["silences"])
         self.assertEqual([], self.site.truth()["broken"])
 
+    def test_a_job_of_the_greatest_size_is_accepted_through_each_host(self):
+        # The owner gets it from the other hosts as a call with all fields named.
+        step = {"count": 4, "cpu": 250, "mem_mb": 16, "estimate_ms": 50, "image": "i" * 150, "data_rack": "r1-1"}
+        body = json.dumps({"spec": '"' * 1000, "job_steps": [step] * 1000})
+        body += " " * (MAX_BODY_BYTES - len(body))
+        self.assertEqual(MAX_BODY_BYTES, len(body))
+        for host in range(self.site.hosts):
+            job = f"{0xb16 + host:016x}"
+            self.wait(lambda host=host, job=job: self.ask(host, "POST", job, body)[0] == 200, f"job {job} is accepted")
+            for other in range(self.site.hosts):
+                self.wait(lambda other=other, job=job: self.ask(other, "GET", job)[0] == 200, f"the state of job {job}")
+
     def explain(self, host, *arguments, text=""):
         """Runs dotterelctl against the host's metrics address. Returns (exit code, answer)."""
         command = [BUILD / "dotterelctl", "--output", "json", "--entry", f"127.0.0.1:{self.site.port(host, 3)}", "explain"]
