Read at most 2 KiB from a connection in a turn of the loop

Cause: e2e_member_flood_clients_leave_headers_of_many_lines_unfinished failed once in about five runs: an ordinary submission right after the crowd was refused, owner_saturated. A turn of the loop read and parsed up to 16 KiB of each of 800 connections. 4,000 header lines take half a millisecond, so that a turn took more than the 100 ms of lag from which on the owner refuses new work.

Ruled out: the owner's own work (two workers, a job at a time).

Change: bufferevent_set_max_single_read. Most requests are smaller than 2 KiB and take one read as before.

--- a/src/wire/connection_monitor.cc
+++ b/src/wire/connection_monitor.cc
@@ -12,6 +12,10 @@
 // The longest time between two checks of all connections. A shorter receive
 // timeout shortens it.
 constexpr base::Duration kMaxSweepPeriod = std::chrono::seconds(1);
+// How much is read from a connection in one turn of the loop. Most requests are
+// smaller. Parsing header lines takes long, and many connections may have input
+// in the same turn, which delays everything else in the process.
+constexpr std::size_t kMaxReadBytes = 2048;
 // A request may take longer than the receive timeout if it arrives at this rate
 // or faster, in bytes a second, since its body may be large.
 constexpr std::int64_t kMinReceiveRate = std::int64_t{16} * 1024;
@@ -81,6 +85,7 @@
   bufferevent* bev =
       bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
   bufferevent_incref(bev);
+  bufferevent_set_max_single_read(bev, kMaxReadBytes);
   auto connection = std::make_unique<Connection>();
   connection->monitor = this;
   connection->bev = bev;
