Don't limit new jobs for a backlog that the lowest limit would accept

Cause: an owner whose timers were late refused all new jobs as soon as one accepted job was in preparation. Clients that take the processor with requests that aren't jobs thus had an ordinary caller's submission refused (owner_saturated), for a second after they had left.

Evidence: the flood test with header lines failed so on a slow build (with sanitizers), with one job at a time at the owner.

Change: SaturationGate sets a limit only if more jobs wait than the lowest limit would accept in a job's usual preparation (three). A real burst brings hundreds.

Measured: saturation_gate_test, "timers that are late for another reason than jobs"; the same build passes the flood test twice (it failed once of one before).

--- a/src/core/admission/saturation_gate.cc
+++ b/src/core/admission/saturation_gate.cc
@@ -52,7 +52,12 @@
   const bool is_rate_known =
       first_begun_at_ && now - *first_begun_at_ >= kMinRateHistory;
   if (mean_lag_ > kTargetLag) {
-    if (is_rate_known && backlog > 0 && (!limit_ || mean_lag_ > kHighLag)) {
+    // A smaller backlog isn't why the timers are late: even the lowest limit
+    // would accept as many jobs.
+    const bool is_backlog_large =
+        backlog > kMinLimit * Seconds(kTypicalPreparation);
+    const bool is_due = !limit_ || mean_lag_ > kHighLag;
+    if (is_rate_known && is_backlog_large && is_due) {
       limit_ = std::max(begun_per_second_ - backlog / Seconds(kDrainTime),
                         kMinLimit);
       last_effect_at_ = now;
--- a/test/core/admission/saturation_gate_test.cc
+++ b/test/core/admission/saturation_gate_test.cc
@@ -209,6 +209,26 @@
   CHECK_FALSE(gate.limit());
 }
 
+TEST_CASE("timers that are late for another reason than jobs") {
+  // Such as the requests of clients that don't behave, beside one job at a
+  // time.
+  SaturationGate gate;
+  base::TimePoint now{seconds(100)};
+  for (int i = 0; i < 500; ++i) {
+    REQUIRE(gate.TryAcquire());
+    now += milliseconds(20);
+    gate.Update(milliseconds(200), {i % 50 == 0 ? 1U : 0U, 2}, now);
+  }
+  CHECK_FALSE(gate.limit());
+  SUBCASE("set a limit once jobs wait as well") {
+    for (int i = 0; i < 50; ++i) {
+      now += milliseconds(20);
+      gate.Update(milliseconds(200), {1, 100}, now);
+    }
+    CHECK(gate.limit());
+  }
+}
+
 TEST_CASE("a pause of the whole process") {
   SaturationGate gate;
   base::TimePoint now{seconds(100)};
