--- a/src/wire/http_server.cc
+++ b/src/wire/http_server.cc
@@ -293,7 +293,8 @@
     if (server != ServerOf().end()) {
       server->second->monitor_.Count(LimitReason::kDescriptors);
       server->second->monitor_.CloseIdlest();
-      // Until the next sweep; trying again at once would fail again.
+      // Until a connection is closed, or the next sweep: trying again at once
+      // would fail again.
       server->second->SetAccepting(false);
     }
   }
