Count all jobs in preparation before they limit new ones

Change: the number of jobs in preparation is compared, and the backlog only has to be positive, as before.

--- a/include/dotterelbarrow/core/admission/saturation_gate.h
+++ b/include/dotterelbarrow/core/admission/saturation_gate.h
@@ -81,8 +81,8 @@
  private:
   // Returns how many jobs wait for longer than kTypicalPreparation.
   double BacklogOf(std::uint64_t jobs_in_preparation) const;
-  // Adapts the limit to the lag after an `interval`, with this backlog.
-  void UpdateLimit(double backlog, base::Duration interval,
+  // Adapts the limit to the lag after an `interval`.
+  void UpdateLimit(std::uint64_t jobs_in_preparation, base::Duration interval,
                    base::TimePoint now);
 
   base::Duration mean_lag_{0};
--- a/src/core/admission/saturation_gate.cc
+++ b/src/core/admission/saturation_gate.cc
@@ -47,17 +47,18 @@
                            begun_per_second_ * Seconds(kTypicalPreparation));
 }
 
-void SaturationGate::UpdateLimit(double backlog, base::Duration interval,
-                                 base::TimePoint now) {
+void SaturationGate::UpdateLimit(std::uint64_t jobs_in_preparation,
+                                 base::Duration interval, base::TimePoint now) {
   const bool is_rate_known =
       first_begun_at_ && now - *first_begun_at_ >= kMinRateHistory;
   if (mean_lag_ > kTargetLag) {
-    // A smaller backlog isn't why the timers are late: even the lowest limit
-    // would accept as many jobs.
-    const bool is_backlog_large =
-        backlog > kMinLimit * Seconds(kTypicalPreparation);
+    // Fewer jobs aren't why the timers are late: even the lowest limit would
+    // accept as many.
+    const bool has_jobs = static_cast<double>(jobs_in_preparation) >
+                          kMinLimit * Seconds(kTypicalPreparation);
+    const double backlog = BacklogOf(jobs_in_preparation);
     const bool is_due = !limit_ || mean_lag_ > kHighLag;
-    if (is_rate_known && is_backlog_large && is_due) {
+    if (is_rate_known && has_jobs && backlog > 0 && is_due) {
       limit_ = std::max(begun_per_second_ - backlog / Seconds(kDrainTime),
                         kMinLimit);
       last_effect_at_ = now;
@@ -96,7 +97,7 @@
     last_effect_at_ = now;
   }
   on_time_per_second_ *= 1 - kForgetting * Seconds(interval);
-  UpdateLimit(BacklogOf(progress.jobs_in_preparation), interval, now);
+  UpdateLimit(progress.jobs_in_preparation, interval, now);
   if (limit_) {
     tokens_ = std::min(tokens_ + *limit_ * Seconds(interval),
                        std::max(1.0, *limit_ * kBurstSeconds));
