--- a/src/wire/connection_monitor.cc
+++ b/src/wire/connection_monitor.cc
@@ -208,14 +208,6 @@
                                 &ConnectionMonitor::OnClosed, connection);
 }
 
-bool ConnectionMonitor::IsClosed(const Connection& connection) {
-  // evhttp closes a connection with bufferevent_free, which clears the
-  // callbacks.
-  bufferevent_event_cb event_callback = nullptr;
-  bufferevent_getcb(connection.bev, nullptr, nullptr, &event_callback, nullptr);
-  return event_callback == nullptr;
-}
-
 void ConnectionMonitor::SetReadLimit(Connection* connection,
                                      std::size_t bytes) {
   if (connection->read_limit != bytes) {
--- a/src/wire/connection_monitor.h
+++ b/src/wire/connection_monitor.h
@@ -108,7 +108,6 @@
   // Registers OnClosed with evhttp, which knows the connection only after
   // NewConnection has returned.
   static void SetCloseCallback(Connection* connection);
-  static bool IsClosed(const Connection& connection);
   static void SetReadLimit(Connection* connection, std::size_t bytes);
 
   void SetPhase(Connection* connection, Phase phase);
