Let late work use the headroom that it doesn't fit beside

Cause: late work leaves headroom under its cap for urgent work until it is started. The headroom is at most half of the cap, so that a step that needs more than the other half never starts while there is any; the mean demand behind it decays, but to nothing only after a minute.

Ruled out: runs of the gang that are still held (the log has none), and the reservation of the cap for the same gang, which each pass drops first.

Change: late work leaves headroom only as far as the smallest part of it that can start fits beside it. Small late tasks leave as much as before, so that a backlog of late jobs doesn't fill the cap against urgent work.

Why it works: for such a step the headroom is what it leaves of the cap, so that it starts once nothing else with slack runs.

--- a/include/dotterelbarrow/core/jobs/job_spec.h
+++ b/include/dotterelbarrow/core/jobs/job_spec.h
@@ -98,6 +98,8 @@
   bool may_have_copies() const {
     return allows_copies && !gang && !long_running;
   }
+  // Returns how many tasks must be able to start for any to start.
+  std::uint32_t SmallestStart() const { return gang ? tasks : 1; }
   // Returns the resources that a worker must reserve for one task.
   base::Resources Reservation() const {
     base::Resources reservation = needs;
--- a/include/dotterelbarrow/core/placement/cap_headroom.h
+++ b/include/dotterelbarrow/core/placement/cap_headroom.h
@@ -5,7 +5,9 @@
 // second. Without headroom each of these waits until a batch task ends, which
 // takes longer than its slack. Work with much slack therefore leaves free what
 // the urgent work of the last seconds needed; it may use the whole cap once a
-// large part of its slack is used up.
+// large part of its slack is used up. Late work leaves the same until it is
+// started, but only as far as it fits beside it: a step that needs more than
+// the rest of the cap uses the headroom too.
 #ifndef DOTTERELBARROW_CORE_PLACEMENT_CAP_HEADROOM_H_
 #define DOTTERELBARROW_CORE_PLACEMENT_CAP_HEADROOM_H_
 
@@ -23,8 +25,8 @@
   static constexpr base::Duration kTimeConstant = std::chrono::seconds(5);
   // Headroom in units of the mean demand, since jobs arrive unevenly.
   static constexpr double kPeakFactor = 1.5;
-  // Upper bound of the headroom as a fraction of the cap, so that work with
-  // much slack always makes progress.
+  // Upper bound of the headroom as a fraction of the cap, so that small tasks
+  // with much slack always make progress.
   static constexpr double kMaxFraction = 0.5;
 
   // Records that urgent work of the organisation has arrived, which needs
--- a/include/dotterelbarrow/core/scheduler/dispatcher_caps.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher_caps.h
@@ -79,6 +79,11 @@
   // Returns whether `tasks` more tasks of a step that yields leave enough of
   // the organisation's cap to its urgent work.
   bool LeavesHeadroom(const WaitingStep& item, std::uint32_t tasks) const;
+  // Returns what the step must leave free for urgent work. Late work yields
+  // until it is started, so it leaves no more than what the least part of it
+  // that can start leaves of the whole cap.
+  base::Resources HeadroomBeside(
+      const WaitingStep& item, const desired::Organisation& organisation) const;
 
   const DispatcherContext* context_;
   placement::CapHeadroom cap_headroom_;
--- a/src/core/scheduler/dispatcher_caps.cc
+++ b/src/core/scheduler/dispatcher_caps.cc
@@ -110,12 +110,22 @@
   const desired::Organisation* organisation =
       context_->desired->FindOrganisation(item.job->organisation);
   return organisation == nullptr ||
-         FitsCap(
-             item,
-             context_->runs->UsageWithSlackOf(organisation->id) +
-                 cap_headroom_.HeadroomOf(organisation->id, organisation->cap,
-                                          context_->pass_began),
-             tasks);
+         FitsCap(item,
+                 context_->runs->UsageWithSlackOf(organisation->id) +
+                     HeadroomBeside(item, *organisation),
+                 tasks);
+}
+
+base::Resources DispatcherCaps::HeadroomBeside(
+    const WaitingStep& item, const desired::Organisation& organisation) const {
+  const base::Resources headroom = cap_headroom_.HeadroomOf(
+      organisation.id, organisation.cap, context_->pass_began);
+  if (item.urgency.deadline_status == placement::DeadlineStatus::kOnTime) {
+    return headroom;
+  }
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  return base::LesserOf(headroom,
+                        organisation.cap - spec.needs * spec.SmallestStart());
 }
 
 void DispatcherCaps::RecordArrival(jobs::Job* job, const desired::Queue& queue,
--- a/test/core/scheduler/scheduler_scenario.cc
+++ b/test/core/scheduler/scheduler_scenario.cc
@@ -18,6 +18,8 @@
 
 constexpr std::int64_t kWorkerCores = 4;
 constexpr std::int64_t kMillicores = 1000;
+// A share that no organisation exceeds here.
+constexpr double kAmpleWeight = 1000;
 // The number of run ends that an answer to a poll lists at most.
 constexpr std::size_t kMaxListedEnds = 500;
 // The store's limits for a transaction and, encoded as base64, for a row.
@@ -38,6 +40,7 @@
 }  // namespace
 
 const base::OrganisationId SchedulerScenario::kSchool("school");
+const base::OrganisationId SchedulerScenario::kClub("club");
 
 SchedulerScenario::SchedulerScenario(const SchedulerSettings& settings)
     : settings_(settings), service_("tasks") {
@@ -52,8 +55,8 @@
   desired::Queue batch = MakeQueue("batch");
   batch.priority = 2;
   queues_ = {MakeQueue("plain"), advised, urgent, gangs, batch};
-  organisation_.id = kSchool;
-  organisation_.weight = 1000;
+  school_.id = kSchool;
+  school_.weight = kAmpleWeight;
   BeginTerm();
 }
 
@@ -172,8 +175,16 @@
   ++listing.revision;
 }
 
-void SchedulerScenario::SetCap(int cores) {
-  organisation_.cap.cpu = base::Millicores(cores * kMillicores);
+void SchedulerScenario::SetLabels(const std::string& name,
+                                  std::vector<std::string> labels) {
+  workers::Listing& listing = workers_.at(base::BackendId(name)).listing;
+  listing.labels = std::move(labels);
+  ++listing.revision;
+}
+
+void SchedulerScenario::SetCap(int cores, int memory) {
+  school_.cap.cpu = base::Millicores(cores * kMillicores);
+  school_.cap.memory = base::Mebibytes(memory);
   DropQueue("");
 }
 
@@ -189,9 +200,12 @@
   std::erase_if(queues_, [&name](const desired::Queue& queue) {
     return queue.id.value() == name;
   });
+  desired::Organisation club;
+  club.id = kClub;
+  club.weight = kAmpleWeight;
   scheduler_->SetDesired(std::make_shared<desired::DesiredState>(
       base::ConfigVersion(1), queues_,
-      std::vector<desired::Organisation>{organisation_},
+      std::vector<desired::Organisation>{school_, club},
       std::vector<desired::Service>{{service_, false, false}},
       desired::CallLimits()));
 }
@@ -211,11 +225,12 @@
   return step;
 }
 
-SubmitResult SchedulerScenario::Submit(std::uint64_t key,
-                                       const std::string& queue,
-                                       std::vector<jobs::StepSpec> steps) {
+SubmitResult SchedulerScenario::Submit(
+    std::uint64_t key, const std::string& queue,
+    std::vector<jobs::StepSpec> steps,
+    const base::OrganisationId& organisation) {
   Submission submission{
-      jobs::JobKey(key), desired::QueueId(queue), kSchool, {}};
+      jobs::JobKey(key), desired::QueueId(queue), organisation, {}};
   submission.spec.steps = std::move(steps);
   return scheduler_->Submit(std::move(submission), WaiterId(++last_waiter_),
                             StoreMillis(), now_);
@@ -264,10 +279,11 @@
   return notified;
 }
 
-void SchedulerScenario::SubmitAndStore(std::uint64_t key,
-                                       const std::string& queue,
-                                       std::vector<jobs::StepSpec> steps) {
-  Submit(key, queue, std::move(steps));
+void SchedulerScenario::SubmitAndStore(
+    std::uint64_t key, const std::string& queue,
+    std::vector<jobs::StepSpec> steps,
+    const base::OrganisationId& organisation) {
+  Submit(key, queue, std::move(steps), organisation);
   Store();
 }
 
--- a/test/core/scheduler/scheduler_scenario.h
+++ b/test/core/scheduler/scheduler_scenario.h
@@ -28,13 +28,15 @@
 
 // Has the queues "plain", without placement advice, "advised", and "urgent",
 // whose jobs have half a second of slack, all of priority 0, "gangs" of
-// priority 1 and "batch" of priority 2, and one organisation, "school".
+// priority 1 and "batch" of priority 2, and the organisations "school" and
+// "club". Only the cap of "school" can be set.
 class SchedulerScenario {
  public:
   static constexpr base::Duration kTicketValidity =
       std::chrono::milliseconds(1500);
   static constexpr std::uint32_t kMaxAttempts = 3;
   static const base::OrganisationId kSchool;
+  static const base::OrganisationId kClub;
 
   explicit SchedulerScenario(const SchedulerSettings& settings = {});
 
@@ -51,8 +53,10 @@
   void Evacuate(const std::set<std::string>& zones);
   // Sets the capacity that a worker lists from now on.
   void ResizeWorker(const std::string& name, int cores);
-  // Sets the cap of the organisation, in cores.
-  void SetCap(int cores);
+  // Sets the labels that a worker lists from now on.
+  void SetLabels(const std::string& name, std::vector<std::string> labels);
+  // Sets the cap of "school", in cores and MiB; 0 for no limit.
+  void SetCap(int cores, int memory = 0);
   // Replaces the configuration by one whose only service is `name`, to which
   // all queues lead. Workers that are added later belong to it.
   void ReplaceService(const std::string& name);
@@ -67,7 +71,8 @@
   // Returns a gang whose tasks need a whole worker each.
   static jobs::StepSpec Gang(std::uint32_t tasks);
   SubmitResult Submit(std::uint64_t key, const std::string& queue,
-                      std::vector<jobs::StepSpec> steps);
+                      std::vector<jobs::StepSpec> steps,
+                      const base::OrganisationId& organisation = kSchool);
   // Submits a job that begins `count` times, first now by the owner's wall
   // clock and then after each interval, and stores its acceptance.
   void SubmitRepeatedAndStore(std::uint64_t key, const std::string& queue,
@@ -80,7 +85,8 @@
   std::vector<WaiterId> Store();
   // Submits a job and stores its acceptance.
   void SubmitAndStore(std::uint64_t key, const std::string& queue,
-                      std::vector<jobs::StepSpec> steps);
+                      std::vector<jobs::StepSpec> steps,
+                      const base::OrganisationId& organisation = kSchool);
 
   void Advance(base::Duration duration) { now_ += duration; }
   // Calls Tick and runs one scheduling pass; the workers execute the resulting
@@ -249,7 +255,7 @@
   std::uint64_t last_waiter_ = 0;
   std::vector<desired::Queue> queues_;
   base::ServiceId service_;
-  desired::Organisation organisation_;
+  desired::Organisation school_;
   std::map<base::BackendId, Worker> workers_;
   std::unique_ptr<Scheduler> scheduler_;
   std::map<RecordTable, std::map<std::string, std::string>> rows_;
