Withhold nothing for steps that the fleet can't hold

Without a cap, one gang that needs a worker more than there are stops the late work of every organisation. A job larger than its cap, or than any worker, has other jobs refused as at_cap or overloaded, and withholds copies of slow runs.

Cause: a part of the cap was reserved, workers were marked as wanted, and the job counted as waiting for room before anything asked whether it could ever use them.

Change: FleetFit asks whether the listed workers, were they empty, could hold the smallest part of a step that can start. Before a cap or workers are withheld for a gang, the same is asked of the allowed workers that accept work now, less the runs there that don't end. Holds count on no end of a long-running run.

Weighed: a refusal when it is handed in. Workers are added, and their list lags.

--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -38,6 +38,7 @@
 #include "dotterelbarrow/core/scheduler/dispatcher_suspects.h"
 #include "dotterelbarrow/core/scheduler/explanation.h"
 #include "dotterelbarrow/core/scheduler/fleet.h"
+#include "dotterelbarrow/core/scheduler/fleet_fit.h"
 #include "dotterelbarrow/core/scheduler/job_registry.h"
 #include "dotterelbarrow/core/scheduler/pass_effort.h"
 #include "dotterelbarrow/core/scheduler/room_waits.h"
@@ -146,6 +147,7 @@
   void ForgetFleetState() {
     next_usage_update_ = base::TimePoint();
     unplaced_gangs_.clear();
+    capped_gangs_.clear();
     gang_holds_.ForgetBackfill();
     room_waits_ = RoomWaits();
   }
@@ -207,9 +209,17 @@
     // of them to other work.
     std::vector<workers::WorkerNumber> wanted;
     std::map<workers::WorkerNumber, placement::GangHolds::Remainder> held;
+    // Whether these workers could hold it without the runs that end.
+    bool could_hold = true;
     // Before this time the result of the last try stands.
     base::TimePoint next_try{};
   };
+  // Whether workers could hold a gang that waits for its cap, and until when
+  // that is taken as known.
+  struct CappedGang {
+    bool could_hold = false;
+    base::TimePoint next_check{};
+  };
   // Returns those of `steps` that have tasks to place, the most urgent first,
   // and removes the others. Moves steps that can no longer be in time from
   // `waiting_` to `overdue_`.
@@ -241,8 +251,15 @@
   // Whether a step other than a gang was found without free resources just
   // before, and nothing has changed for it since.
   bool KeepsWaitingForRoom(const WaitingStep& item, base::TimePoint now);
+  // Returns why no part of the step can start before the fleet or the cap has
+  // grown; nullopt if one can. Nothing is withheld from other work for a step
+  // that can't.
+  std::optional<WaitReason> WhyImpossible(const WaitingStep& item);
   // Returns why a step waits for which the advice is known.
   WaitReason WaitReasonOf(const WaitingStep& item) const;
+  // Returns why a step waits that isn't tried in this pass. Of an overdue one,
+  // nobody asks whether it can start at all.
+  WaitReason WhyUntriedWaits(const WaitingStep& item);
   // Reports to the overload guard which part of its slack a job has used up
   // waiting for free resources or for its cap.
   void RecordUsedSlack(const WaitingStep& item, WaitReason reason,
@@ -324,8 +341,11 @@
   bool HasRoomForGang(const desired::Queue& queue,
                       const jobs::StepSpec& step) const;
   // Returns whether all tasks of a gang wait for a part of its organisation's
-  // cap, and reserves that part.
-  bool WaitsForCap(const WaitingStep& item);
+  // cap. Reserves that part if workers could hold the gang then.
+  bool WaitsForCap(WaitingStep* item, base::TimePoint now);
+  // Returns whether the allowed workers that accept work could hold the gang
+  // without the runs that end.
+  bool CouldHoldCapped(WaitingStep* item, base::TimePoint now);
   // Keeps the workers free that were chosen for a gang when it was last tried;
   // returns false if it is to be tried again.
   bool KeepHoldingFor(const WaitingStep& item, base::TimePoint now);
@@ -353,7 +373,7 @@
   // Keeps the workers on which the gang will fit soonest free from less urgent
   // work, provided the allowed workers can hold the whole gang at all. Also
   // marks all allowed workers of the gang, so that less urgent work with much
-  // slack left avoids them.
+  // slack left avoids them, and reserves its part of the cap.
   void HoldWorkersFor(const WaitingStep& item, base::TimePoint now);
   // Reserves resources for the chosen tasks. Starts them at once if their
   // tickets are valid, otherwise requests new tickets. With `attempt` 0 each
@@ -671,12 +691,14 @@
     base::TimePoint until;
   };
   std::map<workers::WorkerNumber, PreemptedWorker> preempted_workers_;
+  FleetFit fleet_fit_{context_.fleet};
   placement::LocalityWaits locality_;
   // The workers of each rack; empty if no run time depends on the rack.
   std::map<std::string, std::vector<workers::WorkerNumber>> racks_;
   base::TimePoint next_racks_update_;
   // The last tries that found no capacity: of gangs, and of other steps.
   std::unordered_map<jobs::StepRef, UnplacedGang> unplaced_gangs_;
+  std::unordered_map<jobs::StepRef, CappedGang> capped_gangs_;
   RoomWaits room_waits_;
   std::uint64_t jobs_begun_ = 0;
   std::uint64_t jobs_in_preparation_ = 0;
@@ -690,8 +712,8 @@
   bool has_waiting_work_ = false;
   std::set<base::OrganisationId> capped_;
   placement::LoadShedder load_shedder_;
-  // In each dimension, the largest amount that any worker has free: no worker
-  // has more.
+  // In each dimension, the largest amount that any worker has free, those that
+  // are isolated included: no worker has more.
   base::Resources largest_free_;
   // What is reserved on the workers that accept work, as of the same time as
   // the utilisation of the fleet.
--- a/include/dotterelbarrow/core/scheduler/waiting_step.h
+++ b/include/dotterelbarrow/core/scheduler/waiting_step.h
@@ -27,9 +27,11 @@
   kFreeResources,     // The allowed workers lack free resources.
   kCap,               // Its organisation has reached its cap.
   kOrphanedMembers,   // Members of its last attempt may still be running.
-  kIsolation,    // Its tasks may crash workers, and no worker is apart from
-                 // others.
-  kLocalWorker,  // A place near its data, or on one rack, is worth the wait.
+  kIsolation,      // Its tasks may crash workers, and no worker is apart from
+                   // others.
+  kLocalWorker,    // A place near its data, or on one rack, is worth the wait.
+  kFleetTooSmall,  // The listed workers couldn't hold it if they were empty.
+  kCapTooSmall,    // It needs more than its organisation's cap.
 };
 
 const char* ToString(WaitReason reason);
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -85,6 +85,8 @@
   // have been active there, although the next incarnation doesn't know it.
   bool was_lost_in_crash = false;
   bool is_gang_member = false;
+  // Whether its task runs until its job is cancelled.
+  bool is_long_running = false;
   // The resources that the task may use, and the part of them that is reserved
   // on the worker.
   base::Resources needs{};
@@ -179,6 +181,10 @@
   // were started before the capacity shrank may still use as much.
   const base::Resources& largest_capacity() const { return largest_capacity_; }
   const base::Resources& reserved() const { return total_reserved_; }
+  // Returns the part of the reserved resources that runs use which don't end.
+  const base::Resources& long_running_reserved() const {
+    return long_running_reserved_;
+  }
   // Returns the resources of the runs that are being stopped.
   base::Resources BeingFreed() const;
   // Whether more is reserved than the worker holds, because its capacity has
@@ -328,6 +334,8 @@
   // Invariant: the sums of the runs' reserved and needed resources.
   base::Resources total_reserved_;
   base::Resources total_needs_;
+  // Invariant: the sum of the reserved resources of the long-running runs.
+  base::Resources long_running_reserved_;
   // Invariant: the numbers of runs that are orphaned, that serve, that fill
   // idle processor time, and that are suspects.
   int orphan_count_ = 0;
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -25,6 +25,7 @@
   last_logged_.erase(step);
   advice_.Remove(step);
   locality_.Remove(step);
+  fleet_fit_.Remove(step);
   ForgetLastTry(step);
 }
 
@@ -46,6 +47,7 @@
         advice_.Remove(*it);
         locality_.Remove(*it);
       }
+      fleet_fit_.Remove(*it);
       ForgetLastTry(*it);
       it = steps->erase(it);
       continue;
@@ -92,6 +94,9 @@
       orphan_usage += worker.largest_capacity();
     }
     if (!worker.CanAcceptWork(now)) {
+      if (worker.AcceptsWorkIfIsolated()) {
+        RecordFreeResources(worker);
+      }
       continue;
     }
     reserved += worker.reserved();
@@ -169,7 +174,7 @@
     const bool is_tried = !is_budget_used || out_of_turn->contains(item.step);
     const std::optional<WaitReason> reason =
         is_tried ? Place(&item, now, actions)
-                 : std::optional(WaitReasonOf(item));
+                 : std::optional(WhyUntriedWaits(item));
     effort_.steps_tried += is_tried ? 1 : 0;
     if (!reason) {
       ++effort_.steps_placed;
@@ -199,6 +204,7 @@
 
 void Dispatcher::ForgetLastTry(const jobs::StepRef& step) {
   room_waits_.Remove(step);
+  capped_gangs_.erase(step);
   const auto unplaced = unplaced_gangs_.find(step);
   if (unplaced == unplaced_gangs_.end()) {
     return;
@@ -240,6 +246,9 @@
     }
     return item->blocked_by;
   }
+  if (const auto impossible = WhyImpossible(*item)) {
+    return impossible;
+  }
   // Gangs are not stopped here by the cap: they request advice while they wait
   // for it, and reserve it before less urgent work.
   if (!spec.gang && !caps_.IsWithinCap(*item, 1)) {
@@ -249,7 +258,7 @@
     return WaitReason::kFreeResources;
   }
   if (spec.gang) {
-    if (WaitsForCap(*item)) {
+    if (WaitsForCap(item, now)) {
       return WaitReason::kCap;
     }
     if (KeepHoldingFor(*item, now)) {
@@ -279,6 +288,26 @@
   return reason;
 }
 
+std::optional<WaitReason> Dispatcher::WhyImpossible(const WaitingStep& item) {
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  if (!caps_.CanEverFitCap(item, spec.SmallestStart())) {
+    return WaitReason::kCapTooSmall;
+  }
+  // Members of a gang may run on workers that take no more.
+  const bool is_begun = spec.gang && !runs_->RunsOfStep(item.step).empty();
+  return is_begun || fleet_fit_.CanHold(item, pass_began_)
+             ? std::nullopt
+             : std::optional(WaitReason::kFleetTooSmall);
+}
+
+WaitReason Dispatcher::WhyUntriedWaits(const WaitingStep& item) {
+  const bool is_on_time =
+      item.urgency.deadline_status == placement::DeadlineStatus::kOnTime;
+  const std::optional<WaitReason> impossible =
+      is_on_time ? WhyImpossible(item) : std::nullopt;
+  return impossible.value_or(WaitReasonOf(item));
+}
+
 WaitReason Dispatcher::WaitReasonOf(const WaitingStep& item) const {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   const bool fits_cap =
--- a/src/core/scheduler/dispatcher_explanation.cc
+++ b/src/core/scheduler/dispatcher_explanation.cc
@@ -59,6 +59,11 @@
     explained->waits_since = now - logged->second.since;
   } else if (is_submitted && !jobs_->IsStored(item.step.job)) {
     explained->waits_for = ToString(WaitReason::kStoring);
+  } else if (!caps_.CanEverFitCap(
+                 item, item.job->SpecOf(item.step).SmallestStart())) {
+    explained->waits_for = ToString(WaitReason::kCapTooSmall);
+  } else if (!fleet_fit_.Compute(item)) {
+    explained->waits_for = ToString(WaitReason::kFleetTooSmall);
   } else if (!caps_.IsWithinCap(item, 1)) {
     explained->waits_for = ToString(WaitReason::kCap);
   }
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -100,7 +100,9 @@
                     std::vector<Opening>* openings) {
   std::vector<std::pair<base::TimePoint, base::Resources>> ends;
   for (const auto& [key, run] : candidate.worker->runs()) {
-    ends.emplace_back(ExpectedEnd(run, now), run.reserved);
+    if (!run.is_long_running) {
+      ends.emplace_back(ExpectedEnd(run, now), run.reserved);
+    }
   }
   std::sort(ends.begin(), ends.end(),
             [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -194,7 +196,19 @@
   return choices;
 }
 
-bool Dispatcher::WaitsForCap(const WaitingStep& item) {
+bool Dispatcher::CouldHoldCapped(WaitingStep* item, base::TimePoint now) {
+  CappedGang& capped = capped_gangs_[item->step];
+  if (now >= capped.next_check) {
+    FillCandidates(item, now);
+    capped.could_hold =
+        CouldHold(item->candidates, item->job->SpecOf(item->step));
+    capped.next_check = now + GangRetryInterval(*item, now);
+  }
+  return capped.could_hold;
+}
+
+bool Dispatcher::WaitsForCap(WaitingStep* waiting, base::TimePoint now) {
+  const WaitingStep& item = *waiting;
   const jobs::Step& step = *item.job->FindStep(item.step);
   const auto tasks = static_cast<std::uint32_t>(step.tasks.size());
   const advice::StepAdvice* advice = advice_.Find(item.step);
@@ -204,7 +218,9 @@
       !runs_->RunsOfStep(item.step).empty() || IsWithinCap(item, tasks)) {
     return false;
   }
-  ReserveCap(item, tasks);
+  if (CouldHoldCapped(waiting, now)) {
+    ReserveCap(item, tasks);
+  }
   return true;
 }
 
@@ -240,7 +256,9 @@
   for (const workers::WorkerNumber worker : unplaced->second.wanted) {
     gang_holds_.MarkWanted(worker);
   }
-  ReserveCap(item, item.job->SpecOf(item.step).tasks);
+  if (unplaced->second.could_hold) {
+    ReserveCap(item, item.job->SpecOf(item.step).tasks);
+  }
   if (!unplaced->second.held.empty() && gang_holds_.CanHold()) {
     for (const auto& [worker, remainder] : unplaced->second.held) {
       gang_holds_.Hold(worker, remainder);
@@ -264,7 +282,6 @@
   std::iota(members.begin(), members.end(), 0);
   std::vector<Choice> choices = ChooseForGang(item, members);
   if (choices.empty()) {
-    ReserveCap(item, static_cast<std::uint32_t>(members.size()));
     HoldWorkersFor(item, now);
     needing_more_advice_.push_back(&item);
     return false;
@@ -324,6 +341,12 @@
 void Dispatcher::HoldWorkersFor(const WaitingStep& item, base::TimePoint now) {
   StopWaitingForRack(item.step);
   UnplacedGang& unplaced = RecordUnplacedGang(item, now);
+  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  unplaced.could_hold = CouldHold(item.candidates, spec);
+  if (!unplaced.could_hold) {
+    return;
+  }
+  ReserveCap(item, spec.tasks);
   for (const Candidate& candidate : item.candidates) {
     gang_holds_.MarkWanted(candidate.worker->number());
     unplaced.wanted.push_back(candidate.worker->number());
@@ -332,7 +355,6 @@
   if (!gang_holds_.CanHold() || kept_rooms_.IsKeptFor(item.step)) {
     return;
   }
-  const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   for (const workers::WorkerNumber worker : RackWorkersToHold(item, now)) {
     unplaced.held.try_emplace(worker);
   }
--- a/src/core/scheduler/waiting_step.cc
+++ b/src/core/scheduler/waiting_step.cc
@@ -22,6 +22,10 @@
       return "isolation";
     case WaitReason::kLocalWorker:
       return "local_worker";
+    case WaitReason::kFleetTooSmall:
+      return "fleet_too_small";
+    case WaitReason::kCapTooSmall:
+      return "cap_too_small";
   }
   return "unknown";
 }
--- a/src/core/workers/worker.cc
+++ b/src/core/workers/worker.cc
@@ -57,6 +57,7 @@
           .is_serving = spec.is_serving(),
           .fills_idle_cpu = spec.fills_idle_cpu,
           .is_gang_member = spec.gang,
+          .is_long_running = spec.long_running,
           .needs = spec.needs,
           .reserved = spec.Reservation(),
           .organisation = job.organisation,
@@ -127,6 +128,9 @@
     total_reserved_ -= run.reserved;
     total_needs_ -= run.needs;
   }
+  if (run.is_long_running) {
+    long_running_reserved_ += run.reserved * sign;
+  }
   orphan_count_ += run.is_orphan ? sign : 0;
   serving_count_ += run.is_serving ? sign : 0;
   idle_filler_count_ += run.fills_idle_cpu ? sign : 0;
