Choose only steps that can start for advice out of turn

What callers saw: an overdue step that waits for advice isn't asked about, as long as an older one waits that no worker can hold, and more urgent work needs all calls.

Cause: the overdue step that has waited longest was chosen each time. For one that no worker can hold, or whose organisation is at its cap, no request was sent, and it was chosen again.

Evidence: impossible_work_test, "advice out of turn beside a step that no worker can hold", fails before and passes now.

--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -274,8 +274,8 @@
   bool FindCandidates(WaitingStep* item, base::TimePoint now,
                       std::vector<Action>* actions);
   // Returns the overdue step that has waited longest without advice and can be
-  // asked about now.
-  std::optional<jobs::StepRef> LongestWithoutAdvice(base::TimePoint now) const;
+  // asked about now. Steps that can't start whatever the advice is don't count.
+  std::optional<jobs::StepRef> LongestWithoutAdvice(base::TimePoint now);
   // Requests the first advice for the overdue step that has waited longest,
   // before other steps can occupy all entry hosts. Otherwise it would wait as
   // long as more urgent work arrives faster than it is advised about.
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -61,7 +61,7 @@
 }
 
 std::optional<jobs::StepRef> Dispatcher::LongestWithoutAdvice(
-    base::TimePoint now) const {
+    base::TimePoint now) {
   std::optional<jobs::StepRef> longest;
   base::TimePoint accepted_at;
   for (const jobs::StepRef& step : overdue_) {
@@ -73,7 +73,8 @@
     }
     const std::optional<WaitingStep> item = context_.MakeWaitingStep(step, now);
     if (item && item->queue->advice && jobs_->IsStored(step.job) &&
-        MayFit(*item) && (!longest || item->job->accepted_at < accepted_at)) {
+        MayFit(*item) && (!longest || item->job->accepted_at < accepted_at) &&
+        !WhyImpossible(*item) && CapAllowsAdvice(*item)) {
       longest = step;
       accepted_at = item->job->accepted_at;
     }
@@ -96,17 +97,22 @@
     out_of_turn_step_.reset();
     return;
   }
-  const advice::StepAdvice& advice = advice_.FindOrAdd(item->step);
+  advice::StepAdvice& advice = advice_.FindOrAdd(item->step);
   if (advice.has_answer || advice.calls_in_flight > 0) {
     out_of_turn_step_.reset();
     return;
   }
+  const bool is_host_free = CanRequestAdvice(*item, now);
   FindCandidates(&*item, now, actions);
   if (advice.calls_in_flight > 0) {
     out_of_turn_step_.reset();
     next_out_of_turn_choice_ =
         now + context_.settings.out_of_turn_advice_interval;
     telemetry_.counters->Increment("advice_calls", "out_of_turn");
+  } else if (is_host_free) {
+    // There is no worker to ask about.
+    out_of_turn_step_.reset();
+    advice.retry_at = now + kMoreAdviceInterval;
   }
 }
 
--- a/test/core/scheduler/impossible_work_test.cc
+++ b/test/core/scheduler/impossible_work_test.cc
@@ -4,7 +4,10 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "test/core/scheduler/timed_scenario.h"
 
@@ -142,5 +145,46 @@
                 "expected: accepted; actual: refused for ", result.reason);
 }
 
+// Guards against a step that no worker can hold and that takes the place of the
+// step for which advice is requested out of turn, so that it never is.
+TEST_CASE("advice out of turn beside a step that no worker can hold") {
+  constexpr std::uint64_t kOverdue = 2;
+  TimedScenario scenario;
+  scenario.AddWorkers(kWorkers);
+  scenario.SetAdvice(milliseconds(50), std::chrono::microseconds(100), 1);
+  jobs::StepSpec gang = SchedulerScenario::Gang(2);
+  gang.needs.cpu = base::Millicores(5000);
+  scenario.SubmitAndStore(kImpossible, "advised", {gang});
+  scenario.SubmitAndStore(kOverdue, "advised", {SchedulerScenario::Step(1)});
+  // The call about the second job isn't answered until both are overdue.
+  std::optional<RequestAdvice> unanswered;
+  scenario.Play(seconds(12), [&](int /*pass*/) {
+    for (const RequestAdvice& request : scenario.TakeAdviceRequests()) {
+      unanswered = request;
+    }
+  });
+  REQUIRE(unanswered.has_value());
+  REQUIRE(unanswered->step.job == jobs::JobKey(kOverdue));
+  scenario.FailAdviceRequest(*unanswered);
+
+  // From then on, more urgent work would need all calls.
+  std::uint64_t next = kFirstSmall;
+  std::vector<RequestAdvice> calls;
+  bool is_asked = false;
+  scenario.Play(seconds(10), [&](int /*pass*/) {
+    for (const RequestAdvice& call : std::exchange(calls, {})) {
+      scenario.AnswerAdviceRequest(call, {});
+    }
+    for (int i = 0; i < 3; ++i) {
+      scenario.SubmitAndStore(next++, "advised", {SchedulerScenario::Step(1)});
+    }
+    calls = scenario.TakeAdviceRequests();
+    for (const RequestAdvice& call : calls) {
+      is_asked |= call.step.job == jobs::JobKey(kOverdue);
+    }
+  });
+  CHECK(is_asked);
+}
+
 }  // namespace
 }  // namespace dotterelbarrow::core::scheduler
