Let work use an isolated worker that no other worker could run

Cause: three failures in a row of different jobs shut a worker out for 3, 6, 12 and 24 s. Nobody asked whether another worker could do the work; runs from before a quarantine counted for the next one; a success didn't end it; and jobs that had failed on other workers too counted as evidence.

Change: workers/quarantine, a state machine. A step that no other worker could run may start on an isolated one, one start in half a second, and each task again after 2, 4 and 6 s. Periods last 3 and then 6 s, and end with probes or a success. Runs from before a period don't count for it, nor do tasks that have failed on a worker which has completed other work since.

Weighed: core/quarantine of the cell of its own, whose probe this takes over; no quarantine at all where there is no other worker (all attempts of all jobs are used up within a second).

Evidence: quarantine_test fails before: a healthy job isn't started within 5 s, hopeless ones don't end within 14 s, a sick worker that fails all for 18 s is started on 8 times after its isolation (at most 6 now), and jobs whose only worker is sick for 6.5 s aren't completed 8 s later (all are now).

--- a/include/dotterelbarrow/core/jobs/job.h
+++ b/include/dotterelbarrow/core/jobs/job.h
@@ -61,6 +61,8 @@
   // The worker on which the last run failed. The next run is placed on another
   // worker if possible.
   base::BackendId failed_on;
+  // When this owner learnt of that.
+  base::TimePoint failed_at{};
   // The worker that stopped the last attempt before it started, and so won't
   // start the same attempt again.
   base::BackendId stopped_before_start_on;
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -327,6 +327,11 @@
   // Fills in the step's candidates. Returns whether any allowed worker accepts
   // new work, with or without free resources.
   bool FillCandidates(WaitingStep* item, base::TimePoint now) const;
+  // Returns whether any worker that isn't isolated could run the step, now or
+  // with advice that is still to be requested.
+  bool HasOpenWorker(const WaitingStep& item, base::TimePoint now) const;
+  // Returns whether the task may be tried again on an isolated worker.
+  static bool IsRetryDue(const jobs::Task& task, base::TimePoint now);
   // Returns which workers suit the step best by their speed.
   placement::SpeedPreference SpeedPreferenceOf(const WaitingStep& item,
                                                base::TimePoint now) const;
--- a/include/dotterelbarrow/core/scheduler/scheduler.h
+++ b/include/dotterelbarrow/core/scheduler/scheduler.h
@@ -412,6 +412,9 @@
   jobs::Task* FindTask(const jobs::TaskRef& task);
   void LogUnreadable(const std::string& record, const base::Failure& reason);
   void LogLoad();
+  // Whether the task has failed before, on a worker that has completed other
+  // work since. Its failures then say nothing about workers.
+  bool IsAtFault(const jobs::Task& task);
   // Counts consecutive failures on a worker; quarantines it after too many.
   void UpdateQuarantine(const workers::Worker& worker, const workers::Run& run,
                         jobs::RunEnd end);
--- a/include/dotterelbarrow/core/scheduler/waiting_step.h
+++ b/include/dotterelbarrow/core/scheduler/waiting_step.h
@@ -51,6 +51,8 @@
   // Steps other than gangs list only workers with free resources for a task.
   // Gangs list the others too, since resources may be freed there later.
   std::vector<placement::Candidate> candidates{};
+  // Whether these workers are isolated, because no others could run the step.
+  bool has_only_isolated = false;
   // Whether a task waits for a worker on which it can be told apart.
   bool waits_for_isolation = false;
   // How many more tasks are placed away from their data in this pass; not set
@@ -70,6 +72,9 @@
 // tasks.
 bool MayRunOn(const workers::Worker& worker, const WaitingStep& item,
               base::TimePoint now);
+// The same for a step that no other worker could run: it may also use a worker
+// that is isolated because everything fails there.
+bool MayRunIfIsolated(const workers::Worker& worker, const WaitingStep& item);
 
 }  // namespace dotterelbarrow::core::scheduler
 
--- a/include/dotterelbarrow/core/workers/worker.h
+++ b/include/dotterelbarrow/core/workers/worker.h
@@ -15,6 +15,7 @@
 #include "dotterelbarrow/core/jobs/job.h"
 #include "dotterelbarrow/core/jobs/job_spec.h"
 #include "dotterelbarrow/core/jobs/worker_incarnation.h"
+#include "dotterelbarrow/core/workers/quarantine.h"
 #include "dotterelbarrow/core/workers/worker_set.h"
 
 namespace dotterelbarrow::core::workers {
@@ -294,11 +295,8 @@
   // Number of commands since the last answer of any kind that were unanswered
   // or could not be sent.
   int unanswered_commands = 0;
-  // No new work is started before this time, because runs failed here.
-  base::TimePoint quarantined_until;
-  int failures_in_row = 0;
-  jobs::JobKey last_failed_job;
-  int quarantines = 0;
+  // Keeps new work away while everything fails here.
+  Quarantine quarantine;
 
   // Returns the number up to which a poll has to acknowledge run ends; 0 if the
   // worker has forgotten them. A poll that reaches the next incarnation would
@@ -318,7 +316,12 @@
   // only.
   bool WasLostJustNow(base::TimePoint now) const;
   // Returns whether new work may be started there.
-  bool CanAcceptWork(base::TimePoint now) const;
+  bool CanAcceptWork(base::TimePoint now) const {
+    return AcceptsWorkIfIsolated() && !quarantine.IsIsolated(now);
+  }
+  // Returns whether work may be started there that no other worker could run,
+  // even while the worker is isolated.
+  bool AcceptsWorkIfIsolated() const;
 
  private:
   // Adds the run's resources and properties to the totals below if `sign` is 1,
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -384,6 +384,7 @@
   const base::Resources reservation = spec.Reservation();
   std::vector<Candidate>& candidates = item->candidates;
   candidates.clear();
+  item->has_only_isolated = false;
   bool any_accepts_work = false;
   const std::optional<placement::SpeedPreference> speed =
       run_times_.has_uneven_workers()
@@ -391,13 +392,18 @@
           : std::nullopt;
   const auto add = [&](const workers::Worker& worker, bool has_ticket) {
     // A cheap check first, because most workers are full when many steps wait.
-    const base::Resources room = RoomFor(item->step, worker);
+    base::Resources room = RoomFor(item->step, worker);
     const bool is_full = !spec.gang && !reservation.FitsIn(room);
-    if ((is_full && any_accepts_work) || !MayRunOn(worker, *item, now)) {
+    if ((is_full && any_accepts_work) ||
+        !(item->has_only_isolated ? MayRunIfIsolated(worker, *item)
+                                  : MayRunOn(worker, *item, now))) {
       return;
     }
     any_accepts_work = true;
-    if (!is_full) {
+    if (worker.quarantine.IsProbed(now) && !spec.gang) {
+      room = base::LesserOf(room, reservation);
+    }
+    if (!is_full && worker.quarantine.AdmitsStart(now)) {
       candidates.push_back(
           {&worker, room, 0, gang_holds_.IsOrWasHeld(worker.number()),
            has_ticket, worker.WasLostJustNow(now),
@@ -405,20 +411,28 @@
                  : 0.0});
     }
   };
-  if (item->queue->advice) {
-    const advice::StepAdvice* advice = advice_.Find(item->step);
+  const advice::StepAdvice* advice =
+      item->queue->advice ? advice_.Find(item->step) : nullptr;
+  if (item->queue->advice && advice == nullptr) {
+    return false;
+  }
+  const auto add_all = [&] {
     if (advice == nullptr) {
-      return false;
+      for (const auto& [id, worker] : fleet_->workers()) {
+        add(worker, true);
+      }
+      return;
     }
     for (const auto& [number, ticket] : advice->allowed) {
       if (const workers::Worker* worker = fleet_->FindByNumber(number)) {
         add(*worker, now < ticket.valid_until);
       }
     }
-  } else {
-    for (const auto& [id, worker] : fleet_->workers()) {
-      add(worker, true);
-    }
+  };
+  add_all();
+  if (!any_accepts_work && !HasOpenWorker(*item, now)) {
+    item->has_only_isolated = true;
+    add_all();
   }
   if (spec.max_per_worker > 0) {
     for (const PlacedRun& run : runs_->RunsOfStep(item->step)) {
@@ -430,6 +444,26 @@
   return any_accepts_work;
 }
 
+bool Dispatcher::HasOpenWorker(const WaitingStep& item,
+                               base::TimePoint now) const {
+  const advice::StepAdvice* advice =
+      item.queue->advice ? advice_.Find(item.step) : nullptr;
+  return std::any_of(
+      fleet_->workers().begin(), fleet_->workers().end(),
+      [&](const auto& entry) {
+        const workers::Worker& worker = entry.second;
+        return MayRunOn(worker, item, now) &&
+               (advice == nullptr ||
+                advice->allowed.contains(worker.number()) ||
+                !advice->queried_workers.contains(worker.number()));
+      });
+}
+
+bool Dispatcher::IsRetryDue(const jobs::Task& task, base::TimePoint now) {
+  return now >= task.failed_at + workers::Quarantine::RetryDelay(
+                                     task.failed_attempts.size());
+}
+
 bool Dispatcher::PlaceTasks(WaitingStep* waiting, base::TimePoint now,
                             std::vector<Action>* actions) {
   const WaitingStep& item = *waiting;
@@ -454,7 +488,8 @@
   std::vector<Choice> choices;
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
     const jobs::Task& task = step.tasks[index];
-    if (task.done || task.may_be_running) {
+    if (task.done || task.may_be_running ||
+        (item.has_only_isolated && !IsRetryDue(task, now))) {
       continue;
     }
     if (!caps_.IsWithinCap(item,
@@ -573,7 +608,13 @@
     run.was_announced = crashes.announced_start() == number;
     fleet_->Reserve(choice.worker, run);
     runs_->Add(choice.worker, run);
-    const workers::WorkerNumber worker = fleet_->Find(choice.worker)->number();
+    workers::Worker* reserved_on = fleet_->Find(choice.worker);
+    if (reserved_on->quarantine.IsProbed(now)) {
+      reserved_on->quarantine.OnStart(now);
+      telemetry_.counters->Increment(
+          "quarantine_probes", item.has_only_isolated ? "no_other" : "due");
+    }
+    const workers::WorkerNumber worker = reserved_on->number();
     kept_rooms_.OnPlaced(item.step, worker);
     if (gang_holds_.IsHeld(worker) &&
         !kept_rooms_.IsKeptFor(item.step, worker)) {
--- a/src/core/scheduler/dispatcher_advice.cc
+++ b/src/core/scheduler/dispatcher_advice.cc
@@ -225,6 +225,7 @@
     const WaitingStep& item, std::size_t most, RoomNeeded room_needed,
     base::TimePoint now) {
   const base::Resources needs = item.job->SpecOf(item.step).Reservation();
+  const bool has_open_worker = HasOpenWorker(item, now);
   std::vector<const workers::Worker*> compared;
   compared.reserve(std::min(most, fleet_->workers().size()));
   for (workers::WorkerNumber i;
@@ -234,7 +235,9 @@
                                 : workers::WorkerNumber();
     const workers::Worker* worker = fleet_->FindByNumber(last_compared_worker_);
     effort_.workers_compared += worker == nullptr ? 0 : 1;
-    if (worker != nullptr && MayRunOn(*worker, item, now) &&
+    if (worker != nullptr &&
+        (has_open_worker ? MayRunOn(*worker, item, now)
+                         : MayRunIfIsolated(*worker, item)) &&
         (room_needed == RoomNeeded::kNo ||
          needs.FitsIn(worker->FreeResources()))) {
       compared.push_back(worker);
@@ -440,10 +443,15 @@
   }
   const WaitingStep item{
       .urgency = {}, .step = step, .job = job, .queue = queue};
+  const auto reserved_at = [&](const PlacedRun& run) {
+    return fleet_->Find(run.worker)->FindRun(run.task, run.attempt)->since;
+  };
   const auto can_start = [&](const PlacedRun& run) {
     const workers::Worker* worker = fleet_->Find(run.worker);
     return TicketFor(item, run.worker, now).has_value() &&
-           worker->CanAcceptWork(now) && !worker->is_over_capacity();
+           worker->AcceptsWorkIfIsolated() &&
+           !worker->quarantine.IsIsolatedSince(reserved_at(run), now) &&
+           !worker->is_over_capacity();
   };
   const bool can_start_all =
       std::all_of(reserved.begin(), reserved.end(), can_start);
--- a/src/core/scheduler/dispatcher_explanation.cc
+++ b/src/core/scheduler/dispatcher_explanation.cc
@@ -88,7 +88,7 @@
   if (listing.draining) {
     return "draining";
   }
-  if (now < worker.quarantined_until) {
+  if (worker.quarantine.IsIsolated(now)) {
     return "quarantined";
   }
   if (!worker.CanAcceptWork(now)) {
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -278,6 +278,12 @@
   if (!runs_->RunsOfStep(item.step).empty()) {
     return false;
   }
+  if (item.has_only_isolated &&
+      !std::all_of(
+          step.tasks.begin(), step.tasks.end(),
+          [now](const jobs::Task& task) { return IsRetryDue(task, now); })) {
+    return false;
+  }
   std::vector<std::uint32_t> members(step.tasks.size());
   std::iota(members.begin(), members.end(), 0);
   std::vector<Choice> choices = ChooseForGang(item, members);
--- a/src/core/scheduler/scheduler_runs.cc
+++ b/src/core/scheduler/scheduler_runs.cc
@@ -8,13 +8,6 @@
 namespace dotterelbarrow::core::scheduler {
 namespace {
 
-// A worker is quarantined after this many consecutive failures of different
-// jobs.
-constexpr int kFailuresBeforeQuarantine = 3;
-// The first quarantine lasts this long. Each further one lasts twice as long as
-// the one before, up to kMaxDoublings times.
-constexpr base::Duration kFirstQuarantine = std::chrono::seconds(3);
-constexpr int kMaxDoublings = 3;
 // Of the workers of an announced gang, so many are named in its job's record:
 // some 4 kB. A crash of another one leaves no trace if the owner is lost, too.
 constexpr std::size_t kMaxAnnouncedWorkers = 128;
@@ -369,6 +362,11 @@
   }
 }
 
+bool Scheduler::IsAtFault(const jobs::Task& task) {
+  const workers::Worker* failed_on = fleet_.Find(task.failed_on);
+  return failed_on != nullptr && failed_on->quarantine.is_blameless();
+}
+
 void Scheduler::UpdateQuarantine(const workers::Worker& worker,
                                  const workers::Run& run, jobs::RunEnd end) {
   workers::Worker* target = fleet_.Find(worker.id());
@@ -376,26 +374,23 @@
     return;
   }
   if (end == jobs::RunEnd::kDone) {
-    target->failures_in_row = 0;
-    target->quarantines = 0;
-    return;
+    target->quarantine.OnSuccess(run.started_at);
   }
-  if (end != jobs::RunEnd::kFailed ||
-      run.task.step.job == target->last_failed_job) {
+  if (end != jobs::RunEnd::kFailed) {
     return;
   }
-  target->last_failed_job = run.task.step.job;
-  if (++target->failures_in_row < kFailuresBeforeQuarantine) {
-    return;
+  jobs::Task* task = FindTask(run.task);
+  const bool is_at_fault = task != nullptr && IsAtFault(*task);
+  if (task != nullptr) {
+    task->failed_at = now_;
+  }
+  if (!is_at_fault &&
+      target->quarantine.OnFailure(run.task.step.job, run.started_at, now_)) {
+    telemetry_.counters->Increment("worker_quarantines", "failures");
+    telemetry_.log->Write(
+        "worker_quarantined",
+        {{"worker", worker.id().value()}, {"task", jobs::ToString(run.task)}});
   }
-  target->quarantined_until =
-      now_ +
-      kFirstQuarantine * (1 << std::min(target->quarantines, kMaxDoublings));
-  ++target->quarantines;
-  target->failures_in_row = 0;
-  telemetry_.log->Write(
-      "worker_quarantined",
-      {{"worker", worker.id().value()}, {"quarantines", target->quarantines}});
 }
 
 }  // namespace dotterelbarrow::core::scheduler
--- a/src/core/scheduler/waiting_step.cc
+++ b/src/core/scheduler/waiting_step.cc
@@ -32,7 +32,11 @@
 
 bool MayRunOn(const workers::Worker& worker, const WaitingStep& item,
               base::TimePoint now) {
-  return worker.CanAcceptWork(now) && !worker.has_suspects() &&
+  return worker.CanAcceptWork(now) && MayRunIfIsolated(worker, item);
+}
+
+bool MayRunIfIsolated(const workers::Worker& worker, const WaitingStep& item) {
+  return worker.AcceptsWorkIfIsolated() && !worker.has_suspects() &&
          worker.listing().service == item.queue->service &&
          placement::IsSuitable(worker, item.job->SpecOf(item.step));
 }
--- a/src/core/workers/worker.cc
+++ b/src/core/workers/worker.cc
@@ -170,10 +170,10 @@
   return returned_at && now - *returned_at < kUnreliableAfterLoss;
 }
 
-bool Worker::CanAcceptWork(base::TimePoint now) const {
+bool Worker::AcceptsWorkIfIsolated() const {
   return is_claimed && !leases_suspended && listed_ && !evacuated_ &&
-         !listing_.draining && orphan_count_ == 0 && now >= quarantined_until &&
-         failed_polls == 0 && unanswered_commands < kMaxUnansweredCommands;
+         !listing_.draining && orphan_count_ == 0 && failed_polls == 0 &&
+         unanswered_commands < kMaxUnansweredCommands;
 }
 
 }  // namespace dotterelbarrow::core::workers
