Give overdue steps that find no room turns before all other work

What callers saw: a late step that needs all of its cap, or a whole worker or many of them, isn't started as long as small urgent tasks take each part that becomes free, in a fleet and under a cap of which little is in use.

Cause: overdue work takes what all other work leaves, and nothing bounds how long. What is held for an overdue gang is held only against other overdue work.

Change: placement/overdue_turns. After 3 s while less than half of the fleet and of the cap is in use, after 8 s otherwise, such a step is placed before all other work, and what it lacks is kept for it for 4 s at most. One step at a time, the one with the fewest turns first. Where more is in use, turns take a tenth of the fleet over time, so that a backlog of late jobs doesn't displace what can be on time.

Evidence: late_work_under_cap_test, "beside endless urgent work", fails before for a gang and for a single task, passes now.

--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -22,6 +22,7 @@
 #include "dotterelbarrow/core/placement/kept_rooms.h"
 #include "dotterelbarrow/core/placement/load_shedder.h"
 #include "dotterelbarrow/core/placement/locality_wait.h"
+#include "dotterelbarrow/core/placement/overdue_turns.h"
 #include "dotterelbarrow/core/placement/preemption_limits.h"
 #include "dotterelbarrow/core/placement/preemption_planner.h"
 #include "dotterelbarrow/core/placement/run_time_model.h"
@@ -220,6 +221,16 @@
     bool could_hold = false;
     base::TimePoint next_check{};
   };
+  // Returns why no task of the step may start yet, even if resources are free.
+  std::optional<WaitReason> WhyBlocked(const WaitingStep& item) const;
+  // Places the overdue step whose turn it is, if any, or keeps free for it what
+  // it lacks.
+  void PlaceStepInTurn(base::TimePoint now, std::vector<Action>* actions);
+  // Whether a small part of the fleet and of the step's cap is in use.
+  bool IsLightlyLoadedFor(const WaitingStep& item) const;
+  // Records that an overdue step waits, unless it couldn't use a turn.
+  void RecordOverdueWait(const WaitingStep& item, WaitReason reason,
+                         base::TimePoint now);
   // Returns those of `steps` that have tasks to place, the most urgent first,
   // and removes the others. Moves steps that can no longer be in time from
   // `waiting_` to `overdue_`.
@@ -704,6 +715,7 @@
   // The last tries that found no capacity: of gangs, and of other steps.
   std::unordered_map<jobs::StepRef, UnplacedGang> unplaced_gangs_;
   std::unordered_map<jobs::StepRef, CappedGang> capped_gangs_;
+  placement::OverdueTurns overdue_turns_;
   RoomWaits room_waits_;
   std::uint64_t jobs_begun_ = 0;
   std::uint64_t jobs_in_preparation_ = 0;
--- a/include/dotterelbarrow/core/scheduler/waiting_step.h
+++ b/include/dotterelbarrow/core/scheduler/waiting_step.h
@@ -45,6 +45,9 @@
   // Whether the step has so much slack left that it yields capacity to gangs
   // and to urgent work.
   bool yields = false;
+  // Whether it is the step's turn to go before all other work (see
+  // placement::OverdueTurns).
+  bool has_turn = false;
   // Why no task of the step may start yet, even if resources are free.
   std::optional<WaitReason> blocked_by{};
   // Allowed workers that accept new work; filled in once the advice is known.
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -26,6 +26,7 @@
   advice_.Remove(step);
   locality_.Remove(step);
   fleet_fit_.Remove(step);
+  overdue_turns_.Remove(step);
   ForgetLastTry(step);
 }
 
@@ -35,10 +36,24 @@
   preemption_limits_.RemoveJob(job);
 }
 
+std::optional<WaitReason> Dispatcher::WhyBlocked(
+    const WaitingStep& item) const {
+  if (!jobs_->IsStored(item.step.job)) {
+    return WaitReason::kStoring;
+  }
+  if (!fleet_->unreconciled().empty() &&
+      context_.inherited.contains(item.step.job)) {
+    return WaitReason::kUntrackedRuns;
+  }
+  if (item.job->FindStep(item.step)->lost_at > context_.confirmed_at) {
+    return WaitReason::kUnconfirmedOwner;
+  }
+  return std::nullopt;
+}
+
 std::vector<WaitingStep> Dispatcher::CollectByUrgency(
     std::set<jobs::StepRef>* steps, base::TimePoint now) {
   std::vector<WaitingStep> items;
-  const bool may_have_untracked = !fleet_->unreconciled().empty();
   for (auto it = steps->begin(); it != steps->end();) {
     std::optional<WaitingStep> item = context_.MakeWaitingStep(*it, now);
     if (!item) {
@@ -48,6 +63,7 @@
         locality_.Remove(*it);
       }
       fleet_fit_.Remove(*it);
+      overdue_turns_.Remove(*it);
       ForgetLastTry(*it);
       it = steps->erase(it);
       continue;
@@ -58,13 +74,11 @@
       it = steps->erase(it);
       continue;
     }
-    if (!jobs_->IsStored(it->job)) {
-      item->blocked_by = WaitReason::kStoring;
-    } else if (may_have_untracked && context_.inherited.contains(it->job)) {
-      item->blocked_by = WaitReason::kUntrackedRuns;
-    } else if (item->job->FindStep(*it)->lost_at > context_.confirmed_at) {
-      item->blocked_by = WaitReason::kUnconfirmedOwner;
+    if (steps == &overdue_ && overdue_turns_.IsTurnOf(*it)) {
+      ++it;  // It was tried before all others.
+      continue;
     }
+    item->blocked_by = WhyBlocked(*item);
     items.push_back(std::move(*item));
     ++it;
   }
@@ -127,6 +141,7 @@
   capped_.clear();
   BeginPreemptionPass(now);
   RequestAdviceOutOfTurn(now, actions);
+  PlaceStepInTurn(now, actions);
   PlaceAll(CollectByUrgency(&waiting_, now), nullptr, now, actions);
   if (now >= next_overdue_pass_) {
     next_overdue_pass_ = now + context_.settings.overdue_pass_interval;
@@ -136,6 +151,61 @@
   StartCopies(now, actions);
 }
 
+void Dispatcher::PlaceStepInTurn(base::TimePoint now,
+                                 std::vector<Action>* actions) {
+  const std::optional<jobs::StepRef> before = overdue_turns_.current();
+  overdue_turns_.Update(now);
+  const std::optional<jobs::StepRef> step = overdue_turns_.current();
+  if (!step) {
+    return;
+  }
+  std::optional<WaitingStep> item = context_.MakeWaitingStep(*step, now);
+  if (!item || !overdue_.contains(*step)) {
+    overdue_turns_.Remove(*step);
+    return;
+  }
+  if (step != before) {
+    // Workers were chosen beside those that are held for more urgent gangs.
+    ForgetLastTry(*step);
+    telemetry_.counters->Increment("overdue_turns", "begun");
+    telemetry_.log->Write("overdue_turn", {{"step", jobs::ToString(*step)}});
+  }
+  item->blocked_by = WhyBlocked(*item);
+  item->has_turn = true;
+  item->yields = false;
+  std::vector<WaitingStep> items;
+  items.push_back(std::move(*item));
+  PlaceAll(std::move(items), nullptr, now, actions);
+}
+
+bool Dispatcher::IsLightlyLoadedFor(const WaitingStep& item) const {
+  using placement::OverdueTurns;
+  const base::OrganisationId& id = item.job->organisation;
+  const desired::Organisation* organisation =
+      context_.desired->FindOrganisation(id);
+  return fleet_usage_ < OverdueTurns::kLightUse &&
+         (organisation == nullptr ||
+          base::DominantFraction(caps_.UsageOf(id), organisation->cap) <
+              OverdueTurns::kLightUse);
+}
+
+void Dispatcher::RecordOverdueWait(const WaitingStep& item, WaitReason reason,
+                                   base::TimePoint now) {
+  switch (reason) {
+    case WaitReason::kFreeResources:
+    case WaitReason::kCap:
+    case WaitReason::kLocalWorker:
+      overdue_turns_.RecordWaiting(item.step, IsLightlyLoadedFor(item), now);
+      break;
+    case WaitReason::kFleetTooSmall:
+    case WaitReason::kCapTooSmall:
+      overdue_turns_.Remove(item.step);
+      break;
+    default:
+      break;
+  }
+}
+
 std::set<jobs::StepRef> Dispatcher::ChooseOutOfTurn(
     const std::vector<WaitingStep>& items, std::size_t first,
     jobs::StepRef* rotation) const {
@@ -180,6 +250,9 @@
       ++effort_.steps_placed;
       continue;
     }
+    if (is_tried && (rotation != nullptr || item.has_turn)) {
+      RecordOverdueWait(item, *reason, now);
+    }
     jobs_in_preparation_ += IsInPreparation(item, *reason) ? 1 : 0;
     RecordUsedSlack(item, *reason, now);
     RecordWaitingSlack(item, *reason, now);
@@ -252,13 +325,16 @@
   // Gangs are not stopped here by the cap: they request advice while they wait
   // for it, and reserve it before less urgent work.
   if (!spec.gang && !caps_.IsWithinCap(*item, 1)) {
+    if (item->has_turn) {
+      ReserveCap(*item, 1);
+    }
     return WaitReason::kCap;
   }
   if (!MayFit(*item)) {
     return WaitReason::kFreeResources;
   }
-  if (spec.gang) {
-    if (WaitsForCap(item, now)) {
+  if (spec.gang || item->has_turn) {
+    if (spec.gang && WaitsForCap(item, now)) {
       return WaitReason::kCap;
     }
     if (KeepHoldingFor(*item, now)) {
@@ -375,7 +451,7 @@
 
 bool Dispatcher::MayFit(const WaitingStep& item) const {
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
-  return (spec.gang && gang_holds_.CanHold()) ||
+  return ((spec.gang || item.has_turn) && gang_holds_.CanHold()) ||
          spec.Reservation().FitsIn(largest_free_);
 }
 
@@ -390,10 +466,12 @@
       run_times_.has_uneven_workers()
           ? std::optional(SpeedPreferenceOf(*item, now))
           : std::nullopt;
+  // Workers can be held for these before they have free resources.
+  const bool lists_full = spec.gang || item->has_turn;
   const auto add = [&](const workers::Worker& worker, bool has_ticket) {
     // A cheap check first, because most workers are full when many steps wait.
     base::Resources room = RoomFor(item->step, worker);
-    const bool is_full = !spec.gang && !reservation.FitsIn(room);
+    const bool is_full = !lists_full && !reservation.FitsIn(room);
     if ((is_full && any_accepts_work) ||
         !(item->has_only_isolated ? MayRunIfIsolated(worker, *item)
                                   : MayRunOn(worker, *item, now))) {
@@ -520,6 +598,9 @@
     return false;
   }
   if (choices.empty()) {
+    if (item.has_turn) {
+      HoldWorkersFor(item, now);
+    }
     needing_more_advice_.push_back(&item);
     return false;
   }
@@ -587,13 +668,16 @@
     jobs::Attempt attempt, base::TimePoint now) {
   const jobs::Step& step = *item.job->FindStep(item.step);
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
+  overdue_turns_.OnPlaced(
+      item.step, spec.needs * static_cast<std::int64_t>(choices.size()),
+      spec.estimate, context_.fleet_capacity, now);
   std::vector<PlacedRun> placed;
   for (const Choice& choice : choices) {
     const jobs::TaskRef task{item.step, choice.index};
     const jobs::Attempt number =
         attempt.value() > 0 ? attempt : NextAttempt(step, choice.index);
     workers::Run run = workers::MakeReservedRun(*item.job, task, number, now);
-    run.has_slack = item.yields;
+    run.has_slack = item.yields || item.has_turn;
     run.expected_run_time = ExpectedRunTimeOn(item, choice.worker);
     if (HasLocality(spec) &&
         !IsLocal(spec, spec.gang ? choices : std::vector<Choice>{choice})) {
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -257,7 +257,7 @@
     gang_holds_.MarkWanted(worker);
   }
   if (unplaced->second.could_hold) {
-    ReserveCap(item, item.job->SpecOf(item.step).tasks);
+    ReserveCap(item, item.job->SpecOf(item.step).SmallestStart());
   }
   if (!unplaced->second.held.empty() && gang_holds_.CanHold()) {
     for (const auto& [worker, remainder] : unplaced->second.held) {
@@ -292,7 +292,7 @@
     needing_more_advice_.push_back(&item);
     return false;
   }
-  if (WaitsForRack(item, choices, now)) {
+  if (!item.has_turn && WaitsForRack(item, choices, now)) {
     return false;
   }
   jobs::Attempt attempt = first_attempt_;
@@ -350,9 +350,11 @@
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
   unplaced.could_hold = CouldHold(item.candidates, spec);
   if (!unplaced.could_hold) {
+    // A turn would be of no use to it now.
+    overdue_turns_.Remove(item.step);
     return;
   }
-  ReserveCap(item, spec.tasks);
+  ReserveCap(item, spec.SmallestStart());
   for (const Candidate& candidate : item.candidates) {
     gang_holds_.MarkWanted(candidate.worker->number());
     unplaced.wanted.push_back(candidate.worker->number());
@@ -361,25 +363,28 @@
   if (!gang_holds_.CanHold() || kept_rooms_.IsKeptFor(item.step)) {
     return;
   }
-  for (const workers::WorkerNumber worker : RackWorkersToHold(item, now)) {
-    unplaced.held.try_emplace(worker);
+  if (spec.gang) {
+    for (const workers::WorkerNumber worker : RackWorkersToHold(item, now)) {
+      unplaced.held.try_emplace(worker);
+    }
   }
   if (!unplaced.held.empty()) {
     return;
   }
+  const std::uint32_t tasks = spec.SmallestStart();
   std::vector<Opening> openings;
   for (const Candidate& candidate : item.candidates) {
     if (!gang_holds_.IsHeld(candidate.worker->number())) {
-      AppendOpenings(candidate, spec, spec.tasks, now, &openings);
+      AppendOpenings(candidate, spec, tasks, now, &openings);
     }
   }
-  if (openings.size() < spec.tasks) {
+  if (openings.size() < tasks) {
     return;
   }
   std::stable_sort(
       openings.begin(), openings.end(),
       [](const Opening& a, const Opening& b) { return a.at < b.at; });
-  openings.resize(spec.tasks);
+  openings.resize(tasks);
   unplaced.held = RemaindersOf(openings, item.candidates, spec);
   for (const auto& [worker, remainder] : unplaced.held) {
     gang_holds_.Hold(worker, remainder);
--- a/src/core/scheduler/dispatcher_locality.cc
+++ b/src/core/scheduler/dispatcher_locality.cc
@@ -152,7 +152,7 @@
                             base::TimePoint now) {
   const jobs::StepSpec& spec = item->job->SpecOf(item->step);
   if (!HasLocality(spec) || worker.listing().rack == spec.data_rack ||
-      task.crashes.is_suspect()) {
+      task.crashes.is_suspect() || item->has_turn) {
     return true;
   }
   if (!item->remote_tasks) {
--- a/test/core/scheduler/late_work_under_cap_test.cc
+++ b/test/core/scheduler/late_work_under_cap_test.cc
@@ -2,6 +2,7 @@
 // organisation goes on.
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 
@@ -78,6 +79,32 @@
   CHECK(RestartsAfterCrash(&scenario, large, seconds(30), milliseconds(200)));
 }
 
+// Guards against late work that never finds as much of its cap free as it needs
+// at one moment, because some urgent work of its organisation always runs.
+TEST_CASE(
+    "work as large as its organisation's cap beside endless urgent work") {
+  TimedScenario scenario;
+  scenario.AddWorkers(8);
+  scenario.SetCap(kCapCores);
+  jobs::StepSpec large = SchedulerScenario::Step(1);
+  SUBCASE("a gang") {
+    large.tasks = 4;
+    large.gang = true;
+  }
+  SUBCASE("a single task") {
+    large.needs.cpu = base::Millicores(1000 * kCapCores);
+  }
+  CHECK(RestartsAfterCrash(&scenario, large, seconds(30), seconds(1)));
+  // It was not only completed once the urgent work was over.
+  const auto last =
+      std::find_if(scenario.starts().rbegin(), scenario.starts().rend(),
+                   [](const TimedScenario::Start& start) {
+                     return start.task.step.job == jobs::JobKey(kLarge);
+                   });
+  REQUIRE(last != scenario.starts().rend());
+  CHECK(last->at - scenario.starts().front().at < seconds(15));
+}
+
 // Late work may use what it leaves to urgent work only as far as it needs it:
 // small late tasks leave headroom as before.
 TEST_CASE("small late work leaves headroom to urgent work") {
