Fuzz the progress of work beside jobs that can never run

Random work of two organisations under a cap, jobs that no worker can hold, gangs that need nearly all workers or all of a cap, jobs whose runs all fail, workers that crash, and a trickle of urgent work that goes on. No job that can run may run nothing for 14 s while less than half of fleet and cap are in use, and all such jobs end within a minute after the faults.

--- a/test/fuzz/scheduler/cell.cc
+++ b/test/fuzz/scheduler/cell.cc
@@ -33,14 +33,14 @@
 // As long as an owner commands workers without a confirmed write.
 constexpr std::int64_t kOwnershipLeaseMs =
     core::scheduler::kOwnershipLease / std::chrono::milliseconds(1);
-constexpr std::int64_t kWorkerCores = 16;
+constexpr std::int64_t kWorkerCores = Cell::kWorkerCores;
 // The range of the clocks of workers that were restarted unnoticed.
 constexpr std::int64_t kMaxClockOriginMs = 60'000;
 // A command whose connection isn't accepted for this long is not executed, and
 // one that still waits arrives this long after its worker's return at most.
 constexpr std::int64_t kMaxConnectTimeMs = 1000;
 constexpr std::int64_t kMaxReconnectDelayMs = 60;
-constexpr std::int64_t kWorkerMemory = 64;
+constexpr std::int64_t kWorkerMemory = Cell::kWorkerMemory;
 constexpr std::int64_t kMaxRecoveryMs = 120'000;
 constexpr std::uint32_t kMaxAttempts = 3;
 // A task that has crashed this many workers may be started fewer than
@@ -96,13 +96,16 @@
   batch.slack_factor = 4;
   batch.completion_target = std::chrono::seconds(3);
   core::desired::Organisation organisation;
-  organisation.id = base::OrganisationId("organisation");
+  organisation.id = base::OrganisationId(Cell::kOrganisation);
   organisation.cap.cpu = base::Millicores(cap_cores * 1000);
   organisation.weight = kAmpleWeight;
+  core::desired::Organisation uncapped;
+  uncapped.id = base::OrganisationId(Cell::kUncapped);
+  uncapped.weight = kAmpleWeight;
   return std::make_shared<core::desired::DesiredState>(
       base::ConfigVersion(1),
       std::vector<core::desired::Queue>{plain, advised, lookups, batch},
-      std::vector<core::desired::Organisation>{organisation},
+      std::vector<core::desired::Organisation>{organisation, uncapped},
       std::vector<core::desired::Service>{
           {base::ServiceId(kService), false, false}},
       core::desired::CallLimits());
@@ -169,6 +172,9 @@
     listing.born_ms = UnixMillis();
     listing.zone = ZoneOf(i % kZones);
     listing.rack = "rack-" + std::to_string(i % kRacks);
+    if (i == 0) {
+      listing.labels = {kRareLabel};
+    }
     workers_.push_back(std::make_unique<WorkerModel>(listing, Between(0, 20)));
     workers_.back()->set_max_listed_ends(kMaxListedEnds);
   }
@@ -549,7 +555,7 @@
   return {
       .needs = spec.Reservation(),
       .duration_ms = duration_ms + (IsDeadly(task) ? deadly_after_ms : 0),
-      .fails = Chance(faults.runs_failing),
+      .fails = Chance(faults.runs_failing) || hopeless_.contains(task.step.job),
       .gang_size = spec.gang ? spec.tasks : 0,
       .checkpoint_interval_ms = spec.checkpoints ? kCheckpointIntervalMs : 0,
       .restore_ms = kPreemption.restore_time / std::chrono::milliseconds(1)};
@@ -675,17 +681,43 @@
   }
   copies_ += others > 0 ? 1 : 0;
   CheckEnds(task, name);
+  if (UsedMillicores(true) > cap_cores_ * 1000) {
+    Break("started above the cap: " + name);
+  }
+}
+
+std::int64_t Cell::UsedMillicores(bool capped_only) const {
   std::int64_t used = 0;
-  for (const auto& other : workers_) {
-    for (const auto& [running, run] : other->runs()) {
-      if (other->is_up()) {
+  for (const auto& worker : workers_) {
+    for (const auto& [task, run] : worker->runs()) {
+      if (worker->is_up() &&
+          !(capped_only && uncapped_.contains(task.step.job))) {
         used += run.plan.needs.cpu.value();
       }
     }
   }
-  if (used > cap_cores_ * 1000) {
-    Break("started above the cap: " + name);
-  }
+  return used;
+}
+
+bool Cell::IsRunning(JobKey job) const {
+  return std::any_of(
+      workers_.begin(), workers_.end(), [job](const auto& worker) {
+        return worker->is_up() &&
+               std::any_of(worker->runs().begin(), worker->runs().end(),
+                           [job](const auto& entry) {
+                             return entry.first.step.job == job;
+                           });
+      });
+}
+
+double Cell::FleetUse() const {
+  return static_cast<double>(UsedMillicores(false)) /
+         (static_cast<double>(workers_.size()) * kWorkerCores * 1000);
+}
+
+double Cell::CapUse() const {
+  return static_cast<double>(UsedMillicores(true)) /
+         (static_cast<double>(cap_cores_) * 1000);
 }
 
 void Cell::CheckEnds(const TaskRef& task, const std::string& name) {
@@ -749,8 +781,12 @@
   return Submit(std::move(spec), is_even ? "plain" : "advised");
 }
 
-JobKey Cell::Submit(JobSpec spec, const std::string& queue) {
+JobKey Cell::Submit(JobSpec spec, const std::string& queue,
+                    const std::string& organisation) {
   const JobKey key(++last_job_);
+  if (organisation == kUncapped) {
+    uncapped_.insert(key);
+  }
   specs_[key] = spec;
   queues_[key] = queue;
   const std::shared_ptr<Owner> owner = owners_.back();
@@ -759,7 +795,7 @@
   core::scheduler::Submission submission;
   submission.key = key;
   submission.queue = core::desired::QueueId(queue);
-  submission.organisation = base::OrganisationId("organisation");
+  submission.organisation = base::OrganisationId(organisation);
   submission.spec = std::move(spec);
   owner->scheduler->Submit(submission, waiter, StoreMillis(), Now());
   return key;
@@ -1089,7 +1125,7 @@
   }
 }
 
-bool Cell::Mend() {
+void Cell::EndFaults() {
   for (std::size_t i = 0; i < workers_.size(); ++i) {
     if (workers_[i]->listing().capacity.cpu !=
         base::Millicores(kWorkerCores * 1000)) {
@@ -1105,6 +1141,10 @@
   listed_while_cut_.clear();
   EndIsolation();
   is_store_down_ = false;
+}
+
+bool Cell::Mend() {
+  EndFaults();
   const std::int64_t end = now_ms_ + kMaxRecoveryMs;
   while (now_ms_ < end) {
     Run(1000);
--- a/test/fuzz/scheduler/cell.h
+++ b/test/fuzz/scheduler/cell.h
@@ -58,6 +58,13 @@
  public:
   // Low enough for the cap to take effect: 3/8 of the cores of eight workers.
   static constexpr std::int64_t kCapCores = 48;
+  // The organisation with the cap, and one without.
+  static constexpr const char* kOrganisation = "organisation";
+  static constexpr const char* kUncapped = "uncapped";
+  // The label of the first worker.
+  static constexpr const char* kRareLabel = "rare";
+  static constexpr std::int64_t kWorkerCores = 16;
+  static constexpr std::int64_t kWorkerMemory = 64;
   // How long a stop takes at most, and how much longer a resumed run takes.
   static constexpr core::placement::PreemptionSettings kPreemption{
       .stop_timeout = std::chrono::milliseconds(400),
@@ -74,7 +81,8 @@
 
   // Submits a job; accepted() lists it once the owner has accepted it.
   core::jobs::JobKey Submit(core::jobs::JobSpec spec);
-  core::jobs::JobKey Submit(core::jobs::JobSpec spec, const std::string& queue);
+  core::jobs::JobKey Submit(core::jobs::JobSpec spec, const std::string& queue,
+                            const std::string& organisation = kOrganisation);
   core::jobs::JobKey SubmitAny();
   // Submit a batch job of the lowest priority, with checkpoints more often than
   // not, and a job of the highest one with little slack. They need little of
@@ -150,6 +158,17 @@
   std::size_t victims() const { return victims_; }
   std::size_t workers() const { return workers_.size(); }
 
+  // From now on, all runs of the job fail.
+  void MakeHopeless(core::jobs::JobKey job) { hopeless_.insert(job); }
+  // Whether any run of the job is active.
+  bool IsRunning(core::jobs::JobKey job) const;
+  // Returns the fraction of the workers' processors in use, and that of the cap
+  // which its organisation uses.
+  double FleetUse() const;
+  double CapUse() const;
+
+  // Ends all faults.
+  void EndFaults();
   // Ends all faults and runs the cell until all accepted jobs have finished.
   // Returns whether they finished in time.
   bool Mend();
@@ -279,6 +298,9 @@
   bool IsAllowed(const base::BackendId& worker,
                  const core::jobs::StepRef& step) const;
   bool IsDeadly(const TaskRef& task) const;
+  // Returns the millicores that active runs use, of both organisations or only
+  // of that with the cap.
+  std::int64_t UsedMillicores(bool capped_only) const;
   // Returns the task by which the failures and crashes of this task are kept.
   TaskRef BlamedOf(const TaskRef& task) const;
   // Crashes the worker under the deadly task that it has just started.
@@ -322,6 +344,9 @@
   std::size_t preemptions_ = 0;
   std::map<core::jobs::JobKey, core::jobs::JobSpec> specs_;
   std::map<core::jobs::JobKey, std::string> queues_;
+  // The jobs of the organisation without a cap, and those whose runs fail.
+  std::set<core::jobs::JobKey> uncapped_;
+  std::set<core::jobs::JobKey> hopeless_;
   std::set<core::jobs::JobKey> accepted_;
   std::set<core::jobs::JobKey> cancelled_;
   // The tasks whose success the owner has acknowledged to a worker, and when it
