Keep turns rare where much is in use, and short for others

Found while the turns were measured. And a turn of 4 s kept a worker from small tasks for longer than the 3 s after which they count as lost (overdue_steps_test failed with it).

Change: patience of 20 s where more than half of the fleet or of the cap is in use, and a share of the fleet or of the cap, whichever is more. A first turn of 2.9 s, further ones of the step longer by as much, two on end, and a second of rest after each in vain. A single task whose turn it is is searched for every 250 ms.

--- a/include/dotterelbarrow/core/placement/overdue_turns.h
+++ b/include/dotterelbarrow/core/placement/overdue_turns.h
@@ -26,16 +26,20 @@
 class OverdueTurns {
  public:
   // A step gets a turn after it has waited for this long.
-  static constexpr base::Duration kPatience = std::chrono::seconds(8);
+  static constexpr base::Duration kPatience = std::chrono::seconds(20);
   // The same while less than `kLightUse` of the fleet and of the step's cap is
   // in use: such a step must not be left without a run for seconds.
-  static constexpr base::Duration kPatienceIfLight = std::chrono::seconds(3);
+  static constexpr base::Duration kPatienceIfLight = std::chrono::seconds(2);
   static constexpr double kLightUse = 0.5;
-  // A turn ends after this time even if nothing could be placed. No other turn
-  // begins for as long again.
-  static constexpr base::Duration kMaxTurn = std::chrono::seconds(4);
-  // The share of the fleet's capacity, over time, that the tasks placed in
-  // turns may use while more than `kLightUse` of it is in use.
+  // A turn ends after this time even if nothing could be placed: other work
+  // that could run meanwhile must not wait for seconds. Each further turn of
+  // the step lasts longer by as much, up to the maximum.
+  static constexpr base::Duration kFirstTurn = std::chrono::milliseconds(2900);
+  static constexpr base::Duration kMaxTurn = std::chrono::seconds(10);
+  // No turn begins for so long after one in vain.
+  static constexpr base::Duration kRest = std::chrono::seconds(1);
+  // The share of the fleet's capacity, or of the step's cap, over time, that
+  // the tasks placed in turns may use while more than `kLightUse` is in use.
   static constexpr double kMaxShare = 0.1;
 
   // An overdue step waits, for free resources or for its cap. Only the first
@@ -47,14 +51,14 @@
   }
   // The step waits no more. Ends its turn.
   void Remove(const jobs::StepRef& step);
-  // Tasks of the step were placed, which need `needs` for about `run_time`, in
-  // a fleet with this capacity.
-  void OnPlaced(const jobs::StepRef& step, const base::Resources& needs,
-                base::Duration run_time, const base::Resources& fleet_capacity,
-                base::TimePoint now);
+  // Tasks of the step were placed, which use `share` of the fleet or of their
+  // cap for about `run_time`.
+  void OnPlaced(const jobs::StepRef& step, double share,
+                base::Duration run_time, base::TimePoint now);
   // Ends the turn if its time is over, and begins another one if that may be:
-  // of the steps that have waited for long, that of the one which has had the
-  // fewest turns and has waited longest.
+  // of the steps that have waited for long, that of the one which has had fewer
+  // pairs of turns and has waited longest. In a second turn on end it gets what
+  // was nearly free at the end of the first.
   void Update(base::TimePoint now);
   // Returns the step whose turn it is.
   const std::optional<jobs::StepRef>& current() const { return current_; }
@@ -66,6 +70,8 @@
     // The turns in which nothing was placed.
     int vain_turns = 0;
     bool is_light = false;
+
+    int pairs_of_turns() const { return vain_turns / 2; }
   };
 
   bool IsDue(const Wait& wait, base::TimePoint now) const;
--- a/include/dotterelbarrow/core/scheduler/dispatcher.h
+++ b/include/dotterelbarrow/core/scheduler/dispatcher.h
@@ -226,6 +226,9 @@
   // Places the overdue step whose turn it is, if any, or keeps free for it what
   // it lacks.
   void PlaceStepInTurn(base::TimePoint now, std::vector<Action>* actions);
+  // Returns which part of the fleet or, if that is larger, of their cap this
+  // many tasks of the step use.
+  double ShareOf(const WaitingStep& item, std::size_t tasks) const;
   // Whether a small part of the fleet and of the step's cap is in use.
   bool IsLightlyLoadedFor(const WaitingStep& item) const;
   // Records that an overdue step waits, unless it couldn't use a turn.
--- a/src/core/placement/overdue_turns.cc
+++ b/src/core/placement/overdue_turns.cc
@@ -2,7 +2,7 @@
 #include "dotterelbarrow/core/placement/overdue_turns.h"
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 namespace dotterelbarrow::core::placement {
 
@@ -13,13 +13,9 @@
   }
 }
 
-void OverdueTurns::OnPlaced(const jobs::StepRef& step,
-                            const base::Resources& needs,
-                            base::Duration run_time,
-                            const base::Resources& fleet_capacity,
-                            base::TimePoint now) {
+void OverdueTurns::OnPlaced(const jobs::StepRef& step, double share,
+                            base::Duration run_time, base::TimePoint now) {
   if (current_ == step) {
-    const double share = base::DominantFraction(needs, fleet_capacity);
     next_within_share_ = now + std::chrono::duration_cast<base::Duration>(
                                    run_time * (share / kMaxShare));
   }
@@ -36,7 +32,7 @@
   if (current_ && now >= turn_ends_) {
     ++waits_.at(*current_).vain_turns;
     current_.reset();
-    next_turn_ = now + kMaxTurn;
+    next_turn_ = now + kRest;
   }
   if (current_ || now < next_turn_) {
     return;
@@ -46,13 +42,16 @@
     if (!IsDue(wait, now)) {
       continue;
     }
-    if (first == nullptr || std::tie(wait.vain_turns, wait.since) <
-                                std::tie(first->vain_turns, first->since)) {
+    if (first == nullptr ||
+        std::pair(wait.pairs_of_turns(), wait.since) <
+            std::pair(first->pairs_of_turns(), first->since)) {
       first = &wait;
       current_ = step;
     }
   }
-  turn_ends_ = now + kMaxTurn;
+  if (first != nullptr) {
+    turn_ends_ = now + std::min(kFirstTurn * (first->vain_turns + 1), kMaxTurn);
+  }
 }
 
 }  // namespace dotterelbarrow::core::placement
--- a/src/core/scheduler/dispatcher.cc
+++ b/src/core/scheduler/dispatcher.cc
@@ -178,6 +178,17 @@
   PlaceAll(std::move(items), nullptr, now, actions);
 }
 
+double Dispatcher::ShareOf(const WaitingStep& item, std::size_t tasks) const {
+  const base::Resources needs =
+      item.job->SpecOf(item.step).needs * static_cast<std::int64_t>(tasks);
+  const desired::Organisation* organisation =
+      context_.desired->FindOrganisation(item.job->organisation);
+  return std::max(base::DominantFraction(needs, context_.fleet_capacity),
+                  organisation == nullptr
+                      ? 0.0
+                      : base::DominantFraction(needs, organisation->cap));
+}
+
 bool Dispatcher::IsLightlyLoadedFor(const WaitingStep& item) const {
   using placement::OverdueTurns;
   const base::OrganisationId& id = item.job->organisation;
@@ -668,9 +679,8 @@
     jobs::Attempt attempt, base::TimePoint now) {
   const jobs::Step& step = *item.job->FindStep(item.step);
   const jobs::StepSpec& spec = item.job->SpecOf(item.step);
-  overdue_turns_.OnPlaced(
-      item.step, spec.needs * static_cast<std::int64_t>(choices.size()),
-      spec.estimate, context_.fleet_capacity, now);
+  overdue_turns_.OnPlaced(item.step, ShareOf(item, choices.size()),
+                          spec.estimate, now);
   std::vector<PlacedRun> placed;
   for (const Choice& choice : choices) {
     const jobs::TaskRef task{item.step, choice.index};
--- a/src/core/scheduler/dispatcher_gangs.cc
+++ b/src/core/scheduler/dispatcher_gangs.cc
@@ -21,6 +21,8 @@
 // most of the time of the passes.
 constexpr int kTriesPerSlack = 16;
 constexpr int kMaxRetryFactor = 12;
+// Interval at which a task is tried again for which a worker is held.
+constexpr base::Duration kTaskRetryInterval = std::chrono::milliseconds(250);
 
 // Chooses a worker for each of `tasks` identical tasks, the best one in turn.
 // Returns nothing if they do not all fit.
@@ -240,7 +242,9 @@
     const WaitingStep& item, base::TimePoint now) {
   UnplacedGang& unplaced = unplaced_gangs_[item.step];
   unplaced = UnplacedGang();
-  unplaced.next_try = now + GangRetryInterval(item, now);
+  unplaced.next_try =
+      now + (item.job->SpecOf(item.step).gang ? GangRetryInterval(item, now)
+                                              : kTaskRetryInterval);
   return unplaced;
 }
 
--- a/test/core/placement/overdue_turns_test.cc
+++ b/test/core/placement/overdue_turns_test.cc
@@ -15,10 +15,6 @@
 const jobs::StepRef kFirst{jobs::JobKey(1), 0, 0};
 const jobs::StepRef kSecond{jobs::JobKey(2), 0, 0};
 
-base::Resources Cores(int cores) {
-  return {base::Millicores(1000 * cores), {}, {}, {}};
-}
-
 TEST_CASE("turns of overdue steps") {
   OverdueTurns turns;
 
@@ -37,25 +33,34 @@
   SUBCASE("end when the step is placed or waits no more") {
     turns.RecordWaiting(kFirst, true, kNow);
     turns.Update(kNow + OverdueTurns::kPatienceIfLight);
-    SUBCASE("placed") {
-      turns.OnPlaced(kFirst, Cores(1), seconds(1), Cores(100), kNow);
-    }
+    SUBCASE("placed") { turns.OnPlaced(kFirst, 0.01, seconds(1), kNow); }
     SUBCASE("gone") { turns.Remove(kFirst); }
     CHECK(!turns.current());
     turns.Update(kNow + seconds(100));
     CHECK(!turns.current());
   }
-  SUBCASE("end in vain after some time, and others come first then") {
+  SUBCASE("end in vain after some time, and others come after the second") {
     turns.RecordWaiting(kFirst, true, kNow);
     turns.RecordWaiting(kSecond, true, kNow + kAMoment);
     const base::TimePoint begun = kNow + seconds(10);
     turns.Update(begun);
     REQUIRE(turns.IsTurnOf(kFirst));
-    turns.Update(begun + OverdueTurns::kMaxTurn);
+    base::TimePoint over = begun + OverdueTurns::kFirstTurn;
+    turns.Update(over - kAMoment);
+    CHECK(turns.IsTurnOf(kFirst));
+    turns.Update(over);
     CHECK(!turns.current());
-    turns.Update(begun + 2 * OverdueTurns::kMaxTurn - kAMoment);
+    turns.Update(over + OverdueTurns::kRest - kAMoment);
+    CHECK(!turns.current());
+    turns.Update(over + OverdueTurns::kRest);
+    REQUIRE(turns.IsTurnOf(kFirst));
+    // The second turn of a step lasts longer.
+    over += OverdueTurns::kRest + 2 * OverdueTurns::kFirstTurn;
+    turns.Update(over - kAMoment);
+    CHECK(turns.IsTurnOf(kFirst));
+    turns.Update(over);
     CHECK(!turns.current());
-    turns.Update(begun + 2 * OverdueTurns::kMaxTurn);
+    turns.Update(over + OverdueTurns::kRest);
     CHECK(turns.IsTurnOf(kSecond));
   }
   SUBCASE("use a tenth of a busy fleet") {
@@ -66,7 +71,7 @@
     REQUIRE(turns.current().has_value());
     const jobs::StepRef first = *turns.current();
     // A quarter of the fleet for two seconds.
-    turns.OnPlaced(first, Cores(25), seconds(2), Cores(100), begun);
+    turns.OnPlaced(first, 0.25, seconds(2), begun);
     turns.Update(begun + seconds(5) - kAMoment);
     CHECK(!turns.current());
     turns.Update(begun + seconds(5));
