--- a/test/core/scheduler/late_work_under_cap_test.cc
+++ b/test/core/scheduler/late_work_under_cap_test.cc
@@ -18,7 +18,6 @@
 constexpr int kCapMemory = 800;
 constexpr std::uint64_t kLarge = 1;
 constexpr std::uint64_t kFirstLookup = 100;
-constexpr int kPassesBetweenLookups = 3;
 // A job that can run must have been started this long after the traffic.
 constexpr base::Duration kFinish = seconds(14);
 
@@ -29,12 +28,18 @@
   return step;
 }
 
+// Lookups of an organisation, which come all the time.
+struct Lookups {
+  int passes_between = 0;
+  base::Duration run_time{0};
+};
+
 // Has the worker of the large job's first task crash under it, and lookups come
-// all the time for `traffic`. Returns whether the job is completed in time.
+// for 30 s. Returns whether the job is completed in time.
 bool RestartsAfterCrash(TimedScenario* scenario, jobs::StepSpec large,
-                        base::Duration traffic, base::Duration lookup_time) {
+                        const Lookups& lookups) {
   large.estimate = seconds(2);
-  scenario->run_time = lookup_time;
+  scenario->run_time = lookups.run_time;
   scenario->run_times[kLarge] = seconds(2);
   scenario->SubmitAndStore(kLarge, "urgent", {large});
   // It can't be on time if it begins anew then.
@@ -42,8 +47,8 @@
   REQUIRE(scenario->StartsOf(kLarge) == large.tasks);
   REQUIRE(scenario->CrashWorkerOf({{jobs::JobKey(kLarge), 0, 0}, 0}));
   std::uint64_t lookup = kFirstLookup;
-  scenario->Play(traffic, [&](int pass) {
-    if (pass % kPassesBetweenLookups == 0) {
+  scenario->Play(seconds(30), [&](int pass) {
+    if (pass % lookups.passes_between == 0) {
       scenario->SubmitAndStore(lookup++, "urgent", {Lookup()});
     }
   });
@@ -76,7 +81,9 @@
     scenario.SetCap(0, kCapMemory);
     large.needs.memory = base::Mebibytes(kCapMemory);
   }
-  CHECK(RestartsAfterCrash(&scenario, large, seconds(30), milliseconds(200)));
+  CHECK(RestartsAfterCrash(&scenario, large, {6, milliseconds(200)}));
+  // It needs no turn, as the cap is free between two lookups.
+  CHECK(scenario.counters().value("overdue_turns", "begun") == 0);
 }
 
 // Guards against late work that never finds as much of its cap free as it needs
@@ -94,7 +101,7 @@
   SUBCASE("a single task") {
     large.needs.cpu = base::Millicores(1000 * kCapCores);
   }
-  CHECK(RestartsAfterCrash(&scenario, large, seconds(30), seconds(1)));
+  CHECK(RestartsAfterCrash(&scenario, large, {3, seconds(1)}));
   // It was not only completed once the urgent work was over.
   const auto last =
       std::find_if(scenario.starts().rbegin(), scenario.starts().rend(),
