Hand new hopeless jobs in for each round of the quarantine test

Cause: the test handed the same five jobs in before each round. A job that has ended isn't run again under its key, so that only the first round had hopeless jobs, and the variant with two workers of the label proved nothing.

Change: each round has jobs of its own. The assertions are the same.

Measured: on the untouched code one round of one variant failed before; now seven rounds fail, in both variants (5, 9, 13 and 21 s with one worker, 5, 9 and 13 s with two). On this code all pass.

--- a/test/core/scheduler/quarantine_test.cc
+++ b/test/core/scheduler/quarantine_test.cc
@@ -37,10 +37,10 @@
   return step;
 }
 
-void SubmitHopeless(TimedScenario* scenario) {
+void SubmitHopeless(TimedScenario* scenario, std::uint64_t first) {
   for (std::uint64_t i = 0; i < kHopelessJobs; ++i) {
-    scenario->failing_jobs.insert(kFirstHopeless + i);
-    scenario->SubmitAndStore(kFirstHopeless + i, "urgent", {Labelled()});
+    scenario->failing_jobs.insert(first + i);
+    scenario->SubmitAndStore(first + i, "urgent", {Labelled()});
   }
 }
 
@@ -66,13 +66,14 @@
   scenario.SetLabels("worker-0", {"rare"});
   SUBCASE("one worker") {}
   SUBCASE("two workers") { scenario.SetLabels("worker-1", {"rare"}); }
+  std::uint64_t next_job = kFirstHopeless;
   for (int after_s = 1; after_s < 25; after_s += 4) {
     CAPTURE(after_s);
-    TimedScenario* playing = &scenario;
-    SubmitHopeless(playing);
+    // A job that has ended isn't run again under its key.
+    SubmitHopeless(&scenario, next_job);
+    next_job += kHopelessJobs;
     scenario.Play(seconds(after_s));
-    const std::uint64_t job =
-        kHealthy + 1000 + static_cast<std::uint64_t>(after_s);
+    const std::uint64_t job = next_job++;
     const base::TimePoint submitted_at = scenario.now();
     scenario.SubmitAndStore(job, "urgent", {Labelled()});
     scenario.Play(seconds(5));
@@ -88,7 +89,7 @@
   scenario.AddWorkers(kWorkers);
   scenario.run_time = milliseconds(300);
   scenario.SetLabels("worker-0", {"rare"});
-  SubmitHopeless(&scenario);
+  SubmitHopeless(&scenario, kFirstHopeless);
   scenario.Play(seconds(14));
   for (std::uint64_t i = 0; i < kHopelessJobs; ++i) {
     CHECK(scenario.scheduler().StateOf(jobs::JobKey(kFirstHopeless + i)) ==
