Count the tasks that fit on an empty worker in one place

FleetFit and CouldHold each built the empty candidate and counted on it, one with and one without the runs that don't end.

--- a/src/core/scheduler/fleet_fit.cc
+++ b/src/core/scheduler/fleet_fit.cc
@@ -8,15 +8,13 @@
 
 using placement::Candidate;
 
-// Returns how many tasks of the step the worker could hold without the runs
-// that end, at most `most`.
-std::uint32_t CountOnEmptyWorker(const workers::Worker& worker,
-                                 const jobs::StepSpec& spec,
-                                 std::uint32_t most) {
-  const Candidate empty{
-      .worker = &worker,
-      .free = worker.listing().capacity - worker.long_running_reserved()};
-  return placement::CountFittingTasks(empty, spec, most);
+// Returns how many tasks of the step the worker could hold in `room`, without
+// those that it has, at most `most`.
+std::uint32_t CountTasksIn(const base::Resources& room,
+                           const workers::Worker& worker,
+                           const jobs::StepSpec& spec, std::uint32_t most) {
+  return placement::CountFittingTasks({.worker = &worker, .free = room}, spec,
+                                      most);
 }
 
 }  // namespace
@@ -25,7 +23,10 @@
                const jobs::StepSpec& spec) {
   std::uint32_t missing = spec.SmallestStart();
   for (const Candidate& candidate : candidates) {
-    missing -= CountOnEmptyWorker(*candidate.worker, spec, missing);
+    const workers::Worker& worker = *candidate.worker;
+    missing -=
+        CountTasksIn(worker.listing().capacity - worker.long_running_reserved(),
+                     worker, spec, missing);
     if (missing == 0) {
       return true;
     }
@@ -45,8 +46,7 @@
     }
     is_any_listed = true;
     if (placement::IsSuitable(worker, spec)) {
-      const Candidate empty{.worker = &worker, .free = listing.capacity};
-      missing -= placement::CountFittingTasks(empty, spec, missing);
+      missing -= CountTasksIn(listing.capacity, worker, spec, missing);
     }
     if (missing == 0) {
       return true;
